--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ["packages/*/dist/**/*_test.js"],
+  timeout: "2m",
+  concurrency: 4,
+  workerThreads: false,
+};
--- /dev/null
+++ b/packages/common/src/event_catalogue.ts
@@ -0,0 +1,293 @@
+/** Numbered log events. A number is never used again for something else. */
+export enum EventCode {
+  ProcessStarted = 1001,
+  ProcessReady = 1002,
+  DrainStarted = 1003,
+  DrainFinished = 1004,
+  StopForced = 1005,
+  CloseLate = 1006,
+  LinkEstablished = 1101,
+  LinkLost = 1102,
+  LinkSilent = 1103,
+  LinkRefused = 1104,
+  RunnerIncarnationChanged = 1105,
+  RunnerLeaving = 1106,
+  HostListUnavailable = 1201,
+  HostAppeared = 1202,
+  HostDisappeared = 1203,
+  EntryIsolated = 1204,
+  EntryRejoined = 1205,
+  ConfigurationInForce = 1301,
+  ConfigurationAccepted = 1302,
+  ConfigurationConflict = 1303,
+  ConfigurationNotReached = 1304,
+  ConfigurationStale = 1305,
+  StoreUnavailable = 1306,
+  StoreRecovered = 1307,
+  RequestRefused = 1401,
+  RequestRetried = 1402,
+  RequestIncomplete = 1403,
+  RequestMayHaveRun = 1404,
+  ClaimTakenOver = 1405,
+  StaleFrameDropped = 1406,
+  CallerStalled = 1407,
+  DispatchRefused = 1501,
+  AttemptTombstoned = 1502,
+  AttemptOrphaned = 1503,
+  EngineFailed = 1504,
+  OrderRefused = 1505,
+  MapSwitchStarted = 1601,
+  MapSwitchCommitted = 1602,
+  MapSwitchCancelled = 1603,
+  MapSwitchRecovered = 1604,
+  CoordinatorChanged = 1605,
+  PlacementPlanned = 1701,
+  PlacementSkipped = 1702,
+  RunnerSpared = 1801,
+  RunnerRestored = 1802,
+}
+
+/** How much attention an event asks for. */
+export enum EventLevel {
+  Info = "info",
+  Warn = "warn",
+  Error = "error",
+}
+
+/** What the catalogue in docs/events.md says of an event. */
+export interface EventEntry {
+  level: EventLevel;
+  meaning: string;
+  action: string;
+}
+
+const NONE = "None.";
+
+/** One entry per event; docs/events.md is made from it. */
+export const EVENT_CATALOGUE: Record<EventCode, EventEntry> = {
+  [EventCode.ProcessStarted]: {
+    level: EventLevel.Info,
+    meaning: "The process has read its settings and opened its listeners.",
+    action: NONE,
+  },
+  [EventCode.ProcessReady]: {
+    level: EventLevel.Info,
+    meaning: "The process has a configuration in force and takes work.",
+    action: NONE,
+  },
+  [EventCode.DrainStarted]: {
+    level: EventLevel.Info,
+    meaning: "The process refuses new work and finishes what it accepted.",
+    action: NONE,
+  },
+  [EventCode.DrainFinished]: {
+    level: EventLevel.Info,
+    meaning: "All accepted work is finished.",
+    action: "The host may be taken away.",
+  },
+  [EventCode.StopForced]: {
+    level: EventLevel.Error,
+    meaning: "A second stop signal ended the process; `lost` counts requests.",
+    action: "Wait for DrainFinished next time, or raise the stop timeout.",
+  },
+  [EventCode.CloseLate]: {
+    level: EventLevel.Warn,
+    meaning: "A part did not close in time and was left.",
+    action: "Report it with the state dump.",
+  },
+  [EventCode.LinkEstablished]: {
+    level: EventLevel.Info,
+    meaning: "A link to another process of the system is up.",
+    action: NONE,
+  },
+  [EventCode.LinkLost]: {
+    level: EventLevel.Warn,
+    meaning: "A link closed; a new one is being opened.",
+    action: "If it repeats, check the host named.",
+  },
+  [EventCode.LinkSilent]: {
+    level: EventLevel.Warn,
+    meaning: "Nothing arrived on an open link in time; it is replaced.",
+    action: "If it repeats between the same hosts, check the network path.",
+  },
+  [EventCode.LinkRefused]: {
+    level: EventLevel.Error,
+    meaning: "The other process refused the link.",
+    action: "Check the process key and the addresses in the settings.",
+  },
+  [EventCode.RunnerIncarnationChanged]: {
+    level: EventLevel.Warn,
+    meaning: "The upstream process was replaced; its open attempts are lost.",
+    action: "Expect MayHaveRun answers for non-repeatable requests.",
+  },
+  [EventCode.RunnerLeaving]: {
+    level: EventLevel.Info,
+    meaning: "A runner is leaving and gets no new work.",
+    action: NONE,
+  },
+  [EventCode.HostListUnavailable]: {
+    level: EventLevel.Warn,
+    meaning: "The platform's host list cannot be read; the last one is used.",
+    action: "Check the platform.",
+  },
+  [EventCode.HostAppeared]: {
+    level: EventLevel.Info,
+    meaning: "A host was added to the view.",
+    action: NONE,
+  },
+  [EventCode.HostDisappeared]: {
+    level: EventLevel.Info,
+    meaning: "A host was removed from the view.",
+    action: NONE,
+  },
+  [EventCode.EntryIsolated]: {
+    level: EventLevel.Error,
+    meaning: "This entry hears neither a peer nor the store; it refuses work.",
+    action: "Check the network of this host.",
+  },
+  [EventCode.EntryRejoined]: {
+    level: EventLevel.Info,
+    meaning: "This entry hears a peer or the store again.",
+    action: NONE,
+  },
+  [EventCode.ConfigurationInForce]: {
+    level: EventLevel.Info,
+    meaning: "A newer revision is in force in this process.",
+    action: NONE,
+  },
+  [EventCode.ConfigurationAccepted]: {
+    level: EventLevel.Info,
+    meaning: "A change was committed through this process.",
+    action: NONE,
+  },
+  [EventCode.ConfigurationConflict]: {
+    level: EventLevel.Warn,
+    meaning: "Another operator's change won; this one was not applied.",
+    action: "Read the configuration again and repeat the change if wanted.",
+  },
+  [EventCode.ConfigurationNotReached]: {
+    level: EventLevel.Warn,
+    meaning: "Some processes did not confirm the revision in time.",
+    action: "Check the hosts named; they follow when they are heard again.",
+  },
+  [EventCode.ConfigurationStale]: {
+    level: EventLevel.Warn,
+    meaning: "An older revision than the one in force was heard and ignored.",
+    action: NONE,
+  },
+  [EventCode.StoreUnavailable]: {
+    level: EventLevel.Warn,
+    meaning: "The platform's table service does not answer.",
+    action: "Check the platform. Changes and keyed requests are refused.",
+  },
+  [EventCode.StoreRecovered]: {
+    level: EventLevel.Info,
+    meaning: "The platform's table service answers again.",
+    action: NONE,
+  },
+  [EventCode.RequestRefused]: {
+    level: EventLevel.Info,
+    meaning: "A request was answered not-run; `reason` says why.",
+    action: "If frequent, look at limits, presets and capacity.",
+  },
+  [EventCode.RequestRetried]: {
+    level: EventLevel.Info,
+    meaning: "A request goes to another runner after a settled attempt.",
+    action: NONE,
+  },
+  [EventCode.RequestIncomplete]: {
+    level: EventLevel.Warn,
+    meaning: "An answer broke off; the caller saw an aborted body or an error.",
+    action: "Look at the engine of the runner named.",
+  },
+  [EventCode.RequestMayHaveRun]: {
+    level: EventLevel.Warn,
+    meaning: "It cannot be known whether a request ran; the caller was told.",
+    action: "The caller decides; look at the runner named.",
+  },
+  [EventCode.ClaimTakenOver]: {
+    level: EventLevel.Info,
+    meaning: "A keyed request that another entry had claimed was resolved here.",
+    action: NONE,
+  },
+  [EventCode.StaleFrameDropped]: {
+    level: EventLevel.Info,
+    meaning: "A frame of an attempt that is not current was dropped.",
+    action: NONE,
+  },
+  [EventCode.CallerStalled]: {
+    level: EventLevel.Info,
+    meaning: "A caller took no bytes for too long; its connection was closed.",
+    action: NONE,
+  },
+  [EventCode.DispatchRefused]: {
+    level: EventLevel.Info,
+    meaning: "The upstream process refused an attempt before it started.",
+    action: NONE,
+  },
+  [EventCode.AttemptTombstoned]: {
+    level: EventLevel.Info,
+    meaning: "An attempt that never started was refused for ever.",
+    action: NONE,
+  },
+  [EventCode.AttemptOrphaned]: {
+    level: EventLevel.Warn,
+    meaning: "The entry of a running attempt is gone; `kept` tells its fate.",
+    action: NONE,
+  },
+  [EventCode.EngineFailed]: {
+    level: EventLevel.Warn,
+    meaning: "The engine or plain service failed during a call.",
+    action: "Look at the engine's own log.",
+  },
+  [EventCode.OrderRefused]: {
+    level: EventLevel.Info,
+    meaning: "An order with an old fencing number was refused.",
+    action: NONE,
+  },
+  [EventCode.MapSwitchStarted]: {
+    level: EventLevel.Info,
+    meaning: "A switch to a new expert map was started.",
+    action: NONE,
+  },
+  [EventCode.MapSwitchCommitted]: {
+    level: EventLevel.Info,
+    meaning: "All ranks of the group were told to use the new expert map.",
+    action: NONE,
+  },
+  [EventCode.MapSwitchCancelled]: {
+    level: EventLevel.Warn,
+    meaning: "A switch was cancelled; all ranks keep the old expert map.",
+    action: "If it repeats, look at the rank named.",
+  },
+  [EventCode.MapSwitchRecovered]: {
+    level: EventLevel.Warn,
+    meaning: "A switch left by another coordinator was finished or cancelled.",
+    action: NONE,
+  },
+  [EventCode.CoordinatorChanged]: {
+    level: EventLevel.Info,
+    meaning: "This entry took or lost the coordination of a group.",
+    action: NONE,
+  },
+  [EventCode.PlacementPlanned]: {
+    level: EventLevel.Info,
+    meaning: "A new expert map was planned; fields give gain and bytes moved.",
+    action: NONE,
+  },
+  [EventCode.PlacementSkipped]: {
+    level: EventLevel.Info,
+    meaning: "No new expert map: the gain does not repay the cost.",
+    action: NONE,
+  },
+  [EventCode.RunnerSpared]: {
+    level: EventLevel.Warn,
+    meaning: "A runner makes no progress and gets no new work for now.",
+    action: "Look at its engine.",
+  },
+  [EventCode.RunnerRestored]: {
+    level: EventLevel.Info,
+    meaning: "A spared runner makes progress again.",
+    action: NONE,
+  },
+};
--- /dev/null
+++ b/packages/common/src/hash.ts
@@ -0,0 +1,35 @@
+import * as xxhash from "xxhash-wasm";
+
+const hasher = await xxhash.default();
+
+/** 32-bit xxHash of a text. */
+export function hash32(text: string): number {
+  return hasher.h32(text);
+}
+
+/** 64-bit xxHash of a text as 16 hexadecimal digits. */
+export function hash64(text: string): string {
+  return hasher.h64ToString(text);
+}
+
+/**
+ * The candidate that owns `key` by rendezvous hashing: when a candidate comes
+ * or goes, only the keys it owned or will own move.
+ */
+export function rendezvous(
+  key: string,
+  candidates: Iterable<string>,
+): string | undefined {
+  let best: string | undefined;
+  let bestScore = -1;
+  for (const candidate of candidates) {
+    const score = hash32(`${candidate} ${key}`);
+    const better = score > bestScore;
+    const tie = score === bestScore && best !== undefined && candidate < best;
+    if (better || tie) {
+      best = candidate;
+      bestScore = score;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/common/src/metrics.ts
@@ -0,0 +1,110 @@
+import * as hotShots from "hot-shots";
+
+/** Names of all metrics; docs/metrics.md is made from the catalogue below. */
+export enum Metric {
+  Requests = "requests",
+  Refusals = "refusals",
+  Retries = "retries",
+  FirstToken = "first_token",
+  BetweenTokens = "between_tokens",
+  QueueWait = "queue_wait",
+  Outstanding = "outstanding",
+  LinksOpen = "links_open",
+  LinksSilent = "links_silent",
+  StaleFrames = "stale_frames",
+  ConfigurationRevision = "configuration_revision",
+  StoreOutcomes = "store_outcomes",
+  StepSkew = "step_skew",
+  MapSwitchSteps = "map_switch_steps",
+}
+
+/** Shape of a metric. */
+export enum MetricKind {
+  Counter = "counter",
+  Timing = "timing",
+  Gauge = "gauge",
+}
+
+/** What docs/metrics.md says of a metric. */
+export interface MetricEntry {
+  kind: MetricKind;
+  unit: string;
+  tags: string[];
+  meaning: string;
+}
+
+const counter = (meaning: string, ...tags: string[]): MetricEntry => ({
+  kind: MetricKind.Counter,
+  unit: "1",
+  tags,
+  meaning,
+});
+const timing = (meaning: string, ...tags: string[]): MetricEntry => ({
+  kind: MetricKind.Timing,
+  unit: "ms",
+  tags,
+  meaning,
+});
+const gauge = (
+  unit: string,
+  meaning: string,
+  ...tags: string[]
+): MetricEntry => ({ kind: MetricKind.Gauge, unit, tags, meaning });
+
+/** One entry per metric. */
+export const METRIC_CATALOGUE: Record<Metric, MetricEntry> = {
+  [Metric.Requests]: counter("Requests answered.", "service", "outcome"),
+  [Metric.Refusals]: counter("Requests refused before running.", "reason"),
+  [Metric.Retries]: counter("Attempts after the first.", "service"),
+  [Metric.FirstToken]: timing("From arrival to first token.", "service"),
+  [Metric.BetweenTokens]: timing("Between tokens of one answer.", "service"),
+  [Metric.QueueWait]: timing("Time queued before dispatch.", "service"),
+  [Metric.Outstanding]: gauge("1", "Attempts not settled.", "runner"),
+  [Metric.LinksOpen]: gauge("1", "Open links to other processes."),
+  [Metric.LinksSilent]: counter("Links replaced after silence."),
+  [Metric.StaleFrames]: counter("Frames of old attempts dropped."),
+  [Metric.ConfigurationRevision]: gauge("1", "Revision in force."),
+  [Metric.StoreOutcomes]: counter("Table service outcomes.", "outcome"),
+  [Metric.StepSkew]: gauge("1", "Slowest over mean rank time.", "group"),
+  [Metric.MapSwitchSteps]: gauge("1", "Steps lost by a switch.", "group"),
+};
+
+/** Destination of metrics. */
+export interface Metrics {
+  count(metric: Metric, tags?: Record<string, string>, by?: number): void;
+  time(metric: Metric, value: number, tags?: Record<string, string>): void;
+  gauge(metric: Metric, value: number, tags?: Record<string, string>): void;
+  close(): Promise<void>;
+}
+
+/** Sends metrics to a StatsD collector by UDP. */
+export function createMetrics(parameters: {
+  address: string;
+  port: number;
+  host: string;
+}): Metrics {
+  const client = new hotShots.StatsD({
+    host: parameters.address,
+    port: parameters.port,
+    prefix: "geraniumkeel.",
+    globalTags: { host: parameters.host },
+    maxBufferSize: 1_400,
+    errorHandler: () => {},
+  });
+  return {
+    count: (metric, tags = {}, by = 1) => client.increment(metric, by, tags),
+    time: (metric, value, tags = {}) => client.timing(metric, value, tags),
+    gauge: (metric, value, tags = {}) => client.gauge(metric, value, tags),
+    close: () => new Promise((resolve) => client.close(() => resolve())),
+  };
+}
+
+/** Metrics without a collector. */
+export function discardMetrics(): Metrics {
+  return {
+    count: () => {},
+    time: () => {},
+    gauge: () => {},
+    close: () => Promise.resolve(),
+  };
+}
--- /dev/null
+++ b/packages/configuration/src/mod.ts
@@ -0,0 +1,3 @@
+export * from "./configuration_view.ts";
+export * from "./schema.ts";
+export * from "./sections.ts";
--- /dev/null
+++ b/packages/daemon/src/configuration/configuration_store.ts
@@ -0,0 +1,194 @@
+import * as common from "@geraniumkeel/common";
+import * as configuration from "@geraniumkeel/configuration";
+import * as neverthrow from "neverthrow";
+import * as platform from "@geraniumkeel/platform";
+import type * as wire from "@geraniumkeel/wire";
+
+const HEAD_KEY = "configuration/head";
+/** Replaced sections kept, for readers that still hold an older head. */
+const KEPT_REPLACED_SECTIONS = 64;
+
+/** A section row that a later revision replaced. */
+interface ReplacedSection {
+  name: string;
+  revision: number;
+}
+
+/** Head row as stored. */
+interface StoredHead extends configuration.Head {
+  replaced: ReplacedSection[];
+}
+
+/** The head and the table revision on which a change must be based. */
+export interface ReadHead {
+  head: StoredHead;
+  rowRevision: number;
+}
+
+/** What became of a change. */
+export type CommitOutcome =
+  | {
+      kind: "committed";
+      head: configuration.Head;
+      sections: wire.SectionPush[];
+    }
+  | { kind: "conflict"; head: configuration.Head | undefined }
+  | { kind: "not-written"; reason: string }
+  | { kind: "given-up"; reason: string };
+
+/** The configuration document in the table service. */
+export class ConfigurationStore {
+  constructor(
+    readonly parameters: {
+      table: platform.TableService;
+      random: common.Random;
+      patienceMilliseconds: number;
+    },
+  ) {}
+
+  /** Reads the head; `undefined` before the first change. */
+  async readHead(): Promise<
+    neverthrow.Result<ReadHead | undefined, platform.TableUnavailable>
+  > {
+    const row = await this.parameters.table.get(HEAD_KEY);
+    return row.map((value) => value && parseHead(value));
+  }
+
+  /**
+   * Reads the sections that differ from those held. `undefined`: a section row
+   * is gone because the head is old by now; read the head again.
+   */
+  async readSections(
+    head: configuration.Head,
+    held: Record<string, number>,
+  ): Promise<
+    neverthrow.Result<wire.SectionPush[] | undefined, platform.TableUnavailable>
+  > {
+    const sections: wire.SectionPush[] = [];
+    for (const [name, revision] of Object.entries(head.sections)) {
+      if (held[name] === revision) continue;
+      const row = await this.parameters.table.get(sectionKey(name, revision));
+      if (row.isErr()) return neverthrow.err(row.error);
+      if (!row.value) return neverthrow.ok(undefined);
+      sections.push({ name, revision, text: row.value.value });
+    }
+    return neverthrow.ok(sections);
+  }
+
+  /**
+   * Commits a document on top of `base`. Racing changes meet at the head row:
+   * one commits, the others learn the winner's revision.
+   */
+  async commit(parameters: {
+    base: ReadHead | undefined;
+    baseTexts: configuration.Sections;
+    document: configuration.Document;
+    signal?: AbortSignal;
+  }): Promise<CommitOutcome> {
+    const { base, baseTexts, document } = parameters;
+    const revision = (base?.head.revision ?? 0) + 1;
+    const texts = configuration.splitDocument(document);
+    const changed = Object.keys(texts).filter(
+      (name) => texts[name] !== baseTexts[name],
+    );
+    const nonce = common.randomIdentifier();
+    const head = nextHead({ base, revision, changed, nonce, document });
+    const { transaction, stored } = buildTransaction({
+      base,
+      head,
+      changed,
+      texts,
+    });
+    const outcome = await platform.writeDefinitely({
+      table: this.parameters.table,
+      write: { transaction, decidingKey: HEAD_KEY, nonce },
+      timeoutMilliseconds: this.parameters.patienceMilliseconds,
+      random: this.parameters.random,
+      signal: parameters.signal,
+    });
+    switch (outcome.kind) {
+      case platform.DefiniteKind.Committed: {
+        const sections = changed.map((name) => ({
+          name,
+          revision,
+          text: texts[name],
+        }));
+        return { kind: "committed", head: publicHead(stored), sections };
+      }
+      case platform.DefiniteKind.Conflict: {
+        const winner = outcome.row && parseHead(outcome.row).head;
+        return { kind: "conflict", head: winner && publicHead(winner) };
+      }
+      case platform.DefiniteKind.NotWritten:
+        return { kind: "not-written", reason: outcome.reason };
+      case platform.DefiniteKind.GivenUp:
+        return { kind: "given-up", reason: outcome.reason };
+    }
+  }
+}
+
+/** The head without what only the store needs. */
+export function publicHead(stored: configuration.Head): configuration.Head {
+  const { revision, nonce, presetInForce, sections } = stored;
+  return { revision, nonce, presetInForce, sections };
+}
+
+function sectionKey(name: string, revision: number): string {
+  return `configuration/section/${name}/${revision}`;
+}
+
+function parseHead(row: platform.Row): ReadHead {
+  const head = JSON.parse(row.value) as StoredHead;
+  return { head, rowRevision: row.revision };
+}
+
+function nextHead(parameters: {
+  base: ReadHead | undefined;
+  revision: number;
+  changed: string[];
+  nonce: string;
+  document: configuration.Document;
+}): StoredHead {
+  const { base, revision, changed, nonce, document } = parameters;
+  const sections = { ...base?.head.sections };
+  const replaced = [...(base?.head.replaced ?? [])];
+  for (const name of changed) {
+    if (sections[name]) replaced.push({ name, revision: sections[name] });
+    sections[name] = revision;
+  }
+  const { presetInForce } = document;
+  return { revision, nonce, presetInForce, sections, replaced };
+}
+
+function buildTransaction(parameters: {
+  base: ReadHead | undefined;
+  head: StoredHead;
+  changed: string[];
+  texts: configuration.Sections;
+}): { transaction: platform.Transaction; stored: StoredHead } {
+  const { base, head, changed, texts } = parameters;
+  const surplus = Math.max(0, head.replaced.length - KEPT_REPLACED_SECTIONS);
+  const dropped = head.replaced.slice(0, surplus);
+  const stored = { ...head, replaced: head.replaced.slice(surplus) };
+  const condition: platform.Condition = base
+    ? {
+        kind: platform.ConditionKind.AtRevision,
+        key: HEAD_KEY,
+        revision: base.rowRevision,
+      }
+    : { kind: platform.ConditionKind.Absent, key: HEAD_KEY };
+  const put = (key: string, value: string): platform.Write => ({
+    kind: platform.WriteKind.Put,
+    key,
+    value,
+  });
+  const writes: platform.Write[] = [
+    put(HEAD_KEY, JSON.stringify(stored)),
+    ...changed.map((name) => put(sectionKey(name, head.revision), texts[name])),
+    ...dropped.map(({ name, revision }): platform.Write => ({
+      kind: platform.WriteKind.Delete,
+      key: sectionKey(name, revision),
+    })),
+  ];
+  return { transaction: { conditions: [condition], writes }, stored };
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/claim_store.ts
@@ -0,0 +1,152 @@
+import * as common from "@geraniumkeel/common";
+import * as neverthrow from "neverthrow";
+import * as platform from "@geraniumkeel/platform";
+import type * as wire from "@geraniumkeel/wire";
+
+/** State of a claim. */
+export enum ClaimState {
+  /** An attempt was named; only its runner knows what became of it. */
+  Claimed = "claimed",
+  /** It ran. */
+  Settled = "settled",
+  /** It cannot be known whether it ran. */
+  Unsettled = "unsettled",
+}
+
+/** Answer kept with a settled claim, for replay. */
+export interface KeptAnswer {
+  head: wire.AnswerHead;
+  /** Body in base64. */
+  body: string;
+}
+
+/** What the table holds of one idempotency key. */
+export interface Claim {
+  nonce: string;
+  /** Digest of the request: the same key may not be used for another. */
+  digest: string;
+  state: ClaimState;
+  /** Entry that made the claim. */
+  entry: string;
+  /** Runner that the attempt was, or is about to be, sent to. */
+  runner: string;
+  attempt: wire.Attempt;
+  /** Wall-clock time in milliseconds, for removal only. */
+  createdAt: number;
+  answer?: KeptAnswer;
+}
+
+/** A claim with the table revision on which a change must be based. */
+export interface HeldClaim {
+  claim: Claim;
+  revision: number;
+}
+
+/** What became of writing a claim. */
+export type ClaimOutcome =
+  | { kind: "held"; held: HeldClaim }
+  | { kind: "other"; held: HeldClaim }
+  | { kind: "store-unavailable" };
+
+const PREFIX = "claims/";
+
+/** Table key of an account's idempotency key. */
+export function claimKey(account: string, idempotencyKey: string): string {
+  return `${PREFIX}${account}/${common.hashKey(idempotencyKey)}`;
+}
+
+/** Claims of non-repeatable requests in the table service. */
+export class ClaimStore {
+  constructor(
+    readonly parameters: {
+      table: platform.TableService;
+      random: common.Random;
+      patienceMilliseconds: number;
+    },
+  ) {}
+
+  /**
+   * Writes a claim if there is none, or in place of `base`. The claim names the
+   * runner before the request is sent to it: whoever finds the claim later can
+   * settle the attempt there, also against an entry that is only paused.
+   */
+  async write(parameters: {
+    key: string;
+    claim: Omit<Claim, "nonce">;
+    base: HeldClaim | undefined;
+  }): Promise<ClaimOutcome> {
+    const { key, base } = parameters;
+    const nonce = common.randomIdentifier();
+    const claim = { ...parameters.claim, nonce };
+    const condition: platform.Condition = base
+      ? {
+          kind: platform.ConditionKind.AtRevision,
+          key,
+          revision: base.revision,
+        }
+      : { kind: platform.ConditionKind.Absent, key };
+    const value = JSON.stringify(claim);
+    const put: platform.Write = { kind: platform.WriteKind.Put, key, value };
+    const outcome = await platform.writeDefinitely({
+      table: this.parameters.table,
+      write: {
+        transaction: { conditions: [condition], writes: [put] },
+        decidingKey: key,
+        nonce,
+      },
+      timeoutMilliseconds: this.parameters.patienceMilliseconds,
+      random: this.parameters.random,
+    });
+    switch (outcome.kind) {
+      case platform.DefiniteKind.Committed: {
+        const { revision } = outcome;
+        return { kind: "held", held: { claim, revision } };
+      }
+      case platform.DefiniteKind.Conflict:
+        if (!outcome.row) return { kind: "store-unavailable" };
+        return { kind: "other", held: parseClaim(outcome.row) };
+      case platform.DefiniteKind.NotWritten:
+      case platform.DefiniteKind.GivenUp:
+        return { kind: "store-unavailable" };
+    }
+  }
+
+  /** Removes up to `limit` claims made before a time; returns how many. */
+  async removeOld(parameters: {
+    before: number;
+    from: string;
+    limit: number;
+  }): Promise<
+    neverthrow.Result<
+      { removed: number; next: string | undefined },
+      platform.TableUnavailable
+    >
+  > {
+    const from = parameters.from || PREFIX;
+    const { limit } = parameters;
+    const to = "claims0";
+    const rows = await this.parameters.table.range({ from, to, limit });
+    if (rows.isErr()) return neverthrow.err(rows.error);
+    const old = rows.value.filter(
+      (row) => parseClaim(row).claim.createdAt < parameters.before,
+    );
+    const last = rows.value.at(-1);
+    const more = rows.value.length === limit && last;
+    const next = more ? `${last.key}\0` : undefined;
+    if (old.length === 0) return neverthrow.ok({ removed: 0, next });
+    const outcome = await this.parameters.table.transact({
+      conditions: old.map(({ key, revision }) => ({
+        kind: platform.ConditionKind.AtRevision,
+        key,
+        revision,
+      })),
+      writes: old.map(({ key }) => ({ kind: platform.WriteKind.Delete, key })),
+    });
+    const committed = outcome.kind === platform.OutcomeKind.Committed;
+    return neverthrow.ok({ removed: committed ? old.length : 0, next });
+  }
+}
+
+function parseClaim(row: platform.Row): HeldClaim {
+  return { claim: JSON.parse(row.value) as Claim, revision: row.revision };
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -0,0 +1,234 @@
+import * as common from "@geraniumkeel/common";
+import type * as serviceQueue from "../admission/service_queue.ts";
+import type * as router from "../routing/router.ts";
+import type * as answerSink from "./answer_sink.ts";
+import * as conductAttempt from "./conduct_attempt.ts";
+import * as keyedRequest from "./keyed_request.ts";
+import * as request from "./request.ts";
+import type * as retryBudget from "./retry_budget.ts";
+import type * as runnerLink from "./runner_link.ts";
+
+/** Attempts at one request at most. */
+const MOST_ATTEMPTS = 4;
+
+/** What dispatching needs of the rest of the entry. */
+export interface DispatcherParameters {
+  router: router.Router;
+  queueOf: (
+    service: string,
+  ) => serviceQueue.ServiceQueue<runnerLink.RunnerLink>;
+  budgetOf: (service: string) => retryBudget.RetryBudget;
+  keyed: keyedRequest.KeyedRequests;
+  logger: common.Logger;
+  metrics: common.Metrics;
+  history: common.HistoryRecorder;
+  host: string;
+  /** Jittered time after which a refused caller should come back. */
+  retryAfterMilliseconds: () => number;
+}
+
+/** Either a runner, or the end of the request. */
+export type ObtainedRunner =
+  | { kind: "runner"; runner: runnerLink.RunnerLink }
+  | { kind: "result"; result: request.RequestResult };
+
+/** Runs accepted requests: queue, runner, attempts, result. */
+export class Dispatcher {
+  #running = 0;
+
+  constructor(readonly parameters: DispatcherParameters) {}
+
+  /** Requests accepted and not answered. */
+  get running(): number {
+    return this.#running;
+  }
+
+  /** Runs a request to its final result. */
+  async run(
+    accepted: request.AcceptedRequest,
+    sink: answerSink.AnswerSink,
+  ): Promise<request.RequestResult> {
+    this.#running++;
+    try {
+      this.parameters.budgetOf(accepted.service).earn();
+      if (accepted.idempotencyKey !== undefined && !accepted.repeatable) {
+        return await this.parameters.keyed.run(this, accepted, sink);
+      }
+      return await this.#runAttempts(accepted, sink);
+    } finally {
+      this.#running--;
+      this.parameters.queueOf(accepted.service).pump();
+    }
+  }
+
+  /** Waits in the queue for a runner that has not refused the request yet. */
+  async obtainRunner(
+    accepted: request.AcceptedRequest,
+    excluded: ReadonlySet<string>,
+  ): Promise<ObtainedRunner> {
+    const { router } = this.parameters;
+    const { service, runnerConcurrency, prefixBlocks } = accepted;
+    const { promptTokens, expectedTokens } = accepted;
+    if (!router.exists(service)) {
+      return this.#notRun(request.NotRunReason.NoRunner);
+    }
+    const outcome = await this.parameters.queueOf(service).enter({
+      account: accepted.account,
+      weight: accepted.weight,
+      cost: promptTokens + expectedTokens,
+      urgency: accepted.urgency,
+      deadline: accepted.deadline,
+      signal: accepted.signal,
+      take: () =>
+        router.choose({
+          service,
+          runnerConcurrency,
+          size: { promptTokens, expectedTokens },
+          prefixBlocks,
+          excluded,
+        }),
+    });
+    switch (outcome.kind) {
+      case "admitted": {
+        const { waitedMilliseconds, runner } = outcome;
+        const tags = { service };
+        const metric = common.Metric.QueueWait;
+        this.parameters.metrics.time(metric, waitedMilliseconds, tags);
+        return { kind: "runner", runner };
+      }
+      case "full":
+        return this.#notRun(request.NotRunReason.QueueFull);
+      case "too-late":
+        return this.#notRun(
+          request.NotRunReason.DeadlineTooNear,
+          outcome.waitMilliseconds,
+        );
+      case "caller-gone":
+        return {
+          kind: "result",
+          result: { kind: request.ResultKind.CallerGone },
+        };
+    }
+  }
+
+  /** Whether another attempt may be made after one that never started. */
+  mayRetry(
+    accepted: request.AcceptedRequest,
+    attempts: number,
+    charged: boolean,
+  ): boolean {
+    if (attempts >= MOST_ATTEMPTS) return false;
+    const { service } = accepted;
+    // Being turned away by a leaving runner cost nothing and is planned; paying
+    // for it would refuse requests just because a host is taken out.
+    if (charged && !this.parameters.budgetOf(service).spend()) return false;
+    const { logger, metrics } = this.parameters;
+    const { identifier } = accepted;
+    logger.event(common.EventCode.RequestRetried, { identifier, attempts });
+    metrics.count(common.Metric.Retries, { service });
+    return true;
+  }
+
+  /** A request that was not run, with the time to come back. */
+  notRun(
+    reason: request.NotRunReason,
+    waitMilliseconds = 0,
+  ): request.RequestResult {
+    const jittered = this.parameters.retryAfterMilliseconds();
+    const retryAfterMilliseconds = Math.max(jittered, waitMilliseconds);
+    return { kind: request.ResultKind.NotRun, reason, retryAfterMilliseconds };
+  }
+
+  async #runAttempts(
+    accepted: request.AcceptedRequest,
+    sink: answerSink.AnswerSink,
+  ): Promise<request.RequestResult> {
+    const excluded = new Set<string>();
+    let mayHaveRun: string | undefined;
+    for (let attempts = 1; ; attempts++) {
+      const obtained = await this.obtainRunner(accepted, excluded);
+      if (obtained.kind === "result") {
+        return truthful(obtained.result, mayHaveRun);
+      }
+      const { runner } = obtained;
+      const outcome = await this.#attemptAt(runner, accepted, attempts, sink);
+      switch (outcome.kind) {
+        case request.AttemptOutcomeKind.Complete: {
+          const { finishReason, promptTokens } = outcome;
+          const kind = request.ResultKind.Complete;
+          const { name } = runner.host;
+          return { kind, finishReason, promptTokens, runner: name };
+        }
+        case request.AttemptOutcomeKind.CallerGone:
+          return { kind: request.ResultKind.CallerGone };
+        case request.AttemptOutcomeKind.Deadline:
+          return afterDelivery(sink, "deadline passed");
+        case request.AttemptOutcomeKind.NeverStarted:
+          if (this.mayRetry(accepted, attempts, outcome.charged)) break;
+          return truthful(
+            this.notRun(request.NotRunReason.EngineUnavailable),
+            mayHaveRun,
+          );
+        case request.AttemptOutcomeKind.Broken:
+        case request.AttemptOutcomeKind.Unsettled: {
+          const { reason } = outcome;
+          mayHaveRun = reason;
+          // Pieces of two samplings never make one answer: once the caller has
+          // seen part of it, there is no second try.
+          const fresh = accepted.repeatable && !sink.delivered;
+          if (fresh && this.mayRetry(accepted, attempts, true)) break;
+          return afterDelivery(sink, reason);
+        }
+      }
+      sink.reset();
+      excluded.add(runner.host.name);
+    }
+  }
+
+  async #attemptAt(
+    runner: runnerLink.RunnerLink,
+    accepted: request.AcceptedRequest,
+    number: number,
+    sink: answerSink.AnswerSink,
+  ): Promise<request.AttemptOutcome> {
+    const identifier = `${accepted.identifier}/${number}`;
+    const attempt = runner.newAttempt(identifier);
+    if (!attempt) {
+      const kind = request.AttemptOutcomeKind.NeverStarted;
+      return { kind, charged: true };
+    }
+    const outgoing = runner.dispatch(attempt, { ...accepted, identifier });
+    const { history, host } = this.parameters;
+    history.record({ kind: "dispatched", host, identifier });
+    return conductAttempt.conductAttempt({ runner, outgoing, accepted, sink });
+  }
+
+  #notRun(
+    reason: request.NotRunReason,
+    waitMilliseconds = 0,
+  ): ObtainedRunner {
+    return { kind: "result", result: this.notRun(reason, waitMilliseconds) };
+  }
+}
+
+/**
+ * "Not run" must be true of the whole request: if an earlier attempt may have
+ * run, a later one that never started does not undo that.
+ */
+function truthful(
+  result: request.RequestResult,
+  mayHaveRun: string | undefined,
+): request.RequestResult {
+  if (result.kind !== request.ResultKind.NotRun) return result;
+  if (mayHaveRun === undefined) return result;
+  return { kind: request.ResultKind.MayHaveRun, reason: mayHaveRun };
+}
+
+/** What the caller is told of an answer that will not be completed. */
+function afterDelivery(
+  sink: answerSink.AnswerSink,
+  reason: string,
+): request.RequestResult {
+  if (sink.delivered) return { kind: request.ResultKind.Incomplete, reason };
+  return { kind: request.ResultKind.MayHaveRun, reason };
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/outgoing_attempt.ts
@@ -0,0 +1,75 @@
+import * as common from "@geraniumkeel/common";
+import * as wire from "@geraniumkeel/wire";
+
+/** Kinds of thing that happen to an attempt, as its request sees them. */
+export enum AttemptEventKind {
+  Refused = "refused",
+  Head = "head",
+  Pieces = "pieces",
+  End = "end",
+  Settled = "settled",
+  /** The upstream process was replaced: nobody can tell any more. */
+  Lost = "lost",
+  /** No link for so long that it is given up. */
+  Unreachable = "unreachable",
+  Deadline = "deadline",
+  CallerGone = "caller-gone",
+}
+
+/** One thing that happened to an attempt. */
+export type AttemptEvent =
+  | { kind: AttemptEventKind.Refused; reason: wire.RefusalReason }
+  | { kind: AttemptEventKind.Head; head: wire.AnswerHead }
+  | { kind: AttemptEventKind.Pieces; pieces: wire.AnswerPiece[] }
+  | { kind: AttemptEventKind.End; end: wire.AttemptEnd }
+  | { kind: AttemptEventKind.Settled; state: wire.AttemptState }
+  | { kind: AttemptEventKind.Lost }
+  | { kind: AttemptEventKind.Unreachable }
+  | { kind: AttemptEventKind.Deadline }
+  | { kind: AttemptEventKind.CallerGone };
+
+/** An attempt as the entry that made it sees it. */
+export class OutgoingAttempt {
+  readonly events = new common.Channel<AttemptEvent>();
+  /** Offset of the next piece expected. */
+  nextOffset = 0;
+  #headSeen = false;
+
+  constructor(
+    readonly attempt: wire.Attempt,
+    readonly window: number,
+  ) {}
+
+  /** Takes in the head of the answer; a repeated one after a resume is dropped. */
+  takeHead(head: wire.AnswerHead): void {
+    if (this.#headSeen) return;
+    this.#headSeen = true;
+    this.events.push({ kind: AttemptEventKind.Head, head });
+  }
+
+  /**
+   * Takes in pieces at an offset. After a resume some may come twice: what was
+   * taken before is cut off. A gap cannot be mended here and breaks the answer.
+   */
+  takePieces(offset: number, pieces: wire.AnswerPiece[]): void {
+    if (offset > this.nextOffset) return this.#break("pieces missing");
+    const fresh = pieces.slice(this.nextOffset - offset);
+    if (fresh.length === 0) return;
+    this.nextOffset += fresh.length;
+    this.events.push({ kind: AttemptEventKind.Pieces, pieces: fresh });
+  }
+
+  /** Takes in the end; one that comes before all pieces breaks the answer. */
+  takeEnd(offset: number, end: wire.AttemptEnd): void {
+    const complete = end.kind === wire.EndKind.Complete;
+    if (complete && offset !== this.nextOffset) {
+      return this.#break("end before all pieces");
+    }
+    this.events.push({ kind: AttemptEventKind.End, end });
+  }
+
+  #break(reason: string): void {
+    const end: wire.AttemptEnd = { kind: wire.EndKind.Broken, reason };
+    this.events.push({ kind: AttemptEventKind.End, end });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/request.ts
@@ -0,0 +1,100 @@
+import type * as wire from "@geraniumkeel/wire";
+import type * as runnerLink from "./runner_link.ts";
+
+/** A request accepted from a caller. */
+export interface AcceptedRequest {
+  identifier: string;
+  account: string;
+  weight: number;
+  service: string;
+  work: wire.Work;
+  repeatable: boolean;
+  /** Key under which the caller may repeat a non-repeatable request. */
+  idempotencyKey: string | undefined;
+  /** Deadline by this process's clock. */
+  deadline: number;
+  /** Aborts when the caller is gone. */
+  signal: AbortSignal;
+  urgency: number;
+  promptTokens: number;
+  expectedTokens: number;
+  prefixBlocks: string[];
+  runnerConcurrency: number;
+  /** Pieces that may be under way to the caller. */
+  window: number;
+}
+
+/** How a request ended, as far as the caller must be told. */
+export enum ResultKind {
+  Complete = "complete",
+  NotRun = "not-run",
+  MayHaveRun = "may-have-run",
+  /** The answer broke off. */
+  Incomplete = "incomplete",
+  CallerGone = "caller-gone",
+  /** An earlier request under the same key ran; its answer is not kept. */
+  RanBefore = "ran-before",
+  /** The key was used before for another request. */
+  KeyReused = "key-reused",
+}
+
+/** Why a request was not run. */
+export enum NotRunReason {
+  NoRunner = "no-runner",
+  QueueFull = "queue-full",
+  DeadlineTooNear = "deadline-too-near",
+  RetryBudget = "retry-budget",
+  StoreUnavailable = "store-unavailable",
+  EngineUnavailable = "engine-unavailable",
+}
+
+/** How a request ended. */
+export type RequestResult =
+  | {
+      kind: ResultKind.Complete;
+      finishReason: wire.FinishReason;
+      promptTokens: number;
+      runner: string;
+    }
+  | {
+      kind: ResultKind.NotRun;
+      reason: NotRunReason;
+      retryAfterMilliseconds: number;
+    }
+  | { kind: ResultKind.MayHaveRun; reason: string }
+  | { kind: ResultKind.Incomplete; reason: string }
+  | { kind: ResultKind.CallerGone }
+  | { kind: ResultKind.RanBefore }
+  | { kind: ResultKind.KeyReused };
+
+/** How one attempt ended. */
+export enum AttemptOutcomeKind {
+  Complete = "complete",
+  /** It never started and never will. */
+  NeverStarted = "never-started",
+  /** It started and broke off. */
+  Broken = "broken",
+  /** Nobody can tell whether it ran. */
+  Unsettled = "unsettled",
+  Deadline = "deadline",
+  CallerGone = "caller-gone",
+}
+
+/** How one attempt ended. */
+export type AttemptOutcome =
+  | {
+      kind: AttemptOutcomeKind.Complete;
+      finishReason: wire.FinishReason;
+      promptTokens: number;
+    }
+  | { kind: AttemptOutcomeKind.NeverStarted; charged: boolean }
+  | { kind: AttemptOutcomeKind.Broken; reason: string }
+  | { kind: AttemptOutcomeKind.Unsettled; reason: string }
+  | { kind: AttemptOutcomeKind.Deadline }
+  | { kind: AttemptOutcomeKind.CallerGone };
+
+/** An attempt with the runner it was made at. */
+export interface MadeAttempt {
+  runner: runnerLink.RunnerLink;
+  attempt: wire.Attempt;
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/runner_directory.ts
@@ -0,0 +1,91 @@
+import * as common from "@geraniumkeel/common";
+import * as platform from "@geraniumkeel/platform";
+import type * as hostView from "../membership/host_view.ts";
+import * as runnerLink from "./runner_link.ts";
+import * as subscription from "./subscription.ts";
+
+/**
+ * The runners this entry subscribes to. A runner that the list calls leaving,
+ * or no longer names, gets no new work, and is forgotten when nothing is open.
+ */
+export class RunnerDirectory {
+  readonly changed = new common.ChangeNotice();
+  readonly #runners = new Map<
+    string,
+    { link: runnerLink.RunnerLink; stop: AbortController }
+  >();
+
+  constructor(
+    readonly parameters: {
+      hosts: hostView.HostView;
+      lifeCycle: common.LifeCycle;
+      link: runnerLink.RunnerLinkParameters;
+    },
+  ) {}
+
+  /** All runners. */
+  get all(): runnerLink.RunnerLink[] {
+    return [...this.#runners.values()].map(({ link }) => link);
+  }
+
+  /** Runners of a service. */
+  ofService(service: string): runnerLink.RunnerLink[] {
+    return this.all.filter((runner) => runner.host.service === service);
+  }
+
+  /** Runners of a group that are linked, by rank. */
+  ofGroup(group: string): runnerLink.RunnerLink[] {
+    return this.all
+      .filter((runner) => runner.hello?.group === group)
+      .sort((left, right) => rankOf(left) - rankOf(right));
+  }
+
+  /** Runner on a host. */
+  get(host: string): runnerLink.RunnerLink | undefined {
+    return this.#runners.get(host)?.link;
+  }
+
+  /** Follows the host list until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { hosts } = this.parameters;
+    while (!signal.aborted) {
+      this.#reconcile(signal);
+      await hosts.changed.next(1_000, signal);
+    }
+  }
+
+  #reconcile(signal: AbortSignal): void {
+    const { hosts, link } = this.parameters;
+    const { host, place, region } = link.settings;
+    const wanted = subscription.chooseRunners({
+      self: { host, place, region },
+      hosts: hosts.withRole(platform.HostRole.Upstream),
+    });
+    for (const [name, runner] of this.#runners) {
+      const listed = wanted.get(name);
+      runner.link.listedLeaving = listed?.state !== platform.HostState.Live;
+      const moved = listed && listed.linkUrl !== runner.link.host.linkUrl;
+      if (listed && !moved) continue;
+      if (runner.link.attempts.size > 0) continue;
+      runner.stop.abort();
+      this.#runners.delete(name);
+    }
+    for (const [name, listed] of wanted) {
+      if (this.#runners.has(name)) continue;
+      this.#add(listed, signal);
+    }
+    this.changed.announce();
+  }
+
+  #add(host: platform.Host, signal: AbortSignal): void {
+    const link = new runnerLink.RunnerLink(host, this.parameters.link);
+    const stop = new AbortController();
+    this.#runners.set(host.name, { link, stop });
+    const both = AbortSignal.any([signal, stop.signal]);
+    this.parameters.lifeCycle.run(`runner ${host.name}`, () => link.run(both));
+  }
+}
+
+function rankOf(runner: runnerLink.RunnerLink): number {
+  return runner.hello?.rank ?? 0;
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -0,0 +1,419 @@
+import * as common from "@geraniumkeel/common";
+import type * as platform from "@geraniumkeel/platform";
+import * as wire from "@geraniumkeel/wire";
+import * as listenModule from "../settings/listen.ts";
+import type * as settingsModule from "../settings/settings.ts";
+import * as outgoingAttempt from "./outgoing_attempt.ts";
+
+const FIRST_PAUSE_MILLISECONDS = 50;
+const LONGEST_PAUSE_MILLISECONDS = 1_000;
+const LOOK_MILLISECONDS = 100;
+
+/** What an entry's links to runners share. */
+export interface RunnerLinkParameters {
+  settings: settingsModule.EntrySettings;
+  incarnation: string;
+  logger: common.Logger;
+  metrics: common.Metrics;
+  random: common.Random;
+  certificateAuthority: string | undefined;
+  revision: () => number;
+  onLoad: (runner: RunnerLink) => void;
+  onCacheEvents: (runner: RunnerLink, changes: wire.CacheChange[]) => void;
+  /** Called when the runner may take work again, or more of it. */
+  onCapacity: () => void;
+}
+
+/** An attempt to be sent to the runner. */
+export interface DispatchParameters {
+  identifier: string;
+  account: string;
+  service: string;
+  repeatable: boolean;
+  window: number;
+  work: wire.Work;
+  promptTokens: number;
+}
+
+/**
+ * An entry's side of one runner: the link, the load as last heard, and the
+ * attempts that are not settled. They outlive any one connection.
+ */
+export class RunnerLink {
+  readonly attempts = new Map<string, outgoingAttempt.OutgoingAttempt>();
+  load = wire.idleLoad();
+  hello: wire.Hello | undefined;
+  /** The host list calls it leaving, or names it no more. */
+  listedLeaving = false;
+  /** It said so itself, or an operator did; holds for its incarnation. */
+  #saidLeaving = false;
+  /** When this rank's engine was last seen to step, or had nothing to do. */
+  progressAt = common.now();
+  /** Prompt tokens of own dispatches that the load does not yet include. */
+  #pending: { number: number; promptTokens: number }[] = [];
+  #dispatches = 0;
+  #link: wire.Link | undefined;
+  #linkNumber = 0;
+  #downSince = common.now();
+  /** The upstream process's clock as last heard, never extrapolated. */
+  #agentClock = 0;
+  #question = 0;
+  readonly #questions = new Map<number, (message: wire.Message) => void>();
+
+  constructor(
+    readonly host: platform.Host,
+    readonly parameters: RunnerLinkParameters,
+  ) {}
+
+  /** Whether it gets no new work, by whichever word came first. */
+  get leaving(): boolean {
+    return this.listedLeaving || this.#saidLeaving;
+  }
+
+  /** Whether new work may be sent. */
+  get available(): boolean {
+    return this.#link !== undefined && !this.leaving;
+  }
+
+  /** Whether a link is open. */
+  get linked(): boolean {
+    return this.#link !== undefined;
+  }
+
+  /** Message and byte counts of the open link. */
+  get counts(): wire.LinkCounts | undefined {
+    return this.#link?.counts;
+  }
+
+  /** Sequences as reported, plus own dispatches that the report lacks. */
+  get sequences(): number {
+    return this.load.sequences + this.#pending.length;
+  }
+
+  /** Prompt tokens of dispatches that the last load report lacks. */
+  get pendingTokens(): number {
+    return this.#pending.reduce((sum, one) => sum + one.promptTokens, 0);
+  }
+
+  /** Dispatches that the last load report lacks. */
+  get pendingCount(): number {
+    return this.#pending.length;
+  }
+
+  /** Identity for a new attempt, bound to the runner's present incarnation. */
+  newAttempt(identifier: string): wire.Attempt | undefined {
+    if (!this.hello || !this.#link) return undefined;
+    const { incarnation } = this.hello;
+    const issuedAt = this.#agentClock;
+    return { identifier, agentIncarnation: incarnation, issuedAt };
+  }
+
+  /** Keeps a link to the runner until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const backOff = new common.BackOff({
+      firstMilliseconds: FIRST_PAUSE_MILLISECONDS,
+      longestMilliseconds: LONGEST_PAUSE_MILLISECONDS,
+      random: this.parameters.random,
+    });
+    const watch = setInterval(() => this.#giveUpUnreachable(), LOOK_MILLISECONDS);
+    while (!signal.aborted) {
+      const { settings, revision } = this.parameters;
+      const dialled = await wire.dial({
+        url: listenModule.linkUrl(this.host.linkUrl),
+        key: settings.processKey,
+        timing: settings.timing,
+        heartbeat: () => ({ clock: common.now(), revision: revision() }),
+        certificateAuthority: this.parameters.certificateAuthority,
+      });
+      if (dialled.isErr()) {
+        await common.sleep(backOff.pause(), signal);
+        continue;
+      }
+      const end = () => dialled.value.close();
+      signal.addEventListener("abort", end, { once: true });
+      if (signal.aborted) end();
+      const served = await this.#serve(dialled.value);
+      signal.removeEventListener("abort", end);
+      if (served) backOff.reset();
+      else await common.sleep(backOff.pause(), signal);
+    }
+    clearInterval(watch);
+    this.#giveUpAll({ kind: outgoingAttempt.AttemptEventKind.Unreachable });
+  }
+
+  /** Sends an attempt; it stays open until `close`. */
+  dispatch(
+    attempt: wire.Attempt,
+    dispatch: DispatchParameters,
+  ): outgoingAttempt.OutgoingAttempt {
+    const outgoing = new outgoingAttempt.OutgoingAttempt(
+      attempt,
+      dispatch.window,
+    );
+    this.attempts.set(attempt.identifier, outgoing);
+    this.#dispatches++;
+    const { promptTokens } = dispatch;
+    this.#pending.push({ number: this.#dispatches, promptTokens });
+    this.#link?.send({
+      kind: wire.MessageKind.Dispatch,
+      attempt,
+      account: dispatch.account,
+      service: dispatch.service,
+      repeatable: dispatch.repeatable,
+      window: dispatch.window,
+      work: dispatch.work,
+    });
+    return outgoing;
+  }
+
+  /** Opens an attempt that another entry made, to collect its answer. */
+  collect(
+    attempt: wire.Attempt,
+    window: number,
+  ): outgoingAttempt.OutgoingAttempt {
+    const outgoing = new outgoingAttempt.OutgoingAttempt(attempt, window);
+    this.attempts.set(attempt.identifier, outgoing);
+    this.#resume(outgoing);
+    return outgoing;
+  }
+
+  /** Everything before `offset` has been passed on. */
+  acknowledge(identifier: string, offset: number): void {
+    const kind = wire.MessageKind.Acknowledge;
+    this.#link?.send({ kind, identifier, offset });
+  }
+
+  /** Forgets an attempt that is settled; the runner may drop its answer. */
+  close(attempt: wire.Attempt, release: boolean): void {
+    const { identifier } = attempt;
+    this.attempts.delete(identifier);
+    const kind = wire.MessageKind.Release;
+    if (release) this.#link?.send({ kind, identifier });
+  }
+
+  /** Stops an attempt, or refuses it if it has not arrived. */
+  cancel(attempt: wire.Attempt): void {
+    this.#link?.send({ kind: wire.MessageKind.Cancel, attempt });
+  }
+
+  /** Settles an attempt; `undefined` when the runner did not answer. */
+  async settle(
+    attempt: wire.Attempt,
+    timeoutMilliseconds: number,
+  ): Promise<wire.AttemptState | undefined> {
+    const answer = await this.#ask(timeoutMilliseconds, (question) => ({
+      kind: wire.MessageKind.Settle,
+      attempt,
+      question,
+    }));
+    return answer?.kind === wire.MessageKind.Settled ? answer.state : undefined;
+  }
+
+  /** Gives a group order; `undefined` when the answer is unknown. */
+  async order(
+    order: wire.Order,
+    agentIncarnation: string,
+    timeoutMilliseconds: number,
+  ): Promise<wire.OrderAnswer | undefined> {
+    const answer = await this.#ask(timeoutMilliseconds, (question) => ({
+      kind: wire.MessageKind.Order,
+      question,
+      agentIncarnation,
+      order,
+    }));
+    return answer?.kind === wire.MessageKind.OrderAnswer
+      ? answer.answer
+      : undefined;
+  }
+
+  /** Asks the runner to refuse new work and finish what it has. */
+  drain(): boolean {
+    this.#link?.send({ kind: wire.MessageKind.Drain });
+    return this.#link !== undefined;
+  }
+
+  /** Reads the state dump of the upstream process. */
+  async readState(timeoutMilliseconds: number): Promise<string | undefined> {
+    const answer = await this.#ask(timeoutMilliseconds, (question) => ({
+      kind: wire.MessageKind.StateRequest,
+      question,
+    }));
+    return answer?.kind === wire.MessageKind.StateAnswer
+      ? answer.text
+      : undefined;
+  }
+
+  async #ask(
+    timeoutMilliseconds: number,
+    build: (question: number) => wire.Message,
+  ): Promise<wire.Message | undefined> {
+    if (!this.#link) return undefined;
+    const question = ++this.#question;
+    const answer = new Promise<wire.Message>((resolve) =>
+      this.#questions.set(question, resolve),
+    );
+    this.#link.send(build(question));
+    const result = await common.withTimeout(answer, timeoutMilliseconds);
+    this.#questions.delete(question);
+    return result;
+  }
+
+  /** Serves one connection; false if it never came to a greeting. */
+  async #serve(link: wire.Link): Promise<boolean> {
+    const { settings, incarnation, logger } = this.parameters;
+    this.#linkNumber++;
+    link.send({
+      kind: wire.MessageKind.Hello,
+      role: wire.PeerRole.Entry,
+      host: settings.host,
+      place: settings.place,
+      incarnation,
+      linkNumber: this.#linkNumber,
+      revision: this.parameters.revision(),
+      clock: common.now(),
+      service: "",
+      group: "",
+      rank: 0,
+      leaving: false,
+    });
+    const hello = await link.receive();
+    if (hello?.kind !== wire.MessageKind.Hello) {
+      link.close();
+      return false;
+    }
+    this.#greet(hello);
+    this.#link = link;
+    link.onHeartbeat = (beat) => (this.#agentClock = beat.clock);
+    for (const outgoing of this.attempts.values()) this.#resume(outgoing);
+    logger.event(common.EventCode.LinkEstablished, { peer: this.host.name });
+    this.parameters.onCapacity();
+    for await (const message of link.messages()) {
+      if (link.end !== undefined) break;
+      this.#handle(message);
+    }
+    this.#link = undefined;
+    this.#downSince = common.now();
+    this.#reportEnd(link);
+    return true;
+  }
+
+  #greet(hello: wire.Hello): void {
+    const replaced =
+      this.hello !== undefined && this.hello.incarnation !== hello.incarnation;
+    this.hello = hello;
+    this.#saidLeaving = hello.leaving;
+    this.#agentClock = hello.clock;
+    this.#pending = [];
+    this.#dispatches = 0;
+    this.progressAt = common.now();
+    if (!replaced) return;
+    const peer = this.host.name;
+    const code = common.EventCode.RunnerIncarnationChanged;
+    this.parameters.logger.event(code, { peer });
+    this.load = wire.idleLoad();
+    this.#giveUpAll({ kind: outgoingAttempt.AttemptEventKind.Lost });
+  }
+
+  #resume(outgoing: outgoingAttempt.OutgoingAttempt): void {
+    this.#link?.send({
+      kind: wire.MessageKind.Resume,
+      attempt: outgoing.attempt,
+      offset: outgoing.nextOffset,
+      window: outgoing.window,
+    });
+  }
+
+  #handle(message: wire.Message): void {
+    switch (message.kind) {
+      case wire.MessageKind.Refused: {
+        const { reason } = message;
+        const kind = outgoingAttempt.AttemptEventKind.Refused;
+        if (reason === wire.RefusalReason.Leaving) this.#noteLeaving();
+        this.#open(message.identifier)?.events.push({ kind, reason });
+        return;
+      }
+      case wire.MessageKind.Head:
+        return this.#open(message.identifier)?.takeHead(message.head);
+      case wire.MessageKind.Pieces: {
+        const { offset, pieces } = message;
+        return this.#open(message.identifier)?.takePieces(offset, pieces);
+      }
+      case wire.MessageKind.End:
+        return this.#open(message.identifier)?.takeEnd(
+          message.offset,
+          message.end,
+        );
+      case wire.MessageKind.Settled:
+        return this.#settled(message);
+      case wire.MessageKind.OrderAnswer:
+      case wire.MessageKind.StateAnswer:
+        return this.#questions.get(message.question)?.(message);
+      case wire.MessageKind.Load:
+        return this.#takeLoad(message);
+      case wire.MessageKind.CacheEvents:
+        return this.parameters.onCacheEvents(this, message.changes);
+      case wire.MessageKind.Leaving:
+        return this.#noteLeaving();
+      default:
+        return;
+    }
+  }
+
+  #settled(
+    message: Extract<wire.Message, { kind: wire.MessageKind.Settled }>,
+  ): void {
+    const { question, state } = message;
+    if (question !== 0) return this.#questions.get(question)?.(message);
+    const kind = outgoingAttempt.AttemptEventKind.Settled;
+    this.#open(message.identifier)?.events.push({ kind, state });
+  }
+
+  /** A frame of an attempt that is not open belongs to no request any more. */
+  #open(identifier: string): outgoingAttempt.OutgoingAttempt | undefined {
+    const outgoing = this.attempts.get(identifier);
+    if (!outgoing) this.parameters.metrics.count(common.Metric.StaleFrames);
+    return outgoing;
+  }
+
+  #takeLoad(
+    message: Extract<wire.Message, { kind: wire.MessageKind.Load }>,
+  ): void {
+    const { load, dispatches } = message;
+    const stepped = load.step !== this.load.step;
+    if (stepped || load.sequences === 0) this.progressAt = common.now();
+    if (this.load.sequences === 0) this.progressAt = common.now();
+    this.load = load;
+    this.#agentClock = message.clock;
+    this.#pending = this.#pending.filter(({ number }) => number > dispatches);
+    this.parameters.onLoad(this);
+  }
+
+  #noteLeaving(): void {
+    if (this.#saidLeaving) return;
+    this.#saidLeaving = true;
+    const peer = this.host.name;
+    this.parameters.logger.event(common.EventCode.RunnerLeaving, { peer });
+  }
+
+  #reportEnd(link: wire.Link): void {
+    const { logger, metrics } = this.parameters;
+    const silent = link.end === wire.LinkEnd.Silent;
+    if (silent) metrics.count(common.Metric.LinksSilent);
+    const code = silent
+      ? common.EventCode.LinkSilent
+      : common.EventCode.LinkLost;
+    logger.event(code, { peer: this.host.name, reason: link.end });
+  }
+
+  /** Without a link for long, requests get their final answer now. */
+  #giveUpUnreachable(): void {
+    if (this.#link || this.attempts.size === 0) return;
+    const silence = common.now() - this.#downSince;
+    if (silence < this.parameters.settings.timing.settleAfter) return;
+    this.#giveUpAll({ kind: outgoingAttempt.AttemptEventKind.Unreachable });
+  }
+
+  #giveUpAll(event: outgoingAttempt.AttemptEvent): void {
+    for (const outgoing of this.attempts.values()) outgoing.events.push(event);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/subscription.ts
@@ -0,0 +1,74 @@
+import * as common from "@geraniumkeel/common";
+import type * as platform from "@geraniumkeel/platform";
+
+/** Runners of one service that an entry links to at least, if there are as many. */
+export const SUBSCRIBED_RUNNERS = 128;
+
+/** Where an entry stands. */
+export interface Position {
+  host: string;
+  place: string;
+  region: string;
+}
+
+/**
+ * The runners an entry links to. Whole groups are taken, as a request is placed
+ * by the step time of all ranks of a group; nearest groups first, and among
+ * equally near ones by rendezvous hashing, so that entries spread evenly and a
+ * change of hosts moves few links. Links grow with the subset and not with
+ * entries × runners.
+ */
+export function chooseRunners(parameters: {
+  self: Position;
+  hosts: platform.Host[];
+}): Map<string, platform.Host> {
+  const chosen = new Map<string, platform.Host>();
+  const services = new Map<string, platform.Host[]>();
+  for (const host of parameters.hosts) {
+    const hosts = services.get(host.service) ?? [];
+    hosts.push(host);
+    services.set(host.service, hosts);
+  }
+  for (const hosts of services.values()) {
+    let taken = 0;
+    for (const unit of unitsInOrder(parameters.self, hosts)) {
+      if (taken >= SUBSCRIBED_RUNNERS) break;
+      for (const host of unit) chosen.set(host.name, host);
+      taken += unit.length;
+    }
+  }
+  return chosen;
+}
+
+function unitsInOrder(
+  self: Position,
+  hosts: platform.Host[],
+): platform.Host[][] {
+  const units = new Map<string, platform.Host[]>();
+  for (const host of hosts) {
+    const name = host.group || host.name;
+    const unit = units.get(name) ?? [];
+    unit.push(host);
+    units.set(name, unit);
+  }
+  return [...units]
+    .map(([name, unit]) => ({
+      unit,
+      distance: distanceClass(self, unit[0]),
+      score: common.hash32(`${self.host} ${name}`),
+    }))
+    .sort(
+      (left, right) =>
+        left.distance - right.distance || left.score - right.score,
+    )
+    .map(({ unit }) => unit);
+}
+
+/** 0 for the same place, 1 for the same region, 2 beyond. */
+export function distanceClass(
+  self: Position,
+  host: { place: string; region: string },
+): number {
+  if (host.place === self.place) return 0;
+  return host.region === self.region ? 1 : 2;
+}
--- /dev/null
+++ b/packages/daemon/src/entry/create_context.ts
@@ -0,0 +1,193 @@
+import * as common from "@geraniumkeel/common";
+import type * as platform from "@geraniumkeel/platform";
+import type * as wire from "@geraniumkeel/wire";
+import * as accountLimits from "../admission/account_limits.ts";
+import * as serviceQueue from "../admission/service_queue.ts";
+import * as configurationKeeper from "../configuration/configuration_keeper.ts";
+import * as configurationStore from "../configuration/configuration_store.ts";
+import * as claimStore from "../dispatch/claim_store.ts";
+import * as dispatcherModule from "../dispatch/dispatcher.ts";
+import * as keyedRequest from "../dispatch/keyed_request.ts";
+import * as retryBudget from "../dispatch/retry_budget.ts";
+import * as runnerDirectory from "../dispatch/runner_directory.ts";
+import type * as runnerLink from "../dispatch/runner_link.ts";
+import * as hostView from "../membership/host_view.ts";
+import * as memberTable from "../membership/member_table.ts";
+import * as peerLinks from "../membership/peer_links.ts";
+import * as routerModule from "../routing/router.ts";
+import type * as settingsModule from "../settings/settings.ts";
+import * as answerLengths from "./answer_lengths.ts";
+import type * as entryContext from "./entry_context.ts";
+import * as freshnessModule from "./freshness.ts";
+
+const DEFAULT_QUEUE_LENGTH = 1_000;
+const DEFAULT_RETRY_SECONDS = 2;
+
+/** What an entry's context is made from. */
+export interface CreateContextParameters {
+  settings: settingsModule.EntrySettings;
+  logger: common.Logger;
+  metrics: common.Metrics;
+  history: common.HistoryRecorder;
+  lifeCycle: common.LifeCycle;
+  table: platform.TableService;
+  hostList: platform.HostList;
+  callerUrl: string;
+  peerUrl: string;
+  certificateAuthority: string | undefined;
+  onPeerMessage: (host: string, message: wire.Message) => void;
+}
+
+/** Puts the parts of an entry process together; nothing runs yet. */
+export function createContext(
+  parameters: CreateContextParameters,
+): entryContext.EntryContext {
+  const { settings, logger, metrics, history, lifeCycle } = parameters;
+  const random = new common.Random(common.processSeed());
+  const incarnation = common.randomIdentifier();
+  const { host, place, region, timing } = settings;
+  const keeper = new configurationKeeper.ConfigurationKeeper({
+    logger,
+    history,
+    host,
+  });
+  const hosts = new hostView.HostView({
+    hostList: parameters.hostList,
+    logger,
+    periodMilliseconds: timing.hostListPeriod,
+  });
+  const { callerUrl, peerUrl } = parameters;
+  const self = { host, incarnation, place, callerUrl, peerUrl };
+  const members = new memberTable.MemberTable(self);
+  const { certificateAuthority } = parameters;
+  const peers = new peerLinks.PeerLinks({
+    settings,
+    incarnation,
+    lifeCycle,
+    logger,
+    metrics,
+    random,
+    members,
+    hosts,
+    keeper,
+    certificateAuthority,
+    onMessage: (from, _link, message) =>
+      parameters.onPeerMessage(from, message),
+  });
+  const queues = new Map<
+    string,
+    serviceQueue.ServiceQueue<runnerLink.RunnerLink>
+  >();
+  const pump = () => {
+    for (const queue of queues.values()) queue.pump();
+  };
+  const runners = new runnerDirectory.RunnerDirectory({
+    hosts,
+    lifeCycle,
+    link: {
+      settings,
+      incarnation,
+      logger,
+      metrics,
+      random,
+      certificateAuthority,
+      revision: () => keeper.revision,
+      onLoad: (runner) => {
+        router.observe(runner);
+        pump();
+      },
+      onCacheEvents: (runner, changes) => router.cacheEvents(runner, changes),
+      onCapacity: pump,
+    },
+  });
+  const position = { host, place, region };
+  const router = new routerModule.Router({ runners, position, random, logger });
+  const freshness = new freshnessModule.Freshness({
+    isolatedAfterMilliseconds: timing.isolatedAfter,
+    lastPeerAt: () => peers.lastHeardAt,
+    hasPeers: () => members.present.length > 1,
+    logger,
+  });
+  const retryAfterMilliseconds = () => {
+    const seconds =
+      keeper.view?.preset.retryAfterSeconds ?? DEFAULT_RETRY_SECONDS;
+    // Callers refused together must not come back together.
+    return seconds * 1_000 * random.between(0.5, 1.5);
+  };
+  const keyed = new keyedRequest.KeyedRequests({
+    claims: new claimStore.ClaimStore({
+      table: parameters.table,
+      random,
+      patienceMilliseconds: timing.storePatience,
+    }),
+    runners,
+    lifeCycle,
+    logger,
+    history,
+    host,
+    settleAfterMilliseconds: timing.settleAfter,
+  });
+  const dispatcher = new dispatcherModule.Dispatcher({
+    router,
+    queueOf: (service) =>
+      getOrCreate(queues, service, () => {
+        const limit = () =>
+          keeper.view?.service(service)?.queueLength ?? DEFAULT_QUEUE_LENGTH;
+        return new serviceQueue.ServiceQueue({ limit });
+      }),
+    budgetOf: createBudgets(),
+    keyed,
+    logger,
+    metrics,
+    history,
+    host,
+    retryAfterMilliseconds,
+  });
+  return {
+    settings,
+    incarnation,
+    lifeCycle,
+    logger,
+    metrics,
+    history,
+    random,
+    keeper,
+    store: new configurationStore.ConfigurationStore({
+      table: parameters.table,
+      random,
+      patienceMilliseconds: timing.storePatience,
+    }),
+    hosts,
+    members,
+    peers,
+    runners,
+    router,
+    queues,
+    limits: new accountLimits.AccountLimits({
+      self: host,
+      entries: () => members.present.map((member) => member.host),
+      account: (name) => keeper.view?.account(name),
+      limitScale: () => keeper.view?.preset.limitScale ?? 1,
+      send: (to, message) => peers.sendTo(to, message),
+    }),
+    dispatcher,
+    lengths: new answerLengths.AnswerLengths(),
+    freshness,
+    draining: false,
+    retryAfterMilliseconds,
+  };
+}
+
+function createBudgets(): (service: string) => retryBudget.RetryBudget {
+  const budgets = new Map<string, retryBudget.RetryBudget>();
+  return (service) =>
+    getOrCreate(budgets, service, () => new retryBudget.RetryBudget());
+}
+
+function getOrCreate<K, V>(map: Map<K, V>, key: K, create: () => V): V {
+  const known = map.get(key);
+  if (known !== undefined) return known;
+  const created = create();
+  map.set(key, created);
+  return created;
+}
--- /dev/null
+++ b/packages/daemon/src/entry/entry_context.ts
@@ -0,0 +1,41 @@
+import type * as common from "@geraniumkeel/common";
+import type * as accountLimits from "../admission/account_limits.ts";
+import type * as serviceQueue from "../admission/service_queue.ts";
+import type * as configurationKeeper from "../configuration/configuration_keeper.ts";
+import type * as configurationStore from "../configuration/configuration_store.ts";
+import type * as dispatcher from "../dispatch/dispatcher.ts";
+import type * as runnerDirectory from "../dispatch/runner_directory.ts";
+import type * as runnerLink from "../dispatch/runner_link.ts";
+import type * as hostView from "../membership/host_view.ts";
+import type * as memberTable from "../membership/member_table.ts";
+import type * as peerLinks from "../membership/peer_links.ts";
+import type * as router from "../routing/router.ts";
+import type * as settings from "../settings/settings.ts";
+import type * as answerLengths from "./answer_lengths.ts";
+import type * as freshness from "./freshness.ts";
+
+/** What the parts of an entry process share. */
+export interface EntryContext {
+  settings: settings.EntrySettings;
+  incarnation: string;
+  lifeCycle: common.LifeCycle;
+  logger: common.Logger;
+  metrics: common.Metrics;
+  history: common.HistoryRecorder;
+  random: common.Random;
+  keeper: configurationKeeper.ConfigurationKeeper;
+  store: configurationStore.ConfigurationStore;
+  hosts: hostView.HostView;
+  members: memberTable.MemberTable;
+  peers: peerLinks.PeerLinks;
+  runners: runnerDirectory.RunnerDirectory;
+  router: router.Router;
+  queues: Map<string, serviceQueue.ServiceQueue<runnerLink.RunnerLink>>;
+  limits: accountLimits.AccountLimits;
+  dispatcher: dispatcher.Dispatcher;
+  lengths: answerLengths.AnswerLengths;
+  freshness: freshness.Freshness;
+  draining: boolean;
+  /** Jittered time after which a refused caller should come back. */
+  retryAfterMilliseconds: () => number;
+}
--- /dev/null
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -0,0 +1,174 @@
+import * as fs from "node:fs";
+import * as common from "@geraniumkeel/common";
+import * as neverthrow from "neverthrow";
+import * as platform from "@geraniumkeel/platform";
+import * as wire from "@geraniumkeel/wire";
+import * as configurationSync from "../configuration/configuration_sync.ts";
+import * as describeEntry from "../operator/describe_entry.ts";
+import * as operatorServer from "../operator/operator_server.ts";
+import * as remoteOperations from "../operator/remote_operations.ts";
+import type * as runningProcess from "../running_process.ts";
+import * as listenModule from "../settings/listen.ts";
+import type * as settingsModule from "../settings/settings.ts";
+import * as callerServer from "./caller_server.ts";
+import * as createContext from "./create_context.ts";
+import * as drainEntry from "./drain_entry.ts";
+import type * as entryContext from "./entry_context.ts";
+
+const PUMP_MILLISECONDS = 50;
+const SWEEP_MILLISECONDS = 1_000;
+
+/** Starts the process of an entry host. */
+export async function startEntry(parameters: {
+  settings: settingsModule.EntrySettings;
+  logger: common.Logger;
+  metrics: common.Metrics;
+  history: common.HistoryRecorder;
+}): Promise<
+  neverthrow.Result<runningProcess.RunningProcess, listenModule.ListenFailure>
+> {
+  const { settings, logger } = parameters;
+  const lifeCycle = new common.LifeCycle(settings.host);
+  const opened = await openListeners(settings, lifeCycle);
+  if (opened.isErr()) return neverthrow.err(opened.error);
+  const listeners = opened.value;
+  const client = new platform.HttpClient(settings.platform.url, {
+    timeoutMilliseconds: settings.timing.storeTimeout,
+    key: settings.platform.key,
+  });
+  lifeCycle.own({ name: "platform", close: () => client.close() });
+  const context = createContext.createContext({
+    ...parameters,
+    lifeCycle,
+    table: new platform.HttpTableService(client),
+    hostList: new platform.HttpHostList(client),
+    callerUrl: settings.advertise.callerUrl ?? listeners.callers.url,
+    peerUrl: settings.advertise.linkUrl ?? listeners.links.url,
+    certificateAuthority: readAuthority(settings),
+    onPeerMessage: (host, message) => {
+      context.limits.handle(host, message);
+      remote.handle(host, message);
+    },
+  });
+  const drain = drainEntry.createDrain(context);
+  const remote = new remoteOperations.RemoteOperations({
+    self: settings.host,
+    runners: context.runners,
+    sendToEntry: (host, message) => context.peers.sendTo(host, message),
+    state: () => describeEntry.describeState(context),
+    drain: () => void drain(),
+  });
+  listeners.callers.server.on("request", callerServer.callerHandler(context));
+  listeners.operators.server.on(
+    "request",
+    operatorServer.operatorHandler({ context, remote }),
+  );
+  acceptPeers(context, listeners.links);
+  startTasks(context);
+  const urls = {
+    callers: listeners.callers.url,
+    links: listeners.links.url,
+    operators: listeners.operators.url,
+  };
+  logger.event(common.EventCode.ProcessStarted, { urls });
+  return neverthrow.ok({
+    urls,
+    state: () => describeEntry.describeState(context),
+    unfinished: () => context.dispatcher.running,
+    drain,
+    stop: () => lifeCycle.close(),
+  });
+}
+
+type Listeners = Record<
+  "callers" | "links" | "operators",
+  listenModule.Listening
+>;
+
+async function openListeners(
+  settings: settingsModule.EntrySettings,
+  lifeCycle: common.LifeCycle,
+): Promise<neverthrow.Result<Listeners, listenModule.ListenFailure>> {
+  const open = (name: keyof Listeners) =>
+    listenModule.listen({ name, listener: settings.listen[name], lifeCycle });
+  const callers = await open("callers");
+  if (callers.isErr()) return neverthrow.err(callers.error);
+  const links = await open("links");
+  if (links.isErr()) return neverthrow.err(links.error);
+  const operators = await open("operators");
+  if (operators.isErr()) return neverthrow.err(operators.error);
+  return neverthrow.ok({
+    callers: callers.value,
+    links: links.value,
+    operators: operators.value,
+  });
+}
+
+function readAuthority(
+  settings: settingsModule.EntrySettings,
+): string | undefined {
+  const file = settings.certificateAuthorityFile;
+  return file === undefined ? undefined : fs.readFileSync(file, "utf8");
+}
+
+function acceptPeers(
+  context: entryContext.EntryContext,
+  listening: listenModule.Listening,
+): void {
+  const { settings, keeper, peers, lifeCycle } = context;
+  const accepting = wire.acceptLinks({
+    server: listening.server,
+    path: listenModule.LINK_PATH,
+    key: settings.processKey,
+    timing: settings.timing,
+    heartbeat: () => ({ clock: common.now(), revision: keeper.revision }),
+    onLink: (link) => peers.accept(link),
+  });
+  lifeCycle.own({ name: "links", close: accepting.close });
+}
+
+function startTasks(context: entryContext.EntryContext): void {
+  const { lifeCycle, hosts, peers, runners, keeper, members } = context;
+  const { settings, logger, random, store, freshness, queues } = context;
+  lifeCycle.run("host-list", (signal) => hosts.run(signal));
+  lifeCycle.run("runners", (signal) => runners.run(signal));
+  lifeCycle.run("configuration", (signal) =>
+    configurationSync.syncWithStore({
+      keeper,
+      store,
+      logger,
+      random,
+      periodMilliseconds: settings.timing.configurationPoll,
+      entries: () => members.present.length,
+      onAnswer: () => freshness.hearStore(),
+      signal,
+    }),
+  );
+  lifeCycle.run("in-force", (signal) => followConfiguration(context, signal));
+  peers.start();
+  lifeCycle.every(PUMP_MILLISECONDS, () => {
+    for (const queue of queues.values()) queue.pump();
+  });
+  lifeCycle.every(SWEEP_MILLISECONDS, () => context.limits.sweep());
+}
+
+/** Passes each newly adopted configuration on, and tells that it is in force. */
+async function followConfiguration(
+  context: entryContext.EntryContext,
+  signal: AbortSignal,
+): Promise<void> {
+  const { keeper, members, peers, metrics, logger } = context;
+  let known = 0;
+  while (!signal.aborted) {
+    const { revision } = keeper;
+    if (revision > known) {
+      if (known === 0) logger.event(common.EventCode.ProcessReady);
+      known = revision;
+      members.describeSelf({ revision });
+      peers.pushConfiguration();
+      metrics.gauge(common.Metric.ConfigurationRevision, revision);
+    }
+    if (keeper.revision > known) continue;
+    await keeper.changed.next(1_000, signal);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/expert_map/rank_orders.ts
@@ -0,0 +1,88 @@
+import * as engineModule from "@geraniumkeel/engine";
+import * as wire from "@geraniumkeel/wire";
+
+/** Part of the engine that takes group orders. */
+export interface OrderTaker {
+  order: engineModule.HttpEngine["order"];
+}
+
+/** What one rank answers while its engine has not been asked. */
+function emptyState(): wire.RankState {
+  return {
+    step: 0,
+    mapVersion: 0,
+    stagedVersion: 0,
+    armedVersion: 0,
+    armedStep: 0,
+    goVersion: 0,
+    held: false,
+    expertTokens: [],
+  };
+}
+
+/**
+ * Gate between a group's coordinators and one rank's engine. It enforces
+ * fencing for engines that ignore it: after a promise, orders with a lower
+ * number never reach the engine. A new incarnation starts without a promise,
+ * and orders name the incarnation that promised, so that a coordinator from
+ * before a restart is refused even with the highest number.
+ */
+export class RankOrders {
+  #promised = 0;
+  /** Orders run one at a time, so a promise follows all earlier orders. */
+  #previous: Promise<unknown> = Promise.resolve();
+
+  constructor(
+    readonly incarnation: string,
+    readonly engine: OrderTaker,
+  ) {}
+
+  /** Highest fencing number promised. */
+  get promised(): number {
+    return this.#promised;
+  }
+
+  /** Carries out an order or says why not. */
+  handle(parameters: {
+    agentIncarnation: string;
+    order: wire.Order;
+  }): Promise<wire.OrderAnswer> {
+    const turn = this.#previous.then(() => this.#carryOut(parameters));
+    this.#previous = turn;
+    return turn;
+  }
+
+  async #carryOut(parameters: {
+    agentIncarnation: string;
+    order: wire.Order;
+  }): Promise<wire.OrderAnswer> {
+    const { agentIncarnation, order } = parameters;
+    if (agentIncarnation !== this.incarnation) {
+      return this.#refuse(wire.OrderRefusal.OldIncarnation);
+    }
+    if (order.fencing < this.#promised) {
+      return this.#refuse(wire.OrderRefusal.OldFencing);
+    }
+    if (order.kind === wire.OrderKind.Promise) {
+      this.#promised = order.fencing;
+    } else if (order.fencing !== this.#promised) {
+      return this.#refuse(wire.OrderRefusal.NotPromised);
+    }
+    const answer = await this.engine.order(order);
+    if (answer.isOk()) {
+      return { done: true, state: { ...emptyState(), ...answer.value } };
+    }
+    return this.#refuse(refusalOf(answer.error.reason));
+  }
+
+  #refuse(refusal: wire.OrderRefusal): wire.OrderAnswer {
+    return { done: false, refusal, fencing: this.#promised };
+  }
+}
+
+/** The engine's own words for a refusal, or that it failed. */
+function refusalOf(reason: string): wire.OrderRefusal {
+  const refusals = Object.values(wire.OrderRefusal);
+  const known = refusals.find((refusal) => reason.includes(refusal));
+  return known ?? wire.OrderRefusal.EngineFailed;
+}
--- /dev/null
+++ b/packages/daemon/src/membership/host_view.ts
@@ -0,0 +1,72 @@
+import * as common from "@geraniumkeel/common";
+import * as platform from "@geraniumkeel/platform";
+
+/** The platform's host list as last read; it lags and may be unavailable. */
+export class HostView {
+  readonly changed = new common.ChangeNotice();
+  #hosts = new Map<string, platform.Host>();
+  #available = true;
+  /** When the platform last answered. */
+  lastReadAt = -Infinity;
+
+  constructor(
+    readonly parameters: {
+      hostList: platform.HostList;
+      logger: common.Logger;
+      periodMilliseconds: number;
+    },
+  ) {}
+
+  /** Hosts by name. */
+  get hosts(): ReadonlyMap<string, platform.Host> {
+    return this.#hosts;
+  }
+
+  /** Hosts of a role. */
+  withRole(role: platform.HostRole): platform.Host[] {
+    return [...this.#hosts.values()].filter((host) => host.role === role);
+  }
+
+  /** Reads the list again and again until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.refresh();
+      await common.sleep(this.parameters.periodMilliseconds, signal);
+    }
+  }
+
+  /** Reads the list once; an outage keeps what was last read. */
+  async refresh(): Promise<void> {
+    const { hostList, logger } = this.parameters;
+    const read = await hostList.read();
+    if (read.isErr()) {
+      if (this.#available) {
+        const { reason } = read.error;
+        logger.event(common.EventCode.HostListUnavailable, { reason });
+      }
+      this.#available = false;
+      return;
+    }
+    this.#available = true;
+    this.lastReadAt = common.now();
+    this.#replace(new Map(read.value.map((host) => [host.name, host])));
+  }
+
+  #replace(hosts: Map<string, platform.Host>): void {
+    const { logger } = this.parameters;
+    const before = this.#hosts;
+    this.#hosts = hosts;
+    let changed = false;
+    for (const [name, host] of hosts) {
+      const known = before.get(name);
+      if (!known) logger.event(common.EventCode.HostAppeared, { peer: name });
+      if (JSON.stringify(known) !== JSON.stringify(host)) changed = true;
+    }
+    for (const name of before.keys()) {
+      if (hosts.has(name)) continue;
+      logger.event(common.EventCode.HostDisappeared, { peer: name });
+      changed = true;
+    }
+    if (changed) this.changed.announce();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/membership/member_table.ts
@@ -0,0 +1,131 @@
+import * as common from "@geraniumkeel/common";
+import * as wire from "@geraniumkeel/wire";
+
+/** Time for which a member that is gone is remembered. */
+const GONE_RETENTION_MILLISECONDS = 120_000;
+
+/** A member and when this process last changed its record. */
+interface Entry {
+  member: wire.Member;
+  changedAt: number;
+}
+
+/**
+ * The entries as known here. Only a member itself raises its counter; others
+ * may only worsen its state at the same counter. So a late rumour never
+ * overrides what the member said of itself since.
+ */
+export class MemberTable {
+  readonly changed = new common.ChangeNotice();
+  readonly #entries = new Map<string, Entry>();
+  /** Hosts whose record changed since `takeChanges`. */
+  readonly #dirty = new Set<string>();
+  #self: wire.Member;
+
+  constructor(
+    self: Omit<wire.Member, "counter" | "state" | "revision" | "weight">,
+    readonly clock: () => number = common.now,
+  ) {
+    this.#self = {
+      ...self,
+      state: wire.MemberState.Alive,
+      // A replacement at the same name must outrank its predecessor. Wall-clock
+      // time does so nearly always; where it went back, `merge` raises it.
+      counter: Date.now(),
+      revision: 0,
+      weight: 1,
+    };
+    this.#set(this.#self);
+  }
+
+  /** This process's own record. */
+  get self(): wire.Member {
+    return this.#self;
+  }
+
+  /** All records, this process's included. */
+  get all(): wire.Member[] {
+    return [...this.#entries.values()].map(({ member }) => member);
+  }
+
+  /** Members that are not gone, this process included. */
+  get present(): wire.Member[] {
+    return this.all.filter((one) => one.state !== wire.MemberState.Gone);
+  }
+
+  /** Record of one host. */
+  get(host: string): wire.Member | undefined {
+    return this.#entries.get(host)?.member;
+  }
+
+  /** Changes what this process says of itself. */
+  describeSelf(
+    change: Partial<Pick<wire.Member, "state" | "revision" | "weight">>,
+  ): void {
+    const counter = this.#self.counter + 1;
+    this.#self = { ...this.#self, ...change, counter };
+    this.#set(this.#self);
+  }
+
+  /** Takes in a record heard from a peer; returns whether it was news. */
+  merge(heard: wire.Member): boolean {
+    if (heard.host === this.#self.host) return this.#answerRumour(heard);
+    const known = this.#entries.get(heard.host)?.member;
+    if (known && !isNewer(heard, known)) return false;
+    this.#set(heard);
+    return true;
+  }
+
+  /** Notes that a member does not answer; it may refute. */
+  suspect(host: string): void {
+    const known = this.#entries.get(host)?.member;
+    if (known && known.state < wire.MemberState.Suspect) {
+      this.#set({ ...known, state: wire.MemberState.Suspect });
+    }
+  }
+
+  /** Turns suspicions that nobody refuted into departures. */
+  expire(goneAfterMilliseconds: number): void {
+    const now = this.clock();
+    for (const [host, { member, changedAt }] of this.#entries) {
+      const age = now - changedAt;
+      if (member.state === wire.MemberState.Suspect) {
+        if (age < goneAfterMilliseconds) continue;
+        this.#set({ ...member, state: wire.MemberState.Gone });
+      } else if (member.state === wire.MemberState.Gone) {
+        if (age > GONE_RETENTION_MILLISECONDS) this.#entries.delete(host);
+      }
+    }
+  }
+
+  /** Records changed since the last call. */
+  takeChanges(): wire.Member[] {
+    const changes = [...this.#dirty].flatMap((host) => this.get(host) ?? []);
+    this.#dirty.clear();
+    return changes;
+  }
+
+  /** A rumour about this process itself is answered by a higher counter. */
+  #answerRumour(heard: wire.Member): boolean {
+    if (heard.counter < this.#self.counter) return false;
+    const same =
+      heard.counter === this.#self.counter &&
+      heard.state === this.#self.state &&
+      heard.incarnation === this.#self.incarnation;
+    if (same) return false;
+    this.#self = { ...this.#self, counter: heard.counter + 1 };
+    this.#set(this.#self);
+    return true;
+  }
+
+  #set(member: wire.Member): void {
+    this.#entries.set(member.host, { member, changedAt: this.clock() });
+    this.#dirty.add(member.host);
+    this.changed.announce();
+  }
+}
+
+function isNewer(heard: wire.Member, known: wire.Member): boolean {
+  if (heard.counter !== known.counter) return heard.counter > known.counter;
+  return heard.state > known.state;
+}
--- /dev/null
+++ b/packages/daemon/src/membership/peer_links.ts
@@ -0,0 +1,357 @@
+import * as common from "@geraniumkeel/common";
+import * as platform from "@geraniumkeel/platform";
+import * as wire from "@geraniumkeel/wire";
+import type * as configurationKeeper from "../configuration/configuration_keeper.ts";
+import * as listenModule from "../settings/listen.ts";
+import type * as settingsModule from "../settings/settings.ts";
+import type * as hostView from "./host_view.ts";
+import type * as memberTable from "./member_table.ts";
+import * as overlay from "./overlay.ts";
+
+/** Delay before the higher-named end dials, which normally waits to be dialled. */
+const SECOND_DIALLER_DELAY_MILLISECONDS = 1_500;
+const FIRST_PAUSE_MILLISECONDS = 50;
+const LONGEST_PAUSE_MILLISECONDS = 2_000;
+/** Changes heard within this time are passed on in one message. */
+const GOSSIP_BATCH_MILLISECONDS = 10;
+/** A full exchange with one neighbour repairs whatever gossip missed. */
+const FULL_EXCHANGE_MILLISECONDS = 30_000;
+const EXPIRE_LOOK_MILLISECONDS = 250;
+/** An on-demand link without use is closed after this time. */
+const IDLE_LINK_MILLISECONDS = 60_000;
+
+/** Time after which a push that had no effect is repeated. */
+const PUSH_AGAIN_MILLISECONDS = 1_000;
+
+/** What the links to peers need. */
+export interface PeerLinksParameters {
+  settings: settingsModule.EntrySettings;
+  incarnation: string;
+  lifeCycle: common.LifeCycle;
+  logger: common.Logger;
+  metrics: common.Metrics;
+  random: common.Random;
+  members: memberTable.MemberTable;
+  hosts: hostView.HostView;
+  keeper: configurationKeeper.ConfigurationKeeper;
+  certificateAuthority: string | undefined;
+  /** Handles messages of other slices. */
+  onMessage: (host: string, link: wire.Link, message: wire.Message) => void;
+}
+
+/** An open link to another entry. */
+interface Peer {
+  link: wire.Link;
+  incarnation: string;
+  /** Highest revision it is known to have, or was sent. */
+  revision: number;
+  pushedAt: number;
+}
+
+/** Links to other entries, and the gossip that flows over them. */
+export class PeerLinks {
+  readonly #peers = new Map<string, Peer>();
+  /** Dialling tasks by host. */
+  readonly #dialling = new Map<string, AbortController>();
+  readonly #changed = new common.ChangeNotice();
+  #linkNumber = 0;
+  /** When anything was last heard of any peer. */
+  lastHeardAt = common.now();
+
+  constructor(readonly parameters: PeerLinksParameters) {}
+
+  /** Names of the peers linked now. */
+  get linked(): string[] {
+    return [...this.#peers.keys()];
+  }
+
+  /** Message and byte counts over all open links. */
+  get counts(): wire.LinkCounts[] {
+    return [...this.#peers.values()].map(({ link }) => link.counts);
+  }
+
+  /** Starts dialling, gossip and expiry. */
+  start(): void {
+    const { lifeCycle, members, settings } = this.parameters;
+    lifeCycle.run("reconcile", (signal) => this.#reconcile(signal));
+    lifeCycle.run("gossip", (signal) => this.#gossip(signal));
+    lifeCycle.run("full-exchange", (signal) => this.#fullExchange(signal));
+    lifeCycle.every(EXPIRE_LOOK_MILLISECONDS, () =>
+      members.expire(settings.timing.goneAfter),
+    );
+  }
+
+  /** Serves a link that a peer opened. */
+  accept(link: wire.Link): void {
+    this.parameters.lifeCycle.run("peer", () => this.#serve(link));
+  }
+
+  /** Sends to one linked peer; false when there is no link. */
+  send(host: string, message: wire.Message): boolean {
+    const peer = this.#peers.get(host);
+    peer?.link.send(message);
+    return peer !== undefined;
+  }
+
+  /**
+   * Sends to any entry, opening a link on demand when it is not a neighbour.
+   * False when it cannot be reached within the connect timeout.
+   */
+  async sendTo(host: string, message: wire.Message): Promise<boolean> {
+    if (this.send(host, message)) return true;
+    const opened = await this.#dial(host);
+    if (!opened) return false;
+    this.parameters.lifeCycle.run("on-demand", () => this.#serve(opened));
+    await this.#changed.until({
+      condition: () => this.#peers.has(host),
+      timeoutMilliseconds: this.parameters.settings.timing.connectTimeout,
+    });
+    return this.send(host, message);
+  }
+
+  /** Sends the configuration in force to every peer that lacks it. */
+  pushConfiguration(): void {
+    for (const host of this.#peers.keys()) this.#pushTo(host);
+  }
+
+  #pushTo(host: string): void {
+    const peer = this.#peers.get(host);
+    const view = this.parameters.keeper.view;
+    if (!peer || !view || peer.revision >= view.head.revision) return;
+    const known = peer.revision;
+    // What the peer holds is told by its revision: every section changed since.
+    const sections = this.parameters.keeper
+      .missingFor({})
+      .filter((section) => section.revision > known);
+    peer.revision = view.head.revision;
+    peer.pushedAt = common.now();
+    const kind = wire.MessageKind.ConfigurationPush;
+    peer.link.send({ kind, head: view.head, sections });
+  }
+
+  /** Keeps one dialling task per wanted neighbour. */
+  async #reconcile(signal: AbortSignal): Promise<void> {
+    const { members, hosts, lifeCycle } = this.parameters;
+    while (!signal.aborted) {
+      const wanted = this.#wanted();
+      for (const [host, task] of this.#dialling) {
+        if (wanted.has(host)) continue;
+        task.abort();
+        this.#dialling.delete(host);
+      }
+      for (const host of wanted) {
+        if (this.#dialling.has(host)) continue;
+        const task = new AbortController();
+        this.#dialling.set(host, task);
+        const both = AbortSignal.any([signal, task.signal]);
+        lifeCycle.run(`dial ${host}`, () => this.#keepLinked(host, both));
+      }
+      await Promise.race([
+        members.changed.next(1_000, signal),
+        hosts.changed.next(1_000, signal),
+      ]);
+    }
+  }
+
+  #wanted(): Set<string> {
+    const { members, hosts, settings } = this.parameters;
+    const names = new Set(members.present.map((member) => member.host));
+    for (const host of hosts.withRole(platform.HostRole.Entry)) {
+      if (host.state === platform.HostState.Live) names.add(host.name);
+    }
+    return overlay.neighbours(settings.host, [...names]);
+  }
+
+  /** One task per neighbour: keeps a link to it while it is wanted. */
+  async #keepLinked(host: string, signal: AbortSignal): Promise<void> {
+    const { settings, members, random } = this.parameters;
+    const backOff = new common.BackOff({
+      firstMilliseconds: FIRST_PAUSE_MILLISECONDS,
+      longestMilliseconds: LONGEST_PAUSE_MILLISECONDS,
+      random,
+    });
+    let lastLinkedAt = common.now();
+    // Both ends want the link; without an order they would dial at once and
+    // replace each other's connection.
+    if (settings.host > host) {
+      await common.sleep(SECOND_DIALLER_DELAY_MILLISECONDS, signal);
+    }
+    while (!signal.aborted) {
+      const peer = this.#peers.get(host);
+      if (peer) {
+        lastLinkedAt = common.now();
+        backOff.reset();
+        await this.#changed.next(1_000, signal);
+        continue;
+      }
+      const link = await this.#dial(host);
+      if (signal.aborted) return link?.close();
+      if (link) {
+        await this.#serve(link);
+        lastLinkedAt = common.now();
+        continue;
+      }
+      const silence = common.now() - lastLinkedAt;
+      if (silence > settings.timing.suspectAfter) members.suspect(host);
+      await common.sleep(backOff.pause(), signal);
+    }
+  }
+
+  async #dial(host: string): Promise<wire.Link | undefined> {
+    const { members, hosts, settings, keeper, logger } = this.parameters;
+    const member = members.get(host);
+    const base = member?.peerUrl ?? hosts.hosts.get(host)?.linkUrl;
+    if (!base) return undefined;
+    const dialled = await wire.dial({
+      url: listenModule.linkUrl(base),
+      key: settings.processKey,
+      timing: settings.timing,
+      heartbeat: () => ({ clock: common.now(), revision: keeper.revision }),
+      certificateAuthority: this.parameters.certificateAuthority,
+    });
+    if (dialled.isOk()) return dialled.value;
+    if (dialled.error.refused) {
+      logger.event(common.EventCode.LinkRefused, { peer: host });
+    }
+    return undefined;
+  }
+
+  async #serve(link: wire.Link): Promise<void> {
+    const { settings, keeper, incarnation, members, logger } = this.parameters;
+    this.#linkNumber++;
+    link.send({
+      kind: wire.MessageKind.Hello,
+      role: wire.PeerRole.Entry,
+      host: settings.host,
+      place: settings.place,
+      incarnation,
+      linkNumber: this.#linkNumber,
+      revision: keeper.revision,
+      clock: common.now(),
+      service: "",
+      group: "",
+      rank: 0,
+      leaving: false,
+    });
+    const hello = await link.receive();
+    if (hello?.kind !== wire.MessageKind.Hello) return link.close();
+    const { host } = hello;
+    this.#peers.get(host)?.link.close(wire.LinkEnd.Replaced);
+    const { revision } = hello;
+    const peer: Peer = {
+      link,
+      incarnation: hello.incarnation,
+      revision,
+      pushedAt: -Infinity,
+    };
+    this.#peers.set(host, peer);
+    this.#hear(host, revision);
+    link.onHeartbeat = (beat) => this.#hear(host, beat.revision);
+    logger.event(common.EventCode.LinkEstablished, { peer: host });
+    this.#changed.announce();
+    const all = members.all;
+    link.send({ kind: wire.MessageKind.Members, members: all, full: true });
+    this.#pushTo(host);
+    for await (const message of link.messages()) {
+      if (link.end !== undefined) break;
+      this.lastHeardAt = common.now();
+      this.#handle(host, link, message);
+    }
+    if (this.#peers.get(host) === peer) this.#peers.delete(host);
+    this.#reportEnd(host, link);
+    this.#changed.announce();
+  }
+
+  #reportEnd(host: string, link: wire.Link): void {
+    const { logger, metrics, lifeCycle } = this.parameters;
+    if (lifeCycle.closing || link.end === wire.LinkEnd.Replaced) return;
+    const silent = link.end === wire.LinkEnd.Silent;
+    if (silent) metrics.count(common.Metric.LinksSilent);
+    const code = silent
+      ? common.EventCode.LinkSilent
+      : common.EventCode.LinkLost;
+    logger.event(code, { peer: host, reason: link.end });
+  }
+
+  /** A peer with a newer revision than ours is asked for it. */
+  #hear(host: string, revision: number): void {
+    const { keeper } = this.parameters;
+    this.lastHeardAt = common.now();
+    const peer = this.#peers.get(host);
+    if (peer) peer.revision = Math.max(peer.revision, revision);
+    keeper.hear(revision);
+    if (revision > keeper.revision) {
+      const kind = wire.MessageKind.ConfigurationRequest;
+      peer?.link.send({ kind, held: keeper.held() });
+    } else if (revision < keeper.revision && peer) {
+      // A heartbeat may have crossed the push; one still old later did not.
+      const age = common.now() - peer.pushedAt;
+      if (age > PUSH_AGAIN_MILLISECONDS) peer.revision = revision;
+      this.#pushTo(host);
+    }
+  }
+
+  #handle(host: string, link: wire.Link, message: wire.Message): void {
+    const { members, keeper } = this.parameters;
+    switch (message.kind) {
+      case wire.MessageKind.Members:
+        for (const member of message.members) members.merge(member);
+        return;
+      case wire.MessageKind.ConfigurationPush: {
+        const { head, sections } = message;
+        const peer = this.#peers.get(host);
+        if (peer) peer.revision = Math.max(peer.revision, head.revision);
+        const outcome = keeper.adopt(head, sections);
+        if (outcome !== "incomplete") return;
+        const kind = wire.MessageKind.ConfigurationRequest;
+        return link.send({ kind, held: keeper.held() });
+      }
+      case wire.MessageKind.ConfigurationRequest: {
+        const { view } = keeper;
+        if (!view) return;
+        const sections = keeper.missingFor(message.held);
+        const kind = wire.MessageKind.ConfigurationPush;
+        return link.send({ kind, head: view.head, sections });
+      }
+      default:
+        return this.parameters.onMessage(host, link, message);
+    }
+  }
+
+  async #gossip(signal: AbortSignal): Promise<void> {
+    const { members } = this.parameters;
+    while (!signal.aborted) {
+      const changes = members.takeChanges();
+      if (changes.length > 0) {
+        const kind = wire.MessageKind.Members;
+        for (const { link } of this.#peers.values()) {
+          link.send({ kind, members: changes, full: false });
+        }
+      }
+      await members.changed.next(1_000, signal);
+      await common.sleep(GOSSIP_BATCH_MILLISECONDS, signal);
+    }
+  }
+
+  async #fullExchange(signal: AbortSignal): Promise<void> {
+    const { members, random } = this.parameters;
+    while (!signal.aborted) {
+      await common.sleep(FULL_EXCHANGE_MILLISECONDS, signal);
+      const hosts = this.linked;
+      if (hosts.length === 0) continue;
+      const kind = wire.MessageKind.Members;
+      const all = members.all;
+      this.send(random.pick(hosts), { kind, members: all, full: true });
+      this.#closeIdle();
+    }
+  }
+
+  /** Ends on-demand links that are no neighbour's and carry nothing. */
+  #closeIdle(): void {
+    const oldest = common.now() - IDLE_LINK_MILLISECONDS;
+    for (const [host, { link }] of this.#peers) {
+      if (this.#dialling.has(host)) continue;
+      if (link.lastUsedAt < oldest) link.close();
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -0,0 +1,240 @@
+import * as common from "@geraniumkeel/common";
+import * as wire from "@geraniumkeel/wire";
+import * as settings from "../settings/settings.ts";
+import * as attemptRecord from "./attempt_record.ts";
+import * as runAttempt from "./run_attempt.ts";
+import type * as upstreamContext from "./upstream_context.ts";
+
+/** What this process says first on every link. */
+export function helloOf(
+  context: upstreamContext.UpstreamContext,
+): wire.Hello {
+  const { settings: own, incarnation } = context;
+  const model = own.backEnd.kind === settings.BackEndKind.Model;
+  return {
+    kind: wire.MessageKind.Hello,
+    role: wire.PeerRole.Upstream,
+    host: own.host,
+    place: own.place,
+    incarnation,
+    linkNumber: 0,
+    revision: 0,
+    clock: common.now(),
+    service: own.service,
+    group: model && "group" in own.backEnd ? own.backEnd.group : "",
+    rank: model && "rank" in own.backEnd ? own.backEnd.rank : 0,
+    leaving: context.leaving,
+  };
+}
+
+/** Serves one link from an entry until it ends. */
+export async function serveEntryLink(
+  context: upstreamContext.UpstreamContext,
+  link: wire.Link,
+): Promise<void> {
+  link.send(helloOf(context));
+  const first = await link.receive();
+  if (first?.kind !== wire.MessageKind.Hello) return link.close();
+  if (!takePlaceOfOlderLink(context, first, link)) {
+    return link.close(wire.LinkEnd.Replaced);
+  }
+  context.links.set(link, { dispatches: 0 });
+  context.logger.event(common.EventCode.LinkEstablished, { peer: first.host });
+  for await (const message of link.messages()) {
+    // Messages queued on a replaced link are void: the entry has asked again
+    // on the new one, and a late dispatch would run what was settled.
+    if (link.end !== undefined) break;
+    handleMessage(context, link, message);
+  }
+  context.links.delete(link);
+  for (const record of context.table.records.values()) record.detach(link);
+  const reason = link.end;
+  context.logger.event(common.EventCode.LinkLost, { peer: first.host, reason });
+}
+
+/** Whether this link is the newest of its entry; older ones are ended. */
+function takePlaceOfOlderLink(
+  context: upstreamContext.UpstreamContext,
+  hello: wire.Hello,
+  link: wire.Link,
+): boolean {
+  const newest = context.newestLink.get(hello.incarnation);
+  if (newest && newest.number >= hello.linkNumber) return false;
+  newest?.link.close(wire.LinkEnd.Replaced);
+  const number = hello.linkNumber;
+  context.newestLink.set(hello.incarnation, { number, link });
+  return true;
+}
+
+function handleMessage(
+  context: upstreamContext.UpstreamContext,
+  link: wire.Link,
+  message: wire.Message,
+): void {
+  switch (message.kind) {
+    case wire.MessageKind.Dispatch:
+      return dispatch(context, link, message);
+    case wire.MessageKind.Resume:
+      return resume(context, link, message);
+    case wire.MessageKind.Acknowledge:
+      context.table.records
+        .get(message.identifier)
+        ?.acknowledge(link, message.offset);
+      return;
+    case wire.MessageKind.Cancel:
+      return cancel(context, message.attempt);
+    case wire.MessageKind.Settle:
+      return settle(context, link, message);
+    case wire.MessageKind.Release:
+      context.table.records.get(message.identifier)?.release();
+      return;
+    case wire.MessageKind.Drain:
+      return context.drain();
+    case wire.MessageKind.StateRequest: {
+      const text = JSON.stringify(context.state());
+      const { question } = message;
+      const kind = wire.MessageKind.StateAnswer;
+      return link.send({ kind, question, text });
+    }
+    case wire.MessageKind.Order:
+      context.lifeCycle.run("order", () => order(context, link, message));
+      return;
+    default:
+      return;
+  }
+}
+
+type MessageOf<K extends wire.MessageKind> = Extract<wire.Message, { kind: K }>;
+
+function dispatch(
+  context: upstreamContext.UpstreamContext,
+  link: wire.Link,
+  message: MessageOf<wire.MessageKind.Dispatch>,
+): void {
+  const { attempt } = message;
+  const { identifier } = attempt;
+  const received = context.links.get(link);
+  if (received) received.dispatches++;
+  // A second copy of a dispatch must neither run nor be called refused.
+  if (context.table.records.has(identifier)) return;
+  const admission = context.leaving
+    ? { admitted: false as const, reason: wire.RefusalReason.Leaving }
+    : context.table.admit(attempt);
+  if (!admission.admitted) {
+    const { reason } = admission;
+    context.logger.event(common.EventCode.DispatchRefused, {
+      identifier,
+      reason,
+    });
+    const kind = wire.MessageKind.Refused;
+    // Refused is final: without the tombstone a copy could still start.
+    if (reason === wire.RefusalReason.Leaving) context.table.settle(attempt);
+    return link.send({ kind, identifier, reason });
+  }
+  const record = new attemptRecord.AttemptRecord(
+    attempt,
+    message.repeatable,
+    link,
+    message.window,
+    message.work.kind === wire.WorkKind.Generate
+      ? wire.estimateTokens(message.work.prompt)
+      : 0,
+  );
+  context.table.add(record);
+  context.history.record({
+    kind: "agent-started",
+    host: context.settings.host,
+    identifier,
+  });
+  context.lifeCycle.run("attempt", async () => {
+    await runWork(context, record, message.work);
+    context.table.ended(record);
+    if (record.end?.kind !== wire.EndKind.Broken) return;
+    const { reason } = record.end;
+    context.logger.event(common.EventCode.EngineFailed, { identifier, reason });
+  });
+}
+
+async function runWork(
+  context: upstreamContext.UpstreamContext,
+  record: attemptRecord.AttemptRecord,
+  work: wire.Work,
+): Promise<void> {
+  const { backEnd } = context;
+  const mismatch = { kind: wire.EndKind.NotStarted, reason: "wrong work" };
+  switch (work.kind) {
+    case wire.WorkKind.Generate:
+      if (backEnd.kind !== settings.BackEndKind.Model) {
+        return record.finish(mismatch as wire.AttemptEnd);
+      }
+      return runAttempt.runGenerate({ record, engine: backEnd.engine, work });
+    case wire.WorkKind.Call:
+      if (backEnd.kind !== settings.BackEndKind.Plain) {
+        return record.finish(mismatch as wire.AttemptEnd);
+      }
+      return runAttempt.runCall({ record, service: backEnd.service, work });
+  }
+}
+
+/**
+ * Goes on with an attempt over a new link. The entry asks for every attempt it
+ * has open; one that is unknown here was lost with the old link before it
+ * arrived, and is refused for ever before the entry is told so.
+ */
+function resume(
+  context: upstreamContext.UpstreamContext,
+  link: wire.Link,
+  message: MessageOf<wire.MessageKind.Resume>,
+): void {
+  const { identifier } = message.attempt;
+  const record = context.table.records.get(identifier);
+  if (record) return record.resume(link, message.offset, message.window);
+  const state = context.table.settle(message.attempt);
+  if (state === wire.AttemptState.NeverStarted) {
+    context.logger.event(common.EventCode.AttemptTombstoned, { identifier });
+  }
+  const kind = wire.MessageKind.Settled;
+  link.send({ kind, identifier, question: 0, state });
+}
+
+function settle(
+  context: upstreamContext.UpstreamContext,
+  link: wire.Link,
+  message: MessageOf<wire.MessageKind.Settle>,
+): void {
+  const { identifier } = message.attempt;
+  const { question } = message;
+  const state = context.table.settle(message.attempt);
+  const kind = wire.MessageKind.Settled;
+  link.send({ kind, identifier, question, state });
+}
+
+/** Cancels a running attempt, and refuses one that has not arrived yet. */
+function cancel(
+  context: upstreamContext.UpstreamContext,
+  attempt: wire.Attempt,
+): void {
+  const record = context.table.records.get(attempt.identifier);
+  if (record) return record.cancel();
+  context.table.settle(attempt);
+}
+
+async function order(
+  context: upstreamContext.UpstreamContext,
+  link: wire.Link,
+  message: MessageOf<wire.MessageKind.Order>,
+): Promise<void> {
+  const kind = wire.MessageKind.OrderAnswer;
+  const { question } = message;
+  if (context.backEnd.kind !== settings.BackEndKind.Model) {
+    const refusal = wire.OrderRefusal.Unsupported;
+    const answer = { done: false as const, refusal, fencing: 0 };
+    return link.send({ kind, question, answer });
+  }
+  const answer = await context.backEnd.orders.handle(message);
+  if (!answer.done) {
+    const { refusal } = answer;
+    context.logger.event(common.EventCode.OrderRefused, { refusal });
+  }
+  link.send({ kind, question, answer });
+}
--- /dev/null
+++ b/packages/daemon/src/upstream/load_reporter.ts
@@ -0,0 +1,91 @@
+import * as common from "@geraniumkeel/common";
+import type * as engineModule from "@geraniumkeel/engine";
+import * as wire from "@geraniumkeel/wire";
+import type * as attemptTable from "./attempt_table.ts";
+
+/** Periods between reports while nothing changes. */
+const QUIET_PERIODS = 10;
+
+/**
+ * Pushes this runner's load to all entry links: exact counts of attempts, and
+ * the engine's own lagging report. Nothing is sent while nothing changes.
+ */
+export class LoadReporter {
+  #last: wire.RunnerLoad = wire.idleLoad();
+  #cacheSequence = 0;
+
+  constructor(
+    readonly parameters: {
+      table: attemptTable.AttemptTable;
+      engine: engineModule.HttpEngine | undefined;
+      links: ReadonlyMap<wire.Link, { dispatches: number }>;
+      periodMilliseconds: number;
+    },
+  ) {}
+
+  /** Last load reported. */
+  get last(): wire.RunnerLoad {
+    return this.#last;
+  }
+
+  /** Reports until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    let quiet = 0;
+    while (!signal.aborted) {
+      const changed = await this.#report();
+      quiet = changed ? 0 : quiet + 1;
+      await this.#reportCacheEvents();
+      const slow = quiet > QUIET_PERIODS ? QUIET_PERIODS : 1;
+      const pause = this.parameters.periodMilliseconds * slow;
+      await common.sleep(pause, signal);
+    }
+  }
+
+  async #report(): Promise<boolean> {
+    const { table, engine, links } = this.parameters;
+    const report = await engine?.load();
+    const base = report?.isOk() ? report.value : this.#last;
+    const load: wire.RunnerLoad = { ...base, ...countAttempts(table) };
+    const changed = JSON.stringify(load) !== JSON.stringify(this.#last);
+    this.#last = load;
+    if (!changed) return false;
+    const kind = wire.MessageKind.Load;
+    const clock = common.now();
+    for (const [link, { dispatches }] of links) {
+      link.send({ kind, load, clock, dispatches });
+    }
+    return true;
+  }
+
+  async #reportCacheEvents(): Promise<void> {
+    const { engine, links } = this.parameters;
+    if (!engine || links.size === 0) return;
+    const events = await engine.cacheEvents(this.#cacheSequence);
+    if (events.isErr() || events.value.length === 0) return;
+    const changes = events.value.map((event): wire.CacheChange => {
+      const gap = event.sequence !== this.#cacheSequence + 1;
+      this.#cacheSequence = event.sequence;
+      return { ...event, gap };
+    });
+    const kind = wire.MessageKind.CacheEvents;
+    for (const link of links.keys()) link.send({ kind, changes });
+  }
+}
+
+/** What the engine will only report later, counted here without lag. */
+function countAttempts(
+  table: attemptTable.AttemptTable,
+): Pick<
+  wire.RunnerLoad,
+  "started" | "finished" | "sequences" | "cachedTokens" | "prefillTokens"
+> {
+  let cachedTokens = 0;
+  let prefillTokens = 0;
+  const { running, started, finished } = table;
+  for (const record of running) {
+    cachedTokens += record.promptTokens + record.produced;
+    if (record.produced === 0) prefillTokens += record.promptTokens;
+  }
+  const sequences = running.length;
+  return { started, finished, sequences, cachedTokens, prefillTokens };
+}
--- /dev/null
+++ b/packages/daemon/src/upstream/run_attempt.ts
@@ -0,0 +1,122 @@
+import * as common from "@geraniumkeel/common";
+import * as engineModule from "@geraniumkeel/engine";
+import * as wire from "@geraniumkeel/wire";
+import type * as attemptRecord from "./attempt_record.ts";
+
+/** Times a broken engine stream is taken up again. */
+const RESUME_TRIES = 3;
+const RESUME_PAUSE_MILLISECONDS = 50;
+
+/** Runs a generation and records its tokens and its end. */
+export async function runGenerate(parameters: {
+  record: attemptRecord.AttemptRecord;
+  engine: engineModule.HttpEngine;
+  work: wire.GenerateWork;
+}): Promise<void> {
+  const { record, engine, work } = parameters;
+  const { identifier } = record.attempt;
+  const signal = record.abort.signal;
+  let items = engine.generate({ ...work, identifier }, signal);
+  let broken = "";
+  for (let attempt = 0; attempt <= RESUME_TRIES; attempt++) {
+    const last = await passOnTokens(record, items);
+    switch (last?.kind) {
+      case undefined: {
+        void engine.cancel(identifier);
+        return record.finish({ kind: wire.EndKind.Cancelled });
+      }
+      case engineModule.EngineItemKind.Finish: {
+        return record.finish(endOfFinish(last));
+      }
+      case engineModule.EngineItemKind.NotStarted:
+        if (attempt === 0) {
+          const { reason } = last;
+          return record.finish({ kind: wire.EndKind.NotStarted, reason });
+        }
+        broken = last.reason;
+        break;
+      case engineModule.EngineItemKind.Broken:
+        broken = last.reason;
+        break;
+    }
+    // The engine holds the sequence: going on from the next token keeps the
+    // answer of one sampling, where a new generation would splice two.
+    await common.sleep(RESUME_PAUSE_MILLISECONDS * (attempt + 1), signal);
+    items = engine.resume(identifier, record.produced, signal);
+  }
+  record.finish({ kind: wire.EndKind.Broken, reason: broken });
+}
+
+/** Only an end that the engine itself calls complete is one. */
+function endOfFinish(
+  last: Extract<LastItem, { kind: engineModule.EngineItemKind.Finish }>,
+): wire.AttemptEnd {
+  const { reason, promptTokens } = last;
+  const finishReason = Object.values(wire.FinishReason).find(
+    (known) => known === reason,
+  );
+  if (finishReason === undefined) {
+    return { kind: wire.EndKind.Broken, reason: `engine ended it: ${reason}` };
+  }
+  return { kind: wire.EndKind.Complete, finishReason, promptTokens };
+}
+
+type LastItem = Exclude<
+  engineModule.EngineItem,
+  { kind: engineModule.EngineItemKind.Token }
+>;
+
+/** Passes tokens on; returns the last item, or `undefined` if stopped. */
+async function passOnTokens(
+  record: attemptRecord.AttemptRecord,
+  items: AsyncGenerator<engineModule.EngineItem, void, void>,
+): Promise<LastItem | undefined> {
+  for await (const item of items) {
+    if (record.abort.signal.aborted) return undefined;
+    if (item.kind !== engineModule.EngineItemKind.Token) return item;
+    // A resumed stream may repeat tokens that were already passed on.
+    if (item.index < record.produced) continue;
+    if (item.index > record.produced) {
+      const kind = engineModule.EngineItemKind.Broken;
+      return { kind, reason: "token missing" };
+    }
+    record.append(item.text);
+    if (!(await record.room())) return undefined;
+  }
+  return undefined;
+}
+
+/** Calls a plain service once and records its answer. */
+export async function runCall(parameters: {
+  record: attemptRecord.AttemptRecord;
+  service: engineModule.HttpPlainService;
+  work: wire.CallWork;
+}): Promise<void> {
+  const { record, service, work } = parameters;
+  const answer = await service.call(work, record.abort.signal);
+  if (answer.isErr()) {
+    const { sent, reason } = answer.error;
+    const kind = sent ? wire.EndKind.Broken : wire.EndKind.NotStarted;
+    return record.finish({ kind, reason });
+  }
+  const { status, headers, body } = answer.value;
+  record.setHead({ status, headers });
+  try {
+    for await (const chunk of body) {
+      record.append(chunk);
+      if (await record.room()) continue;
+      return record.finish({ kind: wire.EndKind.Cancelled });
+    }
+  } catch (cause) {
+    if (record.abort.signal.aborted) {
+      return record.finish({ kind: wire.EndKind.Cancelled });
+    }
+    const reason = (cause as Error).message;
+    return record.finish({ kind: wire.EndKind.Broken, reason });
+  }
+  record.finish({
+    kind: wire.EndKind.Complete,
+    finishReason: wire.FinishReason.Stop,
+    promptTokens: 0,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/upstream/start_upstream.ts
@@ -0,0 +1,213 @@
+import * as common from "@geraniumkeel/common";
+import * as engineModule from "@geraniumkeel/engine";
+import * as neverthrow from "neverthrow";
+import * as wire from "@geraniumkeel/wire";
+import * as rankOrders from "../expert_map/rank_orders.ts";
+import type * as runningProcess from "../running_process.ts";
+import * as listenModule from "../settings/listen.ts";
+import * as settingsModule from "../settings/settings.ts";
+import * as attemptTable from "./attempt_table.ts";
+import * as entryLink from "./entry_link.ts";
+import * as loadReporter from "./load_reporter.ts";
+import type * as upstreamContext from "./upstream_context.ts";
+import * as upstreamServer from "./upstream_server.ts";
+
+const SWEEP_PERIOD_MILLISECONDS = 1_000;
+
+/** Starts the process of an upstream host. */
+export async function startUpstream(parameters: {
+  settings: settingsModule.UpstreamSettings;
+  logger: common.Logger;
+  metrics: common.Metrics;
+  history: common.HistoryRecorder;
+}): Promise<
+  neverthrow.Result<runningProcess.RunningProcess, listenModule.ListenFailure>
+> {
+  const { settings, logger } = parameters;
+  const lifeCycle = new common.LifeCycle(settings.host);
+  const context = createContext(parameters, lifeCycle);
+  const reporter = new loadReporter.LoadReporter({
+    table: context.table,
+    engine:
+      context.backEnd.kind === settingsModule.BackEndKind.Model
+        ? context.backEnd.engine
+        : undefined,
+    links: context.links,
+    periodMilliseconds: settings.timing.loadPeriod,
+  });
+  context.state = () => describe(context, reporter);
+  const operators = await listenModule.listen({
+    name: "operators",
+    listener: settings.listen.operators,
+    handler: upstreamServer.upstreamOperatorHandler(context),
+    lifeCycle,
+  });
+  if (operators.isErr()) return neverthrow.err(operators.error);
+  const links = await listenModule.listen({
+    name: "links",
+    listener: settings.listen.links,
+    handler: (_request, response) => response.writeHead(404).end(),
+    lifeCycle,
+  });
+  if (links.isErr()) return neverthrow.err(links.error);
+  const accepting = wire.acceptLinks({
+    server: links.value.server,
+    path: listenModule.LINK_PATH,
+    key: settings.processKey,
+    timing: settings.timing,
+    heartbeat: () => ({ clock: common.now(), revision: 0 }),
+    onLink: (link) =>
+      lifeCycle.run("entry-link", () =>
+        entryLink.serveEntryLink(context, link),
+      ),
+  });
+  lifeCycle.own({ name: "links", close: accepting.close });
+  lifeCycle.run("load", (signal) => reporter.run(signal));
+  lifeCycle.every(SWEEP_PERIOD_MILLISECONDS, () => sweep(context));
+  const urls = { links: links.value.url, operators: operators.value.url };
+  logger.event(common.EventCode.ProcessStarted, { urls });
+  return neverthrow.ok({
+    urls,
+    state: context.state,
+    unfinished: () => context.table.running.length,
+    drain: async () => {
+      context.drain();
+      const timeoutMilliseconds = settings.timing.drainTimeout;
+      const done = await drainAttempts(context, timeoutMilliseconds);
+      logger.event(common.EventCode.DrainFinished, { done });
+    },
+    stop: async () => {
+      for (const record of context.table.running) record.cancel();
+      return lifeCycle.close();
+    },
+  });
+}
+
+function createContext(
+  parameters: {
+    settings: settingsModule.UpstreamSettings;
+    logger: common.Logger;
+    metrics: common.Metrics;
+    history: common.HistoryRecorder;
+  },
+  lifeCycle: common.LifeCycle,
+): upstreamContext.UpstreamContext {
+  const incarnation = common.randomIdentifier();
+  const context: upstreamContext.UpstreamContext = {
+    ...parameters,
+    incarnation,
+    lifeCycle,
+    table: new attemptTable.AttemptTable(incarnation),
+    backEnd: createBackEnd(parameters.settings, incarnation, lifeCycle),
+    links: new Map(),
+    newestLink: new Map(),
+    leaving: false,
+    drain: () => startDrain(context),
+    state: () => ({}),
+  };
+  return context;
+}
+
+/** Tells all entries at once; what still arrives is refused as not run. */
+function startDrain(context: upstreamContext.UpstreamContext): void {
+  if (context.leaving) return;
+  context.leaving = true;
+  context.logger.event(common.EventCode.DrainStarted);
+  const kind = wire.MessageKind.Leaving;
+  for (const link of context.links.keys()) link.send({ kind });
+}
+
+function createBackEnd(
+  settings: settingsModule.UpstreamSettings,
+  incarnation: string,
+  lifeCycle: common.LifeCycle,
+): upstreamContext.BackEnd {
+  const { backEnd, timing } = settings;
+  const options = { progressTimeoutMilliseconds: timing.progressTimeout };
+  switch (backEnd.kind) {
+    case settingsModule.BackEndKind.Model: {
+      const engine = new engineModule.HttpEngine(backEnd.url, options);
+      lifeCycle.own({ name: "engine", close: () => engine.close() });
+      const orders = new rankOrders.RankOrders(incarnation, engine);
+      return { kind: backEnd.kind, engine, orders };
+    }
+    case settingsModule.BackEndKind.Plain: {
+      const service = new engineModule.HttpPlainService(backEnd.url, options);
+      lifeCycle.own({ name: "service", close: () => service.close() });
+      return { kind: backEnd.kind, service };
+    }
+  }
+}
+
+/** Cancels what nobody will collect and forgets what is past its retention. */
+function sweep(context: upstreamContext.UpstreamContext): void {
+  const now = common.now();
+  const { orphanAfter } = context.settings.timing;
+  for (const record of context.table.running) {
+    const { orphanedAt, repeatable } = record;
+    if (orphanedAt === undefined || now - orphanedAt < orphanAfter) continue;
+    // A call that may not be repeated goes on: it has begun to have effects,
+    // and another entry may still come for its answer.
+    if (!repeatable) continue;
+    const { identifier } = record.attempt;
+    context.logger.event(common.EventCode.AttemptOrphaned, {
+      identifier,
+      kept: false,
+    });
+    record.cancel();
+  }
+  context.table.sweep();
+}
+
+const DRAIN_LOOK_MILLISECONDS = 50;
+/** Time for the last frames to reach the entries after the last attempt. */
+const DRAIN_LINGER_MILLISECONDS = 500;
+
+async function drainAttempts(
+  context: upstreamContext.UpstreamContext,
+  timeoutMilliseconds: number,
+): Promise<boolean> {
+  const deadline = common.now() + timeoutMilliseconds;
+  while (common.now() < deadline) {
+    if (context.table.running.length === 0) {
+      await common.sleep(DRAIN_LINGER_MILLISECONDS);
+      if (context.table.running.length === 0) return true;
+    }
+    await common.sleep(DRAIN_LOOK_MILLISECONDS);
+  }
+  return false;
+}
+
+function describe(
+  context: upstreamContext.UpstreamContext,
+  reporter: loadReporter.LoadReporter,
+): unknown {
+  const { settings, table, backEnd } = context;
+  return {
+    role: settings.role,
+    host: settings.host,
+    place: settings.place,
+    service: settings.service,
+    incarnation: context.incarnation,
+    leaving: context.leaving,
+    links: context.links.size,
+    load: reporter.last,
+    promisedFencing:
+      backEnd.kind === settingsModule.BackEndKind.Model
+        ? backEnd.orders.promised
+        : undefined,
+    attempts: {
+      started: table.started,
+      finished: table.finished,
+      remembered: table.records.size,
+      tombstones: table.tombstones,
+      running: table.running.map((record) => ({
+        identifier: record.attempt.identifier,
+        repeatable: record.repeatable,
+        produced: record.produced,
+        milliseconds: Math.round(common.now() - record.startedAt),
+      })),
+    },
+    memory: process.memoryUsage(),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/upstream/upstream_context.ts
@@ -0,0 +1,39 @@
+import type * as common from "@geraniumkeel/common";
+import type * as engineModule from "@geraniumkeel/engine";
+import type * as wire from "@geraniumkeel/wire";
+import type * as rankOrders from "../expert_map/rank_orders.ts";
+import type * as settings from "../settings/settings.ts";
+import type * as attemptTable from "./attempt_table.ts";
+
+/** Clients of the back end on this host. */
+export type BackEnd =
+  | {
+      kind: settings.BackEndKind.Model;
+      engine: engineModule.HttpEngine;
+      orders: rankOrders.RankOrders;
+    }
+  | {
+      kind: settings.BackEndKind.Plain;
+      service: engineModule.HttpPlainService;
+    };
+
+/** What the tasks of an upstream process share. */
+export interface UpstreamContext {
+  settings: settings.UpstreamSettings;
+  incarnation: string;
+  lifeCycle: common.LifeCycle;
+  logger: common.Logger;
+  metrics: common.Metrics;
+  history: common.HistoryRecorder;
+  table: attemptTable.AttemptTable;
+  backEnd: BackEnd;
+  /** Open links from entries, with the dispatches received on each. */
+  links: Map<wire.Link, { dispatches: number }>;
+  /** Number of the newest link of each entry incarnation. */
+  newestLink: Map<string, { number: number; link: wire.Link }>;
+  leaving: boolean;
+  /** Refuses new work and finishes what was accepted. */
+  drain: () => void;
+  /** The state dump. */
+  state: () => unknown;
+}
--- /dev/null
+++ b/packages/engine/src/mod.ts
@@ -0,0 +1,3 @@
+export * from "./engine.ts";
+export * from "./http_engine.ts";
+export * from "./plain_service.ts";
--- /dev/null
+++ b/packages/engine/src/plain_service.ts
@@ -0,0 +1,101 @@
+import * as neverthrow from "neverthrow";
+import * as undici from "undici";
+import * as httpFailure from "./http_failure.ts";
+
+/** A call of a plain service. */
+export interface PlainCall {
+  method: string;
+  path: string;
+  headers: [string, string][];
+  body: Uint8Array;
+}
+
+/** Head of the answer and its body as it arrives. */
+export interface PlainAnswer {
+  status: number;
+  headers: [string, string][];
+  body: AsyncIterable<Uint8Array>;
+}
+
+/** A call without an answer; `sent` tells whether it may have run. */
+export interface PlainFailure {
+  kind: "plain-failure";
+  sent: boolean;
+  reason: string;
+}
+
+const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+/** Hop-by-hop headers (RFC 9110, 7.6.1) and those the client sets itself. */
+const DROPPED_HEADERS = new Set([
+  "connection",
+  "content-length",
+  "expect",
+  "host",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Headers that may be passed on to the next hop. */
+export function endToEndHeaders(
+  headers: Iterable<[string, string]>,
+): [string, string][] {
+  return [...headers].filter(
+    ([name]) => !DROPPED_HEADERS.has(name.toLowerCase()),
+  );
+}
+
+/** Client of one plain service over HTTP. */
+export class HttpPlainService {
+  readonly #agent: undici.Agent;
+
+  constructor(
+    readonly origin: string,
+    readonly parameters: { progressTimeoutMilliseconds: number },
+  ) {
+    this.#agent = new undici.Agent({
+      connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+      headersTimeout: parameters.progressTimeoutMilliseconds,
+      bodyTimeout: parameters.progressTimeoutMilliseconds,
+      connections: 256,
+    });
+  }
+
+  /** Calls the service once; never repeats by itself. */
+  async call(
+    call: PlainCall,
+    signal: AbortSignal,
+  ): Promise<neverthrow.Result<PlainAnswer, PlainFailure>> {
+    try {
+      const answer = await undici.request(`${this.origin}${call.path}`, {
+        method: call.method as undici.Dispatcher.HttpMethod,
+        dispatcher: this.#agent,
+        headers: endToEndHeaders(call.headers).flat(),
+        body: call.body.byteLength > 0 ? Buffer.from(call.body) : undefined,
+        signal,
+      });
+      const headers = Object.entries(answer.headers).flatMap(
+        ([name, value]): [string, string][] =>
+          [value ?? []].flat().map((one) => [name, one]),
+      );
+      return neverthrow.ok({
+        status: answer.statusCode,
+        headers: endToEndHeaders(headers),
+        body: answer.body as AsyncIterable<Uint8Array>,
+      });
+    } catch (cause) {
+      const sent = !httpFailure.wasNotSent(cause);
+      const reason = (cause as Error).message;
+      return neverthrow.err({ kind: "plain-failure", sent, reason });
+    }
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+}
--- /dev/null
+++ b/packages/platform/src/host_list.ts
@@ -0,0 +1,63 @@
+import * as neverthrow from "neverthrow";
+import * as httpClient from "./http_client.ts";
+
+/** What runs on a host. */
+export enum HostRole {
+  Entry = "entry",
+  Upstream = "upstream",
+}
+
+/** What the platform says of a host. */
+export enum HostState {
+  Live = "live",
+  Leaving = "leaving",
+}
+
+/** One host of the platform's list, which lags behind the truth. */
+export interface Host {
+  name: string;
+  role: HostRole;
+  place: string;
+  region: string;
+  state: HostState;
+  /** Where other processes of the system reach it. */
+  linkUrl: string;
+  /** Where callers reach it; empty for upstream hosts. */
+  callerUrl: string;
+  /** Service run there; empty for entry hosts. */
+  service: string;
+  /** Group whose rank runs there; empty when there is none. */
+  group: string;
+}
+
+/** The list could not be read. */
+export interface HostListUnavailable {
+  kind: "host-list-unavailable";
+  reason: string;
+}
+
+/** The platform's lagging list of live and leaving hosts. */
+export interface HostList {
+  read(): Promise<neverthrow.Result<Host[], HostListUnavailable>>;
+}
+
+/** The host list over HTTP. */
+export class HttpHostList implements HostList {
+  constructor(readonly client: httpClient.HttpClient) {}
+
+  /** Reads the whole list. */
+  async read(): Promise<neverthrow.Result<Host[], HostListUnavailable>> {
+    const answer = await this.client.request("GET", "/hosts");
+    if (answer.isErr()) return unavailable(answer.error.reason);
+    if (answer.value.status !== 200) {
+      return unavailable(`status ${answer.value.status}`);
+    }
+    return neverthrow.ok(JSON.parse(answer.value.body) as Host[]);
+  }
+}
+
+function unavailable(
+  reason: string,
+): neverthrow.Result<Host[], HostListUnavailable> {
+  return neverthrow.err({ kind: "host-list-unavailable", reason });
+}
--- /dev/null
+++ b/packages/platform/src/http_client.ts
@@ -0,0 +1,109 @@
+import * as neverthrow from "neverthrow";
+import * as undici from "undici";
+
+/** What is known of a request that got no answer. */
+export enum RequestFailureKind {
+  /** The far end certainly never received it. */
+  NotSent = "not-sent",
+  /** It may have been received. */
+  Unanswered = "unanswered",
+}
+
+/** A request without an answer. */
+export interface RequestFailure {
+  kind: RequestFailureKind;
+  reason: string;
+}
+
+/** A whole answer. */
+export interface HttpAnswer {
+  status: number;
+  body: string;
+}
+
+const NOT_SENT_CODES = new Set([
+  "ECONNREFUSED",
+  "ENOTFOUND",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Whether a failure proves that nothing was sent. */
+export function classifyFailure(cause: unknown): RequestFailure {
+  const error = cause as { code?: string; message?: string };
+  const code = error.code ?? "";
+  const kind = NOT_SENT_CODES.has(code)
+    ? RequestFailureKind.NotSent
+    : RequestFailureKind.Unanswered;
+  return { kind, reason: code || (error.message ?? "failed") };
+}
+
+/**
+ * HTTP client for one origin. A pooled connection may have gone silent while
+ * new ones work, so after any time-out the whole pool is replaced: the next
+ * request opens a connection of its own.
+ */
+export class HttpClient {
+  #agent: undici.Agent;
+
+  constructor(
+    readonly origin: string,
+    readonly parameters: { timeoutMilliseconds: number; key?: string },
+  ) {
+    this.#agent = this.#newAgent();
+  }
+
+  /** Sends a request with a JSON body and reads the whole answer. */
+  async request(
+    method: "GET" | "POST" | "PUT" | "DELETE",
+    path: string,
+    body?: unknown,
+  ): Promise<neverthrow.Result<HttpAnswer, RequestFailure>> {
+    const agent = this.#agent;
+    const timeout = this.parameters.timeoutMilliseconds;
+    const headers: Record<string, string> = {};
+    if (body !== undefined) headers["content-type"] = "application/json";
+    if (this.parameters.key) {
+      headers["authorization"] = `Bearer ${this.parameters.key}`;
+    }
+    try {
+      const answer = await undici.request(`${this.origin}${path}`, {
+        method,
+        dispatcher: agent,
+        headers,
+        body: body === undefined ? undefined : JSON.stringify(body),
+        signal: AbortSignal.timeout(timeout),
+      });
+      const text = await answer.body.text();
+      return neverthrow.ok({ status: answer.statusCode, body: text });
+    } catch (cause) {
+      const failure = classifyFailure(cause);
+      if (failure.kind === RequestFailureKind.Unanswered) this.#replace(agent);
+      return neverthrow.err(failure);
+    }
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  #replace(agent: undici.Agent): void {
+    if (this.#agent !== agent) return;
+    this.#agent = this.#newAgent();
+    // Other requests may be waiting on the old pool; it closes when they end.
+    void agent.close();
+  }
+
+  #newAgent(): undici.Agent {
+    const timeout = this.parameters.timeoutMilliseconds;
+    return new undici.Agent({
+      connect: { timeout },
+      headersTimeout: timeout,
+      bodyTimeout: timeout,
+      keepAliveTimeout: 4_000,
+      connections: 16,
+    });
+  }
+}
--- /dev/null
+++ b/packages/stand_ins/src/engine_orders.ts
@@ -0,0 +1,75 @@
+import * as wire from "@geraniumkeel/wire";
+import * as engineGroup from "./engine_group.ts";
+import type * as engineRank from "./engine_rank.ts";
+
+/** Answer to an order: the rank's state, or why it was refused. */
+export type EngineOrderAnswer =
+  { state: wire.RankState } | { refusal: wire.OrderRefusal };
+
+/** Carries out an order at a rank's engine. */
+export function takeOrder(
+  rank: engineRank.EngineRank,
+  order: wire.Order,
+): EngineOrderAnswer {
+  const { options, step } = rank.parameters.group;
+  if (options.checksFencing) {
+    if (order.fencing < rank.fencing) {
+      return { refusal: wire.OrderRefusal.OldFencing };
+    }
+    rank.fencing = order.fencing;
+  }
+  switch (order.kind) {
+    case wire.OrderKind.Promise:
+      break;
+    case wire.OrderKind.Stage:
+      rank.staged = order.map;
+      rank.armed = undefined;
+      break;
+    case wire.OrderKind.Arm:
+      if (!options.numbersSteps) {
+        return { refusal: wire.OrderRefusal.Unsupported };
+      }
+      if (rank.staged?.version !== order.version) {
+        return { refusal: wire.OrderRefusal.NotStaged };
+      }
+      if (step >= order.step) return { refusal: wire.OrderRefusal.StepPassed };
+      rank.armed = { version: order.version, step: order.step, go: false };
+      break;
+    case wire.OrderKind.Go:
+      if (rank.map.version === order.version) break;
+      if (rank.armed?.version !== order.version) {
+        return { refusal: wire.OrderRefusal.NotStaged };
+      }
+      rank.armed.go = true;
+      break;
+    case wire.OrderKind.Cancel:
+      rank.armed = undefined;
+      rank.staged = undefined;
+      rank.heldByOrder = false;
+      break;
+    case wire.OrderKind.Hold:
+      rank.heldByOrder = true;
+      break;
+    case wire.OrderKind.Apply:
+      if (rank.map.version === order.version) break;
+      if (!rank.heldByOrder || rank.staged?.version !== order.version) {
+        return { refusal: wire.OrderRefusal.NotStaged };
+      }
+      rank.applyStaged();
+      break;
+    case wire.OrderKind.Release:
+      rank.heldByOrder = false;
+      break;
+    case wire.OrderKind.Inspect:
+      return { state: inspect(rank) };
+  }
+  return { state: engineGroup.stateOf(rank) };
+}
+
+/** State with the expert counts since the last look, which start again. */
+function inspect(rank: engineRank.EngineRank): wire.RankState {
+  const state = engineGroup.stateOf(rank);
+  const expertTokens = rank.expertTokens.map((layer) => [...layer]);
+  for (const layer of rank.expertTokens) layer.fill(0);
+  return { ...state, expertTokens };
+}
--- /dev/null
+++ b/packages/stand_ins/src/plain_stand_in.ts
@@ -0,0 +1,75 @@
+import * as common from "@geraniumkeel/common";
+import type * as http from "node:http";
+import * as serveModule from "./serve.ts";
+
+/** Faults of the plain service. */
+export interface PlainFaults {
+  delayMilliseconds: number;
+  /** Calls that count and whose answer breaks off. */
+  breakAnswers: number;
+  /** Calls refused by closing the connection before anything counts. */
+  dropCalls: number;
+}
+
+/** A running stand-in of a plain service, whose calls count. */
+export interface PlainStandIn extends serveModule.Serving {
+  /** Times each call was run, by its `x-call` header. */
+  calls: Map<string, number>;
+  faults: PlainFaults;
+}
+
+/** Starts a plain service that counts its calls by their `x-call` header. */
+export async function startPlain(port = 0): Promise<PlainStandIn> {
+  const calls = new Map<string, number>();
+  const faults = { delayMilliseconds: 0, breakAnswers: 0, dropCalls: 0 };
+  const serving = await serveModule.serveHandler((request, response) => {
+    void answer({ request, response, calls, faults });
+  }, port);
+  return { ...serving, calls, faults };
+}
+
+async function answer(parameters: {
+  request: http.IncomingMessage;
+  response: http.ServerResponse;
+  calls: Map<string, number>;
+  faults: PlainFaults;
+}): Promise<void> {
+  const { request, response, calls, faults } = parameters;
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+  } catch {
+    return;
+  }
+  const body = Buffer.concat(chunks);
+  if (request.url === "/faults" && request.method === "PUT") {
+    Object.assign(faults, JSON.parse(body.toString()));
+    response.end(JSON.stringify(faults));
+    return;
+  }
+  if (request.url === "/calls") {
+    response.end(JSON.stringify(Object.fromEntries(calls)));
+    return;
+  }
+  if (faults.dropCalls > 0) {
+    faults.dropCalls--;
+    response.destroy();
+    return;
+  }
+  const call = String(request.headers["x-call"] ?? "");
+  calls.set(call, (calls.get(call) ?? 0) + 1);
+  if (faults.delayMilliseconds > 0) await common.sleep(faults.delayMilliseconds);
+  const echoed = { call, method: request.method, url: request.url };
+  const text = JSON.stringify({ ...echoed, received: body.byteLength });
+  response.writeHead(200, {
+    "content-type": "application/json",
+    "x-count": String(calls.get(call)),
+  });
+  if (faults.breakAnswers > 0) {
+    faults.breakAnswers--;
+    response.write(text.slice(0, 8));
+    setTimeout(() => response.destroy(), 20);
+    return;
+  }
+  response.end(text);
+}
--- /dev/null
+++ b/packages/stand_ins/src/serve.ts
@@ -0,0 +1,44 @@
+import * as http from "node:http";
+import * as nodeServer from "@hono/node-server";
+import type * as hono from "hono";
+
+/** A stand-in that listens on loopback. */
+export interface Serving {
+  url: string;
+  port: number;
+  close: () => Promise<void>;
+}
+
+/** Serves an application on loopback; port 0 takes any free one. */
+export async function serve(
+  application: { fetch: hono.Hono["fetch"] },
+  port: number,
+): Promise<Serving> {
+  const handler = nodeServer.getRequestListener(application.fetch, {
+    overrideGlobalObjects: false,
+  });
+  return serveHandler(handler as http.RequestListener, port);
+}
+
+/** Serves a plain request handler on loopback. */
+export async function serveHandler(
+  handler: http.RequestListener,
+  port: number,
+): Promise<Serving> {
+  const server = http.createServer(handler);
+  server.keepAliveTimeout = 60_000;
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, "127.0.0.1", () => resolve());
+  });
+  const taken = (server.address() as { port: number }).port;
+  return {
+    url: `http://127.0.0.1:${taken}`,
+    port: taken,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
--- /dev/null
+++ b/packages/wire/src/codec.ts
@@ -0,0 +1,40 @@
+import * as msgpackr from "msgpackr";
+import * as neverthrow from "neverthrow";
+import * as message from "./message.ts";
+
+const packer = new msgpackr.Packr({ useRecords: false, encodeUndefinedAsNil: true });
+const KINDS = new Set<unknown>(
+  Object.values(message.MessageKind).filter((kind) => typeof kind === "number"),
+);
+
+/** A frame that is not one of our messages. */
+export interface UnreadableFrame {
+  kind: "unreadable-frame";
+  reason: string;
+}
+
+/** Encodes a message as MessagePack. */
+export function encode(value: message.Message): Uint8Array {
+  return packer.pack(value);
+}
+
+/** Decodes a frame; an unknown kind is an error, not a message. */
+export function decode(
+  frame: Uint8Array,
+): neverthrow.Result<message.Message, UnreadableFrame> {
+  try {
+    const value = packer.unpack(frame) as { kind?: unknown };
+    if (KINDS.has(value?.kind)) {
+      return neverthrow.ok(value as message.Message);
+    }
+    return unreadable(`kind ${String(value?.kind)}`);
+  } catch (cause) {
+    return unreadable((cause as Error).message);
+  }
+}
+
+function unreadable(
+  reason: string,
+): neverthrow.Result<message.Message, UnreadableFrame> {
+  return neverthrow.err({ kind: "unreadable-frame", reason });
+}
--- /dev/null
+++ b/packages/wire/src/link.ts
@@ -0,0 +1,183 @@
+import * as common from "@geraniumkeel/common";
+import * as neverthrow from "neverthrow";
+import * as ws from "ws";
+import * as codec from "./codec.ts";
+import * as message from "./message.ts";
+
+/** Why a link ended. */
+export enum LinkEnd {
+  Closed = "closed",
+  Silent = "silent",
+  Unreadable = "unreadable",
+  Replaced = "replaced",
+  TooSlow = "too-slow",
+}
+
+/** Why a link could not be opened. */
+export interface LinkFailure {
+  kind: "link-failure";
+  reason: string;
+  refused: boolean;
+}
+
+/** Timing of a link, in milliseconds. */
+export interface LinkTiming {
+  heartbeat: number;
+  silentAfter: number;
+  connectTimeout: number;
+}
+
+/** What a heartbeat of this process tells. */
+export type HeartbeatSource = () => { clock: number; revision: number };
+
+/** Bytes queued on a link before it is taken for stuck. */
+const LARGEST_BACKLOG = 64 * 1024 * 1024;
+/** Largest frame accepted, in bytes. */
+export const LARGEST_FRAME = 32 * 1024 * 1024;
+
+/** Byte and message counts of one link since it opened. */
+export interface LinkCounts {
+  sentMessages: number;
+  sentBytes: number;
+  receivedMessages: number;
+  receivedBytes: number;
+}
+
+/**
+ * One open connection to another process of the system, with heartbeats both
+ * ways. It ends once and is never reused.
+ */
+export class Link {
+  readonly counts: LinkCounts = {
+    sentMessages: 0,
+    sentBytes: 0,
+    receivedMessages: 0,
+    receivedBytes: 0,
+  };
+  /** When anything but a heartbeat was last sent or received. */
+  lastUsedAt = common.now();
+  readonly #inbox = new common.Channel<message.Message>();
+  readonly #timer: NodeJS.Timeout;
+  #quietTicks = 0;
+  #end: LinkEnd | undefined;
+
+  constructor(
+    readonly socket: ws.WebSocket,
+    readonly timing: LinkTiming,
+    readonly heartbeat: HeartbeatSource,
+  ) {
+    socket.on("message", (data: Buffer) => this.#receiveFrame(data));
+    socket.on("close", () => this.#finish(LinkEnd.Closed));
+    socket.on("error", () => this.#finish(LinkEnd.Closed));
+    this.#timer = setInterval(() => this.#tick(), timing.heartbeat);
+  }
+
+  /** Why the link ended, or `undefined` while it is open. */
+  get end(): LinkEnd | undefined {
+    return this.#end;
+  }
+
+  /** Sends a message; dropped when the link has ended. */
+  send(value: message.Message): void {
+    if (this.#end !== undefined) return;
+    if (this.socket.readyState !== ws.WebSocket.OPEN) return;
+    const frame = codec.encode(value);
+    if (value.kind !== message.MessageKind.Heartbeat) {
+      this.lastUsedAt = common.now();
+    }
+    this.counts.sentMessages++;
+    this.counts.sentBytes += frame.byteLength;
+    this.socket.send(frame);
+    if (this.socket.bufferedAmount > LARGEST_BACKLOG) {
+      this.#finish(LinkEnd.TooSlow);
+    }
+  }
+
+  /** Next message, or `undefined` once the link has ended. */
+  receive(): Promise<message.Message | undefined> {
+    return this.#inbox.receive();
+  }
+
+  /** All messages until the link ends. */
+  messages(): AsyncGenerator<message.Message, void, void> {
+    return this.#inbox[Symbol.asyncIterator]();
+  }
+
+  /** Ends the link from this side. */
+  close(end: LinkEnd = LinkEnd.Closed): void {
+    this.#finish(end);
+  }
+
+  #receiveFrame(data: Buffer): void {
+    this.#quietTicks = 0;
+    this.counts.receivedMessages++;
+    this.counts.receivedBytes += data.byteLength;
+    const decoded = codec.decode(data);
+    if (decoded.isErr()) return this.#finish(LinkEnd.Unreadable);
+    if (decoded.value.kind === message.MessageKind.Heartbeat) {
+      this.onHeartbeat?.(decoded.value);
+      return;
+    }
+    this.lastUsedAt = common.now();
+    this.#inbox.push(decoded.value);
+  }
+
+  /** Called for each heartbeat of the far end, outside the inbox. */
+  onHeartbeat: ((beat: { clock: number; revision: number }) => void) | undefined;
+
+  /**
+   * A connection can go silent for good without an error: something between
+   * the ends forgot it, and the sender sees only growing buffers. Counting our
+   * own ticks without input, and not wall time, keeps a process that was itself
+   * paused from taking its first look at the clock for silence of the peer.
+   */
+  #tick(): void {
+    this.#quietTicks++;
+    const quiet = this.#quietTicks * this.timing.heartbeat;
+    if (quiet > this.timing.silentAfter) return this.#finish(LinkEnd.Silent);
+    const { clock, revision } = this.heartbeat();
+    this.send({ kind: message.MessageKind.Heartbeat, clock, revision });
+  }
+
+  #finish(end: LinkEnd): void {
+    if (this.#end !== undefined) return;
+    this.#end = end;
+    clearInterval(this.#timer);
+    this.#inbox.close();
+    if (end === LinkEnd.Closed) this.socket.close();
+    else this.socket.terminate();
+    // A close handshake with a silent peer would keep the socket for 30 s.
+    setTimeout(() => this.socket.terminate(), this.timing.silentAfter).unref();
+  }
+}
+
+/** Opens a link to another process of the system. */
+export async function dial(parameters: {
+  url: string;
+  key: string;
+  timing: LinkTiming;
+  heartbeat: HeartbeatSource;
+  certificateAuthority?: string;
+}): Promise<neverthrow.Result<Link, LinkFailure>> {
+  const { url, key, timing } = parameters;
+  const socket = new ws.WebSocket(url, {
+    headers: { authorization: `Bearer ${key}` },
+    handshakeTimeout: timing.connectTimeout,
+    perMessageDeflate: false,
+    maxPayload: LARGEST_FRAME,
+    ca: parameters.certificateAuthority,
+  });
+  return new Promise((resolve) => {
+    const fail = (reason: string, refused: boolean) => {
+      socket.terminate();
+      resolve(neverthrow.err({ kind: "link-failure", reason, refused }));
+    };
+    socket.once("unexpected-response", (_request, response) =>
+      fail(`status ${response.statusCode}`, response.statusCode === 401),
+    );
+    socket.on("error", (cause) => fail(cause.message, false));
+    socket.once("open", () => {
+      resolve(neverthrow.ok(new Link(socket, timing, parameters.heartbeat)));
+    });
+  });
+}
--- /dev/null
+++ b/packages/wire/src/message.ts
@@ -0,0 +1,210 @@
+import type * as attempt from "./attempt.ts";
+import type * as load from "./load.ts";
+import type * as member from "./member.ts";
+import type * as order from "./order.ts";
+
+/** Kinds of message on links between the system's own processes. */
+export enum MessageKind {
+  Hello = 1,
+  Heartbeat = 2,
+  Dispatch = 10,
+  Resume = 11,
+  Acknowledge = 12,
+  Cancel = 13,
+  Settle = 14,
+  Release = 15,
+  Refused = 20,
+  Head = 21,
+  Pieces = 22,
+  End = 23,
+  Settled = 24,
+  Load = 25,
+  CacheEvents = 26,
+  Leaving = 27,
+  Order = 30,
+  OrderAnswer = 31,
+  ConfigurationPush = 40,
+  ConfigurationRequest = 41,
+  InForce = 42,
+  Members = 50,
+  Drain = 51,
+  StateRequest = 52,
+  StateAnswer = 53,
+  CreditRequest = 60,
+  CreditGrant = 61,
+  CreditReturn = 62,
+}
+
+/** What kind of process is at the far end. */
+export enum PeerRole {
+  Entry = 1,
+  Upstream = 2,
+}
+
+/** First message of each side of a link. */
+export interface Hello {
+  kind: MessageKind.Hello;
+  role: PeerRole;
+  host: string;
+  place: string;
+  incarnation: string;
+  /** Number of this link among those of the dialling incarnation. */
+  linkNumber: number;
+  revision: number;
+  /** The sender's monotonic clock. */
+  clock: number;
+  service: string;
+  group: string;
+  rank: number;
+  leaving: boolean;
+}
+
+/** Why an upstream process refused an attempt before it started. */
+export enum RefusalReason {
+  Leaving = "leaving",
+  OldIncarnation = "old-incarnation",
+  TooOld = "too-old",
+  Tombstoned = "tombstoned",
+  Full = "full",
+}
+
+/** Prefix blocks that an engine now holds or no longer holds. */
+export interface CacheChange {
+  sequence: number;
+  stored: string[];
+  removed: string[];
+  /** Events were lost before this one: what was known is void. */
+  gap: boolean;
+}
+
+/** One section of the configuration document at a revision. */
+export interface SectionPush {
+  name: string;
+  revision: number;
+  text: string;
+}
+
+/** Head of the configuration document, as committed. */
+export interface ConfigurationHead {
+  revision: number;
+  nonce: string;
+  presetInForce: string;
+  /** Revision at which each section was last changed. */
+  sections: Record<string, number>;
+}
+
+/** Any message on a link. */
+export type Message =
+  | Hello
+  | {
+      kind: MessageKind.Heartbeat;
+      clock: number;
+      revision: number;
+    }
+  | {
+      kind: MessageKind.Dispatch;
+      attempt: attempt.Attempt;
+      account: string;
+      service: string;
+      repeatable: boolean;
+      /** Pieces that may be sent ahead of acknowledgement. */
+      window: number;
+      work: attempt.Work;
+    }
+  | {
+      kind: MessageKind.Resume;
+      attempt: attempt.Attempt;
+      offset: number;
+      window: number;
+    }
+  | { kind: MessageKind.Acknowledge; identifier: string; offset: number }
+  | { kind: MessageKind.Cancel; attempt: attempt.Attempt }
+  | {
+      kind: MessageKind.Settle;
+      attempt: attempt.Attempt;
+      question: number;
+    }
+  | { kind: MessageKind.Release; identifier: string }
+  | {
+      kind: MessageKind.Refused;
+      identifier: string;
+      reason: RefusalReason;
+    }
+  | { kind: MessageKind.Head; identifier: string; head: attempt.AnswerHead }
+  | {
+      kind: MessageKind.Pieces;
+      identifier: string;
+      offset: number;
+      pieces: attempt.AnswerPiece[];
+    }
+  | {
+      kind: MessageKind.End;
+      identifier: string;
+      offset: number;
+      end: attempt.AttemptEnd;
+    }
+  | {
+      kind: MessageKind.Settled;
+      identifier: string;
+      question: number;
+      state: attempt.AttemptState;
+    }
+  | {
+      kind: MessageKind.Load;
+      load: load.RunnerLoad;
+      clock: number;
+      /** Dispatches received on this link so far. */
+      dispatches: number;
+    }
+  | { kind: MessageKind.CacheEvents; changes: CacheChange[] }
+  | { kind: MessageKind.Leaving }
+  | {
+      kind: MessageKind.Order;
+      question: number;
+      agentIncarnation: string;
+      order: order.Order;
+    }
+  | {
+      kind: MessageKind.OrderAnswer;
+      question: number;
+      answer: order.OrderAnswer;
+    }
+  | {
+      kind: MessageKind.ConfigurationPush;
+      head: ConfigurationHead;
+      sections: SectionPush[];
+    }
+  | {
+      kind: MessageKind.ConfigurationRequest;
+      /** Section revisions already held; only others are wanted. */
+      held: Record<string, number>;
+    }
+  | { kind: MessageKind.InForce; revision: number }
+  | { kind: MessageKind.Members; members: member.Member[]; full: boolean }
+  | { kind: MessageKind.Drain }
+  | { kind: MessageKind.StateRequest; question: number }
+  | { kind: MessageKind.StateAnswer; question: number; text: string }
+  | {
+      kind: MessageKind.CreditRequest;
+      account: string;
+      /** Least that is of use. */
+      requests: number;
+      tokens: number;
+      /** As much as is welcome. */
+      wantedRequests: number;
+      wantedTokens: number;
+    }
+  | {
+      kind: MessageKind.CreditGrant;
+      account: string;
+      requests: number;
+      tokens: number;
+      /** Milliseconds until asking again makes sense. */
+      retryAfter: number;
+    }
+  | {
+      kind: MessageKind.CreditReturn;
+      account: string;
+      requests: number;
+      tokens: number;
+    };
--- /dev/null
+++ b/packages/wire/src/order.ts
@@ -0,0 +1,71 @@
+/** Orders of a group's coordinator to its ranks, by way of their agents. */
+export enum OrderKind {
+  /** Promise to refuse every lower fencing number. */
+  Promise = 1,
+  Stage = 2,
+  Arm = 3,
+  Go = 4,
+  Cancel = 5,
+  /** Hold at once; for engines without step numbers. */
+  Hold = 6,
+  Apply = 7,
+  Release = 8,
+  /** Ask for the expert load seen since the last one. */
+  Inspect = 9,
+}
+
+/** Replica places per layer and expert: `ranksOfExpert[layer][expert]`. */
+export type ExpertPlaces = number[][][];
+
+/** One expert map; a higher version is newer. */
+export interface ExpertMap {
+  version: number;
+  places: ExpertPlaces;
+}
+
+/** What is ordered. `fencing` orders coordinators, never clocks. */
+export type Order =
+  | { kind: OrderKind.Promise; group: string; fencing: number }
+  | { kind: OrderKind.Stage; group: string; fencing: number; map: ExpertMap }
+  | {
+      kind: OrderKind.Arm;
+      group: string;
+      fencing: number;
+      version: number;
+      step: number;
+    }
+  | { kind: OrderKind.Go; group: string; fencing: number; version: number }
+  | { kind: OrderKind.Cancel; group: string; fencing: number }
+  | { kind: OrderKind.Hold; group: string; fencing: number }
+  | { kind: OrderKind.Apply; group: string; fencing: number; version: number }
+  | { kind: OrderKind.Release; group: string; fencing: number }
+  | { kind: OrderKind.Inspect; group: string; fencing: number };
+
+/** State of one rank's engine as read back from it. */
+export interface RankState {
+  step: number;
+  mapVersion: number;
+  stagedVersion: number;
+  armedVersion: number;
+  armedStep: number;
+  goVersion: number;
+  held: boolean;
+  /** Tokens per layer and expert since the last report. */
+  expertTokens: number[][];
+}
+
+/** Why an order was not carried out. */
+export enum OrderRefusal {
+  OldFencing = "old-fencing",
+  OldIncarnation = "old-incarnation",
+  StepPassed = "step-passed",
+  NotStaged = "not-staged",
+  NotPromised = "not-promised",
+  EngineFailed = "engine-failed",
+  Unsupported = "unsupported",
+}
+
+/** Answer to an order. */
+export type OrderAnswer =
+  | { done: true; state: RankState }
+  | { done: false; refusal: OrderRefusal; fencing: number };
