--- a/eslint.config.js
+++ b/eslint.config.js
@@ -32,7 +32,10 @@
       eqeqeq: "error",
       "prefer-const": "error",
       "func-style": ["error", "declaration", { allowArrowFunctions: true }],
-      "@typescript-eslint/switch-exhaustiveness-check": "error",
+      "@typescript-eslint/switch-exhaustiveness-check": [
+        "error",
+        { considerDefaultExhaustiveForUnions: true },
+      ],
       "@typescript-eslint/no-floating-promises": "error",
       "@typescript-eslint/require-await": "off",
       "@typescript-eslint/no-unused-vars": [
--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./program.ts";
--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -207,7 +207,8 @@
   },
   [EventCode.ClaimTakenOver]: {
     level: EventLevel.Info,
-    meaning: "A keyed request that another entry had claimed was resolved here.",
+    meaning:
+      "A keyed request that another entry had claimed was resolved here.",
     action: NONE,
   },
   [EventCode.StaleFrameDropped]: {
--- a/packages/common/src/life_cycle.ts
+++ b/packages/common/src/life_cycle.ts
@@ -1,3 +1,4 @@
+import * as events from "node:events";
 import * as clock from "./clock.ts";
 
 /** Something with an owner: closed exactly once, in reverse order of taking. */
@@ -18,7 +19,10 @@
   readonly #abort = new AbortController();
   #closing: Promise<string[]> | undefined;
 
-  constructor(readonly name: string) {}
+  constructor(readonly name: string) {
+    // Every task and pause listens to the one signal of its owner.
+    events.EventEmitter.setMaxListeners(0, this.#abort.signal);
+  }
 
   /** Aborts as soon as closing starts. */
   get signal(): AbortSignal {
--- a/packages/configuration/src/schema.ts
+++ b/packages/configuration/src/schema.ts
@@ -112,12 +112,10 @@
   periodSeconds: positive("seconds", 86_400)
     .default(30)
     .meta({ description: "Seconds between plans." }),
-  exchangeRate: positive("an exchange rate", 1e9)
-    .default(1)
-    .meta({
-      description:
-        "Milliseconds of step time saved a second that repay one MB moved.",
-    }),
+  exchangeRate: positive("an exchange rate", 1e9).default(1).meta({
+    description:
+      "Milliseconds of step time saved a second that repay one MB moved.",
+  }),
   horizonSeconds: positive("seconds", 86_400)
     .default(600)
     .meta({ description: "Seconds over which a gain is counted." }),
@@ -185,7 +183,11 @@
 export type Document = zod.infer<typeof DOCUMENT>;
 
 interface Context {
-  addIssue(issue: { code: "custom"; path: PropertyKey[]; message: string }): void;
+  addIssue(issue: {
+    code: "custom";
+    path: PropertyKey[];
+    message: string;
+  }): void;
 }
 
 function checkUnique(
--- a/packages/daemon/src/admission/account_limits.ts
+++ b/packages/daemon/src/admission/account_limits.ts
@@ -14,8 +14,7 @@
 
 /** Outcome of asking for credit. */
 export type LimitOutcome =
-  | { kind: "granted" }
-  | { kind: "refused"; retryAfterMilliseconds: number };
+  { kind: "granted" } | { kind: "refused"; retryAfterMilliseconds: number };
 
 interface Waiter {
   needed: creditBucket.Credit;
@@ -307,10 +306,7 @@
     return bucket;
   }
 
-  #rateOf(
-    account: string,
-    share: number,
-  ): creditBucket.CreditRate | undefined {
+  #rateOf(account: string, share: number): creditBucket.CreditRate | undefined {
     const configured = this.parameters.account(account);
     if (!configured) return undefined;
     const scale = this.parameters.limitScale() * share;
--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -203,10 +203,7 @@
     return conductAttempt.conductAttempt({ runner, outgoing, accepted, sink });
   }
 
-  #notRun(
-    reason: request.NotRunReason,
-    waitMilliseconds = 0,
-  ): ObtainedRunner {
+  #notRun(reason: request.NotRunReason, waitMilliseconds = 0): ObtainedRunner {
     return { kind: "result", result: this.notRun(reason, waitMilliseconds) };
   }
 }
--- a/packages/daemon/src/dispatch/keyed_request.ts
+++ b/packages/daemon/src/dispatch/keyed_request.ts
@@ -52,7 +52,10 @@
       const other = this.#underWay.get(key);
       if (!other) break;
       const remaining = accepted.deadline - common.now();
-      const ended = await common.withTimeout(other.then(() => true), remaining);
+      const ended = await common.withTimeout(
+        other.then(() => true),
+        remaining,
+      );
       // Whether the other request has run by then is not known here.
       if (!ended) {
         const reason = "a request with this key is under way";
--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -115,7 +115,10 @@
       longestMilliseconds: LONGEST_PAUSE_MILLISECONDS,
       random: this.parameters.random,
     });
-    const watch = setInterval(() => this.#giveUpUnreachable(), LOOK_MILLISECONDS);
+    const watch = setInterval(
+      () => this.#giveUpUnreachable(),
+      LOOK_MILLISECONDS,
+    );
     while (!signal.aborted) {
       const { settings, revision } = this.parameters;
       const dialled = await wire.dial({
@@ -129,11 +132,8 @@
         await common.sleep(backOff.pause(), signal);
         continue;
       }
-      const end = () => dialled.value.close();
-      signal.addEventListener("abort", end, { once: true });
-      if (signal.aborted) end();
+      dialled.value.closeOn(signal);
       const served = await this.#serve(dialled.value);
-      signal.removeEventListener("abort", end);
       if (served) backOff.reset();
       else await common.sleep(backOff.pause(), signal);
     }
--- a/packages/daemon/src/entry/accept_work.ts
+++ b/packages/daemon/src/entry/accept_work.ts
@@ -67,7 +67,9 @@
   standardTimeoutMilliseconds: number,
 ): neverthrow.Result<RequestTerms, common.InputProblem[]> {
   const wrong: common.InputProblem[] = [];
-  const timeout = Number(headers[TIMEOUT_HEADER] ?? standardTimeoutMilliseconds);
+  const timeout = Number(
+    headers[TIMEOUT_HEADER] ?? standardTimeoutMilliseconds,
+  );
   const valid = timeout > 0 && timeout <= LONGEST_TIMEOUT_MILLISECONDS;
   if (!valid) {
     wrong.push({
--- a/packages/daemon/src/entry/caller_server.ts
+++ b/packages/daemon/src/entry/caller_server.ts
@@ -3,6 +3,7 @@
 import * as configuration from "@geraniumkeel/configuration";
 import * as hono from "hono";
 import type * as http from "node:http";
+import * as requestListener from "../operator/request_listener.ts";
 import * as problem from "../operator/problem.ts";
 import * as acceptWork from "./accept_work.ts";
 import type * as entryContext from "./entry_context.ts";
@@ -36,9 +37,7 @@
       problems.refusal(404, "not-found", "There is nothing at this path"),
     ),
   );
-  return nodeServer.getRequestListener(application.fetch, {
-    overrideGlobalObjects: false,
-  }) as http.RequestListener;
+  return requestListener.requestListener(application);
 }
 
 type Request = hono.Context<Environment>;
@@ -97,8 +96,8 @@
   await generateHandler.handleGeneration({
     context,
     welcome: welcome.value,
-    incoming: incoming as http.IncomingMessage,
-    response: outgoing as http.ServerResponse,
+    incoming: incoming,
+    response: outgoing,
     kind,
   });
   return nodeResponse.RESPONSE_ALREADY_SENT;
@@ -115,8 +114,8 @@
   await plainHandler.handlePlain({
     context,
     welcome: welcome.value,
-    incoming: incoming as http.IncomingMessage,
-    response: outgoing as http.ServerResponse,
+    incoming: incoming,
+    response: outgoing,
   });
   return nodeResponse.RESPONSE_ALREADY_SENT;
 }
--- a/packages/daemon/src/entry/generate_handler.ts
+++ b/packages/daemon/src/entry/generate_handler.ts
@@ -96,9 +96,7 @@
 }
 
 /** What a caller is told of a body that could not be read. */
-export function bodyProblem(
-  failure: readBody.BodyFailure,
-): problem.Problem {
+export function bodyProblem(failure: readBody.BodyFailure): problem.Problem {
   switch (failure.kind) {
     case "too-large": {
       const detail = `send at most ${failure.limit} bytes`;
@@ -272,8 +270,5 @@
     case request.ResultKind.KeyReused:
       break;
   }
-  problems.sendProblem(
-    connection.response,
-    problems.problemOfResult(result),
-  );
+  problems.sendProblem(connection.response, problems.problemOfResult(result));
 }
--- a/packages/daemon/src/entry/open_ai.ts
+++ b/packages/daemon/src/entry/open_ai.ts
@@ -117,10 +117,7 @@
 
 function readShared(
   body: zod.infer<typeof CHAT_BODY> | zod.infer<typeof COMPLETION_BODY>,
-): Pick<
-  GenerationRequest,
-  "model" | "stream" | "includeUsage" | "options"
-> {
+): Pick<GenerationRequest, "model" | "stream" | "includeUsage" | "options"> {
   const options: Record<string, unknown> = {};
   for (const name of ENGINE_OPTIONS) {
     if (body[name] !== undefined) options[name] = body[name];
@@ -154,7 +151,9 @@
   /** First event of a stream, if the interface has one. */
   opening(): string {
     if (!this.#chat) return "";
-    return this.#event([this.#choice({ role: "assistant", content: "" }, null)]);
+    return this.#event([
+      this.#choice({ role: "assistant", content: "" }, null),
+    ]);
   }
 
   /** Event with a piece of text. */
--- a/packages/daemon/src/entry/problems.ts
+++ b/packages/daemon/src/entry/problems.ts
@@ -27,10 +27,7 @@
 
 /** What a caller is told of a result that is no answer. */
 export function problemOfResult(
-  result: Exclude<
-    request.RequestResult,
-    { kind: request.ResultKind.Complete }
-  >,
+  result: Exclude<request.RequestResult, { kind: request.ResultKind.Complete }>,
 ): problem.Problem {
   const { Outcome } = problem;
   switch (result.kind) {
@@ -91,9 +88,7 @@
 }
 
 /** Explains invalid input, all problems at once. */
-export function invalidInput(
-  problems: common.InputProblem[],
-): problem.Problem {
+export function invalidInput(problems: common.InputProblem[]): problem.Problem {
   const detail = problems.map(common.describeProblem).join("; ");
   return refusal(400, "invalid-request", "The request is not valid", {
     detail,
--- a/packages/daemon/src/entry/read_body.ts
+++ b/packages/daemon/src/entry/read_body.ts
@@ -3,8 +3,7 @@
 
 /** Why a body could not be read. */
 export type BodyFailure =
-  | { kind: "too-large"; limit: number }
-  | { kind: "broken" };
+  { kind: "too-large"; limit: number } | { kind: "broken" };
 
 /**
  * Reads a request body up to a limit. The limit is checked as bytes arrive: a
--- a/packages/daemon/src/membership/peer_links.ts
+++ b/packages/daemon/src/membership/peer_links.ts
@@ -1,7 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as platform from "@geraniumkeel/platform";
 import * as wire from "@geraniumkeel/wire";
-import type * as configurationKeeper from "../configuration/configuration_keeper.ts";
+import * as configurationKeeper from "../configuration/configuration_keeper.ts";
 import * as listenModule from "../settings/listen.ts";
 import type * as settingsModule from "../settings/settings.ts";
 import type * as hostView from "./host_view.ts";
@@ -218,6 +218,7 @@
 
   async #serve(link: wire.Link): Promise<void> {
     const { settings, keeper, incarnation, members, logger } = this.parameters;
+    link.closeOn(this.parameters.lifeCycle.signal);
     this.#linkNumber++;
     link.send({
       kind: wire.MessageKind.Hello,
@@ -302,7 +303,7 @@
         const peer = this.#peers.get(host);
         if (peer) peer.revision = Math.max(peer.revision, head.revision);
         const outcome = keeper.adopt(head, sections);
-        if (outcome !== "incomplete") return;
+        if (outcome !== configurationKeeper.AdoptOutcome.Incomplete) return;
         const kind = wire.MessageKind.ConfigurationRequest;
         return link.send({ kind, held: keeper.held() });
       }
--- a/packages/daemon/src/operator/operator_server.ts
+++ b/packages/daemon/src/operator/operator_server.ts
@@ -1,4 +1,3 @@
-import * as nodeServer from "@hono/node-server";
 import * as common from "@geraniumkeel/common";
 import * as configuration from "@geraniumkeel/configuration";
 import * as hono from "hono";
@@ -9,6 +8,7 @@
 import * as changeConfiguration from "./change_configuration.ts";
 import * as describeEntry from "./describe_entry.ts";
 import * as operatorKey from "./operator_key.ts";
+import * as requestListener from "./request_listener.ts";
 import * as problem from "./problem.ts";
 import type * as remoteOperations from "./remote_operations.ts";
 
@@ -65,9 +65,7 @@
     return Response.json({ host, draining: true });
   });
   addChanges(application, context);
-  return nodeServer.getRequestListener(application.fetch, {
-    overrideGlobalObjects: false,
-  }) as http.RequestListener;
+  return requestListener.requestListener(application);
 }
 
 function addChanges(
--- a/packages/daemon/src/operator/problem.ts
+++ b/packages/daemon/src/operator/problem.ts
@@ -26,7 +26,15 @@
   const { status, title, outcome, reason, detail } = problem;
   const type = `https://geraniumkeel.example/problems/${reason}`;
   const error = { message: detail ?? title, type: reason, code: outcome };
-  return JSON.stringify({ type, status, title, outcome, reason, detail, error });
+  return JSON.stringify({
+    type,
+    status,
+    title,
+    outcome,
+    reason,
+    detail,
+    error,
+  });
 }
 
 /** A problem document as a response. */
--- a/packages/daemon/src/routing/router.ts
+++ b/packages/daemon/src/routing/router.ts
@@ -163,10 +163,7 @@
     };
   }
 
-  #eligible(
-    runner: runnerLink.RunnerLink,
-    request: RoutingRequest,
-  ): boolean {
+  #eligible(runner: runnerLink.RunnerLink, request: RoutingRequest): boolean {
     const { name } = runner.host;
     if (!runner.available || request.excluded.has(name)) return false;
     if (this.#stalled(runner)) return false;
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -23,11 +23,9 @@
   zod
     .string({ error: `give ${what}` })
     .min(1, { error: `give ${what}, not empty` });
-const url = zod
-  .string({ error: "give a URL" })
-  .regex(/^https?:\/\/[^/]+$/, {
-    error: "give http:// or https:// with host and port and no path",
-  });
+const url = zod.string({ error: "give a URL" }).regex(/^https?:\/\/[^/]+$/, {
+  error: "give http:// or https:// with host and port and no path",
+});
 const milliseconds = (standard: number) =>
   zod
     .number({ error: "give milliseconds as a number" })
@@ -97,7 +95,8 @@
     description: "Longest time a planned stop may take.",
   }),
   drainNotice: milliseconds(6_000).meta({
-    description: "Time an entry still takes work after it left the entry list; longer than callers keep the list.",
+    description:
+      "Time an entry still takes work after it left the entry list; longer than callers keep the list.",
   }),
   claimRetention: milliseconds(86_400_000).meta({
     description: "Time for which an idempotency key is remembered.",
--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -6,9 +6,7 @@
 import type * as upstreamContext from "./upstream_context.ts";
 
 /** What this process says first on every link. */
-export function helloOf(
-  context: upstreamContext.UpstreamContext,
-): wire.Hello {
+export function helloOf(context: upstreamContext.UpstreamContext): wire.Hello {
   const { settings: own, incarnation } = context;
   const model = own.backEnd.kind === settings.BackEndKind.Model;
   return {
@@ -32,6 +30,7 @@
   context: upstreamContext.UpstreamContext,
   link: wire.Link,
 ): Promise<void> {
+  link.closeOn(context.lifeCycle.signal);
   link.send(helloOf(context));
   const first = await link.receive();
   if (first?.kind !== wire.MessageKind.Hello) return link.close();
--- a/packages/daemon/src/upstream/run_attempt.ts
+++ b/packages/daemon/src/upstream/run_attempt.ts
@@ -53,7 +53,7 @@
 ): wire.AttemptEnd {
   const { reason, promptTokens } = last;
   const finishReason = Object.values(wire.FinishReason).find(
-    (known) => known === reason,
+    (known) => String(known) === reason,
   );
   if (finishReason === undefined) {
     return { kind: wire.EndKind.Broken, reason: `engine ended it: ${reason}` };
--- a/packages/daemon/src/upstream/upstream_server.ts
+++ b/packages/daemon/src/upstream/upstream_server.ts
@@ -1,8 +1,8 @@
-import * as nodeServer from "@hono/node-server";
 import * as common from "@geraniumkeel/common";
 import * as hono from "hono";
 import type * as http from "node:http";
 import * as operatorKey from "../operator/operator_key.ts";
+import * as requestListener from "../operator/request_listener.ts";
 import * as problem from "../operator/problem.ts";
 import type * as upstreamContext from "./upstream_context.ts";
 
@@ -29,7 +29,5 @@
     context.drain();
     return request.json({ draining: true });
   });
-  return nodeServer.getRequestListener(application.fetch, {
-    overrideGlobalObjects: false,
-  }) as http.RequestListener;
+  return requestListener.requestListener(application);
 }
--- a/packages/engine/src/plain_service.ts
+++ b/packages/engine/src/plain_service.ts
@@ -72,7 +72,7 @@
   ): Promise<neverthrow.Result<PlainAnswer, PlainFailure>> {
     try {
       const answer = await undici.request(`${this.origin}${call.path}`, {
-        method: call.method as undici.Dispatcher.HttpMethod,
+        method: call.method,
         dispatcher: this.#agent,
         headers: endToEndHeaders(call.headers).flat(),
         body: call.body.byteLength > 0 ? Buffer.from(call.body) : undefined,
--- a/packages/platform/src/http_table.ts
+++ b/packages/platform/src/http_table.ts
@@ -36,7 +36,10 @@
       to: parameters.to,
       limit: String(parameters.limit),
     });
-    const answer = await this.client.request("GET", `/table/rows?${query}`);
+    const answer = await this.client.request(
+      "GET",
+      `/table/rows?${query.toString()}`,
+    );
     if (answer.isErr()) return unavailable(answer.error.reason);
     if (answer.value.status !== HTTP_OK) {
       return unavailable(`status ${answer.value.status}`);
--- a/packages/stand_ins/src/expert_load.ts
+++ b/packages/stand_ins/src/expert_load.ts
@@ -58,8 +58,7 @@
     this.#popularity = Array.from({ length: layers }, (_, layer) =>
       Array.from({ length: experts }, (_, expert) =>
         this.#mix.reduce(
-          (sum, share, kind) =>
-            sum + share * this.#byKind[kind][layer][expert],
+          (sum, share, kind) => sum + share * this.#byKind[kind][layer][expert],
           0,
         ),
       ),
--- a/packages/stand_ins/src/plain_stand_in.ts
+++ b/packages/stand_ins/src/plain_stand_in.ts
@@ -58,7 +58,8 @@
   }
   const call = String(request.headers["x-call"] ?? "");
   calls.set(call, (calls.get(call) ?? 0) + 1);
-  if (faults.delayMilliseconds > 0) await common.sleep(faults.delayMilliseconds);
+  if (faults.delayMilliseconds > 0)
+    await common.sleep(faults.delayMilliseconds);
   const echoed = { call, method: request.method, url: request.url };
   const text = JSON.stringify({ ...echoed, received: body.byteLength });
   response.writeHead(200, {
--- a/packages/stand_ins/src/platform_stand_in.ts
+++ b/packages/stand_ins/src/platform_stand_in.ts
@@ -69,7 +69,8 @@
   application.use("*", async (_request, next) => {
     if (faults.silent) await new Promise(() => {});
     if (faults.down) return new Response("down", { status: 503 });
-    if (faults.slowMilliseconds > 0) await common.sleep(faults.slowMilliseconds);
+    if (faults.slowMilliseconds > 0)
+      await common.sleep(faults.slowMilliseconds);
     return next();
   });
   application.get("/hosts", () => {
--- a/packages/stand_ins/src/serve.ts
+++ b/packages/stand_ins/src/serve.ts
@@ -1,6 +1,5 @@
 import * as http from "node:http";
-import * as nodeServer from "@hono/node-server";
-import type * as hono from "hono";
+import * as daemon from "@geraniumkeel/daemon";
 
 /** A stand-in that listens on loopback. */
 export interface Serving {
@@ -10,14 +9,11 @@
 }
 
 /** Serves an application on loopback; port 0 takes any free one. */
-export async function serve(
-  application: { fetch: hono.Hono["fetch"] },
+export function serve(
+  application: daemon.FetchHandler,
   port: number,
 ): Promise<Serving> {
-  const handler = nodeServer.getRequestListener(application.fetch, {
-    overrideGlobalObjects: false,
-  });
-  return serveHandler(handler as http.RequestListener, port);
+  return serveHandler(daemon.requestListener(application), port);
 }
 
 /** Serves a plain request handler on loopback. */
--- a/packages/stand_ins/src/table_data.ts
+++ b/packages/stand_ins/src/table_data.ts
@@ -16,7 +16,9 @@
   /** Rows with `from` <= key < `to`, in key order. */
   range(from: string, to: string, limit: number): platform.Row[] {
     this.reads++;
-    const keys = [...this.#rows.keys()].filter((key) => key >= from && key < to);
+    const keys = [...this.#rows.keys()].filter(
+      (key) => key >= from && key < to,
+    );
     return keys
       .sort()
       .slice(0, limit)
--- a/packages/stand_ins/src/testing/cluster.ts
+++ b/packages/stand_ins/src/testing/cluster.ts
@@ -144,7 +144,12 @@
     account?: string;
     signal?: AbortSignal;
   }): Promise<{ status: number; text: string; body: string }> {
-    const { prompt, entry = 0, stream = true, account = "counter" } = parameters;
+    const {
+      prompt,
+      entry = 0,
+      stream = true,
+      account = "counter",
+    } = parameters;
     const url = `${this.callerUrl(entry)}/v1/chat/completions`;
     const answer = await undici.request(url, {
       method: "POST",
@@ -194,7 +199,9 @@
   }
 
   /** Starts one more entry, or a replacement of one that was stopped. */
-  async addEntry(name = `entry-${this.entries.length}`): Promise<ClusterProcess> {
+  async addEntry(
+    name = `entry-${this.entries.length}`,
+  ): Promise<ClusterProcess> {
     const settings: daemon.EntrySettings = daemon.ENTRY_SETTINGS.parse({
       ...this.#common(name, this.entries.length),
       role: daemon.Role.Entry,
@@ -206,7 +213,10 @@
       },
     });
     const logger = new common.RecordingLogger();
-    const started = await daemon.startEntry({ settings, ...this.#tools(logger) });
+    const started = await daemon.startEntry({
+      settings,
+      ...this.#tools(logger),
+    });
     const running = started._unsafeUnwrap();
     const host = {
       ...this.#hostOf(name, settings.place, platform.HostRole.Entry, running),
@@ -273,7 +283,9 @@
   }
 
   /** Publishes the host list as it is now. */
-  publish(change: (host: platform.Host) => platform.Host = (host) => host): void {
+  publish(
+    change: (host: platform.Host) => platform.Host = (host) => host,
+  ): void {
     const all = [...this.entries, ...this.upstreams];
     this.platform.setHosts(all.map(({ host }) => change(host)));
   }
@@ -392,4 +404,3 @@
   }
   return text;
 }
-
--- a/packages/wire/src/codec.ts
+++ b/packages/wire/src/codec.ts
@@ -2,7 +2,10 @@
 import * as neverthrow from "neverthrow";
 import * as message from "./message.ts";
 
-const packer = new msgpackr.Packr({ useRecords: false, encodeUndefinedAsNil: true });
+const packer = new msgpackr.Packr({
+  useRecords: false,
+  encodeUndefinedAsNil: true,
+});
 const KINDS = new Set<unknown>(
   Object.values(message.MessageKind).filter((kind) => typeof kind === "number"),
 );
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -103,6 +103,14 @@
     return this.#inbox[Symbol.asyncIterator]();
   }
 
+  /** Ends the link when the signal aborts, so that its task can return. */
+  closeOn(signal: AbortSignal): void {
+    const close = () => this.close();
+    if (signal.aborted) return close();
+    signal.addEventListener("abort", close, { once: true });
+    this.socket.once("close", () => signal.removeEventListener("abort", close));
+  }
+
   /** Ends the link from this side. */
   close(end: LinkEnd = LinkEnd.Closed): void {
     this.#finish(end);
@@ -123,7 +131,8 @@
   }
 
   /** Called for each heartbeat of the far end, outside the inbox. */
-  onHeartbeat: ((beat: { clock: number; revision: number }) => void) | undefined;
+  onHeartbeat:
+    ((beat: { clock: number; revision: number }) => void) | undefined;
 
   /**
    * A connection can go silent for good without an error: something between
