--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -133,7 +133,7 @@
         continue;
       }
       dialled.value.closeOn(signal);
-      const served = await this.#serve(dialled.value);
+      const served = await this.#serve(dialled.value, signal);
       if (served) backOff.reset();
       else await common.sleep(backOff.pause(), signal);
     }
@@ -259,7 +259,7 @@
   }
 
   /** Serves one connection; false if it never came to a greeting. */
-  async #serve(link: wire.Link): Promise<boolean> {
+  async #serve(link: wire.Link, signal: AbortSignal): Promise<boolean> {
     const { settings, incarnation, logger } = this.parameters;
     this.#linkNumber++;
     link.send({
@@ -293,7 +293,7 @@
     }
     this.#link = undefined;
     this.#downSince = common.now();
-    this.#reportEnd(link);
+    if (!signal.aborted) this.#reportEnd(link);
     return true;
   }
 
--- a/packages/daemon/src/entry/open_ai.ts
+++ b/packages/daemon/src/entry/open_ai.ts
@@ -9,9 +9,11 @@
 
 const unsupported = (name: string) =>
   zod
-    .undefined({ error: `leave ${name} out: it is not supported` })
-    .or(zod.null())
-    .optional();
+    .unknown()
+    .optional()
+    .refine((value) => value === undefined || value === null, {
+      error: `leave ${name} out: it is not supported`,
+    });
 const one = (name: string) =>
   zod
     .literal(1, { error: `use ${name} 1: one answer a request is supported` })
--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -47,6 +47,7 @@
   }
   context.links.delete(link);
   for (const record of context.table.records.values()) record.detach(link);
+  if (context.lifeCycle.closing) return;
   const reason = link.end;
   context.logger.event(common.EventCode.LinkLost, { peer: first.host, reason });
 }
--- a/packages/stand_ins/src/demo/scenario.ts
+++ b/packages/stand_ins/src/demo/scenario.ts
@@ -170,7 +170,8 @@
         const prompt = `${account} ${number} ${turn}: where is it?`;
         tally.add(await mine.chat(model.name, prompt));
       }
-      await common.sleep(random.exponential(PAUSE_MILLISECONDS));
+      const pause = random.exponential(PAUSE_MILLISECONDS);
+      await common.sleep(Math.min(pause, until - common.now()));
     }
   };
   const all = Array.from({ length: parameters.callers }, (_, n) => one(n));
