feat: expert map switches by unanimous, fenced holding at a step, and placement

Cause: groups kept the map they started with. Change: lease with fencing numbers, promises bound to incarnations, stage, arm, go and cancel with a successor that settles what was left; incremental placement by gain per copy at the preset's exchange rate.

--- a/packages/configuration/src/schema.ts
+++ b/packages/configuration/src/schema.ts
@@ -52,6 +52,26 @@
   .default(60_000)
   .meta({ description: "Deadline of a request that names none, in ms." });
 
+/** What placing experts needs to know of a model. */
+export const EXPERTS = zod.strictObject({
+  slotsPerRank: whole("slots", 1, 4_096).meta({
+    description: "Experts that a rank can hold in each layer.",
+  }),
+  megabytesPerExpert: positive("megabytes", 1e6).meta({
+    description: "Weights of one expert of one layer.",
+  }),
+  tokenMilliseconds: positive("milliseconds", 1_000).meta({
+    description: "Time a rank takes for one token of one expert.",
+  }),
+  megabytesPerSwitch: positive("megabytes", 1e9)
+    .default(100_000)
+    .meta({ description: "Most that one switch may load." }),
+  switching: zod
+    .enum(["at-step", "hold-all"], { error: 'use "at-step" or "hold-all"' })
+    .default("at-step")
+    .meta({ description: "Whether engines take orders for a step number." }),
+});
+
 /** A service of model engines. */
 export const MODEL_SERVICE = zod.strictObject({
   kind: zod.literal(ServiceKind.Model),
@@ -66,6 +86,7 @@
     .default(2_000)
     .meta({ description: "Requests that may wait at one entry host." }),
   timeoutMilliseconds: TIMEOUT,
+  experts: EXPERTS.optional(),
 });
 
 /** Whether calls by a method and path may be repeated. */
@@ -175,6 +196,8 @@
 export type ModelService = zod.infer<typeof MODEL_SERVICE>;
 /** See `PLAIN_SERVICE`. */
 export type PlainService = zod.infer<typeof PLAIN_SERVICE>;
+/** See `EXPERTS`. */
+export type Experts = zod.infer<typeof EXPERTS>;
 /** See `SERVICE`. */
 export type Service = zod.infer<typeof SERVICE>;
 /** See `PRESET`. */
--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -274,6 +274,7 @@
       service: "",
       group: "",
       rank: 0,
+      groupSize: 0,
       leaving: false,
     });
     const hello = await link.receive();
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -11,6 +11,8 @@
 import * as retryBudget from "../dispatch/retry_budget.ts";
 import * as runnerDirectory from "../dispatch/runner_directory.ts";
 import type * as runnerLink from "../dispatch/runner_link.ts";
+import * as coordinatorsModule from "../expert_map/coordinators.ts";
+import * as mapStore from "../expert_map/map_store.ts";
 import * as hostView from "../membership/host_view.ts";
 import * as memberTable from "../membership/member_table.ts";
 import * as peerLinks from "../membership/peer_links.ts";
@@ -32,6 +34,7 @@
   lifeCycle: common.LifeCycle;
   table: platform.TableService;
   hostList: platform.HostList;
+  objects: platform.ObjectStore;
   callerUrl: string;
   peerUrl: string;
   certificateAuthority: string | undefined;
@@ -163,6 +166,19 @@
     runners,
     router,
     queues,
+    coordinators: new coordinatorsModule.Coordinators({
+      host,
+      incarnation,
+      lifeCycle,
+      logger,
+      history,
+      keeper,
+      runners,
+      entries: () => members.alive.map((member) => member.host),
+      table: parameters.table,
+      maps: new mapStore.MapStore(parameters.objects),
+      leaseMilliseconds: timing.leaseDuration,
+    }),
     limits: new accountLimits.AccountLimits({
       self: host,
       entries: () => members.present.map((member) => member.host),
--- a/packages/daemon/src/entry/entry_context.ts
+++ b/packages/daemon/src/entry/entry_context.ts
@@ -6,6 +6,7 @@
 import type * as dispatcher from "../dispatch/dispatcher.ts";
 import type * as runnerDirectory from "../dispatch/runner_directory.ts";
 import type * as runnerLink from "../dispatch/runner_link.ts";
+import type * as coordinators from "../expert_map/coordinators.ts";
 import type * as hostView from "../membership/host_view.ts";
 import type * as memberTable from "../membership/member_table.ts";
 import type * as peerLinks from "../membership/peer_links.ts";
@@ -31,6 +32,7 @@
   runners: runnerDirectory.RunnerDirectory;
   router: router.Router;
   queues: Map<string, serviceQueue.ServiceQueue<runnerLink.RunnerLink>>;
+  coordinators: coordinators.Coordinators;
   limits: accountLimits.AccountLimits;
   dispatcher: dispatcher.Dispatcher;
   lengths: answerLengths.AnswerLengths;
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -42,6 +42,7 @@
     lifeCycle,
     table: new platform.HttpTableService(client),
     hostList: new platform.HttpHostList(client),
+    objects: new platform.HttpObjectStore(client),
     callerUrl: settings.advertise.callerUrl ?? listeners.callers.url,
     peerUrl: settings.advertise.linkUrl ?? listeners.links.url,
     certificateAuthority: readAuthority(settings),
@@ -132,6 +133,7 @@
   const { settings, logger, random, store, freshness, queues } = context;
   lifeCycle.run("host-list", (signal) => hosts.run(signal));
   lifeCycle.run("runners", (signal) => runners.run(signal));
+  lifeCycle.run("coordinators", (signal) => context.coordinators.run(signal));
   lifeCycle.run("configuration", (signal) =>
     configurationSync.syncWithStore({
       keeper,
--- /dev/null
+++ b/packages/daemon/src/expert_map/coordinators.ts
@@ -0,0 +1,141 @@
+import * as common from "@geraniumkeel/common";
+import * as configuration from "@geraniumkeel/configuration";
+import type * as platform from "@geraniumkeel/platform";
+import type * as configurationKeeper from "../configuration/configuration_keeper.ts";
+import type * as runnerDirectory from "../dispatch/runner_directory.ts";
+import type * as runnerLink from "../dispatch/runner_link.ts";
+import * as groupCoordinator from "./group_coordinator.ts";
+import * as groupLease from "./group_lease.ts";
+import type * as mapStore from "./map_store.ts";
+import type * as rankPort from "./rank_port.ts";
+
+const LOOK_MILLISECONDS = 500;
+const ORDER_TIMEOUT_MILLISECONDS = 2_500;
+
+/** What coordinating groups needs of the rest of the entry. */
+export interface CoordinatorsParameters {
+  host: string;
+  incarnation: string;
+  lifeCycle: common.LifeCycle;
+  logger: common.Logger;
+  history: common.HistoryRecorder;
+  keeper: configurationKeeper.ConfigurationKeeper;
+  runners: runnerDirectory.RunnerDirectory;
+  /** Entries alive, this one included. */
+  entries: () => string[];
+  table: platform.TableService;
+  maps: mapStore.MapStore;
+  leaseMilliseconds: number;
+}
+
+/**
+ * Runs a coordinator for each group whose preferred entry this is. Preference
+ * by rendezvous hashing keeps all but one entry from even asking for the lease,
+ * and spreads groups over entries.
+ */
+export class Coordinators {
+  readonly #running = new Map<
+    string,
+    { coordinator: groupCoordinator.GroupCoordinator; stop: AbortController }
+  >();
+  #switching = 0;
+
+  constructor(readonly parameters: CoordinatorsParameters) {}
+
+  /** What the state dump says of the groups coordinated here. */
+  describe(): unknown {
+    return [...this.#running.values()].map(({ coordinator }) =>
+      coordinator.describe(),
+    );
+  }
+
+  /** Follows members and runners until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.#reconcile(signal);
+      await common.sleep(LOOK_MILLISECONDS, signal);
+    }
+  }
+
+  #reconcile(signal: AbortSignal): void {
+    const { runners, entries, host } = this.parameters;
+    const groups = new Map<string, runnerLink.RunnerLink>();
+    for (const runner of runners.all) {
+      if (runner.hello?.group) groups.set(runner.hello.group, runner);
+    }
+    const alive = entries();
+    for (const [group, { stop }] of this.#running) {
+      const preferred = common.rendezvous(group, alive) === host;
+      if (preferred && groups.has(group)) continue;
+      stop.abort();
+      this.#running.delete(group);
+    }
+    for (const [group, runner] of groups) {
+      if (this.#running.has(group)) continue;
+      if (common.rendezvous(group, alive) !== host) continue;
+      this.#start(group, runner.host.service, signal);
+    }
+  }
+
+  #start(group: string, service: string, signal: AbortSignal): void {
+    const { lifeCycle } = this.parameters;
+    const coordinator = this.#create(group, service);
+    const stop = new AbortController();
+    this.#running.set(group, { coordinator, stop });
+    const both = AbortSignal.any([signal, stop.signal]);
+    lifeCycle.run(`coordinator ${group}`, () => coordinator.run(both));
+  }
+
+  #create(group: string, service: string): groupCoordinator.GroupCoordinator {
+    const { host, incarnation, logger, history, keeper } = this.parameters;
+    const { table, maps, leaseMilliseconds } = this.parameters;
+    return new groupCoordinator.GroupCoordinator({
+      group,
+      lease: new groupLease.GroupLease({
+        table,
+        key: `leases/group/${group}`,
+        host,
+        incarnation,
+        durationMilliseconds: leaseMilliseconds,
+      }),
+      maps,
+      ranks: () => this.#ranksOf(group),
+      experts: () => expertsOf(keeper.view?.service(service)),
+      preset: () => keeper.view?.preset,
+      mayStart: () => {
+        const most = keeper.view?.preset.placement.maximumSwitches ?? 0;
+        return this.#switching < most;
+      },
+      onSwitching: (switching) => {
+        this.#switching += switching ? 1 : -1;
+      },
+      logger,
+      history,
+      host,
+      renewMilliseconds: leaseMilliseconds / 4,
+    });
+  }
+
+  /** Ports to all ranks of a group, or `undefined` while some are missing. */
+  #ranksOf(group: string): rankPort.RankPort[] | undefined {
+    const runners = this.parameters.runners.ofGroup(group);
+    const size = runners[0]?.hello?.groupSize ?? 0;
+    const linked = runners.filter((runner) => runner.linked);
+    if (size === 0 || linked.length < size) return undefined;
+    return linked.map((runner) => ({
+      rank: runner.hello?.rank ?? 0,
+      host: runner.host.name,
+      incarnation: () =>
+        runner.linked ? runner.hello?.incarnation : undefined,
+      order: (order, incarnationOrdered) =>
+        runner.order(order, incarnationOrdered, ORDER_TIMEOUT_MILLISECONDS),
+    }));
+  }
+}
+
+function expertsOf(
+  service: configuration.Service | undefined,
+): configuration.Experts | undefined {
+  if (service?.kind !== configuration.ServiceKind.Model) return undefined;
+  return service.experts;
+}
--- /dev/null
+++ b/packages/daemon/src/expert_map/group_coordinator.ts
@@ -0,0 +1,258 @@
+import * as common from "@geraniumkeel/common";
+import type * as configuration from "@geraniumkeel/configuration";
+import type * as wire from "@geraniumkeel/wire";
+import * as hourShape from "../placement/hour_shape.ts";
+import * as placementDecision from "../placement/placement_decision.ts";
+import type * as groupLease from "./group_lease.ts";
+import * as inspectGroup from "./inspect_group.ts";
+import type * as mapStore from "./map_store.ts";
+import type * as rankPort from "./rank_port.ts";
+import * as rankSession from "./rank_session.ts";
+import * as switchMap from "./switch_map.ts";
+import * as takeOver from "./take_over.ts";
+
+/** What coordinating a group needs. */
+export interface GroupCoordinatorParameters {
+  group: string;
+  lease: groupLease.GroupLease;
+  maps: mapStore.MapStore;
+  /** All ranks, or `undefined` while some are not linked. */
+  ranks: () => rankPort.RankPort[] | undefined;
+  experts: () => configuration.Experts | undefined;
+  preset: () => configuration.Preset | undefined;
+  /** Whether a switch may start now, and room for one more. */
+  mayStart: () => boolean;
+  onSwitching: (switching: boolean) => void;
+  logger: common.Logger;
+  history: common.HistoryRecorder;
+  host: string;
+  renewMilliseconds: number;
+}
+
+const RETRY_MILLISECONDS = 500;
+/** Steps between arming and the switch; all ranks arm in well under that. */
+const LEAD_STEPS = 30;
+/** Maps made in one term have versions of their own. */
+const VERSIONS_PER_TERM = 1_000_000;
+
+/** Coordinates one group while this entry holds its lease. */
+export class GroupCoordinator {
+  readonly #shape = new hourShape.HourShape();
+  #lastPlan: placementDecision.PlacementDecision | undefined;
+  #switches = 0;
+
+  constructor(readonly parameters: GroupCoordinatorParameters) {}
+
+  /** What the state dump says of the group. */
+  describe(): unknown {
+    const { lease, group } = this.parameters;
+    const { fencing } = lease;
+    const lastPlan = this.#lastPlan;
+    return { group, fencing, switches: this.#switches, lastPlan };
+  }
+
+  /** Holds the lease and coordinates, term by term. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { lease, logger, group, renewMilliseconds } = this.parameters;
+    let term: { fencing: number; abort: AbortController } | undefined;
+    let running: Promise<void> | undefined;
+    while (!signal.aborted) {
+      const fencing = await lease.renew();
+      if (term && term.fencing !== fencing) {
+        term.abort.abort();
+        await running;
+        term = undefined;
+      }
+      if (fencing !== undefined && !term) {
+        logger.event(common.EventCode.CoordinatorChanged, { group, fencing });
+        const abort = new AbortController();
+        term = { fencing, abort };
+        const both = AbortSignal.any([signal, abort.signal]);
+        running = this.#runTerm(fencing, both);
+      }
+      await common.sleep(renewMilliseconds, signal);
+    }
+    term?.abort.abort();
+    await running;
+    await lease.release();
+  }
+
+  async #runTerm(fencing: number, signal: AbortSignal): Promise<void> {
+    let count = 0;
+    while (!signal.aborted) {
+      const taken = await this.#takeOver(fencing, signal);
+      if (taken === "superseded") return;
+      if (taken === undefined) {
+        await common.sleep(RETRY_MILLISECONDS, signal);
+        continue;
+      }
+      const going = { ...taken, fencing, signal };
+      while (!signal.aborted) {
+        await common.sleep(this.#periodMilliseconds(), signal);
+        if (signal.aborted) return;
+        const version = fencing * VERSIONS_PER_TERM + ++count;
+        if (!(await this.#round(going, version))) break;
+      }
+    }
+  }
+
+  #periodMilliseconds(): number {
+    const seconds = this.parameters.preset()?.placement.periodSeconds ?? 30;
+    return seconds * 1_000;
+  }
+
+  /** Has all ranks promise and settles what a predecessor left. */
+  async #takeOver(
+    fencing: number,
+    signal: AbortSignal,
+  ): Promise<
+    | { sessions: rankSession.RankSession[]; version: number }
+    | "superseded"
+    | undefined
+  > {
+    const { group, ranks, maps, logger } = this.parameters;
+    const ports = ranks();
+    if (!ports) return undefined;
+    const sessions = ports.map(
+      (port) => new rankSession.RankSession(port, group, fencing),
+    );
+    const readMap = (version: number) => maps.read(group, version);
+    const parameters = { group, fencing, sessions, signal, readMap };
+    const outcome = await takeOver.takeOver(parameters);
+    switch (outcome.kind) {
+      case "superseded":
+        return "superseded";
+      case "unreached":
+        return undefined;
+      case "ready": {
+        const { version, recovered } = outcome;
+        if (recovered !== "nothing") {
+          const code = common.EventCode.MapSwitchRecovered;
+          logger.event(code, { group, version, recovered });
+        }
+        return { sessions, version };
+      }
+    }
+  }
+
+  /** One look at the group and what follows; false to take over anew. */
+  async #round(
+    term: {
+      sessions: rankSession.RankSession[];
+      fencing: number;
+      signal: AbortSignal;
+    },
+    version: number,
+  ): Promise<boolean> {
+    const { group, experts, preset, mayStart } = this.parameters;
+    const { sessions, fencing } = term;
+    const view = await inspectGroup.inspectGroup({ group, fencing, sessions });
+    if (!view || view.version === undefined || view.held) return false;
+    const wanted = experts();
+    const inForce = preset();
+    if (!wanted || !inForce?.placement.enabled) return true;
+    const seconds = inForce.placement.periodSeconds;
+    const load = perSecond(view.tokens, seconds);
+    if (!hasLoad(load)) return true;
+    const now = Date.now();
+    this.#shape.observe(load, now);
+    const horizon = inForce.placement.horizonSeconds * 1_000;
+    const forecast = this.#shape.forecast(now, horizon) ?? load;
+    const places = await this.#placesOf(view.version, load, sessions.length);
+    if (!places || !mayStart()) return true;
+    const decision = await placementDecision.decidePlacement({
+      load: forecast,
+      places,
+      ranks: sessions.length,
+      experts: wanted,
+      placement: inForce.placement,
+    });
+    this.#lastPlan = decision;
+    this.#explain(decision);
+    if (decision.kind === "keep") return true;
+    return this.#switch(term, { version, places: decision.places }, wanted);
+  }
+
+  async #switch(
+    term: {
+      sessions: rankSession.RankSession[];
+      fencing: number;
+      signal: AbortSignal;
+    },
+    map: wire.ExpertMap,
+    experts: configuration.Experts,
+  ): Promise<boolean> {
+    const { group, maps, logger, history, host, onSwitching } = this.parameters;
+    const { version } = map;
+    if (!(await maps.keep(group, map))) return true;
+    logger.event(common.EventCode.MapSwitchStarted, { group, version });
+    onSwitching(true);
+    const outcome = await switchMap.switchMap({
+      ...term,
+      group,
+      map,
+      mode:
+        experts.switching === "at-step"
+          ? switchMap.SwitchMode.AtStep
+          : switchMap.SwitchMode.HoldAll,
+      leadSteps: LEAD_STEPS,
+    });
+    onSwitching(false);
+    const { kind: ended } = outcome;
+    history.record({ kind: "switch", host, group, version, ended });
+    const { detail } = outcome;
+    switch (outcome.kind) {
+      case switchMap.SwitchKind.Committed:
+        this.#switches++;
+        logger.event(common.EventCode.MapSwitchCommitted, { group, version });
+        return true;
+      case switchMap.SwitchKind.Cancelled:
+        logger.event(common.EventCode.MapSwitchCancelled, { group, detail });
+        return true;
+      case switchMap.SwitchKind.Superseded:
+      case switchMap.SwitchKind.Unfinished:
+        logger.event(common.EventCode.MapSwitchCancelled, { group, detail });
+        return false;
+    }
+  }
+
+  /** Places of the map in force; before the first switch, experts in order. */
+  async #placesOf(
+    version: number,
+    load: number[][],
+    ranks: number,
+  ): Promise<wire.ExpertPlaces | undefined> {
+    const { maps, group } = this.parameters;
+    if (version >= VERSIONS_PER_TERM) {
+      return (await maps.read(group, version))?.places;
+    }
+    return load.map((layer) => layer.map((_, expert) => [expert % ranks]));
+  }
+
+  #explain(decision: placementDecision.PlacementDecision): void {
+    const { logger, group } = this.parameters;
+    const { skewBefore, skewAfter, changes, megabytes } = decision;
+    const { savedMilliseconds, netMilliseconds } = decision;
+    const code =
+      decision.kind === "keep"
+        ? common.EventCode.PlacementSkipped
+        : common.EventCode.PlacementPlanned;
+    logger.event(code, {
+      group,
+      skewBefore,
+      skewAfter,
+      changes,
+      megabytes,
+      savedMilliseconds,
+      netMilliseconds,
+    });
+  }
+}
+
+function perSecond(tokens: number[][], seconds: number): number[][] {
+  return tokens.map((layer) => layer.map((count) => count / seconds));
+}
+
+function hasLoad(load: number[][]): boolean {
+  return load.some((layer) => layer.some((rate) => rate > 0));
+}
--- a/packages/daemon/src/membership/member_table.ts
+++ b/packages/daemon/src/membership/member_table.ts
@@ -53,6 +53,11 @@
     return this.all.filter((one) => one.state !== wire.MemberState.Gone);
   }
 
+  /** Members that take work, this process included unless it drains. */
+  get alive(): wire.Member[] {
+    return this.all.filter((one) => one.state === wire.MemberState.Alive);
+  }
+
   /** Record of one host. */
   get(host: string): wire.Member | undefined {
     return this.#entries.get(host)?.member;
--- a/packages/daemon/src/membership/peer_links.ts
+++ b/packages/daemon/src/membership/peer_links.ts
@@ -232,6 +232,7 @@
       service: "",
       group: "",
       rank: 0,
+      groupSize: 0,
       leaving: false,
     });
     const hello = await link.receive();
--- a/packages/daemon/src/operator/describe_entry.ts
+++ b/packages/daemon/src/operator/describe_entry.ts
@@ -82,6 +82,7 @@
       ]),
     ),
     limits: limits.describe(),
+    groups: context.coordinators.describe(),
     routing: router.describe(),
     answerLengths: lengths.describe(),
     memory: process.memoryUsage(),
--- /dev/null
+++ b/packages/daemon/src/placement/layer_plan.ts
@@ -0,0 +1,99 @@
+/** Replicas of one layer while a plan is made. */
+export class LayerPlan {
+  /** Load of each rank: every replica of an expert takes an equal part. */
+  readonly rankLoad: Float64Array;
+  /** Experts on each rank. */
+  readonly expertsOn: number[][];
+  /** Ranks of each expert. */
+  readonly ranksOf: number[][];
+
+  constructor(
+    readonly load: ArrayLike<number>,
+    places: number[][],
+    readonly ranks: number,
+  ) {
+    this.ranksOf = places.map((ranksOfExpert) => [...ranksOfExpert]);
+    this.expertsOn = Array.from({ length: ranks }, () => []);
+    this.rankLoad = new Float64Array(ranks);
+    this.ranksOf.forEach((ranksOfExpert, expert) => {
+      for (const rank of ranksOfExpert) {
+        this.expertsOn[rank].push(expert);
+        this.rankLoad[rank] += load[expert] / ranksOfExpert.length;
+      }
+    });
+  }
+
+  /** Load of one replica of an expert. */
+  share(expert: number): number {
+    return this.load[expert] / this.ranksOf[expert].length;
+  }
+
+  /** Load of the slowest rank. */
+  get slowest(): number {
+    let most = 0;
+    for (const load of this.rankLoad) most = Math.max(most, load);
+    return most;
+  }
+
+  /** Rank with the highest load. */
+  get slowestRank(): number {
+    let best = 0;
+    for (let rank = 1; rank < this.ranks; rank++) {
+      if (this.rankLoad[rank] > this.rankLoad[best]) best = rank;
+    }
+    return best;
+  }
+
+  /** The `count` ranks with the lowest load. */
+  lightest(count: number): number[] {
+    const chosen: number[] = [];
+    for (let rank = 0; rank < this.ranks; rank++) {
+      let position = chosen.length;
+      while (
+        position > 0 &&
+        this.rankLoad[chosen[position - 1]] > this.rankLoad[rank]
+      ) {
+        position--;
+      }
+      if (position >= count) continue;
+      chosen.splice(position, 0, rank);
+      if (chosen.length > count) chosen.pop();
+    }
+    return chosen;
+  }
+
+  /** Adds a replica; the others of the expert get lighter. */
+  add(expert: number, rank: number): void {
+    const ranks = this.ranksOf[expert];
+    const before = this.share(expert);
+    const after = this.load[expert] / (ranks.length + 1);
+    for (const other of ranks) this.rankLoad[other] += after - before;
+    ranks.push(rank);
+    this.expertsOn[rank].push(expert);
+    this.rankLoad[rank] += after;
+  }
+
+  /** Removes a replica that is not the last; the others get heavier. */
+  remove(expert: number, rank: number): void {
+    const ranks = this.ranksOf[expert];
+    const before = this.share(expert);
+    ranks.splice(ranks.indexOf(rank), 1);
+    const experts = this.expertsOn[rank];
+    experts.splice(experts.indexOf(expert), 1);
+    this.rankLoad[rank] -= before;
+    const after = this.load[expert] / Math.max(1, ranks.length);
+    for (const other of ranks) this.rankLoad[other] += after - before;
+  }
+
+  /** Moves a replica from one rank to another. */
+  move(expert: number, from: number, to: number): void {
+    const share = this.share(expert);
+    const ranks = this.ranksOf[expert];
+    ranks[ranks.indexOf(from)] = to;
+    const experts = this.expertsOn[from];
+    experts.splice(experts.indexOf(expert), 1);
+    this.expertsOn[to].push(expert);
+    this.rankLoad[from] -= share;
+    this.rankLoad[to] += share;
+  }
+}
--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -8,7 +8,11 @@
 /** What this process says first on every link. */
 export function helloOf(context: upstreamContext.UpstreamContext): wire.Hello {
   const { settings: own, incarnation } = context;
-  const model = own.backEnd.kind === settings.BackEndKind.Model;
+  const { backEnd } = own;
+  const rank =
+    backEnd.kind === settings.BackEndKind.Model
+      ? backEnd
+      : { group: "", rank: 0, groupSize: 0 };
   return {
     kind: wire.MessageKind.Hello,
     role: wire.PeerRole.Upstream,
@@ -19,8 +23,9 @@
     revision: 0,
     clock: common.now(),
     service: own.service,
-    group: model && "group" in own.backEnd ? own.backEnd.group : "",
-    rank: model && "rank" in own.backEnd ? own.backEnd.rank : 0,
+    group: rank.group,
+    rank: rank.rank,
+    groupSize: rank.groupSize,
     leaving: context.leaving,
   };
 }
--- a/packages/stand_ins/src/engine_model.ts
+++ b/packages/stand_ins/src/engine_model.ts
@@ -29,7 +29,7 @@
     perSequenceMilliseconds: 0.1,
     perCachedTokenMilliseconds: 0.0002,
     perPrefillTokenMilliseconds: 0.004,
-    perExpertTokenMilliseconds: 0.15,
+    perExpertTokenMilliseconds: 0.4,
     prefillChunk: 512,
     batchLimit: 64,
     ...change,
--- a/packages/stand_ins/src/engine_orders.ts
+++ b/packages/stand_ins/src/engine_orders.ts
@@ -22,6 +22,9 @@
     case wire.OrderKind.Promise:
       break;
     case wire.OrderKind.Stage:
+      if (order.map.version < newestVersion(rank)) {
+        return { refusal: wire.OrderRefusal.OldFencing };
+      }
       rank.staged = order.map;
       rank.armed = undefined;
       break;
@@ -43,6 +46,8 @@
       rank.armed.go = true;
       break;
     case wire.OrderKind.Cancel:
+      // A cancel of an older switch that comes late must not undo a newer one.
+      if (order.version < newestVersion(rank)) break;
       rank.armed = undefined;
       rank.staged = undefined;
       rank.heldByOrder = false;
@@ -66,6 +71,11 @@
   return { state: engineGroup.stateOf(rank) };
 }
 
+/** Newest version that is staged or armed. */
+function newestVersion(rank: engineRank.EngineRank): number {
+  return Math.max(rank.staged?.version ?? 0, rank.armed?.version ?? 0);
+}
+
 /** State with the expert counts since the last look, which start again. */
 function inspect(rank: engineRank.EngineRank): wire.RankState {
   const state = engineGroup.stateOf(rank);
--- a/packages/stand_ins/src/engine_rank.ts
+++ b/packages/stand_ins/src/engine_rank.ts
@@ -122,7 +122,10 @@
 
   /** Puts the staged map in use. */
   applyStaged(): void {
-    if (this.staged) this.map = this.staged;
+    if (this.staged) {
+      this.map = this.staged;
+      if (this.parameters.rank === 0) this.parameters.group.history.switches++;
+    }
     this.staged = undefined;
     this.armed = undefined;
   }
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -56,6 +56,8 @@
   service: string;
   group: string;
   rank: number;
+  /** Ranks of the group; 0 when there is none. */
+  groupSize: number;
   leaving: boolean;
 }
 
--- a/packages/wire/src/order.ts
+++ b/packages/wire/src/order.ts
@@ -35,7 +35,13 @@
       step: number;
     }
   | { kind: OrderKind.Go; group: string; fencing: number; version: number }
-  | { kind: OrderKind.Cancel; group: string; fencing: number }
+  | {
+      kind: OrderKind.Cancel;
+      group: string;
+      fencing: number;
+      /** Newest version to be given up; a newer one stays. */
+      version: number;
+    }
   | { kind: OrderKind.Hold; group: string; fencing: number }
   | { kind: OrderKind.Apply; group: string; fencing: number; version: number }
   | { kind: OrderKind.Release; group: string; fencing: number }
