fix: requests that wait for a runner that will never answer or be chosen

Cause: found by generated faults. A runner dropped between its choice and the dispatch took the request with it; a request that both runners of a service had refused waited for a third, and all behind it, until its deadline. Change: a dropped runner settles a dispatch at once as never started; refusing runners are used when there is no other; the queue serves accounts in turn and looks past a head that finds no runner.

--- a/packages/daemon/src/admission/service_queue.ts
+++ b/packages/daemon/src/admission/service_queue.ts
@@ -1,4 +1,6 @@
 import * as common from "@geraniumkeel/common";
+import * as accountFlow from "./account_flow.ts";
+import * as rateWindow from "./rate_window.ts";
 
 /** A request waiting for a runner. */
 export interface Waiting<R> {
@@ -25,13 +27,14 @@
   | { kind: "caller-gone" };
 
 interface Item<R> extends Waiting<R> {
-  /** Virtual time at which it would finish under fair sharing. */
-  finish: number;
   queuedAt: number;
   settle: (outcome: QueueOutcome<R>) => void;
 }
 
 const RATE_WINDOW_MILLISECONDS = 2_000;
+/** Accounts whose next request is tried when the first finds no runner. */
+const LOOK_PAST = 4;
+const MIDDLE_URGENCY = 3;
 
 /**
  * Requests of one service waiting at one entry, served by start-time fair
@@ -39,39 +42,43 @@
  * not the small ones behind it. Within an account, urgent ones go first.
  */
 export class ServiceQueue<R> {
-  readonly #items: Item<R>[] = [];
-  /** Virtual finish of the last request of each account with any waiting. */
-  readonly #lastFinish = new Map<string, number>();
+  readonly #flows = new Map<string, accountFlow.AccountFlow<Item<R>>>();
+  readonly #admissions: rateWindow.RateWindow;
+  readonly #now: () => number;
   #virtualTime = 0;
-  #admittedAt: number[] = [];
+  #length = 0;
 
   constructor(
-    readonly parameters: {
-      limit: () => number;
-      clock?: () => number;
-    },
-  ) {}
+    readonly parameters: { limit: () => number; clock?: () => number },
+  ) {
+    this.#now = parameters.clock ?? common.now;
+    this.#admissions = new rateWindow.RateWindow(
+      RATE_WINDOW_MILLISECONDS,
+      this.#now,
+    );
+  }
 
   /** Requests waiting. */
   get length(): number {
-    return this.#items.length;
+    return this.#length;
   }
 
   /** Estimated wait of a request that comes now, in milliseconds. */
   get estimatedWait(): number {
-    if (this.#items.length === 0) return 0;
-    const rate = this.#admissionRate();
-    return rate > 0 ? this.#items.length / rate : 0;
+    if (this.#length === 0) return 0;
+    const rate = this.#admissions.perMillisecond;
+    return rate > 0 ? this.#length / rate : 0;
   }
 
   /** Waits for a runner, or refuses at once what cannot be served in time. */
   enter(waiting: Waiting<R>): Promise<QueueOutcome<R>> | QueueOutcome<R> {
-    if (this.#items.length === 0) {
+    if (waiting.signal.aborted) return { kind: "caller-gone" };
+    if (this.#length === 0) {
       const runner = waiting.take();
       if (runner !== undefined) return this.#admit(runner, 0);
     }
-    if (this.#items.length >= this.parameters.limit()) return { kind: "full" };
-    const waitMilliseconds = this.estimatedWait;
+    if (this.#length >= this.parameters.limit()) return { kind: "full" };
+    const waitMilliseconds = this.#expectedWait(waiting);
     if (this.#now() + waitMilliseconds > waiting.deadline) {
       return { kind: "too-late", waitMilliseconds };
     }
@@ -80,22 +87,46 @@
 
   /** Admits as many as find a runner; refuses those past their deadline. */
   pump(): void {
+    if (this.#length === 0) return;
     this.#dropExpired();
-    while (this.#items.length > 0) {
-      const item = this.#items[0];
-      const runner = item.take();
-      if (runner === undefined) return;
-      this.#items.shift();
-      this.#virtualTime = item.finish;
-      const waited = this.#now() - item.queuedAt;
-      item.settle(this.#admit(runner, waited));
+    while (this.#admitNext());
+  }
+
+  /**
+   * Under fair queueing an account waits for its own requests, and for as many
+   * of each other account that has any waiting.
+   */
+  #expectedWait(waiting: Waiting<R>): number {
+    const own = this.#flows.get(waiting.account)?.length ?? 0;
+    let ahead = 0;
+    for (const flow of this.#flows.values()) {
+      ahead += Math.min(flow.length, own + 1);
+    }
+    const rate = this.#admissions.perMillisecond;
+    return rate > 0 ? ahead / rate : 0;
+  }
+
+  /** Serves the account whose turn it is, or one of the next ones. */
+  #admitNext(): boolean {
+    const flows = [...this.#flows.values()]
+      .filter((flow) => flow.length > 0)
+      .sort((left, right) => left.start - right.start);
+    for (const flow of flows.slice(0, LOOK_PAST)) {
+      const item = flow.head;
+      const runner = item?.take();
+      if (!item || runner === undefined) continue;
+      this.#leave(flow, item);
+      this.#virtualTime = Math.max(this.#virtualTime, flow.start);
+      const scale = Math.pow(2, (item.urgency - MIDDLE_URGENCY) / 2);
+      flow.start += (item.cost * scale) / item.weight;
+      item.settle(this.#admit(runner, this.#now() - item.queuedAt));
+      return true;
     }
-    this.#lastFinish.clear();
-    this.#virtualTime = 0;
+    return false;
   }
 
   #admit(runner: R, waitedMilliseconds: number): QueueOutcome<R> {
-    this.#admittedAt.push(this.#now());
+    this.#admissions.count();
     return { kind: "admitted", runner, waitedMilliseconds };
   }
 
@@ -103,61 +134,46 @@
     waiting: Waiting<R>,
     resolve: (outcome: QueueOutcome<R>) => void,
   ): void {
-    const last = this.#lastFinish.get(waiting.account) ?? this.#virtualTime;
-    const start = Math.max(last, this.#virtualTime);
-    // Urgency scales the cost: each step down from the middle counts for more.
-    const scale = Math.pow(2, (waiting.urgency - 3) / 2);
-    const finish = start + (waiting.cost * scale) / waiting.weight;
-    this.#lastFinish.set(waiting.account, finish);
-    const leave = () => {
-      const index = this.#items.indexOf(item);
-      if (index >= 0) this.#items.splice(index, 1);
-      item.settle({ kind: "caller-gone" });
+    const { account } = waiting;
+    const flow =
+      this.#flows.get(account) ??
+      new accountFlow.AccountFlow(this.#virtualTime);
+    this.#flows.set(account, flow);
+    // An account that was away does not save up turns.
+    if (flow.length === 0) flow.start = Math.max(flow.start, this.#virtualTime);
+    const onGone = () => {
+      if (this.#leave(flow, item)) item.settle({ kind: "caller-gone" });
     };
     const item: Item<R> = {
       ...waiting,
-      finish,
       queuedAt: this.#now(),
       settle: (outcome) => {
-        waiting.signal.removeEventListener("abort", leave);
+        waiting.signal.removeEventListener("abort", onGone);
         resolve(outcome);
       },
     };
-    waiting.signal.addEventListener("abort", leave, { once: true });
-    this.#items.splice(this.#position(finish), 0, item);
+    waiting.signal.addEventListener("abort", onGone, { once: true });
+    flow.add(item);
+    this.#length++;
   }
 
-  /** Index of the first item that finishes later. */
-  #position(finish: number): number {
-    let low = 0;
-    let high = this.#items.length;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      if (this.#items[middle].finish <= finish) low = middle + 1;
-      else high = middle;
-    }
-    return low;
+  #leave(flow: accountFlow.AccountFlow<Item<R>>, item: Item<R>): boolean {
+    if (!flow.remove(item)) return false;
+    this.#length--;
+    return true;
   }
 
   #dropExpired(): void {
     const now = this.#now();
-    for (let index = this.#items.length - 1; index >= 0; index--) {
-      const item = this.#items[index];
-      if (item.deadline > now) continue;
-      this.#items.splice(index, 1);
-      const waitMilliseconds = now - item.queuedAt;
-      item.settle({ kind: "too-late", waitMilliseconds });
+    for (const [account, flow] of this.#flows) {
+      const late = flow.items.filter((item) => item.deadline <= now);
+      for (const item of late) {
+        this.#leave(flow, item);
+        const waitMilliseconds = now - item.queuedAt;
+        item.settle({ kind: "too-late", waitMilliseconds });
+      }
+      const idle = flow.length === 0 && flow.start <= this.#virtualTime;
+      if (idle) this.#flows.delete(account);
     }
   }
-
-  /** Admissions per millisecond over the last seconds. */
-  #admissionRate(): number {
-    const since = this.#now() - RATE_WINDOW_MILLISECONDS;
-    this.#admittedAt = this.#admittedAt.filter((time) => time > since);
-    return this.#admittedAt.length / RATE_WINDOW_MILLISECONDS;
-  }
-
-  #now(): number {
-    return (this.parameters.clock ?? common.now)();
-  }
 }
--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -58,6 +58,7 @@
   /** The upstream process's clock as last heard, never extrapolated. */
   #agentClock = 0;
   #question = 0;
+  #stopped = false;
   readonly #questions = new Map<number, (message: wire.Message) => void>();
 
   constructor(
@@ -138,6 +139,7 @@
       else await common.sleep(backOff.pause(), signal);
     }
     clearInterval(watch);
+    this.#stopped = true;
     this.#giveUpAll({ kind: outgoingAttempt.AttemptEventKind.Unreachable });
   }
 
@@ -150,6 +152,14 @@
       attempt,
       dispatch.window,
     );
+    if (this.#stopped) {
+      // The runner was dropped between its choice and now: nothing is sent, and
+      // nothing would ever be heard.
+      const kind = outgoingAttempt.AttemptEventKind.Settled;
+      const state = wire.AttemptState.NeverStarted;
+      outgoing.events.push({ kind, state });
+      return outgoing;
+    }
     this.attempts.set(attempt.identifier, outgoing);
     this.#dispatches++;
     const { promptTokens } = dispatch;
--- a/packages/daemon/src/routing/router.ts
+++ b/packages/daemon/src/routing/router.ts
@@ -84,8 +84,18 @@
       .some((runner) => runner.available);
   }
 
-  /** A runner with room now, or `undefined`. */
+  /**
+   * A runner with room now, or `undefined`. Runners that refused the request are
+   * taken only if there is no other: with few runners, leaving them out for good
+   * would have the request, and all behind it, wait until its deadline.
+   */
   choose(request: RoutingRequest): runnerLink.RunnerLink | undefined {
+    const chosen = this.#chooseOnce(request);
+    if (chosen || request.excluded.size === 0) return chosen;
+    return this.#chooseOnce({ ...request, excluded: new Set() });
+  }
+
+  #chooseOnce(request: RoutingRequest): runnerLink.RunnerLink | undefined {
     const runners = this.parameters.runners.ofService(request.service);
     const groups = new Map<string, runnerLink.RunnerLink[]>();
     for (const runner of runners) {
--- /dev/null
+++ b/packages/stand_ins/src/checkers/check_expert_map.ts
@@ -0,0 +1,24 @@
+import type * as historyModule from "./history.ts";
+
+/** In every step all ranks of a group use one expert map. */
+export function checkOneMap(
+  history: historyModule.History,
+): historyModule.Violation[] {
+  const changes = [...history.mapUses].sort(
+    (left, right) => left.step - right.step,
+  );
+  const inUse = new Map<number, number>();
+  const violations: historyModule.Violation[] = [];
+  changes.forEach((change, index) => {
+    inUse.set(change.rank, change.version);
+    // A step is judged once all changes that begin with it are taken in.
+    if (changes[index + 1]?.step === change.step) return;
+    const versions = new Set(inUse.values());
+    if (versions.size <= 1) return;
+    violations.push({
+      promise: "one expert map in every step",
+      detail: `step ${change.step}: versions ${[...versions].join(", ")}`,
+    });
+  });
+  return violations;
+}
--- /dev/null
+++ b/packages/stand_ins/src/checkers/checkers_test.ts
@@ -0,0 +1,106 @@
+import * as ava from "ava";
+import * as checkAll from "./check_all.ts";
+import * as checkAnswers from "./check_answers.ts";
+import * as checkConfiguration from "./check_configuration.ts";
+import * as checkExpertMap from "./check_expert_map.ts";
+import * as checkLeaving from "./check_leaving.ts";
+import * as historyModule from "./history.ts";
+
+const test = ava.default;
+
+/** A history in which every promise was kept. */
+function soundHistory(): historyModule.History {
+  return {
+    calls: [
+      call({ work: "a", outcome: "whole" }),
+      call({ work: "b", outcome: "not-run" }),
+      call({ work: "c", outcome: "may-have-run", repeatable: false }),
+    ],
+    starts: new Map([
+      ["a", 2],
+      ["c", 1],
+    ]),
+    mapUses: [
+      { rank: 0, step: 0, version: 1 },
+      { rank: 1, step: 0, version: 1 },
+      { rank: 0, step: 9, version: 2 },
+      { rank: 1, step: 9, version: 2 },
+    ],
+    workStarts: [{ host: "up", at: 1_000 }],
+    leavings: [{ host: "up", at: 500 }],
+    inForce: [
+      { process: "e1", revision: 1, at: 0 },
+      { process: "e1", revision: 3, at: 5 },
+      { process: "e2", revision: 3, at: 6 },
+    ],
+    accepted: [{ revision: 3, at: 4 }],
+    final: [{ process: "e1", revision: 3 }],
+  };
+}
+
+function call(
+  change: Partial<historyModule.CallRecord>,
+): historyModule.CallRecord {
+  return {
+    work: "x",
+    repeatable: true,
+    outcome: "whole",
+    detail: "",
+    duringPlannedStopOnly: false,
+    ...change,
+  };
+}
+
+test("a sound history has no violation", (t) => {
+  t.deepEqual(checkAll.checkAll(soundHistory()), []);
+});
+
+test("an answer that is not the caller's own is found", (t) => {
+  const history = soundHistory();
+  history.calls.push(call({ work: "d", outcome: "wrong" }));
+  t.is(checkAnswers.checkWholeAnswers(history).length, 1);
+});
+
+test("a request told not run that ran is found", (t) => {
+  const history = soundHistory();
+  history.starts.set("b", 1);
+  t.is(checkAnswers.checkNotRun(history).length, 1);
+});
+
+test("a non-repeatable request that ran twice is found", (t) => {
+  const history = soundHistory();
+  history.starts.set("c", 2);
+  t.is(checkAnswers.checkAtMostOnce(history).length, 1);
+});
+
+test("a request cut off by a planned stop is found", (t) => {
+  const history = soundHistory();
+  const duringPlannedStopOnly = true;
+  history.calls.push(call({ outcome: "broken", duringPlannedStopOnly }));
+  t.is(checkAnswers.checkPlannedStops(history).length, 1);
+});
+
+test("a step with two maps is found", (t) => {
+  const history = soundHistory();
+  history.mapUses[3].step = 10;
+  const [violation] = checkExpertMap.checkOneMap(history);
+  t.regex(violation.detail, /step 9/);
+});
+
+test("work for a host long gone is found", (t) => {
+  const history = soundHistory();
+  history.workStarts.push({ host: "up", at: 9_000 });
+  t.is(checkLeaving.checkLeaving(history).length, 1);
+});
+
+test("a process that goes back in revision is found", (t) => {
+  const history = soundHistory();
+  history.inForce.push({ process: "e1", revision: 2, at: 9 });
+  t.is(checkConfiguration.checkNoRevert(history).length, 1);
+});
+
+test("a process that never gets an accepted revision is found", (t) => {
+  const history = soundHistory();
+  history.final.push({ process: "e2", revision: 1 });
+  t.is(checkConfiguration.checkInForceEverywhere(history).length, 1);
+});
--- a/packages/stand_ins/src/engine_group.ts
+++ b/packages/stand_ins/src/engine_group.ts
@@ -79,6 +79,10 @@
     dropCacheEvents: 0,
   };
   step = 0;
+  /** Called when a rank's engine starts a sequence. */
+  onStart: ((rank: number, call: engine.GenerateCall) => void) | undefined;
+  /** Called when a rank uses another map from a step on. */
+  onMapUse: ((rank: number, step: number, version: number) => void) | undefined;
   readonly #abort = new AbortController();
   #running: Promise<void> | undefined;
 
--- a/packages/stand_ins/src/engine_rank.ts
+++ b/packages/stand_ins/src/engine_rank.ts
@@ -97,6 +97,8 @@
   /** Takes a new sequence. */
   add(call: engine.GenerateCall): sequence.Sequence {
     const { identifier } = call;
+    const { group, rank } = this.parameters;
+    group.onStart?.(rank, call);
     this.starts.set(identifier, (this.starts.get(identifier) ?? 0) + 1);
     const hit = this.#touchCache(call.prompt);
     const added = new sequence.Sequence(call, hit);
@@ -124,7 +126,9 @@
   applyStaged(): void {
     if (this.staged) {
       this.map = this.staged;
-      if (this.parameters.rank === 0) this.parameters.group.history.switches++;
+      const { group, rank } = this.parameters;
+      group.onMapUse?.(rank, group.step, this.map.version);
+      if (rank === 0) group.history.switches++;
     }
     this.staged = undefined;
     this.armed = undefined;
--- a/packages/stand_ins/src/load/caller.ts
+++ b/packages/stand_ins/src/load/caller.ts
@@ -66,7 +66,14 @@
     path: string,
     call: string,
   ): Promise<CallReport> {
-    return this.#persist((url) => this.#confirmOnce(url, service, path, call));
+    return this.#persist((url) =>
+      this.#callOnce(url, service, path, call, { "idempotency-key": call }),
+    );
+  }
+
+  /** Makes a plain call without a key. */
+  async call(service: string, path: string, call: string): Promise<CallReport> {
+    return this.#persist((url) => this.#callOnce(url, service, path, call, {}));
   }
 
   async #persist(
@@ -113,11 +120,12 @@
     }
   }
 
-  async #confirmOnce(
+  async #callOnce(
     url: string,
     service: string,
     path: string,
     call: string,
+    headers: Record<string, string>,
   ): Promise<CallReport & { pause?: number }> {
     const report = emptyReport();
     try {
@@ -127,7 +135,7 @@
         headers: {
           authorization: `Bearer ${this.parameters.key}`,
           "x-call": call,
-          "idempotency-key": call,
+          ...headers,
         },
         body: JSON.stringify({ call }),
       });
--- a/packages/stand_ins/src/plain_stand_in.ts
+++ b/packages/stand_ins/src/plain_stand_in.ts
@@ -16,6 +16,8 @@
   /** Times each call was run, by its `x-call` header. */
   calls: Map<string, number>;
   faults: PlainFaults;
+  /** Called when a call starts to count. */
+  onCall: ((call: string) => void) | undefined;
 }
 
 /** Starts a plain service that counts its calls by their `x-call` header. */
@@ -23,9 +25,16 @@
   const calls = new Map<string, number>();
   const faults = { delayMilliseconds: 0, breakAnswers: 0, dropCalls: 0 };
   const serving = await serveModule.serveHandler((request, response) => {
-    void answer({ request, response, calls, faults });
+    const onCall = (call: string) => standIn.onCall?.(call);
+    void answer({ request, response, calls, faults, onCall });
   }, port);
-  return { ...serving, calls, faults };
+  const standIn: PlainStandIn = {
+    ...serving,
+    calls,
+    faults,
+    onCall: undefined,
+  };
+  return standIn;
 }
 
 async function answer(parameters: {
@@ -33,8 +42,9 @@
   response: http.ServerResponse;
   calls: Map<string, number>;
   faults: PlainFaults;
+  onCall: (call: string) => void;
 }): Promise<void> {
-  const { request, response, calls, faults } = parameters;
+  const { request, response, calls, faults, onCall } = parameters;
   const chunks: Buffer[] = [];
   try {
     for await (const chunk of request) chunks.push(chunk as Buffer);
@@ -58,6 +68,7 @@
   }
   const call = String(request.headers["x-call"] ?? "");
   calls.set(call, (calls.get(call) ?? 0) + 1);
+  onCall(call);
   if (faults.delayMilliseconds > 0)
     await common.sleep(faults.delayMilliseconds);
   const echoed = { call, method: request.method, url: request.url };
--- a/packages/stand_ins/src/testing/cluster.ts
+++ b/packages/stand_ins/src/testing/cluster.ts
@@ -7,6 +7,7 @@
 import * as engineStandIn from "../engine_stand_in.ts";
 import * as plainStandIn from "../plain_stand_in.ts";
 import * as platformStandIn from "../platform_stand_in.ts";
+import * as tcpProxy from "./tcp_proxy.ts";
 import * as testConfiguration from "./test_configuration.ts";
 
 /** Size and options of an in-process cluster. */
@@ -20,6 +21,8 @@
   configuration: testConfiguration.DocumentInput;
   timing: Partial<daemon.Timing>;
   seed: number;
+  /** Puts a proxy before the links of every process. */
+  proxied: boolean;
 }
 
 /** A started process with its settings and its recorded events. */
@@ -28,6 +31,8 @@
   running: daemon.RunningProcess;
   logger: common.RecordingLogger;
   host: platform.Host;
+  /** Path by which others reach its links, if there is one. */
+  proxy: tcpProxy.TcpProxy | undefined;
 }
 
 const REGION = "region-one";
@@ -54,6 +59,7 @@
   readonly upstreams: ClusterProcess[] = [];
   readonly history: common.HistoryEntry[] = [];
   readonly #options: ClusterOptions;
+  #started = 0;
 
   private constructor(
     options: ClusterOptions,
@@ -76,6 +82,7 @@
       configuration: testConfiguration.testConfiguration(),
       timing: {},
       seed: 1,
+      proxied: false,
       ...change,
     };
     const engine = await engineStandIn.startEngine({
@@ -202,9 +209,11 @@
   async addEntry(
     name = `entry-${this.entries.length}`,
   ): Promise<ClusterProcess> {
+    const proxy = await this.#newProxy();
     const settings: daemon.EntrySettings = daemon.ENTRY_SETTINGS.parse({
       ...this.#common(name, this.entries.length),
       role: daemon.Role.Entry,
+      advertise: proxy ? { linkUrl: proxy.url } : {},
       platform: { url: this.platform.url },
       listen: {
         callers: { port: 0 },
@@ -215,14 +224,16 @@
     const logger = new common.RecordingLogger();
     const started = await daemon.startEntry({
       settings,
-      ...this.#tools(logger),
+      ...this.#tools(name, logger),
     });
     const running = started._unsafeUnwrap();
+    if (proxy) proxy.target = portOf(running);
     const host = {
       ...this.#hostOf(name, settings.place, platform.HostRole.Entry, running),
+      ...(proxy && { linkUrl: proxy.url }),
       callerUrl: running.urls.callers,
     };
-    const entry = { name, running, logger, host };
+    const entry = { name, running, logger, host, proxy };
     this.entries.push(entry);
     this.publish();
     return entry;
@@ -244,17 +255,20 @@
     const logger = new common.RecordingLogger();
     const started = await daemon.startUpstream({
       settings,
-      ...this.#tools(logger),
+      ...this.#tools(name, logger),
     });
     const running = started._unsafeUnwrap();
     const group = "group" in backEnd ? backEnd.group : "";
     const { Upstream } = platform.HostRole;
+    const proxy = await this.#newProxy();
+    if (proxy) proxy.target = portOf(running);
     const host = {
       ...this.#hostOf(name, settings.place, Upstream, running),
+      ...(proxy && { linkUrl: proxy.url }),
       service,
       group,
     };
-    const upstream = { name, running, logger, host };
+    const upstream = { name, running, logger, host, proxy };
     this.upstreams.push(upstream);
     this.publish();
     return upstream;
@@ -272,6 +286,13 @@
     });
   }
 
+  /** Starts the upstream process of a plain runner. */
+  addPlain(index: number): Promise<ClusterProcess> {
+    const kind = daemon.BackEndKind.Plain;
+    const backEnd = { kind, url: this.plain.url } as const;
+    return this.addUpstream(`plain-${index}`, "plain", backEnd);
+  }
+
   /** Stops a process at once, as a death would, and takes it off the list. */
   async kill(process: ClusterProcess, listed = false): Promise<void> {
     for (const list of [this.entries, this.upstreams]) {
@@ -280,6 +301,7 @@
     }
     if (!listed) this.publish();
     await process.running.stop();
+    await process.proxy?.close();
   }
 
   /** Publishes the host list as it is now. */
@@ -306,6 +328,7 @@
   async close(): Promise<void> {
     const all = [...this.entries, ...this.upstreams];
     await Promise.all(all.map(({ running }) => running.stop()));
+    await Promise.all(all.map(({ proxy }) => proxy?.close()));
     await this.engine.close();
     await this.plain.close();
     await this.platform.close();
@@ -315,9 +338,7 @@
     const { entries, ranks, plainRunners } = this.#options;
     for (let rank = 0; rank < ranks; rank++) await this.addRank(rank);
     for (let index = 0; index < plainRunners; index++) {
-      const kind = daemon.BackEndKind.Plain;
-      const backEnd = { kind, url: this.plain.url } as const;
-      await this.addUpstream(`plain-${index}`, "plain", backEnd);
+      await this.addPlain(index);
     }
     for (let index = 0; index < entries; index++) await this.addEntry();
     const applied = await this.operate("PUT", "/admin/v1/configuration", {
@@ -355,14 +376,23 @@
     };
   }
 
-  #tools(logger: common.Logger): {
+  async #newProxy(): Promise<tcpProxy.TcpProxy | undefined> {
+    return this.#options.proxied ? tcpProxy.TcpProxy.start() : undefined;
+  }
+
+  #tools(
+    name: string,
+    logger: common.Logger,
+  ): {
     logger: common.Logger;
     metrics: common.Metrics;
     history: common.HistoryRecorder;
   } {
     const metrics = common.discardMetrics();
+    // A replacement under the same name is another process.
+    const process = `${name}#${++this.#started}`;
     const record = (entry: common.HistoryEntry) =>
-      void this.history.push({ ...entry, at: common.now() });
+      void this.history.push({ ...entry, process, at: common.now() });
     return { logger, metrics, history: { record } };
   }
 
@@ -386,6 +416,10 @@
   }
 }
 
+function portOf(running: daemon.RunningProcess): number {
+  return Number(new URL(running.urls.links).port);
+}
+
 /** Text of an answer, streamed or whole; empty for a problem document. */
 export function textOf(body: string, stream: boolean): string {
   if (!stream) {
