--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -118,6 +118,8 @@
     charged: boolean,
   ): boolean {
     if (attempts >= MOST_ATTEMPTS) return false;
+    // What was streamed of the body is gone; there is nothing to send again.
+    if (accepted.body) return false;
     const { service } = accepted;
     // Being turned away by a leaving runner cost nothing and is planned; paying
     // for it would refuse requests just because a host is taken out.
--- a/packages/daemon/src/dispatch/outgoing_attempt.ts
+++ b/packages/daemon/src/dispatch/outgoing_attempt.ts
@@ -1,4 +1,5 @@
 import * as common from "@geraniumkeel/common";
+import type * as bodySender from "./body_sender.ts";
 import * as wire from "@geraniumkeel/wire";
 
 /** Kinds of thing that happen to an attempt, as its request sees them. */
@@ -38,6 +39,7 @@
   constructor(
     readonly attempt: wire.Attempt,
     readonly window: number,
+    readonly body: bodySender.BodySender | undefined = undefined,
   ) {}
 
   /** Takes in the head of the answer; a repeated one after a resume is dropped. */
--- a/packages/daemon/src/dispatch/request.ts
+++ b/packages/daemon/src/dispatch/request.ts
@@ -1,4 +1,5 @@
 import type * as wire from "@geraniumkeel/wire";
+import type * as bodySender from "./body_sender.ts";
 import type * as runnerLink from "./runner_link.ts";
 
 /** A request accepted from a caller. */
@@ -22,6 +23,8 @@
   runnerConcurrency: number;
   /** Pieces that may be under way to the caller. */
   window: number;
+  /** Rest of a large body; it can be sent only once. */
+  body?: bodySender.BodySender;
 }
 
 /** How a request ended, as far as the caller must be told. */
--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -3,6 +3,7 @@
 import * as wire from "@geraniumkeel/wire";
 import * as listenModule from "../settings/listen.ts";
 import type * as settingsModule from "../settings/settings.ts";
+import type * as bodySender from "./body_sender.ts";
 import * as outgoingAttempt from "./outgoing_attempt.ts";
 
 const FIRST_PAUSE_MILLISECONDS = 50;
@@ -33,6 +34,8 @@
   window: number;
   work: wire.Work;
   promptTokens: number;
+  /** Rest of the request body, if the work says that it follows. */
+  body?: bodySender.BodySender;
 }
 
 /**
@@ -151,6 +154,7 @@
     const outgoing = new outgoingAttempt.OutgoingAttempt(
       attempt,
       dispatch.window,
+      dispatch.body,
     );
     if (this.#stopped) {
       // The runner was dropped between its choice and now: nothing is sent, and
@@ -173,6 +177,8 @@
       window: dispatch.window,
       work: dispatch.work,
     });
+    const send = (message: wire.Message) => this.#link?.send(message);
+    dispatch.body?.start(attempt.identifier, send);
     return outgoing;
   }
 
@@ -354,6 +360,8 @@
           message.offset,
           message.end,
         );
+      case wire.MessageKind.BodyWanted:
+        return this.#open(message.identifier)?.body?.want(message.index);
       case wire.MessageKind.Settled:
         return this.#settled(message);
       case wire.MessageKind.OrderAnswer:
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -117,12 +117,13 @@
     // Callers refused together must not come back together.
     return seconds * 1_000 * random.between(0.5, 1.5);
   };
+  const claims = new claimStore.ClaimStore({
+    table: parameters.table,
+    random,
+    patienceMilliseconds: timing.storePatience,
+  });
   const keyed = new keyedRequest.KeyedRequests({
-    claims: new claimStore.ClaimStore({
-      table: parameters.table,
-      random,
-      patienceMilliseconds: timing.storePatience,
-    }),
+    claims,
     runners,
     lifeCycle,
     logger,
@@ -160,6 +161,8 @@
       random,
       patienceMilliseconds: timing.storePatience,
     }),
+    claims,
+    table: parameters.table,
     hosts,
     members,
     peers,
--- a/packages/daemon/src/entry/entry_context.ts
+++ b/packages/daemon/src/entry/entry_context.ts
@@ -1,8 +1,10 @@
 import type * as common from "@geraniumkeel/common";
+import type * as platform from "@geraniumkeel/platform";
 import type * as accountLimits from "../admission/account_limits.ts";
 import type * as serviceQueue from "../admission/service_queue.ts";
 import type * as configurationKeeper from "../configuration/configuration_keeper.ts";
 import type * as configurationStore from "../configuration/configuration_store.ts";
+import type * as claimStore from "../dispatch/claim_store.ts";
 import type * as dispatcher from "../dispatch/dispatcher.ts";
 import type * as runnerDirectory from "../dispatch/runner_directory.ts";
 import type * as runnerLink from "../dispatch/runner_link.ts";
@@ -26,6 +28,8 @@
   random: common.Random;
   keeper: configurationKeeper.ConfigurationKeeper;
   store: configurationStore.ConfigurationStore;
+  claims: claimStore.ClaimStore;
+  table: platform.TableService;
   hosts: hostView.HostView;
   members: memberTable.MemberTable;
   peers: peerLinks.PeerLinks;
--- a/packages/daemon/src/entry/plain_handler.ts
+++ b/packages/daemon/src/entry/plain_handler.ts
@@ -3,6 +3,7 @@
 import * as configuration from "@geraniumkeel/configuration";
 import * as engine from "@geraniumkeel/engine";
 import * as wire from "@geraniumkeel/wire";
+import * as bodySender from "../dispatch/body_sender.ts";
 import * as request from "../dispatch/request.ts";
 import * as acceptWork from "./accept_work.ts";
 import * as callerConnection from "./caller_connection.ts";
@@ -16,6 +17,8 @@
 export const SERVICES_PREFIX = "/services/";
 /** Chunks of a body under way to one caller. */
 const WINDOW = 16;
+/** Bodies up to this size are read whole, and can be sent again. */
+const BUFFERED_BYTES = 256 * 1024;
 /** Headers that are ours and not the service's business. */
 const OWN_HEADERS = new Set([
   "authorization",
@@ -46,7 +49,13 @@
   if (terms.isErr()) {
     return problems.sendProblem(response, problems.invalidInput(terms.error));
   }
-  const body = await readBody.readBody(incoming, service.maximumBodyBytes);
+  const keyed = terms.value.idempotencyKey !== undefined;
+  const body = await readBody.readBeginning(
+    incoming,
+    // A key stands for the whole body, so all of it must be known.
+    keyed ? service.maximumBodyBytes : BUFFERED_BYTES,
+    service.maximumBodyBytes,
+  );
   if (body.isErr()) {
     const told = generateHandler.bodyProblem(body.error);
     return problems.sendProblem(response, told);
@@ -71,8 +80,10 @@
       method: incoming.method ?? "GET",
       path: target.path,
       headers: passedHeaders(incoming.rawHeaders),
-      body: body.value,
+      body: body.value.beginning,
+      bodyFollows: body.value.rest !== undefined,
     },
+    rest: body.value.rest,
   });
   response.setHeader("x-request-id", accepted.identifier);
   const sink = new plainSink.PlainSink(connection);
@@ -130,6 +141,7 @@
   terms: acceptWork.RequestTerms;
   signal: AbortSignal;
   work: wire.CallWork;
+  rest: AsyncIterator<Uint8Array> | undefined;
 }): request.AcceptedRequest {
   const { welcome, service, terms, work } = parameters;
   const configured = isRepeatable(service, work.method, work.path);
@@ -150,5 +162,6 @@
     prefixBlocks: [],
     runnerConcurrency: service.runnerConcurrency,
     window: WINDOW,
+    body: parameters.rest && new bodySender.BodySender(parameters.rest),
   };
 }
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -4,6 +4,8 @@
 import * as platform from "@geraniumkeel/platform";
 import * as wire from "@geraniumkeel/wire";
 import * as configurationSync from "../configuration/configuration_sync.ts";
+import * as claimRemoval from "../dispatch/claim_removal.ts";
+import * as leaseModule from "../lease/lease.ts";
 import * as describeEntry from "../operator/describe_entry.ts";
 import * as operatorServer from "../operator/operator_server.ts";
 import * as remoteOperations from "../operator/remote_operations.ts";
@@ -17,6 +19,7 @@
 
 const PUMP_MILLISECONDS = 50;
 const SWEEP_MILLISECONDS = 1_000;
+const CLAIM_REMOVAL_LEASE = "leases/claim-removal";
 
 /** Starts the process of an entry host. */
 export async function startEntry(parameters: {
@@ -133,6 +136,7 @@
   const { settings, logger, random, store, freshness, queues } = context;
   lifeCycle.run("host-list", (signal) => hosts.run(signal));
   lifeCycle.run("runners", (signal) => runners.run(signal));
+  lifeCycle.run("claim-removal", (signal) => removeClaims(context, signal));
   lifeCycle.run("coordinators", (signal) => context.coordinators.run(signal));
   lifeCycle.run("configuration", (signal) =>
     configurationSync.syncWithStore({
@@ -154,6 +158,32 @@
   lifeCycle.every(SWEEP_MILLISECONDS, () => context.limits.sweep());
 }
 
+function removeClaims(
+  context: entryContext.EntryContext,
+  signal: AbortSignal,
+): Promise<void> {
+  const { settings, claims, members, table, incarnation } = context;
+  const { claimRetention, claimRemovalPeriod } = settings.timing;
+  const { host } = settings;
+  return claimRemoval.removeOldClaims({
+    claims,
+    lease: new leaseModule.Lease({
+      table,
+      key: CLAIM_REMOVAL_LEASE,
+      host,
+      incarnation,
+      durationMilliseconds: 3 * claimRemovalPeriod,
+    }),
+    preferred: () => {
+      const alive = members.alive.map((member) => member.host);
+      return common.rendezvous(CLAIM_REMOVAL_LEASE, alive) === host;
+    },
+    retentionMilliseconds: claimRetention,
+    periodMilliseconds: claimRemovalPeriod,
+    signal,
+  });
+}
+
 /** Passes each newly adopted configuration on, and tells that it is in force. */
 async function followConfiguration(
   context: entryContext.EntryContext,
--- a/packages/daemon/src/expert_map/coordinators.ts
+++ b/packages/daemon/src/expert_map/coordinators.ts
@@ -5,7 +5,7 @@
 import type * as runnerDirectory from "../dispatch/runner_directory.ts";
 import type * as runnerLink from "../dispatch/runner_link.ts";
 import * as groupCoordinator from "./group_coordinator.ts";
-import * as groupLease from "./group_lease.ts";
+import * as leaseModule from "../lease/lease.ts";
 import type * as mapStore from "./map_store.ts";
 import type * as rankPort from "./rank_port.ts";
 
@@ -91,7 +91,7 @@
     const { table, maps, leaseMilliseconds } = this.parameters;
     return new groupCoordinator.GroupCoordinator({
       group,
-      lease: new groupLease.GroupLease({
+      lease: new leaseModule.Lease({
         table,
         key: `leases/group/${group}`,
         host,
--- a/packages/daemon/src/expert_map/group_coordinator.ts
+++ b/packages/daemon/src/expert_map/group_coordinator.ts
@@ -3,7 +3,7 @@
 import type * as wire from "@geraniumkeel/wire";
 import * as hourShape from "../placement/hour_shape.ts";
 import * as placementDecision from "../placement/placement_decision.ts";
-import type * as groupLease from "./group_lease.ts";
+import type * as leaseModule from "../lease/lease.ts";
 import * as groupTerm from "./group_term.ts";
 import * as inspectGroup from "./inspect_group.ts";
 import type * as mapStore from "./map_store.ts";
@@ -14,7 +14,7 @@
 /** What coordinating a group needs. */
 export interface GroupCoordinatorParameters {
   group: string;
-  lease: groupLease.GroupLease;
+  lease: leaseModule.Lease;
   maps: mapStore.MapStore;
   /** All ranks, or `undefined` while some are not linked. */
   ranks: () => rankPort.RankPort[] | undefined;
--- a/packages/daemon/src/expert_map/group_lease.ts
+++ b/packages/daemon/src/lease/lease.ts
@@ -10,12 +10,12 @@
 }
 
 /**
- * A lease in the table service. It avoids duels between coordinators; safety
- * never rests on it, but on the promises of the ranks. No clocks are compared:
+ * A lease in the table service. It avoids duels between holders of a duty;
+ * safety never rests on it. No clocks are compared:
  * a lease lapses for others when its row has not changed for its duration by
  * their own clocks, and for its holder a good deal earlier by its own.
  */
-export class GroupLease {
+export class Lease {
   #held: { fencing: number; revision: number; renewedAt: number } | undefined;
   /** The row as last seen of another holder, and since when. */
   #seen: { revision: number; at: number } | undefined;
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -101,6 +101,9 @@
   claimRetention: milliseconds(86_400_000).meta({
     description: "Time for which an idempotency key is remembered.",
   }),
+  claimRemovalPeriod: milliseconds(10_000).meta({
+    description: "Time between batches of claims removed.",
+  }),
   leaseDuration: milliseconds(3_000),
 });
 
--- a/packages/daemon/src/upstream/attempt_record.ts
+++ b/packages/daemon/src/upstream/attempt_record.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
 import * as answerSubscription from "./answer_subscription.ts";
+import * as bodyReceiver from "./body_receiver.ts";
 
 /** Bytes of one answer kept for an entry that is gone, before it is broken. */
 const LARGEST_KEPT_BYTES = 4 * 1024 * 1024;
@@ -21,6 +22,8 @@
   /** When its last subscriber was lost. */
   orphanedAt: number | undefined;
   readonly #subscriptions: answerSubscription.AnswerSubscription[] = [];
+  /** Rest of the request body, if it follows in pieces. */
+  readonly body: bodyReceiver.BodyReceiver;
   #head: wire.AnswerHead | undefined;
   #pieces: wire.AnswerPiece[] = [];
   /** Offset of the first piece kept. */
@@ -40,6 +43,7 @@
     this.#subscriptions.push(
       new answerSubscription.AnswerSubscription(subscriber, 0, window),
     );
+    this.body = new bodyReceiver.BodyReceiver((index) => this.#want(index));
   }
 
   /** How it ended, or `undefined` while it runs. */
@@ -114,6 +118,7 @@
       });
     }
     this.#sendHead(link);
+    this.#want(this.body.next);
     this.#scheduleFlush();
     this.#changed.announce();
   }
@@ -138,9 +143,18 @@
   /** Stops the work; its end is then reported by its task. */
   cancel(): void {
     this.abort.abort();
+    this.body.close();
     this.#changed.announce();
   }
 
+  #want(index: number): void {
+    const { identifier } = this.attempt;
+    const kind = wire.MessageKind.BodyWanted;
+    for (const { link } of this.#subscriptions) {
+      link.send({ kind, identifier, index });
+    }
+  }
+
   #subscriptionOf(
     link: wire.Link,
   ): answerSubscription.AnswerSubscription | undefined {
--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -93,6 +93,11 @@
     case wire.MessageKind.Release:
       context.table.records.get(message.identifier)?.release();
       return;
+    case wire.MessageKind.BodyPiece: {
+      const { identifier, index, bytes, ends } = message;
+      const record = context.table.records.get(identifier);
+      return record?.body.take(index, bytes, ends);
+    }
     case wire.MessageKind.Drain:
       return context.drain();
     case wire.MessageKind.StateRequest: {
--- a/packages/daemon/src/upstream/run_attempt.ts
+++ b/packages/daemon/src/upstream/run_attempt.ts
@@ -93,16 +93,19 @@
   work: wire.CallWork;
 }): Promise<void> {
   const { record, service, work } = parameters;
-  const answer = await service.call(work, record.abort.signal);
+  const { method, path, headers } = work;
+  const body = work.bodyFollows ? record.body.read(work.body) : work.body;
+  const call = { method, path, headers, body };
+  const answer = await service.call(call, record.abort.signal);
   if (answer.isErr()) {
     const { sent, reason } = answer.error;
     const kind = sent ? wire.EndKind.Broken : wire.EndKind.NotStarted;
     return record.finish({ kind, reason });
   }
-  const { status, headers, body } = answer.value;
-  record.setHead({ status, headers });
+  const { status } = answer.value;
+  record.setHead({ status, headers: answer.value.headers });
   try {
-    for await (const chunk of body) {
+    for await (const chunk of answer.value.body) {
       record.append(chunk);
       if (await record.room()) continue;
       return record.finish({ kind: wire.EndKind.Cancelled });
--- a/packages/engine/src/plain_service.ts
+++ b/packages/engine/src/plain_service.ts
@@ -1,3 +1,4 @@
+import * as stream from "node:stream";
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
 import * as httpFailure from "./http_failure.ts";
@@ -7,7 +8,8 @@
   method: string;
   path: string;
   headers: [string, string][];
-  body: Uint8Array;
+  /** The whole body, or the body as it arrives. */
+  body: Uint8Array | AsyncIterable<Uint8Array>;
 }
 
 /** Head of the answer and its body as it arrives. */
@@ -75,7 +77,7 @@
         method: call.method,
         dispatcher: this.#agent,
         headers: endToEndHeaders(call.headers).flat(),
-        body: call.body.byteLength > 0 ? Buffer.from(call.body) : undefined,
+        body: bodyOf(call.body),
         signal,
       });
       const headers = Object.entries(answer.headers).flatMap(
@@ -99,3 +101,8 @@
     await this.#agent.destroy();
   }
 }
+
+function bodyOf(body: PlainCall["body"]): Buffer | stream.Readable | undefined {
+  if (!(body instanceof Uint8Array)) return stream.Readable.from(body);
+  return body.byteLength > 0 ? Buffer.from(body) : undefined;
+}
--- a/packages/stand_ins/src/system/plain_test.ts
+++ b/packages/stand_ins/src/system/plain_test.ts
@@ -1,8 +1,25 @@
 import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
+import * as configuration from "@geraniumkeel/configuration";
+import * as tcpProxy from "../testing/tcp_proxy.ts";
+import * as testConfiguration from "../testing/test_configuration.ts";
 import * as withCluster from "../testing/with_cluster.ts";
 
 const test = ava.default;
 
+function largeBodies(): testConfiguration.DocumentInput {
+  const document = testConfiguration.testConfiguration();
+  const maximumBodyBytes = 16 * 1024 * 1024;
+  return {
+    ...document,
+    services: document.services.map((service) =>
+      service.kind === configuration.ServiceKind.Plain
+        ? { ...service, maximumBodyBytes }
+        : service,
+    ),
+  };
+}
+
 test(
   "a plain call is passed on and its answer returned",
   withCluster.withCluster({}, async (t, system) => {
@@ -26,6 +43,52 @@
   }),
 );
 
+test(
+  "a large body is streamed to the service, at the service's pace",
+  withCluster.withCluster(
+    { entries: 1, configuration: largeBodies() },
+    async (t, system) => {
+      const size = 5 * 1024 * 1024;
+      const body = "x".repeat(size);
+      const answer = await system.call({ path: "/confirm", call: "big", body });
+      t.is(answer.status, 200, answer.body);
+      t.is((JSON.parse(answer.body) as { received: number }).received, size);
+    },
+  ),
+);
+
+// The links to the runner go silent in the middle of a large body. The pieces
+// that were lost with them are sent again over new links, none twice, and the
+// service receives the whole body once.
+test(
+  "a large body survives links that go silent",
+  withCluster.withCluster(
+    { entries: 1, proxied: true, configuration: largeBodies() },
+    async (t, system) => {
+      const size = 6 * 1024 * 1024;
+      const runner = system.upstreams.find(({ name }) => name === "plain-0");
+      runner?.proxy?.delay(5);
+      const answering = system.call({
+        path: "/confirm",
+        call: "cut",
+        body: "y".repeat(size),
+      });
+      await system.until(() => runner?.running.unfinished() === 1);
+      runner?.proxy?.set(tcpProxy.ProxyMode.SilenceOpen);
+      await system.until(() =>
+        system.entries[0].logger.events.some(
+          ({ code }) => code === common.EventCode.LinkSilent,
+        ),
+      );
+      runner?.proxy?.set(tcpProxy.ProxyMode.Pass);
+      const answer = await answering;
+      t.is(answer.status, 200, answer.body);
+      t.is((JSON.parse(answer.body) as { received: number }).received, size);
+      t.is(system.plain.calls.get("cut"), 1);
+    },
+  ),
+);
+
 test(
   "a key used again gives the kept answer, and never another's",
   withCluster.withCluster({}, async (t, system) => {
--- a/packages/wire/src/attempt.ts
+++ b/packages/wire/src/attempt.ts
@@ -42,7 +42,10 @@
   method: string;
   path: string;
   headers: [string, string][];
+  /** The body, or its beginning. */
   body: Uint8Array;
+  /** Whether the rest of the body follows in pieces. */
+  bodyFollows: boolean;
 }
 
 /** The work of one request. */
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -13,6 +13,8 @@
   Cancel = 13,
   Settle = 14,
   Release = 15,
+  BodyPiece = 16,
+  BodyWanted = 17,
   Refused = 20,
   Head = 21,
   Pieces = 22,
@@ -61,6 +63,13 @@
   leaving: boolean;
 }
 
+/** Whether a request body goes on after a piece. */
+export enum BodyEnd {
+  None = 0,
+  End = 1,
+  Broken = 2,
+}
+
 /** Why an upstream process refused an attempt before it started. */
 export enum RefusalReason {
   Leaving = "leaving",
@@ -127,6 +136,21 @@
       question: number;
     }
   | { kind: MessageKind.Release; identifier: string }
+  | {
+      kind: MessageKind.BodyPiece;
+      identifier: string;
+      /** Number of the piece, from 0. */
+      index: number;
+      bytes: Uint8Array;
+      /** `End`: nothing follows. `Broken`: the caller's body broke off. */
+      ends: BodyEnd;
+    }
+  | {
+      kind: MessageKind.BodyWanted;
+      identifier: string;
+      /** All pieces before this one have arrived; this one is welcome. */
+      index: number;
+    }
   | {
       kind: MessageKind.Refused;
       identifier: string;
