feat: measurements of routing, admission, placement, switches, overhead, configuration, capacity

Cause: no figure stood behind any decision. Change: npm run measure with seven names; ranks report only their own experts, with places, instead of counts of all experts.

--- a/packages/daemon/src/expert_map/group_coordinator.ts
+++ b/packages/daemon/src/expert_map/group_coordinator.ts
@@ -143,8 +143,8 @@
     this.#shape.observe(load, now);
     const horizon = inForce.placement.horizonSeconds * 1_000;
     const forecast = this.#shape.forecast(now, horizon) ?? load;
-    const places = await this.#placesOf(view.version, load, ranks);
-    if (!places || !mayStart()) return true;
+    if (!mayStart()) return true;
+    const { places } = view;
     const decision = await placementDecision.decidePlacement({
       load: forecast,
       places,
@@ -196,19 +196,6 @@
     }
   }
 
-  /** Places of the map in force; before the first switch, experts in order. */
-  async #placesOf(
-    version: number,
-    load: number[][],
-    ranks: number,
-  ): Promise<wire.ExpertPlaces | undefined> {
-    const { maps, group } = this.parameters;
-    if (version >= VERSIONS_PER_TERM) {
-      return (await maps.read(group, version))?.places;
-    }
-    return load.map((layer) => layer.map((_, expert) => [expert % ranks]));
-  }
-
   #explain(decision: placementDecision.PlacementDecision): void {
     const { logger, group } = this.parameters;
     const { skewBefore, skewAfter, changes, megabytes } = decision;
--- a/packages/daemon/src/expert_map/inspect_group.ts
+++ b/packages/daemon/src/expert_map/inspect_group.ts
@@ -5,6 +5,8 @@
 export interface GroupView {
   /** Tokens by layer and expert since the last look. */
   tokens: number[][];
+  /** Ranks of each expert by layer, as the ranks themselves tell. */
+  places: wire.ExpertPlaces;
   /** Version in force; `undefined` when ranks differ, as in a switch. */
   version: number | undefined;
   /** Whether a rank holds although no switch is under way. */
@@ -21,17 +23,28 @@
   const states = replies.flatMap((reply) => (reply.done ? reply.state : []));
   if (states.length < sessions.length) return undefined;
   const versions = new Set(states.map(({ mapVersion }) => mapVersion));
+  const counts = states.map(({ expertTokens }) => expertTokens);
   return {
-    tokens: sumTokens(states.map(({ expertTokens }) => expertTokens)),
+    ...gather(counts),
     version: versions.size === 1 ? states[0].mapVersion : undefined,
     held: states.some(({ held }) => held),
   };
 }
 
-function sumTokens(counts: number[][][]): number[][] {
-  return counts[0].map((layer, index) =>
-    layer.map((_, expert) =>
-      counts.reduce((sum, one) => sum + one[index][expert], 0),
-    ),
-  );
+/** Puts together what each rank tells of its own experts. */
+function gather(
+  counts: wire.ExpertCount[][][],
+): Pick<GroupView, "tokens" | "places"> {
+  const layers = counts[0].length;
+  const tokens: number[][] = Array.from({ length: layers }, () => []);
+  const places: number[][][] = Array.from({ length: layers }, () => []);
+  counts.forEach((byLayer, rank) => {
+    byLayer.forEach((experts, layer) => {
+      for (const [expert, count] of experts) {
+        tokens[layer][expert] = (tokens[layer][expert] ?? 0) + count;
+        (places[layer][expert] ??= []).push(rank);
+      }
+    });
+  });
+  return { tokens, places };
 }
--- a/packages/daemon/src/operator/describe_entry.ts
+++ b/packages/daemon/src/operator/describe_entry.ts
@@ -65,6 +65,8 @@
     },
     members: members.all,
     peersLinked: peers.linked,
+    peerCounts: peers.counts,
+    runnerCounts: runners.all.flatMap((runner) => runner.counts ?? []),
     runners: runners.all.map((runner) => ({
       host: runner.host.name,
       linked: runner.linked,
--- a/packages/stand_ins/src/engine_group.ts
+++ b/packages/stand_ins/src/engine_group.ts
@@ -161,10 +161,11 @@
     });
     this.history.slowestSum += slowest;
     this.history.meanSum += sum / this.ranks.length;
-    for (const rank of this.ranks) {
+    this.ranks.forEach((rank, index) => {
       rank.lastStepMilliseconds = slowest;
-      this.load.count(rank.expertTokens, rank.stepTokens);
-    }
+      const { map, expertTokens: counts } = rank;
+      this.load.count({ counts, map, rank: index, groupTokens: tokens });
+    });
     return slowest;
   }
 
--- a/packages/stand_ins/src/engine_orders.ts
+++ b/packages/stand_ins/src/engine_orders.ts
@@ -79,7 +79,12 @@
 /** State with the expert counts since the last look, which start again. */
 function inspect(rank: engineRank.EngineRank): wire.RankState {
   const state = engineGroup.stateOf(rank);
-  const expertTokens = rank.expertTokens.map((layer) => [...layer]);
+  const own = rank.parameters.rank;
+  const expertTokens = rank.map.places.map((layer, index) =>
+    layer.flatMap((ranks, expert): wire.ExpertCount[] =>
+      ranks.includes(own) ? [[expert, rank.expertTokens[index][expert]]] : [],
+    ),
+  );
   for (const layer of rank.expertTokens) layer.fill(0);
   return { ...state, expertTokens };
 }
--- a/packages/stand_ins/src/expert_load.ts
+++ b/packages/stand_ins/src/expert_load.ts
@@ -77,11 +77,19 @@
     return share / this.model.layers;
   }
 
-  /** Adds the expert tokens of a step to a rank's counts. */
-  count(expertTokens: number[][], tokens: number): void {
-    this.#popularity.forEach((layer, index) => {
-      layer.forEach((popularity, expert) => {
-        expertTokens[index][expert] += tokens * popularity;
+  /** Adds a step of the group to the counts of the experts on a rank. */
+  count(parameters: {
+    counts: number[][];
+    map: wire.ExpertMap;
+    rank: number;
+    groupTokens: number;
+  }): void {
+    const { counts, map, rank, groupTokens } = parameters;
+    map.places.forEach((layer, index) => {
+      layer.forEach((ranks, expert) => {
+        if (!ranks.includes(rank)) return;
+        const popularity = this.#popularity[index][expert];
+        counts[index][expert] += (groupTokens * popularity) / ranks.length;
       });
     });
   }
--- /dev/null
+++ b/packages/stand_ins/src/measure/main.ts
@@ -0,0 +1,32 @@
+import * as commander from "commander";
+import * as measureAdmission from "./measure_admission.ts";
+import * as measureCapacity from "./measure_capacity.ts";
+import * as measureConfiguration from "./measure_configuration.ts";
+import * as measureOverhead from "./measure_overhead.ts";
+import * as measurePlacement from "./measure_placement.ts";
+import * as measureRouting from "./measure_routing.ts";
+import * as measureSwitch from "./measure_switch.ts";
+
+type Measurement = () => Promise<object> | object;
+
+const MEASUREMENTS: Record<string, Measurement> = {
+  admission: measureAdmission.measureAdmission,
+  capacity: measureCapacity.measureCapacity,
+  configuration: measureConfiguration.measureConfiguration,
+  overhead: measureOverhead.measureOverhead,
+  placement: measurePlacement.measurePlacement,
+  routing: measureRouting.measureRouting,
+  switch: measureSwitch.measureSwitch,
+};
+
+const program = new commander.Command("measure")
+  .description("measures one thing and prints its figures as JSON")
+  .addArgument(
+    new commander.Argument("<name>").choices(Object.keys(MEASUREMENTS)),
+  )
+  .parse();
+const [name] = program.args;
+const figures = await MEASUREMENTS[name]();
+process.stdout.write(`${JSON.stringify(figures, null, 2)}\n`);
+process.stdout.write(`${JSON.stringify(figures)}\n`);
+process.exit(0);
--- /dev/null
+++ b/packages/stand_ins/src/measure/measure_placement.ts
@@ -0,0 +1,169 @@
+import * as common from "@geraniumkeel/common";
+import * as fullRepack from "@geraniumkeel/daemon/placement/full_repack";
+import * as hourShape from "@geraniumkeel/daemon/placement/hour_shape";
+import * as planPlacement from "@geraniumkeel/daemon/placement/plan_placement";
+import * as rangePlacement from "./range_placement.ts";
+import * as statistics from "./statistics.ts";
+
+const SEEDS = 10;
+const KINDS = 3;
+const MEGABYTES_PER_EXPERT = 20;
+const PERIOD_MILLISECONDS = 120_000;
+
+/** Sizes of the placement measurement. */
+interface Size {
+  name: string;
+  ranks: number;
+  experts: number;
+  layers: number;
+  slots: number;
+  /** Plans in a day; in one day the mix of kinds turns once. */
+  periods: number;
+}
+
+const SIZES: Size[] = [
+  { name: "today", ranks: 16, experts: 32, layers: 4, slots: 3, periods: 30 },
+  {
+    name: "target",
+    ranks: 64,
+    experts: 256,
+    layers: 60,
+    slots: 5,
+    periods: 8,
+  },
+];
+
+/** How the next map is made. */
+type Planner = (
+  input: planPlacement.PlacementInput,
+  forecast: number[][],
+) => number[][][];
+
+interface Figures {
+  skew: number;
+  megabytes: number;
+  planMilliseconds: number;
+}
+
+/** Skew and megabytes by planner, over a drifting day. */
+export function measurePlacement(): Record<string, unknown> {
+  const result: Record<string, unknown> = {};
+  for (const size of SIZES) {
+    const planners: Record<string, Planner> = {
+      static: (input) => input.places,
+      "full repack each period": (input, load) =>
+        fullRepack.fullRepack({ ...input, load }),
+      "ranges by bids": (input, load) =>
+        rangePlacement.placeByBids({ ...input, load }),
+      "incremental, rate 0.5": incremental(0.5),
+      "incremental, rate 4": incremental(4),
+      "incremental, rate 16": incremental(16),
+    };
+    const figures: Record<string, unknown> = {};
+    for (const [name, planner] of Object.entries(planners)) {
+      const runs = Array.from({ length: SEEDS }, (_, seed) =>
+        runDay(size, planner, seed + 1),
+      );
+      figures[name] = {
+        skew: statistics.spread(runs.map((run) => run.skew)),
+        megabytes: statistics.spread(runs.map((run) => run.megabytes)),
+        planMilliseconds: statistics.spread(
+          runs.map((run) => run.planMilliseconds),
+        ),
+      };
+    }
+    result[size.name] = { ...size, planners: figures };
+  }
+  return result;
+}
+
+function incremental(exchangeRate: number): Planner {
+  return (input, load) =>
+    planPlacement.planPlacement({ ...input, load, exchangeRate }).places;
+}
+
+/** A drifting mix of kinds of request, planned for period by period. */
+function runDay(size: Size, planner: Planner, seed: number): Figures {
+  const random = new common.Random(seed);
+  const kinds = Array.from({ length: KINDS }, () => popularity(size, random));
+  const shape = new hourShape.HourShape();
+  // The first map was made for the first hour's load, as any operator would.
+  let places = fullRepack.fullRepack({
+    ...size,
+    load: loadAt(size, kinds, 0, random),
+  });
+  const skews: number[] = [];
+  const times: number[] = [];
+  let copies = 0;
+  for (let period = 1; period <= size.periods; period++) {
+    const load = loadAt(size, kinds, period, random);
+    skews.push(planPlacement.skewOf(load, places, size.ranks));
+    const wall = period * PERIOD_MILLISECONDS;
+    shape.observe(load, wall);
+    const forecast = shape.forecast(wall, PERIOD_MILLISECONDS) ?? load;
+    const input = inputOf(size, places, forecast);
+    const started = performance.now();
+    const next = planner(input, forecast);
+    times.push(performance.now() - started);
+    copies += fullRepack.copiesBetween(places, next);
+    places = next;
+  }
+  return {
+    skew: statistics.mean(skews),
+    megabytes: copies * MEGABYTES_PER_EXPERT,
+    planMilliseconds: statistics.quantile(times, 0.95),
+  };
+}
+
+function inputOf(
+  size: Size,
+  places: number[][][],
+  load: number[][],
+): planPlacement.PlacementInput {
+  return {
+    ranks: size.ranks,
+    slots: size.slots,
+    load,
+    places,
+    millisecondsPerToken: 0.4 / size.layers,
+    megabytesPerExpert: MEGABYTES_PER_EXPERT,
+    exchangeRate: 1,
+    horizonSeconds: 600,
+    megabytesLimit: 100_000,
+  };
+}
+
+function popularity(size: Size, random: common.Random): number[][] {
+  return Array.from({ length: size.layers }, () => {
+    const raw = Array.from({ length: size.experts }, () =>
+      Math.min(30, random.pareto(1, 1.5)),
+    );
+    const sum = raw.reduce((total, value) => total + value, 0);
+    return raw.map((value) => value / sum);
+  });
+}
+
+/** Tokens a second by layer and expert; the mix turns once in the day. */
+function loadAt(
+  size: Size,
+  kinds: number[][][],
+  period: number,
+  random: common.Random,
+): number[][] {
+  const phase = (2 * Math.PI * period) / size.periods;
+  const weights = kinds.map((_, kind) =>
+    Math.exp(Math.cos(phase + (2 * Math.PI * kind) / KINDS)),
+  );
+  const total = weights.reduce((sum, weight) => sum + weight, 0);
+  const tokens = 2_000;
+  return Array.from({ length: size.layers }, (_, layer) =>
+    Array.from({ length: size.experts }, (_, expert) => {
+      const share = kinds.reduce(
+        (sum, kind, index) =>
+          sum + (weights[index] / total) * kind[layer][expert],
+        0,
+      );
+      return tokens * share * random.between(0.95, 1.05);
+    }),
+  );
+}
--- /dev/null
+++ b/packages/stand_ins/src/measure/routing_model.ts
@@ -0,0 +1,291 @@
+import * as common from "@geraniumkeel/common";
+import * as chooseRank from "@geraniumkeel/daemon/routing/choose_rank";
+import * as stepCost from "@geraniumkeel/daemon/routing/step_cost";
+import * as statistics from "./statistics.ts";
+
+/** Ways to choose a rank. */
+export enum RoutingPolicy {
+  RoundRobin = "round robin",
+  Random = "random",
+  LeastOutstanding = "least outstanding",
+  TwoChoices = "two choices",
+  StepTime = "step time",
+  /** True costs and lengths, no lag, one chooser: the bound. */
+  PerfectInformation = "perfect information",
+}
+
+/** Workloads of the routing measurement. */
+export enum RoutingWorkload {
+  Ordinary = "ordinary day",
+  Surge = "hourly surge",
+  SlowRank = "one rank half as fast",
+}
+
+/** Figures of one run. */
+export interface RoutingFigures {
+  skew: number;
+  skew99: number;
+  stepMilliseconds: number;
+  firstTokenMilliseconds95: number;
+}
+
+interface Sequence {
+  promptLeft: number;
+  promptTokens: number;
+  generated: number;
+  length: number;
+  arrivedAt: number;
+  answered: boolean;
+}
+
+interface Rank {
+  sequences: Sequence[];
+  waiting: Sequence[];
+}
+
+/** What an entry believes of a rank: a report, and its own dispatches since. */
+interface Belief extends stepCost.RankWork {
+  outstanding: number;
+}
+
+const RANKS = 16;
+const ENTRIES = 7;
+const REPORT_MILLISECONDS = 50;
+const LENGTH_MILLISECONDS = 20_000;
+const SURGE_AT = 8_000;
+const SURGE_LENGTH = 2_000;
+const ORDINARY_PER_SECOND = 55;
+const SURGE_PER_SECOND = 300;
+const PREFILL_CHUNK = 512;
+const BATCH_LIMIT = 64;
+const COST = { constant: 6, sequence: 0.12, cached: 0.0012, prefill: 0.006 };
+
+/** A group in lock-step, entries that choose on reports, and arrivals. */
+export function runRouting(
+  policy: RoutingPolicy,
+  workload: RoutingWorkload,
+  seed: number,
+): RoutingFigures {
+  const random = new common.Random(seed);
+  const model = new RoutingModel(policy, workload, random);
+  return model.run();
+}
+
+class RoutingModel {
+  readonly #ranks: Rank[] = Array.from({ length: RANKS }, () => ({
+    sequences: [],
+    waiting: [],
+  }));
+  readonly #beliefs: Belief[][];
+  readonly #costs: stepCost.StepCost[];
+  readonly #skews: number[] = [];
+  readonly #steps: number[] = [];
+  readonly #firstTokens: number[] = [];
+  #now = 0;
+  #nextArrival = 0;
+  #nextReport = 0;
+  #turn = 0;
+
+  constructor(
+    readonly policy: RoutingPolicy,
+    readonly workload: RoutingWorkload,
+    readonly random: common.Random,
+  ) {
+    this.#beliefs = Array.from({ length: ENTRIES }, () =>
+      this.#ranks.map(() => noBelief()),
+    );
+    this.#costs = this.#beliefs.map(() => new stepCost.StepCost());
+  }
+
+  run(): RoutingFigures {
+    while (this.#now < LENGTH_MILLISECONDS) {
+      const times = this.#ranks.map((rank, index) => this.#timeOf(rank, index));
+      const slowest = Math.max(...times);
+      const busy = this.#ranks.some((rank) => rank.sequences.length > 0);
+      if (busy) {
+        this.#skews.push(slowest / statistics.mean(times));
+        this.#steps.push(slowest);
+      }
+      this.#observe(times);
+      this.#arrivals(this.#now + slowest);
+      this.#now += slowest;
+      for (const rank of this.#ranks) this.#step(rank);
+      this.#report();
+    }
+    return {
+      skew: statistics.mean(this.#skews),
+      skew99: statistics.quantile(this.#skews, 0.99),
+      stepMilliseconds: statistics.mean(this.#steps),
+      firstTokenMilliseconds95: statistics.quantile(this.#firstTokens, 0.95),
+    };
+  }
+
+  #timeOf(rank: Rank, index: number): number {
+    const work = workOf(rank);
+    const prefill = Math.min(PREFILL_CHUNK, work.prefillTokens);
+    const time =
+      COST.constant +
+      COST.sequence * work.sequences +
+      COST.cached * work.cachedTokens +
+      COST.prefill * prefill;
+    const slow = this.workload === RoutingWorkload.SlowRank && index === 3;
+    return slow ? 2 * time : time;
+  }
+
+  /** Every entry hears rank times now and then, and fits its own cost. */
+  #observe(times: number[]): void {
+    if (this.#now < this.#nextReport) return;
+    this.#costs.forEach((cost) =>
+      times.forEach((time, rank) =>
+        cost.observe(rank, workOf(this.#ranks[rank]), time),
+      ),
+    );
+  }
+
+  #report(): void {
+    if (this.#now < this.#nextReport) return;
+    this.#nextReport = this.#now + REPORT_MILLISECONDS;
+    for (const beliefs of this.#beliefs) {
+      beliefs.forEach((belief, index) => {
+        const rank = this.#ranks[index];
+        Object.assign(belief, workOf(rank));
+        belief.outstanding = rank.sequences.length + rank.waiting.length;
+      });
+    }
+  }
+
+  #arrivals(until: number): void {
+    while (this.#nextArrival < until) {
+      this.#arrive(this.#nextArrival);
+      this.#nextArrival += this.random.exponential(1_000 / this.#rate());
+    }
+  }
+
+  #rate(): number {
+    const surge =
+      this.workload === RoutingWorkload.Surge &&
+      this.#nextArrival >= SURGE_AT &&
+      this.#nextArrival < SURGE_AT + SURGE_LENGTH;
+    return surge ? SURGE_PER_SECOND : ORDINARY_PER_SECOND;
+  }
+
+  #arrive(arrivedAt: number): void {
+    const promptTokens = Math.min(
+      4_000,
+      Math.round(this.random.pareto(60, 1.3)),
+    );
+    const length = Math.min(800, Math.round(this.random.pareto(30, 1.4)));
+    const sequence: Sequence = {
+      promptLeft: promptTokens,
+      promptTokens,
+      generated: 0,
+      length,
+      arrivedAt,
+      answered: false,
+    };
+    const entry = this.random.below(ENTRIES);
+    const rank = this.#choose(entry, sequence);
+    const belief = this.#beliefs[entry][rank];
+    belief.sequences++;
+    belief.outstanding++;
+    belief.cachedTokens += promptTokens;
+    belief.prefillTokens += promptTokens;
+    this.#ranks[rank].waiting.push(sequence);
+  }
+
+  #choose(entry: number, sequence: Sequence): number {
+    const beliefs = this.#beliefs[entry];
+    switch (this.policy) {
+      case RoutingPolicy.RoundRobin:
+        return this.#turn++ % RANKS;
+      case RoutingPolicy.Random:
+        return this.random.below(RANKS);
+      case RoutingPolicy.LeastOutstanding:
+        return lowest(beliefs.map((belief) => belief.outstanding));
+      case RoutingPolicy.TwoChoices: {
+        const first = this.random.below(RANKS);
+        const second = this.random.below(RANKS);
+        const better =
+          beliefs[first].outstanding <= beliefs[second].outstanding;
+        return better ? first : second;
+      }
+      case RoutingPolicy.StepTime:
+        return this.#chooseByStepTime(entry, sequence);
+      case RoutingPolicy.PerfectInformation:
+        return this.#choosePerfectly();
+    }
+  }
+
+  #chooseByStepTime(entry: number, sequence: Sequence): number {
+    const candidates = this.#beliefs[entry].map((work, rank) => ({
+      rank,
+      work,
+      eligible: true,
+      prefixTokens: 0,
+      distanceMilliseconds: 0,
+    }));
+    const size = { promptTokens: sequence.promptTokens, expectedTokens: 80 };
+    const cost = this.#costs[entry];
+    const { random } = this;
+    const choice = chooseRank.chooseRank({ candidates, cost, size, random });
+    return choice?.index ?? 0;
+  }
+
+  /** Least work left in truth: what is in the batch, to its known end. */
+  #choosePerfectly(): number {
+    return lowest(
+      this.#ranks.map((rank, index) => {
+        const all = [...rank.sequences, ...rank.waiting];
+        const time = this.#timeOf({ sequences: all, waiting: [] }, index);
+        const left = all.reduce(
+          (sum, one) => sum + one.length - one.generated,
+          0,
+        );
+        return time + left * 1e-4;
+      }),
+    );
+  }
+
+  #step(rank: Rank): void {
+    while (rank.sequences.length < BATCH_LIMIT && rank.waiting.length > 0) {
+      const next = rank.waiting.shift();
+      if (next) rank.sequences.push(next);
+    }
+    let budget = PREFILL_CHUNK;
+    for (const one of rank.sequences) {
+      if (one.promptLeft > 0) {
+        const done = Math.min(budget, one.promptLeft);
+        one.promptLeft -= done;
+        budget -= done;
+        continue;
+      }
+      one.generated++;
+      if (one.answered) continue;
+      one.answered = true;
+      this.#firstTokens.push(this.#now - one.arrivedAt);
+    }
+    rank.sequences = rank.sequences.filter((one) => one.generated < one.length);
+  }
+}
+
+function workOf(rank: Rank): stepCost.RankWork {
+  let cachedTokens = 0;
+  let prefillTokens = 0;
+  for (const one of rank.sequences) {
+    cachedTokens += one.promptTokens - one.promptLeft + one.generated;
+    prefillTokens += one.promptLeft;
+  }
+  return { sequences: rank.sequences.length, cachedTokens, prefillTokens };
+}
+
+function noBelief(): Belief {
+  return { sequences: 0, cachedTokens: 0, prefillTokens: 0, outstanding: 0 };
+}
+
+function lowest(values: number[]): number {
+  let best = 0;
+  for (let index = 1; index < values.length; index++) {
+    if (values[index] < values[best]) best = index;
+  }
+  return best;
+}
--- a/packages/wire/src/order.ts
+++ b/packages/wire/src/order.ts
@@ -47,6 +47,9 @@
   | { kind: OrderKind.Release; group: string; fencing: number }
   | { kind: OrderKind.Inspect; group: string; fencing: number };
 
+/** An expert that a rank holds, and the tokens it has had since last asked. */
+export type ExpertCount = [expert: number, tokens: number];
+
 /** State of one rank's engine as read back from it. */
 export interface RankState {
   step: number;
@@ -56,8 +59,11 @@
   armedStep: number;
   goVersion: number;
   held: boolean;
-  /** Tokens per layer and expert since the last report. */
-  expertTokens: number[][];
+  /**
+   * Experts held, by layer, with their tokens since the last `Inspect`. Only the
+   * rank's own: all counts of all ranks would be fifty times as much at 64 ranks.
+   */
+  expertTokens: ExpertCount[][];
 }
 
 /** Why an order was not carried out. */
