--- a/packages/daemon/src/expert_map/group_term.ts
+++ b/packages/daemon/src/expert_map/group_term.ts
@@ -4,6 +4,8 @@
 import * as rankSession from "./rank_session.ts";
 
 const PAUSE_MILLISECONDS = 50;
+/** Times an order that can be given up is given. */
+const GIVE_TRIES = 3;
 
 /** What a term is made of. */
 export interface GroupTermParameters {
@@ -60,12 +62,21 @@
     return this.#establishing;
   }
 
-  /** Gives an order to all once; the first failure, if any. */
+  /**
+   * Gives an order to all, a few times where the answer is lost; the first
+   * failure, if any. For what can still be given up.
+   */
   async giveAll(order: wire.Order): Promise<rankSession.RankReply | undefined> {
-    const replies = this.sessions.map((session) => session.give(order));
+    const replies = this.sessions.map((one) => this.#give(one, order));
     return firstFailure(await Promise.all(replies));
   }
 
+  /** Gives an order to all and returns the states told, if all answered. */
+  async ask(order: wire.Order): Promise<wire.RankState[] | undefined> {
+    const failure = await this.giveAll(order);
+    return failure ? undefined : this.states;
+  }
+
   /**
    * Repeats an order at all ranks until each answer is definite. Orders are
    * idempotent; when an agent was replaced, the term is established again first.
@@ -77,6 +88,18 @@
     return firstFailure(await Promise.all(replies));
   }
 
+  async #give(
+    session: rankSession.RankSession,
+    order: wire.Order,
+  ): Promise<rankSession.RankReply> {
+    let last = await session.give(order);
+    for (let tries = 1; tries < GIVE_TRIES; tries++) {
+      if (rankSession.isFinal(last)) return last;
+      last = await session.give(order);
+    }
+    return last;
+  }
+
   /** The pause between repetitions. */
   pause(): Promise<void> {
     const { signal, pauseMilliseconds = PAUSE_MILLISECONDS } = this.parameters;
--- a/packages/daemon/src/expert_map/inspect_group.ts
+++ b/packages/daemon/src/expert_map/inspect_group.ts
@@ -17,11 +17,10 @@
 export async function inspectGroup(
   term: groupTerm.GroupTerm,
 ): Promise<GroupView | undefined> {
-  const { group, fencing, sessions } = term;
-  const order = { kind: wire.OrderKind.Inspect, group, fencing } as const;
-  const replies = await Promise.all(sessions.map((one) => one.give(order)));
-  const states = replies.flatMap((reply) => (reply.done ? reply.state : []));
-  if (states.length < sessions.length) return undefined;
+  const { group, fencing } = term;
+  const kind = wire.OrderKind.Inspect;
+  const states = await term.ask({ kind, group, fencing });
+  if (!states) return undefined;
   const versions = new Set(states.map(({ mapVersion }) => mapVersion));
   const counts = states.map(({ expertTokens }) => expertTokens);
   return {
--- a/packages/daemon/src/placement/improve_layer.ts
+++ b/packages/daemon/src/placement/improve_layer.ts
@@ -25,8 +25,11 @@
 
 /** Ranks looked at as new places of an expert. */
 const TARGETS = 6;
-/** Smallest improvement that is worth looking at, as a share of the load. */
-const SMALLEST_GAIN = 1e-4;
+/**
+ * Smallest improvement that is worth looking at, as a share of the load. Below
+ * it a plan goes on for long with changes that noise undoes.
+ */
+const SMALLEST_GAIN = 2e-3;
 
 /**
  * The change that lowers the load of the slowest rank most per copy without
@@ -35,11 +38,12 @@
 export function bestChange(
   plan: layerPlan.LayerPlan,
   slots: number,
+  smallestGain: number,
 ): Change | undefined {
   const from = plan.slowestRank;
   const peak = plan.rankLoad[from];
   let best: Change | undefined;
-  let bestGain = peak * SMALLEST_GAIN;
+  let bestGain = Math.max(peak * SMALLEST_GAIN, smallestGain);
   const consider = (change: Change, fromAfter: number, toAfter: number) => {
     const gain = (peak - Math.max(fromAfter, toAfter)) / change.copies;
     if (gain <= bestGain) return;
@@ -102,9 +106,10 @@
   burden: number,
   peak: number,
 ): boolean {
-  return ranks.every(
-    (rank) => rank === removed || plan.rankLoad[rank] + burden < peak,
-  );
+  for (const rank of ranks) {
+    if (rank !== removed && plan.rankLoad[rank] + burden >= peak) return false;
+  }
+  return true;
 }
 
 /** Makes a change. */
--- a/packages/daemon/src/placement/plan_placement.ts
+++ b/packages/daemon/src/placement/plan_placement.ts
@@ -55,10 +55,11 @@
   const slowestBefore = totalSlowest(plans);
   const price = input.exchangeRate * input.megabytesPerExpert;
   const worth = input.millisecondsPerToken * input.horizonSeconds;
+  const pricePerCopy = price / worth;
   const candidates = plans.flatMap((plan, layer) =>
-    improveOne(plan, layer, input),
+    improveOne(plan, layer, input, pricePerCopy / 2),
   );
-  const chosen = chooseAffordable(candidates, input, price / worth);
+  const chosen = chooseAffordable(candidates, input, pricePerCopy);
   const result = plansOf(input);
   let copies = 0;
   for (const { layer, change } of chosen) {
@@ -90,12 +91,13 @@
   plan: layerPlan.LayerPlan,
   layer: number,
   input: PlacementInput,
+  smallestGain: number,
 ): Candidate[] {
   const candidates: Candidate[] = [];
   const most = input.ranks * input.slots;
   for (let count = 0; count < most; count++) {
     const before = plan.slowest;
-    const change = improveLayer.bestChange(plan, input.slots);
+    const change = improveLayer.bestChange(plan, input.slots, smallestGain);
     if (!change) break;
     improveLayer.applyChange(plan, change);
     candidates.push({ layer, change, gain: before - plan.slowest });
--- a/packages/platform/src/http_client.ts
+++ b/packages/platform/src/http_client.ts
@@ -31,8 +31,9 @@
 
 /** Whether a failure proves that nothing was sent. */
 export function classifyFailure(cause: unknown): RequestFailure {
-  const error = cause as { code?: string; message?: string };
-  const code = error.code ?? "";
+  const error = cause as { code?: unknown; name?: string; message?: string };
+  // A timeout of an abort signal carries a number here, and its name.
+  const code = typeof error.code === "string" ? error.code : "";
   const kind = NOT_SENT_CODES.has(code)
     ? RequestFailureKind.NotSent
     : RequestFailureKind.Unanswered;
