feat: acknowledgements along the push, compact heartbeats and loads, bounded list reads

Cause: slopes at 7, 20 and 60 entries missed the control budget: every entry's new revision flooded to all (181 KB a change at each of 60), an idle group's step counter was told 16 times a second (3.2 KB/s a link), heartbeats and loads carried field names (36 and 200 bytes), the host list was read whole every second. Change: acknowledgements go back the way of the push; both messages are lists of whole numbers; heartbeats are left out while others are sent; loads go out on changed counts; the list is read at 6 KB/s at most.

--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -189,14 +189,14 @@
   context: entryContext.EntryContext,
   signal: AbortSignal,
 ): Promise<void> {
-  const { keeper, members, peers, metrics, logger } = context;
+  const { keeper, peers, metrics, logger } = context;
   let known = 0;
   while (!signal.aborted) {
     const { revision } = keeper;
     if (revision > known) {
       if (known === 0) logger.event(common.EventCode.ProcessReady);
       known = revision;
-      members.describeSelf({ revision });
+      peers.acks.begin(revision, undefined);
       peers.pushConfiguration();
       metrics.gauge(common.Metric.ConfigurationRevision, revision);
     }
--- a/packages/daemon/src/membership/host_view.ts
+++ b/packages/daemon/src/membership/host_view.ts
@@ -1,11 +1,18 @@
 import * as common from "@geraniumkeel/common";
 import * as platform from "@geraniumkeel/platform";
 
+/**
+ * Bytes a second that reading the list may take on average. The list of a large
+ * deployment is long, and what is new in it is mostly known by gossip and links.
+ */
+const READ_BYTES_PER_SECOND = 6_000;
+
 /** The platform's host list as last read; it lags and may be unavailable. */
 export class HostView {
   readonly changed = new common.ChangeNotice();
   #hosts = new Map<string, platform.Host>();
   #available = true;
+  #bytes = 0;
   /** When the platform last answered. */
   lastReadAt = -Infinity;
 
@@ -31,7 +38,9 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.refresh();
-      await common.sleep(this.parameters.periodMilliseconds, signal);
+      const share = (this.#bytes * 1_000) / READ_BYTES_PER_SECOND;
+      const period = Math.max(this.parameters.periodMilliseconds, share);
+      await common.sleep(period, signal);
     }
   }
 
@@ -49,7 +58,9 @@
     }
     this.#available = true;
     this.lastReadAt = common.now();
-    this.#replace(new Map(read.value.map((host) => [host.name, host])));
+    const { hosts, bytes } = read.value;
+    this.#bytes = bytes;
+    this.#replace(new Map(hosts.map((host) => [host.name, host])));
   }
 
   #replace(hosts: Map<string, platform.Host>): void {
--- a/packages/daemon/src/membership/member_table.ts
+++ b/packages/daemon/src/membership/member_table.ts
@@ -64,20 +64,44 @@
   }
 
   /** Changes what this process says of itself. */
-  describeSelf(
-    change: Partial<Pick<wire.Member, "state" | "revision" | "weight">>,
-  ): void {
+  describeSelf(change: Partial<Pick<wire.Member, "state" | "weight">>): void {
     const counter = this.#self.counter + 1;
     this.#self = { ...this.#self, ...change, counter };
     this.#set(this.#self);
   }
 
+  /**
+   * Notes the revision in force here. It goes out with the next record and not
+   * in one of its own: acknowledgements tell those who wait for it.
+   */
+  noteRevision(revision: number): void {
+    this.#self = { ...this.#self, revision };
+    this.#entries.set(this.#self.host, {
+      member: this.#self,
+      changedAt: this.clock(),
+    });
+    this.changed.announce();
+  }
+
+  /** Notes a revision that a member has; returns whether it was news. */
+  learnRevision(host: string, revision: number): boolean {
+    const entry = this.#entries.get(host);
+    if (!entry || entry.member.revision >= revision) return false;
+    entry.member = { ...entry.member, revision };
+    this.changed.announce();
+    return true;
+  }
+
   /** Takes in a record heard from a peer; returns whether it was news. */
   merge(heard: wire.Member): boolean {
     if (heard.host === this.#self.host) return this.#answerRumour(heard);
     const known = this.#entries.get(heard.host)?.member;
     if (known && !isNewer(heard, known)) return false;
-    this.#set(heard);
+    const same = known?.incarnation === heard.incarnation;
+    const revision = same
+      ? Math.max(known.revision, heard.revision)
+      : heard.revision;
+    this.#set({ ...heard, revision });
     return true;
   }
 
--- a/packages/daemon/src/membership/peer_links.ts
+++ b/packages/daemon/src/membership/peer_links.ts
@@ -6,6 +6,7 @@
 import type * as settingsModule from "../settings/settings.ts";
 import type * as hostView from "./host_view.ts";
 import type * as memberTable from "./member_table.ts";
+import * as inForceAcks from "./in_force_acks.ts";
 import * as overlay from "./overlay.ts";
 
 /** Delay before the higher-named end dials, which normally waits to be dialled. */
@@ -58,7 +59,16 @@
   /** When anything was last heard of any peer. */
   lastHeardAt = common.now();
 
-  constructor(readonly parameters: PeerLinksParameters) {}
+  /** Acknowledgements of the revision in force. */
+  readonly acks: inForceAcks.InForceAcks;
+
+  constructor(readonly parameters: PeerLinksParameters) {
+    this.acks = new inForceAcks.InForceAcks({
+      members: parameters.members,
+      linked: () => this.linked,
+      send: (host, message) => this.send(host, message),
+    });
+  }
 
   /** Names of the peers linked now. */
   get linked(): string[] {
@@ -74,6 +84,7 @@
   start(): void {
     const { lifeCycle, members, settings } = this.parameters;
     lifeCycle.run("reconcile", (signal) => this.#reconcile(signal));
+    lifeCycle.run("acknowledge", (signal) => this.acks.run(signal));
     lifeCycle.run("gossip", (signal) => this.#gossip(signal));
     lifeCycle.run("full-exchange", (signal) => this.#fullExchange(signal));
     lifeCycle.every(EXPIRE_LOOK_MILLISECONDS, () =>
@@ -282,6 +293,7 @@
     const peer = this.#peers.get(host);
     if (peer) peer.revision = Math.max(peer.revision, revision);
     keeper.hear(revision);
+    this.acks.confirm(host, revision);
     if (revision > keeper.revision) {
       const kind = wire.MessageKind.ConfigurationRequest;
       peer?.link.send({ kind, held: keeper.held() });
@@ -304,10 +316,19 @@
         const peer = this.#peers.get(host);
         if (peer) peer.revision = Math.max(peer.revision, head.revision);
         const outcome = keeper.adopt(head, sections);
+        this.acks.confirm(host, head.revision);
+        if (head.revision === keeper.revision) {
+          this.acks.begin(head.revision, host);
+        }
         if (outcome !== configurationKeeper.AdoptOutcome.Incomplete) return;
         const kind = wire.MessageKind.ConfigurationRequest;
         return link.send({ kind, held: keeper.held() });
       }
+      case wire.MessageKind.InForce:
+        for (const one of message.hosts) {
+          this.acks.confirm(one, message.revision);
+        }
+        return;
       case wire.MessageKind.ConfigurationRequest: {
         const { view } = keeper;
         if (!view) return;
--- a/packages/daemon/src/upstream/load_reporter.ts
+++ b/packages/daemon/src/upstream/load_reporter.ts
@@ -3,8 +3,15 @@
 import * as wire from "@geraniumkeel/wire";
 import type * as attemptTable from "./attempt_table.ts";
 
-/** Periods between reports while nothing changes. */
+/** Periods between looks while nothing changes. */
 const QUIET_PERIODS = 10;
+/** Reports a second that all links together may carry. */
+const REPORTS_PER_SECOND = 70;
+/**
+ * Time after which step numbers and times alone are told: often enough that a
+ * rank that steps is never taken for a stalled one.
+ */
+const TIMES_MILLISECONDS = 500;
 
 /**
  * Pushes this runner's load to all entry links: exact counts of attempts, and
@@ -13,6 +20,7 @@
 export class LoadReporter {
   #last: wire.RunnerLoad = wire.idleLoad();
   #cacheSequence = 0;
+  #toldAt = -Infinity;
 
   constructor(
     readonly parameters: {
@@ -36,19 +44,27 @@
       quiet = changed ? 0 : quiet + 1;
       await this.#reportCacheEvents();
       const slow = quiet > QUIET_PERIODS ? QUIET_PERIODS : 1;
-      const pause = this.parameters.periodMilliseconds * slow;
-      await common.sleep(pause, signal);
+      await common.sleep(this.#period() * slow, signal);
     }
   }
 
+  /** With many entries each hears less often; the sum stays bounded. */
+  #period(): number {
+    const { periodMilliseconds, links } = this.parameters;
+    return Math.max(
+      periodMilliseconds,
+      (links.size * 1_000) / REPORTS_PER_SECOND,
+    );
+  }
+
   async #report(): Promise<boolean> {
     const { table, engine, links } = this.parameters;
     const report = await engine?.load();
     const base = report?.isOk() ? report.value : this.#last;
     const load: wire.RunnerLoad = { ...base, ...countAttempts(table) };
-    const changed = JSON.stringify(load) !== JSON.stringify(this.#last);
+    if (!this.#worthTelling(load)) return false;
     this.#last = load;
-    if (!changed) return false;
+    this.#toldAt = common.now();
     const kind = wire.MessageKind.Load;
     const clock = common.now();
     for (const [link, { dispatches }] of links) {
@@ -57,6 +73,20 @@
     return true;
   }
 
+  /** Counts matter at once; times and steps, which always move, now and then. */
+  #worthTelling(load: wire.RunnerLoad): boolean {
+    const last = this.#last;
+    const counts =
+      load.started !== last.started ||
+      load.finished !== last.finished ||
+      load.waiting !== last.waiting ||
+      load.mapVersion !== last.mapVersion;
+    if (counts) return true;
+    const moved = load.step !== last.step || load.sequences > 0;
+    const age = common.now() - this.#toldAt;
+    return moved && age > TIMES_MILLISECONDS;
+  }
+
   async #reportCacheEvents(): Promise<void> {
     const { engine, links } = this.parameters;
     if (!engine || links.size === 0) return;
--- a/packages/platform/src/host_list.ts
+++ b/packages/platform/src/host_list.ts
@@ -30,6 +30,12 @@
   group: string;
 }
 
+/** The list as read, with the bytes that reading it took. */
+export interface ReadHosts {
+  hosts: Host[];
+  bytes: number;
+}
+
 /** The list could not be read. */
 export interface HostListUnavailable {
   kind: "host-list-unavailable";
@@ -38,7 +44,7 @@
 
 /** The platform's lagging list of live and leaving hosts. */
 export interface HostList {
-  read(): Promise<neverthrow.Result<Host[], HostListUnavailable>>;
+  read(): Promise<neverthrow.Result<ReadHosts, HostListUnavailable>>;
 }
 
 /** The host list over HTTP. */
@@ -46,18 +52,20 @@
   constructor(readonly client: httpClient.HttpClient) {}
 
   /** Reads the whole list. */
-  async read(): Promise<neverthrow.Result<Host[], HostListUnavailable>> {
+  async read(): Promise<neverthrow.Result<ReadHosts, HostListUnavailable>> {
     const answer = await this.client.request("GET", "/hosts");
     if (answer.isErr()) return unavailable(answer.error.reason);
     if (answer.value.status !== 200) {
       return unavailable(`status ${answer.value.status}`);
     }
-    return neverthrow.ok(JSON.parse(answer.value.body) as Host[]);
+    const { body } = answer.value;
+    const hosts = JSON.parse(body) as Host[];
+    return neverthrow.ok({ hosts, bytes: body.length });
   }
 }
 
 function unavailable(
   reason: string,
-): neverthrow.Result<Host[], HostListUnavailable> {
+): neverthrow.Result<ReadHosts, HostListUnavailable> {
   return neverthrow.err({ kind: "host-list-unavailable", reason });
 }
--- a/packages/stand_ins/src/measure/capacity_table.ts
+++ b/packages/stand_ins/src/measure/capacity_table.ts
@@ -24,6 +24,8 @@
 };
 /** Reads of the configuration head that all entries may cause in a second. */
 const HEAD_READS_PER_SECOND = 100;
+/** Bytes of the host list that an entry reads in a second, at most. */
+const HOST_LIST_BYTES_PER_SECOND = 6_000;
 
 /** What the slopes come to at the target's size, against the budget. */
 export function capacityTable(measured: {
@@ -44,12 +46,11 @@
   );
   const perChange = statistics.fitLine(
     members.map((point) => ({
-      x: point.entries * point.linksEach,
+      x: point.linksEach,
       y: point.bytesPerChangeEach,
     })),
   );
-  const changeBytes =
-    perChange.intercept + perChange.slope * TARGET.entries * links;
+  const changeBytes = perChange.intercept + perChange.slope * links;
   const changesPerSecond = TARGET.changesPerDay / SECONDS_PER_DAY;
   const restartsPerSecond = TARGET.restartsPerDay / SECONDS_PER_DAY;
   const runnerLink = upstream[upstream.length - 1];
@@ -57,6 +58,7 @@
     peers: perLink.intercept + perLink.slope * links,
     configuration: changesPerSecond * (changeBytes + state.sectionBytesAt12000),
     fullExchange: (state.fullExchangeBytesPerMember * TARGET.entries) / 30,
+    hostList: HOST_LIST_BYTES_PER_SECOND,
     restarts: restartsPerSecond * 3 * links * state.fullExchangeBytesPerMember,
     runnersIdle:
       TARGET.subscribedRunners * runnerLink.idleBytesPerSecondPerLink,
@@ -67,6 +69,7 @@
     entryBytes.peers +
     entryBytes.configuration +
     entryBytes.fullExchange +
+    entryBytes.hostList +
     entryBytes.restarts;
   const entriesPerRunner =
     (TARGET.entries * TARGET.subscribedRunners) / TARGET.runners;
@@ -105,7 +108,7 @@
       tableWritesPerSecond: statistics.round(
         TARGET.groups * 1.4 + changesPerSecond,
       ),
-      hostListReadsPerSecond: TARGET.entries,
+      hostListBytesPerSecond: TARGET.entries * HOST_LIST_BYTES_PER_SECOND,
     },
     fits: {
       peerBytesPerLink: roundAll(perLink),
--- a/packages/wire/src/codec.ts
+++ b/packages/wire/src/codec.ts
@@ -1,5 +1,6 @@
 import * as msgpackr from "msgpackr";
 import * as neverthrow from "neverthrow";
+import * as compact from "./compact.ts";
 import * as message from "./message.ts";
 
 const packer = new msgpackr.Packr({
@@ -18,7 +19,7 @@
 
 /** Encodes a message as MessagePack. */
 export function encode(value: message.Message): Uint8Array {
-  return packer.pack(value);
+  return packer.pack(compact.toCompact(value) ?? value);
 }
 
 /** Decodes a frame; an unknown kind is an error, not a message. */
@@ -26,7 +27,10 @@
   frame: Uint8Array,
 ): neverthrow.Result<message.Message, UnreadableFrame> {
   try {
-    const value = packer.unpack(frame) as { kind?: unknown };
+    const unpacked = packer.unpack(frame) as unknown;
+    const value = (
+      Array.isArray(unpacked) ? compact.fromCompact(unpacked) : unpacked
+    ) as { kind?: unknown } | undefined;
     if (KINDS.has(value?.kind)) {
       return neverthrow.ok(value as message.Message);
     }
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -32,6 +32,8 @@
 
 /** Bytes queued on a link before it is taken for stuck. */
 const LARGEST_BACKLOG = 64 * 1024 * 1024;
+/** Heartbeats left out at most, while other messages are sent. */
+const MOST_SKIPPED = 3;
 /** Largest frame accepted, in bytes. */
 export const LARGEST_FRAME = 32 * 1024 * 1024;
 
@@ -59,6 +61,8 @@
   readonly #inbox = new common.Channel<message.Message>();
   readonly #timer: NodeJS.Timeout;
   #quietTicks = 0;
+  #sentAtLastTick = 0;
+  #skipped = 0;
   #end: LinkEnd | undefined;
 
   constructor(
@@ -144,7 +148,17 @@
     this.#quietTicks++;
     const quiet = this.#quietTicks * this.timing.heartbeat;
     if (quiet > this.timing.silentAfter) return this.#finish(LinkEnd.Silent);
+    // Whatever was sent since the last tick has told the far end enough.
+    const sent = this.counts.sentMessages;
+    const spoke = sent !== this.#sentAtLastTick;
+    this.#sentAtLastTick = sent;
+    if (spoke && this.#skipped < MOST_SKIPPED) {
+      this.#skipped++;
+      return;
+    }
+    this.#skipped = 0;
     const { clock, revision } = this.heartbeat();
+    this.#sentAtLastTick++;
     this.send({ kind: message.MessageKind.Heartbeat, clock, revision });
   }
 
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -205,7 +205,12 @@
       /** Section revisions already held; only others are wanted. */
       held: Record<string, number>;
     }
-  | { kind: MessageKind.InForce; revision: number }
+  | {
+      kind: MessageKind.InForce;
+      revision: number;
+      /** Hosts on which the revision, or a newer one, is in force. */
+      hosts: string[];
+    }
   | { kind: MessageKind.Members; members: member.Member[]; full: boolean }
   | { kind: MessageKind.Drain }
   | { kind: MessageKind.StateRequest; question: number }
