perf: idle links and engines are looked after less often

Cause: an idle upstream process took 7.6% of a core, polling its engine and telling steps that meant nothing; an idle entry 3%. Change: the engine is polled once a second while nothing runs and at once when an attempt starts; steps are told only with sequences; idle links heartbeat once a second; give-up timers run only while a link is down.

--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -8,7 +8,6 @@
 
 const FIRST_PAUSE_MILLISECONDS = 50;
 const LONGEST_PAUSE_MILLISECONDS = 1_000;
-const LOOK_MILLISECONDS = 100;
 
 /** What an entry's links to runners share. */
 export interface RunnerLinkParameters {
@@ -57,7 +56,8 @@
   #dispatches = 0;
   #link: wire.Link | undefined;
   #linkNumber = 0;
-  #downSince = common.now();
+  /** Runs while there is no link; at its end attempts are given up. */
+  #givingUp: NodeJS.Timeout | undefined;
   /** The upstream process's clock as last heard, never extrapolated. */
   #agentClock = 0;
   #question = 0;
@@ -119,10 +119,6 @@
       longestMilliseconds: LONGEST_PAUSE_MILLISECONDS,
       random: this.parameters.random,
     });
-    const watch = setInterval(
-      () => this.#giveUpUnreachable(),
-      LOOK_MILLISECONDS,
-    );
     while (!signal.aborted) {
       const { settings, revision } = this.parameters;
       const dialled = await wire.dial({
@@ -141,7 +137,7 @@
       if (served) backOff.reset();
       else await common.sleep(backOff.pause(), signal);
     }
-    clearInterval(watch);
+    clearTimeout(this.#givingUp);
     this.#stopped = true;
     this.#giveUpAll({ kind: outgoingAttempt.AttemptEventKind.Unreachable });
   }
@@ -156,9 +152,9 @@
       dispatch.window,
       dispatch.body,
     );
-    if (this.#stopped) {
-      // The runner was dropped between its choice and now: nothing is sent, and
-      // nothing would ever be heard.
+    if (this.#stopped || !this.#link) {
+      // The runner was dropped, or its link lost, between its choice and now:
+      // nothing is sent, and nothing might ever be heard.
       const kind = outgoingAttempt.AttemptEventKind.Settled;
       const state = wire.AttemptState.NeverStarted;
       outgoing.events.push({ kind, state });
@@ -300,6 +296,8 @@
     }
     this.#greet(hello);
     this.#link = link;
+    link.isBusy = () => this.attempts.size + this.#questions.size > 0;
+    clearTimeout(this.#givingUp);
     link.onHeartbeat = (beat) => (this.#agentClock = beat.clock);
     for (const outgoing of this.attempts.values()) this.#resume(outgoing);
     logger.event(common.EventCode.LinkEstablished, { peer: this.host.name });
@@ -309,7 +307,10 @@
       this.#handle(message);
     }
     this.#link = undefined;
-    this.#downSince = common.now();
+    this.#givingUp = setTimeout(
+      () => this.#giveUpUnreachable(),
+      settings.timing.settleAfter,
+    );
     if (!signal.aborted) this.#reportEnd(link);
     return true;
   }
@@ -426,9 +427,7 @@
 
   /** Without a link for long, requests get their final answer now. */
   #giveUpUnreachable(): void {
-    if (this.#link || this.attempts.size === 0) return;
-    const silence = common.now() - this.#downSince;
-    if (silence < this.parameters.settings.timing.settleAfter) return;
+    if (this.#link) return;
     this.#giveUpAll({ kind: outgoingAttempt.AttemptEventKind.Unreachable });
   }
 
--- a/packages/daemon/src/upstream/attempt_record.ts
+++ b/packages/daemon/src/upstream/attempt_record.ts
@@ -132,6 +132,11 @@
     this.#changed.announce();
   }
 
+  /** Whether a link carries this answer. */
+  isFollowedBy(link: wire.Link): boolean {
+    return this.#subscriptionOf(link) !== undefined;
+  }
+
   /** Drops the answer: it has been delivered and is needed no more. */
   release(): void {
     this.#base = this.produced;
--- a/packages/daemon/src/upstream/attempt_table.ts
+++ b/packages/daemon/src/upstream/attempt_table.ts
@@ -25,6 +25,8 @@
   readonly #running = new Set<attemptRecord.AttemptRecord>();
   /** Identifier to the time at which the tombstone may be dropped. */
   readonly #tombstones = new Map<string, number>();
+  /** Announced when attempts start or end. */
+  readonly changed = new common.ChangeNotice();
   started = 0;
   finished = 0;
 
@@ -71,12 +73,14 @@
     this.#records.set(record.attempt.identifier, record);
     this.#running.add(record);
     this.started++;
+    this.changed.announce();
   }
 
   /** Notes that the task of an attempt has ended. */
   ended(record: attemptRecord.AttemptRecord): void {
     this.#running.delete(record);
     this.finished++;
+    this.changed.announce();
   }
 
   /**
--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -43,6 +43,8 @@
     return link.close(wire.LinkEnd.Replaced);
   }
   context.links.set(link, { dispatches: 0 });
+  link.isBusy = () =>
+    context.table.running.some((record) => record.isFollowedBy(link));
   context.logger.event(common.EventCode.LinkEstablished, { peer: first.host });
   for await (const message of link.messages()) {
     // Messages queued on a replaced link are void: the entry has asked again
--- a/packages/daemon/src/upstream/load_reporter.ts
+++ b/packages/daemon/src/upstream/load_reporter.ts
@@ -3,8 +3,8 @@
 import * as wire from "@geraniumkeel/wire";
 import type * as attemptTable from "./attempt_table.ts";
 
-/** Periods between looks while nothing changes. */
-const QUIET_PERIODS = 10;
+/** Time between looks at an engine that has nothing to do. */
+const IDLE_MILLISECONDS = 1_000;
 /** Reports a second that all links together may carry. */
 const REPORTS_PER_SECOND = 70;
 /**
@@ -38,13 +38,14 @@
 
   /** Reports until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    let quiet = 0;
+    const { table } = this.parameters;
     while (!signal.aborted) {
-      const changed = await this.#report();
-      quiet = changed ? 0 : quiet + 1;
+      await this.#report();
       await this.#reportCacheEvents();
-      const slow = quiet > QUIET_PERIODS ? QUIET_PERIODS : 1;
-      await common.sleep(this.#period() * slow, signal);
+      await common.sleep(this.#period(), signal);
+      if (table.running.length > 0 || this.#last.sequences > 0) continue;
+      // Nothing to count: a new attempt ends the pause.
+      await table.changed.next(IDLE_MILLISECONDS, signal);
     }
   }
 
@@ -57,12 +58,12 @@
     );
   }
 
-  async #report(): Promise<boolean> {
+  async #report(): Promise<void> {
     const { table, engine, links } = this.parameters;
     const report = await engine?.load();
     const base = report?.isOk() ? report.value : this.#last;
     const load: wire.RunnerLoad = { ...base, ...countAttempts(table) };
-    if (!this.#worthTelling(load)) return false;
+    if (!this.#worthTelling(load)) return;
     this.#last = load;
     this.#toldAt = common.now();
     const kind = wire.MessageKind.Load;
@@ -70,7 +71,6 @@
     for (const [link, { dispatches }] of links) {
       link.send({ kind, load, clock, dispatches });
     }
-    return true;
   }
 
   /** Counts matter at once; times and steps, which always move, now and then. */
@@ -82,9 +82,8 @@
       load.waiting !== last.waiting ||
       load.mapVersion !== last.mapVersion;
     if (counts) return true;
-    const moved = load.step !== last.step || load.sequences > 0;
     const age = common.now() - this.#toldAt;
-    return moved && age > TIMES_MILLISECONDS;
+    return load.sequences > 0 && age > TIMES_MILLISECONDS;
   }
 
   async #reportCacheEvents(): Promise<void> {
--- a/packages/daemon/src/upstream/start_upstream.ts
+++ b/packages/daemon/src/upstream/start_upstream.ts
@@ -159,7 +159,6 @@
   context.table.sweep();
 }
 
-const DRAIN_LOOK_MILLISECONDS = 50;
 /** Time for the last frames to reach the entries after the last attempt. */
 const DRAIN_LINGER_MILLISECONDS = 500;
 
@@ -167,13 +166,18 @@
   context: upstreamContext.UpstreamContext,
   timeoutMilliseconds: number,
 ): Promise<boolean> {
+  const { table } = context;
   const deadline = common.now() + timeoutMilliseconds;
   while (common.now() < deadline) {
-    if (context.table.running.length === 0) {
-      await common.sleep(DRAIN_LINGER_MILLISECONDS);
-      if (context.table.running.length === 0) return true;
-    }
-    await common.sleep(DRAIN_LOOK_MILLISECONDS);
+    const ended = await table.changed.until({
+      condition: () => table.running.length === 0,
+      timeoutMilliseconds: deadline - common.now(),
+    });
+    if (!ended) return false;
+    // Time for the last frames to arrive, and for a dispatch that crossed the
+    // word of leaving to be refused.
+    await common.sleep(DRAIN_LINGER_MILLISECONDS);
+    if (table.running.length === 0) return true;
   }
   return false;
 }
--- a/packages/stand_ins/src/measure/measure_placement.ts
+++ b/packages/stand_ins/src/measure/measure_placement.ts
@@ -2,6 +2,7 @@
 import * as fullRepack from "@geraniumkeel/daemon/placement/full_repack";
 import * as hourShape from "@geraniumkeel/daemon/placement/hour_shape";
 import * as planPlacement from "@geraniumkeel/daemon/placement/plan_placement";
+import * as plots from "./plots.ts";
 import * as rangePlacement from "./range_placement.ts";
 import * as statistics from "./statistics.ts";
 
@@ -57,7 +58,8 @@
 }
 
 /** Skew and megabytes by planner, over a drifting day. */
-export function measurePlacement(): Record<string, unknown> {
+export async function measurePlacement(): Promise<object> {
+  const points: plots.PlotPoint[] = [];
   const result: Record<string, unknown> = {};
   for (const size of SIZES) {
     const planners: Record<string, Planner> = {
@@ -75,8 +77,10 @@
       const runs = Array.from({ length: SEEDS }, (_, seed) =>
         runDay(size, planner, seed + 1),
       );
+      const skew = statistics.spread(runs.map((run) => run.skew));
+      points.push(plots.pointOf(size.name, name, skew));
       figures[name] = {
-        skew: statistics.spread(runs.map((run) => run.skew)),
+        skew,
         megabytes: statistics.spread(runs.map((run) => run.megabytes)),
         planMilliseconds: statistics.spread(
           runs.map((run) => run.planMilliseconds),
@@ -85,6 +89,8 @@
     }
     result[size.name] = { ...size, planners: figures };
   }
+  const title = "step-time skew (slowest over mean), 10 seeds";
+  await plots.plotRanges({ file: "placement.svg", title, points });
   return result;
 }
 
--- a/packages/stand_ins/src/measure/measure_routing.ts
+++ b/packages/stand_ins/src/measure/measure_routing.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as chooseRank from "@geraniumkeel/daemon/routing/choose_rank";
 import * as stepCost from "@geraniumkeel/daemon/routing/step_cost";
+import * as plots from "./plots.ts";
 import * as routingModel from "./routing_model.ts";
 import * as statistics from "./statistics.ts";
 
@@ -9,7 +10,8 @@
 const DECISIONS = 20_000;
 
 /** Skew by policy and workload, and the time of one decision. */
-export function measureRouting(): Record<string, unknown> {
+export async function measureRouting(): Promise<object> {
+  const points: plots.PlotPoint[] = [];
   const workloads: Record<string, unknown> = {};
   for (const workload of Object.values(routingModel.RoutingWorkload)) {
     const policies: Record<string, unknown> = {};
@@ -17,8 +19,10 @@
       const runs = Array.from({ length: SEEDS }, (_, seed) =>
         routingModel.runRouting(policy, workload, seed + 1),
       );
+      const skew = statistics.spread(runs.map((run) => run.skew));
+      points.push(plots.pointOf(workload, policy, skew));
       policies[policy] = {
-        skew: statistics.spread(runs.map((run) => run.skew)),
+        skew,
         skew99: statistics.spread(runs.map((run) => run.skew99)),
         stepMilliseconds: statistics.spread(
           runs.map((run) => run.stepMilliseconds),
@@ -30,6 +34,8 @@
     }
     workloads[workload] = policies;
   }
+  const title = "step-time skew (slowest over mean), 10 seeds";
+  await plots.plotRanges({ file: "routing.svg", title, points });
   return { seeds: SEEDS, workloads, decisionMicroseconds: timeDecision() };
 }
 
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -32,8 +32,10 @@
 
 /** Bytes queued on a link before it is taken for stuck. */
 const LARGEST_BACKLOG = 64 * 1024 * 1024;
-/** Heartbeats left out at most, while other messages are sent. */
+/** Heartbeats left out at most, while others are sent or nothing waits. */
 const MOST_SKIPPED = 3;
+/** How much longer an idle link may be silent. */
+const IDLE_FACTOR = 4;
 /** Largest frame accepted, in bytes. */
 export const LARGEST_FRAME = 32 * 1024 * 1024;
 
@@ -63,6 +65,7 @@
   #quietTicks = 0;
   #sentAtLastTick = 0;
   #skipped = 0;
+  #wasBusy = true;
   #end: LinkEnd | undefined;
 
   constructor(
@@ -138,6 +141,12 @@
   onHeartbeat:
     ((beat: { clock: number; revision: number }) => void) | undefined;
 
+  /**
+   * Whether anything waits for this link now. One that carries nothing is looked
+   * after less often: an entry has over a hundred, and nobody would notice.
+   */
+  isBusy: () => boolean = () => true;
+
   /**
    * A connection can go silent for good without an error: something between
    * the ends forgot it, and the sender sees only growing buffers. Counting our
@@ -145,21 +154,34 @@
    * paused from taking its first look at the clock for silence of the peer.
    */
   #tick(): void {
+    const busy = this.isBusy();
+    // What the far end did not say while idle is no silence yet.
+    if (busy && !this.#wasBusy) this.#quietTicks = 0;
+    this.#wasBusy = busy;
     this.#quietTicks++;
     const quiet = this.#quietTicks * this.timing.heartbeat;
-    if (quiet > this.timing.silentAfter) return this.#finish(LinkEnd.Silent);
-    // Whatever was sent since the last tick has told the far end enough.
+    const patience = busy ? 1 : IDLE_FACTOR;
+    if (quiet > this.timing.silentAfter * patience) {
+      return this.#finish(LinkEnd.Silent);
+    }
+    if (!this.#mustSpeak(busy)) return;
+    const { clock, revision } = this.heartbeat();
+    this.send({ kind: message.MessageKind.Heartbeat, clock, revision });
+    this.#sentAtLastTick = this.counts.sentMessages;
+  }
+
+  /** Whatever was sent since the last tick has told the far end enough. */
+  #mustSpeak(busy: boolean): boolean {
     const sent = this.counts.sentMessages;
     const spoke = sent !== this.#sentAtLastTick;
     this.#sentAtLastTick = sent;
-    if (spoke && this.#skipped < MOST_SKIPPED) {
+    const mayBeLeftOut = spoke || !busy;
+    if (mayBeLeftOut && this.#skipped < MOST_SKIPPED) {
       this.#skipped++;
-      return;
+      return false;
     }
     this.#skipped = 0;
-    const { clock, revision } = this.heartbeat();
-    this.#sentAtLastTick++;
-    this.send({ kind: message.MessageKind.Heartbeat, clock, revision });
+    return true;
   }
 
   #finish(end: LinkEnd): void {
