--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import type * as platform from "@geraniumkeel/platform";
 import * as wire from "@geraniumkeel/wire";
+import * as entryHello from "../entry/entry_hello.ts";
 import * as listenModule from "../settings/listen.ts";
 import type * as settingsModule from "../settings/settings.ts";
 import type * as bodySender from "./body_sender.ts";
@@ -274,21 +275,10 @@
   async #serve(link: wire.Link, signal: AbortSignal): Promise<boolean> {
     const { settings, incarnation, logger } = this.parameters;
     this.#linkNumber++;
-    link.send({
-      kind: wire.MessageKind.Hello,
-      role: wire.PeerRole.Entry,
-      host: settings.host,
-      place: settings.place,
-      incarnation,
-      linkNumber: this.#linkNumber,
-      revision: this.parameters.revision(),
-      clock: common.now(),
-      service: "",
-      group: "",
-      rank: 0,
-      groupSize: 0,
-      leaving: false,
-    });
+    const linkNumber = this.#linkNumber;
+    const revision = this.parameters.revision();
+    const own = { settings, incarnation, linkNumber, revision };
+    link.send(entryHello.entryHello(own));
     const hello = await link.receive();
     if (hello?.kind !== wire.MessageKind.Hello) {
       link.close();
--- a/packages/daemon/src/membership/peer_links.ts
+++ b/packages/daemon/src/membership/peer_links.ts
@@ -2,6 +2,7 @@
 import * as platform from "@geraniumkeel/platform";
 import * as wire from "@geraniumkeel/wire";
 import * as configurationKeeper from "../configuration/configuration_keeper.ts";
+import * as entryHello from "../entry/entry_hello.ts";
 import * as listenModule from "../settings/listen.ts";
 import type * as settingsModule from "../settings/settings.ts";
 import type * as hostView from "./host_view.ts";
@@ -231,34 +232,22 @@
     const { settings, keeper, incarnation, members, logger } = this.parameters;
     link.closeOn(this.parameters.lifeCycle.signal);
     this.#linkNumber++;
-    link.send({
-      kind: wire.MessageKind.Hello,
-      role: wire.PeerRole.Entry,
-      host: settings.host,
-      place: settings.place,
-      incarnation,
-      linkNumber: this.#linkNumber,
-      revision: keeper.revision,
-      clock: common.now(),
-      service: "",
-      group: "",
-      rank: 0,
-      groupSize: 0,
-      leaving: false,
-    });
+    const linkNumber = this.#linkNumber;
+    const revision = keeper.revision;
+    const own = { settings, incarnation, linkNumber, revision };
+    link.send(entryHello.entryHello(own));
     const hello = await link.receive();
     if (hello?.kind !== wire.MessageKind.Hello) return link.close();
     const { host } = hello;
     this.#peers.get(host)?.link.close(wire.LinkEnd.Replaced);
-    const { revision } = hello;
     const peer: Peer = {
       link,
       incarnation: hello.incarnation,
-      revision,
+      revision: hello.revision,
       pushedAt: -Infinity,
     };
     this.#peers.set(host, peer);
-    this.#hear(host, revision);
+    this.#hear(host, hello.revision);
     link.onHeartbeat = (beat) => this.#hear(host, beat.revision);
     logger.event(common.EventCode.LinkEstablished, { peer: host });
     this.#changed.announce();
--- a/packages/engine/src/http_engine.ts
+++ b/packages/engine/src/http_engine.ts
@@ -3,11 +3,13 @@
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
 import * as engine from "./engine.ts";
+import * as newAgent from "./new_agent.ts";
 
 /** What an engine is told for a group order; `state` in the answer. */
 export type EngineOrder = wire.Order;
 
-const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+/** Streams at once; each takes a connection. */
+const MOST_CONNECTIONS = 512;
 const ORDER_TIMEOUT_MILLISECONDS = 2_000;
 
 /**
@@ -21,12 +23,8 @@
     readonly origin: string,
     readonly parameters: { progressTimeoutMilliseconds: number },
   ) {
-    this.#agent = new undici.Agent({
-      connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
-      headersTimeout: parameters.progressTimeoutMilliseconds,
-      bodyTimeout: parameters.progressTimeoutMilliseconds,
-      connections: 512,
-    });
+    const connections = MOST_CONNECTIONS;
+    this.#agent = newAgent.newAgent({ ...parameters, connections });
   }
 
   /** Starts a generation and yields its items; the last is not a token. */
--- a/packages/engine/src/plain_service.ts
+++ b/packages/engine/src/plain_service.ts
@@ -1,6 +1,7 @@
 import * as stream from "node:stream";
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
+import * as newAgent from "./new_agent.ts";
 import * as httpFailure from "./http_failure.ts";
 
 /** A call of a plain service. */
@@ -26,7 +27,8 @@
   reason: string;
 }
 
-const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+/** Calls at once; each takes a connection. */
+const MOST_CONNECTIONS = 256;
 /** Hop-by-hop headers (RFC 9110, 7.6.1) and those the client sets itself. */
 const DROPPED_HEADERS = new Set([
   "connection",
@@ -59,12 +61,8 @@
     readonly origin: string,
     readonly parameters: { progressTimeoutMilliseconds: number },
   ) {
-    this.#agent = new undici.Agent({
-      connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
-      headersTimeout: parameters.progressTimeoutMilliseconds,
-      bodyTimeout: parameters.progressTimeoutMilliseconds,
-      connections: 256,
-    });
+    const connections = MOST_CONNECTIONS;
+    this.#agent = newAgent.newAgent({ ...parameters, connections });
   }
 
   /** Calls the service once; never repeats by itself. */
--- a/packages/stand_ins/src/explore/run_case.ts
+++ b/packages/stand_ins/src/explore/run_case.ts
@@ -1,5 +1,4 @@
 import * as common from "@geraniumkeel/common";
-import * as configuration from "@geraniumkeel/configuration";
 import * as undici from "undici";
 import * as checkAll from "../checkers/check_all.ts";
 import * as historyModule from "../checkers/history.ts";
@@ -67,26 +66,11 @@
 
 /** Experts move all the time, so that switches meet every fault. */
 function exploreConfiguration(): testConfiguration.DocumentInput {
-  const document = testConfiguration.testConfiguration();
-  const experts = {
+  return testConfiguration.eagerPlacement({
     slotsPerRank: 12,
     megabytesPerExpert: 1,
     tokenMilliseconds: 0.4,
-  };
-  const placement = {
-    periodSeconds: 0.3,
-    exchangeRate: 0.000_001,
-    horizonSeconds: 600,
-  };
-  return {
-    ...document,
-    services: document.services.map((service) =>
-      service.kind === configuration.ServiceKind.Model
-        ? { ...service, experts }
-        : service,
-    ),
-    presets: document.presets.map((preset) => ({ ...preset, placement })),
-  };
+  });
 }
 
 function record(system: clusterModule.Cluster): historyModule.History {
--- a/packages/stand_ins/src/measure/measure_switch.ts
+++ b/packages/stand_ins/src/measure/measure_switch.ts
@@ -1,5 +1,4 @@
 import * as common from "@geraniumkeel/common";
-import * as configuration from "@geraniumkeel/configuration";
 import * as cluster from "../testing/cluster.ts";
 import * as testConfiguration from "../testing/test_configuration.ts";
 import * as statistics from "./statistics.ts";
@@ -82,23 +81,12 @@
   }
 }
 
-/** Plans often and for nearly any gain, so that there is much to measure. */
+/** Plans often, so that there is much to measure. */
 function eagerPlacement(holding: boolean): testConfiguration.DocumentInput {
-  const document = testConfiguration.testConfiguration();
-  const experts = {
+  return testConfiguration.eagerPlacement({
     slotsPerRank: 9,
     megabytesPerExpert: 1,
     tokenMilliseconds: 0.4,
-    switching: holding ? ("hold-all" as const) : ("at-step" as const),
-  };
-  const placement = { periodSeconds: 0.3, exchangeRate: 0.000_001 };
-  return {
-    ...document,
-    services: document.services.map((service) =>
-      service.kind === configuration.ServiceKind.Model
-        ? { ...service, experts }
-        : service,
-    ),
-    presets: document.presets.map((preset) => ({ ...preset, placement })),
-  };
+    switching: holding ? "hold-all" : "at-step",
+  });
 }
--- a/packages/stand_ins/src/testing/test_configuration.ts
+++ b/packages/stand_ins/src/testing/test_configuration.ts
@@ -53,3 +53,20 @@
     ...change,
   };
 }
+
+/** A configuration under which experts move often and for nearly any gain. */
+export function eagerPlacement(
+  experts: zod.input<typeof configuration.EXPERTS>,
+): DocumentInput {
+  const document = testConfiguration();
+  const placement = { periodSeconds: 0.3, exchangeRate: 0.000_001 };
+  return {
+    ...document,
+    services: document.services.map((service) =>
+      service.kind === configuration.ServiceKind.Model
+        ? { ...service, experts }
+        : service,
+    ),
+    presets: document.presets.map((preset) => ({ ...preset, placement })),
+  };
+}
