fix: the catalogues name only what is sent

Cause: five metrics and one event stood in the catalogues and nowhere else. Change: links, attempts by runner and skew by group are sent every five seconds; two metrics and the event are gone.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -29,7 +29,6 @@
   RequestIncomplete = 1403,
   RequestMayHaveRun = 1404,
   ClaimTakenOver = 1405,
-  StaleFrameDropped = 1406,
   CallerStalled = 1407,
   DispatchRefused = 1501,
   AttemptTombstoned = 1502,
@@ -211,11 +210,6 @@
       "A keyed request that another entry had claimed was resolved here.",
     action: NONE,
   },
-  [EventCode.StaleFrameDropped]: {
-    level: EventLevel.Info,
-    meaning: "A frame of an attempt that is not current was dropped.",
-    action: NONE,
-  },
   [EventCode.CallerStalled]: {
     level: EventLevel.Info,
     meaning: "A caller took no bytes for too long; its connection was closed.",
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -13,9 +13,7 @@
   LinksSilent = "links_silent",
   StaleFrames = "stale_frames",
   ConfigurationRevision = "configuration_revision",
-  StoreOutcomes = "store_outcomes",
   StepSkew = "step_skew",
-  MapSwitchSteps = "map_switch_steps",
 }
 
 /** Shape of a metric. */
@@ -64,9 +62,7 @@
   [Metric.LinksSilent]: counter("Links replaced after silence."),
   [Metric.StaleFrames]: counter("Frames of old attempts dropped."),
   [Metric.ConfigurationRevision]: gauge("1", "Revision in force."),
-  [Metric.StoreOutcomes]: counter("Table service outcomes.", "outcome"),
   [Metric.StepSkew]: gauge("1", "Slowest over mean rank time.", "group"),
-  [Metric.MapSwitchSteps]: gauge("1", "Steps lost by a switch.", "group"),
 };
 
 /** Destination of metrics. */
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -16,9 +16,11 @@
 import * as createContext from "./create_context.ts";
 import * as drainEntry from "./drain_entry.ts";
 import type * as entryContext from "./entry_context.ts";
+import * as reportGauges from "./report_gauges.ts";
 
 const PUMP_MILLISECONDS = 50;
 const SWEEP_MILLISECONDS = 1_000;
+const GAUGE_MILLISECONDS = 5_000;
 const CLAIM_REMOVAL_LEASE = "leases/claim-removal";
 
 /** Starts the process of an entry host. */
@@ -155,6 +157,7 @@
   lifeCycle.every(PUMP_MILLISECONDS, () => {
     for (const queue of queues.values()) queue.pump();
   });
+  lifeCycle.every(GAUGE_MILLISECONDS, () => reportGauges.reportGauges(context));
   lifeCycle.every(SWEEP_MILLISECONDS, () => context.limits.sweep());
 }
 
