fix: a request under way at a stop no longer ends the process

A request that ended by our own closing was taken for a silent connection, and its pool, already destroyed, closed once more. Ruled out: the test bench (the trace is in the product's client). Change: a closed client replaces nothing and refuses requests as not sent.

--- a/packages/platform/src/http_client.ts
+++ b/packages/platform/src/http_client.ts
@@ -47,6 +47,7 @@
  */
 export class HttpClient {
   #agent: undici.Agent;
+  #closed = false;
 
   constructor(
     readonly origin: string,
@@ -61,6 +62,10 @@
     path: string,
     body?: unknown,
   ): Promise<neverthrow.Result<HttpAnswer, RequestFailure>> {
+    if (this.#closed) {
+      const kind = RequestFailureKind.NotSent;
+      return neverthrow.err({ kind, reason: "client closed" });
+    }
     const agent = this.#agent;
     const timeout = this.parameters.timeoutMilliseconds;
     const headers: Record<string, string> = {};
@@ -87,14 +92,17 @@
 
   /** Closes all connections. */
   async close(): Promise<void> {
+    this.#closed = true;
     await this.#agent.destroy();
   }
 
   #replace(agent: undici.Agent): void {
-    if (this.#agent !== agent) return;
+    // A request that ends by our own closing must not open a pool anew, nor
+    // close one that is destroyed: that rejects, and would end the process.
+    if (this.#closed || this.#agent !== agent) return;
     this.#agent = this.#newAgent();
     // Other requests may be waiting on the old pool; it closes when they end.
-    void agent.close();
+    agent.close().catch(() => undefined);
   }
 
   #newAgent(): undici.Agent {
--- /dev/null
+++ b/packages/platform/src/http_client_test.ts
@@ -0,0 +1,70 @@
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as ava from "ava";
+import * as httpClient from "./http_client.ts";
+
+const test = ava.default;
+
+/** A server that answers by `handler`, and a client of it. */
+async function fixture(
+  t: ava.ExecutionContext,
+  handler: http.RequestListener,
+  timeoutMilliseconds: number,
+): Promise<{ client: httpClient.HttpClient; connections: () => number }> {
+  let connections = 0;
+  const server = http.createServer(handler);
+  server.on("connection", () => connections++);
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve()),
+  );
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const { port } = server.address() as net.AddressInfo;
+  const origin = `http://127.0.0.1:${port}`;
+  const client = new httpClient.HttpClient(origin, { timeoutMilliseconds });
+  return { client, connections: () => connections };
+}
+
+// The process stops while a request to the store is under way. The request ends
+// by that; taking it for a silent connection, the client closed its destroyed
+// pool once more, and the rejection ended the process.
+test("closing while a request is under way ends it as unanswered", async (t) => {
+  let arrived = () => {};
+  const arriving = new Promise<void>((resolve) => (arrived = resolve));
+  const { client } = await fixture(t, () => arrived(), 5_000);
+  const answering = client.request("GET", "/");
+  await arriving;
+  await client.close();
+  const answer = await answering;
+  t.is(
+    answer.isErr() && answer.error.kind,
+    httpClient.RequestFailureKind.Unanswered,
+  );
+  const later = await client.request("GET", "/");
+  t.is(
+    later.isErr() && later.error.kind,
+    httpClient.RequestFailureKind.NotSent,
+  );
+});
+
+// A pooled connection never answers again, while new ones would. After the
+// time-out the next request takes a connection of its own.
+test("a connection that went silent is not used again", async (t) => {
+  let silent = true;
+  const { client, connections } = await fixture(
+    t,
+    (_request, response) => {
+      if (!silent) response.end("well");
+    },
+    200,
+  );
+  const first = await client.request("GET", "/");
+  t.true(first.isErr());
+  silent = false;
+  const second = await client.request("GET", "/");
+  t.is(second.isOk() && second.value.body, "well");
+  t.is(connections(), 2);
+  await client.close();
+});
