--- a/packages/stand_ins/src/system/processes_test.ts
+++ b/packages/stand_ins/src/system/processes_test.ts
@@ -1,5 +1,6 @@
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
+import * as os from "node:os";
 import * as path from "node:path";
 import * as url from "node:url";
 import * as ava from "ava";
@@ -192,7 +193,10 @@
 });
 
 test("the daemon names everything wrong with its settings", (t) => {
-  const file = path.join(fs.mkdtempSync("/tmp/settings-"), "bad.json");
+  const file = path.join(
+    fs.mkdtempSync(path.join(os.tmpdir(), "settings-")),
+    "bad.json",
+  );
   fs.writeFileSync(
     file,
     JSON.stringify({
