refactor: a getter that nothing called is gone

Cause: reading the whole change again. Change: RunnerLink.pendingCount removed; sequences already include it.

--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -100,11 +100,6 @@
     return this.#pending.reduce((sum, one) => sum + one.promptTokens, 0);
   }
 
-  /** Dispatches that the last load report lacks. */
-  get pendingCount(): number {
-    return this.#pending.length;
-  }
-
   /** Identity for a new attempt, bound to the runner's present incarnation. */
   newAttempt(identifier: string): wire.Attempt | undefined {
     if (!this.hello || !this.#link) return undefined;
