fix: a rank replaced in the middle of a switch is told go

Cause: a term's ports held on to the link of the host that had the rank when the term began. A host that left the list and came back has a new link, so the rank stayed armed, nobody could tell it go, and its group stood still until each request's deadline. Ruled out: silence taken for a lost link under load (links were up, all 12 open requests were chats of one group, and one rank was armed with the others past the step). Change: ports look the rank's agent up at each order; a rank with two claimants is not coordinated. New faults: orders lost, host replaced.

--- a/packages/daemon/src/expert_map/coordinators.ts
+++ b/packages/daemon/src/expert_map/coordinators.ts
@@ -4,10 +4,10 @@
 import type * as configurationKeeper from "../configuration/configuration_keeper.ts";
 import type * as runnerDirectory from "../dispatch/runner_directory.ts";
 import type * as runnerLink from "../dispatch/runner_link.ts";
+import * as groupPorts from "./group_ports.ts";
 import * as groupCoordinator from "./group_coordinator.ts";
 import * as leaseModule from "../lease/lease.ts";
 import type * as mapStore from "./map_store.ts";
-import type * as rankPort from "./rank_port.ts";
 
 const LOOK_MILLISECONDS = 500;
 const ORDER_TIMEOUT_MILLISECONDS = 2_500;
@@ -99,7 +99,12 @@
         durationMilliseconds: leaseMilliseconds,
       }),
       maps,
-      ranks: () => this.#ranksOf(group),
+      ranks: () =>
+        groupPorts.groupPorts({
+          group,
+          runners: this.parameters.runners,
+          timeoutMilliseconds: ORDER_TIMEOUT_MILLISECONDS,
+        }),
       experts: () => expertsOf(keeper.view?.service(service)),
       preset: () => keeper.view?.preset,
       mayStart: () => {
@@ -115,22 +120,6 @@
       renewMilliseconds: leaseMilliseconds / 4,
     });
   }
-
-  /** Ports to all ranks of a group, or `undefined` while some are missing. */
-  #ranksOf(group: string): rankPort.RankPort[] | undefined {
-    const runners = this.parameters.runners.ofGroup(group);
-    const size = runners[0]?.hello?.groupSize ?? 0;
-    const linked = runners.filter((runner) => runner.linked);
-    if (size === 0 || linked.length < size) return undefined;
-    return linked.map((runner) => ({
-      rank: runner.hello?.rank ?? 0,
-      host: runner.host.name,
-      incarnation: () =>
-        runner.linked ? runner.hello?.incarnation : undefined,
-      order: (order, incarnationOrdered) =>
-        runner.order(order, incarnationOrdered, ORDER_TIMEOUT_MILLISECONDS),
-    }));
-  }
 }
 
 function expertsOf(
--- a/packages/daemon/src/expert_map/rank_session.ts
+++ b/packages/daemon/src/expert_map/rank_session.ts
@@ -33,16 +33,15 @@
 
   /** Whether the agent that promised is still the one in place. */
   get bound(): boolean {
-    return (
-      this.#promisedBy !== undefined &&
-      this.#promisedBy === this.port.incarnation()
-    );
+    if (this.#promisedBy === undefined) return false;
+    return this.port.incarnations().includes(this.#promisedBy);
   }
 
-  /** Asks the agent in place for the promise, once. */
+  /** Asks the agent in place for the promise, once, if there is just one. */
   async promise(): Promise<RankReply> {
-    const incarnation = this.port.incarnation();
+    const [incarnation, ...others] = this.port.incarnations();
     if (incarnation === undefined) return unknown("no link");
+    if (others.length > 0) return unknown("claimed by two agents");
     const { group, fencing } = this;
     const kind = wire.OrderKind.Promise;
     const reply = await this.#send({ kind, group, fencing }, incarnation);
--- a/packages/stand_ins/src/engine_group.ts
+++ b/packages/stand_ins/src/engine_group.ts
@@ -20,6 +20,8 @@
   /** Orders that take effect and whose answer is lost. */
   loseOrderAnswers: number;
   orderDelayMilliseconds: number;
+  /** Kind of orders that are lost before they take effect; empty for none. */
+  dropOrders: wire.OrderKind | "";
   /** Age of load reports, in milliseconds. */
   reportLagMilliseconds: number;
   /** Cache events that are never published. */
@@ -75,6 +77,7 @@
     refuseCalls: 0,
     loseOrderAnswers: 0,
     orderDelayMilliseconds: 0,
+    dropOrders: "",
     reportLagMilliseconds: 100,
     dropCacheEvents: 0,
   };
--- a/packages/stand_ins/src/engine_stand_in.ts
+++ b/packages/stand_ins/src/engine_stand_in.ts
@@ -186,6 +186,10 @@
   if (faults.orderDelayMilliseconds > 0) {
     await common.sleep(faults.orderDelayMilliseconds);
   }
+  if (given.kind === faults.dropOrders) {
+    response.destroy();
+    return;
+  }
   const answer = engineOrders.takeOrder(rank, given);
   if (faults.loseOrderAnswers > 0) {
     faults.loseOrderAnswers--;
--- a/packages/stand_ins/src/explore/fault.ts
+++ b/packages/stand_ins/src/explore/fault.ts
@@ -30,6 +30,8 @@
   Maintenance = "maintenance",
   DrainUpstream = "drain-upstream",
   DrainEntry = "drain-entry",
+  ReplaceUpstream = "replace-upstream",
+  LostOrders = "lost-orders",
 }
 
 /** Faults that are no faults but planned stops: they cut off nothing. */
--- a/packages/stand_ins/src/explore/fault_tests.ts
+++ b/packages/stand_ins/src/explore/fault_tests.ts
@@ -24,6 +24,8 @@
   [FaultKind.DrainEntry, FaultKind.DrainUpstream],
   [FaultKind.UnreachableUpstream, FaultKind.SlowRank],
   [FaultKind.CutUpstreamLinks, FaultKind.BreakStreams],
+  [FaultKind.LostOrders, FaultKind.ReplaceUpstream],
+  [FaultKind.LostOrders, FaultKind.DrainUpstream],
 ];
 
 /** Cases of a part of the fault tests; parts run in processes of their own. */
--- a/packages/stand_ins/src/explore/inject.ts
+++ b/packages/stand_ins/src/explore/inject.ts
@@ -1,4 +1,5 @@
 import * as common from "@geraniumkeel/common";
+import * as wire from "@geraniumkeel/wire";
 import type * as historyModule from "../checkers/history.ts";
 import type * as cluster from "../testing/cluster.ts";
 import * as tcpProxy from "../testing/tcp_proxy.ts";
@@ -53,7 +54,7 @@
       plain.faults.delayMilliseconds = 0;
       return;
     case FaultKind.KillUpstream:
-      return killUpstream(target, pause);
+      return killUpstream(target, pause, true);
     case FaultKind.KillEntry:
       return killEntry(target, pause, random.below(system.entries.length));
     case FaultKind.KillCoordinator:
@@ -137,6 +138,13 @@
       return drainUpstream(target);
     case FaultKind.DrainEntry:
       return drainEntry(target);
+    case FaultKind.ReplaceUpstream:
+      return killUpstream(target, pause, false);
+    case FaultKind.LostOrders:
+      faults.dropOrders = wire.OrderKind.Go;
+      await pause();
+      faults.dropOrders = "";
+      return;
   }
 }
 
@@ -170,10 +178,11 @@
 async function killUpstream(
   target: Target,
   pause: () => Promise<void>,
+  staysListed: boolean,
 ): Promise<void> {
   const { system, random } = target;
   const killed = random.pick(system.upstreams);
-  await system.kill(killed, true);
+  await system.kill(killed, staysListed);
   await pause();
   await restartUpstream(system, killed.name);
 }
--- a/packages/stand_ins/src/system/expert_map_test.ts
+++ b/packages/stand_ins/src/system/expert_map_test.ts
@@ -92,8 +92,7 @@
   port(rank: number): daemon.RankPort {
     return {
       rank,
-      host: `rank-${rank}`,
-      incarnation: () => this.gates[rank].incarnation,
+      incarnations: () => [this.gates[rank].incarnation],
       order: async (order, agentIncarnation) => {
         await turns(this.random.below(this.faulty ? 12 : 2));
         if (this.faulty && this.random.fraction() < 0.05) return undefined;
