feat: maps are staged by their changes; host list and lease cost less

Cause: staging sent 34,872 bytes to each of 64 ranks (7.4 KB/s of a coordinator); each entry read the whole host list; a queue timer woke idle entries 20 times a second; a lease was renewed on what a read said, which may be old or lost, and a switch under way was given up with its term, so that the group held until a successor came. Change: changes on a base the agent kept, checked by the digest of the whole map; conditional reads of the host list; queues looked at only while something waits; one timer for all links, answered heartbeats; leases extended on the revision last written, to a definite outcome; a term's end lets its switch finish; the lead of a switch grows with the steps that staging took.

--- a/packages/daemon/src/admission/service_queue.ts
+++ b/packages/daemon/src/admission/service_queue.ts
@@ -49,7 +49,12 @@
   #length = 0;
 
   constructor(
-    readonly parameters: { limit: () => number; clock?: () => number },
+    readonly parameters: {
+      limit: () => number;
+      clock?: () => number;
+      /** Called when a request begins to wait. */
+      onWaiting?: () => void;
+    },
   ) {
     this.#now = parameters.clock ?? common.now;
     this.#admissions = new rateWindow.RateWindow(
@@ -155,6 +160,7 @@
     waiting.signal.addEventListener("abort", onGone, { once: true });
     flow.add(item);
     this.#length++;
+    this.parameters.onWaiting?.();
   }
 
   #leave(flow: accountFlow.AccountFlow<Item<R>>, item: Item<R>): boolean {
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -81,6 +81,7 @@
     string,
     serviceQueue.ServiceQueue<runnerLink.RunnerLink>
   >();
+  const queued = new common.ChangeNotice();
   const pump = () => {
     for (const queue of queues.values()) queue.pump();
   };
@@ -137,7 +138,10 @@
       getOrCreate(queues, service, () => {
         const limit = () =>
           keeper.view?.service(service)?.queueLength ?? DEFAULT_QUEUE_LENGTH;
-        return new serviceQueue.ServiceQueue({ limit });
+        return new serviceQueue.ServiceQueue({
+          limit,
+          onWaiting: () => queued.announce(),
+        });
       }),
     budgetOf: createBudgets(),
     keyed,
@@ -169,6 +173,7 @@
     runners,
     router,
     queues,
+    queued,
     coordinators: new coordinatorsModule.Coordinators({
       host,
       incarnation,
@@ -181,6 +186,7 @@
       table: parameters.table,
       maps: new mapStore.MapStore(parameters.objects),
       leaseMilliseconds: timing.leaseDuration,
+      random,
     }),
     limits: new accountLimits.AccountLimits({
       self: host,
--- a/packages/daemon/src/entry/entry_context.ts
+++ b/packages/daemon/src/entry/entry_context.ts
@@ -36,6 +36,8 @@
   runners: runnerDirectory.RunnerDirectory;
   router: router.Router;
   queues: Map<string, serviceQueue.ServiceQueue<runnerLink.RunnerLink>>;
+  /** Told whenever a request begins to wait in a queue. */
+  queued: common.ChangeNotice;
   coordinators: coordinators.Coordinators;
   limits: accountLimits.AccountLimits;
   dispatcher: dispatcher.Dispatcher;
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -19,6 +19,8 @@
 import * as reportGauges from "./report_gauges.ts";
 
 const PUMP_MILLISECONDS = 50;
+/** Time after which empty queues are looked at all the same. */
+const QUIET_MILLISECONDS = 60_000;
 const SWEEP_MILLISECONDS = 1_000;
 const GAUGE_MILLISECONDS = 5_000;
 const CLAIM_REMOVAL_LEASE = "leases/claim-removal";
@@ -135,7 +137,7 @@
 
 function startTasks(context: entryContext.EntryContext): void {
   const { lifeCycle, hosts, peers, runners, keeper, members } = context;
-  const { settings, logger, random, store, freshness, queues } = context;
+  const { settings, logger, random, store, freshness } = context;
   lifeCycle.run("host-list", (signal) => hosts.run(signal));
   lifeCycle.run("runners", (signal) => runners.run(signal));
   lifeCycle.run("claim-removal", (signal) => removeClaims(context, signal));
@@ -154,13 +156,32 @@
   );
   lifeCycle.run("in-force", (signal) => followConfiguration(context, signal));
   peers.start();
-  lifeCycle.every(PUMP_MILLISECONDS, () => {
-    for (const queue of queues.values()) queue.pump();
-  });
+  lifeCycle.run("queues", (signal) => pumpQueues(context, signal));
   lifeCycle.every(GAUGE_MILLISECONDS, () => reportGauges.reportGauges(context));
   lifeCycle.every(SWEEP_MILLISECONDS, () => context.limits.sweep());
 }
 
+/**
+ * Looks at the queues again while anything waits: deadlines pass, and rooms at
+ * runners open, without an event. Timers that run for nothing are most of what
+ * an idle process costs.
+ */
+async function pumpQueues(
+  context: entryContext.EntryContext,
+  signal: AbortSignal,
+): Promise<void> {
+  const { queues, queued } = context;
+  while (!signal.aborted) {
+    const waiting = [...queues.values()].some((queue) => queue.length > 0);
+    if (!waiting) {
+      await queued.next(QUIET_MILLISECONDS, signal);
+      continue;
+    }
+    await common.sleep(PUMP_MILLISECONDS, signal);
+    for (const queue of queues.values()) queue.pump();
+  }
+}
+
 function removeClaims(
   context: entryContext.EntryContext,
   signal: AbortSignal,
@@ -176,6 +197,7 @@
       host,
       incarnation,
       durationMilliseconds: 3 * claimRemovalPeriod,
+      random: context.random,
     }),
     preferred: () => {
       const alive = members.alive.map((member) => member.host);
--- a/packages/daemon/src/expert_map/coordinators.ts
+++ b/packages/daemon/src/expert_map/coordinators.ts
@@ -26,6 +26,7 @@
   table: platform.TableService;
   maps: mapStore.MapStore;
   leaseMilliseconds: number;
+  random: common.Random;
 }
 
 /**
@@ -82,8 +83,10 @@
     const coordinator = this.#create(group, service);
     const stop = new AbortController();
     this.#running.set(group, { coordinator, stop });
-    const both = AbortSignal.any([signal, stop.signal]);
-    lifeCycle.run(`coordinator ${group}`, () => coordinator.run(both));
+    const stopping = AbortSignal.any([signal, stop.signal]);
+    lifeCycle.run(`coordinator ${group}`, () =>
+      coordinator.run({ stopping, closing: signal }),
+    );
   }
 
   #create(group: string, service: string): groupCoordinator.GroupCoordinator {
@@ -97,6 +100,7 @@
         host,
         incarnation,
         durationMilliseconds: leaseMilliseconds,
+        random: this.parameters.random,
       }),
       maps,
       ranks: () =>
--- a/packages/daemon/src/expert_map/group_coordinator.ts
+++ b/packages/daemon/src/expert_map/group_coordinator.ts
@@ -1,6 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import type * as configuration from "@geraniumkeel/configuration";
-import type * as wire from "@geraniumkeel/wire";
+import * as wire from "@geraniumkeel/wire";
 import * as hourShape from "../placement/hour_shape.ts";
 import * as placementDecision from "../placement/placement_decision.ts";
 import type * as leaseModule from "../lease/lease.ts";
@@ -32,9 +32,36 @@
 const RETRY_MILLISECONDS = 500;
 /** Steps between arming and the switch; all ranks arm in well under that. */
 const LEAD_STEPS = 30;
+/** Time for a switch under way to end when its term does. */
+const FINISH_MILLISECONDS = 3_000;
 /** Maps made in one term have versions of their own. */
 const VERSIONS_PER_TERM = 1_000_000;
 
+/** When a coordinator is to end. */
+export interface CoordinatorSignals {
+  /** Another entry coordinates the group now, or this one closes. */
+  stopping: AbortSignal;
+  /** This process closes: nothing can be ordered any more. */
+  closing: AbortSignal;
+}
+
+/** A term under way. */
+interface RunningTerm {
+  fencing: number;
+  noMore: AbortController;
+  abandon: AbortController;
+  ended: Promise<void>;
+}
+
+/** What a term runs under. */
+interface TermParameters {
+  fencing: number;
+  /** Begin nothing more. */
+  noMore: AbortSignal;
+  /** Give up what is under way too. */
+  abandon: AbortSignal;
+}
+
 /** Coordinates one group while this entry holds its lease. */
 export class GroupCoordinator {
   readonly #shape = new hourShape.HourShape();
@@ -52,35 +79,53 @@
   }
 
   /** Holds the lease and coordinates, term by term. */
-  async run(signal: AbortSignal): Promise<void> {
-    const { lease, logger, group, renewMilliseconds } = this.parameters;
-    let term: { fencing: number; abort: AbortController } | undefined;
-    let running: Promise<void> | undefined;
-    while (!signal.aborted) {
+  async run(signals: CoordinatorSignals): Promise<void> {
+    const { lease, renewMilliseconds } = this.parameters;
+    const { stopping } = signals;
+    let term: RunningTerm | undefined;
+    while (!stopping.aborted) {
       const fencing = await lease.renew();
       if (term && term.fencing !== fencing) {
-        term.abort.abort();
-        await running;
+        await this.#endTerm(term);
         term = undefined;
       }
-      if (fencing !== undefined && !term) {
-        logger.event(common.EventCode.CoordinatorChanged, { group, fencing });
-        const abort = new AbortController();
-        term = { fencing, abort };
-        const both = AbortSignal.any([signal, abort.signal]);
-        running = this.#runTerm(fencing, both);
-      }
-      await common.sleep(renewMilliseconds, signal);
+      if (fencing !== undefined) term ??= this.#beginTerm(fencing, signals);
+      await common.sleep(renewMilliseconds, stopping);
     }
-    term?.abort.abort();
-    await running;
+    if (term) await this.#endTerm(term);
     await lease.release();
   }
 
-  async #runTerm(fencing: number, signal: AbortSignal): Promise<void> {
+  #beginTerm(fencing: number, signals: CoordinatorSignals): RunningTerm {
+    const { logger, group } = this.parameters;
+    logger.event(common.EventCode.CoordinatorChanged, { group, fencing });
+    const noMore = new AbortController();
+    const abandon = new AbortController();
+    const ended = this.#runTerm({
+      fencing,
+      noMore: AbortSignal.any([signals.stopping, noMore.signal]),
+      abandon: AbortSignal.any([signals.closing, abandon.signal]),
+    });
+    return { fencing, noMore, abandon, ended };
+  }
+
+  /**
+   * Lets a switch under way come to its end: given up between "arm" and "go", it
+   * would have the whole group hold until a successor has taken over. Safe
+   * without the lease, as a successor's higher number ends it at once.
+   */
+  async #endTerm(term: RunningTerm): Promise<void> {
+    term.noMore.abort();
+    await common.withTimeout(term.ended, FINISH_MILLISECONDS);
+    term.abandon.abort();
+    await term.ended;
+  }
+
+  async #runTerm(parameters: TermParameters): Promise<void> {
+    const { fencing, noMore, abandon } = parameters;
     let count = 0;
-    while (!signal.aborted) {
-      const taken = await this.#takeOver(fencing, signal);
+    while (!noMore.aborted) {
+      const taken = await this.#takeOver(fencing, abandon);
       if (taken === "superseded") {
         // A higher number was promised while the lease looks held. Keeping the
         // lease would leave the group with a coordinator that no rank obeys;
@@ -88,12 +133,12 @@
         return this.parameters.lease.release();
       }
       if (taken === undefined) {
-        await common.sleep(RETRY_MILLISECONDS, signal);
+        await common.sleep(RETRY_MILLISECONDS, noMore);
         continue;
       }
-      while (!signal.aborted) {
-        await common.sleep(this.#periodMilliseconds(), signal);
-        if (signal.aborted) return;
+      while (!noMore.aborted) {
+        await common.sleep(this.#periodMilliseconds(), noMore);
+        if (noMore.aborted) return;
         const version = fencing * VERSIONS_PER_TERM + ++count;
         if (!(await this.#round(taken, version))) break;
       }
@@ -160,14 +205,21 @@
     this.#lastPlan = decision;
     this.#explain(decision);
     if (decision.kind === "keep") return true;
-    return this.#switch(term, { version, places: decision.places }, wanted);
+    return this.#switch({
+      term,
+      inForce: { version: view.version, places },
+      map: { version, places: inRankOrder(decision.places) },
+      experts: wanted,
+    });
   }
 
-  async #switch(
-    term: groupTerm.GroupTerm,
-    map: wire.ExpertMap,
-    experts: configuration.Experts,
-  ): Promise<boolean> {
+  async #switch(parameters: {
+    term: groupTerm.GroupTerm;
+    inForce: wire.ExpertMap;
+    map: wire.ExpertMap;
+    experts: configuration.Experts;
+  }): Promise<boolean> {
+    const { term, inForce, map, experts } = parameters;
     const { group, maps, logger, history, host, onSwitching } = this.parameters;
     const { version } = map;
     if (!(await maps.keep(group, map))) return true;
@@ -176,6 +228,7 @@
     const outcome = await switchMap.switchMap({
       term,
       map,
+      changes: wire.changesBetween(inForce, map),
       mode:
         experts.switching === "at-step"
           ? switchMap.SwitchMode.AtStep
@@ -225,6 +278,13 @@
   return tokens.map((layer) => layer.map((count) => count / seconds));
 }
 
+/** Replicas of each expert by rank, as the ranks' own reports give them. */
+function inRankOrder(places: wire.ExpertPlaces): wire.ExpertPlaces {
+  return places.map((layer) =>
+    layer.map((ranks) => [...ranks].sort((left, right) => left - right)),
+  );
+}
+
 function hasLoad(load: number[][]): boolean {
   return load.some((layer) => layer.some((rate) => rate > 0));
 }
--- a/packages/daemon/src/expert_map/group_term.ts
+++ b/packages/daemon/src/expert_map/group_term.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import type * as wire from "@geraniumkeel/wire";
+import * as wire from "@geraniumkeel/wire";
 import type * as rankPort from "./rank_port.ts";
 import * as rankSession from "./rank_session.ts";
 
@@ -22,6 +22,13 @@
   withoutPauses?: boolean;
 }
 
+/** A map to be staged. */
+export interface MapStaging {
+  map: wire.ExpertMap;
+  /** The same told by its changes, for agents that have the base. */
+  changes: wire.MapChanges | undefined;
+}
+
 /**
  * One coordinator's term over a group: a fencing number that all ranks have
  * promised to, and whatever is ordered under it.
@@ -80,6 +87,12 @@
     return firstFailure(await Promise.all(replies));
   }
 
+  /** Stages a map at all ranks; the first failure, if any. */
+  async stage(staging: MapStaging): Promise<rankSession.RankReply | undefined> {
+    const replies = this.sessions.map((one) => this.#stageAt(one, staging));
+    return firstFailure(await Promise.all(replies));
+  }
+
   /** Gives an order to all and returns the states told, if all answered. */
   async ask(order: wire.Order): Promise<wire.RankState[] | undefined> {
     const failure = await this.giveAll(order);
@@ -108,6 +121,25 @@
     return common.sleep(milliseconds, signal);
   }
 
+  async #stageAt(
+    session: rankSession.RankSession,
+    staging: MapStaging,
+  ): Promise<rankSession.RankReply> {
+    const { group, fencing } = this;
+    const { map, changes } = staging;
+    if (changes) {
+      const kind = wire.OrderKind.StageChanges;
+      const reply = await tryAFewTimes(() =>
+        session.give({ kind, group, fencing, changes }),
+      );
+      const lacksBase =
+        !reply.done && reply.failure === rankSession.RankFailure.LacksBase;
+      if (!lacksBase) return reply;
+    }
+    const kind = wire.OrderKind.Stage;
+    return tryAFewTimes(() => session.give({ kind, group, fencing, map }));
+  }
+
   async #insist(
     session: rankSession.RankSession,
     order: wire.Order,
--- a/packages/daemon/src/expert_map/rank_orders.ts
+++ b/packages/daemon/src/expert_map/rank_orders.ts
@@ -1,5 +1,6 @@
 import * as engineModule from "@geraniumkeel/engine";
 import * as wire from "@geraniumkeel/wire";
+import * as keptMaps from "./kept_maps.ts";
 
 /** Part of the engine that takes group orders. */
 export interface OrderTaker {
@@ -28,6 +29,7 @@
  * before a restart is refused even with the highest number.
  */
 export class RankOrders {
+  readonly #maps = new keptMaps.KeptMaps();
   #promised = 0;
   /** Orders run one at a time, so a promise follows all earlier orders. */
   #previous: Promise<unknown> = Promise.resolve();
@@ -68,13 +70,26 @@
     } else if (order.fencing !== this.#promised) {
       return this.#refuse(wire.OrderRefusal.NotPromised);
     }
-    const answer = await this.engine.order(order);
+    const engineOrder = this.#engineOrder(order);
+    if (!engineOrder) return this.#refuse(wire.OrderRefusal.UnknownBase);
+    const answer = await this.engine.order(engineOrder);
     if (answer.isOk()) {
+      if (engineOrder.kind === wire.OrderKind.Stage) {
+        this.#maps.keep(engineOrder.map);
+      }
       return { done: true, state: { ...emptyState(), ...answer.value } };
     }
     return this.#refuse(refusalOf(answer.error.reason));
   }
 
+  /** The order as engines know it; `undefined` without the base of changes. */
+  #engineOrder(order: wire.Order): wire.EngineOrder | undefined {
+    if (order.kind !== wire.OrderKind.StageChanges) return order;
+    const { group, fencing } = order;
+    const map = this.#maps.apply(order.changes);
+    return map && { kind: wire.OrderKind.Stage, group, fencing, map };
+  }
+
   #refuse(refusal: wire.OrderRefusal): wire.OrderAnswer {
     return { done: false, refusal, fencing: this.#promised };
   }
--- a/packages/daemon/src/expert_map/rank_session.ts
+++ b/packages/daemon/src/expert_map/rank_session.ts
@@ -7,6 +7,8 @@
   Superseded = "superseded",
   /** Refused for a reason that repeating does not change. */
   Refused = "refused",
+  /** It needs the whole map. */
+  LacksBase = "lacks-base",
   /** Given up without a definite answer. */
   Unknown = "unknown",
 }
@@ -77,6 +79,8 @@
         return unknown(answer.refusal);
       case wire.OrderRefusal.EngineFailed:
         return unknown(answer.refusal);
+      case wire.OrderRefusal.UnknownBase:
+        return failed(RankFailure.LacksBase, answer.refusal);
       case wire.OrderRefusal.StepPassed:
       case wire.OrderRefusal.NotStaged:
       case wire.OrderRefusal.Unsupported:
--- a/packages/daemon/src/expert_map/switch_map.ts
+++ b/packages/daemon/src/expert_map/switch_map.ts
@@ -27,13 +27,24 @@
   HoldAll = "hold-all",
 }
 
+/**
+ * Rounds of orders that must fit in before the step: "arm" and "go", and half of
+ * one to spare. Staging was such a round; with late messages a fixed lead would
+ * let the step come first, and the group would hold for the rest.
+ */
+const ROUNDS_AHEAD = 3;
+/** Bound of the lead, for a group that stepped on while one rank was slow. */
+const MOST_LEAD_STEPS = 1_000;
+
 /** What a switch needs. */
 export interface SwitchParameters {
   /** An established term. */
   term: groupTerm.GroupTerm;
   map: wire.ExpertMap;
+  /** The map told by its changes, if what is in force is known. */
+  changes?: wire.MapChanges;
   mode: SwitchMode;
-  /** Steps between arming and the switch. */
+  /** Steps between arming and the switch at least. */
   leadSteps: number;
 }
 
@@ -45,14 +56,15 @@
 export async function switchMap(
   parameters: SwitchParameters,
 ): Promise<SwitchOutcome> {
-  const { term, map } = parameters;
-  const { group, fencing } = term;
-  const kind = wire.OrderKind.Stage;
-  const notStaged = await term.giveAll({ kind, group, fencing, map });
+  const { term, map, changes } = parameters;
+  const stepBefore = newestStep(term);
+  const notStaged = await term.stage({ map, changes });
   if (notStaged) return cancel(parameters, notStaged);
   switch (parameters.mode) {
-    case SwitchMode.AtStep:
-      return switchAtStep(parameters);
+    case SwitchMode.AtStep: {
+      const passed = newestStep(term) - stepBefore;
+      return switchAtStep(parameters, passed);
+    }
     case SwitchMode.HoldAll:
       return switchHolding(parameters);
   }
@@ -60,11 +72,13 @@
 
 async function switchAtStep(
   parameters: SwitchParameters,
+  stepsWhileStaging: number,
 ): Promise<SwitchOutcome> {
   const { term, map, leadSteps } = parameters;
   const { group, fencing } = term;
   const { version } = map;
-  const step = Math.max(...term.states.map((state) => state.step)) + leadSteps;
+  const lead = Math.max(leadSteps, ROUNDS_AHEAD * stepsWhileStaging);
+  const step = newestStep(term) + Math.min(lead, MOST_LEAD_STEPS);
   const kind = wire.OrderKind.Arm;
   const notArmed = await term.giveAll({ kind, group, fencing, version, step });
   // A rank whose answer is unknown may have armed, and would hold: until all
@@ -110,6 +124,11 @@
   }
 }
 
+/** Newest step that any rank has told. */
+function newestStep(term: groupTerm.GroupTerm): number {
+  return Math.max(...term.states.map(({ step }) => step));
+}
+
 async function switchHolding(
   parameters: SwitchParameters,
 ): Promise<SwitchOutcome> {
--- a/packages/daemon/src/lease/lease.ts
+++ b/packages/daemon/src/lease/lease.ts
@@ -9,6 +9,14 @@
   nonce: string;
 }
 
+/** The lease as its holder last wrote it. */
+interface HeldLease {
+  fencing: number;
+  revision: number;
+  /** When the write was begun, by the holder's clock. */
+  renewedAt: number;
+}
+
 /**
  * A lease in the table service. It avoids duels between holders of a duty;
  * safety never rests on it. No clocks are compared:
@@ -16,7 +24,7 @@
  * their own clocks, and for its holder a good deal earlier by its own.
  */
 export class Lease {
-  #held: { fencing: number; revision: number; renewedAt: number } | undefined;
+  #held: HeldLease | undefined;
   /** The row as last seen of another holder, and since when. */
   #seen: { revision: number; at: number } | undefined;
 
@@ -27,6 +35,7 @@
       host: string;
       incarnation: string;
       durationMilliseconds: number;
+      random: common.Random;
     },
   ) {}
 
@@ -40,25 +49,58 @@
 
   /** Takes or renews the lease; the fencing number if it is held. */
   async renew(): Promise<number | undefined> {
-    const startedAt = common.now();
+    if (this.#held) await this.#extend(this.#held);
+    else await this.#acquire();
+    return this.fencing;
+  }
+
+  /**
+   * Renews on the revision last written, without a read: a read that is served
+   * an old row would have the holder believe that it lost the lease. Nobody else
+   * had it since if the row is still at that revision.
+   */
+  async #extend(held: HeldLease): Promise<void> {
+    const renewedAt = common.now();
+    const outcome = await this.#write(held.revision, held.fencing);
+    switch (outcome.kind) {
+      case platform.DefiniteKind.Committed:
+        this.#held = { ...held, revision: outcome.revision, renewedAt };
+        return;
+      case platform.DefiniteKind.Conflict: {
+        const { row } = outcome;
+        // An earlier write of ours may have landed after it was given up.
+        const ownLateWrite = row && this.#isOwn(row, held.fencing);
+        this.#held = ownLateWrite
+          ? { ...held, revision: row.revision }
+          : undefined;
+        return;
+      }
+      case platform.DefiniteKind.NotWritten:
+      case platform.DefiniteKind.GivenUp:
+        return;
+    }
+  }
+
+  async #acquire(): Promise<void> {
+    const renewedAt = common.now();
     const read = await this.parameters.table.get(this.parameters.key);
-    if (read.isErr()) return this.fencing;
+    if (read.isErr()) return;
     const row = read.value;
     const lease = row && (JSON.parse(row.value) as LeaseRow);
+    const own = lease?.incarnation === this.parameters.incarnation;
+    if (row && !own && !this.#lapsed(row)) return;
+    // Another holder may have given orders since, also if the row is ours: a
+    // new term gets a new number.
+    const fencing = (lease?.fencing ?? 0) + 1;
+    const outcome = await this.#write(row?.revision, fencing);
+    if (outcome.kind !== platform.DefiniteKind.Committed) return;
+    this.#held = { fencing, revision: outcome.revision, renewedAt };
+  }
+
+  #isOwn(row: platform.Row, fencing: number): boolean {
+    const lease = JSON.parse(row.value) as LeaseRow;
     const { incarnation } = this.parameters;
-    const own = lease?.incarnation === incarnation;
-    if (row && !own && !this.#lapsed(row)) {
-      this.#held = undefined;
-      return undefined;
-    }
-    // A lease that lapsed in between may have had another holder's orders: a new
-    // term gets a new number even for the same host.
-    const keep = own && this.#held?.fencing === lease.fencing;
-    const fencing = keep ? lease.fencing : (lease?.fencing ?? 0) + 1;
-    const revision = await this.#write(row, fencing);
-    if (revision === undefined) return this.fencing;
-    this.#held = { fencing, revision, renewedAt: startedAt };
-    return this.fencing;
+    return lease.incarnation === incarnation && lease.fencing === fencing;
   }
 
   /** Gives the lease up, so that the next holder need not wait. */
@@ -102,33 +144,30 @@
     return now - this.#seen.at > this.parameters.durationMilliseconds;
   }
 
-  async #write(
-    row: platform.Row | undefined,
+  /** Writes the row in place of a revision, or where there is none. */
+  #write(
+    base: number | undefined,
     fencing: number,
-  ): Promise<number | undefined> {
-    const { table, key, host, incarnation } = this.parameters;
+  ): Promise<platform.DefiniteOutcome> {
+    const { table, key, host, incarnation, random } = this.parameters;
     const nonce = common.randomIdentifier();
-    const value: LeaseRow = { holder: host, incarnation, fencing, nonce };
-    const outcome = await table.transact({
-      conditions: [
-        row
-          ? {
-              kind: platform.ConditionKind.AtRevision,
-              key,
-              revision: row.revision,
-            }
-          : { kind: platform.ConditionKind.Absent, key },
-      ],
-      writes: [
-        {
-          kind: platform.WriteKind.Put,
-          key,
-          value: JSON.stringify(value),
-        },
-      ],
+    const lease: LeaseRow = { holder: host, incarnation, fencing, nonce };
+    const value = JSON.stringify(lease);
+    const condition: platform.Condition =
+      base === undefined
+        ? { kind: platform.ConditionKind.Absent, key }
+        : { kind: platform.ConditionKind.AtRevision, key, revision: base };
+    const put: platform.Write = { kind: platform.WriteKind.Put, key, value };
+    // With lost answers a lease renewed in truth would lapse for its holder.
+    return platform.writeDefinitely({
+      table,
+      write: {
+        transaction: { conditions: [condition], writes: [put] },
+        decidingKey: key,
+        nonce,
+      },
+      timeoutMilliseconds: this.parameters.durationMilliseconds / 4,
+      random,
     });
-    // An unknown outcome is settled by the next renewal, which reads first.
-    if (outcome.kind !== platform.OutcomeKind.Committed) return undefined;
-    return outcome.revisions[key];
   }
 }
--- a/packages/daemon/src/membership/host_view.ts
+++ b/packages/daemon/src/membership/host_view.ts
@@ -2,8 +2,9 @@
 import * as platform from "@geraniumkeel/platform";
 
 /**
- * Bytes a second that reading the list may take on average. The list of a large
- * deployment is long, and what is new in it is mostly known by gossip and links.
+ * Bytes a second that reading the list may take on average while it changes.
+ * The list of a large deployment is long, and what is new in it is mostly known
+ * by gossip and links.
  */
 const READ_BYTES_PER_SECOND = 6_000;
 
@@ -58,6 +59,10 @@
     }
     this.#available = true;
     this.lastReadAt = common.now();
+    if (!read.value.changed) {
+      this.#bytes = 0;
+      return;
+    }
     const { hosts, bytes } = read.value;
     this.#bytes = bytes;
     this.#replace(new Map(hosts.map((host) => [host.name, host])));
--- a/packages/engine/src/http_engine.ts
+++ b/packages/engine/src/http_engine.ts
@@ -5,9 +5,6 @@
 import * as engine from "./engine.ts";
 import * as newAgent from "./new_agent.ts";
 
-/** What an engine is told for a group order; `state` in the answer. */
-export type EngineOrder = wire.Order;
-
 /** Streams at once; each takes a connection. */
 const MOST_CONNECTIONS = 512;
 const ORDER_TIMEOUT_MILLISECONDS = 2_000;
@@ -72,7 +69,7 @@
 
   /** Gives a group order and reads back the rank's state. */
   async order(
-    order: EngineOrder,
+    order: wire.EngineOrder,
   ): Promise<neverthrow.Result<wire.RankState, engine.EngineRefusal>> {
     const answer = await this.#json("POST", "/orders", order);
     return answer.map((value) => value as wire.RankState);
--- a/packages/platform/src/host_list.ts
+++ b/packages/platform/src/host_list.ts
@@ -31,10 +31,13 @@
 }
 
 /** The list as read, with the bytes that reading it took. */
-export interface ReadHosts {
-  hosts: Host[];
-  bytes: number;
-}
+export type ReadHosts =
+  | { changed: true; hosts: Host[]; bytes: number }
+  /** The same as at the last read. */
+  | { changed: false };
+
+const STATUS_OK = 200;
+const STATUS_NOT_MODIFIED = 304;
 
 /** The list could not be read. */
 export interface HostListUnavailable {
@@ -49,18 +52,31 @@
 
 /** The host list over HTTP. */
 export class HttpHostList implements HostList {
+  #entityTag = "";
+
   constructor(readonly client: httpClient.HttpClient) {}
 
-  /** Reads the whole list. */
+  /**
+   * Reads the list if it is another than last time: hundreds of entries read a
+   * list of hundreds of kilobytes that changes a few times an hour.
+   */
   async read(): Promise<neverthrow.Result<ReadHosts, HostListUnavailable>> {
-    const answer = await this.client.request("GET", "/hosts");
+    const answer = await this.client.request("GET", "/hosts", undefined, {
+      ifNoneMatch: this.#entityTag,
+    });
     if (answer.isErr()) return unavailable(answer.error.reason);
-    if (answer.value.status !== 200) {
-      return unavailable(`status ${answer.value.status}`);
+    const { status, body, entityTag } = answer.value;
+    switch (status) {
+      case STATUS_NOT_MODIFIED:
+        return neverthrow.ok({ changed: false });
+      case STATUS_OK: {
+        const hosts = JSON.parse(body) as Host[];
+        this.#entityTag = entityTag;
+        return neverthrow.ok({ changed: true, hosts, bytes: body.length });
+      }
+      default:
+        return unavailable(`status ${status}`);
     }
-    const { body } = answer.value;
-    const hosts = JSON.parse(body) as Host[];
-    return neverthrow.ok({ hosts, bytes: body.length });
   }
 }
 
--- a/packages/platform/src/http_client.ts
+++ b/packages/platform/src/http_client.ts
@@ -19,6 +19,8 @@
 export interface HttpAnswer {
   status: number;
   body: string;
+  /** Validator of the answer, for a conditional request; empty for none. */
+  entityTag: string;
 }
 
 const NOT_SENT_CODES = new Set([
@@ -61,6 +63,7 @@
     method: "GET" | "POST" | "PUT" | "DELETE",
     path: string,
     body?: unknown,
+    options: { ifNoneMatch?: string } = {},
   ): Promise<neverthrow.Result<HttpAnswer, RequestFailure>> {
     if (this.#closed) {
       const kind = RequestFailureKind.NotSent;
@@ -70,6 +73,7 @@
     const timeout = this.parameters.timeoutMilliseconds;
     const headers: Record<string, string> = {};
     if (body !== undefined) headers["content-type"] = "application/json";
+    if (options.ifNoneMatch) headers["if-none-match"] = options.ifNoneMatch;
     if (this.parameters.key) {
       headers["authorization"] = `Bearer ${this.parameters.key}`;
     }
@@ -82,7 +86,12 @@
         signal: AbortSignal.timeout(timeout),
       });
       const text = await answer.body.text();
-      return neverthrow.ok({ status: answer.statusCode, body: text });
+      const entityTag = String(answer.headers.etag ?? "");
+      return neverthrow.ok({
+        status: answer.statusCode,
+        body: text,
+        entityTag,
+      });
     } catch (cause) {
       const failure = classifyFailure(cause);
       if (failure.kind === RequestFailureKind.Unanswered) this.#replace(agent);
--- a/packages/stand_ins/src/engine_orders.ts
+++ b/packages/stand_ins/src/engine_orders.ts
@@ -9,7 +9,7 @@
 /** Carries out an order at a rank's engine. */
 export function takeOrder(
   rank: engineRank.EngineRank,
-  order: wire.Order,
+  order: wire.EngineOrder,
 ): EngineOrderAnswer {
   const { options, step } = rank.parameters.group;
   if (options.checksFencing) {
--- a/packages/stand_ins/src/engine_stand_in.ts
+++ b/packages/stand_ins/src/engine_stand_in.ts
@@ -78,7 +78,7 @@
       return send(response, 200, events);
     }
     case "POST /orders":
-      return order(rank, JSON.parse(body) as wire.Order, response);
+      return order(rank, JSON.parse(body) as wire.EngineOrder, response);
     case "GET /history":
       return send(response, 200, describeHistory(group));
     case "PUT /faults":
@@ -179,7 +179,7 @@
 
 async function order(
   rank: engineRank.EngineRank,
-  given: wire.Order,
+  given: wire.EngineOrder,
   response: http.ServerResponse,
 ): Promise<void> {
   const { faults } = rank.parameters.group;
--- a/packages/stand_ins/src/measure/main.ts
+++ b/packages/stand_ins/src/measure/main.ts
@@ -1,4 +1,5 @@
 import * as commander from "commander";
+import * as capacityLinks from "./capacity_links.ts";
 import * as measureAdmission from "./measure_admission.ts";
 import * as measureCapacity from "./measure_capacity.ts";
 import * as measureConfiguration from "./measure_configuration.ts";
@@ -12,6 +13,7 @@
 const MEASUREMENTS: Record<string, Measurement> = {
   admission: measureAdmission.measureAdmission,
   capacity: measureCapacity.measureCapacity,
+  links: capacityLinks.measureLinks,
   configuration: measureConfiguration.measureConfiguration,
   overhead: measureOverhead.measureOverhead,
   placement: measurePlacement.measurePlacement,
--- a/packages/stand_ins/src/measure/measure_routing.ts
+++ b/packages/stand_ins/src/measure/measure_routing.ts
@@ -24,6 +24,7 @@
       policies[policy] = {
         skew,
         skew99: statistics.spread(runs.map((run) => run.skew99)),
+        surgeSkew: statistics.spread(runs.map((run) => run.surgeSkew)),
         stepMilliseconds: statistics.spread(
           runs.map((run) => run.stepMilliseconds),
         ),
--- a/packages/stand_ins/src/measure/routing_model.ts
+++ b/packages/stand_ins/src/measure/routing_model.ts
@@ -25,6 +25,8 @@
 export interface RoutingFigures {
   skew: number;
   skew99: number;
+  /** Mean skew from the surge's start until its work is done. */
+  surgeSkew: number;
   stepMilliseconds: number;
   firstTokenMilliseconds95: number;
 }
@@ -54,6 +56,8 @@
 const LENGTH_MILLISECONDS = 20_000;
 const SURGE_AT = 8_000;
 const SURGE_LENGTH = 2_000;
+/** Time after its start in which the surge's work is still being done. */
+const SURGE_AFTERMATH = 4_000;
 const ORDINARY_PER_SECOND = 55;
 const SURGE_PER_SECOND = 300;
 const PREFILL_CHUNK = 512;
@@ -79,6 +83,7 @@
   readonly #beliefs: Belief[][];
   readonly #costs: stepCost.StepCost[];
   readonly #skews: number[] = [];
+  readonly #surgeSkews: number[] = [];
   readonly #steps: number[] = [];
   readonly #firstTokens: number[] = [];
   #now = 0;
@@ -105,6 +110,10 @@
       if (busy) {
         this.#skews.push(slowest / statistics.mean(times));
         this.#steps.push(slowest);
+        const sinceSurge = this.#now - SURGE_AT;
+        if (sinceSurge >= 0 && sinceSurge < SURGE_AFTERMATH) {
+          this.#surgeSkews.push(slowest / statistics.mean(times));
+        }
       }
       this.#observe(times);
       this.#arrivals(this.#now + slowest);
@@ -114,6 +123,7 @@
     }
     return {
       skew: statistics.mean(this.#skews),
+      surgeSkew: statistics.mean(this.#surgeSkews),
       skew99: statistics.quantile(this.#skews, 0.99),
       stepMilliseconds: statistics.mean(this.#steps),
       firstTokenMilliseconds95: statistics.quantile(this.#firstTokens, 0.95),
--- a/packages/stand_ins/src/platform_stand_in.ts
+++ b/packages/stand_ins/src/platform_stand_in.ts
@@ -73,10 +73,14 @@
       await common.sleep(faults.slowMilliseconds);
     return next();
   });
-  application.get("/hosts", () => {
+  application.get("/hosts", (request) => {
     const until = common.now() - faults.hostListLagMilliseconds;
     const seen = lists.filter(({ at }) => at <= until).at(-1) ?? lists[0];
-    return Response.json(seen?.hosts ?? []);
+    const etag = `"${lists.indexOf(seen)}"`;
+    if (request.req.header("if-none-match") === etag) {
+      return new Response(null, { status: 304, headers: { etag } });
+    }
+    return Response.json(seen?.hosts ?? [], { headers: { etag } });
   });
   application.get("/table/row", (request) => {
     const key = request.req.query("key") ?? "";
--- a/packages/stand_ins/src/system/expert_map_test.ts
+++ b/packages/stand_ins/src/system/expert_map_test.ts
@@ -2,7 +2,7 @@
 import * as common from "@geraniumkeel/common";
 import * as daemon from "@geraniumkeel/daemon";
 import * as neverthrow from "neverthrow";
-import type * as wire from "@geraniumkeel/wire";
+import * as wire from "@geraniumkeel/wire";
 import * as engineGroup from "../engine_group.ts";
 import * as engineModel from "../engine_model.ts";
 import * as engineOrders from "../engine_orders.ts";
@@ -38,6 +38,10 @@
   return {
     incarnation,
     handle: async ({ order }) => {
+      if (order.kind === wire.OrderKind.StageChanges) {
+        const refusal = wire.OrderRefusal.UnknownBase;
+        return { done: false, refusal, fencing: 0 };
+      }
       const answer = await engine.order(order);
       return answer.isOk()
         ? { done: true, state: answer.value }
@@ -118,16 +122,29 @@
     const readMap = async (version: number) => this.maps.get(version);
     const taken = await daemon.takeOver({ term, readMap });
     if (taken.kind !== "ready") return taken.kind;
+    let inForce = this.maps.get(taken.version);
     for (let turn = 1; turn <= 3 && !signal.aborted; turn++) {
       const map = this.newMap(fencing * 100 + turn);
+      const changes = inForce && wire.changesBetween(inForce, map);
       const { mode } = this.mechanism;
-      await daemon.switchMap({ term, map, mode, leadSteps: LEAD_STEPS });
+      const leadSteps = LEAD_STEPS;
+      const ended = await daemon.switchMap({
+        term,
+        map,
+        changes,
+        mode,
+        leadSteps,
+      });
+      if (ended.kind === daemon.SwitchKind.Committed) inForce = map;
     }
     return "done";
   }
 
   newMap(version: number): wire.ExpertMap {
-    const map = { version, places: [[[0], [1], [2], [3]]] };
+    const places = Array.from({ length: RANKS }, () => [
+      this.random.below(RANKS),
+    ]);
+    const map = { version, places: [places] };
     this.maps.set(version, map);
     return map;
   }
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -3,6 +3,7 @@
 import * as ws from "ws";
 import * as codec from "./codec.ts";
 import * as message from "./message.ts";
+import * as sharedTimer from "./shared_timer.ts";
 
 /** Why a link ended. */
 export enum LinkEnd {
@@ -13,6 +14,12 @@
   TooSlow = "too-slow",
 }
 
+/** Which end of a link this process is. */
+export enum LinkSide {
+  Dialled = "dialled",
+  Accepted = "accepted",
+}
+
 /** Why a link could not be opened. */
 export interface LinkFailure {
   kind: "link-failure";
@@ -32,8 +39,10 @@
 
 /** Bytes queued on a link before it is taken for stuck. */
 const LARGEST_BACKLOG = 64 * 1024 * 1024;
-/** Heartbeats left out at most, while others are sent or nothing waits. */
-const MOST_SKIPPED = 3;
+/** Ticks between heartbeats while other messages are sent or nothing waits. */
+const IDLE_TICKS = 4;
+/** Ticks without a heartbeat to answer after which the far side speaks up. */
+const UNASKED_TICKS = 2 * IDLE_TICKS;
 /** How much longer an idle link may be silent. */
 const IDLE_FACTOR = 4;
 /** Largest frame accepted, in bytes. */
@@ -61,10 +70,10 @@
   /** When anything but a heartbeat was last sent or received. */
   lastUsedAt = common.now();
   readonly #inbox = new common.Channel<message.Message>();
-  readonly #timer: NodeJS.Timeout;
+  readonly #stopTicking: () => void;
   #quietTicks = 0;
   #sentAtLastTick = 0;
-  #skipped = 0;
+  #ticksSinceBeat = 0;
   #wasBusy = true;
   #end: LinkEnd | undefined;
 
@@ -72,11 +81,14 @@
     readonly socket: ws.WebSocket,
     readonly timing: LinkTiming,
     readonly heartbeat: HeartbeatSource,
+    readonly side: LinkSide,
   ) {
     socket.on("message", (data: Buffer) => this.#receiveFrame(data));
     socket.on("close", () => this.#finish(LinkEnd.Closed));
     socket.on("error", () => this.#finish(LinkEnd.Closed));
-    this.#timer = setInterval(() => this.#tick(), timing.heartbeat);
+    this.#stopTicking = sharedTimer
+      .sharedTimer(timing.heartbeat)
+      .listen((tickNumber) => this.#tick(tickNumber));
   }
 
   /** Why the link ended, or `undefined` while it is open. */
@@ -130,6 +142,7 @@
     const decoded = codec.decode(data);
     if (decoded.isErr()) return this.#finish(LinkEnd.Unreadable);
     if (decoded.value.kind === message.MessageKind.Heartbeat) {
+      if (this.side === LinkSide.Accepted) this.#beat();
       this.onHeartbeat?.(decoded.value);
       return;
     }
@@ -153,7 +166,7 @@
    * own ticks without input, and not wall time, keeps a process that was itself
    * paused from taking its first look at the clock for silence of the peer.
    */
-  #tick(): void {
+  #tick(tickNumber: number): void {
     const busy = this.isBusy();
     // What the far end did not say while idle is no silence yet.
     if (busy && !this.#wasBusy) this.#quietTicks = 0;
@@ -164,30 +177,38 @@
     if (quiet > this.timing.silentAfter * patience) {
       return this.#finish(LinkEnd.Silent);
     }
-    if (!this.#mustSpeak(busy)) return;
+    if (this.#mustSpeak(busy, tickNumber)) this.#beat();
+    this.#sentAtLastTick = this.counts.sentMessages;
+  }
+
+  #beat(): void {
+    this.#ticksSinceBeat = 0;
     const { clock, revision } = this.heartbeat();
     this.send({ kind: message.MessageKind.Heartbeat, clock, revision });
-    this.#sentAtLastTick = this.counts.sentMessages;
   }
 
-  /** Whatever was sent since the last tick has told the far end enough. */
-  #mustSpeak(busy: boolean): boolean {
-    const sent = this.counts.sentMessages;
-    const spoke = sent !== this.#sentAtLastTick;
-    this.#sentAtLastTick = sent;
-    const mayBeLeftOut = spoke || !busy;
-    if (mayBeLeftOut && this.#skipped < MOST_SKIPPED) {
-      this.#skipped++;
-      return false;
+  /**
+   * Whatever was sent since the last tick has told the far end enough. Of an
+   * idle link the end that dialled speaks, in the same tick on all its links,
+   * and the other end answers at once: the answers of a hundred links then come
+   * in a few wake-ups of the process instead of one each.
+   */
+  #mustSpeak(busy: boolean, tickNumber: number): boolean {
+    this.#ticksSinceBeat++;
+    const spoke = this.counts.sentMessages !== this.#sentAtLastTick;
+    if (busy && !spoke) return true;
+    switch (this.side) {
+      case LinkSide.Dialled:
+        return tickNumber % IDLE_TICKS === 0;
+      case LinkSide.Accepted:
+        return this.#ticksSinceBeat > UNASKED_TICKS;
     }
-    this.#skipped = 0;
-    return true;
   }
 
   #finish(end: LinkEnd): void {
     if (this.#end !== undefined) return;
     this.#end = end;
-    clearInterval(this.#timer);
+    this.#stopTicking();
     this.#inbox.close();
     if (end === LinkEnd.Closed) this.socket.close();
     else this.socket.terminate();
@@ -222,7 +243,9 @@
     );
     socket.on("error", (cause) => fail(cause.message, false));
     socket.once("open", () => {
-      resolve(neverthrow.ok(new Link(socket, timing, parameters.heartbeat)));
+      const { heartbeat } = parameters;
+      const side = LinkSide.Dialled;
+      resolve(neverthrow.ok(new Link(socket, timing, heartbeat, side)));
     });
   });
 }
--- a/packages/wire/src/link_server.ts
+++ b/packages/wire/src/link_server.ts
@@ -34,7 +34,12 @@
     }
     server.handleUpgrade(request, socket, head, (accepted) => {
       const { timing, heartbeat } = parameters;
-      const opened = new link.Link(accepted, timing, heartbeat);
+      const opened = new link.Link(
+        accepted,
+        timing,
+        heartbeat,
+        link.LinkSide.Accepted,
+      );
       open.add(opened);
       accepted.on("close", () => open.delete(opened));
       parameters.onLink(opened);
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -3,6 +3,7 @@
 export * from "./link.ts";
 export * from "./link_server.ts";
 export * from "./load.ts";
+export * from "./map_changes.ts";
 export * from "./member.ts";
 export * from "./message.ts";
 export * from "./order.ts";
--- a/packages/wire/src/order.ts
+++ b/packages/wire/src/order.ts
@@ -1,3 +1,5 @@
+import type * as mapChanges from "./map_changes.ts";
+
 /** Orders of a group's coordinator to its ranks, by way of their agents. */
 export enum OrderKind {
   /** Promise to refuse every lower fencing number. */
@@ -12,6 +14,8 @@
   Release = 8,
   /** Ask for the expert load seen since the last one. */
   Inspect = 9,
+  /** Stage a map told by its changes; agents make it a `Stage`. */
+  StageChanges = 10,
 }
 
 /** Replica places per layer and expert: `ranksOfExpert[layer][expert]`. */
@@ -45,7 +49,16 @@
   | { kind: OrderKind.Hold; group: string; fencing: number }
   | { kind: OrderKind.Apply; group: string; fencing: number; version: number }
   | { kind: OrderKind.Release; group: string; fencing: number }
-  | { kind: OrderKind.Inspect; group: string; fencing: number };
+  | { kind: OrderKind.Inspect; group: string; fencing: number }
+  | {
+      kind: OrderKind.StageChanges;
+      group: string;
+      fencing: number;
+      changes: mapChanges.MapChanges;
+    };
+
+/** What an engine is ordered; the rest is between coordinator and agent. */
+export type EngineOrder = Exclude<Order, { kind: OrderKind.StageChanges }>;
 
 /** An expert that a rank holds, and the tokens it has had since last asked. */
 export type ExpertCount = [expert: number, tokens: number];
@@ -75,6 +88,8 @@
   NotPromised = "not-promised",
   EngineFailed = "engine-failed",
   Unsupported = "unsupported",
+  /** The agent lacks the map that changes are based on. */
+  UnknownBase = "unknown-base",
 }
 
 /** Answer to an order. */
