feat: accounts have home entries among many, switches are put off in a surge

Cause: at 330 entries callers spread over all had every entry borrow credit of 285 others in a minute, each over a link of its own, which the capacity page had not counted; and nothing kept a switch from a surge but the preset's period. Change: among more than 16 entries an account's callers are told as few as its size needs, near first; the list is at most 8 long. A coordinator learns when in the hour its group's rate rises, and in or just before that only makes a switch that repays its cost four times (event 1703).

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -42,6 +42,7 @@
   CoordinatorChanged = 1605,
   PlacementPlanned = 1701,
   PlacementSkipped = 1702,
+  PlacementHeldBack = 1703,
   RunnerSpared = 1801,
   RunnerRestored = 1802,
 }
@@ -275,6 +276,12 @@
     meaning: "No new expert map: the gain does not repay the cost.",
     action: NONE,
   },
+  [EventCode.PlacementHeldBack]: {
+    level: EventLevel.Info,
+    meaning:
+      "A new expert map is put off: a surge is on or near, and the gain does not repay the cost several times.",
+    action: NONE,
+  },
   [EventCode.RunnerSpared]: {
     level: EventLevel.Warn,
     meaning: "A runner makes no progress and gets no new work for now.",
--- a/packages/common/src/hash.ts
+++ b/packages/common/src/hash.ts
@@ -12,6 +12,20 @@
   return hasher.h64ToString(text);
 }
 
+/** Candidates for `key` by preference; the first is its `rendezvous`. */
+export function rendezvousOrder(
+  key: string,
+  candidates: Iterable<string>,
+): string[] {
+  return [...candidates]
+    .map((candidate) => ({ candidate, score: hash32(`${candidate} ${key}`) }))
+    .sort(
+      (left, right) =>
+        right.score - left.score || (left.candidate < right.candidate ? -1 : 1),
+    )
+    .map(({ candidate }) => candidate);
+}
+
 /**
  * The candidate that owns `key` by rendezvous hashing: when a candidate comes
  * or goes, only the keys it owned or will own move.
--- a/packages/configuration/src/configuration_view.ts
+++ b/packages/configuration/src/configuration_view.ts
@@ -18,6 +18,8 @@
   readonly #accountsByKey = new Map<string, schema.Account>();
   readonly #operators = new Map<string, schema.Operator>();
   readonly #services = new Map<string, schema.Service>();
+  /** Sum of all accounts' request limits. */
+  #requestsPerSecond = 0;
 
   constructor(
     readonly head: Head,
@@ -31,6 +33,7 @@
     this.preset = preset;
     for (const account of this.document.accounts) {
       this.#accounts.set(account.name, account);
+      this.#requestsPerSecond += account.requestsPerSecond;
       this.#accountsByKey.set(account.keyHash, account);
     }
     for (const operator of this.document.operators) {
@@ -57,6 +60,12 @@
     return this.#accounts.get(name);
   }
 
+  /** Part of all accounts' request limits that is one account's. */
+  shareOf(account: string): number {
+    const own = this.account(account)?.requestsPerSecond ?? 0;
+    return own / this.#requestsPerSecond;
+  }
+
   /** Service by name. */
   service(name: string): schema.Service | undefined {
     return this.#services.get(name);
--- a/packages/daemon/src/entry/caller_server.ts
+++ b/packages/daemon/src/entry/caller_server.ts
@@ -1,5 +1,6 @@
 import * as nodeServer from "@hono/node-server";
 import * as nodeResponse from "@hono/node-server/utils/response";
+import * as common from "@geraniumkeel/common";
 import * as configuration from "@geraniumkeel/configuration";
 import * as hono from "hono";
 import type * as http from "node:http";
@@ -46,9 +47,17 @@
   context: entryContext.EntryContext,
   request: Request,
 ): Response {
-  const account = proveAccount(context, request);
-  if (account instanceof Response) return account;
-  const list = entryList.entryList(context.members.all, context.random);
+  const view = proveAccount(context, request);
+  if (view instanceof Response) return view;
+  const key = common.bearerToken(request.req.header("authorization")) ?? "";
+  const name = view.accountOfKey(key)?.name ?? "";
+  const { members, random, settings, hosts } = context;
+  const list = entryList.entryList({
+    members: members.all,
+    account: { name, share: view.shareOf(name) },
+    isNear: (host) => hosts.hosts.get(host)?.region === settings.region,
+    random,
+  });
   return Response.json(list);
 }
 
--- a/packages/daemon/src/entry/entry_list.ts
+++ b/packages/daemon/src/entry/entry_list.ts
@@ -3,6 +3,12 @@
 
 /** Seconds for which a caller may keep the list. */
 const VALID_SECONDS = 5;
+/** Entries up to which every caller may get any of them. */
+const SPREAD_LIMIT = 16;
+/** Entries listed at most; nobody tries more. */
+const LONGEST_LIST = 8;
+/** Entries for an account, as a multiple of its share of all entries. */
+const ROOM_FACTOR = 2;
 
 /** An entry host as told to callers. */
 export interface ListedEntry {
@@ -17,28 +23,78 @@
   validForSeconds: number;
 }
 
+/** For whom a list is made, and of whom. */
+export interface EntryListParameters {
+  members: wire.Member[];
+  /** The account that asks, with its part of all accounts' limits. */
+  account: { name: string; share: number };
+  /** Whether an entry is in the region of the one that is asked. */
+  isNear: (host: string) => boolean;
+  random: common.Random;
+}
+
 /**
  * Entry hosts in an order made for one caller: the first to use, the next ones
- * if that fails. Callers that wake together get different orders, so that they
- * spread by weight. Hosts that drain, are suspected or gone are left out.
+ * if that fails. Hosts that drain, are suspected or gone are left out.
+ *
+ * Among few entries any order will do, and each call gets its own, so that
+ * callers that wake together spread by weight. Among hundreds, an account's
+ * callers are sent to as few as its size needs, always the same: were they
+ * spread over all, every entry would borrow a little credit of every account
+ * from every other, and have a link to each of them.
  */
-export function entryList(
+export function entryList(parameters: EntryListParameters): EntryList {
+  const { members, account, isNear, random } = parameters;
+  const open = members
+    .filter((member) => member.state === wire.MemberState.Alive)
+    .filter((member) => member.weight > 0);
+  const ordered =
+    open.length <= SPREAD_LIMIT
+      ? inRandomOrder(open, random)
+      : [
+          ...homesFirst(open.filter(near(isNear, true)), account, random),
+          ...homesFirst(open.filter(near(isNear, false)), account, random),
+        ];
+  const entries = ordered
+    .slice(0, LONGEST_LIST)
+    .map(({ callerUrl, place, weight }) => ({ url: callerUrl, place, weight }));
+  return { entries, validForSeconds: VALID_SECONDS };
+}
+
+function near(
+  isNear: (host: string) => boolean,
+  wanted: boolean,
+): (member: wire.Member) => boolean {
+  return ({ host }) => isNear(host) === wanted;
+}
+
+/** The account's own entries in random order, then the others by preference. */
+function homesFirst(
   members: wire.Member[],
+  account: EntryListParameters["account"],
   random: common.Random,
-): EntryList {
-  const entries = members
-    .filter((member) => member.state === wire.MemberState.Alive)
-    .filter((member) => member.weight > 0)
+): wire.Member[] {
+  const byHost = new Map(members.map((member) => [member.host, member]));
+  const order = common
+    .rendezvousOrder(account.name, byHost.keys())
+    .flatMap((host) => byHost.get(host) ?? []);
+  const homes = Math.ceil(ROOM_FACTOR * account.share * members.length);
+  return [
+    ...inRandomOrder(order.slice(0, homes), random),
+    ...order.slice(homes),
+  ];
+}
+
+/** Weighted random order: exponential times, shortest first. */
+function inRandomOrder(
+  members: wire.Member[],
+  random: common.Random,
+): wire.Member[] {
+  return members
     .map((member) => ({
       member,
-      // Weighted random order: exponential times, shortest first.
-      order: random.exponential(1 / member.weight),
+      time: random.exponential(1 / member.weight),
     }))
-    .sort((left, right) => left.order - right.order)
-    .map(({ member: { callerUrl, place, weight } }) => ({
-      url: callerUrl,
-      place,
-      weight,
-    }));
-  return { entries, validForSeconds: VALID_SECONDS };
+    .sort((left, right) => left.time - right.time)
+    .map(({ member }) => member);
 }
--- a/packages/daemon/src/expert_map/group_coordinator.ts
+++ b/packages/daemon/src/expert_map/group_coordinator.ts
@@ -1,8 +1,10 @@
 import * as common from "@geraniumkeel/common";
 import type * as configuration from "@geraniumkeel/configuration";
 import * as wire from "@geraniumkeel/wire";
+import * as holdBack from "../placement/hold_back.ts";
 import * as hourShape from "../placement/hour_shape.ts";
 import * as placementDecision from "../placement/placement_decision.ts";
+import * as surgeClock from "../placement/surge_clock.ts";
 import type * as leaseModule from "../lease/lease.ts";
 import * as groupTerm from "./group_term.ts";
 import * as inspectGroup from "./inspect_group.ts";
@@ -65,6 +67,7 @@
 /** Coordinates one group while this entry holds its lease. */
 export class GroupCoordinator {
   readonly #shape = new hourShape.HourShape();
+  readonly #surges = new surgeClock.SurgeClock();
   #lastPlan: placementDecision.PlacementDecision | undefined;
   #switches = 0;
 
@@ -191,6 +194,7 @@
     if (!hasLoad(load)) return true;
     const now = Date.now();
     this.#shape.observe(load, now);
+    this.#surges.observe(tokensPerSecondOf(load), now);
     const horizon = inForce.placement.horizonSeconds * 1_000;
     const forecast = this.#shape.forecast(now, horizon) ?? load;
     if (!mayStart()) return true;
@@ -205,6 +209,14 @@
     this.#lastPlan = decision;
     this.#explain(decision);
     if (decision.kind === "keep") return true;
+    const clock = this.#surges;
+    if (holdBack.isHeldBack({ decision, clock, wallMilliseconds: now })) {
+      const { group, logger } = this.parameters;
+      const { netMilliseconds } = decision;
+      const code = common.EventCode.PlacementHeldBack;
+      logger.event(code, { group, netMilliseconds });
+      return true;
+    }
     return this.#switch({
       term,
       inForce: { version: view.version, places },
@@ -285,6 +297,11 @@
   );
 }
 
+/** Tokens a second through the experts of one layer, the first. */
+function tokensPerSecondOf(load: number[][]): number {
+  return load[0]?.reduce((sum, rate) => sum + rate, 0) ?? 0;
+}
+
 function hasLoad(load: number[][]): boolean {
   return load.some((layer) => layer.some((rate) => rate > 0));
 }
--- a/packages/stand_ins/src/measure/capacity_state.ts
+++ b/packages/stand_ins/src/measure/capacity_state.ts
@@ -4,6 +4,7 @@
 import * as memberTable from "@geraniumkeel/daemon/membership/member_table";
 import * as testConfiguration from "../testing/test_configuration.ts";
 import * as statistics from "./statistics.ts";
+import * as usedHeap from "./used_heap.ts";
 
 const ACCOUNT_COUNTS = [1_000, 4_000, 12_000];
 const MEMBER_COUNTS = [20, 100, 330];
@@ -11,6 +12,8 @@
 const LAYERS = 60;
 const EXPERTS = 256;
 const SLOTS = 5;
+/** One expert in so many has another place in a new map. */
+const CHANGED_EVERY = 50;
 
 /** Sizes of state, from slopes over several sizes. */
 export interface StateSlopes {
@@ -21,6 +24,8 @@
   fullExchangeBytesPerMember: number;
   inspectBytesPerRank: number;
   stageBytesPerRank: number;
+  /** The same told by its changes, two in a hundred replicas. */
+  stageChangesBytesPerRank: number;
   loadMessageBytes: number;
   heartbeatBytes: number;
   sectionBytesAt12000: number;
@@ -57,6 +62,17 @@
         map: { version: 1, places: places() },
       },
     }),
+    stageChangesBytesPerRank: size({
+      kind: wire.MessageKind.Order,
+      question: 1,
+      agentIncarnation: common.randomIdentifier(),
+      order: {
+        kind: wire.OrderKind.StageChanges,
+        group: "group",
+        fencing: 1,
+        changes: someChanges(),
+      },
+    }),
     loadMessageBytes: size({
       kind: wire.MessageKind.Load,
       load: {
@@ -101,11 +117,11 @@
     Object.keys(texts).map((name) => [name, 1]),
   );
   const head = { revision: 1, nonce: "", presetInForce: "ordinary", sections };
-  const before = usedHeap();
+  const before = usedHeap.usedHeap();
   const started = performance.now();
   const view = new configuration.ConfigurationView(head, texts);
   const milliseconds = statistics.round(performance.now() - started);
-  const bytes = usedHeap() - before + textBytes(texts);
+  const bytes = usedHeap.usedHeap() - before + textBytes(texts);
   if (!view.account("account-0")) throw new Error("account is missing");
   const sectionBytes = texts[configuration.accountSection("account-0")].length;
   return { count, bytes, milliseconds, sectionBytes };
@@ -116,10 +132,10 @@
 }
 
 function measureMembers(count: number): number {
-  const before = usedHeap();
+  const before = usedHeap.usedHeap();
   const table = new memberTable.MemberTable(member(0));
   for (let index = 1; index < count; index++) table.merge(member(index));
-  const bytes = usedHeap() - before;
+  const bytes = usedHeap.usedHeap() - before;
   if (table.all.length !== count) throw new Error("member is missing");
   return bytes;
 }
@@ -173,12 +189,17 @@
   );
 }
 
-function size(message: wire.Message): number {
-  return wire.encode(message).byteLength;
+/** Changes of about two in a hundred replicas, all within one map. */
+function someChanges(): wire.MapChanges {
+  const base = { version: 1, places: places() };
+  const changed = places().map((layer) =>
+    layer.map((ranks, expert) =>
+      expert % CHANGED_EVERY === 0 ? [(ranks[0] + 1) % RANKS] : ranks,
+    ),
+  );
+  return wire.changesBetween(base, { version: 2, places: changed });
 }
 
-/** Heap in use; exact only when node runs with --expose-gc. */
-function usedHeap(): number {
-  globalThis.gc?.();
-  return process.memoryUsage().heapUsed;
+function size(message: wire.Message): number {
+  return wire.encode(message).byteLength;
 }
--- a/packages/stand_ins/src/measure/capacity_table.ts
+++ b/packages/stand_ins/src/measure/capacity_table.ts
@@ -1,3 +1,5 @@
+import type * as capacityCredit from "./capacity_credit.ts";
+import type * as capacityLinks from "./capacity_links.ts";
 import type * as capacityMembers from "./capacity_members.ts";
 import type * as capacityState from "./capacity_state.ts";
 import type * as capacityUpstream from "./capacity_upstream.ts";
@@ -24,16 +26,22 @@
 };
 /** Reads of the configuration head that all entries may cause in a second. */
 const HEAD_READS_PER_SECOND = 100;
-/** Bytes of the host list that an entry reads in a second, at most. */
-const HOST_LIST_BYTES_PER_SECOND = 6_000;
+/** Bytes of one host in the platform's list. */
+const LISTED_HOST_BYTES = 150;
+/** Changes of the list for each host that is restarted: it goes and comes. */
+const LIST_CHANGES = 2;
+/** Bytes of asking whether the list has changed, once a second. */
+const UNCHANGED_LIST_BYTES = 250;
 
 /** What the slopes come to at the target's size, against the budget. */
 export function capacityTable(measured: {
   members: capacityMembers.MembersPoint[];
   upstream: capacityUpstream.UpstreamPoint[];
   state: capacityState.StateSlopes;
+  credit: capacityCredit.CreditSlopes;
+  links: capacityLinks.LinksPoint[];
 }): object {
-  const { members, upstream, state } = measured;
+  const { members, upstream, state, credit } = measured;
   const links = 2 * Math.ceil(Math.log2(TARGET.entries));
   const perLink = statistics.fitLine(
     members.map((point) => ({
@@ -42,8 +50,10 @@
     })),
   );
   const cpuPerLink = statistics.fitLine(
-    members.map((point) => ({ x: point.linksEach, y: point.cpuShareEach })),
+    measured.links.map((point) => ({ x: point.links, y: point.cpuShare })),
   );
+  const { partnersEach, loansPerSecondEach } = credit.homes;
+  const allLinks = links + TARGET.subscribedRunners + partnersEach;
   const perChange = statistics.fitLine(
     members.map((point) => ({
       x: point.linksEach,
@@ -54,11 +64,17 @@
   const changesPerSecond = TARGET.changesPerDay / SECONDS_PER_DAY;
   const restartsPerSecond = TARGET.restartsPerDay / SECONDS_PER_DAY;
   const runnerLink = upstream[upstream.length - 1];
+  const listBytes = (TARGET.entries + TARGET.runners) * LISTED_HOST_BYTES;
+  const hostListBytes =
+    UNCHANGED_LIST_BYTES + restartsPerSecond * LIST_CHANGES * listBytes;
   const entryBytes = {
     peers: perLink.intercept + perLink.slope * links,
     configuration: changesPerSecond * (changeBytes + state.sectionBytesAt12000),
     fullExchange: (state.fullExchangeBytesPerMember * TARGET.entries) / 30,
-    hostList: HOST_LIST_BYTES_PER_SECOND,
+    hostList: hostListBytes,
+    credit:
+      partnersEach * perLink.slope +
+      2 * loansPerSecondEach * credit.owner.bytesPerLoan,
     restarts: restartsPerSecond * 3 * links * state.fullExchangeBytesPerMember,
     runnersIdle:
       TARGET.subscribedRunners * runnerLink.idleBytesPerSecondPerLink,
@@ -70,22 +86,23 @@
     entryBytes.configuration +
     entryBytes.fullExchange +
     entryBytes.hostList +
+    entryBytes.credit +
     entryBytes.restarts;
   const entriesPerRunner =
     (TARGET.entries * TARGET.subscribedRunners) / TARGET.runners;
   const coordinatorBytes =
     (TARGET.ranks * state.inspectBytesPerRank) / TARGET.planSeconds +
-    (TARGET.ranks * state.stageBytesPerRank) / TARGET.switchSeconds;
+    (TARGET.ranks * state.stageChangesBytesPerRank) / TARGET.switchSeconds;
   return {
     target: TARGET,
     budget: BUDGET,
     entry: {
-      links: links + TARGET.subscribedRunners,
+      links: Math.round(allLinks),
       bytesPerSecond: roundAll(entryBytes),
       controlBytesPerSecond: Math.round(control),
       controlWithBusyRunners: Math.round(control + entryBytes.runnersBusy),
-      cpuShareOfPeers: statistics.round(
-        Math.max(0, cpuPerLink.intercept + cpuPerLink.slope * links),
+      cpuShareOfIdleLinks: statistics.round(
+        Math.max(0, cpuPerLink.intercept + cpuPerLink.slope * allLinks),
       ),
       stateMegabytes: statistics.round(
         (TARGET.accounts * state.bytesPerAccount +
@@ -102,13 +119,18 @@
         entriesPerRunner * runnerLink.busyBytesPerSecondPerLink,
       ),
     },
-    coordinator: { bytesPerSecond: Math.round(coordinatorBytes) },
+    coordinator: {
+      bytesPerSecondMore: Math.round(coordinatorBytes),
+      bytesPerSecondWithBusyRunners: Math.round(
+        control + entryBytes.runnersBusy + coordinatorBytes,
+      ),
+    },
     platform: {
       tableReadsPerSecond: HEAD_READS_PER_SECOND + TARGET.groups,
       tableWritesPerSecond: statistics.round(
         TARGET.groups * 1.4 + changesPerSecond,
       ),
-      hostListBytesPerSecond: TARGET.entries * HOST_LIST_BYTES_PER_SECOND,
+      hostListBytesPerSecond: Math.round(TARGET.entries * hostListBytes),
     },
     fits: {
       peerBytesPerLink: roundAll(perLink),
--- a/packages/stand_ins/src/measure/main.ts
+++ b/packages/stand_ins/src/measure/main.ts
@@ -6,6 +6,7 @@
 import * as measureOverhead from "./measure_overhead.ts";
 import * as measurePlacement from "./measure_placement.ts";
 import * as measureRouting from "./measure_routing.ts";
+import * as measureSurge from "./measure_surge.ts";
 import * as measureSwitch from "./measure_switch.ts";
 
 type Measurement = () => Promise<object> | object;
@@ -18,6 +19,7 @@
   overhead: measureOverhead.measureOverhead,
   placement: measurePlacement.measurePlacement,
   routing: measureRouting.measureRouting,
+  surge: measureSurge.measureSurge,
   switch: measureSwitch.measureSwitch,
 };
 
--- a/packages/stand_ins/src/measure/measure_capacity.ts
+++ b/packages/stand_ins/src/measure/measure_capacity.ts
@@ -1,3 +1,6 @@
+import * as capacityAttempts from "./capacity_attempts.ts";
+import * as capacityCredit from "./capacity_credit.ts";
+import * as capacityLinks from "./capacity_links.ts";
 import * as capacityMembers from "./capacity_members.ts";
 import * as capacityState from "./capacity_state.ts";
 import * as capacityTable from "./capacity_table.ts";
@@ -8,6 +11,15 @@
   const members = await capacityMembers.measureMembers();
   const upstream = await capacityUpstream.measureUpstream();
   const state = capacityState.measureState();
-  const table = capacityTable.capacityTable({ members, upstream, state });
-  return { members, upstream, state, table };
+  const credit = capacityCredit.measureCredit();
+  const attempts = capacityAttempts.measureAttempts();
+  const links = await capacityLinks.measureLinks();
+  const table = capacityTable.capacityTable({
+    members,
+    upstream,
+    state,
+    credit,
+    links,
+  });
+  return { members, upstream, links, state, credit, attempts, table };
 }
