fix: a map is applied only when all ranks are at rest

Cause: a rank says yes to 'hold' at once, in the middle of a step, and was given the new map before that step had ended; engines without step numbers then ended a step with another map than they began it. Ruled out: the other way of switching, at a step number, has no such moment. Change: wait until every rank reports that it holds, then apply. The checker for one map takes the engines' own count in; the third kind of engine is in the fault tests.

--- a/packages/daemon/src/dispatch/runner_directory.ts
+++ b/packages/daemon/src/dispatch/runner_directory.ts
@@ -4,16 +4,21 @@
 import * as runnerLink from "./runner_link.ts";
 import * as subscription from "./subscription.ts";
 
+/** A runner with what ends its task. */
+interface KnownRunner {
+  link: runnerLink.RunnerLink;
+  stop: AbortController;
+  /** When the list first lacked it, by this process's clock. */
+  unlistedAt: number | undefined;
+}
+
 /**
  * The runners this entry subscribes to. A runner that the list calls leaving,
  * or no longer names, gets no new work, and is forgotten when nothing is open.
  */
 export class RunnerDirectory {
   readonly changed = new common.ChangeNotice();
-  readonly #runners = new Map<
-    string,
-    { link: runnerLink.RunnerLink; stop: AbortController }
-  >();
+  readonly #runners = new Map<string, KnownRunner>();
 
   constructor(
     readonly parameters: {
@@ -65,8 +70,12 @@
       const listed = wanted.get(name);
       runner.link.listedLeaving = listed?.state !== platform.HostState.Live;
       const moved = listed && listed.linkUrl !== runner.link.host.linkUrl;
-      if (listed && !moved) continue;
+      if (listed && !moved) {
+        runner.unlistedAt = undefined;
+        continue;
+      }
       if (runner.link.attempts.size > 0) continue;
+      if (!moved && this.#mayComeBack(runner)) continue;
       runner.stop.abort();
       this.#runners.delete(name);
     }
@@ -77,10 +86,22 @@
     this.changed.announce();
   }
 
+  /**
+   * The list lags, and a read may be older than the last one. A rank dropped for
+   * that, in the middle of a switch, would have its whole group hold until the
+   * list names it again; its link tells better whether it is there.
+   */
+  #mayComeBack(runner: KnownRunner): boolean {
+    runner.unlistedAt ??= common.now();
+    const { goneAfter } = this.parameters.link.settings.timing;
+    const unlisted = common.now() - runner.unlistedAt;
+    return runner.link.linked && unlisted < goneAfter;
+  }
+
   #add(host: platform.Host, signal: AbortSignal): void {
     const link = new runnerLink.RunnerLink(host, this.parameters.link);
     const stop = new AbortController();
-    this.#runners.set(host.name, { link, stop });
+    this.#runners.set(host.name, { link, stop, unlistedAt: undefined });
     const both = AbortSignal.any([signal, stop.signal]);
     this.parameters.lifeCycle.run(`runner ${host.name}`, () => link.run(both));
   }
--- a/packages/daemon/src/expert_map/switch_map.ts
+++ b/packages/daemon/src/expert_map/switch_map.ts
@@ -111,15 +111,21 @@
   term: groupTerm.GroupTerm,
   version: number,
 ): Promise<SwitchOutcome> {
+  const failure = await awaitAll(term, (state) => state.mapVersion === version);
+  if (failure) return unfinished(failure);
+  return { kind: SwitchKind.Committed, detail: `version ${version}` };
+}
+
+/** Looks at all ranks until each is in a state; the failure if that ends. */
+async function awaitAll(
+  term: groupTerm.GroupTerm,
+  condition: (state: wire.RankState) => boolean,
+): Promise<rankSession.RankReply | undefined> {
   const { group, fencing } = term;
   const look = { kind: wire.OrderKind.Promise, group, fencing } as const;
   for (;;) {
     const failure = await term.insistAll(look);
-    if (failure) return unfinished(failure);
-    const applied = term.states.every((state) => state.mapVersion === version);
-    if (applied) {
-      return { kind: SwitchKind.Committed, detail: `version ${version}` };
-    }
+    if (failure || term.states.every(condition)) return failure;
     await term.pause();
   }
 }
@@ -140,12 +146,19 @@
   return finishHeld(term, map.version);
 }
 
-/** All ranks hold: apply one map everywhere, and only then release. */
+/**
+ * All ranks are to hold: apply one map everywhere, and only then release. A rank
+ * says yes to "hold" at once and may be in the middle of a step; given the map
+ * then, it would end that step with another map than it began. Only when all say
+ * that they are at rest is no step under way anywhere in the group.
+ */
 export async function finishHeld(
   term: groupTerm.GroupTerm,
   version: number,
 ): Promise<SwitchOutcome> {
   const { group, fencing } = term;
+  const notAtRest = await awaitAll(term, ({ held }) => held);
+  if (notAtRest) return unfinished(notAtRest);
   const kind = wire.OrderKind.Apply;
   const notApplied = await term.insistAll({ kind, group, fencing, version });
   if (notApplied) return unfinished(notApplied);
--- a/packages/stand_ins/src/checkers/check_expert_map.ts
+++ b/packages/stand_ins/src/checkers/check_expert_map.ts
@@ -9,6 +9,12 @@
   );
   const inUse = new Map<number, number>();
   const violations: historyModule.Violation[] = [];
+  if (history.mixedSteps > 0) {
+    violations.push({
+      promise: "one expert map in every step",
+      detail: `engines saw ${history.mixedSteps} steps with two maps`,
+    });
+  }
   changes.forEach((change, index) => {
     inUse.set(change.rank, change.version);
     // A step is judged once all changes that begin with it are taken in.
--- a/packages/stand_ins/src/checkers/checkers_test.ts
+++ b/packages/stand_ins/src/checkers/checkers_test.ts
@@ -27,6 +27,7 @@
       { rank: 1, step: 9, version: 2 },
     ],
     stepsTaken: 20,
+    mixedSteps: 0,
     workStarts: [{ host: "up", at: 1_000 }],
     leavings: [{ host: "up", at: 500 }],
     inForce: [
@@ -88,6 +89,11 @@
   t.regex(violation.detail, /step 9/);
 });
 
+test("a map that changed in the middle of a step is found", (t) => {
+  const history = { ...soundHistory(), mixedSteps: 1 };
+  t.is(checkExpertMap.checkOneMap(history).length, 1);
+});
+
 test("work for a host long gone is found", (t) => {
   const history = soundHistory();
   history.workStarts.push({ host: "up", at: 9_000 });
--- a/packages/stand_ins/src/checkers/history.ts
+++ b/packages/stand_ins/src/checkers/history.ts
@@ -13,6 +13,8 @@
   mapUses: MapUse[];
   /** Steps that were really taken, by all ranks together. */
   stepsTaken: number;
+  /** Steps that the engines themselves saw run with two maps. */
+  mixedSteps: number;
   /** Work started at a host, with the time. */
   workStarts: { host: string; at: number }[];
   /** Hosts told to leave, with the time. */
@@ -51,6 +53,7 @@
     starts: new Map(),
     mapUses: [],
     stepsTaken: 0,
+    mixedSteps: 0,
     workStarts: [],
     leavings: [],
     inForce: [],
--- a/packages/stand_ins/src/engine_group.ts
+++ b/packages/stand_ins/src/engine_group.ts
@@ -31,7 +31,7 @@
 /** What a group did, for the history checkers. */
 export interface GroupHistory {
   steps: number;
-  /** Steps in which ranks used different expert maps. */
+  /** Steps in which ranks, or one rank in its course, used different maps. */
   mixedSteps: number;
   /** Milliseconds in which ranks held for a switch. */
   heldMilliseconds: number;
--- a/packages/stand_ins/src/engine_orders.ts
+++ b/packages/stand_ins/src/engine_orders.ts
@@ -60,6 +60,8 @@
       if (!rank.heldByOrder || rank.staged?.version !== order.version) {
         return { refusal: wire.OrderRefusal.NotStaged };
       }
+      // Told to hold, but its step has not ended: that step gets two maps.
+      if (!rank.held) rank.parameters.group.history.mixedSteps++;
       rank.applyStaged();
       break;
     case wire.OrderKind.Release:
--- a/packages/stand_ins/src/explore/run_case.ts
+++ b/packages/stand_ins/src/explore/run_case.ts
@@ -30,7 +30,7 @@
     plainRunners: 2,
     proxied: true,
     seed: one.seed,
-    configuration: exploreConfiguration(),
+    configuration: exploreConfiguration(change.numbersSteps ?? true),
     ...change,
   });
   const dispatcher = new undici.Agent({ connections: 64 });
@@ -65,11 +65,14 @@
 }
 
 /** Experts move all the time, so that switches meet every fault. */
-function exploreConfiguration(): testConfiguration.DocumentInput {
+export function exploreConfiguration(
+  numbersSteps: boolean,
+): testConfiguration.DocumentInput {
   return testConfiguration.eagerPlacement({
     slotsPerRank: 12,
     megabytesPerExpert: 1,
     tokenMilliseconds: 0.4,
+    switching: numbersSteps ? "at-step" : "hold-all",
   });
 }
 
@@ -109,6 +112,7 @@
   }
   history.final.push(...revisions());
   history.stepsTaken = system.engine.group.history.steps;
+  history.mixedSteps = system.engine.group.history.mixedSteps;
   for (const entry of system.history) {
     if (entry.kind !== "in-force") continue;
     history.inForce.push({
--- a/packages/stand_ins/src/measure/measure_admission.ts
+++ b/packages/stand_ins/src/measure/measure_admission.ts
@@ -12,6 +12,8 @@
 const SMALL_PER_SECOND = 8;
 const LIMIT_PER_SECOND = 12;
 const GREEDY_FACTOR = 10;
+/** Time within which an answer is of use, in milliseconds. */
+const DEADLINE_MILLISECONDS = 2_000;
 
 /** Ways to admit requests. */
 enum AdmissionPolicy {
@@ -25,6 +27,10 @@
   wait99: number;
   answered: number;
   greedyShare: number;
+  /** Part of the small accounts' requests answered by their deadline. */
+  inTime: number;
+  /** Jain's index of that part over the small accounts: 1 is even. */
+  fairness: number;
 }
 
 /**
@@ -37,6 +43,8 @@
     const ratios: number[] = [];
     const added: number[] = [];
     const shares: number[] = [];
+    const inTime: number[] = [];
+    const fairness: number[] = [];
     for (let seed = 1; seed <= SEEDS; seed++) {
       const calm = await run(policy, 1, seed);
       const greedy = await run(policy, GREEDY_FACTOR, seed);
@@ -44,11 +52,15 @@
       ratios.push((service + greedy.wait99) / (service + calm.wait99));
       added.push(greedy.wait99 - calm.wait99);
       shares.push(greedy.greedyShare);
+      inTime.push(greedy.inTime);
+      fairness.push(greedy.fairness);
     }
     result[policy] = {
       others99Ratio: statistics.spread(ratios),
       others99AddedMilliseconds: statistics.spread(added),
       greedyAnsweredOverLimit: statistics.spread(shares),
+      othersInTime: statistics.spread(inTime),
+      fairnessAmongOthers: statistics.spread(fairness),
     };
   }
   return { seeds: SEEDS, accounts: ACCOUNTS, policies: result };
@@ -82,6 +94,8 @@
   const ends: number[] = [];
   const waits: number[] = [];
   let answeredGreedy = 0;
+  const asked = new Array<number>(ACCOUNTS).fill(0);
+  const answeredInTime = new Array<number>(ACCOUNTS).fill(0);
   const take = (): true | undefined => {
     if (free === 0) return undefined;
     free--;
@@ -90,6 +104,7 @@
   const arrive = (account: number): void => {
     if (account === 0 && !admitted(account)) return;
     const arrivedAt = now;
+    asked[account]++;
     const outcome = queue.enter({
       account: fair ? String(account) : "all",
       weight: 1,
@@ -100,7 +115,10 @@
       take,
     });
     const served = () => {
-      ends.push(now + random.between(0.8, 1.2) * SERVICE_MILLISECONDS);
+      const end = now + random.between(0.8, 1.2) * SERVICE_MILLISECONDS;
+      ends.push(end);
+      const late = end - arrivedAt > DEADLINE_MILLISECONDS;
+      if (!late) answeredInTime[account]++;
       if (account === 0) answeredGreedy++;
       else waits.push(now - arrivedAt);
     };
@@ -139,11 +157,16 @@
     arrive(account);
     next[account] += random.exponential(1_000 / ratePerSecond(account, factor));
   }
+  const parts = asked
+    .map((count, account) => answeredInTime[account] / Math.max(1, count))
+    .slice(1);
   const allowed = (LIMIT_PER_SECOND * LENGTH_MILLISECONDS) / 1_000;
   return {
     wait99: statistics.quantile(waits, 0.99),
     answered: waits.length,
     greedyShare: answeredGreedy / allowed,
+    inTime: statistics.mean(parts),
+    fairness: statistics.jainIndex(parts),
   };
 }
 
--- a/packages/stand_ins/src/measure/statistics.ts
+++ b/packages/stand_ins/src/measure/statistics.ts
@@ -29,6 +29,12 @@
   };
 }
 
+/** Jain's fairness index: 1 when all are equal, 1/n when one has all. */
+export function jainIndex(values: number[]): number {
+  const squares = mean(values.map((value) => value * value));
+  return squares === 0 ? 1 : mean(values) ** 2 / squares;
+}
+
 /** Rounds to four significant digits. */
 export function round(value: number): number {
   return Number(value.toPrecision(4));
