feat: the group that a request delays least, shared among the near-best

Cause: among several groups a request went to the one with the fastest rank. All entries chose on reports of the same age, so all sent to one group until the next report, and long contexts slowed every group by turns: worse than any group at random. Change: the cost of a group is the growth of its step times its sequences plus the request's own step; groups within 40% of the best share the requests.

--- /dev/null
+++ b/packages/daemon/src/routing/choose_group_test.ts
@@ -0,0 +1,40 @@
+import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
+import * as chooseGroup from "./choose_group.ts";
+
+const test = ava.default;
+
+function candidate(
+  sequences: number,
+  before: number,
+  after: number,
+): chooseGroup.GroupCandidate {
+  const growth = Math.max(0, after - before);
+  return { sequences, rank: { index: 0, before, growth, after } };
+}
+
+/** Groups chosen over many calls. */
+function chosen(candidates: chooseGroup.GroupCandidate[]): Set<unknown> {
+  const random = new common.Random(1);
+  const indexes = Array.from({ length: 100 }, () =>
+    chooseGroup.chooseGroup({ candidates, random }),
+  );
+  return new Set(indexes);
+}
+
+test("a long context joins the group that one slows already", (t) => {
+  const fast = candidate(50, 8, 12);
+  const slow = candidate(50, 12, 12);
+  t.deepEqual(chosen([fast, slow]), new Set([1]));
+});
+
+// All entries see one group a little better than the others until its next
+// report. Were all to choose it, it would be the worst by then.
+test("groups about as good as the best share the requests", (t) => {
+  const candidates = [8, 9, 10].map((step) => candidate(20, step, step - 1));
+  t.is(chosen(candidates).size, 3);
+});
+
+test("without a group there is no choice", (t) => {
+  t.deepEqual(chosen([]), new Set([undefined]));
+});
--- a/packages/daemon/src/routing/choose_rank.ts
+++ b/packages/daemon/src/routing/choose_rank.ts
@@ -22,6 +22,8 @@
 /** Chosen candidate, with the figures that explain it. */
 export interface RankChoice {
   index: number;
+  /** The group's step time before the request, in milliseconds. */
+  before: number;
   /** Growth of the group's step time in milliseconds. */
   growth: number;
   /** The rank's step time after the request, in milliseconds. */
@@ -63,7 +65,7 @@
     const distance = (2 * candidate.distanceMilliseconds) / steps;
     const score = after + GROWTH_WEIGHT * growth + distance;
     best = Math.min(best, score);
-    choices.push({ index, growth, after, score });
+    choices.push({ index, before: slowest, growth, after, score });
   }
   if (choices.length === 0) return undefined;
   const limit = best + NEAR_BEST_SHARE * slowest;
--- a/packages/daemon/src/routing/router.ts
+++ b/packages/daemon/src/routing/router.ts
@@ -3,6 +3,7 @@
 import type * as runnerDirectory from "../dispatch/runner_directory.ts";
 import type * as runnerLink from "../dispatch/runner_link.ts";
 import * as subscription from "../dispatch/subscription.ts";
+import * as chooseGroup from "./choose_group.ts";
 import * as chooseRank from "./choose_rank.ts";
 import * as prefixIndex from "./prefix_index.ts";
 import * as stepCost from "./step_cost.ts";
@@ -32,7 +33,7 @@
 /** Why a runner was chosen, for the state dump. */
 interface Explanation {
   runner: string;
-  candidates: number;
+  groups: number;
   growth: number;
   after: number;
 }
@@ -124,34 +125,36 @@
     return cost;
   }
 
-  /** The best rank of each group, then the group that it hurts least. */
+  /** The best rank of each group, then the group that it delays least. */
   #chooseAmongGroups(
     groups: Map<string, runnerLink.RunnerLink[]>,
     request: RoutingRequest,
   ): runnerLink.RunnerLink | undefined {
-    let best: runnerLink.RunnerLink | undefined;
-    let bestChoice: chooseRank.RankChoice | undefined;
-    let candidateCount = 0;
-    for (const [group, runners] of groups) {
-      const candidates = runners.map((one) => this.#candidate(one, request));
-      candidateCount += candidates.length;
-      const choice = chooseRank.chooseRank({
-        candidates,
-        cost: this.#cost(group),
-        size: request.size,
-        random: this.parameters.random,
-      });
-      if (!choice) continue;
-      if (bestChoice && bestChoice.after <= choice.after) continue;
-      bestChoice = choice;
-      best = runners[choice.index];
-    }
-    if (!best || !bestChoice) return undefined;
-    const { growth, after } = bestChoice;
-    const runner = best.host.name;
-    this.#explain({ runner, candidates: candidateCount, growth, after });
-    this.#prefixes.expect(runner, request.prefixBlocks);
-    return best;
+    const { random } = this.parameters;
+    const candidates = [...groups].flatMap(([group, runners]) => {
+      const ranks = runners.map((one) => this.#candidate(one, request));
+      const cost = this.#cost(group);
+      const { size } = request;
+      const choose = { candidates: ranks, cost, size, random };
+      const rank = chooseRank.chooseRank(choose);
+      if (!rank) return [];
+      const sequences = ranks.reduce(
+        (sum, { work }) => sum + work.sequences,
+        0,
+      );
+      return [{ sequences, rank, runner: runners[rank.index] }];
+    });
+    const index = chooseGroup.chooseGroup({ candidates, random });
+    if (index === undefined) return undefined;
+    const { rank, runner } = candidates[index];
+    this.#explain({
+      runner: runner.host.name,
+      groups: candidates.length,
+      growth: rank.growth,
+      after: rank.after,
+    });
+    this.#prefixes.expect(runner.host.name, request.prefixBlocks);
+    return runner;
   }
 
   #candidate(
--- /dev/null
+++ b/packages/stand_ins/src/measure/groups_model.ts
@@ -0,0 +1,260 @@
+import * as common from "@geraniumkeel/common";
+import * as chooseGroup from "@geraniumkeel/daemon/routing/choose_group";
+import * as chooseRank from "@geraniumkeel/daemon/routing/choose_rank";
+import * as stepCost from "@geraniumkeel/daemon/routing/step_cost";
+import * as statistics from "./statistics.ts";
+
+/** Ways to choose among groups; within one, by step time. */
+export enum GroupPolicy {
+  Random = "any group",
+  /** As it was before: the rank that is fastest with the request. */
+  FastestRank = "fastest rank",
+  TwoChoices = "less busy of two groups",
+  LeastDelay = "least delay, near-best shared",
+}
+
+/** Figures of one run. */
+export interface GroupFigures {
+  skew: number;
+  tokenMilliseconds: number;
+  tokenMilliseconds95: number;
+  firstTokenMilliseconds95: number;
+}
+
+interface Sequence {
+  promptTokens: number;
+  promptLeft: number;
+  generated: number;
+  length: number;
+  arrivedAt: number;
+}
+
+interface Rank {
+  sequences: Sequence[];
+  waiting: Sequence[];
+}
+
+interface Group {
+  /** When its present step ends. */
+  now: number;
+  nextReport: number;
+  ranks: Rank[];
+}
+
+const GROUPS = 4;
+const RANKS = 16;
+const ENTRIES = 7;
+const REPORT_MILLISECONDS = 50;
+const LENGTH_MILLISECONDS = 20_000;
+const ORDINARY_PER_SECOND = 220;
+const SURGE_PER_SECOND = 1_200;
+const SURGE_AT = 8_000;
+const SURGE_LENGTH = 2_000;
+const PREFILL_CHUNK = 512;
+const BATCH_LIMIT = 64;
+const EXPECTED_TOKENS = 80;
+const COST = { constant: 6, sequence: 0.12, cached: 0.0012, prefill: 0.006 };
+
+/** Groups that each step at their own pace, and entries with views of them. */
+export class GroupsModel {
+  readonly #random: common.Random;
+  readonly #groups: Group[];
+  readonly #views: stepCost.RankWork[][][];
+  readonly #costs: stepCost.StepCost[][];
+  readonly #skews: number[] = [];
+  readonly #tokens: number[] = [];
+  readonly #firstTokens: number[] = [];
+  #nextArrival = 0;
+
+  constructor(
+    readonly policy: GroupPolicy,
+    readonly surge: boolean,
+    seed: number,
+  ) {
+    this.#random = new common.Random(seed);
+    this.#groups = Array.from({ length: GROUPS }, () => ({
+      now: 0,
+      nextReport: 0,
+      ranks: Array.from({ length: RANKS }, () => ({
+        sequences: [],
+        waiting: [],
+      })),
+    }));
+    this.#views = Array.from({ length: ENTRIES }, () =>
+      this.#groups.map(({ ranks }) => ranks.map(workOf)),
+    );
+    this.#costs = this.#views.map(() =>
+      this.#groups.map(() => new stepCost.StepCost()),
+    );
+  }
+
+  /** Runs to the end of the time. */
+  run(): GroupFigures {
+    for (;;) {
+      const group = this.#earliest();
+      if (group.now >= LENGTH_MILLISECONDS) return this.#figures();
+      this.#arrivals(group.now);
+      this.#step(group);
+    }
+  }
+
+  #figures(): GroupFigures {
+    return {
+      skew: statistics.mean(this.#skews),
+      tokenMilliseconds: statistics.mean(this.#tokens),
+      tokenMilliseconds95: statistics.quantile(this.#tokens, 0.95),
+      firstTokenMilliseconds95: statistics.quantile(this.#firstTokens, 0.95),
+    };
+  }
+
+  #earliest(): Group {
+    return this.#groups.reduce((first, group) =>
+      group.now < first.now ? group : first,
+    );
+  }
+
+  #arrivals(until: number): void {
+    while (this.#nextArrival < until) {
+      this.#arrive(this.#nextArrival);
+      const sinceSurge = this.#nextArrival - SURGE_AT;
+      const surging = sinceSurge >= 0 && sinceSurge < SURGE_LENGTH;
+      const rate =
+        this.surge && surging ? SURGE_PER_SECOND : ORDINARY_PER_SECOND;
+      this.#nextArrival += this.#random.exponential(1_000 / rate);
+    }
+  }
+
+  #arrive(arrivedAt: number): void {
+    const random = this.#random;
+    const promptTokens = Math.min(4_000, Math.round(random.pareto(60, 1.3)));
+    const length = Math.min(800, Math.round(random.pareto(30, 1.4)));
+    const entry = random.below(ENTRIES);
+    const { group, rank } = this.#choose(entry, promptTokens);
+    const view = this.#views[entry][group][rank];
+    view.sequences++;
+    view.cachedTokens += promptTokens;
+    view.prefillTokens += promptTokens;
+    this.#groups[group].ranks[rank].waiting.push({
+      promptTokens,
+      promptLeft: promptTokens,
+      generated: 0,
+      length,
+      arrivedAt,
+    });
+  }
+
+  #choose(
+    entry: number,
+    promptTokens: number,
+  ): { group: number; rank: number } {
+    const candidates = this.#groups.map((_, group) =>
+      this.#candidate(entry, group, promptTokens),
+    );
+    const group = this.#chooseGroup(candidates);
+    return { group, rank: candidates[group].rank.index };
+  }
+
+  #chooseGroup(candidates: chooseGroup.GroupCandidate[]): number {
+    const random = this.#random;
+    switch (this.policy) {
+      case GroupPolicy.Random:
+        return random.below(GROUPS);
+      case GroupPolicy.FastestRank: {
+        const after = candidates.map(({ rank }) => rank.after);
+        return after.indexOf(Math.min(...after));
+      }
+      case GroupPolicy.TwoChoices: {
+        const first = random.below(GROUPS);
+        const second = random.below(GROUPS);
+        const better =
+          candidates[first].sequences <= candidates[second].sequences;
+        return better ? first : second;
+      }
+      case GroupPolicy.LeastDelay:
+        return chooseGroup.chooseGroup({ candidates, random }) ?? 0;
+    }
+  }
+
+  #candidate(
+    entry: number,
+    group: number,
+    promptTokens: number,
+  ): chooseGroup.GroupCandidate {
+    const views = this.#views[entry][group];
+    const rank = chooseRank.chooseRank({
+      candidates: views.map((work, index) => ({
+        rank: index,
+        work,
+        eligible: true,
+        prefixTokens: 0,
+        distanceMilliseconds: 0,
+      })),
+      cost: this.#costs[entry][group],
+      size: { promptTokens, expectedTokens: EXPECTED_TOKENS },
+      random: this.#random,
+    });
+    if (!rank) throw new Error("no rank is eligible");
+    const sequences = views.reduce((sum, work) => sum + work.sequences, 0);
+    return { sequences, rank };
+  }
+
+  #step(group: Group): void {
+    const times = group.ranks.map(timeOf);
+    const slowest = Math.max(...times);
+    const busy = group.ranks.some((rank) => rank.sequences.length > 0);
+    if (busy) this.#skews.push(slowest / statistics.mean(times));
+    if (group.now >= group.nextReport) this.#report(group, times);
+    group.now += slowest;
+    for (const rank of group.ranks) this.#advance(rank, group.now, slowest);
+  }
+
+  #report(group: Group, times: number[]): void {
+    group.nextReport = group.now + REPORT_MILLISECONDS;
+    const index = this.#groups.indexOf(group);
+    const works = group.ranks.map(workOf);
+    this.#views.forEach((views, entry) => {
+      views[index] = works.map((work) => ({ ...work }));
+      works.forEach((work, rank) =>
+        this.#costs[entry][index].observe(rank, work, times[rank]),
+      );
+    });
+  }
+
+  #advance(rank: Rank, now: number, stepMilliseconds: number): void {
+    const room = BATCH_LIMIT - rank.sequences.length;
+    rank.sequences.push(...rank.waiting.splice(0, room));
+    let budget = PREFILL_CHUNK;
+    for (const one of rank.sequences) {
+      if (one.promptLeft > 0) {
+        const done = Math.min(budget, one.promptLeft);
+        one.promptLeft -= done;
+        budget -= done;
+        continue;
+      }
+      if (one.generated === 0) this.#firstTokens.push(now - one.arrivedAt);
+      one.generated++;
+      this.#tokens.push(stepMilliseconds);
+    }
+    rank.sequences = rank.sequences.filter((one) => one.generated < one.length);
+  }
+}
+
+function timeOf(rank: Rank): number {
+  const work = workOf(rank);
+  return (
+    COST.constant +
+    COST.sequence * work.sequences +
+    COST.cached * work.cachedTokens +
+    COST.prefill * Math.min(PREFILL_CHUNK, work.prefillTokens)
+  );
+}
+
+function workOf(rank: Rank): stepCost.RankWork {
+  let cachedTokens = 0;
+  let prefillTokens = 0;
+  for (const one of rank.sequences) {
+    cachedTokens += one.promptTokens - one.promptLeft + one.generated;
+    prefillTokens += one.promptLeft;
+  }
+  return { sequences: rank.sequences.length, cachedTokens, prefillTokens };
+}
--- a/packages/stand_ins/src/measure/main.ts
+++ b/packages/stand_ins/src/measure/main.ts
@@ -3,6 +3,7 @@
 import * as measureAdmission from "./measure_admission.ts";
 import * as measureCapacity from "./measure_capacity.ts";
 import * as measureConfiguration from "./measure_configuration.ts";
+import * as measureGroups from "./measure_groups.ts";
 import * as measureOverhead from "./measure_overhead.ts";
 import * as measurePlacement from "./measure_placement.ts";
 import * as measureRouting from "./measure_routing.ts";
@@ -14,6 +15,7 @@
 const MEASUREMENTS: Record<string, Measurement> = {
   admission: measureAdmission.measureAdmission,
   capacity: measureCapacity.measureCapacity,
+  groups: measureGroups.measureGroups,
   links: capacityLinks.measureLinks,
   configuration: measureConfiguration.measureConfiguration,
   overhead: measureOverhead.measureOverhead,
