refactor: pending dispatches, open questions and buckets have modules of their own

runner_link.ts kept the accounts of three things beside the link, account_limits.ts two maps of buckets with one rule. A share of a limit now follows the number of entries also while its bucket is in use.

--- a/packages/daemon/src/admission/account_limits.ts
+++ b/packages/daemon/src/admission/account_limits.ts
@@ -1,7 +1,8 @@
 import * as common from "@geraniumkeel/common";
 import * as configuration from "@geraniumkeel/configuration";
 import * as wire from "@geraniumkeel/wire";
-import * as creditBucket from "./credit_bucket.ts";
+import * as bucketShelf from "./bucket_shelf.ts";
+import type * as creditBucket from "./credit_bucket.ts";
 
 /** Time to wait for the owner's answer before the local share is used. */
 const OWNER_TIMEOUT_MILLISECONDS = 250;
@@ -9,8 +10,6 @@
 const LENT_SECONDS = 0.5;
 /** Credit unused for this long goes back to the owner. */
 const IDLE_MILLISECONDS = 1_000;
-/** Buckets unused for this long are forgotten. */
-const FORGET_MILLISECONDS = 300_000;
 
 /** Outcome of asking for credit. */
 export type LimitOutcome =
@@ -30,11 +29,6 @@
   asking: boolean;
 }
 
-interface OwnedBucket {
-  bucket: creditBucket.CreditBucket;
-  usedAt: number;
-}
-
 /** What the limits need of the rest of the entry. */
 export interface AccountLimitsParameters {
   self: string;
@@ -55,9 +49,9 @@
  */
 export class AccountLimits {
   readonly #local = new Map<string, LocalCredit>();
-  readonly #owned = new Map<string, OwnedBucket>();
+  readonly #owned: bucketShelf.BucketShelf;
   /** Buckets with this entry's own share, for when the owner is unreachable. */
-  readonly #shares = new Map<string, OwnedBucket>();
+  readonly #shares: bucketShelf.BucketShelf;
   readonly #grants = new Map<
     string,
     (
@@ -65,7 +59,14 @@
     ) => void
   >();
 
-  constructor(readonly parameters: AccountLimitsParameters) {}
+  constructor(readonly parameters: AccountLimitsParameters) {
+    const rateOf = (account: string) => this.#rateOf(account);
+    this.#owned = new bucketShelf.BucketShelf({ rateOf, share: () => 1 });
+    this.#shares = new bucketShelf.BucketShelf({
+      rateOf,
+      share: () => 1 / Math.max(1, parameters.entries().length),
+    });
+  }
 
   /** Takes one request and its tokens from the account's limit. */
   take(account: string, tokens: number): Promise<LimitOutcome> {
@@ -97,8 +98,7 @@
       case wire.MessageKind.CreditGrant:
         return this.#grants.get(message.account)?.(message);
       case wire.MessageKind.CreditReturn: {
-        const owned = this.#bucket(this.#owned, message.account, 1);
-        return owned?.giveBack(message);
+        return this.#owned.bucket(message.account)?.giveBack(message);
       }
       default:
         return;
@@ -114,11 +114,8 @@
       this.#local.delete(account);
       this.#giveBack(account, local);
     }
-    for (const buckets of [this.#owned, this.#shares]) {
-      for (const [account, { usedAt }] of buckets) {
-        if (now - usedAt > FORGET_MILLISECONDS) buckets.delete(account);
-      }
-    }
+    this.#owned.sweep();
+    this.#shares.sweep();
   }
 
   /** What the state dump says of limits. */
@@ -182,7 +179,7 @@
     account: string,
     local: LocalCredit,
   ): Promise<number | undefined> {
-    const rate = this.#rateOf(account, 1);
+    const rate = this.#rateOf(account);
     if (!rate) return 0;
     const [first] = local.waiters;
     const needed = {
@@ -209,13 +206,12 @@
   ): Promise<ReturnType<creditBucket.CreditBucket["take"]>> {
     const owner = this.#ownerOf(account);
     if (owner === this.parameters.self) {
-      const bucket = this.#bucket(this.#owned, account, 1);
+      const bucket = this.#owned.bucket(account);
       return bucket?.take(needed, wanted) ?? { waitMilliseconds: 0 };
     }
     const grant = await this.#askOwner(owner, account, needed, wanted);
     if (grant === undefined) {
-      const entries = Math.max(1, this.parameters.entries().length);
-      const bucket = this.#bucket(this.#shares, account, 1 / entries);
+      const bucket = this.#shares.bucket(account);
       return bucket?.take(needed, needed) ?? { waitMilliseconds: 0 };
     }
     if (grant.requests === 0 && grant.tokens === 0) {
@@ -256,7 +252,7 @@
     request: Extract<wire.Message, { kind: wire.MessageKind.CreditRequest }>,
   ): void {
     const { account } = request;
-    const bucket = this.#bucket(this.#owned, account, 1);
+    const bucket = this.#owned.bucket(account);
     const wanted = {
       requests: request.wantedRequests,
       tokens: request.wantedTokens,
@@ -275,7 +271,7 @@
     if (requests === 0 && tokens === 0) return;
     const owner = this.#ownerOf(account);
     if (owner === this.parameters.self) {
-      this.#bucket(this.#owned, account, 1)?.giveBack({ requests, tokens });
+      this.#owned.bucket(account)?.giveBack({ requests, tokens });
       return;
     }
     const kind = wire.MessageKind.CreditReturn;
@@ -287,29 +283,10 @@
     return common.rendezvous(account, entries) ?? this.parameters.self;
   }
 
-  #bucket(
-    buckets: Map<string, OwnedBucket>,
-    account: string,
-    share: number,
-  ): creditBucket.CreditBucket | undefined {
-    const now = common.now();
-    const known = buckets.get(account);
-    if (known) {
-      known.usedAt = now;
-      return known.bucket;
-    }
-    if (!this.#rateOf(account, share)) return undefined;
-    const nothing = { requests: 1, tokens: 1, burstSeconds: 1 };
-    const rate = () => this.#rateOf(account, share) ?? nothing;
-    const bucket = new creditBucket.CreditBucket(rate);
-    buckets.set(account, { bucket, usedAt: now });
-    return bucket;
-  }
-
-  #rateOf(account: string, share: number): creditBucket.CreditRate | undefined {
+  #rateOf(account: string): creditBucket.CreditRate | undefined {
     const configured = this.parameters.account(account);
     if (!configured) return undefined;
-    const scale = this.parameters.limitScale() * share;
+    const scale = this.parameters.limitScale();
     return {
       requests: configured.requestsPerSecond * scale,
       tokens: configured.tokensPerSecond * scale,
--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -5,7 +5,9 @@
 import * as listenModule from "../settings/listen.ts";
 import type * as settingsModule from "../settings/settings.ts";
 import type * as bodySender from "./body_sender.ts";
+import * as openQuestions from "./open_questions.ts";
 import * as outgoingAttempt from "./outgoing_attempt.ts";
+import * as pendingDispatches from "./pending_dispatches.ts";
 
 const FIRST_PAUSE_MILLISECONDS = 50;
 const LONGEST_PAUSE_MILLISECONDS = 1_000;
@@ -52,18 +54,16 @@
   #saidLeaving = false;
   /** When this rank's engine was last seen to step, or had nothing to do. */
   progressAt = common.now();
-  /** Prompt tokens of own dispatches that the load does not yet include. */
-  #pending: { number: number; promptTokens: number }[] = [];
-  #dispatches = 0;
+  /** Own dispatches that the load does not yet include. */
+  readonly #pending = new pendingDispatches.PendingDispatches();
   #link: wire.Link | undefined;
   #linkNumber = 0;
   /** Runs while there is no link; at its end attempts are given up. */
   #givingUp: NodeJS.Timeout | undefined;
   /** The upstream process's clock as last heard, never extrapolated. */
   #agentClock = 0;
-  #question = 0;
   #stopped = false;
-  readonly #questions = new Map<number, (message: wire.Message) => void>();
+  readonly #questions = new openQuestions.OpenQuestions();
 
   constructor(
     readonly host: platform.Host,
@@ -92,12 +92,12 @@
 
   /** Sequences as reported, plus own dispatches that the report lacks. */
   get sequences(): number {
-    return this.load.sequences + this.#pending.length;
+    return this.load.sequences + this.#pending.count;
   }
 
   /** Prompt tokens of dispatches that the last load report lacks. */
   get pendingTokens(): number {
-    return this.#pending.reduce((sum, one) => sum + one.promptTokens, 0);
+    return this.#pending.promptTokens;
   }
 
   /** Identity for a new attempt, bound to the runner's present incarnation. */
@@ -157,9 +157,7 @@
       return outgoing;
     }
     this.attempts.set(attempt.identifier, outgoing);
-    this.#dispatches++;
-    const { promptTokens } = dispatch;
-    this.#pending.push({ number: this.#dispatches, promptTokens });
+    this.#pending.add(dispatch.promptTokens);
     this.#link?.send({
       kind: wire.MessageKind.Dispatch,
       attempt,
@@ -255,15 +253,10 @@
     timeoutMilliseconds: number,
     build: (question: number) => wire.Message,
   ): Promise<wire.Message | undefined> {
-    if (!this.#link) return undefined;
-    const question = ++this.#question;
-    const answer = new Promise<wire.Message>((resolve) =>
-      this.#questions.set(question, resolve),
-    );
-    this.#link.send(build(question));
-    const result = await common.withTimeout(answer, timeoutMilliseconds);
-    this.#questions.delete(question);
-    return result;
+    const link = this.#link;
+    if (!link) return undefined;
+    const send = (message: wire.Message) => link.send(message);
+    return this.#questions.ask({ send, build, timeoutMilliseconds });
   }
 
   /** Serves one connection; false if it never came to a greeting. */
@@ -281,7 +274,7 @@
     }
     this.#greet(hello);
     this.#link = link;
-    link.isBusy = () => this.attempts.size + this.#questions.size > 0;
+    link.isBusy = () => this.attempts.size + this.#questions.count > 0;
     clearTimeout(this.#givingUp);
     link.onHeartbeat = (beat) => (this.#agentClock = beat.clock);
     for (const outgoing of this.attempts.values()) this.#resume(outgoing);
@@ -306,8 +299,7 @@
     this.hello = hello;
     this.#saidLeaving = hello.leaving;
     this.#agentClock = hello.clock;
-    this.#pending = [];
-    this.#dispatches = 0;
+    this.#pending.reset();
     this.progressAt = common.now();
     if (!replaced) return;
     const peer = this.host.name;
@@ -352,7 +344,7 @@
         return this.#settled(message);
       case wire.MessageKind.OrderAnswer:
       case wire.MessageKind.StateAnswer:
-        return this.#questions.get(message.question)?.(message);
+        return this.#questions.answer(message.question, message);
       case wire.MessageKind.Load:
         return this.#takeLoad(message);
       case wire.MessageKind.CacheEvents:
@@ -368,7 +360,7 @@
     message: Extract<wire.Message, { kind: wire.MessageKind.Settled }>,
   ): void {
     const { question, state } = message;
-    if (question !== 0) return this.#questions.get(question)?.(message);
+    if (question !== 0) return this.#questions.answer(question, message);
     const kind = outgoingAttempt.AttemptEventKind.Settled;
     this.#open(message.identifier)?.events.push({ kind, state });
   }
@@ -389,7 +381,7 @@
     if (this.load.sequences === 0) this.progressAt = common.now();
     this.load = load;
     this.#agentClock = message.clock;
-    this.#pending = this.#pending.filter(({ number }) => number > dispatches);
+    this.#pending.reported(dispatches);
     this.parameters.onLoad(this);
   }
 
