perf: short pauses while every rank holds; upstream links and Lent are measured

Cause: waiting for ranks to be at rest used the pause of repeated orders, 10 to 60 ms, while the whole group held. Change: pauses of 1 to 5 ms there. Figures of upstream processes by number of entries, and the Lenten peak, join the measurements.

--- a/packages/daemon/src/expert_map/group_term.ts
+++ b/packages/daemon/src/expert_map/group_term.ts
@@ -9,6 +9,8 @@
  */
 const SHORTEST_PAUSE_MILLISECONDS = 10;
 const LONGEST_PAUSE_MILLISECONDS = 60;
+const SHORTEST_HELD_MILLISECONDS = 1;
+const LONGEST_HELD_MILLISECONDS = 5;
 /** Times an order that can be given up is given. */
 const GIVE_TRIES = 3;
 
@@ -112,13 +114,18 @@
 
   /** The pause between repetitions. */
   pause(): Promise<void> {
+    return this.#pause(SHORTEST_PAUSE_MILLISECONDS, LONGEST_PAUSE_MILLISECONDS);
+  }
+
+  /** A pause about as long as a step, while every rank is kept from stepping. */
+  pauseWhileHolding(): Promise<void> {
+    return this.#pause(SHORTEST_HELD_MILLISECONDS, LONGEST_HELD_MILLISECONDS);
+  }
+
+  #pause(shortest: number, longest: number): Promise<void> {
     const { signal, withoutPauses = false } = this.parameters;
     if (withoutPauses) return new Promise((resolve) => setImmediate(resolve));
-    const milliseconds = this.#random.between(
-      SHORTEST_PAUSE_MILLISECONDS,
-      LONGEST_PAUSE_MILLISECONDS,
-    );
-    return common.sleep(milliseconds, signal);
+    return common.sleep(this.#random.between(shortest, longest), signal);
   }
 
   async #stageAt(
--- a/packages/daemon/src/expert_map/switch_map.ts
+++ b/packages/daemon/src/expert_map/switch_map.ts
@@ -111,7 +111,11 @@
   term: groupTerm.GroupTerm,
   version: number,
 ): Promise<SwitchOutcome> {
-  const failure = await awaitAll(term, (state) => state.mapVersion === version);
+  const failure = await awaitAll(
+    term,
+    (state) => state.mapVersion === version,
+    () => term.pause(),
+  );
   if (failure) return unfinished(failure);
   return { kind: SwitchKind.Committed, detail: `version ${version}` };
 }
@@ -120,13 +124,14 @@
 async function awaitAll(
   term: groupTerm.GroupTerm,
   condition: (state: wire.RankState) => boolean,
+  pause: () => Promise<void>,
 ): Promise<rankSession.RankReply | undefined> {
   const { group, fencing } = term;
   const look = { kind: wire.OrderKind.Promise, group, fencing } as const;
   for (;;) {
     const failure = await term.insistAll(look);
     if (failure || term.states.every(condition)) return failure;
-    await term.pause();
+    await pause();
   }
 }
 
@@ -157,7 +162,11 @@
   version: number,
 ): Promise<SwitchOutcome> {
   const { group, fencing } = term;
-  const notAtRest = await awaitAll(term, ({ held }) => held);
+  const notAtRest = await awaitAll(
+    term,
+    ({ held }) => held,
+    () => term.pauseWhileHolding(),
+  );
   if (notAtRest) return unfinished(notAtRest);
   const kind = wire.OrderKind.Apply;
   const notApplied = await term.insistAll({ kind, group, fencing, version });
--- a/packages/stand_ins/src/measure/capacity_links.ts
+++ b/packages/stand_ins/src/measure/capacity_links.ts
@@ -10,11 +10,12 @@
 import * as statistics from "./statistics.ts";
 
 const LINK_COUNTS = [4, 64, 128];
+const ENTRY_COUNTS = [2, 14, 28];
 /** Longer than a new process compiles and collects garbage of its start. */
 const WARM_MILLISECONDS = 10_000;
 const CALM_MILLISECONDS = 20_000;
 
-/** What idle links cost an entry that is a process of its own. */
+/** What idle links cost a process of its own. */
 export interface LinksPoint {
   links: number;
   cpuShare: number;
@@ -28,6 +29,37 @@
   return points;
 }
 
+/** Runs one real upstream process with growing numbers of idle entries. */
+export async function measureUpstreamLinks(): Promise<LinksPoint[]> {
+  const points: LinksPoint[] = [];
+  for (const entries of ENTRY_COUNTS) {
+    points.push(await measureEntries(entries));
+  }
+  return points;
+}
+
+async function measureEntries(links: number): Promise<LinksPoint> {
+  const children = new childProcesses.ChildProcesses();
+  const store = await platformStandIn.startPlatform();
+  const plain = await plainStandIn.startPlain();
+  const entries: daemon.RunningProcess[] = [];
+  try {
+    const upstream = await children.daemon(upstreamSettings("up", plain.url));
+    store.setHosts([hostOf("up", upstream)]);
+    for (let index = 0; index < links; index++) {
+      entries.push(await startEntry(`entry-${index}`, store.url));
+    }
+    await untilState(upstream, (state) => state.links === links);
+    await common.sleep(WARM_MILLISECONDS);
+    return { links, ...(await observe(upstream)) };
+  } finally {
+    await children.close();
+    await Promise.all(entries.map((running) => running.stop()));
+    await plain.close();
+    await store.close();
+  }
+}
+
 async function measureCount(links: number): Promise<LinksPoint> {
   const children = new childProcesses.ChildProcesses();
   const store = await platformStandIn.startPlatform();
@@ -42,8 +74,11 @@
       hosts.push(hostOf(name, running));
     }
     store.setHosts(hosts);
-    const entry = await children.daemon(entrySettings(store.url));
-    await untilLinked(entry, links);
+    const entry = await children.daemon(entrySettings("entry", store.url));
+    await untilState(entry, ({ runners = [] }) => {
+      const linked = runners.filter((runner) => runner.linked);
+      return linked.length === links;
+    });
     await common.sleep(WARM_MILLISECONDS);
     return { links, ...(await observe(entry)) };
   } finally {
@@ -55,9 +90,9 @@
 }
 
 async function observe(
-  entry: childProcesses.Child,
+  child: childProcesses.Child,
 ): Promise<Omit<LinksPoint, "links">> {
-  const usage = () => processUsage.processUsage(entry.process.pid ?? 0);
+  const usage = () => processUsage.processUsage(child.process.pid ?? 0);
   const before = usage();
   const startedAt = common.now();
   await common.sleep(CALM_MILLISECONDS);
@@ -70,23 +105,31 @@
   };
 }
 
-async function untilLinked(
-  entry: childProcesses.Child,
-  links: number,
+/** What the measurement reads of a state dump. */
+interface DumpedState {
+  /** Of an entry. */
+  runners?: { linked: boolean }[];
+  /** Of an upstream process. */
+  links?: number;
+}
+
+async function untilState(
+  child: childProcesses.Child,
+  condition: (state: DumpedState) => boolean,
 ): Promise<void> {
-  const url = `${entry.urls.operators}/admin/v1/state`;
+  const url = `${child.urls.operators}/admin/v1/state`;
   const authorization = `Bearer ${testConfiguration.OPERATOR_KEY}`;
   for (;;) {
     const answer = await undici.request(url, { headers: { authorization } });
-    const { runners } = (await answer.body.json()) as {
-      runners: { linked: boolean }[];
-    };
-    if (runners.filter(({ linked }) => linked).length === links) return;
+    const state = (await answer.body.json()) as DumpedState;
+    if (condition(state)) return;
     await common.sleep(100);
   }
 }
 
-function commonSettings(host: string): Record<string, unknown> {
+type Settings = { host: string } & Record<string, unknown>;
+
+function commonSettings(host: string): Settings {
   return {
     host,
     place: "place",
@@ -96,12 +139,9 @@
   };
 }
 
-function entrySettings(
-  url: string,
-): { host: string } & Record<string, unknown> {
+function entrySettings(host: string, url: string): Settings {
   return {
-    ...commonSettings("entry"),
-    host: "entry",
+    ...commonSettings(host),
     role: daemon.Role.Entry,
     platform: { url },
     listen: {
@@ -112,27 +152,51 @@
   };
 }
 
-async function startUpstream(
-  host: string,
-  url: string,
-): Promise<daemon.RunningProcess> {
-  const settings = daemon.UPSTREAM_SETTINGS.parse({
+function upstreamSettings(host: string, url: string): Settings {
+  return {
     ...commonSettings(host),
     role: daemon.Role.Upstream,
     service: "plain",
     backEnd: { kind: daemon.BackEndKind.Plain, url },
     listen: { links: { port: 0 }, operators: { port: 0 } },
-  });
-  const started = await daemon.startUpstream({
-    settings,
+  };
+}
+
+/** Tools of a process that runs beside the one measured. */
+function quietTools(): {
+  logger: common.Logger;
+  metrics: common.Metrics;
+  history: common.HistoryRecorder;
+} {
+  return {
     logger: { event: () => {} },
     metrics: common.discardMetrics(),
     history: common.noHistory(),
-  });
+  };
+}
+
+async function startEntry(
+  host: string,
+  url: string,
+): Promise<daemon.RunningProcess> {
+  const settings = daemon.ENTRY_SETTINGS.parse(entrySettings(host, url));
+  const started = await daemon.startEntry({ settings, ...quietTools() });
+  return started._unsafeUnwrap();
+}
+
+async function startUpstream(
+  host: string,
+  url: string,
+): Promise<daemon.RunningProcess> {
+  const settings = daemon.UPSTREAM_SETTINGS.parse(upstreamSettings(host, url));
+  const started = await daemon.startUpstream({ settings, ...quietTools() });
   return started._unsafeUnwrap();
 }
 
-function hostOf(name: string, running: daemon.RunningProcess): platform.Host {
+function hostOf(
+  name: string,
+  running: Pick<daemon.RunningProcess, "urls">,
+): platform.Host {
   return {
     name,
     role: platform.HostRole.Upstream,
--- a/packages/stand_ins/src/measure/capacity_table.ts
+++ b/packages/stand_ins/src/measure/capacity_table.ts
@@ -40,6 +40,7 @@
   state: capacityState.StateSlopes;
   credit: capacityCredit.CreditSlopes;
   links: capacityLinks.LinksPoint[];
+  upstreamLinks: capacityLinks.LinksPoint[];
 }): object {
   const { members, upstream, state, credit } = measured;
   const links = 2 * Math.ceil(Math.log2(TARGET.entries));
@@ -52,6 +53,12 @@
   const cpuPerLink = statistics.fitLine(
     measured.links.map((point) => ({ x: point.links, y: point.cpuShare })),
   );
+  const upstreamCpu = statistics.fitLine(
+    measured.upstreamLinks.map(({ links, cpuShare }) => ({
+      x: links,
+      y: cpuShare,
+    })),
+  );
   const { partnersEach, loansPerSecondEach } = credit.homes;
   const allLinks = links + TARGET.subscribedRunners + partnersEach;
   const perChange = statistics.fitLine(
@@ -112,6 +119,9 @@
     },
     upstream: {
       links: Math.round(entriesPerRunner),
+      cpuShareOfIdleLinks: statistics.round(
+        upstreamCpu.intercept + upstreamCpu.slope * entriesPerRunner,
+      ),
       idleBytesPerSecond: Math.round(
         entriesPerRunner * runnerLink.idleBytesPerSecondPerLink,
       ),
@@ -126,7 +136,7 @@
       ),
     },
     platform: {
-      tableReadsPerSecond: HEAD_READS_PER_SECOND + TARGET.groups,
+      tableReadsPerSecond: HEAD_READS_PER_SECOND,
       tableWritesPerSecond: statistics.round(
         TARGET.groups * 1.4 + changesPerSecond,
       ),
@@ -135,6 +145,7 @@
     fits: {
       peerBytesPerLink: roundAll(perLink),
       cpuPerLink: roundAll(cpuPerLink),
+      upstreamCpuPerLink: roundAll(upstreamCpu),
       bytesPerChange: roundAll(perChange),
     },
   };
--- a/packages/stand_ins/src/measure/measure_capacity.ts
+++ b/packages/stand_ins/src/measure/measure_capacity.ts
@@ -14,12 +14,23 @@
   const credit = capacityCredit.measureCredit();
   const attempts = capacityAttempts.measureAttempts();
   const links = await capacityLinks.measureLinks();
+  const upstreamLinks = await capacityLinks.measureUpstreamLinks();
   const table = capacityTable.capacityTable({
     members,
     upstream,
     state,
     credit,
     links,
+    upstreamLinks,
   });
-  return { members, upstream, links, state, credit, attempts, table };
+  return {
+    members,
+    upstream,
+    links,
+    upstreamLinks,
+    state,
+    credit,
+    attempts,
+    table,
+  };
 }
--- a/packages/stand_ins/src/measure/routing_model.ts
+++ b/packages/stand_ins/src/measure/routing_model.ts
@@ -19,6 +19,8 @@
   Ordinary = "ordinary day",
   Surge = "hourly surge",
   SlowRank = "one rank half as fast",
+  /** Twice the requests all the time, long blessings and route notes. */
+  Lent = "Lenten peak",
 }
 
 /** Figures of one run. */
@@ -60,6 +62,7 @@
 const SURGE_AFTERMATH = 4_000;
 const ORDINARY_PER_SECOND = 55;
 const SURGE_PER_SECOND = 300;
+const LENT_PER_SECOND = 110;
 const PREFILL_CHUNK = 512;
 const BATCH_LIMIT = 64;
 const COST = { constant: 6, sequence: 0.12, cached: 0.0012, prefill: 0.006 };
@@ -172,11 +175,18 @@
   }
 
   #rate(): number {
-    const surge =
-      this.workload === RoutingWorkload.Surge &&
-      this.#nextArrival >= SURGE_AT &&
-      this.#nextArrival < SURGE_AT + SURGE_LENGTH;
-    return surge ? SURGE_PER_SECOND : ORDINARY_PER_SECOND;
+    switch (this.workload) {
+      case RoutingWorkload.Ordinary:
+      case RoutingWorkload.SlowRank:
+        return ORDINARY_PER_SECOND;
+      case RoutingWorkload.Lent:
+        return LENT_PER_SECOND;
+      case RoutingWorkload.Surge: {
+        const since = this.#nextArrival - SURGE_AT;
+        const surging = since >= 0 && since < SURGE_LENGTH;
+        return surging ? SURGE_PER_SECOND : ORDINARY_PER_SECOND;
+      }
+    }
   }
 
   #arrive(arrivedAt: number): void {
