--- a/packages/daemon/src/routing/choose_group.ts
+++ b/packages/daemon/src/routing/choose_group.ts
@@ -6,6 +6,8 @@
   /** Sequences of the whole group, each held back by a longer step. */
   sequences: number;
   rank: chooseRank.RankChoice;
+  /** One-way distance of the rank in milliseconds. */
+  distanceMilliseconds: number;
 }
 
 /**
@@ -22,18 +24,27 @@
  */
 export function chooseGroup(parameters: {
   candidates: GroupCandidate[];
+  /** Steps that the request is expected to take. */
+  steps: number;
   random: common.Random;
 }): number | undefined {
-  const { candidates, random } = parameters;
-  const costs = candidates.map(costMilliseconds);
-  const limit = (1 + NEAR_BEST_SHARE) * Math.min(...costs);
-  const near = costs.flatMap((cost, index) => (cost <= limit ? [index] : []));
-  return near.length === 0 ? undefined : random.pick(near);
+  const { candidates, steps, random } = parameters;
+  if (candidates.length === 0) return undefined;
+  const costs = candidates.map((one) => costMilliseconds(one, steps));
+  const best = costs.indexOf(Math.min(...costs));
+  const limit = (1 + NEAR_BEST_SHARE) * costs[best];
+  // Sharing is no reason to go farther than the best one is.
+  const farthest = candidates[best].distanceMilliseconds;
+  const near = candidates.flatMap(({ distanceMilliseconds }, index) =>
+    costs[index] <= limit && distanceMilliseconds <= farthest ? [index] : [],
+  );
+  return random.pick(near);
 }
 
-/** Delay of all others per step, and the request's own step time. */
-function costMilliseconds(candidate: GroupCandidate): number {
-  const { sequences, rank } = candidate;
+/** Delay of all others per step, and the request's own time per step. */
+function costMilliseconds(candidate: GroupCandidate, steps: number): number {
+  const { sequences, rank, distanceMilliseconds } = candidate;
   const ownMilliseconds = Math.max(rank.before, rank.after);
-  return rank.growth * sequences + ownMilliseconds;
+  const way = (2 * distanceMilliseconds) / Math.max(1, steps);
+  return rank.growth * sequences + ownMilliseconds + way;
 }
--- a/packages/daemon/src/routing/choose_group_test.ts
+++ b/packages/daemon/src/routing/choose_group_test.ts
@@ -8,16 +8,18 @@
   sequences: number,
   before: number,
   after: number,
+  distanceMilliseconds = 0,
 ): chooseGroup.GroupCandidate {
   const growth = Math.max(0, after - before);
-  return { sequences, rank: { index: 0, before, growth, after } };
+  const rank = { index: 0, before, growth, after };
+  return { sequences, rank, distanceMilliseconds };
 }
 
 /** Groups chosen over many calls. */
 function chosen(candidates: chooseGroup.GroupCandidate[]): Set<unknown> {
   const random = new common.Random(1);
   const indexes = Array.from({ length: 100 }, () =>
-    chooseGroup.chooseGroup({ candidates, random }),
+    chooseGroup.chooseGroup({ candidates, steps: 100, random }),
   );
   return new Set(indexes);
 }
@@ -35,6 +37,12 @@
   t.is(chosen(candidates).size, 3);
 });
 
+test("a far group is not taken just to share, only when it is better", (t) => {
+  const near = candidate(20, 8, 7);
+  t.deepEqual(chosen([near, candidate(20, 8, 7, 30)]), new Set([0]));
+  t.deepEqual(chosen([near, candidate(20, 5, 4, 30)]), new Set([1]));
+});
+
 test("without a group there is no choice", (t) => {
   t.deepEqual(chosen([]), new Set([undefined]));
 });
--- a/packages/daemon/src/routing/router.ts
+++ b/packages/daemon/src/routing/router.ts
@@ -142,9 +142,15 @@
         (sum, { work }) => sum + work.sequences,
         0,
       );
-      return [{ sequences, rank, runner: runners[rank.index] }];
+      const runner = runners[rank.index];
+      const distanceMilliseconds = this.#distance(runner);
+      return [{ sequences, rank, runner, distanceMilliseconds }];
+    });
+    const index = chooseGroup.chooseGroup({
+      candidates,
+      steps: request.size.expectedTokens,
+      random,
     });
-    const index = chooseGroup.chooseGroup({ candidates, random });
     if (index === undefined) return undefined;
     const { rank, runner } = candidates[index];
     this.#explain({
--- a/packages/stand_ins/src/measure/groups_model.ts
+++ b/packages/stand_ins/src/measure/groups_model.ts
@@ -171,7 +171,13 @@
         return better ? first : second;
       }
       case GroupPolicy.LeastDelay:
-        return chooseGroup.chooseGroup({ candidates, random }) ?? 0;
+        return (
+          chooseGroup.chooseGroup({
+            candidates,
+            steps: EXPECTED_TOKENS,
+            random,
+          }) ?? 0
+        );
     }
   }
 
@@ -195,7 +201,7 @@
     });
     if (!rank) throw new Error("no rank is eligible");
     const sequences = views.reduce((sum, work) => sum + work.sequences, 0);
-    return { sequences, rank };
+    return { sequences, rank, distanceMilliseconds: 0 };
   }
 
   #step(group: Group): void {
