fix: a term after a lapsed lease has a number of its own

Cause: a lease that lapsed in a store outage was extended under its old number, and the next term made versions of maps from it again. With the same version twice a rank that has the older map takes 'go' for done and stays armed, and its group stands still. Found by reading. Change: a term that ended gives its lease up, so that the next one gets a new number; the state dump tells the term under way.

--- a/packages/daemon/src/expert_map/group_coordinator.ts
+++ b/packages/daemon/src/expert_map/group_coordinator.ts
@@ -70,6 +70,8 @@
   readonly #surges = new surgeClock.SurgeClock();
   #lastPlan: placementDecision.PlacementDecision | undefined;
   #switches = 0;
+  /** The term under way. */
+  #term: RunningTerm | undefined;
 
   constructor(readonly parameters: GroupCoordinatorParameters) {}
 
@@ -78,24 +80,28 @@
     const { lease, group } = this.parameters;
     const { fencing } = lease;
     const lastPlan = this.#lastPlan;
-    return { group, fencing, switches: this.#switches, lastPlan };
+    const term = this.#term?.fencing;
+    return { group, fencing, term, switches: this.#switches, lastPlan };
   }
 
   /** Holds the lease and coordinates, term by term. */
   async run(signals: CoordinatorSignals): Promise<void> {
     const { lease, renewMilliseconds } = this.parameters;
     const { stopping } = signals;
-    let term: RunningTerm | undefined;
     while (!stopping.aborted) {
       const fencing = await lease.renew();
-      if (term && term.fencing !== fencing) {
-        await this.#endTerm(term);
-        term = undefined;
+      if (this.#term && this.#term.fencing !== fencing) {
+        await this.#endTerm();
+        // The lease may have lapsed and still be ours. The next term needs a
+        // number of its own: versions of maps are made of it, and one version
+        // with two maps would have a rank take the second for done.
+        await lease.release();
+      } else if (fencing !== undefined) {
+        this.#term ??= this.#beginTerm(fencing, signals);
       }
-      if (fencing !== undefined) term ??= this.#beginTerm(fencing, signals);
       await common.sleep(renewMilliseconds, stopping);
     }
-    if (term) await this.#endTerm(term);
+    await this.#endTerm();
     await lease.release();
   }
 
@@ -117,11 +123,14 @@
    * would have the whole group hold until a successor has taken over. Safe
    * without the lease, as a successor's higher number ends it at once.
    */
-  async #endTerm(term: RunningTerm): Promise<void> {
+  async #endTerm(): Promise<void> {
+    const term = this.#term;
+    if (!term) return;
     term.noMore.abort();
     await common.withTimeout(term.ended, FINISH_MILLISECONDS);
     term.abandon.abort();
     await term.ended;
+    this.#term = undefined;
   }
 
   async #runTerm(parameters: TermParameters): Promise<void> {
--- a/packages/stand_ins/src/system/replaced_rank_test.ts
+++ b/packages/stand_ins/src/system/replaced_rank_test.ts
@@ -1,6 +1,7 @@
 import * as ava from "ava";
 import * as wire from "@geraniumkeel/wire";
 import type * as cluster from "../testing/cluster.ts";
+import * as keepBusy from "../testing/keep_busy.ts";
 import * as testConfiguration from "../testing/test_configuration.ts";
 import * as withCluster from "../testing/with_cluster.ts";
 
@@ -26,18 +27,6 @@
   );
 }
 
-/** Requests from now until `stopped`, so that the group keeps stepping. */
-async function keepBusy(
-  system: cluster.Cluster,
-  stopped: () => boolean,
-): Promise<void> {
-  while (!stopped()) {
-    const prompt = "busy [tokens=40]";
-    // Those on the replaced rank break off, which is not what is looked at.
-    await system.generate({ prompt }).catch(() => undefined);
-  }
-}
-
 /** Whether a host is known to any entry. */
 function isKnown(system: cluster.Cluster, host: string): boolean {
   return system.entries.some(({ running }) => {
@@ -56,8 +45,7 @@
     const { group } = system.engine;
     const host = `rank-${RANK}`;
     const leaving = system.upstreams.find(({ name }) => name === host);
-    let stopped = false;
-    const busy = [0, 1].map(() => keepBusy(system, () => stopped));
+    const busy = keepBusy.keepBusy(system);
     group.faults.dropOrders = wire.OrderKind.Go;
     await untilArmed(system);
     if (leaving) await system.kill(leaving);
@@ -66,8 +54,7 @@
     await system.addRank(RANK);
     const { step } = group;
     await system.until(() => group.step > step + STEPS);
-    stopped = true;
-    await Promise.all(busy);
+    await busy.stop();
     const versions = group.ranks.map((rank) => rank.map.version);
     t.is(new Set(versions).size, 1);
   }),
