--- a/packages/daemon/src/membership/peer_links.ts
+++ b/packages/daemon/src/membership/peer_links.ts
@@ -248,6 +248,9 @@
     };
     this.#peers.set(host, peer);
     this.#hear(host, hello.revision);
+    // Configuration goes over neighbours' links, so they are looked after in
+    // full; there are many more partners in lending, who can wait.
+    link.isBusy = () => this.#dialling.has(host);
     link.onHeartbeat = (beat) => this.#hear(host, beat.revision);
     logger.event(common.EventCode.LinkEstablished, { peer: host });
     this.#changed.announce();
