--- a/packages/stand_ins/src/measure/measure_placement.ts
+++ b/packages/stand_ins/src/measure/measure_placement.ts
@@ -53,6 +53,7 @@
 
 interface Figures {
   skew: number;
+  skew99: number;
   megabytes: number;
   planMilliseconds: number;
 }
@@ -81,6 +82,7 @@
       points.push(plots.pointOf(size.name, name, skew));
       figures[name] = {
         skew,
+        skew99: statistics.spread(runs.map((run) => run.skew99)),
         megabytes: statistics.spread(runs.map((run) => run.megabytes)),
         planMilliseconds: statistics.spread(
           runs.map((run) => run.planMilliseconds),
@@ -127,6 +129,7 @@
   }
   return {
     skew: statistics.mean(skews),
+    skew99: statistics.quantile(skews, 0.99),
     megabytes: copies * MEGABYTES_PER_EXPERT,
     planMilliseconds: statistics.quantile(times, 0.95),
   };
