--- a/packages/stand_ins/src/testing/cluster.ts
+++ b/packages/stand_ins/src/testing/cluster.ts
@@ -341,16 +341,34 @@
       await this.addPlain(index);
     }
     for (let index = 0; index < entries; index++) await this.addEntry();
-    const applied = await this.operate("PUT", "/admin/v1/configuration", {
-      baseRevision: 0,
-      document: this.#options.configuration,
-    });
-    if (applied.status !== 200) {
-      throw new Error(`configuration refused: ${JSON.stringify(applied.body)}`);
-    }
+    await this.until(() => this.#apply());
     await this.until(() => this.#ready());
   }
 
+  /**
+   * Puts the configuration in force; false to try again. While many processes
+   * start, the store may be too slow for the short timings of tests, and the
+   * change is refused as not run, as any operator would be told.
+   */
+  async #apply(): Promise<boolean> {
+    const { status, body } = await this.operate(
+      "PUT",
+      "/admin/v1/configuration",
+      { baseRevision: 0, document: this.#options.configuration },
+    );
+    switch (status) {
+      case 200:
+        return true;
+      case 409:
+        // An earlier try took effect, and its answer was lost.
+        return true;
+      case 503:
+        return false;
+      default:
+        throw new Error(`configuration refused: ${JSON.stringify(body)}`);
+    }
+  }
+
   /** Every entry has a configuration and a link to every runner. */
   #ready(): boolean {
     return this.entries.every(({ running }) => {
