--- a/packages/stand_ins/src/testing/cluster.ts
+++ b/packages/stand_ins/src/testing/cluster.ts
@@ -363,6 +363,7 @@
         // An earlier try took effect, and its answer was lost.
         return true;
       case 503:
+      case 504:
         return false;
       default:
         throw new Error(`configuration refused: ${JSON.stringify(body)}`);
