feat: refused callers are each told a time of their own to come back

Cause: callers that wake together and find the queue full were all told about the same second, came back together and were refused again.

--- a/packages/daemon/src/admission/service_queue.ts
+++ b/packages/daemon/src/admission/service_queue.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as accountFlow from "./account_flow.ts";
 import * as rateWindow from "./rate_window.ts";
+import * as returnPacing from "./return_pacing.ts";
 
 /** A request waiting for a runner. */
 export interface Waiting<R> {
@@ -21,8 +22,9 @@
 /** What became of a request that asked for a runner. */
 export type QueueOutcome<R> =
   | { kind: "admitted"; runner: R; waitedMilliseconds: number }
-  | { kind: "full" }
-  /** It would miss its deadline; `waitMilliseconds` is the estimate. */
+  /** No room; `waitMilliseconds` is when to come back. */
+  | { kind: "full"; waitMilliseconds: number }
+  /** It would miss its deadline; `waitMilliseconds` is when to come back. */
   | { kind: "too-late"; waitMilliseconds: number }
   | { kind: "caller-gone" };
 
@@ -45,6 +47,7 @@
   readonly #flows = new Map<string, accountFlow.AccountFlow<Item<R>>>();
   readonly #admissions: rateWindow.RateWindow;
   readonly #now: () => number;
+  readonly #returns: returnPacing.ReturnPacing;
   #virtualTime = 0;
   #length = 0;
 
@@ -57,6 +60,7 @@
     },
   ) {
     this.#now = parameters.clock ?? common.now;
+    this.#returns = new returnPacing.ReturnPacing(this.#now);
     this.#admissions = new rateWindow.RateWindow(
       RATE_WINDOW_MILLISECONDS,
       this.#now,
@@ -82,10 +86,17 @@
       const runner = waiting.take();
       if (runner !== undefined) return this.#admit(runner, 0);
     }
-    if (this.#length >= this.parameters.limit()) return { kind: "full" };
+    if (this.#length >= this.parameters.limit()) {
+      const waitMilliseconds = this.#timeToReturn(this.estimatedWait);
+      return { kind: "full", waitMilliseconds };
+    }
     const waitMilliseconds = this.#expectedWait(waiting);
     if (this.#now() + waitMilliseconds > waiting.deadline) {
-      return { kind: "too-late", waitMilliseconds };
+      const timeToReturn = this.#timeToReturn(waitMilliseconds);
+      return {
+        kind: "too-late",
+        waitMilliseconds: Math.max(waitMilliseconds, timeToReturn),
+      };
     }
     return new Promise((resolve) => this.#insert(waiting, resolve));
   }
@@ -97,6 +108,11 @@
     while (this.#admitNext());
   }
 
+  #timeToReturn(queueMilliseconds: number): number {
+    const requestsPerMillisecond = this.#admissions.perMillisecond;
+    return this.#returns.next({ queueMilliseconds, requestsPerMillisecond });
+  }
+
   /**
    * Under fair queueing an account waits for its own requests, and for as many
    * of each other account that has any waiting.
--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -97,7 +97,10 @@
         return { kind: "runner", runner };
       }
       case "full":
-        return this.#notRun(request.NotRunReason.QueueFull);
+        return this.#notRun(
+          request.NotRunReason.QueueFull,
+          outcome.waitMilliseconds,
+        );
       case "too-late":
         return this.#notRun(
           request.NotRunReason.DeadlineTooNear,
--- a/packages/stand_ins/src/measure/main.ts
+++ b/packages/stand_ins/src/measure/main.ts
@@ -6,6 +6,7 @@
 import * as measureGroups from "./measure_groups.ts";
 import * as measureOverhead from "./measure_overhead.ts";
 import * as measurePlacement from "./measure_placement.ts";
+import * as measureReturn from "./measure_return.ts";
 import * as measureRouting from "./measure_routing.ts";
 import * as measureSurge from "./measure_surge.ts";
 import * as measureSwitch from "./measure_switch.ts";
@@ -20,6 +21,7 @@
   configuration: measureConfiguration.measureConfiguration,
   overhead: measureOverhead.measureOverhead,
   placement: measurePlacement.measurePlacement,
+  return: measureReturn.measureReturn,
   routing: measureRouting.measureRouting,
   surge: measureSurge.measureSurge,
   switch: measureSwitch.measureSwitch,
