refactor: one piece of code where this work wrote two

Read again as a whole. Conditions 'at this revision, or absent' stood in claims, configuration and leases: platform.atRevision and putRow. The part of an hour was computed twice, the preference of rendezvous hashing too. RunnerLink kept a flag that its link tells; ranks were sorted for each order though looked up by number; RankPort.rank and a check in isHeldBack had no use; the full exchange compares now and is called so.

--- a/packages/common/src/hash.ts
+++ b/packages/common/src/hash.ts
@@ -12,13 +12,18 @@
   return hasher.h64ToString(text);
 }
 
+/** How much `key` prefers a candidate; equal ones go by name. */
+function preference(key: string, candidate: string): number {
+  return hash32(`${candidate} ${key}`);
+}
+
 /** Candidates for `key` by preference; the first is its `rendezvous`. */
 export function rendezvousOrder(
   key: string,
   candidates: Iterable<string>,
 ): string[] {
   return [...candidates]
-    .map((candidate) => ({ candidate, score: hash32(`${candidate} ${key}`) }))
+    .map((candidate) => ({ candidate, score: preference(key, candidate) }))
     .sort(
       (left, right) =>
         right.score - left.score || (left.candidate < right.candidate ? -1 : 1),
@@ -37,7 +42,7 @@
   let best: string | undefined;
   let bestScore = -1;
   for (const candidate of candidates) {
-    const score = hash32(`${candidate} ${key}`);
+    const score = preference(key, candidate);
     const better = score > bestScore;
     const tie = score === bestScore && best !== undefined && candidate < best;
     if (better || tie) {
--- a/packages/daemon/src/configuration/configuration_store.ts
+++ b/packages/daemon/src/configuration/configuration_store.ts
@@ -170,21 +170,12 @@
   const surplus = Math.max(0, head.replaced.length - KEPT_REPLACED_SECTIONS);
   const dropped = head.replaced.slice(0, surplus);
   const stored = { ...head, replaced: head.replaced.slice(surplus) };
-  const condition: platform.Condition = base
-    ? {
-        kind: platform.ConditionKind.AtRevision,
-        key: HEAD_KEY,
-        revision: base.rowRevision,
-      }
-    : { kind: platform.ConditionKind.Absent, key: HEAD_KEY };
-  const put = (key: string, value: string): platform.Write => ({
-    kind: platform.WriteKind.Put,
-    key,
-    value,
-  });
+  const condition = platform.atRevision(HEAD_KEY, base?.rowRevision);
   const writes: platform.Write[] = [
-    put(HEAD_KEY, JSON.stringify(stored)),
-    ...changed.map((name) => put(sectionKey(name, head.revision), texts[name])),
+    platform.putRow(HEAD_KEY, JSON.stringify(stored)),
+    ...changed.map((name) =>
+      platform.putRow(sectionKey(name, head.revision), texts[name]),
+    ),
     ...dropped.map(({ name, revision }): platform.Write => ({
       kind: platform.WriteKind.Delete,
       key: sectionKey(name, revision),
--- a/packages/daemon/src/dispatch/claim_store.ts
+++ b/packages/daemon/src/dispatch/claim_store.ts
@@ -78,15 +78,8 @@
     const { key, base } = parameters;
     const nonce = common.randomIdentifier();
     const claim = { ...parameters.claim, nonce };
-    const condition: platform.Condition = base
-      ? {
-          kind: platform.ConditionKind.AtRevision,
-          key,
-          revision: base.revision,
-        }
-      : { kind: platform.ConditionKind.Absent, key };
-    const value = JSON.stringify(claim);
-    const put: platform.Write = { kind: platform.WriteKind.Put, key, value };
+    const condition = platform.atRevision(key, base?.revision);
+    const put = platform.putRow(key, JSON.stringify(claim));
     const outcome = await platform.writeDefinitely({
       table: this.parameters.table,
       write: {
@@ -135,11 +128,9 @@
     const next = more ? `${last.key}\0` : undefined;
     if (old.length === 0) return neverthrow.ok({ removed: 0, next });
     const outcome = await this.parameters.table.transact({
-      conditions: old.map(({ key, revision }) => ({
-        kind: platform.ConditionKind.AtRevision,
-        key,
-        revision,
-      })),
+      conditions: old.map(({ key, revision }) =>
+        platform.atRevision(key, revision),
+      ),
       writes: old.map(({ key }) => ({ kind: platform.WriteKind.Delete, key })),
     });
     const committed = outcome.kind === platform.OutcomeKind.Committed;
--- a/packages/daemon/src/dispatch/runner_directory.ts
+++ b/packages/daemon/src/dispatch/runner_directory.ts
@@ -38,11 +38,9 @@
     return this.all.filter((runner) => runner.host.service === service);
   }
 
-  /** Runners of a group that are linked, by rank. */
+  /** Runners that said they are of a group. */
   ofGroup(group: string): runnerLink.RunnerLink[] {
-    return this.all
-      .filter((runner) => runner.hello?.group === group)
-      .sort((left, right) => rankOf(left) - rankOf(right));
+    return this.all.filter((runner) => runner.hello?.group === group);
   }
 
   /** Runner on a host. */
@@ -106,7 +104,3 @@
     this.parameters.lifeCycle.run(`runner ${host.name}`, () => link.run(both));
   }
 }
-
-function rankOf(runner: runnerLink.RunnerLink): number {
-  return runner.hello?.rank ?? 0;
-}
--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -62,7 +62,6 @@
   #givingUp: NodeJS.Timeout | undefined;
   /** The upstream process's clock as last heard, never extrapolated. */
   #agentClock = 0;
-  #stopped = false;
   readonly #questions = new openQuestions.OpenQuestions();
 
   constructor(
@@ -134,7 +133,6 @@
       else await common.sleep(backOff.pause(), signal);
     }
     clearTimeout(this.#givingUp);
-    this.#stopped = true;
     this.#giveUpAll({ kind: outgoingAttempt.AttemptEventKind.Unreachable });
   }
 
@@ -148,7 +146,7 @@
       dispatch.window,
       dispatch.body,
     );
-    if (this.#stopped || !this.#link) {
+    if (!this.#link) {
       // The runner was dropped, or its link lost, between its choice and now:
       // nothing is sent, and nothing might ever be heard.
       const kind = outgoingAttempt.AttemptEventKind.Settled;
@@ -158,7 +156,7 @@
     }
     this.attempts.set(attempt.identifier, outgoing);
     this.#pending.add(dispatch.promptTokens);
-    this.#link?.send({
+    this.#link.send({
       kind: wire.MessageKind.Dispatch,
       attempt,
       account: dispatch.account,
@@ -285,8 +283,9 @@
       this.#handle(message);
     }
     this.#link = undefined;
+    const unreachable = outgoingAttempt.AttemptEventKind.Unreachable;
     this.#givingUp = setTimeout(
-      () => this.#giveUpUnreachable(),
+      () => this.#giveUpAll({ kind: unreachable }),
       settings.timing.settleAfter,
     );
     if (!signal.aborted) this.#reportEnd(link);
@@ -402,12 +401,7 @@
     logger.event(code, { peer: this.host.name, reason: link.end });
   }
 
-  /** Without a link for long, requests get their final answer now. */
-  #giveUpUnreachable(): void {
-    if (this.#link) return;
-    this.#giveUpAll({ kind: outgoingAttempt.AttemptEventKind.Unreachable });
-  }
-
+  /** Requests get their final answer now: nothing more will be heard. */
   #giveUpAll(event: outgoingAttempt.AttemptEvent): void {
     for (const outgoing of this.attempts.values()) outgoing.events.push(event);
   }
--- a/packages/daemon/src/expert_map/group_ports.ts
+++ b/packages/daemon/src/expert_map/group_ports.ts
@@ -43,7 +43,6 @@
       .ofGroup(group)
       .filter((runner) => runner.linked && runner.hello?.rank === rank);
   return {
-    rank,
     incarnations: () =>
       claimants().flatMap(({ hello }) => hello?.incarnation ?? []),
     order: async (order, incarnation) => {
--- a/packages/daemon/src/expert_map/rank_port.ts
+++ b/packages/daemon/src/expert_map/rank_port.ts
@@ -2,7 +2,6 @@
 
 /** One rank of a group as its coordinator reaches it. */
 export interface RankPort {
-  rank: number;
   /**
    * Incarnations of the linked agents that claim the rank. None while there is
    * no link; two while a replaced host is still there beside its successor.
--- a/packages/daemon/src/lease/lease.ts
+++ b/packages/daemon/src/lease/lease.ts
@@ -86,7 +86,7 @@
     const read = await this.parameters.table.get(this.parameters.key);
     if (read.isErr()) return;
     const row = read.value;
-    const lease = row && (JSON.parse(row.value) as LeaseRow);
+    const lease = row && parseLease(row);
     const own = lease?.incarnation === this.parameters.incarnation;
     if (row && !own && !this.#lapsed(row)) return;
     // Another holder may have given orders since, also if the row is ours: a
@@ -98,7 +98,7 @@
   }
 
   #isOwn(row: platform.Row, fencing: number): boolean {
-    const lease = JSON.parse(row.value) as LeaseRow;
+    const lease = parseLease(row);
     const { incarnation } = this.parameters;
     return lease.incarnation === incarnation && lease.fencing === fencing;
   }
@@ -116,25 +116,13 @@
       nonce: common.randomIdentifier(),
     };
     await table.transact({
-      conditions: [
-        {
-          kind: platform.ConditionKind.AtRevision,
-          key,
-          revision: held.revision,
-        },
-      ],
-      writes: [
-        {
-          kind: platform.WriteKind.Put,
-          key,
-          value: JSON.stringify(row),
-        },
-      ],
+      conditions: [platform.atRevision(key, held.revision)],
+      writes: [platform.putRow(key, JSON.stringify(row))],
     });
   }
 
   #lapsed(row: platform.Row): boolean {
-    const { holder } = JSON.parse(row.value) as LeaseRow;
+    const { holder } = parseLease(row);
     if (holder === "") return true;
     const now = common.now();
     if (this.#seen?.revision !== row.revision) {
@@ -152,22 +140,20 @@
     const { table, key, host, incarnation, random } = this.parameters;
     const nonce = common.randomIdentifier();
     const lease: LeaseRow = { holder: host, incarnation, fencing, nonce };
-    const value = JSON.stringify(lease);
-    const condition: platform.Condition =
-      base === undefined
-        ? { kind: platform.ConditionKind.Absent, key }
-        : { kind: platform.ConditionKind.AtRevision, key, revision: base };
-    const put: platform.Write = { kind: platform.WriteKind.Put, key, value };
+    const transaction: platform.Transaction = {
+      conditions: [platform.atRevision(key, base)],
+      writes: [platform.putRow(key, JSON.stringify(lease))],
+    };
     // With lost answers a lease renewed in truth would lapse for its holder.
     return platform.writeDefinitely({
       table,
-      write: {
-        transaction: { conditions: [condition], writes: [put] },
-        decidingKey: key,
-        nonce,
-      },
+      write: { transaction, decidingKey: key, nonce },
       timeoutMilliseconds: this.parameters.durationMilliseconds / 4,
       random,
     });
   }
 }
+
+function parseLease(row: platform.Row): LeaseRow {
+  return JSON.parse(row.value) as LeaseRow;
+}
--- a/packages/daemon/src/membership/peer_links.ts
+++ b/packages/daemon/src/membership/peer_links.ts
@@ -16,8 +16,8 @@
 const LONGEST_PAUSE_MILLISECONDS = 2_000;
 /** Changes heard within this time are passed on in one message. */
 const GOSSIP_BATCH_MILLISECONDS = 10;
-/** A full exchange with one neighbour repairs whatever gossip missed. */
-const FULL_EXCHANGE_MILLISECONDS = 30_000;
+/** Comparing members with one peer repairs whatever gossip missed. */
+const COMPARE_MILLISECONDS = 30_000;
 const EXPIRE_LOOK_MILLISECONDS = 250;
 /** An on-demand link without use is closed after this time. */
 const IDLE_LINK_MILLISECONDS = 60_000;
@@ -87,7 +87,7 @@
     lifeCycle.run("reconcile", (signal) => this.#reconcile(signal));
     lifeCycle.run("acknowledge", (signal) => this.acks.run(signal));
     lifeCycle.run("gossip", (signal) => this.#gossip(signal));
-    lifeCycle.run("full-exchange", (signal) => this.#fullExchange(signal));
+    lifeCycle.run("compare", (signal) => this.#compareRepeatedly(signal));
     lifeCycle.every(EXPIRE_LOOK_MILLISECONDS, () =>
       members.expire(settings.timing.goneAfter),
     );
@@ -363,14 +363,12 @@
     }
   }
 
-  async #fullExchange(signal: AbortSignal): Promise<void> {
+  async #compareRepeatedly(signal: AbortSignal): Promise<void> {
     const { random } = this.parameters;
     while (!signal.aborted) {
-      await common.sleep(FULL_EXCHANGE_MILLISECONDS, signal);
-      const hosts = this.linked;
-      if (hosts.length === 0) continue;
-      const peer = this.#peers.get(random.pick(hosts));
-      if (peer) this.#compareMembers(peer.link);
+      await common.sleep(COMPARE_MILLISECONDS, signal);
+      if (this.#peers.size === 0) continue;
+      this.#compareMembers(random.pick([...this.#peers.values()]).link);
       this.#closeIdle();
     }
   }
--- a/packages/daemon/src/placement/hold_back.ts
+++ b/packages/daemon/src/placement/hold_back.ts
@@ -17,7 +17,6 @@
   wallMilliseconds: number;
 }): boolean {
   const { decision, clock, wallMilliseconds } = parameters;
-  if (decision.kind === "keep") return false;
   if (!clock.expectsSurge(wallMilliseconds, GUARD_MILLISECONDS)) return false;
   const { savedMilliseconds, netMilliseconds } = decision;
   const costMilliseconds = savedMilliseconds - netMilliseconds;
--- a/packages/daemon/src/placement/hour_shape.ts
+++ b/packages/daemon/src/placement/hour_shape.ts
@@ -1,6 +1,7 @@
+import * as partOfHour from "./part_of_hour.ts";
+
 /** Parts into which an hour is cut. */
 const PARTS = 12;
-const HOUR_MILLISECONDS = 3_600_000;
 /** Weight of the newest observation of a part of the hour. */
 const SMOOTHING = 0.3;
 /** Weight of the newest rate in the running mean. */
@@ -17,7 +18,7 @@
 
   /** Takes in the load seen around a wall-clock time. */
   observe(load: number[][], wallMilliseconds: number): void {
-    const part = partOf(wallMilliseconds);
+    const part = partOfHour.partOfHour(wallMilliseconds, PARTS);
     this.#parts[part] = blend(this.#parts[part], load, SMOOTHING);
     this.#running = blend(this.#running, load, RUNNING_SMOOTHING);
   }
@@ -31,10 +32,10 @@
     horizonMilliseconds: number,
   ): number[][] | undefined {
     const coming: number[][][] = [];
-    const step = HOUR_MILLISECONDS / PARTS;
+    const step = partOfHour.HOUR_MILLISECONDS / PARTS;
     const until = wallMilliseconds + Math.min(horizonMilliseconds, step * 3);
     for (let time = wallMilliseconds; time <= until; time += step) {
-      const known = this.#parts[partOf(time)];
+      const known = this.#parts[partOfHour.partOfHour(time, PARTS)];
       if (known) coming.push(known);
     }
     if (!this.#running) return undefined;
@@ -48,11 +49,6 @@
   }
 }
 
-function partOf(wallMilliseconds: number): number {
-  const inHour = wallMilliseconds % HOUR_MILLISECONDS;
-  return Math.floor((inHour * PARTS) / HOUR_MILLISECONDS);
-}
-
 function blend(
   before: number[][] | undefined,
   now: number[][],
--- a/packages/daemon/src/placement/surge_clock.ts
+++ b/packages/daemon/src/placement/surge_clock.ts
@@ -1,7 +1,8 @@
+import * as partOfHour from "./part_of_hour.ts";
+
 /** Parts into which an hour is cut. */
 const PARTS = 120;
-const HOUR_MILLISECONDS = 3_600_000;
-const PART_MILLISECONDS = HOUR_MILLISECONDS / PARTS;
+const PART_MILLISECONDS = partOfHour.HOUR_MILLISECONDS / PARTS;
 /** Weight of the newest hour in what is known of a part. */
 const SMOOTHING = 0.4;
 /** Parts that must be known before anything is said of the others. */
@@ -18,7 +19,7 @@
 
   /** Takes in the tokens a second seen around a wall-clock time. */
   observe(tokensPerSecond: number, wallMilliseconds: number): void {
-    const part = partOf(wallMilliseconds);
+    const part = partOfHour.partOfHour(wallMilliseconds, PARTS);
     const before = this.#rates[part] ?? tokensPerSecond;
     this.#rates[part] = before + SMOOTHING * (tokensPerSecond - before);
   }
@@ -30,13 +31,12 @@
     const mean = known.reduce((sum, rate) => sum + rate, 0) / known.length;
     const until = wallMilliseconds + spanMilliseconds;
     for (let at = wallMilliseconds; at <= until; at += PART_MILLISECONDS) {
-      if ((this.#rates[partOf(at)] ?? 0) > SURGE_FACTOR * mean) return true;
+      if (
+        (this.#rates[partOfHour.partOfHour(at, PARTS)] ?? 0) >
+        SURGE_FACTOR * mean
+      )
+        return true;
     }
     return false;
   }
 }
-
-function partOf(wallMilliseconds: number): number {
-  const inHour = wallMilliseconds % HOUR_MILLISECONDS;
-  return Math.floor(inHour / PART_MILLISECONDS);
-}
--- a/packages/platform/src/table.ts
+++ b/packages/platform/src/table.ts
@@ -29,6 +29,21 @@
   | { kind: WriteKind.Put; key: string; value: string }
   | { kind: WriteKind.Delete; key: string };
 
+/** That a row is at a revision, or absent if there is none to be based on. */
+export function atRevision(
+  key: string,
+  revision: number | undefined,
+): Condition {
+  return revision === undefined
+    ? { kind: ConditionKind.Absent, key }
+    : { kind: ConditionKind.AtRevision, key, revision };
+}
+
+/** A write of a row. */
+export function putRow(key: string, value: string): Write {
+  return { kind: WriteKind.Put, key, value };
+}
+
 /** Conditions and writes that take effect together or not at all. */
 export interface Transaction {
   conditions: Condition[];
--- a/packages/stand_ins/src/system/expert_map_test.ts
+++ b/packages/stand_ins/src/system/expert_map_test.ts
@@ -95,7 +95,6 @@
   /** Port with delays, lost orders and lost answers. */
   port(rank: number): daemon.RankPort {
     return {
-      rank,
       incarnations: () => [this.gates[rank].incarnation],
       order: async (order, agentIncarnation) => {
         await turns(this.random.below(this.faulty ? 12 : 2));
