refactor: models and quiet processes of the measurements stand once

The rank in lock-step stood in two routing models, runners in virtual time in two admission ones, expert popularity in two placement ones, light processes in two capacity ones.

--- a/packages/stand_ins/src/measure/capacity_links.ts
+++ b/packages/stand_ins/src/measure/capacity_links.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import * as daemon from "@geraniumkeel/daemon";
+import type * as daemon from "@geraniumkeel/daemon";
 import * as platform from "@geraniumkeel/platform";
 import * as undici from "undici";
 import * as childProcesses from "../demo/child_processes.ts";
@@ -7,6 +7,7 @@
 import * as platformStandIn from "../platform_stand_in.ts";
 import * as testConfiguration from "../testing/test_configuration.ts";
 import * as processUsage from "./process_usage.ts";
+import * as quietProcess from "./quiet_process.ts";
 import * as statistics from "./statistics.ts";
 
 const LINK_COUNTS = [4, 64, 128];
@@ -44,10 +45,13 @@
   const plain = await plainStandIn.startPlain();
   const entries: daemon.RunningProcess[] = [];
   try {
-    const upstream = await children.daemon(upstreamSettings("up", plain.url));
-    store.setHosts([hostOf("up", upstream)]);
+    const upstream = await children.daemon(
+      quietProcess.upstreamSettings("up", plain.url),
+    );
+    store.setHosts([listed("up", upstream)]);
     for (let index = 0; index < links; index++) {
-      entries.push(await startEntry(`entry-${index}`, store.url));
+      const settings = quietProcess.entrySettings(`entry-${index}`, store.url);
+      entries.push(await quietProcess.startEntry(settings));
     }
     await untilState(upstream, (state) => state.links === links);
     await common.sleep(WARM_MILLISECONDS);
@@ -69,12 +73,15 @@
     const hosts: platform.Host[] = [];
     for (let index = 0; index < links; index++) {
       const name = `plain-${index}`;
-      const running = await startUpstream(name, plain.url);
+      const settings = quietProcess.upstreamSettings(name, plain.url);
+      const running = await quietProcess.startUpstream(settings);
       upstreams.push(running);
-      hosts.push(hostOf(name, running));
+      hosts.push(listed(name, running));
     }
     store.setHosts(hosts);
-    const entry = await children.daemon(entrySettings("entry", store.url));
+    const entry = await children.daemon(
+      quietProcess.entrySettings("entry", store.url),
+    );
     await untilState(entry, ({ runners = [] }) => {
       const linked = runners.filter((runner) => runner.linked);
       return linked.length === links;
@@ -127,85 +134,10 @@
   }
 }
 
-type Settings = { host: string } & Record<string, unknown>;
-
-function commonSettings(host: string): Settings {
-  return {
-    host,
-    place: "place",
-    region: "region",
-    processKey: testConfiguration.PROCESS_KEY,
-    operatorKeyHashes: [common.hashKey(testConfiguration.OPERATOR_KEY)],
-  };
-}
-
-function entrySettings(host: string, url: string): Settings {
-  return {
-    ...commonSettings(host),
-    role: daemon.Role.Entry,
-    platform: { url },
-    listen: {
-      callers: { port: 0 },
-      links: { port: 0 },
-      operators: { port: 0 },
-    },
-  };
-}
-
-function upstreamSettings(host: string, url: string): Settings {
-  return {
-    ...commonSettings(host),
-    role: daemon.Role.Upstream,
-    service: "plain",
-    backEnd: { kind: daemon.BackEndKind.Plain, url },
-    listen: { links: { port: 0 }, operators: { port: 0 } },
-  };
-}
-
-/** Tools of a process that runs beside the one measured. */
-function quietTools(): {
-  logger: common.Logger;
-  metrics: common.Metrics;
-  history: common.HistoryRecorder;
-} {
-  return {
-    logger: { event: () => {} },
-    metrics: common.discardMetrics(),
-    history: common.noHistory(),
-  };
-}
-
-async function startEntry(
-  host: string,
-  url: string,
-): Promise<daemon.RunningProcess> {
-  const settings = daemon.ENTRY_SETTINGS.parse(entrySettings(host, url));
-  const started = await daemon.startEntry({ settings, ...quietTools() });
-  return started._unsafeUnwrap();
-}
-
-async function startUpstream(
-  host: string,
-  url: string,
-): Promise<daemon.RunningProcess> {
-  const settings = daemon.UPSTREAM_SETTINGS.parse(upstreamSettings(host, url));
-  const started = await daemon.startUpstream({ settings, ...quietTools() });
-  return started._unsafeUnwrap();
-}
-
-function hostOf(
+function listed(
   name: string,
   running: Pick<daemon.RunningProcess, "urls">,
 ): platform.Host {
-  return {
-    name,
-    role: platform.HostRole.Upstream,
-    place: "place",
-    region: "region",
-    state: platform.HostState.Live,
-    linkUrl: running.urls.links,
-    callerUrl: "",
-    service: "plain",
-    group: "",
-  };
+  const { Upstream } = platform.HostRole;
+  return quietProcess.listedHost(name, Upstream, running);
 }
--- a/packages/stand_ins/src/measure/capacity_members.ts
+++ b/packages/stand_ins/src/measure/capacity_members.ts
@@ -1,14 +1,17 @@
 import * as common from "@geraniumkeel/common";
-import * as daemon from "@geraniumkeel/daemon";
+import type * as daemon from "@geraniumkeel/daemon";
 import * as platform from "@geraniumkeel/platform";
 import * as undici from "undici";
 import * as platformStandIn from "../platform_stand_in.ts";
 import * as testConfiguration from "../testing/test_configuration.ts";
+import * as quietProcess from "./quiet_process.ts";
 import * as statistics from "./statistics.ts";
 
 const SIZES = [7, 20, 60];
 const CALM_MILLISECONDS = 4_000;
 const CHANGES = 5;
+/** Many share one core here: no call may time out for that. */
+const TIMING = { inForceTimeout: 20_000, storeTimeout: 15_000 };
 
 /** One size of membership as measured. */
 export interface MembersPoint {
@@ -89,40 +92,10 @@
   store: platformStandIn.PlatformStandIn,
   name: string,
 ): Promise<Light> {
-  const settings = daemon.ENTRY_SETTINGS.parse({
-    role: daemon.Role.Entry,
-    host: name,
-    place: "place",
-    region: "region",
-    processKey: testConfiguration.PROCESS_KEY,
-    operatorKeyHashes: [common.hashKey(testConfiguration.OPERATOR_KEY)],
-    platform: { url: store.url },
-    timing: { inForceTimeout: 20_000, storeTimeout: 15_000 },
-    listen: {
-      callers: { port: 0 },
-      links: { port: 0 },
-      operators: { port: 0 },
-    },
-  });
-  const started = await daemon.startEntry({
-    settings,
-    logger: { event: () => {} },
-    metrics: common.discardMetrics(),
-    history: common.noHistory(),
-  });
-  const running = started._unsafeUnwrap();
-  const host: platform.Host = {
-    name,
-    role: platform.HostRole.Entry,
-    place: "place",
-    region: "region",
-    state: platform.HostState.Live,
-    linkUrl: running.urls.links,
-    callerUrl: running.urls.callers,
-    service: "",
-    group: "",
-  };
-  return { running, host };
+  const settings = quietProcess.entrySettings(name, store.url, TIMING);
+  const running = await quietProcess.startEntry(settings);
+  const { Entry } = platform.HostRole;
+  return { running, host: quietProcess.listedHost(name, Entry, running) };
 }
 
 /** Totals over a time: sent messages and bytes, processor time, reads. */
--- a/packages/stand_ins/src/measure/groups_model.ts
+++ b/packages/stand_ins/src/measure/groups_model.ts
@@ -2,6 +2,7 @@
 import * as chooseGroup from "@geraniumkeel/daemon/routing/choose_group";
 import * as chooseRank from "@geraniumkeel/daemon/routing/choose_rank";
 import * as stepCost from "@geraniumkeel/daemon/routing/step_cost";
+import * as lockStepRank from "./lock_step_rank.ts";
 import * as statistics from "./statistics.ts";
 
 /** Ways to choose among groups; within one, by step time. */
@@ -21,24 +22,11 @@
   firstTokenMilliseconds95: number;
 }
 
-interface Sequence {
-  promptTokens: number;
-  promptLeft: number;
-  generated: number;
-  length: number;
-  arrivedAt: number;
-}
-
-interface Rank {
-  sequences: Sequence[];
-  waiting: Sequence[];
-}
-
 interface Group {
   /** When its present step ends. */
   now: number;
   nextReport: number;
-  ranks: Rank[];
+  ranks: lockStepRank.Rank[];
 }
 
 const GROUPS = 4;
@@ -50,10 +38,7 @@
 const SURGE_PER_SECOND = 1_200;
 const SURGE_AT = 8_000;
 const SURGE_LENGTH = 2_000;
-const PREFILL_CHUNK = 512;
-const BATCH_LIMIT = 64;
 const EXPECTED_TOKENS = 80;
-const COST = { constant: 6, sequence: 0.12, cached: 0.0012, prefill: 0.006 };
 
 /** Groups that each step at their own pace, and entries with views of them. */
 export class GroupsModel {
@@ -75,13 +60,10 @@
     this.#groups = Array.from({ length: GROUPS }, () => ({
       now: 0,
       nextReport: 0,
-      ranks: Array.from({ length: RANKS }, () => ({
-        sequences: [],
-        waiting: [],
-      })),
+      ranks: Array.from({ length: RANKS }, lockStepRank.idleRank),
     }));
     this.#views = Array.from({ length: ENTRIES }, () =>
-      this.#groups.map(({ ranks }) => ranks.map(workOf)),
+      this.#groups.map(({ ranks }) => ranks.map(lockStepRank.workOf)),
     );
     this.#costs = this.#views.map(() =>
       this.#groups.map(() => new stepCost.StepCost()),
@@ -126,21 +108,15 @@
 
   #arrive(arrivedAt: number): void {
     const random = this.#random;
-    const promptTokens = Math.min(4_000, Math.round(random.pareto(60, 1.3)));
-    const length = Math.min(800, Math.round(random.pareto(30, 1.4)));
+    const sequence = lockStepRank.newSequence(random, arrivedAt);
+    const { promptTokens } = sequence;
     const entry = random.below(ENTRIES);
     const { group, rank } = this.#choose(entry, promptTokens);
     const view = this.#views[entry][group][rank];
     view.sequences++;
     view.cachedTokens += promptTokens;
     view.prefillTokens += promptTokens;
-    this.#groups[group].ranks[rank].waiting.push({
-      promptTokens,
-      promptLeft: promptTokens,
-      generated: 0,
-      length,
-      arrivedAt,
-    });
+    this.#groups[group].ranks[rank].waiting.push(sequence);
   }
 
   #choose(
@@ -205,7 +181,7 @@
   }
 
   #step(group: Group): void {
-    const times = group.ranks.map(timeOf);
+    const times = group.ranks.map(lockStepRank.timeOf);
     const slowest = Math.max(...times);
     const busy = group.ranks.some((rank) => rank.sequences.length > 0);
     if (busy) this.#skews.push(slowest / statistics.mean(times));
@@ -217,7 +193,7 @@
   #report(group: Group, times: number[]): void {
     group.nextReport = group.now + REPORT_MILLISECONDS;
     const index = this.#groups.indexOf(group);
-    const works = group.ranks.map(workOf);
+    const works = group.ranks.map(lockStepRank.workOf);
     this.#views.forEach((views, entry) => {
       views[index] = works.map((work) => ({ ...work }));
       works.forEach((work, rank) =>
@@ -226,41 +202,14 @@
     });
   }
 
-  #advance(rank: Rank, now: number, stepMilliseconds: number): void {
-    const room = BATCH_LIMIT - rank.sequences.length;
-    rank.sequences.push(...rank.waiting.splice(0, room));
-    let budget = PREFILL_CHUNK;
-    for (const one of rank.sequences) {
-      if (one.promptLeft > 0) {
-        const done = Math.min(budget, one.promptLeft);
-        one.promptLeft -= done;
-        budget -= done;
-        continue;
-      }
-      if (one.generated === 0) this.#firstTokens.push(now - one.arrivedAt);
-      one.generated++;
+  #advance(
+    rank: lockStepRank.Rank,
+    now: number,
+    stepMilliseconds: number,
+  ): void {
+    lockStepRank.advance(rank, ({ generated, arrivedAt }) => {
+      if (generated === 0) this.#firstTokens.push(now - arrivedAt);
       this.#tokens.push(stepMilliseconds);
-    }
-    rank.sequences = rank.sequences.filter((one) => one.generated < one.length);
-  }
-}
-
-function timeOf(rank: Rank): number {
-  const work = workOf(rank);
-  return (
-    COST.constant +
-    COST.sequence * work.sequences +
-    COST.cached * work.cachedTokens +
-    COST.prefill * Math.min(PREFILL_CHUNK, work.prefillTokens)
-  );
-}
-
-function workOf(rank: Rank): stepCost.RankWork {
-  let cachedTokens = 0;
-  let prefillTokens = 0;
-  for (const one of rank.sequences) {
-    cachedTokens += one.promptTokens - one.promptLeft + one.generated;
-    prefillTokens += one.promptLeft;
+    });
   }
-  return { sequences: rank.sequences.length, cachedTokens, prefillTokens };
 }
--- a/packages/stand_ins/src/measure/measure_admission.ts
+++ b/packages/stand_ins/src/measure/measure_admission.ts
@@ -2,13 +2,12 @@
 import * as creditBucket from "@geraniumkeel/daemon/admission/credit_bucket";
 import * as serviceQueue from "@geraniumkeel/daemon/admission/service_queue";
 import * as statistics from "./statistics.ts";
+import * as virtualRunners from "./virtual_runners.ts";
 
 const SEEDS = 10;
 const ACCOUNTS = 10;
 const ENTRIES = 7;
 const LENGTH_MILLISECONDS = 60_000;
-const RUNNERS = 48;
-const SERVICE_MILLISECONDS = 400;
 const SMALL_PER_SECOND = 8;
 const LIMIT_PER_SECOND = 12;
 const GREEDY_FACTOR = 10;
@@ -48,7 +47,7 @@
     for (let seed = 1; seed <= SEEDS; seed++) {
       const calm = await run(policy, 1, seed);
       const greedy = await run(policy, GREEDY_FACTOR, seed);
-      const service = SERVICE_MILLISECONDS;
+      const service = virtualRunners.SERVICE_MILLISECONDS;
       ratios.push((service + greedy.wait99) / (service + calm.wait99));
       added.push(greedy.wait99 - calm.wait99);
       shares.push(greedy.greedyShare);
@@ -90,17 +89,11 @@
     limit: () => 100_000,
     clock,
   });
-  let free = RUNNERS;
-  const ends: number[] = [];
+  const runners = new virtualRunners.VirtualRunners();
   const waits: number[] = [];
   let answeredGreedy = 0;
   const asked = new Array<number>(ACCOUNTS).fill(0);
   const answeredInTime = new Array<number>(ACCOUNTS).fill(0);
-  const take = (): true | undefined => {
-    if (free === 0) return undefined;
-    free--;
-    return true;
-  };
   const arrive = (account: number): void => {
     if (account === 0 && !admitted(account)) return;
     const arrivedAt = now;
@@ -112,11 +105,10 @@
       urgency: 3,
       deadline: Infinity,
       signal: new AbortController().signal,
-      take,
+      take: runners.take,
     });
     const served = () => {
-      const end = now + random.between(0.8, 1.2) * SERVICE_MILLISECONDS;
-      ends.push(end);
+      const end = runners.serve(now, random);
       const late = end - arrivedAt > DEADLINE_MILLISECONDS;
       if (!late) answeredInTime[account]++;
       if (account === 0) answeredGreedy++;
@@ -142,11 +134,10 @@
   );
   while (now < LENGTH_MILLISECONDS) {
     const account = next.indexOf(Math.min(...next));
-    const end = Math.min(...ends, Infinity);
+    const end = runners.nextEnd;
     if (end <= next[account]) {
       now = end;
-      ends.splice(ends.indexOf(end), 1);
-      free++;
+      runners.endNext();
       queue.pump();
       // Outcomes of the queue are promises; let them settle at this time.
       await Promise.resolve();
--- a/packages/stand_ins/src/measure/measure_placement.ts
+++ b/packages/stand_ins/src/measure/measure_placement.ts
@@ -4,6 +4,7 @@
 import * as planPlacement from "@geraniumkeel/daemon/placement/plan_placement";
 import * as plots from "./plots.ts";
 import * as rangePlacement from "./range_placement.ts";
+import * as expertPopularity from "./expert_popularity.ts";
 import * as statistics from "./statistics.ts";
 
 const SEEDS = 10;
@@ -104,7 +105,9 @@
 /** A drifting mix of kinds of request, planned for period by period. */
 function runDay(size: Size, planner: Planner, seed: number): Figures {
   const random = new common.Random(seed);
-  const kinds = Array.from({ length: KINDS }, () => popularity(size, random));
+  const kinds = Array.from({ length: KINDS }, () =>
+    expertPopularity.expertPopularity(size, random),
+  );
   const shape = new hourShape.HourShape();
   // The first map was made for the first hour's load, as any operator would.
   let places = fullRepack.fullRepack({
@@ -153,16 +156,6 @@
   };
 }
 
-function popularity(size: Size, random: common.Random): number[][] {
-  return Array.from({ length: size.layers }, () => {
-    const raw = Array.from({ length: size.experts }, () =>
-      Math.min(30, random.pareto(1, 1.5)),
-    );
-    const sum = raw.reduce((total, value) => total + value, 0);
-    return raw.map((value) => value / sum);
-  });
-}
-
 /** Tokens a second by layer and expert; the mix turns once in the day. */
 function loadAt(
   size: Size,
--- a/packages/stand_ins/src/measure/measure_return.ts
+++ b/packages/stand_ins/src/measure/measure_return.ts
@@ -1,13 +1,12 @@
 import * as common from "@geraniumkeel/common";
 import * as serviceQueue from "@geraniumkeel/daemon/admission/service_queue";
 import * as statistics from "./statistics.ts";
+import * as virtualRunners from "./virtual_runners.ts";
 
 const SEEDS = 10;
 const CALLERS = 3_000;
 const WAKE_MILLISECONDS = 500;
 const QUEUE_LIMIT = 256;
-const RUNNERS = 48;
-const SERVICE_MILLISECONDS = 400;
 const CENTRE_MILLISECONDS = 1_000;
 
 /** What a refused caller is told. */
@@ -49,13 +48,11 @@
   const arrivals = Array.from({ length: CALLERS }, () =>
     random.between(0, WAKE_MILLISECONDS),
   );
-  const ends: number[] = [];
-  let free = RUNNERS;
+  const runners = new virtualRunners.VirtualRunners();
   let answered = 0;
   let refusals = 0;
-  const take = (): true | undefined => (free > 0 ? (free--, true) : undefined);
   const served = () => {
-    ends.push(now + random.between(0.8, 1.2) * SERVICE_MILLISECONDS);
+    runners.serve(now, random);
     answered++;
   };
   const pauseOf = (waitMilliseconds: number): number => {
@@ -77,7 +74,7 @@
       urgency: 3,
       deadline: Infinity,
       signal: new AbortController().signal,
-      take,
+      take: runners.take,
     });
     if (outcome instanceof Promise) return void outcome.then(served);
     if (outcome.kind === "admitted") return served();
@@ -85,13 +82,12 @@
     const wait = outcome.kind === "full" ? outcome.waitMilliseconds : 0;
     arrivals.push(now + pauseOf(wait));
   };
-  while (answered < CALLERS || ends.length > 0) {
+  while (answered < CALLERS || runners.nextEnd < Infinity) {
     const arrival = Math.min(...arrivals);
-    const end = Math.min(...ends);
+    const end = runners.nextEnd;
     now = Math.min(arrival, end);
     if (end <= arrival) {
-      ends.splice(ends.indexOf(end), 1);
-      free++;
+      runners.endNext();
       queue.pump();
     } else {
       arrivals.splice(arrivals.indexOf(arrival), 1);
@@ -101,6 +97,6 @@
     await Promise.resolve();
     await Promise.resolve();
   }
-  const serving = (CALLERS * SERVICE_MILLISECONDS) / RUNNERS;
+  const serving = CALLERS / virtualRunners.REQUESTS_PER_MILLISECOND;
   return { refusals: refusals / CALLERS, stretch: now / serving };
 }
--- a/packages/stand_ins/src/measure/measure_surge.ts
+++ b/packages/stand_ins/src/measure/measure_surge.ts
@@ -6,6 +6,7 @@
 import * as placementDecision from "@geraniumkeel/daemon/placement/placement_decision";
 import * as planPlacement from "@geraniumkeel/daemon/placement/plan_placement";
 import * as surgeClock from "@geraniumkeel/daemon/placement/surge_clock";
+import * as expertPopularity from "./expert_popularity.ts";
 import * as statistics from "./statistics.ts";
 
 const SEEDS = 10;
@@ -15,8 +16,7 @@
 const SURGE_MILLISECONDS = 120_000;
 const SURGE_FACTOR = 4;
 const RANKS = 16;
-const EXPERTS = 32;
-const LAYERS = 4;
+const SIZE = { layers: 4, experts: 32 };
 const SLOTS = 3;
 const TOKENS_PER_SECOND = 2_000;
 const MEGABYTES_PER_EXPERT = 20;
@@ -64,8 +64,8 @@
   seed: number,
 ): Promise<Figures> {
   const random = new common.Random(seed);
-  const ordinary = popularity(random);
-  const surging = popularity(random);
+  const ordinary = expertPopularity.expertPopularity(SIZE, random);
+  const surging = expertPopularity.expertPopularity(SIZE, random);
   const shape = new hourShape.HourShape();
   const clock = new surgeClock.SurgeClock();
   let places = fullRepack.fullRepack({
@@ -133,16 +133,6 @@
   };
 }
 
-function popularity(random: common.Random): number[][] {
-  return Array.from({ length: LAYERS }, () => {
-    const raw = Array.from({ length: EXPERTS }, () =>
-      Math.min(30, random.pareto(1, 1.5)),
-    );
-    const sum = raw.reduce((total, value) => total + value, 0);
-    return raw.map((value) => value / sum);
-  });
-}
-
 /** Tokens a second by layer and expert, some experts rising and falling. */
 function loadAt(
   shares: number[][],
--- a/packages/stand_ins/src/measure/routing_model.ts
+++ b/packages/stand_ins/src/measure/routing_model.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as chooseRank from "@geraniumkeel/daemon/routing/choose_rank";
 import * as stepCost from "@geraniumkeel/daemon/routing/step_cost";
+import * as lockStepRank from "./lock_step_rank.ts";
 import * as statistics from "./statistics.ts";
 
 /** Ways to choose a rank. */
@@ -33,20 +34,6 @@
   firstTokenMilliseconds95: number;
 }
 
-interface Sequence {
-  promptLeft: number;
-  promptTokens: number;
-  generated: number;
-  length: number;
-  arrivedAt: number;
-  answered: boolean;
-}
-
-interface Rank {
-  sequences: Sequence[];
-  waiting: Sequence[];
-}
-
 /** What an entry believes of a rank: a report, and its own dispatches since. */
 interface Belief extends stepCost.RankWork {
   outstanding: number;
@@ -63,9 +50,6 @@
 const ORDINARY_PER_SECOND = 55;
 const SURGE_PER_SECOND = 300;
 const LENT_PER_SECOND = 110;
-const PREFILL_CHUNK = 512;
-const BATCH_LIMIT = 64;
-const COST = { constant: 6, sequence: 0.12, cached: 0.0012, prefill: 0.006 };
 
 /** A group in lock-step, entries that choose on reports, and arrivals. */
 export function runRouting(
@@ -79,10 +63,7 @@
 }
 
 class RoutingModel {
-  readonly #ranks: Rank[] = Array.from({ length: RANKS }, () => ({
-    sequences: [],
-    waiting: [],
-  }));
+  readonly #ranks = Array.from({ length: RANKS }, lockStepRank.idleRank);
   readonly #beliefs: Belief[][];
   readonly #costs: stepCost.StepCost[];
   readonly #skews: number[] = [];
@@ -133,16 +114,9 @@
     };
   }
 
-  #timeOf(rank: Rank, index: number): number {
-    const work = workOf(rank);
-    const prefill = Math.min(PREFILL_CHUNK, work.prefillTokens);
-    const time =
-      COST.constant +
-      COST.sequence * work.sequences +
-      COST.cached * work.cachedTokens +
-      COST.prefill * prefill;
+  #timeOf(rank: lockStepRank.Rank, index: number): number {
     const slow = this.workload === RoutingWorkload.SlowRank && index === 3;
-    return slow ? 2 * time : time;
+    return (slow ? 2 : 1) * lockStepRank.timeOf(rank);
   }
 
   /** Every entry hears rank times now and then, and fits its own cost. */
@@ -150,7 +124,7 @@
     if (this.#now < this.#nextReport) return;
     this.#costs.forEach((cost) =>
       times.forEach((time, rank) =>
-        cost.observe(rank, workOf(this.#ranks[rank]), time),
+        cost.observe(rank, lockStepRank.workOf(this.#ranks[rank]), time),
       ),
     );
   }
@@ -161,7 +135,7 @@
     for (const beliefs of this.#beliefs) {
       beliefs.forEach((belief, index) => {
         const rank = this.#ranks[index];
-        Object.assign(belief, workOf(rank));
+        Object.assign(belief, lockStepRank.workOf(rank));
         belief.outstanding = rank.sequences.length + rank.waiting.length;
       });
     }
@@ -190,19 +164,8 @@
   }
 
   #arrive(arrivedAt: number): void {
-    const promptTokens = Math.min(
-      4_000,
-      Math.round(this.random.pareto(60, 1.3)),
-    );
-    const length = Math.min(800, Math.round(this.random.pareto(30, 1.4)));
-    const sequence: Sequence = {
-      promptLeft: promptTokens,
-      promptTokens,
-      generated: 0,
-      length,
-      arrivedAt,
-      answered: false,
-    };
+    const sequence = lockStepRank.newSequence(this.random, arrivedAt);
+    const { promptTokens } = sequence;
     const entry = this.random.below(ENTRIES);
     const rank = this.#choose(entry, sequence);
     const belief = this.#beliefs[entry][rank];
@@ -213,7 +176,7 @@
     this.#ranks[rank].waiting.push(sequence);
   }
 
-  #choose(entry: number, sequence: Sequence): number {
+  #choose(entry: number, sequence: lockStepRank.Sequence): number {
     const beliefs = this.#beliefs[entry];
     switch (this.policy) {
       case RoutingPolicy.RoundRobin:
@@ -236,7 +199,7 @@
     }
   }
 
-  #chooseByStepTime(entry: number, sequence: Sequence): number {
+  #chooseByStepTime(entry: number, sequence: lockStepRank.Sequence): number {
     const candidates = this.#beliefs[entry].map((work, rank) => ({
       rank,
       work,
@@ -266,36 +229,11 @@
     );
   }
 
-  #step(rank: Rank): void {
-    while (rank.sequences.length < BATCH_LIMIT && rank.waiting.length > 0) {
-      const next = rank.waiting.shift();
-      if (next) rank.sequences.push(next);
-    }
-    let budget = PREFILL_CHUNK;
-    for (const one of rank.sequences) {
-      if (one.promptLeft > 0) {
-        const done = Math.min(budget, one.promptLeft);
-        one.promptLeft -= done;
-        budget -= done;
-        continue;
-      }
-      one.generated++;
-      if (one.answered) continue;
-      one.answered = true;
-      this.#firstTokens.push(this.#now - one.arrivedAt);
-    }
-    rank.sequences = rank.sequences.filter((one) => one.generated < one.length);
-  }
-}
-
-function workOf(rank: Rank): stepCost.RankWork {
-  let cachedTokens = 0;
-  let prefillTokens = 0;
-  for (const one of rank.sequences) {
-    cachedTokens += one.promptTokens - one.promptLeft + one.generated;
-    prefillTokens += one.promptLeft;
+  #step(rank: lockStepRank.Rank): void {
+    lockStepRank.advance(rank, ({ generated, arrivedAt }) => {
+      if (generated === 0) this.#firstTokens.push(this.#now - arrivedAt);
+    });
   }
-  return { sequences: rank.sequences.length, cachedTokens, prefillTokens };
 }
 
 function noBelief(): Belief {
