test: member tables of a test are given their wall clock

Both tables took their first counter from the wall clock; built in two different milliseconds, the second one rightly kept its own newer record and the digests differed. A fault of the test, not of the table. Change: the wall clock is a parameter; the test gives two hosts with different clocks, exchanges their records both ways and asks for one digest, and a second test holds that a differing counter never counts as the same. Other tests were searched for wall clocks and random numbers: none.

--- a/packages/daemon/src/membership/member_table.ts
+++ b/packages/daemon/src/membership/member_table.ts
@@ -25,13 +25,14 @@
   constructor(
     self: Omit<wire.Member, "counter" | "state" | "revision" | "weight">,
     readonly clock: () => number = common.now,
+    wallClock: () => number = Date.now,
   ) {
     this.#self = {
       ...self,
       state: wire.MemberState.Alive,
       // A replacement at the same name must outrank its predecessor. Wall-clock
       // time does so nearly always; where it went back, `merge` raises it.
-      counter: Date.now(),
+      counter: wallClock(),
       revision: 0,
       weight: 1,
     };
--- a/packages/daemon/src/membership/member_table_test.ts
+++ b/packages/daemon/src/membership/member_table_test.ts
@@ -4,19 +4,23 @@
 
 const test = ava.default;
 
-function fixture(): {
+function fixture(start: { host?: string; wallClock?: number } = {}): {
   table: memberTable.MemberTable;
   advance: (milliseconds: number) => void;
 } {
   let now = 0;
   const self = {
-    host: "self",
+    host: start.host ?? "self",
     incarnation: "one",
     place: "here",
     callerUrl: "",
     peerUrl: "",
   };
-  const table = new memberTable.MemberTable(self, () => now);
+  const table = new memberTable.MemberTable(
+    self,
+    () => now,
+    () => start.wallClock ?? 1_000,
+  );
   return { table, advance: (milliseconds) => (now += milliseconds) };
 }
 
@@ -85,13 +89,24 @@
 });
 
 test("tables that know the same have one digest, whatever the revisions", (t) => {
-  const { table: one } = fixture();
-  const { table: two } = fixture();
+  const { table: one } = fixture({ host: "one", wallClock: 1_000 });
+  const { table: two } = fixture({ host: "two", wallClock: 2_000 });
   one.merge(member({ revision: 1 }));
-  one.merge(member({ host: "third" }));
-  two.merge(one.self);
-  two.merge(member({ host: "third" }));
-  t.not(one.digest, two.digest);
   two.merge(member({ revision: 2 }));
+  for (const record of one.all) two.merge(record);
+  t.not(one.digest, two.digest);
+  for (const record of two.all) one.merge(record);
+  two.noteRevision(7);
   t.is(one.digest, two.digest);
 });
+
+// Two processes of one name started at different times: neither takes the
+// record of the other for its own, so their digests differ until both told it.
+test("a record of oneself with another counter never counts as the same", (t) => {
+  for (const wallClock of [999, 1_001]) {
+    const { table: one } = fixture();
+    const { table: two } = fixture({ wallClock });
+    two.merge(one.self);
+    t.not(one.digest, two.digest);
+  }
+});
