fix: entries listed but not heard yet are not passed over in 'in force everywhere'

The report counted only the members this process had heard of. Right after a start that is itself alone, so an operator was told of 'everywhere' too early. Not a fault of the test, which is as it was. Change: the report also reads the platform's list. A listed entry not heard yet counts as not reached for goneAfter; later it is named as listed but silent and holds up nothing, as the list lags. Before the list was read nothing is said of everywhere.

--- a/packages/cli/src/change.ts
+++ b/packages/cli/src/change.ts
@@ -10,6 +10,7 @@
   everywhere: boolean;
   inForce: string[];
   notReached: string[];
+  unheard: string[];
 }
 
 /**
@@ -60,6 +61,7 @@
     everywhere: false,
     inForce: [],
     notReached: [],
+    unheard: [],
   };
   let told = -1;
   while (Date.now() < deadline) {
@@ -79,7 +81,15 @@
 }
 
 function describe(report: InForce): string {
-  const { revision, everywhere, notReached } = report;
-  if (everywhere) return `revision ${revision} is in force everywhere`;
-  return `revision ${revision} is accepted; not confirmed by ${notReached.join(", ")}: they follow when they are heard again`;
+  const { revision, everywhere, notReached, unheard } = report;
+  const silent =
+    unheard.length === 0
+      ? ""
+      : `; listed as live but silent: ${unheard.join(", ")}: check these hosts`;
+  if (everywhere) return `revision ${revision} is in force everywhere${silent}`;
+  const missing =
+    notReached.length === 0
+      ? "the host list was not read yet, so who else serves is not known"
+      : `not confirmed by ${notReached.join(", ")}: they follow when they are heard again`;
+  return `revision ${revision} is accepted; ${missing}${silent}`;
 }
--- a/packages/daemon/src/membership/host_view.ts
+++ b/packages/daemon/src/membership/host_view.ts
@@ -12,6 +12,7 @@
 export class HostView {
   readonly changed = new common.ChangeNotice();
   #hosts = new Map<string, platform.Host>();
+  readonly #appearedAt = new Map<string, number>();
   #available = true;
   #bytes = 0;
   /** When the platform last answered. */
@@ -30,6 +31,11 @@
     return this.#hosts;
   }
 
+  /** When a host was first read in the list, as it stands there now. */
+  appearedAt(name: string): number {
+    return this.#appearedAt.get(name) ?? -Infinity;
+  }
+
   /** Hosts of a role. */
   withRole(role: platform.HostRole): platform.Host[] {
     return [...this.#hosts.values()].filter((host) => host.role === role);
@@ -75,14 +81,21 @@
     let changed = false;
     for (const [name, host] of hosts) {
       const known = before.get(name);
-      if (!known) logger.event(common.EventCode.HostAppeared, { peer: name });
+      if (!known) this.#noteAppearance(name);
       if (JSON.stringify(known) !== JSON.stringify(host)) changed = true;
     }
     for (const name of before.keys()) {
       if (hosts.has(name)) continue;
+      this.#appearedAt.delete(name);
       logger.event(common.EventCode.HostDisappeared, { peer: name });
       changed = true;
     }
     if (changed) this.changed.announce();
   }
+
+  #noteAppearance(name: string): void {
+    this.#appearedAt.set(name, common.now());
+    const code = common.EventCode.HostAppeared;
+    this.parameters.logger.event(code, { peer: name });
+  }
 }
--- a/packages/daemon/src/operator/change_configuration.ts
+++ b/packages/daemon/src/operator/change_configuration.ts
@@ -12,14 +12,6 @@
   presetInForce: string;
 }
 
-/** How far a revision is in force. */
-export interface InForceReport {
-  revision: number;
-  everywhere: boolean;
-  inForce: string[];
-  notReached: string[];
-}
-
 /** An edit of the document; problems are the operator's to mend. */
 export type Edit = (
   document: configuration.Document,
@@ -85,39 +77,6 @@
   }
 }
 
-/** Which live entries have a revision in force, as far as known here. */
-export function reportInForce(
-  context: entryContext.EntryContext,
-  revision: number,
-): InForceReport {
-  const inForce: string[] = [];
-  const notReached: string[] = [];
-  for (const member of context.members.present) {
-    if (member.revision >= revision) inForce.push(member.host);
-    else notReached.push(member.host);
-  }
-  const everywhere = notReached.length === 0;
-  return { revision, everywhere, inForce, notReached };
-}
-
-/** Waits until all live entries have a revision in force, or a timeout. */
-export async function awaitInForce(
-  context: entryContext.EntryContext,
-  revision: number,
-): Promise<InForceReport> {
-  await context.members.changed.until({
-    condition: () => reportInForce(context, revision).everywhere,
-    timeoutMilliseconds: context.settings.timing.inForceTimeout,
-  });
-  const report = reportInForce(context, revision);
-  if (!report.everywhere) {
-    const { notReached } = report;
-    const code = common.EventCode.ConfigurationNotReached;
-    context.logger.event(code, { revision, notReached });
-  }
-  return report;
-}
-
 /** Section texts at the head, from here as far as held, else from the store. */
 async function currentTexts(
   context: entryContext.EntryContext,
--- a/packages/daemon/src/operator/operator_server.ts
+++ b/packages/daemon/src/operator/operator_server.ts
@@ -7,6 +7,7 @@
 import type * as entryContext from "../entry/entry_context.ts";
 import * as changeConfiguration from "./change_configuration.ts";
 import * as describeEntry from "./describe_entry.ts";
+import * as inForceReport from "./in_force_report.ts";
 import * as operatorKey from "./operator_key.ts";
 import * as requestListener from "./request_listener.ts";
 import * as problem from "./problem.ts";
@@ -53,7 +54,7 @@
   });
   application.get("/admin/v1/in-force/:revision", (request) => {
     const revision = Number(request.req.param("revision"));
-    const report = changeConfiguration.reportInForce(context, revision);
+    const report = inForceReport.reportInForce(context, revision);
     return Response.json(report);
   });
   application.post("/admin/v1/drain", async (request) => {
@@ -122,8 +123,8 @@
   const { revision } = changed.value;
   const report =
     request.req.query("wait") === "no"
-      ? changeConfiguration.reportInForce(context, revision)
-      : await changeConfiguration.awaitInForce(context, revision);
+      ? inForceReport.reportInForce(context, revision)
+      : await inForceReport.awaitInForce(context, revision);
   return Response.json({ ...changed.value, ...report });
 }
 
