feat: less urgent requests leave room for a learned surge

Cause: admission learned nothing of the clock. Long answers that nobody waits for filled the runners in quiet minutes and ran on into the hour, when callers queued behind them. Change: each entry learns by half minutes of the hour when its callers crowd in. From a minute before a surge until its end, requests of urgency 4 to 7 use only a part of each runner's room (surgeReserve of the preset, a half). A full queue gives the place of one of them to a usual request and tells it so at once.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -30,6 +30,8 @@
   RequestMayHaveRun = 1404,
   ClaimTakenOver = 1405,
   CallerStalled = 1407,
+  SurgeExpected = 1408,
+  SurgeOver = 1409,
   DispatchRefused = 1501,
   AttemptTombstoned = 1502,
   AttemptOrphaned = 1503,
@@ -216,6 +218,17 @@
     meaning: "A caller took no bytes for too long; its connection was closed.",
     action: NONE,
   },
+  [EventCode.SurgeExpected]: {
+    level: EventLevel.Info,
+    meaning:
+      "A surge learned from earlier hours is on or near; less urgent requests of the service get a part of each runner's room.",
+    action: NONE,
+  },
+  [EventCode.SurgeOver]: {
+    level: EventLevel.Info,
+    meaning: "Less urgent requests of the service get all room again.",
+    action: NONE,
+  },
   [EventCode.DispatchRefused]: {
     level: EventLevel.Info,
     meaning: "The upstream process refused an attempt before it started.",
--- a/packages/configuration/src/schema.ts
+++ b/packages/configuration/src/schema.ts
@@ -155,6 +155,15 @@
   retryAfterSeconds: positive("seconds", 86_400)
     .default(2)
     .meta({ description: "Centre of the jittered Retry-After." }),
+  surgeReserve: zod
+    .number({ error: "use a number from 0 to 0.9" })
+    .min(0, { error: "use a number from 0 to 0.9" })
+    .max(0.9, { error: "use a number from 0 to 0.9" })
+    .default(0.5)
+    .meta({
+      description:
+        "Part of each runner's room that less urgent requests leave free shortly before and in a learned surge.",
+    }),
   placement: PLACEMENT.prefault({}),
 });
 
--- a/packages/daemon/src/admission/account_flow.ts
+++ b/packages/daemon/src/admission/account_flow.ts
@@ -18,6 +18,11 @@
     return this.#waiting[0];
   }
 
+  /** The least urgent request, the newest of several. */
+  get last(): T | undefined {
+    return this.#waiting.at(-1);
+  }
+
   /** All requests, most urgent first. */
   get items(): readonly T[] {
     return this.#waiting;
--- a/packages/daemon/src/admission/service_queue.ts
+++ b/packages/daemon/src/admission/service_queue.ts
@@ -2,6 +2,7 @@
 import * as accountFlow from "./account_flow.ts";
 import * as rateWindow from "./rate_window.ts";
 import * as returnPacing from "./return_pacing.ts";
+import * as surgeReserve from "./surge_reserve.ts";
 
 /** A request waiting for a runner. */
 export interface Waiting<R> {
@@ -15,8 +16,8 @@
   /** Deadline by this process's clock. */
   deadline: number;
   signal: AbortSignal;
-  /** Takes a runner if there is one with room. */
-  take: () => R | undefined;
+  /** Takes a runner that has room in this part of its whole room. */
+  take: (roomShare: number) => R | undefined;
 }
 
 /** What became of a request that asked for a runner. */
@@ -36,12 +37,13 @@
 const RATE_WINDOW_MILLISECONDS = 2_000;
 /** Accounts whose next request is tried when the first finds no runner. */
 const LOOK_PAST = 4;
-const MIDDLE_URGENCY = 3;
 
 /**
  * Requests of one service waiting at one entry, served by start-time fair
  * queueing over accounts: a large account queues behind its own requests, and
- * not the small ones behind it. Within an account, urgent ones go first.
+ * not the small ones behind it. Within an account, urgent ones go first. Less
+ * urgent ones leave room where a surge is expected, and their places in a full
+ * queue to others.
  */
 export class ServiceQueue<R> {
   readonly #flows = new Map<string, accountFlow.AccountFlow<Item<R>>>();
@@ -50,6 +52,8 @@
   readonly #returns: returnPacing.ReturnPacing;
   #virtualTime = 0;
   #length = 0;
+  /** Of those waiting, how many are less urgent than usual. */
+  #lessUrgent = 0;
 
   constructor(
     readonly parameters: {
@@ -57,6 +61,8 @@
       clock?: () => number;
       /** Called when a request begins to wait. */
       onWaiting?: () => void;
+      /** What is kept free of less urgent requests; nothing if left out. */
+      reserve?: surgeReserve.SurgeReserve;
     },
   ) {
     this.#now = parameters.clock ?? common.now;
@@ -82,11 +88,12 @@
   /** Waits for a runner, or refuses at once what cannot be served in time. */
   enter(waiting: Waiting<R>): Promise<QueueOutcome<R>> | QueueOutcome<R> {
     if (waiting.signal.aborted) return { kind: "caller-gone" };
-    if (this.#length === 0) {
-      const runner = waiting.take();
+    this.parameters.reserve?.count(waiting.urgency);
+    if (this.#mayPass(waiting)) {
+      const runner = waiting.take(this.#roomShare(waiting));
       if (runner !== undefined) return this.#admit(runner, 0);
     }
-    if (this.#length >= this.parameters.limit()) {
+    if (this.#length >= this.parameters.limit() && !this.#giveWay(waiting)) {
       const waitMilliseconds = this.#timeToReturn(this.estimatedWait);
       return { kind: "full", waitMilliseconds };
     }
@@ -127,18 +134,64 @@
     return rate > 0 ? ahead / rate : 0;
   }
 
+  /** Whether nobody waits who would have to be served first. */
+  #mayPass({ urgency }: Waiting<R>): boolean {
+    if (this.#length === 0) return true;
+    const onlyLessUrgent = this.#lessUrgent === this.#length;
+    return onlyLessUrgent && !isLessUrgent(urgency) && this.#isReserving;
+  }
+
+  get #isReserving(): boolean {
+    return this.parameters.reserve?.expected ?? false;
+  }
+
+  #roomShare({ urgency }: Waiting<R>): number {
+    return this.parameters.reserve?.roomShare(urgency) ?? 1;
+  }
+
+  /**
+   * Makes place in a full queue by refusing one that nobody waits for: the last
+   * of the account that has most waiting. False if there is none.
+   */
+  #giveWay({ urgency }: Waiting<R>): boolean {
+    if (this.#lessUrgent === 0 || isLessUrgent(urgency)) return false;
+    const longest = [...this.#flows.values()]
+      .filter((flow) => isLessUrgent(flow.last?.urgency ?? 0))
+      .reduce((left, right) => (right.length > left.length ? right : left));
+    const { last } = longest;
+    if (!last) return false;
+    this.#leave(longest, last);
+    const waitMilliseconds = this.#timeToReturn(this.estimatedWait);
+    last.settle({ kind: "full", waitMilliseconds });
+    return true;
+  }
+
   /** Serves the account whose turn it is, or one of the next ones. */
   #admitNext(): boolean {
     const flows = [...this.#flows.values()]
       .filter((flow) => flow.length > 0)
       .sort((left, right) => left.start - right.start);
-    for (const flow of flows.slice(0, LOOK_PAST)) {
+    let passed = 0;
+    let partIsFull = false;
+    for (const flow of flows) {
+      if (passed === LOOK_PAST) return false;
       const item = flow.head;
-      const runner = item?.take();
-      if (!item || runner === undefined) continue;
+      if (!item) continue;
+      const roomShare = this.#roomShare(item);
+      if (roomShare < 1 && partIsFull) continue;
+      const runner = item.take(roomShare);
+      if (runner === undefined) {
+        // Those who may use a part only do not use up the looks of others.
+        if (roomShare < 1) partIsFull = true;
+        else passed++;
+        continue;
+      }
       this.#leave(flow, item);
       this.#virtualTime = Math.max(this.#virtualTime, flow.start);
-      const scale = Math.pow(2, (item.urgency - MIDDLE_URGENCY) / 2);
+      const scale = Math.pow(
+        2,
+        (item.urgency - surgeReserve.USUAL_URGENCY) / 2,
+      );
       flow.start += (item.cost * scale) / item.weight;
       item.settle(this.#admit(runner, this.#now() - item.queuedAt));
       return true;
@@ -176,12 +229,14 @@
     waiting.signal.addEventListener("abort", onGone, { once: true });
     flow.add(item);
     this.#length++;
+    if (isLessUrgent(item.urgency)) this.#lessUrgent++;
     this.parameters.onWaiting?.();
   }
 
   #leave(flow: accountFlow.AccountFlow<Item<R>>, item: Item<R>): boolean {
     if (!flow.remove(item)) return false;
     this.#length--;
+    if (isLessUrgent(item.urgency)) this.#lessUrgent--;
     return true;
   }
 
@@ -199,3 +254,7 @@
     }
   }
 }
+
+function isLessUrgent(urgency: number): boolean {
+  return urgency > surgeReserve.USUAL_URGENCY;
+}
--- /dev/null
+++ b/packages/daemon/src/admission/service_queue_test.ts
@@ -0,0 +1,141 @@
+import * as ava from "ava";
+import * as serviceQueue from "./service_queue.ts";
+import * as surgeReserve from "./surge_reserve.ts";
+
+const test = ava.default;
+
+const ROOM = 4;
+const BACKGROUND = 6;
+const HOUR = 3_600_000;
+
+interface Fixture {
+  queue: serviceQueue.ServiceQueue<true>;
+  /** Enters a request; its outcome's kind is noted under its name. */
+  enter: (
+    name: string,
+    change?: { account?: string; urgency?: number },
+  ) => void;
+  outcomes: Map<string, string>;
+  /** Frees places at runners and admits who waits. */
+  free: (places: number) => Promise<void>;
+}
+
+function fixture(
+  parameters: { limit?: number; surge?: boolean } = {},
+): Fixture {
+  let busy = 0;
+  const outcomes = new Map<string, string>();
+  const queue = new serviceQueue.ServiceQueue<true>({
+    limit: () => parameters.limit ?? 100,
+    clock: () => 0,
+    reserve: parameters.surge ? surgeOn() : undefined,
+  });
+  const take = (roomShare: number): true | undefined => {
+    if (busy >= ROOM * roomShare) return undefined;
+    busy++;
+    return true;
+  };
+  return {
+    queue,
+    outcomes,
+    enter: (name, change = {}) => {
+      const outcome = queue.enter({
+        account: "one",
+        weight: 1,
+        cost: 1,
+        urgency: surgeReserve.USUAL_URGENCY,
+        deadline: Infinity,
+        signal: new AbortController().signal,
+        take,
+        ...change,
+      });
+      if (!(outcome instanceof Promise)) {
+        outcomes.set(name, outcome.kind);
+        return;
+      }
+      void outcome.then(({ kind }) => outcomes.set(name, kind));
+    },
+    free: async (places) => {
+      busy -= places;
+      queue.pump();
+      await Promise.resolve();
+    },
+  };
+}
+
+/** A reserve of a half that expects a surge. */
+function surgeOn(): surgeReserve.SurgeReserve {
+  let wall = 0;
+  const share = () => 0.5;
+  const wallClock = () => wall;
+  const reserve = new surgeReserve.SurgeReserve({ share, wallClock });
+  for (; wall < HOUR; wall += 1_000) {
+    const rate = wall < 60_000 ? 50 : 5;
+    for (let count = 0; count < rate; count++) reserve.count(0);
+  }
+  return reserve;
+}
+
+// A report job has filled all runners but the part that is kept for the surge,
+// and more of it waits. A counter's request comes: it must not wait behind it.
+test("a usual request passes those that leave room for the surge", (t) => {
+  const { enter, outcomes, queue } = fixture({ surge: true });
+  for (const name of ["a", "b", "c", "d"]) {
+    enter(name, { account: "reports", urgency: BACKGROUND });
+  }
+  t.is(queue.length, 2);
+  enter("counter", { account: "counters" });
+  t.is(outcomes.get("counter"), "admitted");
+  t.is(queue.length, 2);
+});
+
+test("many accounts that leave room do not hide one that need not", async (t) => {
+  const { enter, outcomes, free } = fixture({ surge: true });
+  for (const name of ["1", "2", "3", "4"]) enter(name);
+  for (let account = 0; account < 8; account++) {
+    const urgency = BACKGROUND;
+    enter(`report ${account}`, { account: `reports-${account}`, urgency });
+  }
+  enter("counter", { account: "counters" });
+  t.is(outcomes.get("counter"), undefined);
+  await free(1);
+  t.is(outcomes.get("counter"), "admitted");
+});
+
+test("without a surge less urgent requests have all room", (t) => {
+  const { enter, queue } = fixture();
+  for (const name of ["a", "b", "c", "d"]) {
+    enter(name, { urgency: BACKGROUND });
+  }
+  t.is(queue.length, 0);
+});
+
+// The queue is full of a report job's requests. A counter's request comes: the
+// last of the job is refused at once, as not run, and the counter's waits.
+test("a full queue gives the place of a less urgent request away", async (t) => {
+  const { enter, outcomes, queue } = fixture({ limit: 2 });
+  for (const name of ["1", "2", "3", "4"]) enter(name);
+  enter("first", { urgency: BACKGROUND });
+  enter("last", { urgency: BACKGROUND });
+  enter("third", { urgency: BACKGROUND });
+  t.is(outcomes.get("third"), "full");
+  enter("counter", { account: "counters" });
+  await Promise.resolve();
+  t.is(outcomes.get("last"), "full");
+  t.is(outcomes.get("first"), undefined);
+  t.is(queue.length, 2);
+  enter("second counter", { account: "counters" });
+  enter("third counter", { account: "counters" });
+  t.is(outcomes.get("third counter"), "full");
+});
+
+test("a large account waits behind its own requests", async (t) => {
+  const { enter, outcomes, free } = fixture();
+  for (const name of ["1", "2", "3", "4"]) enter(name, { account: "large" });
+  for (let count = 0; count < 10; count++) {
+    enter(`large ${count}`, { account: "large" });
+  }
+  enter("small", { account: "small" });
+  await free(2);
+  t.is(outcomes.get("small"), "admitted");
+});
--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -84,10 +84,10 @@
       urgency: accepted.urgency,
       deadline: accepted.deadline,
       signal: accepted.signal,
-      take: () => {
+      take: (roomShare) => {
         const runner = router.choose({
           service,
-          runnerConcurrency,
+          runnerConcurrency: runnerConcurrency * roomShare,
           size: { promptTokens, expectedTokens },
           prefixBlocks,
           excluded,
--- a/packages/daemon/src/entry/accept_work.ts
+++ b/packages/daemon/src/entry/accept_work.ts
@@ -3,6 +3,7 @@
 import * as configuration from "@geraniumkeel/configuration";
 import * as neverthrow from "neverthrow";
 import type * as problem from "../operator/problem.ts";
+import * as surgeReserve from "../admission/surge_reserve.ts";
 import type * as entryContext from "./entry_context.ts";
 import * as problems from "./problems.ts";
 
@@ -13,7 +14,6 @@
 /** Header with the key of a non-repeatable request. */
 export const IDEMPOTENCY_HEADER = "idempotency-key";
 
-const DEFAULT_URGENCY = 3;
 const LONGEST_TIMEOUT_MILLISECONDS = 3_600_000;
 const LONGEST_IDEMPOTENCY_KEY = 255;
 
@@ -107,5 +107,5 @@
 /** Urgency of a `Priority` header (RFC 9218); anything unclear is the default. */
 export function readUrgency(header: string | string[] | undefined): number {
   const match = /(?:^|,)\s*u=([0-7])\b/.exec(String(header ?? ""));
-  return match ? Number(match[1]) : DEFAULT_URGENCY;
+  return match ? Number(match[1]) : surgeReserve.USUAL_URGENCY;
 }
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -3,6 +3,7 @@
 import type * as wire from "@geraniumkeel/wire";
 import * as accountLimits from "../admission/account_limits.ts";
 import * as serviceQueue from "../admission/service_queue.ts";
+import * as surgeReserve from "../admission/surge_reserve.ts";
 import * as configurationKeeper from "../configuration/configuration_keeper.ts";
 import * as configurationStore from "../configuration/configuration_store.ts";
 import * as claimStore from "../dispatch/claim_store.ts";
@@ -137,9 +138,19 @@
       getOrCreate(queues, service, () => {
         const limit = () =>
           keeper.view?.service(service)?.queueLength ?? DEFAULT_QUEUE_LENGTH;
+        const reserve = new surgeReserve.SurgeReserve({
+          share: () => keeper.view?.preset.surgeReserve ?? 0,
+          onChange: (expected) => {
+            const code = expected
+              ? common.EventCode.SurgeExpected
+              : common.EventCode.SurgeOver;
+            logger.event(code, { service });
+          },
+        });
         return new serviceQueue.ServiceQueue({
           limit,
           onWaiting: () => queued.announce(),
+          reserve,
         });
       }),
     budgetOf: createBudgets(),
--- a/packages/daemon/src/operator/describe_entry.ts
+++ b/packages/daemon/src/operator/describe_entry.ts
@@ -80,7 +80,11 @@
     queues: Object.fromEntries(
       [...queues].map(([service, queue]) => [
         service,
-        { waiting: queue.length, estimatedWait: queue.estimatedWait },
+        {
+          waiting: queue.length,
+          estimatedWait: queue.estimatedWait,
+          surgeExpected: queue.parameters.reserve?.expected ?? false,
+        },
       ]),
     ),
     limits: limits.describe(),
--- a/packages/daemon/src/placement/hold_back.ts
+++ b/packages/daemon/src/placement/hold_back.ts
@@ -1,5 +1,5 @@
 import type * as placementDecision from "./placement_decision.ts";
-import type * as surgeClock from "./surge_clock.ts";
+import type * as surgeClock from "../forecast/surge_clock.ts";
 
 /** Time before a surge in which no switch begins: loading takes as long. */
 const GUARD_MILLISECONDS = 60_000;
--- a/packages/stand_ins/src/measure/main.ts
+++ b/packages/stand_ins/src/measure/main.ts
@@ -6,6 +6,7 @@
 import * as measureGroups from "./measure_groups.ts";
 import * as measureOverhead from "./measure_overhead.ts";
 import * as measurePlacement from "./measure_placement.ts";
+import * as measureReserve from "./measure_reserve.ts";
 import * as measureReturn from "./measure_return.ts";
 import * as measureRouting from "./measure_routing.ts";
 import * as measureSurge from "./measure_surge.ts";
@@ -21,6 +22,7 @@
   configuration: measureConfiguration.measureConfiguration,
   overhead: measureOverhead.measureOverhead,
   placement: measurePlacement.measurePlacement,
+  reserve: measureReserve.measureReserve,
   return: measureReturn.measureReturn,
   routing: measureRouting.measureRouting,
   surge: measureSurge.measureSurge,
--- a/packages/stand_ins/src/measure/measure_admission.ts
+++ b/packages/stand_ins/src/measure/measure_admission.ts
@@ -3,6 +3,7 @@
 import * as serviceQueue from "@geraniumkeel/daemon/admission/service_queue";
 import * as statistics from "./statistics.ts";
 import * as virtualRunners from "./virtual_runners.ts";
+import * as virtualTime from "./virtual_time.ts";
 
 const SEEDS = 10;
 const ACCOUNTS = 10;
@@ -72,31 +73,23 @@
   seed: number,
 ): Promise<Figures> {
   const random = new common.Random(seed);
-  let now = 0;
-  const clock = () => now;
-  const rate = (share: number) => () => ({
-    requests: LIMIT_PER_SECOND * share,
-    tokens: 1e12,
-    burstSeconds: 2,
-  });
-  const global = new creditBucket.CreditBucket(rate(1), clock);
-  const local = Array.from(
-    { length: ENTRIES },
-    () => new creditBucket.CreditBucket(rate(1), clock),
-  );
+  const time = new virtualTime.VirtualTime();
+  const { clock } = time;
+  const isAdmitted = limiter(policy, clock, random);
   const fair = policy === AdmissionPolicy.GlobalFair;
-  const queue = new serviceQueue.ServiceQueue<true>({
-    limit: () => 100_000,
-    clock,
-  });
-  const runners = new virtualRunners.VirtualRunners();
+  const limit = () => 100_000;
+  const queue = new serviceQueue.ServiceQueue<true>({ limit, clock });
+  const onFree = () => queue.pump();
+  const runners = new virtualRunners.VirtualRunners({ time, random, onFree });
   const waits: number[] = [];
   let answeredGreedy = 0;
   const asked = new Array<number>(ACCOUNTS).fill(0);
   const answeredInTime = new Array<number>(ACCOUNTS).fill(0);
   const arrive = (account: number): void => {
-    if (account === 0 && !admitted(account)) return;
-    const arrivedAt = now;
+    const gap = random.exponential(1_000 / ratePerSecond(account, factor));
+    time.schedule(clock() + gap, () => arrive(account));
+    if (account === 0 && !isAdmitted()) return;
+    const arrivedAt = clock();
     asked[account]++;
     const outcome = queue.enter({
       account: fair ? String(account) : "all",
@@ -108,46 +101,19 @@
       take: runners.take,
     });
     const served = () => {
-      const end = runners.serve(now, random);
-      const late = end - arrivedAt > DEADLINE_MILLISECONDS;
+      const late = runners.serve() - arrivedAt > DEADLINE_MILLISECONDS;
       if (!late) answeredInTime[account]++;
       if (account === 0) answeredGreedy++;
-      else waits.push(now - arrivedAt);
+      else waits.push(clock() - arrivedAt);
     };
     if (outcome instanceof Promise) void outcome.then(served);
     else served();
   };
-  const admitted = (account: number): boolean => {
-    const one = { requests: 1, tokens: 1 };
-    if (account !== 0) return true;
-    switch (policy) {
-      case AdmissionPolicy.NoLimit:
-        return true;
-      case AdmissionPolicy.LocalLimits:
-        return "granted" in local[random.below(ENTRIES)].take(one, one);
-      case AdmissionPolicy.GlobalFair:
-        return "granted" in global.take(one, one);
-    }
-  };
-  const next = Array.from({ length: ACCOUNTS }, (_, account) =>
-    random.exponential(1_000 / ratePerSecond(account, factor)),
-  );
-  while (now < LENGTH_MILLISECONDS) {
-    const account = next.indexOf(Math.min(...next));
-    const end = runners.nextEnd;
-    if (end <= next[account]) {
-      now = end;
-      runners.endNext();
-      queue.pump();
-      // Outcomes of the queue are promises; let them settle at this time.
-      await Promise.resolve();
-      await Promise.resolve();
-      continue;
-    }
-    now = next[account];
-    arrive(account);
-    next[account] += random.exponential(1_000 / ratePerSecond(account, factor));
+  for (let account = 0; account < ACCOUNTS; account++) {
+    const first = random.exponential(1_000 / ratePerSecond(account, factor));
+    time.schedule(first, () => arrive(account));
   }
+  await time.run(LENGTH_MILLISECONDS);
   const parts = asked
     .map((count, account) => answeredInTime[account] / Math.max(1, count))
     .slice(1);
@@ -161,6 +127,33 @@
   };
 }
 
+/** Whether the limit of the large account lets one more request through. */
+function limiter(
+  policy: AdmissionPolicy,
+  clock: () => number,
+  random: common.Random,
+): () => boolean {
+  const one = { requests: 1, tokens: 1 };
+  const rate = () => ({
+    requests: LIMIT_PER_SECOND,
+    tokens: 1e12,
+    burstSeconds: 2,
+  });
+  const newBucket = () => new creditBucket.CreditBucket(rate, clock);
+  switch (policy) {
+    case AdmissionPolicy.NoLimit:
+      return () => true;
+    case AdmissionPolicy.LocalLimits: {
+      const local = Array.from({ length: ENTRIES }, newBucket);
+      return () => "granted" in random.pick(local).take(one, one);
+    }
+    case AdmissionPolicy.GlobalFair: {
+      const global = newBucket();
+      return () => "granted" in global.take(one, one);
+    }
+  }
+}
+
 function ratePerSecond(account: number, factor: number): number {
   return account === 0 ? LIMIT_PER_SECOND * factor : SMALL_PER_SECOND;
 }
--- a/packages/stand_ins/src/measure/measure_placement.ts
+++ b/packages/stand_ins/src/measure/measure_placement.ts
@@ -1,6 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as fullRepack from "@geraniumkeel/daemon/placement/full_repack";
-import * as hourShape from "@geraniumkeel/daemon/placement/hour_shape";
+import * as hourShape from "@geraniumkeel/daemon/forecast/hour_shape";
 import * as planPlacement from "@geraniumkeel/daemon/placement/plan_placement";
 import * as plots from "./plots.ts";
 import * as rangePlacement from "./range_placement.ts";
--- a/packages/stand_ins/src/measure/measure_return.ts
+++ b/packages/stand_ins/src/measure/measure_return.ts
@@ -2,6 +2,7 @@
 import * as serviceQueue from "@geraniumkeel/daemon/admission/service_queue";
 import * as statistics from "./statistics.ts";
 import * as virtualRunners from "./virtual_runners.ts";
+import * as virtualTime from "./virtual_time.ts";
 
 const SEEDS = 10;
 const CALLERS = 3_000;
@@ -41,32 +42,14 @@
 /** Queue, runners and callers in virtual time. */
 async function run(policy: ReturnPolicy, seed: number): Promise<Figures> {
   const random = new common.Random(seed);
-  let now = 0;
-  const clock = () => now;
+  const time = new virtualTime.VirtualTime();
+  const { clock } = time;
   const limit = () => QUEUE_LIMIT;
   const queue = new serviceQueue.ServiceQueue<true>({ limit, clock });
-  const arrivals = Array.from({ length: CALLERS }, () =>
-    random.between(0, WAKE_MILLISECONDS),
-  );
-  const runners = new virtualRunners.VirtualRunners();
-  let answered = 0;
+  const onFree = () => queue.pump();
+  const runners = new virtualRunners.VirtualRunners({ time, random, onFree });
   let refusals = 0;
-  const served = () => {
-    runners.serve(now, random);
-    answered++;
-  };
-  const pauseOf = (waitMilliseconds: number): number => {
-    const jittered = random.between(0.5, 1.5) * CENTRE_MILLISECONDS;
-    switch (policy) {
-      case ReturnPolicy.Fixed:
-        return CENTRE_MILLISECONDS;
-      case ReturnPolicy.Jittered:
-        return jittered;
-      case ReturnPolicy.Paced:
-        return Math.max(jittered, waitMilliseconds);
-    }
-  };
-  const arrive = async () => {
+  const arrive = (): void => {
     const outcome = queue.enter({
       account: "all",
       weight: 1,
@@ -76,27 +59,39 @@
       signal: new AbortController().signal,
       take: runners.take,
     });
-    if (outcome instanceof Promise) return void outcome.then(served);
-    if (outcome.kind === "admitted") return served();
+    if (outcome instanceof Promise) {
+      void outcome.then(() => runners.serve());
+      return;
+    }
+    if (outcome.kind === "admitted") {
+      runners.serve();
+      return;
+    }
     refusals++;
     const wait = outcome.kind === "full" ? outcome.waitMilliseconds : 0;
-    arrivals.push(now + pauseOf(wait));
+    time.schedule(clock() + pauseOf(policy, wait, random), arrive);
   };
-  while (answered < CALLERS || runners.nextEnd < Infinity) {
-    const arrival = Math.min(...arrivals);
-    const end = runners.nextEnd;
-    now = Math.min(arrival, end);
-    if (end <= arrival) {
-      runners.endNext();
-      queue.pump();
-    } else {
-      arrivals.splice(arrivals.indexOf(arrival), 1);
-      await arrive();
-    }
-    // Outcomes of the queue are promises; let them settle at this time.
-    await Promise.resolve();
-    await Promise.resolve();
+  for (let caller = 0; caller < CALLERS; caller++) {
+    time.schedule(random.between(0, WAKE_MILLISECONDS), arrive);
   }
+  // The last event is the end of the last answer.
+  await time.run();
   const serving = CALLERS / virtualRunners.REQUESTS_PER_MILLISECOND;
-  return { refusals: refusals / CALLERS, stretch: now / serving };
+  return { refusals: refusals / CALLERS, stretch: clock() / serving };
+}
+
+function pauseOf(
+  policy: ReturnPolicy,
+  waitMilliseconds: number,
+  random: common.Random,
+): number {
+  const jittered = random.between(0.5, 1.5) * CENTRE_MILLISECONDS;
+  switch (policy) {
+    case ReturnPolicy.Fixed:
+      return CENTRE_MILLISECONDS;
+    case ReturnPolicy.Jittered:
+      return jittered;
+    case ReturnPolicy.Paced:
+      return Math.max(jittered, waitMilliseconds);
+  }
 }
--- a/packages/stand_ins/src/measure/measure_surge.ts
+++ b/packages/stand_ins/src/measure/measure_surge.ts
@@ -2,10 +2,10 @@
 import type * as configuration from "@geraniumkeel/configuration";
 import * as fullRepack from "@geraniumkeel/daemon/placement/full_repack";
 import * as holdBack from "@geraniumkeel/daemon/placement/hold_back";
-import * as hourShape from "@geraniumkeel/daemon/placement/hour_shape";
+import * as hourShape from "@geraniumkeel/daemon/forecast/hour_shape";
 import * as placementDecision from "@geraniumkeel/daemon/placement/placement_decision";
 import * as planPlacement from "@geraniumkeel/daemon/placement/plan_placement";
-import * as surgeClock from "@geraniumkeel/daemon/placement/surge_clock";
+import * as surgeClock from "@geraniumkeel/daemon/forecast/surge_clock";
 import * as expertPopularity from "./expert_popularity.ts";
 import * as statistics from "./statistics.ts";
 
--- a/packages/stand_ins/src/measure/virtual_runners.ts
+++ b/packages/stand_ins/src/measure/virtual_runners.ts
@@ -1,4 +1,5 @@
 import type * as common from "@geraniumkeel/common";
+import type * as virtualTime from "./virtual_time.ts";
 
 const RUNNERS = 48;
 
@@ -9,31 +10,32 @@
 
 /** Runners in virtual time, each with one request at a time. */
 export class VirtualRunners {
-  #free = RUNNERS;
-  readonly #ends: number[] = [];
+  #busy = 0;
 
-  /** Takes a runner; `undefined` if none is free. */
-  readonly take = (): true | undefined => {
-    if (this.#free === 0) return undefined;
-    this.#free--;
+  constructor(
+    readonly parameters: {
+      time: virtualTime.VirtualTime;
+      random: common.Random;
+      /** Told when a runner becomes free. */
+      onFree: () => void;
+    },
+  ) {}
+
+  /** Takes a runner; `undefined` if none is free in this part of all. */
+  readonly take = (roomShare = 1): true | undefined => {
+    if (this.#busy >= RUNNERS * roomShare) return undefined;
+    this.#busy++;
     return true;
   };
 
   /** Begins to serve at a taken runner; returns when that ends. */
-  serve(now: number, random: common.Random): number {
-    const end = now + random.between(0.8, 1.2) * SERVICE_MILLISECONDS;
-    this.#ends.push(end);
+  serve(meanMilliseconds = SERVICE_MILLISECONDS): number {
+    const { time, random, onFree } = this.parameters;
+    const end = time.clock() + random.between(0.8, 1.2) * meanMilliseconds;
+    time.schedule(end, () => {
+      this.#busy--;
+      onFree();
+    });
     return end;
   }
-
-  /** When the next runner becomes free; infinity while none is taken. */
-  get nextEnd(): number {
-    return Math.min(...this.#ends);
-  }
-
-  /** Frees the runner that becomes free next. */
-  endNext(): void {
-    this.#ends.splice(this.#ends.indexOf(this.nextEnd), 1);
-    this.#free++;
-  }
 }
