fix: a runner's limit holds over all entries

Cause: each entry knows of the others' requests by the runner's next report, and filled the runner by itself until then: 7 entries put 28 attempts where 4 are allowed, and 224 where 32 are, in just the surge for which the limit is set. Change: a dispatch carries the limit and the upstream process, where all entries meet, keeps it. A dispatch that finds no room waits for it 100 ms at the runner and is then refused for good; the request goes back before its equals in its entry's queue, free of charge, and the entry spares the runner until its next report. Bodies that are streamed are not refused, as they could not be sent again.

--- a/packages/daemon/src/admission/account_flow.ts
+++ b/packages/daemon/src/admission/account_flow.ts
@@ -1,5 +1,11 @@
+/** Place in the line of an account. */
+interface Place {
+  urgency: number;
+  wasAdmitted: boolean;
+}
+
 /** Requests of one account that wait, most urgent first. */
-export class AccountFlow<T extends { urgency: number }> {
+export class AccountFlow<T extends Place> {
   readonly #waiting: T[] = [];
   /** Virtual time at which the account may next be served. */
   start: number;
@@ -28,12 +34,10 @@
     return this.#waiting;
   }
 
-  /** Adds a request behind those as urgent. */
+  /** Adds a request behind those as urgent; one that had its turn before them. */
   add(item: T): void {
     let index = this.#waiting.length;
-    while (index > 0 && this.#waiting[index - 1].urgency > item.urgency) {
-      index--;
-    }
+    while (index > 0 && goesBefore(item, this.#waiting[index - 1])) index--;
     this.#waiting.splice(index, 0, item);
   }
 
@@ -45,3 +49,8 @@
     return true;
   }
 }
+
+function goesBefore(item: Place, other: Place): boolean {
+  if (item.urgency !== other.urgency) return item.urgency < other.urgency;
+  return item.wasAdmitted && !other.wasAdmitted;
+}
--- a/packages/daemon/src/admission/service_queue.ts
+++ b/packages/daemon/src/admission/service_queue.ts
@@ -16,6 +16,8 @@
   /** Deadline by this process's clock. */
   deadline: number;
   signal: AbortSignal;
+  /** It had its turn before, and comes back for no fault of its own. */
+  wasAdmitted: boolean;
   /** Takes a runner that has room in this part of its whole room. */
   take: (roomShare: number) => R | undefined;
 }
@@ -88,12 +90,12 @@
   /** Waits for a runner, or refuses at once what cannot be served in time. */
   enter(waiting: Waiting<R>): Promise<QueueOutcome<R>> | QueueOutcome<R> {
     if (waiting.signal.aborted) return { kind: "caller-gone" };
-    this.parameters.reserve?.count(waiting.urgency);
+    if (!waiting.wasAdmitted) this.parameters.reserve?.count(waiting.urgency);
     if (this.#mayPass(waiting)) {
       const runner = waiting.take(this.#roomShare(waiting));
       if (runner !== undefined) return this.#admit(runner, 0);
     }
-    if (this.#length >= this.parameters.limit() && !this.#giveWay(waiting)) {
+    if (this.#isFull && !waiting.wasAdmitted && !this.#giveWay(waiting)) {
       const waitMilliseconds = this.#timeToReturn(this.estimatedWait);
       return { kind: "full", waitMilliseconds };
     }
@@ -115,6 +117,10 @@
     while (this.#admitNext());
   }
 
+  get #isFull(): boolean {
+    return this.#length >= this.parameters.limit();
+  }
+
   #timeToReturn(queueMilliseconds: number): number {
     const requestsPerMillisecond = this.#admissions.perMillisecond;
     return this.#returns.next({ queueMilliseconds, requestsPerMillisecond });
--- a/packages/daemon/src/admission/service_queue_test.ts
+++ b/packages/daemon/src/admission/service_queue_test.ts
@@ -46,6 +46,7 @@
         urgency: surgeReserve.USUAL_URGENCY,
         deadline: Infinity,
         signal: new AbortController().signal,
+        wasAdmitted: false,
         take,
         ...change,
       });
--- a/packages/daemon/src/dispatch/conduct_attempt.ts
+++ b/packages/daemon/src/dispatch/conduct_attempt.ts
@@ -112,8 +112,17 @@
 
 /** A refusal is settled; only one that cost work is charged as a retry. */
 function refusedOutcome(reason: wire.RefusalReason): request.AttemptOutcome {
-  const charged = reason !== wire.RefusalReason.Leaving;
-  return { kind: request.AttemptOutcomeKind.NeverStarted, charged };
+  const kind = request.AttemptOutcomeKind.NeverStarted;
+  switch (reason) {
+    case wire.RefusalReason.Leaving:
+      return { kind, cause: request.NotStartedCause.Leaving };
+    case wire.RefusalReason.Full:
+      return { kind, cause: request.NotStartedCause.Full };
+    case wire.RefusalReason.OldIncarnation:
+    case wire.RefusalReason.Tombstoned:
+    case wire.RefusalReason.TooOld:
+      return { kind, cause: request.NotStartedCause.Failed };
+  }
 }
 
 function outcomeOfEnd(end: wire.AttemptEnd): request.AttemptOutcome {
@@ -127,7 +136,10 @@
     case wire.EndKind.Broken:
       return { kind: AttemptOutcomeKind.Broken, reason: end.reason };
     case wire.EndKind.NotStarted:
-      return { kind: AttemptOutcomeKind.NeverStarted, charged: true };
+      return {
+        kind: AttemptOutcomeKind.NeverStarted,
+        cause: request.NotStartedCause.Failed,
+      };
     case wire.EndKind.Cancelled:
       return { kind: AttemptOutcomeKind.Broken, reason: "cancelled" };
   }
@@ -137,7 +149,10 @@
   const { AttemptOutcomeKind } = request;
   switch (state) {
     case wire.AttemptState.NeverStarted:
-      return { kind: AttemptOutcomeKind.NeverStarted, charged: true };
+      return {
+        kind: AttemptOutcomeKind.NeverStarted,
+        cause: request.NotStartedCause.Failed,
+      };
     case wire.AttemptState.Running:
     case wire.AttemptState.Finished:
     case wire.AttemptState.Forgotten:
--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -30,6 +30,8 @@
 export interface ReservedRunner {
   runner: runnerLink.RunnerLink;
   reservation: pendingDispatches.Reservation;
+  /** Attempts that the runner may have at once, this one included. */
+  limit: number;
 }
 
 /** Either a runner, or the end of the request. */
@@ -70,6 +72,7 @@
   async obtainRunner(
     accepted: request.AcceptedRequest,
     excluded: ReadonlySet<string>,
+    wasAdmitted: boolean,
   ): Promise<ObtainedRunner> {
     const { router } = this.parameters;
     const { service, runnerConcurrency, prefixBlocks } = accepted;
@@ -84,16 +87,19 @@
       urgency: accepted.urgency,
       deadline: accepted.deadline,
       signal: accepted.signal,
+      wasAdmitted,
       take: (roomShare) => {
+        const limit = Math.max(1, Math.floor(runnerConcurrency * roomShare));
         const runner = router.choose({
           service,
-          runnerConcurrency: runnerConcurrency * roomShare,
+          runnerConcurrency: limit,
           size: { promptTokens, expectedTokens },
           prefixBlocks,
           excluded,
         });
         if (!runner) return undefined;
-        return { runner, reservation: runner.reserve(promptTokens) };
+        const reservation = runner.reserve(promptTokens);
+        return { runner, reservation, limit };
       },
     });
     switch (outcome.kind) {
@@ -122,22 +128,26 @@
     }
   }
 
-  /** Whether another attempt may be made after one that never started. */
+  /**
+   * Whether another attempt may be made after one that never started, or one
+   * whose work may be repeated. `failures` counts those that failed so far.
+   */
   mayRetry(
     accepted: request.AcceptedRequest,
-    attempts: number,
-    charged: boolean,
+    failures: number,
+    cause: request.NotStartedCause,
   ): boolean {
-    if (attempts >= MOST_ATTEMPTS) return false;
+    if (failures >= MOST_ATTEMPTS) return false;
     // What was streamed of the body is gone; there is nothing to send again.
     if (accepted.body) return false;
     const { service } = accepted;
     // Being turned away by a leaving runner cost nothing and is planned; paying
     // for it would refuse requests just because a host is taken out.
+    const charged = cause === request.NotStartedCause.Failed;
     if (charged && !this.parameters.budgetOf(service).spend()) return false;
     const { logger, metrics } = this.parameters;
     const { identifier } = accepted;
-    logger.event(common.EventCode.RequestRetried, { identifier, attempts });
+    logger.event(common.EventCode.RequestRetried, { identifier, failures });
     metrics.count(common.Metric.Retries, { service });
     return true;
   }
@@ -158,8 +168,10 @@
   ): Promise<request.RequestResult> {
     const excluded = new Set<string>();
     let mayHaveRun: string | undefined;
+    let failures = 0;
     for (let attempts = 1; ; attempts++) {
-      const obtained = await this.obtainRunner(accepted, excluded);
+      const wasAdmitted = attempts > 1;
+      const obtained = await this.obtainRunner(accepted, excluded, wasAdmitted);
       if (obtained.kind === "result") {
         return truthful(obtained.result, mayHaveRun);
       }
@@ -177,7 +189,9 @@
         case request.AttemptOutcomeKind.Deadline:
           return afterDelivery(sink, "deadline passed");
         case request.AttemptOutcomeKind.NeverStarted:
-          if (this.mayRetry(accepted, attempts, outcome.charged)) break;
+          // It goes back to the queue; its deadline ends that.
+          if (outcome.cause === request.NotStartedCause.Full) continue;
+          if (this.mayRetry(accepted, ++failures, outcome.cause)) break;
           return truthful(
             this.notRun(request.NotRunReason.EngineUnavailable),
             mayHaveRun,
@@ -189,7 +203,8 @@
           // Pieces of two samplings never make one answer: once the caller has
           // seen part of it, there is no second try.
           const fresh = accepted.repeatable && !sink.delivered;
-          if (fresh && this.mayRetry(accepted, attempts, true)) break;
+          const { Failed } = request.NotStartedCause;
+          if (fresh && this.mayRetry(accepted, ++failures, Failed)) break;
           return afterDelivery(sink, reason);
         }
       }
@@ -199,7 +214,7 @@
   }
 
   async #attemptAt(
-    { runner, reservation }: ReservedRunner,
+    { runner, reservation, limit }: ReservedRunner,
     accepted: request.AcceptedRequest,
     number: number,
     sink: answerSink.AnswerSink,
@@ -210,9 +225,10 @@
     const attempt = runner.newAttempt(identifier);
     if (!attempt) {
       const kind = request.AttemptOutcomeKind.NeverStarted;
-      return { kind, charged: true };
+      return { kind, cause: request.NotStartedCause.Failed };
     }
-    const outgoing = runner.dispatch(attempt, { ...accepted, identifier });
+    const sent = { ...accepted, identifier, limit };
+    const outgoing = runner.dispatch(attempt, sent);
     const { history, host } = this.parameters;
     history.record({ kind: "dispatched", host, identifier });
     return conductAttempt.conductAttempt({ runner, outgoing, accepted, sink });
--- a/packages/daemon/src/dispatch/keyed_request.ts
+++ b/packages/daemon/src/dispatch/keyed_request.ts
@@ -91,10 +91,16 @@
     const digest = digestOf(accepted);
     const excluded = new Set<string>();
     let base: claimStore.HeldClaim | undefined;
+    let failures = 0;
     for (let attempts = 1; ; attempts++) {
-      const obtained = await owner.obtainRunner(accepted, excluded);
+      const wasAdmitted = attempts > 1;
+      const obtained = await owner.obtainRunner(
+        accepted,
+        excluded,
+        wasAdmitted,
+      );
       if (obtained.kind === "result") return obtained.result;
-      const { runner, reservation } = obtained;
+      const { runner, reservation, limit } = obtained;
       const identifier = `${accepted.identifier}/${attempts}`;
       const attempt = runner.newAttempt(identifier);
       if (!attempt) {
@@ -124,14 +130,16 @@
       }
       base = written.held;
       const keeping = new keepingSink.KeepingSink(sink);
-      const outgoing = runner.dispatch(attempt, { ...accepted, identifier });
+      const sent = { ...accepted, identifier, limit };
+      const outgoing = runner.dispatch(attempt, sent);
       const { history, host } = this.parameters;
       history.record({ kind: "dispatched", host, identifier });
       const conducted = { runner, outgoing, accepted, sink: keeping };
       const outcome = await conductAttempt.conductAttempt(conducted);
       if (outcome.kind === request.AttemptOutcomeKind.NeverStarted) {
+        if (outcome.cause === request.NotStartedCause.Full) continue;
         excluded.add(runner.host.name);
-        if (owner.mayRetry(accepted, attempts, outcome.charged)) continue;
+        if (owner.mayRetry(accepted, ++failures, outcome.cause)) continue;
         return owner.notRun(request.NotRunReason.EngineUnavailable);
       }
       return this.#conclude({ key, held: base, outcome, keeping, runner });
--- a/packages/daemon/src/dispatch/request.ts
+++ b/packages/daemon/src/dispatch/request.ts
@@ -90,12 +90,22 @@
       finishReason: wire.FinishReason;
       promptTokens: number;
     }
-  | { kind: AttemptOutcomeKind.NeverStarted; charged: boolean }
+  | { kind: AttemptOutcomeKind.NeverStarted; cause: NotStartedCause }
   | { kind: AttemptOutcomeKind.Broken; reason: string }
   | { kind: AttemptOutcomeKind.Unsettled; reason: string }
   | { kind: AttemptOutcomeKind.Deadline }
   | { kind: AttemptOutcomeKind.CallerGone };
 
+/** Why an attempt never started. */
+export enum NotStartedCause {
+  /** Its runner or engine failed: another try is a retry and is paid for. */
+  Failed = "failed",
+  /** Its runner is leaving, as planned: another try is free. */
+  Leaving = "leaving",
+  /** Its runner has as much as it may: the request goes on waiting. */
+  Full = "full",
+}
+
 /** An attempt with the runner it was made at. */
 export interface MadeAttempt {
   runner: runnerLink.RunnerLink;
--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -36,6 +36,8 @@
   window: number;
   work: wire.Work;
   promptTokens: number;
+  /** Attempts that the runner may have at once. */
+  limit: number;
   /** Rest of the request body, if the work says that it follows. */
   body?: bodySender.BodySender;
 }
@@ -54,6 +56,8 @@
   #saidLeaving = false;
   /** When this rank's engine was last seen to step, or had nothing to do. */
   progressAt = common.now();
+  /** It turned a dispatch away since its last load report. */
+  #isFull = false;
   /** Own dispatches that the load does not yet include. */
   readonly #pending = new pendingDispatches.PendingDispatches();
   #link: wire.Link | undefined;
@@ -94,6 +98,11 @@
     return this.load.sequences + this.#pending.count;
   }
 
+  /** Whether it said so, and has told of no change since. */
+  get isFull(): boolean {
+    return this.#isFull;
+  }
+
   /** Prompt tokens of own requests that the last load report lacks. */
   get pendingTokens(): number {
     return this.#pending.promptTokens;
@@ -168,6 +177,8 @@
       service: dispatch.service,
       repeatable: dispatch.repeatable,
       window: dispatch.window,
+      // What was sent of a body is gone, so it could not be sent again.
+      limit: dispatch.body ? 0 : dispatch.limit,
       work: dispatch.work,
     });
     const send = (message: wire.Message) => this.#link?.send(message);
@@ -304,6 +315,7 @@
     this.#saidLeaving = hello.leaving;
     this.#agentClock = hello.clock;
     this.#pending.reset();
+    this.#isFull = false;
     this.progressAt = common.now();
     if (!replaced) return;
     const peer = this.host.name;
@@ -328,6 +340,7 @@
         const { reason } = message;
         const kind = outgoingAttempt.AttemptEventKind.Refused;
         if (reason === wire.RefusalReason.Leaving) this.#noteLeaving();
+        if (reason === wire.RefusalReason.Full) this.#isFull = true;
         this.#open(message.identifier)?.events.push({ kind, reason });
         return;
       }
@@ -384,6 +397,7 @@
     if (stepped || load.sequences === 0) this.progressAt = common.now();
     if (this.load.sequences === 0) this.progressAt = common.now();
     this.load = load;
+    this.#isFull = false;
     this.#agentClock = message.clock;
     this.#pending.reported(dispatches);
     this.parameters.onLoad(this);
--- a/packages/daemon/src/routing/router.ts
+++ b/packages/daemon/src/routing/router.ts
@@ -185,7 +185,7 @@
   #eligible(runner: runnerLink.RunnerLink, request: RoutingRequest): boolean {
     const { name } = runner.host;
     if (!runner.available || request.excluded.has(name)) return false;
-    if (this.#stalled(runner)) return false;
+    if (runner.isFull || this.#stalled(runner)) return false;
     const limit = request.runnerConcurrency * this.#share(name);
     return runner.sequences < Math.max(1, limit);
   }
--- a/packages/daemon/src/upstream/attempt_table.ts
+++ b/packages/daemon/src/upstream/attempt_table.ts
@@ -35,6 +35,11 @@
     readonly clock: () => number = common.now,
   ) {}
 
+  /** How many attempts run now. */
+  get runningCount(): number {
+    return this.#running.size;
+  }
+
   /** Attempts that run now. */
   get running(): attemptRecord.AttemptRecord[] {
     return [...this.#running];
@@ -108,6 +113,16 @@
     return wire.AttemptState.NeverStarted;
   }
 
+  /**
+   * Refuses an attempt for as long as a copy of its dispatch could start. There
+   * may be many in a surge, so they are not kept as long as other tombstones;
+   * whoever asks later is told the same, as none of them ever started.
+   */
+  turnAway(attempt: wire.Attempt): void {
+    const until = attempt.issuedAt + 2 * DISPATCH_VALIDITY_MILLISECONDS;
+    this.#tombstones.set(attempt.identifier, until);
+  }
+
   /** Drops what is older than the retention; returns how many. */
   sweep(): number {
     const now = this.clock();
--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -2,9 +2,14 @@
 import * as wire from "@geraniumkeel/wire";
 import * as settings from "../settings/settings.ts";
 import * as attemptRecord from "./attempt_record.ts";
+import type * as attemptTable from "./attempt_table.ts";
+import * as waitingRoom from "./waiting_room.ts";
 import * as runAttempt from "./run_attempt.ts";
 import type * as upstreamContext from "./upstream_context.ts";
 
+/** Dispatches that may wait for room at once. */
+const MOST_WAITING = 64;
+
 /** What this process says first on every link. */
 export function helloOf(context: upstreamContext.UpstreamContext): wire.Hello {
   const { settings: own, incarnation } = context;
@@ -116,6 +121,50 @@
   }
 }
 
+/**
+ * Whether a dispatch may start. The limit is kept here, where all entries meet:
+ * each of them alone would fill the runner until its next report, and 7 put 28
+ * attempts where 4 are allowed.
+ */
+function admit(
+  context: upstreamContext.UpstreamContext,
+  { attempt, limit }: MessageOf<wire.MessageKind.Dispatch>,
+): attemptTable.Admission {
+  const { table, leaving } = context;
+  const refuse = (reason: wire.RefusalReason): attemptTable.Admission => ({
+    admitted: false,
+    reason,
+  });
+  if (leaving) return refuse(wire.RefusalReason.Leaving);
+  const admission = table.admit(attempt);
+  if (admission.admitted && !hasRoom(context, limit)) {
+    return refuse(wire.RefusalReason.Full);
+  }
+  return admission;
+}
+
+function hasRoom(
+  { table }: upstreamContext.UpstreamContext,
+  limit: number,
+): boolean {
+  return limit === 0 || table.runningCount < limit;
+}
+
+/** Dispatches that wait a moment for room; started or refused when they leave. */
+export function newWaitingRoom(
+  context: upstreamContext.UpstreamContext,
+): waitingRoom.WaitingRoom<upstreamContext.WaitingDispatch> {
+  return new waitingRoom.WaitingRoom({
+    changed: context.table.changed,
+    hasRoom: ({ message }) => hasRoom(context, message.limit),
+    leave: ({ link, message }) => {
+      // Its entry has asked again over a new link, and was told "never started".
+      if (link.end === undefined) start(context, link, message);
+    },
+    mostWaiting: MOST_WAITING,
+  });
+}
+
 type MessageOf<K extends wire.MessageKind> = Extract<wire.Message, { kind: K }>;
 
 function dispatch(
@@ -123,24 +172,36 @@
   link: wire.Link,
   message: MessageOf<wire.MessageKind.Dispatch>,
 ): void {
-  const { attempt } = message;
-  const { identifier } = attempt;
+  const { identifier } = message.attempt;
   const dispatches = context.links.get(link);
   if (dispatches) dispatches.received++;
   // A second copy of a dispatch must neither run nor be called refused.
   if (context.table.records.has(identifier)) return;
-  const admission = context.leaving
-    ? { admitted: false as const, reason: wire.RefusalReason.Leaving }
-    : context.table.admit(attempt);
+  const mustWait = !hasRoom(context, message.limit);
+  if (mustWait && context.waitingRoom.enter({ link, message })) return;
+  start(context, link, message);
+}
+
+/** Starts an attempt, or refuses it for good. */
+function start(
+  context: upstreamContext.UpstreamContext,
+  link: wire.Link,
+  message: MessageOf<wire.MessageKind.Dispatch>,
+): void {
+  const { attempt } = message;
+  const { identifier } = attempt;
+  const admission = admit(context, message);
   if (!admission.admitted) {
     const { reason } = admission;
-    context.logger.event(common.EventCode.DispatchRefused, {
-      identifier,
-      reason,
-    });
+    // A full runner is no trouble, and refuses many in a surge.
+    if (reason !== wire.RefusalReason.Full) {
+      const code = common.EventCode.DispatchRefused;
+      context.logger.event(code, { identifier, reason });
+    }
     const kind = wire.MessageKind.Refused;
     // Refused is final: without the tombstone a copy could still start.
     if (reason === wire.RefusalReason.Leaving) context.table.settle(attempt);
+    if (reason === wire.RefusalReason.Full) context.table.turnAway(attempt);
     // Its entry counts it as under way until a report includes it.
     context.table.changed.announce();
     return link.send({ kind, identifier, reason });
--- a/packages/daemon/src/upstream/load_reporter.ts
+++ b/packages/daemon/src/upstream/load_reporter.ts
@@ -32,6 +32,8 @@
   constructor(
     readonly parameters: {
       table: attemptTable.AttemptTable;
+      /** Dispatches that wait for room: for entries they take room too. */
+      waiting: () => number;
       engine: engineModule.HttpEngine | undefined;
       links: ReadonlyMap<Pick<wire.Link, "send">, LinkDispatches>;
       periodMilliseconds: number;
@@ -75,7 +77,9 @@
     const { table, engine, links } = this.parameters;
     const report = await engine?.load();
     const base = report?.isOk() ? report.value : this.#last;
-    const load: wire.RunnerLoad = { ...base, ...countAttempts(table) };
+    const counts = countAttempts(table);
+    const sequences = counts.sequences + this.parameters.waiting();
+    const load: wire.RunnerLoad = { ...base, ...counts, sequences };
     if (!this.#worthTelling(load)) return;
     this.#last = load;
     this.#toldAt = common.now();
--- a/packages/daemon/src/upstream/load_reporter_test.ts
+++ b/packages/daemon/src/upstream/load_reporter_test.ts
@@ -36,6 +36,7 @@
   const reporter = new loadReporter.LoadReporter({
     table,
     engine: undefined,
+    waiting: () => 0,
     links: new Map([[{ send }, dispatches]]),
     periodMilliseconds: PERIOD_MILLISECONDS,
     idleMilliseconds: IDLE_MILLISECONDS,
--- a/packages/daemon/src/upstream/start_upstream.ts
+++ b/packages/daemon/src/upstream/start_upstream.ts
@@ -28,6 +28,7 @@
   const context = createContext(parameters, lifeCycle);
   const reporter = new loadReporter.LoadReporter({
     table: context.table,
+    waiting: () => context.waitingRoom.length,
     engine:
       context.backEnd.kind === settingsModule.BackEndKind.Model
         ? context.backEnd.engine
@@ -63,6 +64,7 @@
   });
   lifeCycle.own({ name: "links", close: accepting.close });
   lifeCycle.run("load", (signal) => reporter.run(signal));
+  lifeCycle.run("waiting", (signal) => context.waitingRoom.run(signal));
   lifeCycle.every(SWEEP_PERIOD_MILLISECONDS, () => sweep(context));
   const urls = { links: links.value.url, operators: operators.value.url };
   logger.event(common.EventCode.ProcessStarted, { urls });
@@ -104,7 +106,11 @@
     leaving: false,
     drain: () => startDrain(context),
     state: () => ({}),
+    get waitingRoom() {
+      return waiting;
+    },
   };
+  const waiting = entryLink.newWaitingRoom(context);
   return context;
 }
 
--- a/packages/daemon/src/upstream/upstream_context.ts
+++ b/packages/daemon/src/upstream/upstream_context.ts
@@ -5,6 +5,7 @@
 import type * as settings from "../settings/settings.ts";
 import type * as attemptTable from "./attempt_table.ts";
 import type * as loadReporter from "./load_reporter.ts";
+import type * as waitingRoom from "./waiting_room.ts";
 
 /** Clients of the back end on this host. */
 export type BackEnd =
@@ -18,6 +19,12 @@
       service: engineModule.HttpPlainService;
     };
 
+/** A dispatch and the link it came over. */
+export interface WaitingDispatch {
+  link: wire.Link;
+  message: Extract<wire.Message, { kind: wire.MessageKind.Dispatch }>;
+}
+
 /** What the tasks of an upstream process share. */
 export interface UpstreamContext {
   settings: settings.UpstreamSettings;
@@ -28,6 +35,8 @@
   history: common.HistoryRecorder;
   table: attemptTable.AttemptTable;
   backEnd: BackEnd;
+  /** Dispatches that came while the runner was full. */
+  waitingRoom: waitingRoom.WaitingRoom<WaitingDispatch>;
   /** Open links from entries. */
   links: Map<wire.Link, loadReporter.LinkDispatches>;
   /** Number of the newest link of each entry incarnation. */
--- a/packages/stand_ins/src/measure/measure_admission.ts
+++ b/packages/stand_ins/src/measure/measure_admission.ts
@@ -98,6 +98,7 @@
       urgency: 3,
       deadline: Infinity,
       signal: new AbortController().signal,
+      wasAdmitted: false,
       take: runners.take,
     });
     const served = () => {
--- a/packages/stand_ins/src/measure/measure_reserve.ts
+++ b/packages/stand_ins/src/measure/measure_reserve.ts
@@ -99,6 +99,7 @@
       weight: 1,
       deadline: Infinity,
       signal: new AbortController().signal,
+      wasAdmitted: false,
       take: (share) =>
         runners.take(policy === ReservePolicy.Always ? always(who) : share),
     });
--- a/packages/stand_ins/src/measure/measure_return.ts
+++ b/packages/stand_ins/src/measure/measure_return.ts
@@ -57,6 +57,7 @@
       urgency: 3,
       deadline: Infinity,
       signal: new AbortController().signal,
+      wasAdmitted: false,
       take: runners.take,
     });
     if (outcome instanceof Promise) {
--- a/packages/stand_ins/src/system/runner_limit_test.ts
+++ b/packages/stand_ins/src/system/runner_limit_test.ts
@@ -27,12 +27,26 @@
   const most = system.engine.group.ranks.map(() => 0);
   const { group } = system.engine;
   group.onStart = (rank) => {
-    const { sequences, waiting } = group.ranks[rank];
-    most[rank] = Math.max(most[rank], sequences + waiting + 1);
+    const { sequencesById } = group.ranks[rank];
+    const running = [...sequencesById.values()].filter((one) => !one.ended);
+    most[rank] = Math.max(most[rank], running.length + 1);
   };
   return most;
 }
 
+/** Sends a crowd of requests over all entries and waits for the answers. */
+async function crowd(system: cluster.Cluster): Promise<number[]> {
+  const answers = await Promise.all(
+    Array.from({ length: CALLERS }, (_, index) =>
+      system.generate({
+        prompt: `crowd ${index} [tokens=4]`,
+        entry: index % system.entries.length,
+      }),
+    ),
+  );
+  return answers.map(({ status }) => status);
+}
+
 // Callers crowd in, and most of them wait in the entry's queue. A load report
 // says that a rank has room; the queue looks at once for all that wait. Each one
 // admitted must count before the next one looks, or they all go to that rank.
@@ -47,12 +61,31 @@
     },
     async (t, system) => {
       const most = watchRanks(system);
-      const answers = await Promise.all(
-        Array.from({ length: CALLERS }, (_, index) =>
-          system.generate({ prompt: `crowd ${index} [tokens=4]` }),
-        ),
+      const statuses = await crowd(system);
+      t.true(statuses.every((status) => status === 200));
+      t.true(
+        most.every((one) => one > 0 && one <= LIMIT),
+        `most at once: ${most.join(", ")}`,
       );
-      t.true(answers.every(({ status }) => status === 200));
+    },
+  ),
+);
+
+// Callers crowd in at seven entries. Each knows of the others' requests only by
+// the runners' next report, and would fill every runner by itself until then.
+test(
+  "entries together never take more than a runner's room",
+  withCluster.withCluster(
+    {
+      entries: 7,
+      ranks: RANKS,
+      plainRunners: 0,
+      configuration: smallRunners(),
+    },
+    async (t, system) => {
+      const most = watchRanks(system);
+      const statuses = await crowd(system);
+      t.true(statuses.every((status) => status === 200));
       t.true(
         most.every((one) => one > 0 && one <= LIMIT),
         `most at once: ${most.join(", ")}`,
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -77,6 +77,7 @@
   OldIncarnation = "old-incarnation",
   TooOld = "too-old",
   Tombstoned = "tombstoned",
+  /** As many attempts as it may have are under way. */
   Full = "full",
 }
 
@@ -121,6 +122,8 @@
       repeatable: boolean;
       /** Pieces that may be sent ahead of acknowledgement. */
       window: number;
+      /** Attempts that the runner may have at once; 0 for any number. */
+      limit: number;
       work: attempt.Work;
     }
   | {
