fix: a stopping runner lets waiting dispatches go; docs of the runner's limit

Change: a drain empties the waiting room at once; each entry hears 'leaving'. The explorer's runners have room for 2, so that full runners meet every fault.

--- a/packages/configuration/src/schema.ts
+++ b/packages/configuration/src/schema.ts
@@ -76,9 +76,9 @@
 export const MODEL_SERVICE = zod.strictObject({
   kind: zod.literal(ServiceKind.Model),
   name: NAME,
-  runnerConcurrency: whole("requests a runner", 1, 4_096)
-    .default(32)
-    .meta({ description: "Requests that one runner may hold at once." }),
+  runnerConcurrency: whole("requests a runner", 1, 4_096).default(32).meta({
+    description: "Requests of all entries that one runner may hold at once.",
+  }),
   maximumTokens: whole("tokens", 1, 1_000_000)
     .default(4_096)
     .meta({ description: "Most tokens that one answer may have." }),
@@ -104,7 +104,10 @@
 export const PLAIN_SERVICE = zod.strictObject({
   kind: zod.literal(ServiceKind.Plain),
   name: NAME,
-  runnerConcurrency: whole("requests a runner", 1, 4_096).default(64),
+  runnerConcurrency: whole("requests a runner", 1, 4_096).default(64).meta({
+    description:
+      "Calls of all entries that one runner may hold at once; those with a streamed body are not counted out.",
+  }),
   queueLength: whole("requests", 0, 100_000).default(2_000),
   timeoutMilliseconds: TIMEOUT,
   maximumBodyBytes: whole("bytes", 0, 16 * 1024 * 1024)
--- a/packages/daemon/src/dispatch/keyed_request.ts
+++ b/packages/daemon/src/dispatch/keyed_request.ts
@@ -2,7 +2,9 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
 import type * as answerSink from "./answer_sink.ts";
+import * as claimOutcomes from "./claim_outcomes.ts";
 import * as claimStore from "./claim_store.ts";
+import * as claimTakeover from "./claim_takeover.ts";
 import * as conductAttempt from "./conduct_attempt.ts";
 import type * as dispatcher from "./dispatcher.ts";
 import * as keepingSink from "./keeping_sink.ts";
@@ -28,12 +30,6 @@
   settleAfterMilliseconds: number;
 }
 
-/** What an existing claim leaves to do. */
-type Resolution =
-  | { kind: "result"; result: request.RequestResult }
-  /** The claimed attempt never ran and never will: the claim is ours to use. */
-  | { kind: "take-over"; base: claimStore.HeldClaim };
-
 /**
  * Requests that may not be repeated, under a key with which the caller may ask
  * again at any entry. At most one attempt at a time is named by the claim in
@@ -42,8 +38,17 @@
 export class KeyedRequests {
   /** Requests under way here by claim key; a second one waits for the first. */
   readonly #underWay = new Map<string, Promise<unknown>>();
-
-  constructor(readonly parameters: KeyedRequestsParameters) {}
+  readonly #outcomes: claimOutcomes.ClaimOutcomes;
+  readonly #takeover: claimTakeover.ClaimTakeover;
+
+  constructor(readonly parameters: KeyedRequestsParameters) {
+    this.#outcomes = new claimOutcomes.ClaimOutcomes(parameters);
+    const outcomes = this.#outcomes;
+    this.#takeover = new claimTakeover.ClaimTakeover({
+      ...parameters,
+      outcomes,
+    });
+  }
 
   /** Runs a keyed request to its final result. */
   async run(
@@ -123,7 +128,13 @@
       }
       if (written.kind === "other") {
         const { held } = written;
-        const resolved = await this.#resolve(accepted, sink, key, digest, held);
+        const resolved = await this.#takeover.resolve(
+          accepted,
+          sink,
+          key,
+          digest,
+          held,
+        );
         if (resolved.kind === "result") return resolved.result;
         base = resolved.base;
         continue;
@@ -142,136 +153,16 @@
         if (owner.mayRetry(accepted, ++failures, outcome.cause)) continue;
         return owner.notRun(request.NotRunReason.EngineUnavailable);
       }
-      return this.#conclude({ key, held: base, outcome, keeping, runner });
-    }
-  }
-
-  /** Finds out what became of the attempt that an existing claim names. */
-  async #resolve(
-    accepted: request.AcceptedRequest,
-    sink: answerSink.AnswerSink,
-    key: string,
-    digest: string,
-    held: claimStore.HeldClaim,
-  ): Promise<Resolution> {
-    const { claim } = held;
-    if (claim.digest !== digest) {
-      return result({ kind: request.ResultKind.KeyReused });
-    }
-    switch (claim.state) {
-      case claimStore.ClaimState.Settled:
-        return result(await replay(claim, sink));
-      case claimStore.ClaimState.Unsettled:
-        return result(mayHaveRun("its outcome was lost"));
-      case claimStore.ClaimState.Claimed:
-        return this.#settleClaimed(accepted, sink, key, held);
-    }
-  }
-
-  async #settleClaimed(
-    accepted: request.AcceptedRequest,
-    sink: answerSink.AnswerSink,
-    key: string,
-    held: claimStore.HeldClaim,
-  ): Promise<Resolution> {
-    const { claim } = held;
-    const { attempt } = claim;
-    const { settleAfterMilliseconds, logger } = this.parameters;
-    const runner = this.parameters.runners.get(claim.runner);
-    if (!runner?.hello || !runner.linked) {
-      return result(mayHaveRun("its runner cannot be asked now"));
-    }
-    if (runner.hello.incarnation !== attempt.agentIncarnation) {
-      await this.#write(key, held, { state: claimStore.ClaimState.Unsettled });
-      return result(mayHaveRun("its runner was replaced"));
-    }
-    const state = await runner.settle(attempt, settleAfterMilliseconds);
-    logger.event(common.EventCode.ClaimTakenOver, {
-      identifier: attempt.identifier,
-      from: claim.entry,
-      state,
-    });
-    switch (state) {
-      case wire.AttemptState.NeverStarted:
-        return { kind: "take-over", base: held };
-      case wire.AttemptState.Running:
-      case wire.AttemptState.Finished: {
-        const keeping = new keepingSink.KeepingSink(sink);
-        const outgoing = runner.collect(attempt, accepted.window);
-        const conducted = { runner, outgoing, accepted, sink: keeping };
-        const outcome = await conductAttempt.conductAttempt(conducted);
-        if (outcome.kind === request.AttemptOutcomeKind.NeverStarted) {
-          return { kind: "take-over", base: held };
-        }
-        return result(this.#conclude({ key, held, outcome, keeping, runner }));
-      }
-      case wire.AttemptState.Forgotten:
-        await this.#write(key, held, {
-          state: claimStore.ClaimState.Unsettled,
-        });
-        return result(mayHaveRun("its outcome was forgotten"));
-      case undefined:
-        return result(mayHaveRun("its runner did not answer"));
-    }
-  }
-
-  /** Writes how a claimed attempt ended, and says it to the caller at once. */
-  #conclude(parameters: {
-    key: string;
-    held: claimStore.HeldClaim;
-    outcome: request.AttemptOutcome;
-    keeping: keepingSink.KeepingSink;
-    runner: runnerLink.RunnerLink;
-  }): request.RequestResult {
-    const { key, held, outcome, keeping, runner } = parameters;
-    const { attempt } = held.claim;
-    switch (outcome.kind) {
-      case request.AttemptOutcomeKind.Complete: {
-        const answer = keeping.kept;
-        const state = claimStore.ClaimState.Settled;
-        // The answer need not wait for this write: until it is done, a repeated
-        // request collects the answer from the runner.
-        this.parameters.lifeCycle.run("settle", async () => {
-          const written = await this.#write(key, held, { state, answer });
-          if (written) runner.close(attempt, true);
-        });
-        const { finishReason, promptTokens } = outcome;
-        const kind = request.ResultKind.Complete;
-        const { name } = runner.host;
-        return { kind, finishReason, promptTokens, runner: name };
-      }
-      case request.AttemptOutcomeKind.Broken: {
-        const state = claimStore.ClaimState.Unsettled;
-        this.parameters.lifeCycle.run("settle", async () => {
-          await this.#write(key, held, { state });
-        });
-        return broken(keeping, outcome.reason);
-      }
-      case request.AttemptOutcomeKind.Unsettled:
-        // The claim stays: when the runner is heard again, it can still tell.
-        return broken(keeping, outcome.reason);
-      case request.AttemptOutcomeKind.Deadline:
-        return broken(keeping, "deadline passed");
-      case request.AttemptOutcomeKind.CallerGone:
-      case request.AttemptOutcomeKind.NeverStarted:
-        return { kind: request.ResultKind.CallerGone };
+      return this.#outcomes.conclude({
+        key,
+        held: base,
+        outcome,
+        keeping,
+        runner,
+      });
     }
   }
 
-  async #write(
-    key: string,
-    held: claimStore.HeldClaim,
-    change: Pick<claimStore.Claim, "state" | "answer">,
-  ): Promise<boolean> {
-    const claim = { ...held.claim, ...change };
-    const written = await this.parameters.claims.write({
-      key,
-      claim,
-      base: held,
-    });
-    return written.kind === "held";
-  }
-
   #newClaim(
     digest: string,
     runner: runnerLink.RunnerLink,
@@ -302,36 +193,3 @@
   }
   return hash.digest("hex");
 }
-
-/** Gives the kept answer of a settled claim again. */
-async function replay(
-  claim: claimStore.Claim,
-  sink: answerSink.AnswerSink,
-): Promise<request.RequestResult> {
-  const { answer } = claim;
-  if (!answer) return { kind: request.ResultKind.RanBefore };
-  sink.head(answer.head);
-  await sink.pieces([Buffer.from(answer.body, "base64")]);
-  return {
-    kind: request.ResultKind.Complete,
-    finishReason: wire.FinishReason.Stop,
-    promptTokens: 0,
-    runner: claim.runner,
-  };
-}
-
-function result(value: request.RequestResult): Resolution {
-  return { kind: "result", result: value };
-}
-
-function mayHaveRun(reason: string): request.RequestResult {
-  return { kind: request.ResultKind.MayHaveRun, reason };
-}
-
-function broken(
-  sink: answerSink.AnswerSink,
-  reason: string,
-): request.RequestResult {
-  if (sink.delivered) return { kind: request.ResultKind.Incomplete, reason };
-  return mayHaveRun(reason);
-}
--- a/packages/daemon/src/upstream/start_upstream.ts
+++ b/packages/daemon/src/upstream/start_upstream.ts
@@ -121,6 +121,9 @@
   context.logger.event(common.EventCode.DrainStarted);
   const kind = wire.MessageKind.Leaving;
   for (const link of context.links.keys()) link.send({ kind });
+  // Stopped with them waiting, the process would leave their entries in doubt
+  // over requests that never ran.
+  context.waitingRoom.clear();
 }
 
 function createBackEnd(
--- a/packages/daemon/src/upstream/waiting_room.ts
+++ b/packages/daemon/src/upstream/waiting_room.ts
@@ -18,7 +18,7 @@
  * empty for as long: with 7 entries a full runner did a quarter of its work.
  */
 export class WaitingRoom<T> {
-  #waiting: Waiting<T>[] = [];
+  readonly #waiting: Waiting<T>[] = [];
   readonly #entered = new common.ChangeNotice();
 
   constructor(
@@ -48,6 +48,12 @@
     return true;
   }
 
+  /** Lets all out at once, when nothing is to start any more. */
+  clear(): void {
+    const { leave } = this.parameters;
+    for (const { value } of this.#waiting.splice(0)) leave(value);
+  }
+
   /** Lets dispatches out, first come first, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
--- a/packages/daemon/src/upstream/waiting_room_test.ts
+++ b/packages/daemon/src/upstream/waiting_room_test.ts
@@ -80,3 +80,15 @@
   t.is(room.length, 1);
   await stop();
 });
+
+// The process is told to stop. Nothing starts any more, so nothing waits: each
+// entry hears at once that its request did not run here.
+test("a room that is cleared lets all out at once", async (t) => {
+  const { room, left, stop } = fixture();
+  room.enter("a");
+  room.enter("b");
+  room.clear();
+  t.deepEqual(left, ["a refused", "b refused"]);
+  t.is(room.length, 0);
+  await stop();
+});
--- a/packages/stand_ins/src/explore/run_case.ts
+++ b/packages/stand_ins/src/explore/run_case.ts
@@ -18,6 +18,7 @@
 
 const CALLERS = 12;
 const SETTLE_MILLISECONDS = 10_000;
+const RUNNER_CONCURRENCY = 2;
 
 /** Runs one case and checks its history. */
 export async function runCase(
@@ -64,16 +65,20 @@
   }
 }
 
-/** Experts move all the time, so that switches meet every fault. */
+/**
+ * Experts move all the time, so that switches meet every fault; runners are soon
+ * full, so that turned-away and waiting dispatches do.
+ */
 export function exploreConfiguration(
   numbersSteps: boolean,
 ): testConfiguration.DocumentInput {
-  return testConfiguration.eagerPlacement({
+  const document = testConfiguration.eagerPlacement({
     slotsPerRank: 12,
     megabytesPerExpert: 1,
     tokenMilliseconds: 0.4,
     switching: numbersSteps ? "at-step" : "hold-all",
   });
+  return testConfiguration.smallRunners(document, RUNNER_CONCURRENCY);
 }
 
 function record(system: clusterModule.Cluster): historyModule.History {
--- a/packages/stand_ins/src/system/runner_limit_test.ts
+++ b/packages/stand_ins/src/system/runner_limit_test.ts
@@ -1,5 +1,4 @@
 import * as ava from "ava";
-import * as configuration from "@geraniumkeel/configuration";
 import type * as cluster from "../testing/cluster.ts";
 import * as testConfiguration from "../testing/test_configuration.ts";
 import * as withCluster from "../testing/with_cluster.ts";
@@ -10,17 +9,10 @@
 const RANKS = 2;
 const CALLERS = 60;
 
-function smallRunners(): testConfiguration.DocumentInput {
-  const document = testConfiguration.testConfiguration();
-  return {
-    ...document,
-    services: document.services.map((service) =>
-      service.kind === configuration.ServiceKind.Model
-        ? { ...service, runnerConcurrency: LIMIT }
-        : service,
-    ),
-  };
-}
+const CONFIGURATION = testConfiguration.smallRunners(
+  testConfiguration.testConfiguration(),
+  LIMIT,
+);
 
 /** Most sequences that each rank had at the same time, from now on. */
 function watchRanks(system: cluster.Cluster): number[] {
@@ -57,7 +49,7 @@
       entries: 1,
       ranks: RANKS,
       plainRunners: 0,
-      configuration: smallRunners(),
+      configuration: CONFIGURATION,
     },
     async (t, system) => {
       const most = watchRanks(system);
@@ -80,7 +72,7 @@
       entries: 7,
       ranks: RANKS,
       plainRunners: 0,
-      configuration: smallRunners(),
+      configuration: CONFIGURATION,
     },
     async (t, system) => {
       const most = watchRanks(system);
--- a/packages/stand_ins/src/system/surge_reserve_test.ts
+++ b/packages/stand_ins/src/system/surge_reserve_test.ts
@@ -1,6 +1,5 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
-import * as configuration from "@geraniumkeel/configuration";
 import type * as cluster from "../testing/cluster.ts";
 import * as testConfiguration from "../testing/test_configuration.ts";
 import * as withCluster from "../testing/with_cluster.ts";
@@ -18,20 +17,14 @@
   return { set: (milliseconds) => (wall = milliseconds) };
 }
 
-function smallRunners(): testConfiguration.DocumentInput {
+/** Runners with room for four, of which surges get a half. */
+function halfForSurges(): testConfiguration.DocumentInput {
   const document = testConfiguration.testConfiguration();
-  return {
-    ...document,
-    services: document.services.map((service) =>
-      service.kind === configuration.ServiceKind.Model
-        ? { ...service, runnerConcurrency: 4 }
-        : service,
-    ),
-    presets: document.presets.map((preset) => ({
-      ...preset,
-      surgeReserve: 0.5,
-    })),
-  };
+  const presets = document.presets.map((preset) => ({
+    ...preset,
+    surgeReserve: 0.5,
+  }));
+  return testConfiguration.smallRunners({ ...document, presets }, 4);
 }
 
 function modelQueue(system: cluster.Cluster): {
@@ -50,7 +43,7 @@
 test(
   "report jobs leave room just before a surge that was learned",
   withCluster.withCluster(
-    { entries: 1, ranks: 1, plainRunners: 0, configuration: smallRunners() },
+    { entries: 1, ranks: 1, plainRunners: 0, configuration: halfForSurges() },
     async (t, system) => {
       const clock = wallClock();
       clock.set(HOUR);
--- a/packages/stand_ins/src/testing/test_configuration.ts
+++ b/packages/stand_ins/src/testing/test_configuration.ts
@@ -70,3 +70,15 @@
     presets: document.presets.map((preset) => ({ ...preset, placement })),
   };
 }
+
+/** The same configuration with runners that hold few requests at once. */
+export function smallRunners(
+  document: DocumentInput,
+  runnerConcurrency: number,
+): DocumentInput {
+  const services = document.services.map((service) => ({
+    ...service,
+    runnerConcurrency,
+  }));
+  return { ...document, services };
+}
