--- a/packages/daemon/src/admission/service_queue.ts
+++ b/packages/daemon/src/admission/service_queue.ts
@@ -194,11 +194,7 @@
       }
       this.#leave(flow, item);
       this.#virtualTime = Math.max(this.#virtualTime, flow.start);
-      const scale = Math.pow(
-        2,
-        (item.urgency - surgeReserve.USUAL_URGENCY) / 2,
-      );
-      flow.start += (item.cost * scale) / item.weight;
+      flow.start += shareOf(item);
       item.settle(this.#admit(runner, this.#now() - item.queuedAt));
       return true;
     }
@@ -264,3 +260,10 @@
 function isLessUrgent(urgency: number): boolean {
   return urgency > surgeReserve.USUAL_URGENCY;
 }
+
+/** How far a request moves its account back; once, if it comes back itself. */
+function shareOf(item: Waiting<unknown>): number {
+  if (item.wasAdmitted) return 0;
+  const urgency = item.urgency - surgeReserve.USUAL_URGENCY;
+  return (item.cost * Math.pow(2, urgency / 2)) / item.weight;
+}
--- a/packages/daemon/src/admission/service_queue_test.ts
+++ b/packages/daemon/src/admission/service_queue_test.ts
@@ -11,10 +11,7 @@
 interface Fixture {
   queue: serviceQueue.ServiceQueue<true>;
   /** Enters a request; its outcome's kind is noted under its name. */
-  enter: (
-    name: string,
-    change?: { account?: string; urgency?: number },
-  ) => void;
+  enter: (name: string, change?: Partial<serviceQueue.Waiting<true>>) => void;
   outcomes: Map<string, string>;
   /** Frees places at runners and admits who waits. */
   free: (places: number) => Promise<void>;
@@ -140,3 +137,18 @@
   await free(2);
   t.is(outcomes.get("small"), "admitted");
 });
+
+// A request was admitted, and its runner turned out to be full. It goes first
+// among its account's, and does not cost the account a second turn.
+test("a request that comes back goes first and is not charged again", async (t) => {
+  const { enter, outcomes, free } = fixture();
+  for (const name of ["1", "2", "3", "4"]) enter(name);
+  enter("next");
+  enter("other", { account: "two" });
+  enter("back", { wasAdmitted: true });
+  await free(1);
+  t.is(outcomes.get("back"), "admitted");
+  t.is(outcomes.get("next"), undefined);
+  await free(1);
+  t.is(outcomes.get("next"), "admitted");
+});
--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -147,7 +147,8 @@
   { table }: upstreamContext.UpstreamContext,
   limit: number,
 ): boolean {
-  return limit === 0 || table.runningCount < limit;
+  // An entry of an earlier version sends no limit.
+  return limit > 0 ? table.runningCount < limit : true;
 }
 
 /** Dispatches that wait a moment for room; started or refused when they leave. */
