fix: only a dispatch that could start waits for room

A dispatch that met a full runner entered the waiting room before anything else was asked of it. One that arrived after the drain had emptied the room waited again, and one that was tombstoned waited to be refused. Whether the attempt was known already was asked only on the way in, so the second of two waiting copies could be called refused while the first ran. Change: all of it is asked in the one function that both ways pass through; only the answer 'full' leads to the room. The room is made with the context and not behind a getter.

--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -137,30 +137,29 @@
   });
   if (leaving) return refuse(wire.RefusalReason.Leaving);
   const admission = table.admit(attempt);
-  if (admission.admitted && !hasRoom(context, limit)) {
+  if (admission.admitted && !hasRoom(table, limit)) {
     return refuse(wire.RefusalReason.Full);
   }
   return admission;
 }
 
-function hasRoom(
-  { table }: upstreamContext.UpstreamContext,
-  limit: number,
-): boolean {
+function hasRoom(table: attemptTable.AttemptTable, limit: number): boolean {
   // An entry of an earlier version sends no limit.
   return limit > 0 ? table.runningCount < limit : true;
 }
 
 /** Dispatches that wait a moment for room; started or refused when they leave. */
 export function newWaitingRoom(
-  context: upstreamContext.UpstreamContext,
+  table: attemptTable.AttemptTable,
+  context: () => upstreamContext.UpstreamContext,
 ): waitingRoom.WaitingRoom<upstreamContext.WaitingDispatch> {
   return new waitingRoom.WaitingRoom({
-    changed: context.table.changed,
-    hasRoom: ({ message }) => hasRoom(context, message.limit),
-    leave: ({ link, message }) => {
+    changed: table.changed,
+    hasRoom: ({ message }) => hasRoom(table, message.limit),
+    leave: (waiting) => {
       // Its entry has asked again over a new link, and was told "never started".
-      if (link.end === undefined) start(context, link, message);
+      if (waiting.link.end !== undefined) return;
+      start({ context: context(), ...waiting, mayWait: false });
     },
     mostWaiting: MOST_WAITING,
   });
@@ -173,27 +172,31 @@
   link: wire.Link,
   message: MessageOf<wire.MessageKind.Dispatch>,
 ): void {
-  const { identifier } = message.attempt;
   const dispatches = context.links.get(link);
   if (dispatches) dispatches.received++;
-  // A second copy of a dispatch must neither run nor be called refused.
-  if (context.table.records.has(identifier)) return;
-  const mustWait = !hasRoom(context, message.limit);
-  if (mustWait && context.waitingRoom.enter({ link, message })) return;
-  start(context, link, message);
+  start({ context, link, message, mayWait: true });
 }
 
-/** Starts an attempt, or refuses it for good. */
+/**
+ * Starts an attempt, has it wait for room, or refuses it for good. All of it is
+ * asked again of one that has waited: meanwhile it may have been settled.
+ */
 function start(
-  context: upstreamContext.UpstreamContext,
-  link: wire.Link,
-  message: MessageOf<wire.MessageKind.Dispatch>,
+  parameters: upstreamContext.WaitingDispatch & {
+    context: upstreamContext.UpstreamContext;
+    mayWait: boolean;
+  },
 ): void {
+  const { context, link, message, mayWait } = parameters;
   const { attempt } = message;
   const { identifier } = attempt;
+  // A second copy of a dispatch must neither run nor be called refused.
+  if (context.table.records.has(identifier)) return;
   const admission = admit(context, message);
   if (!admission.admitted) {
     const { reason } = admission;
+    const waits = mayWait && reason === wire.RefusalReason.Full;
+    if (waits && context.waitingRoom.enter({ link, message })) return;
     // A full runner is no trouble, and refuses many in a surge.
     if (reason !== wire.RefusalReason.Full) {
       const code = common.EventCode.DispatchRefused;
--- /dev/null
+++ b/packages/daemon/src/upstream/entry_link_test.ts
@@ -0,0 +1,147 @@
+import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
+import * as wire from "@geraniumkeel/wire";
+import * as attemptRecord from "./attempt_record.ts";
+import * as attemptTable from "./attempt_table.ts";
+import * as entryLink from "./entry_link.ts";
+import type * as upstreamContext from "./upstream_context.ts";
+
+const test = ava.default;
+
+const INCARNATION = "incarnation-one";
+
+function attempt(identifier: string): wire.Attempt {
+  return { identifier, agentIncarnation: INCARNATION, issuedAt: common.now() };
+}
+
+/** Work that no back end is needed for: this one ends as soon as it starts. */
+function dispatch(identifier: string): wire.Message {
+  return {
+    kind: wire.MessageKind.Dispatch,
+    attempt: attempt(identifier),
+    account: "counter",
+    service: "plain",
+    repeatable: true,
+    window: 1,
+    limit: 1,
+    work: {
+      kind: wire.WorkKind.Generate,
+      prompt: "",
+      maximumTokens: 1,
+      urgency: 3,
+      options: {},
+    },
+  };
+}
+
+const HELLO = {
+  kind: wire.MessageKind.Hello,
+  host: "entry-one",
+  incarnation: "entry",
+  linkNumber: 1,
+} as wire.Message;
+
+interface Fixture {
+  context: upstreamContext.UpstreamContext;
+  /** Identifiers of attempts that started, in order. */
+  started: string[];
+  sent: wire.Message[];
+  /** Serves a link over which these messages come; it stays open. */
+  receive: (messages: wire.Message[]) => Promise<void>;
+  /** Ends the attempt that fills the runner. */
+  free: () => void;
+}
+
+/** A process whose runner has room for one attempt, and has one. */
+function fixture(): Fixture {
+  const sent: wire.Message[] = [];
+  const started: string[] = [];
+  const table = new attemptTable.AttemptTable(INCARNATION);
+  const link = (messages: wire.Message[]): wire.Link =>
+    ({
+      end: undefined,
+      closeOn: () => undefined,
+      close: () => undefined,
+      send: (message: wire.Message) => sent.push(message),
+      receive: () => Promise.resolve(HELLO),
+      async *messages() {
+        yield* messages;
+      },
+    }) as unknown as wire.Link;
+  const other = link([]);
+  const filling = attempt("filling");
+  const record = new attemptRecord.AttemptRecord(filling, true, other, 1, 0);
+  table.add(record);
+  const context = {
+    settings: { host: "runner", place: "", service: "", backEnd: {} },
+    incarnation: INCARNATION,
+    lifeCycle: new common.LifeCycle("runner"),
+    logger: new common.RecordingLogger(),
+    history: {
+      record: (event: { identifier: string }) => started.push(event.identifier),
+    },
+    table,
+    backEnd: {},
+    links: new Map(),
+    newestLink: new Map(),
+    leaving: false,
+  } as unknown as upstreamContext.UpstreamContext;
+  context.waitingRoom = entryLink.newWaitingRoom(table, () => context);
+  return {
+    context,
+    started,
+    sent,
+    receive: (messages) => entryLink.serveEntryLink(context, link(messages)),
+    free: () => table.ended(record),
+  };
+}
+
+function refusals(sent: wire.Message[]): wire.RefusalReason[] {
+  return sent.flatMap((message) =>
+    message.kind === wire.MessageKind.Refused ? [message.reason] : [],
+  );
+}
+
+test("a dispatch that finds no room waits, and starts when there is some", async (t) => {
+  const { context, started, sent, receive, free } = fixture();
+  await receive([dispatch("one")]);
+  t.is(context.waitingRoom.length, 1);
+  t.deepEqual(started, []);
+  free();
+  context.waitingRoom.clear();
+  t.deepEqual(started, ["one"]);
+  t.deepEqual(refusals(sent), []);
+});
+
+// The runner is full and told to stop; the room is emptied. A dispatch arrives
+// that was sent before its entry heard of it. Did it wait, the process could end
+// with it, and its entry would be in doubt over a request that never ran.
+test("a dispatch to a full runner that is leaving is refused at once", async (t) => {
+  const { context, started, sent, receive } = fixture();
+  context.leaving = true;
+  await receive([dispatch("one")]);
+  t.is(context.waitingRoom.length, 0);
+  t.deepEqual(refusals(sent), [wire.RefusalReason.Leaving]);
+  t.deepEqual(started, []);
+});
+
+// Another entry settled the attempt: it is refused for good. There is nothing to
+// wait for, whether or not there is room.
+test("a tombstoned dispatch to a full runner does not wait", async (t) => {
+  const { context, sent, receive } = fixture();
+  context.table.settle(attempt("one"));
+  await receive([dispatch("one")]);
+  t.is(context.waitingRoom.length, 0);
+  t.deepEqual(refusals(sent), [wire.RefusalReason.Tombstoned]);
+});
+
+// Two copies of a dispatch wait. The first starts. Were the second refused, its
+// entry would run the request elsewhere too; were it started, it would run twice.
+test("a second copy of a dispatch that waits is neither run nor refused", async (t) => {
+  const { context, started, sent, receive, free } = fixture();
+  await receive([dispatch("one"), dispatch("one")]);
+  free();
+  context.waitingRoom.clear();
+  t.deepEqual(started, ["one"]);
+  t.deepEqual(refusals(sent), []);
+});
--- a/packages/daemon/src/upstream/start_upstream.ts
+++ b/packages/daemon/src/upstream/start_upstream.ts
@@ -95,22 +95,20 @@
   lifeCycle: common.LifeCycle,
 ): upstreamContext.UpstreamContext {
   const incarnation = common.randomIdentifier();
+  const table = new attemptTable.AttemptTable(incarnation);
   const context: upstreamContext.UpstreamContext = {
     ...parameters,
     incarnation,
     lifeCycle,
-    table: new attemptTable.AttemptTable(incarnation),
+    table,
+    waitingRoom: entryLink.newWaitingRoom(table, () => context),
     backEnd: createBackEnd(parameters.settings, incarnation, lifeCycle),
     links: new Map(),
     newestLink: new Map(),
     leaving: false,
     drain: () => startDrain(context),
     state: () => ({}),
-    get waitingRoom() {
-      return waiting;
-    },
   };
-  const waiting = entryLink.newWaitingRoom(context);
   return context;
 }
 
