refactor: tests of the limit, requests of the measurements and a check stand once

Two tests of a runner's limit differed in the number of entries; three measurements made the same request for a queue; one text stood three times in the schema. No behaviour changes; assertions are as they were.

--- a/packages/configuration/src/schema.ts
+++ b/packages/configuration/src/schema.ts
@@ -146,6 +146,8 @@
   maximumSwitches: whole("switches at once", 1, 64).default(1),
 });
 
+const SURGE_RESERVE_ERROR = { error: "use a number from 0 to 0.9" };
+
 /** Settings for one kind of day; exactly one preset is in force. */
 export const PRESET = zod.strictObject({
   name: NAME,
@@ -159,9 +161,9 @@
     .default(2)
     .meta({ description: "Centre of the jittered Retry-After." }),
   surgeReserve: zod
-    .number({ error: "use a number from 0 to 0.9" })
-    .min(0, { error: "use a number from 0 to 0.9" })
-    .max(0.9, { error: "use a number from 0 to 0.9" })
+    .number(SURGE_RESERVE_ERROR)
+    .min(0, SURGE_RESERVE_ERROR)
+    .max(0.9, SURGE_RESERVE_ERROR)
     .default(0.5)
     .meta({
       description:
--- a/packages/daemon/src/admission/service_queue.ts
+++ b/packages/daemon/src/admission/service_queue.ts
@@ -144,10 +144,7 @@
   #mayPass({ urgency }: Waiting<R>): boolean {
     if (this.#length === 0) return true;
     const onlyLessUrgent = this.#lessUrgent === this.#length;
-    return onlyLessUrgent && !isLessUrgent(urgency) && this.#isReserving;
-  }
-
-  get #isReserving(): boolean {
+    if (!onlyLessUrgent || isLessUrgent(urgency)) return false;
     return this.parameters.reserve?.expected ?? false;
   }
 
--- a/packages/stand_ins/src/measure/measure_admission.ts
+++ b/packages/stand_ins/src/measure/measure_admission.ts
@@ -2,6 +2,7 @@
 import * as creditBucket from "@geraniumkeel/daemon/admission/credit_bucket";
 import * as serviceQueue from "@geraniumkeel/daemon/admission/service_queue";
 import * as statistics from "./statistics.ts";
+import * as virtualRequest from "./virtual_request.ts";
 import * as virtualRunners from "./virtual_runners.ts";
 import * as virtualTime from "./virtual_time.ts";
 
@@ -91,16 +92,11 @@
     if (account === 0 && !isAdmitted()) return;
     const arrivedAt = clock();
     asked[account]++;
-    const outcome = queue.enter({
-      account: fair ? String(account) : "all",
-      weight: 1,
-      cost: 100,
-      urgency: 3,
-      deadline: Infinity,
-      signal: new AbortController().signal,
-      wasAdmitted: false,
-      take: runners.take,
-    });
+    const who = fair ? String(account) : "all";
+    const { take } = runners;
+    const outcome = queue.enter(
+      virtualRequest.virtualRequest({ account: who, take }),
+    );
     const served = () => {
       const late = runners.serve() - arrivedAt > DEADLINE_MILLISECONDS;
       if (!late) answeredInTime[account]++;
--- a/packages/stand_ins/src/measure/measure_reserve.ts
+++ b/packages/stand_ins/src/measure/measure_reserve.ts
@@ -2,6 +2,7 @@
 import * as serviceQueue from "@geraniumkeel/daemon/admission/service_queue";
 import * as surgeReserve from "@geraniumkeel/daemon/admission/surge_reserve";
 import * as statistics from "./statistics.ts";
+import * as virtualRequest from "./virtual_request.ts";
 import * as virtualRunners from "./virtual_runners.ts";
 import * as virtualTime from "./virtual_time.ts";
 
@@ -16,8 +17,7 @@
 const BACKGROUND_MILLISECONDS = 20 * SECOND;
 const BACKGROUND_WAITING = 64;
 const BACKGROUND_URGENCY = 6;
-/** Costs in tokens, as far apart as the times that answers take. */
-const USUAL_COST = 100;
+/** In tokens; as far from a usual cost as the times that answers take. */
 const BACKGROUND_COST = 5_000;
 
 /** When room is kept free of background requests. */
@@ -87,22 +87,15 @@
   const runners = new virtualRunners.VirtualRunners({ time, random, onFree });
   const waits: number[] = [];
   let background = 0;
-  const enter = (request: {
-    account: string;
-    urgency: number;
-    cost: number;
-    served: () => void;
-  }): void => {
-    const { served, ...who } = request;
-    const outcome = queue.enter({
-      ...who,
-      weight: 1,
-      deadline: Infinity,
-      signal: new AbortController().signal,
-      wasAdmitted: false,
-      take: (share) =>
-        runners.take(policy === ReservePolicy.Always ? always(who) : share),
-    });
+  const enter = (
+    who: { account: string; urgency?: number; cost?: number },
+    served: () => void,
+  ): void => {
+    const take = (share: number) =>
+      runners.take(policy === ReservePolicy.Always ? always(who) : share);
+    const outcome = queue.enter(
+      virtualRequest.virtualRequest({ ...who, take }),
+    );
     if (outcome instanceof Promise) void outcome.then(served);
     else served();
   };
@@ -114,8 +107,7 @@
       runners.serve();
       if (inLastSurge(arrivedAt)) waits.push(clock() - arrivedAt);
     };
-    const urgency = surgeReserve.USUAL_URGENCY;
-    enter({ account: "counters", urgency, cost: USUAL_COST, served });
+    enter({ account: "counters" }, served);
   };
   const ask = (): void => {
     const served = () => {
@@ -124,7 +116,7 @@
       time.schedule(clock(), ask);
     };
     const urgency = BACKGROUND_URGENCY;
-    enter({ account: "reports", urgency, cost: BACKGROUND_COST, served });
+    enter({ account: "reports", urgency, cost: BACKGROUND_COST }, served);
   };
   time.schedule(0, arrive);
   for (let one = 0; one < BACKGROUND_WAITING; one++) time.schedule(0, ask);
@@ -146,8 +138,8 @@
   return new surgeReserve.SurgeReserve({ share, wallClock });
 }
 
-function always({ urgency }: { urgency: number }): number {
-  if (urgency <= surgeReserve.USUAL_URGENCY) return 1;
+function always({ urgency }: { urgency?: number }): number {
+  if (urgency === undefined) return 1;
   return 1 - SHARES[ReservePolicy.Always];
 }
 
--- a/packages/stand_ins/src/measure/measure_return.ts
+++ b/packages/stand_ins/src/measure/measure_return.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as serviceQueue from "@geraniumkeel/daemon/admission/service_queue";
 import * as statistics from "./statistics.ts";
+import * as virtualRequest from "./virtual_request.ts";
 import * as virtualRunners from "./virtual_runners.ts";
 import * as virtualTime from "./virtual_time.ts";
 
@@ -50,16 +51,10 @@
   const runners = new virtualRunners.VirtualRunners({ time, random, onFree });
   let refusals = 0;
   const arrive = (): void => {
-    const outcome = queue.enter({
-      account: "all",
-      weight: 1,
-      cost: 100,
-      urgency: 3,
-      deadline: Infinity,
-      signal: new AbortController().signal,
-      wasAdmitted: false,
-      take: runners.take,
-    });
+    const { take } = runners;
+    const outcome = queue.enter(
+      virtualRequest.virtualRequest({ account: "all", take }),
+    );
     if (outcome instanceof Promise) {
       void outcome.then(() => runners.serve());
       return;
--- a/packages/stand_ins/src/system/runner_limit_test.ts
+++ b/packages/stand_ins/src/system/runner_limit_test.ts
@@ -39,49 +39,35 @@
   return answers.map(({ status }) => status);
 }
 
+/** A test that sends a crowd and looks how many each rank had at once. */
+function holdsLimit(
+  entries: number,
+): (t: ava.ExecutionContext) => Promise<void> {
+  const options = {
+    entries,
+    ranks: RANKS,
+    plainRunners: 0,
+    configuration: CONFIGURATION,
+  };
+  return withCluster.withCluster(options, async (t, system) => {
+    const most = watchRanks(system);
+    const statuses = await crowd(system);
+    t.true(statuses.every((status) => status === 200));
+    t.true(
+      most.every((one) => one > 0 && one <= LIMIT),
+      `most at once: ${most.join(", ")}`,
+    );
+  });
+}
+
 // Callers crowd in, and most of them wait in the entry's queue. A load report
 // says that a rank has room; the queue looks at once for all that wait. Each one
 // admitted must count before the next one looks, or they all go to that rank.
 test(
   "a crowd in the queue never takes more than a runner's room",
-  withCluster.withCluster(
-    {
-      entries: 1,
-      ranks: RANKS,
-      plainRunners: 0,
-      configuration: CONFIGURATION,
-    },
-    async (t, system) => {
-      const most = watchRanks(system);
-      const statuses = await crowd(system);
-      t.true(statuses.every((status) => status === 200));
-      t.true(
-        most.every((one) => one > 0 && one <= LIMIT),
-        `most at once: ${most.join(", ")}`,
-      );
-    },
-  ),
+  holdsLimit(1),
 );
 
 // Callers crowd in at seven entries. Each knows of the others' requests only by
 // the runners' next report, and would fill every runner by itself until then.
-test(
-  "entries together never take more than a runner's room",
-  withCluster.withCluster(
-    {
-      entries: 7,
-      ranks: RANKS,
-      plainRunners: 0,
-      configuration: CONFIGURATION,
-    },
-    async (t, system) => {
-      const most = watchRanks(system);
-      const statuses = await crowd(system);
-      t.true(statuses.every((status) => status === 200));
-      t.true(
-        most.every((one) => one > 0 && one <= LIMIT),
-        `most at once: ${most.join(", ")}`,
-      );
-    },
-  ),
-);
+test("entries together never take more than a runner's room", holdsLimit(7));
