--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -47,6 +47,12 @@
   PlacementHeldBack = 1703,
   RunnerSpared = 1801,
   RunnerRestored = 1802,
+  DocumentUnavailable = 1901,
+  DocumentAvailable = 1902,
+  DocumentInForce = 1903,
+  RunnerUnreadable = 1904,
+  Forwarded = 2001,
+  ForwardRefused = 2002,
 }
 
 /** How much attention an event asks for. */
@@ -305,4 +311,37 @@
     meaning: "A spared runner makes progress again.",
     action: NONE,
   },
+  [EventCode.DocumentUnavailable]: {
+    level: EventLevel.Warn,
+    meaning:
+      "The store did not give a document; `age` tells for how long a newer one may have gone unseen.",
+    action: "Check the store, and the network of this host.",
+  },
+  [EventCode.DocumentAvailable]: {
+    level: EventLevel.Info,
+    meaning: "The store gives a document again.",
+    action: NONE,
+  },
+  [EventCode.DocumentInForce]: {
+    level: EventLevel.Info,
+    meaning: "A newer version of a document is in force in this process.",
+    action: NONE,
+  },
+  [EventCode.RunnerUnreadable]: {
+    level: EventLevel.Warn,
+    meaning: "A runner's registration cannot be read; it gets no work.",
+    action: "Look at what the runner registers.",
+  },
+  [EventCode.Forwarded]: {
+    level: EventLevel.Info,
+    meaning:
+      "A request was passed on and has ended; `attempts` tells runner, end and time of each.",
+    action: NONE,
+  },
+  [EventCode.ForwardRefused]: {
+    level: EventLevel.Info,
+    meaning:
+      "A request was answered without a runner; `reason` says why, `version` and `age` by which configuration.",
+    action: NONE,
+  },
 };
--- a/packages/common/src/mod.ts
+++ b/packages/common/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./event_catalogue.ts";
 export * from "./hash.ts";
 export * from "./history.ts";
+export * from "./instant.ts";
 export * from "./keys.ts";
 export * from "./life_cycle.ts";
 export * from "./logger.ts";
--- a/packages/daemon/src/configuration/configuration_store.ts
+++ b/packages/daemon/src/configuration/configuration_store.ts
@@ -1,7 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as configuration from "@geraniumkeel/configuration";
 import * as neverthrow from "neverthrow";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import type * as wire from "@geraniumkeel/wire";
 
 const HEAD_KEY = "configuration/head";
@@ -40,7 +40,7 @@
 export class ConfigurationStore {
   constructor(
     readonly parameters: {
-      table: platform.TableService;
+      table: backingServices.TableService;
       random: common.Random;
       patienceMilliseconds: number;
     },
@@ -48,7 +48,7 @@
 
   /** Reads the head; `undefined` before the first change. */
   async readHead(): Promise<
-    neverthrow.Result<ReadHead | undefined, platform.TableUnavailable>
+    neverthrow.Result<ReadHead | undefined, backingServices.TableUnavailable>
   > {
     const row = await this.parameters.table.get(HEAD_KEY);
     return row.map((value) => value && parseHead(value));
@@ -62,7 +62,7 @@
     head: configuration.Head,
     held: Record<string, number>,
   ): Promise<
-    neverthrow.Result<wire.SectionPush[] | undefined, platform.TableUnavailable>
+    neverthrow.Result<wire.SectionPush[] | undefined, backingServices.TableUnavailable>
   > {
     const sections: wire.SectionPush[] = [];
     for (const [name, revision] of Object.entries(head.sections)) {
@@ -99,7 +99,7 @@
       changed,
       texts,
     });
-    const outcome = await platform.writeDefinitely({
+    const outcome = await backingServices.writeDefinitely({
       table: this.parameters.table,
       write: { transaction, decidingKey: HEAD_KEY, nonce },
       timeoutMilliseconds: this.parameters.patienceMilliseconds,
@@ -107,7 +107,7 @@
       signal: parameters.signal,
     });
     switch (outcome.kind) {
-      case platform.DefiniteKind.Committed: {
+      case backingServices.DefiniteKind.Committed: {
         const sections = changed.map((name) => ({
           name,
           revision,
@@ -115,13 +115,13 @@
         }));
         return { kind: "committed", head: publicHead(stored), sections };
       }
-      case platform.DefiniteKind.Conflict: {
+      case backingServices.DefiniteKind.Conflict: {
         const winner = outcome.row && parseHead(outcome.row).head;
         return { kind: "conflict", head: winner && publicHead(winner) };
       }
-      case platform.DefiniteKind.NotWritten:
+      case backingServices.DefiniteKind.NotWritten:
         return { kind: "not-written", reason: outcome.reason };
-      case platform.DefiniteKind.GivenUp:
+      case backingServices.DefiniteKind.GivenUp:
         return { kind: "given-up", reason: outcome.reason };
     }
   }
@@ -137,7 +137,7 @@
   return `configuration/section/${name}/${revision}`;
 }
 
-function parseHead(row: platform.Row): ReadHead {
+function parseHead(row: backingServices.Row): ReadHead {
   const head = JSON.parse(row.value) as StoredHead;
   return { head, rowRevision: row.revision };
 }
@@ -165,19 +165,19 @@
   head: StoredHead;
   changed: string[];
   texts: configuration.Sections;
-}): { transaction: platform.Transaction; stored: StoredHead } {
+}): { transaction: backingServices.Transaction; stored: StoredHead } {
   const { base, head, changed, texts } = parameters;
   const surplus = Math.max(0, head.replaced.length - KEPT_REPLACED_SECTIONS);
   const dropped = head.replaced.slice(0, surplus);
   const stored = { ...head, replaced: head.replaced.slice(surplus) };
-  const condition = platform.atRevision(HEAD_KEY, base?.rowRevision);
-  const writes: platform.Write[] = [
-    platform.putRow(HEAD_KEY, JSON.stringify(stored)),
+  const condition = backingServices.atRevision(HEAD_KEY, base?.rowRevision);
+  const writes: backingServices.Write[] = [
+    backingServices.putRow(HEAD_KEY, JSON.stringify(stored)),
     ...changed.map((name) =>
-      platform.putRow(sectionKey(name, head.revision), texts[name]),
+      backingServices.putRow(sectionKey(name, head.revision), texts[name]),
     ),
-    ...dropped.map(({ name, revision }): platform.Write => ({
-      kind: platform.WriteKind.Delete,
+    ...dropped.map(({ name, revision }): backingServices.Write => ({
+      kind: backingServices.WriteKind.Delete,
       key: sectionKey(name, revision),
     })),
   ];
--- a/packages/daemon/src/dispatch/claim_store.ts
+++ b/packages/daemon/src/dispatch/claim_store.ts
@@ -1,6 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import type * as wire from "@geraniumkeel/wire";
 
 /** State of a claim. */
@@ -59,7 +59,7 @@
 export class ClaimStore {
   constructor(
     readonly parameters: {
-      table: platform.TableService;
+      table: backingServices.TableService;
       random: common.Random;
       patienceMilliseconds: number;
     },
@@ -78,9 +78,9 @@
     const { key, base } = parameters;
     const nonce = common.randomIdentifier();
     const claim = { ...parameters.claim, nonce };
-    const condition = platform.atRevision(key, base?.revision);
-    const put = platform.putRow(key, JSON.stringify(claim));
-    const outcome = await platform.writeDefinitely({
+    const condition = backingServices.atRevision(key, base?.revision);
+    const put = backingServices.putRow(key, JSON.stringify(claim));
+    const outcome = await backingServices.writeDefinitely({
       table: this.parameters.table,
       write: {
         transaction: { conditions: [condition], writes: [put] },
@@ -91,15 +91,15 @@
       random: this.parameters.random,
     });
     switch (outcome.kind) {
-      case platform.DefiniteKind.Committed: {
+      case backingServices.DefiniteKind.Committed: {
         const { revision } = outcome;
         return { kind: "held", held: { claim, revision } };
       }
-      case platform.DefiniteKind.Conflict:
+      case backingServices.DefiniteKind.Conflict:
         if (!outcome.row) return { kind: "store-unavailable" };
         return { kind: "other", held: parseClaim(outcome.row) };
-      case platform.DefiniteKind.NotWritten:
-      case platform.DefiniteKind.GivenUp:
+      case backingServices.DefiniteKind.NotWritten:
+      case backingServices.DefiniteKind.GivenUp:
         return { kind: "store-unavailable" };
     }
   }
@@ -112,7 +112,7 @@
   }): Promise<
     neverthrow.Result<
       { removed: number; next: string | undefined },
-      platform.TableUnavailable
+      backingServices.TableUnavailable
     >
   > {
     const from = parameters.from || PREFIX;
@@ -129,15 +129,15 @@
     if (old.length === 0) return neverthrow.ok({ removed: 0, next });
     const outcome = await this.parameters.table.transact({
       conditions: old.map(({ key, revision }) =>
-        platform.atRevision(key, revision),
+        backingServices.atRevision(key, revision),
       ),
-      writes: old.map(({ key }) => ({ kind: platform.WriteKind.Delete, key })),
+      writes: old.map(({ key }) => ({ kind: backingServices.WriteKind.Delete, key })),
     });
-    const committed = outcome.kind === platform.OutcomeKind.Committed;
+    const committed = outcome.kind === backingServices.OutcomeKind.Committed;
     return neverthrow.ok({ removed: committed ? old.length : 0, next });
   }
 }
 
-function parseClaim(row: platform.Row): HeldClaim {
+function parseClaim(row: backingServices.Row): HeldClaim {
   return { claim: JSON.parse(row.value) as Claim, revision: row.revision };
 }
--- a/packages/daemon/src/dispatch/retry_budget.ts
+++ b/packages/daemon/src/dispatch/retry_budget.ts
@@ -1,15 +1,29 @@
-/** Retries earned by each first attempt. */
-const EARNED_PER_REQUEST = 0.1;
-/** Retries always at hand, for a service with little traffic. */
-const LARGEST_BALANCE = 50;
-const INITIAL_BALANCE = 10;
+/** How many repeats a budget pays for. */
+export interface RetryBudgetShape {
+  /** Repeats earned by each first attempt. */
+  earnedPerRequest: number;
+  /** Repeats at hand at most, and at first for a service with little traffic. */
+  largestBalance: number;
+  initialBalance: number;
+}
+
+/** A tenth of the traffic, with a little at hand for services with few calls. */
+const USUAL_SHAPE: RetryBudgetShape = {
+  earnedPerRequest: 0.1,
+  largestBalance: 50,
+  initialBalance: 10,
+};
 
 /**
  * Pays for attempts after the first out of a share of the traffic: when much
  * fails at once, unlimited retries would multiply the load that made it fail.
  */
 export class RetryBudget {
-  #balance = INITIAL_BALANCE;
+  #balance: number;
+
+  constructor(readonly shape: RetryBudgetShape = USUAL_SHAPE) {
+    this.#balance = shape.initialBalance;
+  }
 
   /** Retries that could be paid now. */
   get balance(): number {
@@ -18,8 +32,8 @@
 
   /** A first attempt was made. */
   earn(): void {
-    const next = this.#balance + EARNED_PER_REQUEST;
-    this.#balance = Math.min(next, LARGEST_BALANCE);
+    const next = this.#balance + this.shape.earnedPerRequest;
+    this.#balance = Math.min(next, this.shape.largestBalance);
   }
 
   /** Pays for one retry; false when the budget is spent. */
--- a/packages/daemon/src/dispatch/runner_directory.ts
+++ b/packages/daemon/src/dispatch/runner_directory.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import type * as hostView from "../membership/host_view.ts";
 import * as runnerLink from "./runner_link.ts";
 import * as subscription from "./subscription.ts";
@@ -62,11 +62,11 @@
     const { host, place, region } = link.settings;
     const wanted = subscription.chooseRunners({
       self: { host, place, region },
-      hosts: hosts.withRole(platform.HostRole.Upstream),
+      hosts: hosts.withRole(backingServices.HostRole.Upstream),
     });
     for (const [name, runner] of this.#runners) {
       const listed = wanted.get(name);
-      runner.link.listedLeaving = listed?.state !== platform.HostState.Live;
+      runner.link.listedLeaving = listed?.state !== backingServices.HostState.Live;
       const moved = listed && listed.linkUrl !== runner.link.host.linkUrl;
       if (listed && !moved) {
         runner.unlistedAt = undefined;
@@ -96,7 +96,7 @@
     return runner.link.linked && unlisted < goneAfter;
   }
 
-  #add(host: platform.Host, signal: AbortSignal): void {
+  #add(host: backingServices.Host, signal: AbortSignal): void {
     const link = new runnerLink.RunnerLink(host, this.parameters.link);
     const stop = new AbortController();
     this.#runners.set(host.name, { link, stop, unlistedAt: undefined });
--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import type * as platform from "@geraniumkeel/platform";
+import type * as backingServices from "@geraniumkeel/backing_services";
 import * as wire from "@geraniumkeel/wire";
 import * as entryHello from "../entry/entry_hello.ts";
 import * as listenModule from "../settings/listen.ts";
@@ -69,7 +69,7 @@
   readonly #questions = new openQuestions.OpenQuestions();
 
   constructor(
-    readonly host: platform.Host,
+    readonly host: backingServices.Host,
     readonly parameters: RunnerLinkParameters,
   ) {}
 
--- a/packages/daemon/src/dispatch/subscription.ts
+++ b/packages/daemon/src/dispatch/subscription.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import type * as platform from "@geraniumkeel/platform";
+import type * as backingServices from "@geraniumkeel/backing_services";
 
 /** Runners of one service that an entry links to at least, if there are as many. */
 export const SUBSCRIBED_RUNNERS = 128;
@@ -20,10 +20,10 @@
  */
 export function chooseRunners(parameters: {
   self: Position;
-  hosts: platform.Host[];
-}): Map<string, platform.Host> {
-  const chosen = new Map<string, platform.Host>();
-  const services = new Map<string, platform.Host[]>();
+  hosts: backingServices.Host[];
+}): Map<string, backingServices.Host> {
+  const chosen = new Map<string, backingServices.Host>();
+  const services = new Map<string, backingServices.Host[]>();
   for (const host of parameters.hosts) {
     const hosts = services.get(host.service) ?? [];
     hosts.push(host);
@@ -42,9 +42,9 @@
 
 function unitsInOrder(
   self: Position,
-  hosts: platform.Host[],
-): platform.Host[][] {
-  const units = new Map<string, platform.Host[]>();
+  hosts: backingServices.Host[],
+): backingServices.Host[][] {
+  const units = new Map<string, backingServices.Host[]>();
   for (const host of hosts) {
     const name = host.group || host.name;
     const unit = units.get(name) ?? [];
--- a/packages/daemon/src/dispatch/subscription_test.ts
+++ b/packages/daemon/src/dispatch/subscription_test.ts
@@ -1,18 +1,18 @@
 import * as ava from "ava";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import * as subscription from "./subscription.ts";
 
 const test = ava.default;
 
-function upstreams(groups: number, ranks: number): platform.Host[] {
+function upstreams(groups: number, ranks: number): backingServices.Host[] {
   return Array.from({ length: groups * ranks }, (_, index) => {
     const group = Math.floor(index / ranks);
     return {
       name: `rank-${index}`,
-      role: platform.HostRole.Upstream,
+      role: backingServices.HostRole.Upstream,
       place: `place-${group % 9}`,
       region: `region-${group % 4}`,
-      state: platform.HostState.Live,
+      state: backingServices.HostState.Live,
       linkUrl: "",
       callerUrl: "",
       service: "model",
@@ -21,7 +21,7 @@
   });
 }
 
-function chosenBy(host: string, hosts: platform.Host[]): Set<string> {
+function chosenBy(host: string, hosts: backingServices.Host[]): Set<string> {
   const self = { host, place: "place-0", region: "region-0" };
   return new Set(subscription.chooseRunners({ self, hosts }).keys());
 }
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import type * as platform from "@geraniumkeel/platform";
+import type * as backingServices from "@geraniumkeel/backing_services";
 import type * as wire from "@geraniumkeel/wire";
 import * as accountLimits from "../admission/account_limits.ts";
 import * as serviceQueue from "../admission/service_queue.ts";
@@ -32,9 +32,9 @@
   metrics: common.Metrics;
   history: common.HistoryRecorder;
   lifeCycle: common.LifeCycle;
-  table: platform.TableService;
-  hostList: platform.HostList;
-  objects: platform.ObjectStore;
+  table: backingServices.TableService;
+  hostList: backingServices.HostList;
+  objects: backingServices.ObjectStore;
   callerUrl: string;
   peerUrl: string;
   certificateAuthority: string | undefined;
--- a/packages/daemon/src/entry/entry_context.ts
+++ b/packages/daemon/src/entry/entry_context.ts
@@ -1,5 +1,5 @@
 import type * as common from "@geraniumkeel/common";
-import type * as platform from "@geraniumkeel/platform";
+import type * as backingServices from "@geraniumkeel/backing_services";
 import type * as accountLimits from "../admission/account_limits.ts";
 import type * as serviceQueue from "../admission/service_queue.ts";
 import type * as configurationKeeper from "../configuration/configuration_keeper.ts";
@@ -28,7 +28,7 @@
   keeper: configurationKeeper.ConfigurationKeeper;
   store: configurationStore.ConfigurationStore;
   claims: claimStore.ClaimStore;
-  table: platform.TableService;
+  table: backingServices.TableService;
   hosts: hostView.HostView;
   members: memberTable.MemberTable;
   peers: peerLinks.PeerLinks;
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -1,7 +1,7 @@
 import * as fs from "node:fs";
 import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import * as wire from "@geraniumkeel/wire";
 import * as configurationSync from "../configuration/configuration_sync.ts";
 import * as claimRemoval from "../dispatch/claim_removal.ts";
@@ -39,7 +39,7 @@
   const opened = await openListeners(settings, lifeCycle);
   if (opened.isErr()) return neverthrow.err(opened.error);
   const listeners = opened.value;
-  const client = new platform.HttpClient(settings.platform.url, {
+  const client = new backingServices.HttpClient(settings.platform.url, {
     timeoutMilliseconds: settings.timing.storeTimeout,
     key: settings.platform.key,
   });
@@ -47,9 +47,9 @@
   const context = createContext.createContext({
     ...parameters,
     lifeCycle,
-    table: new platform.HttpTableService(client),
-    hostList: new platform.HttpHostList(client),
-    objects: new platform.HttpObjectStore(client),
+    table: new backingServices.HttpTableService(client),
+    hostList: new backingServices.HttpHostList(client),
+    objects: new backingServices.HttpObjectStore(client),
     callerUrl: settings.advertise.callerUrl ?? listeners.callers.url,
     peerUrl: settings.advertise.linkUrl ?? listeners.links.url,
     certificateAuthority: readAuthority(settings),
--- a/packages/daemon/src/expert_map/coordinators.ts
+++ b/packages/daemon/src/expert_map/coordinators.ts
@@ -1,6 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as configuration from "@geraniumkeel/configuration";
-import type * as platform from "@geraniumkeel/platform";
+import type * as backingServices from "@geraniumkeel/backing_services";
 import type * as configurationKeeper from "../configuration/configuration_keeper.ts";
 import type * as runnerDirectory from "../dispatch/runner_directory.ts";
 import type * as runnerLink from "../dispatch/runner_link.ts";
@@ -23,7 +23,7 @@
   runners: runnerDirectory.RunnerDirectory;
   /** Entries alive, this one included. */
   entries: () => string[];
-  table: platform.TableService;
+  table: backingServices.TableService;
   maps: mapStore.MapStore;
   leaseMilliseconds: number;
   random: common.Random;
--- a/packages/daemon/src/expert_map/map_store.ts
+++ b/packages/daemon/src/expert_map/map_store.ts
@@ -1,9 +1,9 @@
-import type * as platform from "@geraniumkeel/platform";
+import type * as backingServices from "@geraniumkeel/backing_services";
 import type * as wire from "@geraniumkeel/wire";
 
 /** Expert maps in the object store, for the successor of a coordinator. */
 export class MapStore {
-  constructor(readonly objects: platform.ObjectStore) {}
+  constructor(readonly objects: backingServices.ObjectStore) {}
 
   /** Keeps a map before it is staged; false when that failed. */
   async keep(group: string, map: wire.ExpertMap): Promise<boolean> {
--- /dev/null
+++ b/packages/daemon/src/forwarding/admit_request.ts
@@ -0,0 +1,63 @@
+import type * as trafficConfiguration from "../traffic/traffic_configuration.ts";
+import type * as trafficView from "../traffic/traffic_view.ts";
+import * as forwardRequest from "./forward_request.ts";
+
+/** When a caller is told to come back to an entry that knows too little. */
+const UNREADY_RETRY_MILLISECONDS = 500;
+
+/** A request that may be passed on. */
+export interface AdmittedRequest {
+  kind: "admitted";
+  route: trafficConfiguration.Route;
+  /** `undefined` if the route needs no key. */
+  account: trafficConfiguration.Account | undefined;
+}
+
+/** A request that is answered here. */
+export interface RefusedRequest {
+  kind: "refused";
+  refusal: forwardRequest.Refusal;
+}
+
+/**
+ * Whether the configuration lets a request through. `proofAge` is how long a
+ * newer configuration may have gone unseen: past `longestProofAge` a key may have
+ * been taken away without our knowing, so keyed requests are not run, and an
+ * unknown key or route is not called wrong either.
+ */
+export function admitRequest(parameters: {
+  request: forwardRequest.ForwardRequest;
+  view: trafficView.TrafficView | undefined;
+  proofAge: number;
+  longestProofAge: number;
+}): AdmittedRequest | RefusedRequest {
+  const { request, view, proofAge, longestProofAge } = parameters;
+  if (!view) return notRun("no configuration yet");
+  const stale = proofAge > longestProofAge;
+  const route = view.route(request.host, request.path);
+  if (!route) {
+    if (stale) return notRun("configuration may be old");
+    return refused(forwardRequest.RefusalKind.NoRoute, "no such route");
+  }
+  if (!view.needsKey(route)) {
+    return { kind: "admitted", route, account: undefined };
+  }
+  if (stale) return notRun("keys may be old");
+  const account = view.account(request.key ?? "");
+  if (account) return { kind: "admitted", route, account };
+  return refused(forwardRequest.RefusalKind.UnknownKey, "no such key");
+}
+
+function notRun(reason: string): RefusedRequest {
+  const kind = forwardRequest.RefusalKind.NotRun;
+  const retryAfterMilliseconds = UNREADY_RETRY_MILLISECONDS;
+  return { kind: "refused", refusal: { kind, reason, retryAfterMilliseconds } };
+}
+
+function refused(
+  kind: forwardRequest.RefusalKind,
+  reason: string,
+): RefusedRequest {
+  const refusal = { kind, reason, retryAfterMilliseconds: 0 };
+  return { kind: "refused", refusal };
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -0,0 +1,285 @@
+import * as common from "@geraniumkeel/common";
+import type * as retryBudget from "../dispatch/retry_budget.ts";
+import type * as runnerEntry from "../traffic/runner_entry.ts";
+import * as trafficConfiguration from "../traffic/traffic_configuration.ts";
+import * as answerRelay from "./answer_relay.ts";
+import * as forwardRequest from "./forward_request.ts";
+import * as runnerBoard from "./runner_board.ts";
+import * as runnerCaller from "./runner_caller.ts";
+
+/** Urgency of routes that state none, of 0 to 9. */
+const RETRY_AFTER_LOW_MILLISECONDS = 250;
+const RETRY_AFTER_HIGH_MILLISECONDS = 900;
+
+/** One request on its way. */
+export interface ForwardedRequestParameters {
+  request: forwardRequest.ForwardRequest;
+  sink: forwardRequest.AnswerSink;
+  route: trafficConfiguration.Route;
+  account: trafficConfiguration.Account | undefined;
+  service: string;
+  board: runnerBoard.RunnerBoard;
+  caller: runnerCaller.RunnerCaller;
+  budgetOf: (service: string) => retryBudget.RetryBudget;
+  random: common.Random;
+  metrics: common.Metrics;
+}
+
+/** How an attempt at one runner ended. */
+enum AttemptKind {
+  /** The caller has the whole answer. */
+  Answered = "answered",
+  /** Certainly not run. */
+  NotRun = "not-run",
+  /** It ran and failed, by the runner's own word. */
+  Failed = "failed",
+  /** It may have run; nothing of it reached the caller. */
+  Unknown = "unknown",
+  /** The answer broke off after some of it had reached the caller. */
+  Broken = "broken",
+  /** Time ran out. */
+  TimedOut = "timed-out",
+  /** The caller has left. */
+  Left = "left",
+}
+
+/** End of an attempt, with what is told to the caller if it was the last. */
+interface AttemptEnd {
+  kind: AttemptKind;
+  reason: string;
+  /** The runner's own answer, where it failed. */
+  failure?: { head: forwardRequest.AnswerHead; body: Buffer };
+}
+
+/** What the log says of an attempt. */
+interface AttemptNote {
+  runner: string;
+  end: AttemptKind;
+  reason: string;
+  milliseconds: number;
+}
+
+/** What the log says of the request. */
+export interface ForwardOutcome {
+  route: string;
+  account: string;
+  service: string;
+  end: string;
+  milliseconds: number;
+  attempts: AttemptNote[];
+}
+
+/** Conducts one admitted request: chooses runners, repeats what may be repeated. */
+export class ForwardedRequest {
+  readonly #attempts: AttemptNote[] = [];
+  readonly #tried = new Set<string>();
+  readonly #expired = new AbortController();
+  readonly #relay: answerRelay.AnswerRelay;
+  /** Attempts that ran or may have. */
+  #runs = 0;
+
+  constructor(readonly parameters: ForwardedRequestParameters) {
+    const { route, request, sink } = parameters;
+    this.#relay = new answerRelay.AnswerRelay({
+      sink,
+      answerForm: route.answerForm,
+      resumeAfter: request.resumeAfter,
+    });
+  }
+
+  /** Runs the request to its answer. */
+  async run(): Promise<ForwardOutcome> {
+    const { route, account, service } = this.parameters;
+    const timer = setTimeout(
+      () => this.#expired.abort(),
+      Math.max(0, this.#millisecondsLeft()),
+    );
+    let end: AttemptEnd;
+    try {
+      end = await this.#attemptUntilEnd();
+    } finally {
+      clearTimeout(timer);
+    }
+    this.#finish(end);
+    return {
+      route: route.name,
+      account: account?.name ?? "",
+      service,
+      end: end.kind,
+      milliseconds: Math.round(this.#elapsed()),
+      attempts: this.#attempts,
+    };
+  }
+
+  async #attemptUntilEnd(): Promise<AttemptEnd> {
+    const { board, service, budgetOf } = this.parameters;
+    const budget = budgetOf(service);
+    budget.earn();
+    let last: AttemptEnd | undefined;
+    for (;;) {
+      const runner = board.choose(service, this.#tried);
+      if (!runner) {
+        return last ?? { kind: AttemptKind.NotRun, reason: "no runner" };
+      }
+      if (last && !budget.spend()) return last;
+      this.#tried.add(runner.identifier);
+      last = await this.#attempt(runner);
+      if (!this.#mayRepeat(last)) return last;
+    }
+  }
+
+  /** Whether another runner may be tried after an attempt. */
+  #mayRepeat(end: AttemptEnd): boolean {
+    const { route } = this.parameters;
+    const idempotent =
+      route.repeatability === trafficConfiguration.Repeatability.Idempotent;
+    switch (end.kind) {
+      case AttemptKind.NotRun:
+        return true;
+      case AttemptKind.Failed:
+      case AttemptKind.Unknown:
+      case AttemptKind.Broken:
+        return idempotent && this.#runs < route.mostAttempts;
+      case AttemptKind.Answered:
+      case AttemptKind.TimedOut:
+      case AttemptKind.Left:
+        return false;
+    }
+  }
+
+  async #attempt(runner: runnerEntry.RunnerEntry): Promise<AttemptEnd> {
+    const { board } = this.parameters;
+    const startedAt = common.now();
+    const noteEnd = board.begin(runner.identifier);
+    const end = await this.#callRunner(runner);
+    noteEnd(soundnessOf(end.kind));
+    if (end.kind !== AttemptKind.NotRun) this.#runs++;
+    this.#attempts.push({
+      runner: runner.identifier,
+      end: end.kind,
+      reason: end.reason,
+      milliseconds: Math.round(common.now() - startedAt),
+    });
+    return end;
+  }
+
+  async #callRunner(runner: runnerEntry.RunnerEntry): Promise<AttemptEnd> {
+    const { request, sink, route, account, caller, board } = this.parameters;
+    const answer = await caller.call({
+      request,
+      runner,
+      patienceMilliseconds: this.#millisecondsLeft(),
+      account: account?.name ?? "",
+      urgency: account?.urgency ?? route.urgency,
+      resumeAfter: this.#relay.resumeAfter,
+      signal: AbortSignal.any([sink.left, this.#expired.signal]),
+    });
+    if (answer.isErr()) return this.#endOfFailure(runner, answer.error);
+    const { verdict, head, signed, body } = answer.value;
+    switch (verdict) {
+      case runnerCaller.Verdict.WrongRunner:
+        board.drop(runner.identifier);
+        return { kind: AttemptKind.NotRun, reason: "another runner there" };
+      case runnerCaller.Verdict.NotRun:
+        return { kind: AttemptKind.NotRun, reason: `status ${head.status}` };
+      case runnerCaller.Verdict.Failed: {
+        const whole = await answerRelay.readWhole(body);
+        const reason = `status ${head.status}`;
+        if (whole.isErr()) return { kind: AttemptKind.Unknown, reason };
+        const failure = { head, body: whole.value };
+        return { kind: AttemptKind.Failed, reason, failure };
+      }
+      case runnerCaller.Verdict.Ran:
+        if (!signed) {
+          return { kind: AttemptKind.Unknown, reason: "answer not signed" };
+        }
+        return this.#relayAnswer(answer.value);
+    }
+  }
+
+  async #relayAnswer(answer: runnerCaller.RunnerAnswer): Promise<AttemptEnd> {
+    const relayed = await this.#relay.relay(answer);
+    if (relayed.isOk()) return { kind: AttemptKind.Answered, reason: "" };
+    const cut = this.#endOfCut();
+    if (cut) return cut;
+    const kind = this.#relay.begun ? AttemptKind.Broken : AttemptKind.Unknown;
+    return { kind, reason: relayed.error };
+  }
+
+  #endOfFailure(
+    runner: runnerEntry.RunnerEntry,
+    failure: runnerCaller.CallFailure,
+  ): AttemptEnd {
+    const { reason } = failure;
+    switch (failure.kind) {
+      case runnerCaller.CallFailureKind.NotSent:
+        this.parameters.board.spare(runner.identifier);
+        return { kind: AttemptKind.NotRun, reason };
+      case runnerCaller.CallFailureKind.Unknown:
+        return this.#endOfCut() ?? { kind: AttemptKind.Unknown, reason };
+    }
+  }
+
+  /** Why this side ended a call, if it did. */
+  #endOfCut(): AttemptEnd | undefined {
+    if (this.parameters.sink.left.aborted) {
+      return { kind: AttemptKind.Left, reason: "caller left" };
+    }
+    if (this.#expired.signal.aborted) {
+      return { kind: AttemptKind.TimedOut, reason: "time ran out" };
+    }
+    return undefined;
+  }
+
+  /** Gives the caller the final answer. */
+  #finish(end: AttemptEnd): void {
+    const { sink, random } = this.parameters;
+    switch (end.kind) {
+      case AttemptKind.Answered:
+      case AttemptKind.Left:
+        return;
+      default:
+        break;
+    }
+    if (this.#relay.begun) return sink.breakOff();
+    if (end.failure) return sink.answer(end.failure.head, end.failure.body);
+    // After a run, or one that may have been, nothing is "not run" any more.
+    const notRun = end.kind === AttemptKind.NotRun && this.#runs === 0;
+    const kind = notRun
+      ? forwardRequest.RefusalKind.NotRun
+      : end.kind === AttemptKind.TimedOut
+        ? forwardRequest.RefusalKind.TimedOut
+        : forwardRequest.RefusalKind.MayHaveRun;
+    const retryAfterMilliseconds = random.between(
+      RETRY_AFTER_LOW_MILLISECONDS,
+      RETRY_AFTER_HIGH_MILLISECONDS,
+    );
+    sink.refuse({ kind, reason: end.reason, retryAfterMilliseconds });
+  }
+
+  #elapsed(): number {
+    return common.ageOf(this.parameters.request.arrivedAt);
+  }
+
+  /** Time until the caller gives up or the route's time-out, whichever is first. */
+  #millisecondsLeft(): number {
+    const { request, route } = this.parameters;
+    const patience = request.patienceMilliseconds || Infinity;
+    return Math.min(patience, route.timeoutMilliseconds) - this.#elapsed();
+  }
+}
+
+function soundnessOf(kind: AttemptKind): runnerBoard.CallEnd {
+  switch (kind) {
+    case AttemptKind.Answered:
+      return runnerBoard.CallEnd.Good;
+    case AttemptKind.NotRun:
+    case AttemptKind.Left:
+      return runnerBoard.CallEnd.Neutral;
+    case AttemptKind.Failed:
+    case AttemptKind.Unknown:
+    case AttemptKind.Broken:
+    case AttemptKind.TimedOut:
+      return runnerBoard.CallEnd.Bad;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -0,0 +1,109 @@
+import * as common from "@geraniumkeel/common";
+import type * as retryBudget from "../dispatch/retry_budget.ts";
+import type * as provenValue from "../traffic/proven_value.ts";
+import * as trafficConfiguration from "../traffic/traffic_configuration.ts";
+import * as trafficView from "../traffic/traffic_view.ts";
+import * as admitRequest from "./admit_request.ts";
+import * as forwardRequest from "./forward_request.ts";
+import * as forwardedRequest from "./forwarded_request.ts";
+import type * as runnerBoard from "./runner_board.ts";
+import type * as runnerCaller from "./runner_caller.ts";
+
+/** What passing requests on needs. */
+export interface ForwarderParameters {
+  configuration: provenValue.ProvenValue<trafficConfiguration.TrafficConfiguration>;
+  /** Age of the configuration's proof up to which keyed requests are run. */
+  longestProofAge: number;
+  board: runnerBoard.RunnerBoard;
+  caller: runnerCaller.RunnerCaller;
+  budgetOf: (service: string) => retryBudget.RetryBudget;
+  random: common.Random;
+  logger: common.Logger;
+  metrics: common.Metrics;
+}
+
+/** Passes callers' requests on to runners and their answers back. */
+export class Forwarder {
+  #view: trafficView.TrafficView | undefined;
+  #underWay = 0;
+
+  constructor(readonly parameters: ForwarderParameters) {}
+
+  /** Requests that are not answered yet. */
+  get underWay(): number {
+    return this.#underWay;
+  }
+
+  /** Handles one request until it is answered or its caller has left. */
+  async forward(
+    request: forwardRequest.ForwardRequest,
+    sink: forwardRequest.AnswerSink,
+  ): Promise<void> {
+    this.#underWay++;
+    try {
+      await this.#forward(request, sink);
+    } finally {
+      this.#underWay--;
+    }
+  }
+
+  async #forward(
+    request: forwardRequest.ForwardRequest,
+    sink: forwardRequest.AnswerSink,
+  ): Promise<void> {
+    const { configuration, longestProofAge, logger } = this.parameters;
+    const view = this.#currentView();
+    const proofAge = configuration.age;
+    const admitted = admitRequest.admitRequest({
+      request,
+      view,
+      proofAge,
+      longestProofAge,
+    });
+    const facts = {
+      request: request.identifier,
+      version: configuration.version,
+      age: Math.round(proofAge),
+    };
+    switch (admitted.kind) {
+      case "refused": {
+        const { kind, reason } = admitted.refusal;
+        const code = common.EventCode.ForwardRefused;
+        logger.event(code, { ...facts, kind, reason });
+        return sink.refuse(admitted.refusal);
+      }
+      case "admitted": {
+        const one = new forwardedRequest.ForwardedRequest({
+          ...this.parameters,
+          request,
+          sink,
+          route: admitted.route,
+          account: admitted.account,
+          service: this.#pickService(admitted.route),
+        });
+        const outcome = await one.run();
+        logger.event(common.EventCode.Forwarded, { ...facts, ...outcome });
+      }
+    }
+  }
+
+  #currentView(): trafficView.TrafficView | undefined {
+    const { value } = this.parameters.configuration;
+    if (value && this.#view?.configuration !== value) {
+      this.#view = new trafficView.TrafficView(value);
+    }
+    return this.#view;
+  }
+
+  /** One of the route's services, each as often as its weight says. */
+  #pickService(route: trafficConfiguration.Route): string {
+    const { shares } = route;
+    const total = shares.reduce((sum, { weight }) => sum + weight, 0);
+    let left = this.parameters.random.between(0, total);
+    for (const { service, weight } of shares) {
+      left -= weight;
+      if (left < 0) return service;
+    }
+    return shares[0].service;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -0,0 +1,150 @@
+import * as common from "@geraniumkeel/common";
+import type * as runnerEntry from "../traffic/runner_entry.ts";
+import * as chooseRunner from "./choose_runner.ts";
+
+/** How a call went, as far as it tells of the runner. */
+export enum CallEnd {
+  Good = "good",
+  /** It had no room, or the caller left: nothing is wrong with it. */
+  Neutral = "neutral",
+  /** It failed, broke off or was slow beyond reason. */
+  Bad = "bad",
+}
+
+/**
+ * Weight of the newest answer in a runner's share of failures. A runner that
+ * fails two in five is seen after four or five answers.
+ */
+const NEWEST_WEIGHT = 0.2;
+/** How long a runner without an answer is spared, in milliseconds. */
+const SPARED_MILLISECONDS = 700;
+/** Time in which the share of failures halves without answers. */
+const FORGIVENESS_MILLISECONDS = 2_000;
+
+/** What is known of one runner. */
+class RunnerRecord {
+  own = 0;
+  failureShare = 0;
+  failureSeenAt = 0;
+  sparedUntil = 0;
+
+  constructor(public entry: runnerEntry.RunnerEntry) {}
+
+  /** Part of its answers that failed; forgotten by and by. */
+  currentFailureShare(now: number): number {
+    const halvings = (now - this.failureSeenAt) / FORGIVENESS_MILLISECONDS;
+    return this.failureShare * 0.5 ** halvings;
+  }
+}
+
+/** All runners that take requests, with the load and soundness of each. */
+export class RunnerBoard {
+  readonly #records = new Map<string, RunnerRecord>();
+  /** Requests under way from other entries, by entry and runner. */
+  readonly #others = new Map<string, Map<string, number>>();
+
+  constructor(
+    readonly parameters: { dataCentre: string; random: common.Random },
+  ) {}
+
+  /** Takes a new list; runners that are not in it get nothing more. */
+  update(list: runnerEntry.RunnerList): void {
+    const listed = new Set<string>();
+    for (const entry of list.runners) {
+      listed.add(entry.identifier);
+      const record = this.#records.get(entry.identifier);
+      if (record) record.entry = entry;
+      else this.#records.set(entry.identifier, new RunnerRecord(entry));
+    }
+    for (const identifier of this.#records.keys()) {
+      if (!listed.has(identifier)) this.#records.delete(identifier);
+    }
+  }
+
+  /** Takes the counts of another entry; `undefined` when it is gone. */
+  setOthers(host: string, counts: Map<string, number> | undefined): void {
+    if (counts) this.#others.set(host, counts);
+    else this.#others.delete(host);
+  }
+
+  /** Requests under way from this entry, by runner; only runners with any. */
+  ownCounts(): [string, number][] {
+    const counts: [string, number][] = [];
+    for (const [identifier, { own }] of this.#records) {
+      if (own > 0) counts.push([identifier, own]);
+    }
+    return counts;
+  }
+
+  /** Runners of a service that take requests. */
+  candidates(
+    service: string,
+    tried: ReadonlySet<string>,
+  ): chooseRunner.RunnerView[] {
+    const now = common.now();
+    const views: chooseRunner.RunnerView[] = [];
+    for (const [identifier, record] of this.#records) {
+      const { entry } = record;
+      if (entry.service !== service || entry.leaving) continue;
+      if (tried.has(identifier)) continue;
+      views.push({
+        identifier,
+        outstanding: record.own + this.#othersAt(identifier),
+        slots: entry.slots,
+        sameDataCentre: entry.dataCentre === this.parameters.dataCentre,
+        failureShare: record.currentFailureShare(now),
+        spared: record.sparedUntil > now,
+      });
+    }
+    return views;
+  }
+
+  /** The runner for a request, or `undefined` if there is none left to try. */
+  choose(
+    service: string,
+    tried: ReadonlySet<string>,
+  ): runnerEntry.RunnerEntry | undefined {
+    const views = this.candidates(service, tried);
+    const chosen = chooseRunner.chooseRunner(views, this.parameters.random);
+    return chosen && this.#records.get(chosen.identifier)?.entry;
+  }
+
+  /** Notes a call to a runner; the returned function notes its end. */
+  begin(identifier: string): (end: CallEnd) => void {
+    const record = this.#records.get(identifier);
+    if (!record) return () => {};
+    record.own++;
+    return (end) => {
+      record.own--;
+      this.#note(record, end);
+    };
+  }
+
+  /** A runner at which nothing progresses gets no new work for a while. */
+  spare(identifier: string): void {
+    const record = this.#records.get(identifier);
+    if (record) record.sparedUntil = common.now() + SPARED_MILLISECONDS;
+  }
+
+  /** A runner that is proved gone; the list will follow. */
+  drop(identifier: string): void {
+    this.#records.delete(identifier);
+  }
+
+  #note(record: RunnerRecord, end: CallEnd): void {
+    if (end === CallEnd.Neutral) return;
+    const now = common.now();
+    const failed = end === CallEnd.Bad ? 1 : 0;
+    const before = record.currentFailureShare(now);
+    record.failureShare = before + NEWEST_WEIGHT * (failed - before);
+    record.failureSeenAt = now;
+  }
+
+  #othersAt(identifier: string): number {
+    let sum = 0;
+    for (const counts of this.#others.values()) {
+      sum += counts.get(identifier) ?? 0;
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/runner_caller.ts
@@ -0,0 +1,75 @@
+import type * as neverthrow from "neverthrow";
+import type * as runnerEntry from "../traffic/runner_entry.ts";
+import type * as forwardRequest from "./forward_request.ts";
+
+/** What is told to a runner beside the caller's own request. */
+export interface RunnerCall {
+  request: forwardRequest.ForwardRequest;
+  runner: runnerEntry.RunnerEntry;
+  /** Time left for the request. */
+  patienceMilliseconds: number;
+  /** Account of the caller; empty if the request needed no key. */
+  account: string;
+  urgency: number;
+  /** Event after which a stream is to go on; empty for the beginning. */
+  resumeAfter: string;
+  /** Ends the call; the runner then drops the request. */
+  signal: AbortSignal;
+}
+
+/** What a runner's answer says of the request. */
+export enum Verdict {
+  /** The runner ran it to a good end, or is doing so. */
+  Ran = "ran",
+  /** The runner ran it and it failed. */
+  Failed = "failed",
+  /** The runner certainly did not run it: it had no room or is leaving. */
+  NotRun = "not-run",
+  /** Another runner has the address now; it was not run. */
+  WrongRunner = "wrong-runner",
+}
+
+/** Load that a runner tells with an answer. */
+export interface ToldLoad {
+  active: number;
+  waiting: number;
+  slots: number;
+}
+
+/** A runner's answer, its body still to come. */
+export interface RunnerAnswer {
+  verdict: Verdict;
+  head: forwardRequest.AnswerHead;
+  /** Whether the answer's origin is proved, so that it counts as a success. */
+  signed: boolean;
+  load: ToldLoad | undefined;
+  /** Runner that is at fault, where another one than called; else empty. */
+  faultyRunner: string;
+  /**
+   * The body as it comes. It throws a `BrokenAnswer` if the connection ends
+   * before the body does.
+   */
+  body: AsyncIterable<Buffer>;
+}
+
+/** A body that ended before its end. */
+export class BrokenAnswer extends Error {}
+
+/** Whether a call that failed may have run. */
+export enum CallFailureKind {
+  /** No connection was made, so nothing was sent. */
+  NotSent = "not-sent",
+  /** No answer, or one that cannot be trusted; it may have run. */
+  Unknown = "unknown",
+}
+
+/** A call without an answer. */
+export interface CallFailure {
+  kind: CallFailureKind;
+  reason: string;
+}
+
+/** Sends requests to runners. */
+export interface RunnerCaller {
+  call(call: RunnerCall): Promise<neverthrow.Result<RunnerAnswer, CallFailure>>;
+}
--- a/packages/daemon/src/lease/lease.ts
+++ b/packages/daemon/src/lease/lease.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 
 /** Row of a lease. */
 interface LeaseRow {
@@ -30,7 +30,7 @@
 
   constructor(
     readonly parameters: {
-      table: platform.TableService;
+      table: backingServices.TableService;
       key: string;
       host: string;
       incarnation: string;
@@ -63,10 +63,10 @@
     const renewedAt = common.now();
     const outcome = await this.#write(held.revision, held.fencing);
     switch (outcome.kind) {
-      case platform.DefiniteKind.Committed:
+      case backingServices.DefiniteKind.Committed:
         this.#held = { ...held, revision: outcome.revision, renewedAt };
         return;
-      case platform.DefiniteKind.Conflict: {
+      case backingServices.DefiniteKind.Conflict: {
         const { row } = outcome;
         // An earlier write of ours may have landed after it was given up.
         const ownLateWrite = row && this.#isOwn(row, held.fencing);
@@ -75,8 +75,8 @@
           : undefined;
         return;
       }
-      case platform.DefiniteKind.NotWritten:
-      case platform.DefiniteKind.GivenUp:
+      case backingServices.DefiniteKind.NotWritten:
+      case backingServices.DefiniteKind.GivenUp:
         return;
     }
   }
@@ -93,11 +93,11 @@
     // new term gets a new number.
     const fencing = (lease?.fencing ?? 0) + 1;
     const outcome = await this.#write(row?.revision, fencing);
-    if (outcome.kind !== platform.DefiniteKind.Committed) return;
+    if (outcome.kind !== backingServices.DefiniteKind.Committed) return;
     this.#held = { fencing, revision: outcome.revision, renewedAt };
   }
 
-  #isOwn(row: platform.Row, fencing: number): boolean {
+  #isOwn(row: backingServices.Row, fencing: number): boolean {
     const lease = parseLease(row);
     const { incarnation } = this.parameters;
     return lease.incarnation === incarnation && lease.fencing === fencing;
@@ -116,12 +116,12 @@
       nonce: common.randomIdentifier(),
     };
     await table.transact({
-      conditions: [platform.atRevision(key, held.revision)],
-      writes: [platform.putRow(key, JSON.stringify(row))],
+      conditions: [backingServices.atRevision(key, held.revision)],
+      writes: [backingServices.putRow(key, JSON.stringify(row))],
     });
   }
 
-  #lapsed(row: platform.Row): boolean {
+  #lapsed(row: backingServices.Row): boolean {
     const { holder } = parseLease(row);
     if (holder === "") return true;
     const now = common.now();
@@ -136,16 +136,16 @@
   #write(
     base: number | undefined,
     fencing: number,
-  ): Promise<platform.DefiniteOutcome> {
+  ): Promise<backingServices.DefiniteOutcome> {
     const { table, key, host, incarnation, random } = this.parameters;
     const nonce = common.randomIdentifier();
     const lease: LeaseRow = { holder: host, incarnation, fencing, nonce };
-    const transaction: platform.Transaction = {
-      conditions: [platform.atRevision(key, base)],
-      writes: [platform.putRow(key, JSON.stringify(lease))],
+    const transaction: backingServices.Transaction = {
+      conditions: [backingServices.atRevision(key, base)],
+      writes: [backingServices.putRow(key, JSON.stringify(lease))],
     };
     // With lost answers a lease renewed in truth would lapse for its holder.
-    return platform.writeDefinitely({
+    return backingServices.writeDefinitely({
       table,
       write: { transaction, decidingKey: key, nonce },
       timeoutMilliseconds: this.parameters.durationMilliseconds / 4,
@@ -154,6 +154,6 @@
   }
 }
 
-function parseLease(row: platform.Row): LeaseRow {
+function parseLease(row: backingServices.Row): LeaseRow {
   return JSON.parse(row.value) as LeaseRow;
 }
--- a/packages/daemon/src/membership/host_view.ts
+++ b/packages/daemon/src/membership/host_view.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 
 /**
  * Bytes a second that reading the list may take on average while it changes.
@@ -11,7 +11,7 @@
 /** The platform's host list as last read; it lags and may be unavailable. */
 export class HostView {
   readonly changed = new common.ChangeNotice();
-  #hosts = new Map<string, platform.Host>();
+  #hosts = new Map<string, backingServices.Host>();
   readonly #appearedAt = new Map<string, number>();
   #available = true;
   #bytes = 0;
@@ -20,14 +20,14 @@
 
   constructor(
     readonly parameters: {
-      hostList: platform.HostList;
+      hostList: backingServices.HostList;
       logger: common.Logger;
       periodMilliseconds: number;
     },
   ) {}
 
   /** Hosts by name. */
-  get hosts(): ReadonlyMap<string, platform.Host> {
+  get hosts(): ReadonlyMap<string, backingServices.Host> {
     return this.#hosts;
   }
 
@@ -37,7 +37,7 @@
   }
 
   /** Hosts of a role. */
-  withRole(role: platform.HostRole): platform.Host[] {
+  withRole(role: backingServices.HostRole): backingServices.Host[] {
     return [...this.#hosts.values()].filter((host) => host.role === role);
   }
 
@@ -74,7 +74,7 @@
     this.#replace(new Map(hosts.map((host) => [host.name, host])));
   }
 
-  #replace(hosts: Map<string, platform.Host>): void {
+  #replace(hosts: Map<string, backingServices.Host>): void {
     const { logger } = this.parameters;
     const before = this.#hosts;
     this.#hosts = hosts;
--- a/packages/daemon/src/membership/peer_links.ts
+++ b/packages/daemon/src/membership/peer_links.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import * as wire from "@geraniumkeel/wire";
 import * as configurationKeeper from "../configuration/configuration_keeper.ts";
 import * as entryHello from "../entry/entry_hello.ts";
@@ -168,8 +168,8 @@
   #wanted(): Set<string> {
     const { members, hosts, settings } = this.parameters;
     const names = new Set(members.present.map((member) => member.host));
-    for (const host of hosts.withRole(platform.HostRole.Entry)) {
-      if (host.state === platform.HostState.Live) names.add(host.name);
+    for (const host of hosts.withRole(backingServices.HostRole.Entry)) {
+      if (host.state === backingServices.HostState.Live) names.add(host.name);
     }
     return overlay.neighbours(settings.host, [...names]);
   }
--- a/packages/daemon/src/operator/in_force_report.ts
+++ b/packages/daemon/src/operator/in_force_report.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import * as wire from "@geraniumkeel/wire";
 import type * as entryContext from "../entry/entry_context.ts";
 
@@ -99,7 +99,7 @@
   context: entryContext.EntryContext,
 ): { name: string; appearedAt: number }[] {
   return context.hosts
-    .withRole(platform.HostRole.Entry)
-    .filter(({ state }) => state === platform.HostState.Live)
+    .withRole(backingServices.HostRole.Entry)
+    .filter(({ state }) => state === backingServices.HostState.Live)
     .map(({ name }) => ({ name, appearedAt: context.hosts.appearedAt(name) }));
 }
--- /dev/null
+++ b/packages/daemon/src/traffic/document_source.ts
@@ -0,0 +1,33 @@
+import type * as neverthrow from "neverthrow";
+import type * as provenValue from "./proven_value.ts";
+
+/** A look at a document's source. */
+export interface Reading<T extends provenValue.Versioned> {
+  /** The newest document; `undefined` if there is none yet. */
+  value: T | undefined;
+}
+
+/** Why a source gave no reading. */
+export enum SourceFailureKind {
+  /** It did not answer, or would not. */
+  Unavailable = "unavailable",
+  /** It answered with something that is no document. */
+  Unreadable = "unreadable",
+}
+
+/** A look that failed. */
+export interface SourceFailure {
+  kind: SourceFailureKind;
+  reason: string;
+}
+
+/** Where the newest version of a document is kept for good. */
+export interface DocumentSource<T extends provenValue.Versioned> {
+  /**
+   * The newest document, at once if it changed since the last look, else as
+   * soon as it changes or the wait is over.
+   */
+  next(
+    waitMilliseconds: number,
+  ): Promise<neverthrow.Result<Reading<T>, SourceFailure>>;
+}
--- /dev/null
+++ b/packages/daemon/src/traffic/follow_document.ts
@@ -0,0 +1,73 @@
+import * as common from "@geraniumkeel/common";
+import type * as documentSource from "./document_source.ts";
+import type * as provenValue from "./proven_value.ts";
+
+/**
+ * How long one look may wait for a change, in milliseconds. A look proves the
+ * document as of its beginning, so this is also the age of the proof in between.
+ */
+const LOOK_MILLISECONDS = 1_000;
+/** Pause while other processes look, in milliseconds. */
+const REST_MILLISECONDS = 100;
+/** Pauses after a failed look, in milliseconds. */
+const FIRST_PAUSE_MILLISECONDS = 50;
+const LONGEST_PAUSE_MILLISECONDS = 500;
+
+/** What following a document needs. */
+export interface FollowParameters<T extends provenValue.Versioned> {
+  name: string;
+  source: documentSource.DocumentSource<T>;
+  held: provenValue.ProvenValue<T>;
+  /** Age in milliseconds up to which others' proofs are relied on. */
+  restBelowAge: () => number;
+  /** Told after each look whether the source answered. */
+  onReachable: (reachable: boolean) => void;
+  random: common.Random;
+  logger: common.Logger;
+  signal: AbortSignal;
+}
+
+/** Keeps a document as new as its source, until the signal aborts. */
+export async function followDocument<T extends provenValue.Versioned>(
+  parameters: FollowParameters<T>,
+): Promise<void> {
+  const { name, source, held, logger, signal, random } = parameters;
+  const backOff = new common.BackOff({
+    firstMilliseconds: FIRST_PAUSE_MILLISECONDS,
+    longestMilliseconds: LONGEST_PAUSE_MILLISECONDS,
+    random,
+  });
+  let failing = false;
+  while (!signal.aborted) {
+    if (held.age < parameters.restBelowAge()) {
+      await common.sleep(REST_MILLISECONDS, signal);
+      continue;
+    }
+    const startedAt = common.instant();
+    const reading = await source.next(LOOK_MILLISECONDS);
+    parameters.onReachable(reading.isOk());
+    if (reading.isErr()) {
+      if (!failing) {
+        const { kind, reason } = reading.error;
+        const code = common.EventCode.DocumentUnavailable;
+        logger.event(code, { document: name, kind, reason, age: held.age });
+      }
+      failing = true;
+      await common.sleep(backOff.pause(), signal);
+      continue;
+    }
+    if (failing) {
+      const code = common.EventCode.DocumentAvailable;
+      logger.event(code, { document: name, version: held.version });
+    }
+    failing = false;
+    backOff.reset();
+    const { value } = reading.value;
+    if (!value) continue;
+    if (held.offer(value)) {
+      const code = common.EventCode.DocumentInForce;
+      logger.event(code, { document: name, version: value.version });
+    }
+    held.prove(value.version, startedAt);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/traffic/proven_value.ts
@@ -0,0 +1,51 @@
+import * as common from "@geraniumkeel/common";
+
+/** A document of which newer versions replace older ones. */
+export interface Versioned {
+  version: number;
+}
+
+/**
+ * The newest version of a document that this process knows, and until when it is
+ * proved that there was no newer one. The version never goes down, however old
+ * the source that is heard.
+ */
+export class ProvenValue<T extends Versioned> {
+  #value: T | undefined;
+  #provenAt: common.Instant | undefined;
+  readonly changes = new common.ChangeNotice();
+
+  /** The document, or `undefined` before the first. */
+  get value(): T | undefined {
+    return this.#value;
+  }
+
+  /** Version of the document; 0 before the first. */
+  get version(): number {
+    return this.#value?.version ?? 0;
+  }
+
+  /** Milliseconds for which a newer version may have gone unseen. */
+  get age(): number {
+    if (!this.#value || !this.#provenAt) return Infinity;
+    return common.ageOf(this.#provenAt);
+  }
+
+  /** Takes a version if it is newer than the one held; whether it was. */
+  offer(value: T): boolean {
+    if (this.#value && value.version <= this.#value.version) return false;
+    this.#value = value;
+    this.changes.announce();
+    return true;
+  }
+
+  /**
+   * Notes that `version` was the newest at a moment. It says nothing of what is
+   * held if that is older: then the newer document has yet to arrive.
+   */
+  prove(version: number, at: common.Instant): void {
+    if (!this.#value || version > this.#value.version) return;
+    if (this.#provenAt && at.monotonic <= this.#provenAt.monotonic) return;
+    this.#provenAt = at;
+  }
+}
--- a/packages/stand_ins/src/demo/deployment.ts
+++ b/packages/stand_ins/src/demo/deployment.ts
@@ -1,7 +1,7 @@
 import * as fs from "node:fs";
 import * as common from "@geraniumkeel/common";
 import * as daemon from "@geraniumkeel/daemon";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import type * as childProcesses from "./child_processes.ts";
 
 /** A service of an example deployment. */
@@ -29,9 +29,9 @@
   upstreams: childProcesses.Child[];
   engines: Map<string, childProcesses.Child>;
   plains: Map<string, childProcesses.Child>;
-  hosts: platform.Host[];
+  hosts: backingServices.Host[];
   /** Publishes a changed host list. */
-  publish: (hosts: platform.Host[]) => Promise<void>;
+  publish: (hosts: backingServices.Host[]) => Promise<void>;
 }
 
 const PROCESS_KEY = "process-key-of-the-demo";
@@ -83,7 +83,7 @@
     const { place } = deployment.entries[index];
     running.entries.push(child);
     running.hosts.push({
-      ...hostOf(deployment, child, place, platform.HostRole.Entry),
+      ...hostOf(deployment, child, place, backingServices.HostRole.Entry),
       callerUrl: child.urls.callers,
     });
   });
@@ -128,7 +128,7 @@
   );
   started.forEach((child, index) => {
     const place = places[index % places.length];
-    const { Upstream } = platform.HostRole;
+    const { Upstream } = backingServices.HostRole;
     running.upstreams.push(child);
     running.hosts.push({
       ...hostOf(deployment, child, place, Upstream),
@@ -162,14 +162,14 @@
   deployment: Deployment,
   child: childProcesses.Child,
   place: string,
-  role: platform.HostRole,
-): platform.Host {
+  role: backingServices.HostRole,
+): backingServices.Host {
   return {
     name: child.name,
     role,
     place,
     region: deployment.region,
-    state: platform.HostState.Live,
+    state: backingServices.HostState.Live,
     linkUrl: child.urls.links,
     callerUrl: "",
     service: "",
@@ -179,9 +179,9 @@
 
 async function publishHosts(
   url: string,
-  hosts: platform.Host[],
+  hosts: backingServices.Host[],
 ): Promise<void> {
-  const client = new platform.HttpClient(url, { timeoutMilliseconds: 5_000 });
+  const client = new backingServices.HttpClient(url, { timeoutMilliseconds: 5_000 });
   const answer = await client.request("PUT", "/hosts", hosts);
   await client.close();
   if (answer.isErr()) throw new Error(`host list: ${answer.error.reason}`);
--- a/packages/stand_ins/src/demo/scenario.ts
+++ b/packages/stand_ins/src/demo/scenario.ts
@@ -1,7 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as configuration from "@geraniumkeel/configuration";
 import * as daemon from "@geraniumkeel/daemon";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import * as fs from "node:fs";
 import * as undici from "undici";
 import type * as engineGroup from "../engine_group.ts";
@@ -187,7 +187,7 @@
   await common.sleep(parameters.seconds * 300);
   const key = deploymentModule.operatorKey(parameters.deployment);
   const { operators } = running.entries[0].urls;
-  const client = new platform.HttpClient(operators, {
+  const client = new backingServices.HttpClient(operators, {
     timeoutMilliseconds: 10_000,
     key,
   });
--- a/packages/stand_ins/src/measure/capacity_links.ts
+++ b/packages/stand_ins/src/measure/capacity_links.ts
@@ -1,6 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import type * as daemon from "@geraniumkeel/daemon";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import * as undici from "undici";
 import * as childProcesses from "../demo/child_processes.ts";
 import * as plainStandIn from "../plain_stand_in.ts";
@@ -70,7 +70,7 @@
   const plain = await plainStandIn.startPlain();
   const upstreams: daemon.RunningProcess[] = [];
   try {
-    const hosts: platform.Host[] = [];
+    const hosts: backingServices.Host[] = [];
     for (let index = 0; index < links; index++) {
       const name = `plain-${index}`;
       const settings = quietProcess.upstreamSettings(name, plain.url);
@@ -137,7 +137,7 @@
 function listed(
   name: string,
   running: Pick<daemon.RunningProcess, "urls">,
-): platform.Host {
-  const { Upstream } = platform.HostRole;
+): backingServices.Host {
+  const { Upstream } = backingServices.HostRole;
   return quietProcess.listedHost(name, Upstream, running);
 }
--- a/packages/stand_ins/src/measure/capacity_members.ts
+++ b/packages/stand_ins/src/measure/capacity_members.ts
@@ -1,6 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import type * as daemon from "@geraniumkeel/daemon";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import * as undici from "undici";
 import * as platformStandIn from "../platform_stand_in.ts";
 import * as testConfiguration from "../testing/test_configuration.ts";
@@ -28,7 +28,7 @@
 
 interface Light {
   running: daemon.RunningProcess;
-  host: platform.Host;
+  host: backingServices.Host;
 }
 
 /** Membership and configuration among light entries in one process. */
@@ -94,7 +94,7 @@
 ): Promise<Light> {
   const settings = quietProcess.entrySettings(name, store.url, TIMING);
   const running = await quietProcess.startEntry(settings);
-  const { Entry } = platform.HostRole;
+  const { Entry } = backingServices.HostRole;
   return { running, host: quietProcess.listedHost(name, Entry, running) };
 }
 
--- a/packages/stand_ins/src/measure/quiet_process.ts
+++ b/packages/stand_ins/src/measure/quiet_process.ts
@@ -1,6 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as daemon from "@geraniumkeel/daemon";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import * as testConfiguration from "../testing/test_configuration.ts";
 
 /** Settings as written in a file. */
@@ -84,18 +84,18 @@
 /** A started process as the platform lists it. */
 export function listedHost(
   name: string,
-  role: platform.HostRole,
+  role: backingServices.HostRole,
   running: Pick<daemon.RunningProcess, "urls">,
-): platform.Host {
+): backingServices.Host {
   return {
     name,
     role,
     place: PLACE,
     region: REGION,
-    state: platform.HostState.Live,
+    state: backingServices.HostState.Live,
     linkUrl: running.urls.links,
     callerUrl: running.urls.callers ?? "",
-    service: role === platform.HostRole.Upstream ? SERVICE : "",
+    service: role === backingServices.HostRole.Upstream ? SERVICE : "",
     group: "",
   };
 }
--- a/packages/stand_ins/src/platform_stand_in.ts
+++ b/packages/stand_ins/src/platform_stand_in.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import * as hono from "hono";
 import * as serveModule from "./serve.ts";
 import * as tableData from "./table_data.ts";
@@ -38,8 +38,8 @@
 export interface PlatformStandIn extends serveModule.Serving {
   table: tableData.TableData;
   faults: PlatformFaults;
-  setHosts: (hosts: platform.Host[]) => void;
-  hosts: () => platform.Host[];
+  setHosts: (hosts: backingServices.Host[]) => void;
+  hosts: () => backingServices.Host[];
 }
 
 /** Starts a stand-in of table service, object store and host list. */
@@ -47,11 +47,11 @@
   const table = new tableData.TableData();
   const faults = { ...NO_FAULTS };
   const objects = new Map<string, string>();
-  const lists: { at: number; hosts: platform.Host[] }[] = [];
-  const setHosts = (hosts: platform.Host[]) => {
+  const lists: { at: number; hosts: backingServices.Host[] }[] = [];
+  const setHosts = (hosts: backingServices.Host[]) => {
     lists.push({ at: common.now(), hosts });
   };
-  const firstRows = new Map<string, platform.Row>();
+  const firstRows = new Map<string, backingServices.Row>();
   const application = new hono.Hono();
   application.get("/faults", () => Response.json(faults));
   application.put("/faults", async (request) => {
@@ -94,7 +94,7 @@
     return Response.json(table.range(from, to, Number(limit)));
   });
   application.post("/table/transaction", async (request) => {
-    const transaction = await request.req.json<platform.Transaction>();
+    const transaction = await request.req.json<backingServices.Transaction>();
     return answerTransaction(table, faults, transaction);
   });
   application.get("/objects/:name", (request) => {
@@ -115,7 +115,7 @@
 async function answerTransaction(
   table: tableData.TableData,
   faults: PlatformFaults,
-  transaction: platform.Transaction,
+  transaction: backingServices.Transaction,
 ): Promise<Response> {
   if (faults.delayEffects > 0) {
     faults.delayEffects--;
@@ -129,9 +129,9 @@
     return new Response("lost", { status: 500 });
   }
   switch (outcome.kind) {
-    case platform.OutcomeKind.Committed:
+    case backingServices.OutcomeKind.Committed:
       return Response.json({ revisions: outcome.revisions });
-    case platform.OutcomeKind.Conflict:
+    case backingServices.OutcomeKind.Conflict:
       return Response.json({ rows: outcome.rows }, { status: 409 });
     default:
       return new Response("", { status: 500 });
--- a/packages/stand_ins/src/system/processes_test.ts
+++ b/packages/stand_ins/src/system/processes_test.ts
@@ -5,7 +5,7 @@
 import * as url from "node:url";
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import * as childProcesses from "../demo/child_processes.ts";
 import * as deployment from "../demo/deployment.ts";
 import * as undici from "undici";
@@ -147,7 +147,7 @@
     const [plain] = running.plains.values();
     await until(async () => (await chat(paused, "ready?")).status === 200);
     await until(async () => (await chat(awake, "ready?")).status === 200);
-    const client = new platform.HttpClient(plain.urls[0], {
+    const client = new backingServices.HttpClient(plain.urls[0], {
       timeoutMilliseconds: 5_000,
     });
     await client.request("PUT", "/faults", { delayMilliseconds: 500 });
@@ -225,7 +225,7 @@
     "host: found",
     "processKey: found",
     'unknown "colour"',
-    "platform.url: found",
+    "backingServices.url: found",
     "listen.callers.port: found 99999",
   ]) {
     t.true(run.stderr.includes(path), `${path} in ${run.stderr}`);
--- a/packages/stand_ins/src/table_data.ts
+++ b/packages/stand_ins/src/table_data.ts
@@ -1,20 +1,20 @@
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 
 /** Rows of the table stand-in, with transactions that are atomic by nature. */
 export class TableData {
-  readonly #rows = new Map<string, platform.Row>();
+  readonly #rows = new Map<string, backingServices.Row>();
   #revision = 0;
   reads = 0;
   writes = 0;
 
   /** One row. */
-  get(key: string): platform.Row | undefined {
+  get(key: string): backingServices.Row | undefined {
     this.reads++;
     return this.#rows.get(key);
   }
 
   /** Rows with `from` <= key < `to`, in key order. */
-  range(from: string, to: string, limit: number): platform.Row[] {
+  range(from: string, to: string, limit: number): backingServices.Row[] {
     this.reads++;
     const keys = [...this.#rows.keys()].filter(
       (key) => key >= from && key < to,
@@ -26,37 +26,37 @@
   }
 
   /** Commits a transaction or reports the rows in conflict. */
-  transact(transaction: platform.Transaction): platform.TransactionOutcome {
+  transact(transaction: backingServices.Transaction): backingServices.TransactionOutcome {
     this.writes++;
     const failed = transaction.conditions.filter((one) => !this.#holds(one));
     if (failed.length > 0) {
       const rows = failed.flatMap(({ key }) => this.#rows.get(key) ?? []);
-      return { kind: platform.OutcomeKind.Conflict, rows };
+      return { kind: backingServices.OutcomeKind.Conflict, rows };
     }
     const revisions: Record<string, number> = {};
     for (const write of transaction.writes) {
       switch (write.kind) {
-        case platform.WriteKind.Put: {
+        case backingServices.WriteKind.Put: {
           const { key, value } = write;
           const revision = ++this.#revision;
           this.#rows.set(key, { key, revision, value });
           revisions[key] = revision;
           break;
         }
-        case platform.WriteKind.Delete:
+        case backingServices.WriteKind.Delete:
           this.#rows.delete(write.key);
           break;
       }
     }
-    return { kind: platform.OutcomeKind.Committed, revisions };
+    return { kind: backingServices.OutcomeKind.Committed, revisions };
   }
 
-  #holds(condition: platform.Condition): boolean {
+  #holds(condition: backingServices.Condition): boolean {
     const row = this.#rows.get(condition.key);
     switch (condition.kind) {
-      case platform.ConditionKind.Absent:
+      case backingServices.ConditionKind.Absent:
         return row === undefined;
-      case platform.ConditionKind.AtRevision:
+      case backingServices.ConditionKind.AtRevision:
         return row?.revision === condition.revision;
     }
   }
--- a/packages/stand_ins/src/testing/cluster.ts
+++ b/packages/stand_ins/src/testing/cluster.ts
@@ -1,7 +1,7 @@
 import * as common from "@geraniumkeel/common";
 
 import * as daemon from "@geraniumkeel/daemon";
-import * as platform from "@geraniumkeel/platform";
+import * as backingServices from "@geraniumkeel/backing_services";
 import * as undici from "undici";
 import * as engineModel from "../engine_model.ts";
 import * as engineStandIn from "../engine_stand_in.ts";
@@ -30,7 +30,7 @@
   name: string;
   running: daemon.RunningProcess;
   logger: common.RecordingLogger;
-  host: platform.Host;
+  host: backingServices.Host;
   /** Path by which others reach its links, if there is one. */
   proxy: tcpProxy.TcpProxy | undefined;
 }
@@ -229,7 +229,7 @@
     const running = started._unsafeUnwrap();
     if (proxy) proxy.target = portOf(running);
     const host = {
-      ...this.#hostOf(name, settings.place, platform.HostRole.Entry, running),
+      ...this.#hostOf(name, settings.place, backingServices.HostRole.Entry, running),
       ...(proxy && { linkUrl: proxy.url }),
       callerUrl: running.urls.callers,
     };
@@ -259,7 +259,7 @@
     });
     const running = started._unsafeUnwrap();
     const group = "group" in backEnd ? backEnd.group : "";
-    const { Upstream } = platform.HostRole;
+    const { Upstream } = backingServices.HostRole;
     const proxy = await this.#newProxy();
     if (proxy) proxy.target = portOf(running);
     const host = {
@@ -306,7 +306,7 @@
 
   /** Publishes the host list as it is now. */
   publish(
-    change: (host: platform.Host) => platform.Host = (host) => host,
+    change: (host: backingServices.Host) => backingServices.Host = (host) => host,
   ): void {
     const all = [...this.entries, ...this.upstreams];
     this.platform.setHosts(all.map(({ host }) => change(host)));
@@ -418,15 +418,15 @@
   #hostOf(
     name: string,
     place: string,
-    role: platform.HostRole,
+    role: backingServices.HostRole,
     running: daemon.RunningProcess,
-  ): platform.Host {
+  ): backingServices.Host {
     return {
       name,
       role,
       place,
       region: REGION,
-      state: platform.HostState.Live,
+      state: backingServices.HostState.Live,
       linkUrl: running.urls.links,
       callerUrl: "",
       service: "",
