--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -6,6 +6,8 @@
   DrainFinished = 1004,
   StopForced = 1005,
   CloseLate = 1006,
+  SettingsRead = 1007,
+  SettingsRefused = 1008,
   LinkEstablished = 1101,
   LinkLost = 1102,
   LinkSilent = 1103,
@@ -103,6 +105,17 @@
     meaning: "A part did not close in time and was left.",
     action: "Report it with the state dump.",
   },
+  [EventCode.SettingsRead]: {
+    level: EventLevel.Info,
+    meaning: "The settings were read again.",
+    action: NONE,
+  },
+  [EventCode.SettingsRefused]: {
+    level: EventLevel.Error,
+    meaning:
+      "The settings could not be read again; those in use stay in force.",
+    action: "Mend what `problems` names.",
+  },
   [EventCode.LinkEstablished]: {
     level: EventLevel.Info,
     meaning: "A link to another process of the system is up.",
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -10,15 +10,19 @@
   event(code: eventCatalogue.EventCode, fields?: EventFields): void;
 }
 
-/** Writes events as bunyan JSON lines to standard error. */
+/** Writes events as bunyan JSON lines, to standard error if nothing is said. */
 export function createLogger(parameters: {
   name: string;
   host: string;
+  writer?: { write(line: string): void };
 }): Logger {
+  const writer = parameters.writer ?? process.stderr;
   const stream = bunyan.createLogger({
     name: parameters.name,
     host: parameters.host,
-    streams: [{ stream: process.stderr, level: "info" }],
+    hostname: parameters.host,
+    // Bunyan only ever calls `write`.
+    streams: [{ stream: writer as NodeJS.WritableStream, level: "info" }],
   });
   return {
     event(code, fields = {}) {
--- a/packages/common/src/mod.ts
+++ b/packages/common/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./instant.ts";
 export * from "./keys.ts";
 export * from "./life_cycle.ts";
+export * from "./log_writer.ts";
 export * from "./logger.ts";
 export * from "./metrics.ts";
 export * from "./random.ts";
--- a/packages/daemon/src/configuration/configuration_store.ts
+++ b/packages/daemon/src/configuration/configuration_store.ts
@@ -62,7 +62,10 @@
     head: configuration.Head,
     held: Record<string, number>,
   ): Promise<
-    neverthrow.Result<wire.SectionPush[] | undefined, backingServices.TableUnavailable>
+    neverthrow.Result<
+      wire.SectionPush[] | undefined,
+      backingServices.TableUnavailable
+    >
   > {
     const sections: wire.SectionPush[] = [];
     for (const [name, revision] of Object.entries(head.sections)) {
--- a/packages/daemon/src/dispatch/claim_store.ts
+++ b/packages/daemon/src/dispatch/claim_store.ts
@@ -131,7 +131,10 @@
       conditions: old.map(({ key, revision }) =>
         backingServices.atRevision(key, revision),
       ),
-      writes: old.map(({ key }) => ({ kind: backingServices.WriteKind.Delete, key })),
+      writes: old.map(({ key }) => ({
+        kind: backingServices.WriteKind.Delete,
+        key,
+      })),
     });
     const committed = outcome.kind === backingServices.OutcomeKind.Committed;
     return neverthrow.ok({ removed: committed ? old.length : 0, next });
--- a/packages/daemon/src/dispatch/runner_directory.ts
+++ b/packages/daemon/src/dispatch/runner_directory.ts
@@ -66,7 +66,8 @@
     });
     for (const [name, runner] of this.#runners) {
       const listed = wanted.get(name);
-      runner.link.listedLeaving = listed?.state !== backingServices.HostState.Live;
+      runner.link.listedLeaving =
+        listed?.state !== backingServices.HostState.Live;
       const moved = listed && listed.linkUrl !== runner.link.host.linkUrl;
       if (listed && !moved) {
         runner.unlistedAt = undefined;
--- a/packages/daemon/src/forwarding/admit_request.ts
+++ b/packages/daemon/src/forwarding/admit_request.ts
@@ -1,5 +1,4 @@
-import type * as trafficConfiguration from "../traffic/traffic_configuration.ts";
-import type * as trafficView from "../traffic/traffic_view.ts";
+import type * as traffic from "@geraniumkeel/traffic";
 import * as forwardRequest from "./forward_request.ts";
 
 /** When a caller is told to come back to an entry that knows too little. */
@@ -8,9 +7,9 @@
 /** A request that may be passed on. */
 export interface AdmittedRequest {
   kind: "admitted";
-  route: trafficConfiguration.Route;
+  route: traffic.Route;
   /** `undefined` if the route needs no key. */
-  account: trafficConfiguration.Account | undefined;
+  account: traffic.Account | undefined;
 }
 
 /** A request that is answered here. */
@@ -27,7 +26,7 @@
  */
 export function admitRequest(parameters: {
   request: forwardRequest.ForwardRequest;
-  view: trafficView.TrafficView | undefined;
+  view: traffic.TrafficView | undefined;
   proofAge: number;
   longestProofAge: number;
 }): AdmittedRequest | RefusedRequest {
--- a/packages/daemon/src/forwarding/answer_relay.ts
+++ b/packages/daemon/src/forwarding/answer_relay.ts
@@ -1,5 +1,5 @@
 import * as neverthrow from "neverthrow";
-import * as trafficConfiguration from "../traffic/traffic_configuration.ts";
+import * as traffic from "@geraniumkeel/traffic";
 import * as eventSplitter from "./event_splitter.ts";
 import type * as forwardRequest from "./forward_request.ts";
 import * as runnerCaller from "./runner_caller.ts";
@@ -34,7 +34,7 @@
   constructor(
     readonly parameters: {
       sink: forwardRequest.AnswerSink;
-      answerForm: trafficConfiguration.AnswerForm;
+      answerForm: traffic.AnswerForm;
       resumeAfter: string;
     },
   ) {
@@ -56,9 +56,9 @@
     answer: runnerCaller.RunnerAnswer,
   ): Promise<neverthrow.Result<void, string>> {
     switch (this.parameters.answerForm) {
-      case trafficConfiguration.AnswerForm.Whole:
+      case traffic.AnswerForm.Whole:
         return this.#relayWhole(answer);
-      case trafficConfiguration.AnswerForm.Events:
+      case traffic.AnswerForm.Events:
         return this.#relayEvents(answer);
     }
   }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -1,7 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import type * as retryBudget from "../dispatch/retry_budget.ts";
-import type * as runnerEntry from "../traffic/runner_entry.ts";
-import * as trafficConfiguration from "../traffic/traffic_configuration.ts";
+import * as traffic from "@geraniumkeel/traffic";
 import * as answerRelay from "./answer_relay.ts";
 import * as forwardRequest from "./forward_request.ts";
 import * as runnerBoard from "./runner_board.ts";
@@ -15,8 +14,8 @@
 export interface ForwardedRequestParameters {
   request: forwardRequest.ForwardRequest;
   sink: forwardRequest.AnswerSink;
-  route: trafficConfiguration.Route;
-  account: trafficConfiguration.Account | undefined;
+  route: traffic.Route;
+  account: traffic.Account | undefined;
   service: string;
   board: runnerBoard.RunnerBoard;
   caller: runnerCaller.RunnerCaller;
@@ -131,8 +130,7 @@
   /** Whether another runner may be tried after an attempt. */
   #mayRepeat(end: AttemptEnd): boolean {
     const { route } = this.parameters;
-    const idempotent =
-      route.repeatability === trafficConfiguration.Repeatability.Idempotent;
+    const idempotent = route.repeatability === traffic.Repeatability.Idempotent;
     switch (end.kind) {
       case AttemptKind.NotRun:
         return true;
@@ -147,7 +145,7 @@
     }
   }
 
-  async #attempt(runner: runnerEntry.RunnerEntry): Promise<AttemptEnd> {
+  async #attempt(runner: traffic.RunnerEntry): Promise<AttemptEnd> {
     const { board } = this.parameters;
     const startedAt = common.now();
     const noteEnd = board.begin(runner.identifier);
@@ -163,7 +161,7 @@
     return end;
   }
 
-  async #callRunner(runner: runnerEntry.RunnerEntry): Promise<AttemptEnd> {
+  async #callRunner(runner: traffic.RunnerEntry): Promise<AttemptEnd> {
     const { request, sink, route, account, caller, board } = this.parameters;
     const answer = await caller.call({
       request,
@@ -207,7 +205,7 @@
   }
 
   #endOfFailure(
-    runner: runnerEntry.RunnerEntry,
+    runner: traffic.RunnerEntry,
     failure: runnerCaller.CallFailure,
   ): AttemptEnd {
     const { reason } = failure;
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -1,8 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import type * as retryBudget from "../dispatch/retry_budget.ts";
-import type * as provenValue from "../traffic/proven_value.ts";
-import * as trafficConfiguration from "../traffic/traffic_configuration.ts";
-import * as trafficView from "../traffic/traffic_view.ts";
+import * as traffic from "@geraniumkeel/traffic";
 import * as admitRequest from "./admit_request.ts";
 import * as forwardRequest from "./forward_request.ts";
 import * as forwardedRequest from "./forwarded_request.ts";
@@ -11,7 +9,7 @@
 
 /** What passing requests on needs. */
 export interface ForwarderParameters {
-  configuration: provenValue.ProvenValue<trafficConfiguration.TrafficConfiguration>;
+  configuration: traffic.ProvenValue<traffic.TrafficConfiguration>;
   /** Age of the configuration's proof up to which keyed requests are run. */
   longestProofAge: number;
   board: runnerBoard.RunnerBoard;
@@ -24,7 +22,7 @@
 
 /** Passes callers' requests on to runners and their answers back. */
 export class Forwarder {
-  #view: trafficView.TrafficView | undefined;
+  #view: traffic.TrafficView | undefined;
   #underWay = 0;
 
   constructor(readonly parameters: ForwarderParameters) {}
@@ -87,16 +85,16 @@
     }
   }
 
-  #currentView(): trafficView.TrafficView | undefined {
+  #currentView(): traffic.TrafficView | undefined {
     const { value } = this.parameters.configuration;
     if (value && this.#view?.configuration !== value) {
-      this.#view = new trafficView.TrafficView(value);
+      this.#view = new traffic.TrafficView(value);
     }
     return this.#view;
   }
 
   /** One of the route's services, each as often as its weight says. */
-  #pickService(route: trafficConfiguration.Route): string {
+  #pickService(route: traffic.Route): string {
     const { shares } = route;
     const total = shares.reduce((sum, { weight }) => sum + weight, 0);
     let left = this.parameters.random.between(0, total);
--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import type * as runnerEntry from "../traffic/runner_entry.ts";
+import type * as traffic from "@geraniumkeel/traffic";
 import * as chooseRunner from "./choose_runner.ts";
 
 /** How a call went, as far as it tells of the runner. */
@@ -28,7 +28,7 @@
   failureSeenAt = 0;
   sparedUntil = 0;
 
-  constructor(public entry: runnerEntry.RunnerEntry) {}
+  constructor(public entry: traffic.RunnerEntry) {}
 
   /** Part of its answers that failed; forgotten by and by. */
   currentFailureShare(now: number): number {
@@ -48,7 +48,7 @@
   ) {}
 
   /** Takes a new list; runners that are not in it get nothing more. */
-  update(list: runnerEntry.RunnerList): void {
+  update(list: traffic.RunnerList): void {
     const listed = new Set<string>();
     for (const entry of list.runners) {
       listed.add(entry.identifier);
@@ -103,7 +103,7 @@
   choose(
     service: string,
     tried: ReadonlySet<string>,
-  ): runnerEntry.RunnerEntry | undefined {
+  ): traffic.RunnerEntry | undefined {
     const views = this.candidates(service, tried);
     const chosen = chooseRunner.chooseRunner(views, this.parameters.random);
     return chosen && this.#records.get(chosen.identifier)?.entry;
@@ -131,6 +131,20 @@
     this.#records.delete(identifier);
   }
 
+  /** What the state dump says of each runner. */
+  describe(): unknown {
+    const now = common.now();
+    return [...this.#records].map(([identifier, record]) => ({
+      runner: identifier,
+      service: record.entry.service,
+      leaving: record.entry.leaving,
+      own: record.own,
+      others: this.#othersAt(identifier),
+      failureShare: record.currentFailureShare(now),
+      spared: record.sparedUntil > now,
+    }));
+  }
+
   #note(record: RunnerRecord, end: CallEnd): void {
     if (end === CallEnd.Neutral) return;
     const now = common.now();
--- a/packages/daemon/src/forwarding/runner_caller.ts
+++ b/packages/daemon/src/forwarding/runner_caller.ts
@@ -1,11 +1,11 @@
 import type * as neverthrow from "neverthrow";
-import type * as runnerEntry from "../traffic/runner_entry.ts";
+import type * as traffic from "@geraniumkeel/traffic";
 import type * as forwardRequest from "./forward_request.ts";
 
 /** What is told to a runner beside the caller's own request. */
 export interface RunnerCall {
   request: forwardRequest.ForwardRequest;
-  runner: runnerEntry.RunnerEntry;
+  runner: traffic.RunnerEntry;
   /** Time left for the request. */
   patienceMilliseconds: number;
   /** Account of the caller; empty if the request needed no key. */
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -0,0 +1,234 @@
+import type * as http from "node:http";
+import type * as backingServices from "@geraniumkeel/backing_services";
+import * as common from "@geraniumkeel/common";
+import * as traffic from "@geraniumkeel/traffic";
+import type * as wire from "@geraniumkeel/wire";
+import * as retryBudget from "../dispatch/retry_budget.ts";
+import * as forwarderModule from "../forwarding/forwarder.ts";
+import * as runnerBoard from "../forwarding/runner_board.ts";
+import type * as runnerCaller from "../forwarding/runner_caller.ts";
+import * as entryMesh from "../mesh/entry_mesh.ts";
+import * as memberRows from "../mesh/member_rows.ts";
+
+/**
+ * Part of the time in which a key that was taken away may still be served, after
+ * which a configuration without proof is not relied on. The rest covers a request
+ * that waits after it was let through, and its way.
+ */
+const RELIED_ON_SHARE = 0.8;
+/** Entries that ask the store; one more than needed, as one may die. */
+const FOLLOWERS = 2;
+/**
+ * Age of a proof at which an entry that is no follower asks the store itself, in
+ * milliseconds: longer than a look takes, and staggered so that not all ask.
+ */
+const FALL_BACK_MILLISECONDS = 1_400;
+const FALL_BACK_STAGGER_MILLISECONDS = 250;
+/** Part of the allowed repeats that is used; the rest covers unequal load. */
+const USED_RETRY_SHARE = 0.7;
+/** Entries that the allowance is shared among at least. */
+const FEWEST_ENTRIES = 6;
+/** Time for which callers see that this entry leaves, in milliseconds. */
+const LEAVE_MILLISECONDS = 3_300;
+/** Time before the process is killed at which it ends by itself. */
+const STOP_SLACK_MILLISECONDS = 700;
+/** How often a stopping process looks whether all is answered. */
+const STOP_LOOK_MILLISECONDS = 50;
+
+/** What a gateway needs. */
+export interface GatewayParameters {
+  self: wire.MeshMember;
+  seeds: { address: string; port: number }[];
+  /** Longest time for which a key that was taken away may be served. */
+  revocationMilliseconds: number;
+  /** Time from the wish to stop until the process is killed. */
+  stopMilliseconds: number;
+  /** Repeats allowed over all entries, in a window. */
+  retries: { share: number; allowance: number };
+  table: backingServices.TableService;
+  configurationSource: traffic.DocumentSource<traffic.TrafficConfiguration>;
+  runnerSource: traffic.DocumentSource<traffic.RunnerList>;
+  caller: runnerCaller.RunnerCaller;
+  logger: common.Logger;
+  metrics: common.Metrics;
+  lifeCycle: common.LifeCycle;
+  random: common.Random;
+}
+
+/**
+ * An entry that passes requests on as they are. It is ready once it knows which
+ * requests may go where, and as long as it knows that this is not old.
+ */
+export class Gateway {
+  readonly configuration =
+    new traffic.ProvenValue<traffic.TrafficConfiguration>();
+  readonly runners = new traffic.ProvenValue<traffic.RunnerList>();
+  readonly board: runnerBoard.RunnerBoard;
+  readonly forwarder: forwarderModule.Forwarder;
+  readonly mesh: entryMesh.EntryMesh;
+  readonly #budgets = new Map<string, retryBudget.RetryBudget>();
+  readonly #longestProofAge: number;
+  #storeReachable = true;
+  #stopping = false;
+
+  constructor(readonly parameters: GatewayParameters) {
+    const { self, random, logger, metrics, caller } = parameters;
+    this.#longestProofAge = parameters.revocationMilliseconds * RELIED_ON_SHARE;
+    const { dataCentre } = self;
+    this.board = new runnerBoard.RunnerBoard({ dataCentre, random });
+    this.forwarder = new forwarderModule.Forwarder({
+      configuration: this.configuration,
+      longestProofAge: this.#longestProofAge,
+      board: this.board,
+      caller,
+      budgetOf: (service) => this.#budgetOf(service),
+      random,
+      logger,
+      metrics,
+    });
+    this.mesh = new entryMesh.EntryMesh({
+      self,
+      incarnation: common.randomIdentifier(),
+      rows: new memberRows.MemberRows(parameters.table),
+      seeds: parameters.seeds,
+      configuration: this.configuration,
+      runners: this.runners,
+      ready: () => this.ready,
+      storeReachable: () => this.#storeReachable,
+      outstanding: () => this.board.ownCounts(),
+      onOutstanding: (host, counts) => this.board.setOthers(host, counts),
+      random,
+      logger,
+      lifeCycle: parameters.lifeCycle,
+    });
+  }
+
+  /** Whether callers may be sent here. */
+  get ready(): boolean {
+    if (this.#stopping || !this.runners.value) return false;
+    return this.configuration.age <= this.#longestProofAge;
+  }
+
+  /** Whether this process is about to stop. */
+  get stopping(): boolean {
+    return this.#stopping;
+  }
+
+  /** Starts to follow the store and to link with the other entries. */
+  start(linkServer: http.Server): void {
+    const { lifeCycle, configurationSource, runnerSource } = this.parameters;
+    this.mesh.start(linkServer);
+    lifeCycle.run("configuration", (signal) =>
+      this.#follow(
+        "configuration",
+        configurationSource,
+        this.configuration,
+        signal,
+      ),
+    );
+    lifeCycle.run("runners", (signal) =>
+      this.#follow("runners", runnerSource, this.runners, signal),
+    );
+    lifeCycle.run("board", (signal) => this.#keepBoard(signal));
+  }
+
+  /** Entries that a caller may use now; all known ones if none says it is ready. */
+  entriesForCallers(): wire.MeshMember[] {
+    const ready = this.mesh.readyMembers();
+    return ready.length > 0 ? ready : this.mesh.knownMembers();
+  }
+
+  /**
+   * Stops taking part, and resolves when all requests are answered and callers
+   * have had time to see that this entry leaves. Callers hold on to what they
+   * were told for some seconds, so requests are served until then.
+   */
+  async drain(): Promise<void> {
+    const { logger, stopMilliseconds } = this.parameters;
+    const startedAt = common.now();
+    this.#stopping = true;
+    const underWay = this.forwarder.underWay;
+    logger.event(common.EventCode.DrainStarted, { underWay });
+    await this.mesh.leave();
+    const last = stopMilliseconds - STOP_SLACK_MILLISECONDS;
+    for (;;) {
+      const elapsed = common.now() - startedAt;
+      const seen = elapsed >= LEAVE_MILLISECONDS;
+      if (elapsed >= last) break;
+      if (seen && this.forwarder.underWay === 0) break;
+      await common.sleep(STOP_LOOK_MILLISECONDS);
+    }
+    const left = this.forwarder.underWay;
+    logger.event(common.EventCode.DrainFinished, { underWay: left });
+  }
+
+  /** The state dump. */
+  describe(): unknown {
+    return {
+      ready: this.ready,
+      stopping: this.#stopping,
+      underWay: this.forwarder.underWay,
+      configuration: {
+        version: this.configuration.version,
+        age: this.configuration.age,
+      },
+      runners: { version: this.runners.version, age: this.runners.age },
+      board: this.board.describe(),
+      mesh: this.mesh.describe(),
+    };
+  }
+
+  async #follow<T extends traffic.Versioned>(
+    name: string,
+    source: traffic.DocumentSource<T>,
+    held: traffic.ProvenValue<T>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { random, logger } = this.parameters;
+    await traffic.followDocument({
+      name,
+      source,
+      held,
+      restBelowAge: () => this.#restBelowAge(),
+      onReachable: (reachable) => (this.#storeReachable = reachable),
+      random,
+      logger,
+      signal,
+    });
+  }
+
+  #restBelowAge(): number {
+    const later = this.mesh.followPlace() - FOLLOWERS;
+    if (later < 0) return 0;
+    return FALL_BACK_MILLISECONDS + later * FALL_BACK_STAGGER_MILLISECONDS;
+  }
+
+  async #keepBoard(signal: AbortSignal): Promise<void> {
+    let version = -1;
+    while (!signal.aborted) {
+      const list = this.runners.value;
+      if (list && list.version !== version) this.board.update(list);
+      version = list?.version ?? version;
+      await this.runners.changes.next(BOARD_LOOK_MILLISECONDS, signal);
+    }
+  }
+
+  #budgetOf(service: string): retryBudget.RetryBudget {
+    const known = this.#budgets.get(service);
+    if (known) return known;
+    const { share, allowance } = this.parameters.retries;
+    const entries = Math.max(FEWEST_ENTRIES, this.mesh.size);
+    const largestBalance = (allowance * USED_RETRY_SHARE) / entries;
+    const created = new retryBudget.RetryBudget({
+      earnedPerRequest: share * USED_RETRY_SHARE,
+      largestBalance,
+      // A process that starts anew may have spent its balance just before.
+      initialBalance: largestBalance / 2,
+    });
+    this.#budgets.set(service, created);
+    return created;
+  }
+}
+
+/** How often the board is compared with the list, if no change is announced. */
+const BOARD_LOOK_MILLISECONDS = 1_000;
--- /dev/null
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -0,0 +1,432 @@
+import type * as http from "node:http";
+import * as common from "@geraniumkeel/common";
+import type * as traffic from "@geraniumkeel/traffic";
+import * as wire from "@geraniumkeel/wire";
+import * as listenModule from "../settings/listen.ts";
+import type * as memberRows from "./member_rows.ts";
+import * as meshPeer from "./mesh_peer.ts";
+import * as stampClock from "./stamp_clock.ts";
+
+/** Time between two beats, in milliseconds: the lag of counts between entries. */
+const BEAT_MILLISECONDS = 200;
+/** Silence after which callers are no longer sent to an entry. */
+const UNHEARD_MILLISECONDS = 900;
+/** Silence after which a link is replaced. */
+const LINK_TIMING: wire.LinkTiming = {
+  heartbeat: 250,
+  silentAfter: 1_000,
+  connectTimeout: 500,
+};
+/** Pauses between attempts to open a link. */
+const FIRST_PAUSE_MILLISECONDS = 100;
+const LONGEST_PAUSE_MILLISECONDS = 1_000;
+/** Delay before the end that normally waits to be dialled dials itself. */
+const SECOND_DIALLER_DELAY_MILLISECONDS = 400;
+/** Time without any word after which an entry is taken for gone for good. */
+const FORGET_MILLISECONDS = 60_000;
+/** Time after which a push that had no effect is repeated. */
+const PUSH_AGAIN_MILLISECONDS = 400;
+/** Pause before the store is asked again for the other entries. */
+const REGISTER_PAUSE_MILLISECONDS = 500;
+/**
+ * Word by which processes of one system know each other. The hosts' settings
+ * hold no secret; it keeps out strays, not attackers.
+ */
+export const LINK_WORD = "geraniumkeel";
+
+/** What the mesh of entries needs. */
+export interface EntryMeshParameters {
+  self: wire.MeshMember;
+  incarnation: string;
+  rows: memberRows.MemberRows;
+  /** Where other entries may be found while the store is away. */
+  seeds: { address: string; port: number }[];
+  configuration: traffic.ProvenValue<traffic.TrafficConfiguration>;
+  runners: traffic.ProvenValue<traffic.RunnerList>;
+  ready: () => boolean;
+  storeReachable: () => boolean;
+  outstanding: () => [string, number][];
+  /** Counts of another entry; `undefined` when it is gone. */
+  onOutstanding: (
+    host: string,
+    counts: Map<string, number> | undefined,
+  ) => void;
+  random: common.Random;
+  logger: common.Logger;
+  lifeCycle: common.LifeCycle;
+}
+
+/** An entry that is known, linked or not. */
+interface KnownMember {
+  member: wire.MeshMember;
+  heardAt: number;
+  /** Revision of its row; `undefined` if it was not read from the store. */
+  revision: number | undefined;
+  dialling: AbortController;
+}
+
+/**
+ * Links between all entries. Over them flow who is ready, requests under way at
+ * runners, newer documents, and proofs of how fresh these are, so that an entry
+ * that is cut off from the store, or that does not ask it, knows what the others
+ * know.
+ */
+export class EntryMesh {
+  readonly #known = new Map<string, KnownMember>();
+  readonly #peers = new Map<string, meshPeer.MeshPeer>();
+  readonly #stamps = new stampClock.StampClock();
+  readonly #changed = new common.ChangeNotice();
+  #leaving = false;
+  /** Revision of the own row, once it is certain. */
+  #ownRevision: number | undefined;
+
+  constructor(readonly parameters: EntryMeshParameters) {}
+
+  /** Accepts links and looks for the other entries. */
+  start(server: http.Server): void {
+    const { lifeCycle, configuration, runners } = this.parameters;
+    const accepting = wire.acceptLinks({
+      server,
+      path: listenModule.LINK_PATH,
+      key: LINK_WORD,
+      timing: LINK_TIMING,
+      heartbeat: noHeartbeat,
+      onLink: (link) => {
+        lifeCycle.run("peer", (signal) => this.#serve(link, signal));
+      },
+    });
+    lifeCycle.own({ name: "links", close: () => accepting.close() });
+    lifeCycle.every(BEAT_MILLISECONDS, () => this.#beat());
+    lifeCycle.run("register", (signal) => this.#register(signal));
+    lifeCycle.run("seeds", (signal) => this.#greetSeeds(signal));
+    lifeCycle.run("push-configuration", (signal) =>
+      this.#pushChanges(configuration.changes, signal),
+    );
+    lifeCycle.run("push-runners", (signal) =>
+      this.#pushChanges(runners.changes, signal),
+    );
+  }
+
+  /** Entries that callers may be sent to; this one among them if it is ready. */
+  readyMembers(): wire.MeshMember[] {
+    const { self, ready } = this.parameters;
+    const members = ready() && !this.#leaving ? [self] : [];
+    for (const peer of this.#peers.values()) {
+      if (this.#heard(peer) && peer.beat?.ready) members.push(peer.member);
+    }
+    return members;
+  }
+
+  /** All entries that are known and not said to be leaving. */
+  knownMembers(): wire.MeshMember[] {
+    const { self } = this.parameters;
+    const members = this.#leaving ? [] : [self];
+    for (const { member } of this.#known.values()) members.push(member);
+    return members;
+  }
+
+  /** Number of entries, heard or not, this one included. */
+  get size(): number {
+    return this.#known.size + 1;
+  }
+
+  /**
+   * Place of this entry among those that reach the store and are heard, in an
+   * order that all agree on. The first ones follow the store for all.
+   */
+  followPlace(): number {
+    const { self, storeReachable } = this.parameters;
+    const hosts = storeReachable() ? [self.host] : [];
+    for (const peer of this.#peers.values()) {
+      if (!this.#heard(peer) || !peer.beat?.storeReachable) continue;
+      if (!peer.beat.leaving) hosts.push(peer.member.host);
+    }
+    const place = common.rendezvousOrder("follow", hosts).indexOf(self.host);
+    return place < 0 ? hosts.length : place;
+  }
+
+  /** Tells the others at once that this process stops. */
+  async leave(): Promise<void> {
+    const { rows, self } = this.parameters;
+    this.#leaving = true;
+    this.#beat();
+    if (this.#ownRevision) await rows.remove(self.host, this.#ownRevision);
+  }
+
+  /** What the state dump says of the mesh. */
+  describe(): unknown {
+    return {
+      known: [...this.#known.keys()],
+      peers: [...this.#peers.values()].map((peer) => ({
+        host: peer.member.host,
+        silence: Math.round(peer.silence),
+        beat: peer.beat,
+      })),
+      followPlace: this.followPlace(),
+    };
+  }
+
+  #heard(peer: meshPeer.MeshPeer): boolean {
+    return peer.open && peer.silence < UNHEARD_MILLISECONDS;
+  }
+
+  /** Writes the own row, and learns of the others, once. */
+  async #register(signal: AbortSignal): Promise<void> {
+    const { rows, self } = this.parameters;
+    while (!signal.aborted && !this.#leaving) {
+      this.#ownRevision ??= await rows.register(self);
+      const read = this.#ownRevision ? await rows.read() : undefined;
+      if (read?.isOk()) {
+        for (const { member, revision } of read.value) {
+          this.#learn(member, revision);
+        }
+        return;
+      }
+      await common.sleep(REGISTER_PAUSE_MILLISECONDS, signal);
+    }
+  }
+
+  /**
+   * Opens a link to each seed. Normally the store tells of the others sooner; a
+   * process that starts while the store is away finds them this way alone.
+   */
+  async #greetSeeds(signal: AbortSignal): Promise<void> {
+    const { seeds, self } = this.parameters;
+    const others = seeds.filter(({ address }) => address !== self.address);
+    await common.sleep(SECOND_DIALLER_DELAY_MILLISECONDS, signal);
+    while (!signal.aborted && !this.parameters.configuration.value) {
+      for (const { address, port } of others) {
+        const linked = [...this.#peers.values()].some(
+          (peer) => peer.open && peer.member.address === address,
+        );
+        if (linked) continue;
+        this.parameters.lifeCycle.run("seed", (seedSignal) =>
+          this.#dialOnce(address, port, seedSignal),
+        );
+      }
+      await common.sleep(LONGEST_PAUSE_MILLISECONDS, signal);
+    }
+  }
+
+  #learn(member: wire.MeshMember, revision: number | undefined): void {
+    const { self, lifeCycle, logger } = this.parameters;
+    if (member.host === self.host) return;
+    const known = this.#known.get(member.host);
+    if (known) {
+      known.member = member;
+      known.revision = revision ?? known.revision;
+      return;
+    }
+    const dialling = new AbortController();
+    const heardAt = common.now();
+    this.#known.set(member.host, { member, heardAt, revision, dialling });
+    logger.event(common.EventCode.HostAppeared, { peer: member.host });
+    lifeCycle.run(`dial ${member.host}`, (signal) =>
+      this.#keepLinked(member.host, AbortSignal.any([signal, dialling.signal])),
+    );
+  }
+
+  #forget(host: string): void {
+    const { logger } = this.parameters;
+    const known = this.#known.get(host);
+    if (!known) return;
+    known.dialling.abort();
+    this.#known.delete(host);
+    logger.event(common.EventCode.HostDisappeared, { peer: host });
+  }
+
+  /** Dials an entry whenever there is no link to it, until it is forgotten. */
+  async #keepLinked(host: string, signal: AbortSignal): Promise<void> {
+    const { self, random, rows } = this.parameters;
+    const backOff = new common.BackOff({
+      firstMilliseconds: FIRST_PAUSE_MILLISECONDS,
+      longestMilliseconds: LONGEST_PAUSE_MILLISECONDS,
+      random,
+    });
+    while (!signal.aborted) {
+      const known = this.#known.get(host);
+      if (!known) return;
+      if (this.#peers.get(host)?.open) {
+        backOff.reset();
+        await this.#changed.next(LONGEST_PAUSE_MILLISECONDS, signal);
+        continue;
+      }
+      if (common.now() - known.heardAt > FORGET_MILLISECONDS) {
+        this.#forget(host);
+        if (known.revision) await rows.remove(host, known.revision);
+        return;
+      }
+      const pause = backOff.pause();
+      const later = self.host < host ? 0 : SECOND_DIALLER_DELAY_MILLISECONDS;
+      await common.sleep(pause + later, signal);
+      if (signal.aborted || this.#peers.get(host)?.open) continue;
+      const { address, linkPort } = known.member;
+      await this.#dialOnce(address, linkPort, signal);
+    }
+  }
+
+  async #dialOnce(
+    address: string,
+    port: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const dialled = await wire.dial({
+      url: `ws://${address}:${port}${listenModule.LINK_PATH}`,
+      key: LINK_WORD,
+      timing: LINK_TIMING,
+      heartbeat: noHeartbeat,
+    });
+    if (dialled.isOk()) await this.#serve(dialled.value, signal);
+  }
+
+  /** Serves one link until it ends. */
+  async #serve(link: wire.Link, signal: AbortSignal): Promise<void> {
+    const { self, incarnation, logger } = this.parameters;
+    link.closeOn(signal);
+    link.send({
+      kind: wire.MessageKind.MeshHello,
+      member: self,
+      incarnation,
+      others: this.knownMembers().filter(({ host }) => host !== self.host),
+    });
+    const hello = await link.receive();
+    if (hello?.kind !== wire.MessageKind.MeshHello) return link.close();
+    const { host } = hello.member;
+    if (host === self.host) return link.close();
+    const peer = new meshPeer.MeshPeer(hello.member, hello.incarnation, link);
+    this.#peers.set(host, peer);
+    this.#learn(hello.member, undefined);
+    for (const other of hello.others) this.#learn(other, undefined);
+    this.#changed.announce();
+    logger.event(common.EventCode.LinkEstablished, { peer: host });
+    this.#sendBeat(peer, this.#stamps.next());
+    for await (const message of link.messages()) this.#receive(peer, message);
+    logger.event(common.EventCode.LinkLost, { peer: host, end: link.end });
+    if (this.#peers.get(host) === peer) {
+      this.#peers.delete(host);
+      this.parameters.onOutstanding(host, undefined);
+    }
+    this.#changed.announce();
+  }
+
+  #receive(peer: meshPeer.MeshPeer, message: wire.Message): void {
+    const { configuration, runners, onOutstanding } = this.parameters;
+    const known = this.#known.get(peer.member.host);
+    if (known) known.heardAt = common.now();
+    switch (message.kind) {
+      case wire.MessageKind.MeshBeat: {
+        peer.receive(message);
+        onOutstanding(peer.member.host, new Map(message.outstanding));
+        this.#takeProof(configuration, message, message.configuration);
+        this.#takeProof(runners, message, message.runners);
+        this.#pushNewer(peer);
+        if (message.leaving) this.#forget(peer.member.host);
+        return;
+      }
+      case wire.MessageKind.MeshConfiguration:
+        if (configuration.offer(message.configuration)) {
+          this.#logInForce("configuration", configuration.version, peer);
+        }
+        return;
+      case wire.MessageKind.MeshRunners:
+        if (runners.offer(message.list)) {
+          this.#logInForce("runners", runners.version, peer);
+        }
+        return;
+      default:
+        // A message of another duty: both ends run the same program, so it is
+        // a fault of the peer, and its link goes.
+        peer.link.close(wire.LinkEnd.Unreadable);
+    }
+  }
+
+  #logInForce(
+    document: string,
+    version: number,
+    peer: meshPeer.MeshPeer,
+  ): void {
+    const code = common.EventCode.DocumentInForce;
+    const from = peer.member.host;
+    this.parameters.logger.event(code, { document, version, from });
+  }
+
+  #takeProof<T extends traffic.Versioned>(
+    held: traffic.ProvenValue<T>,
+    beat: wire.MeshBeat,
+    proof: wire.MeshProof,
+  ): void {
+    const { echoedStamp, echoedAge } = beat;
+    const at = this.#stamps.provenAt({
+      echoedStamp,
+      echoedAge,
+      factAge: proof.age,
+    });
+    if (at) held.prove(proof.version, at);
+  }
+
+  /** Sends a peer what it is seen to lack. */
+  #pushNewer(peer: meshPeer.MeshPeer): void {
+    const { configuration, runners } = this.parameters;
+    const told = peer.beat;
+    if (!told) return;
+    if (
+      configuration.value &&
+      told.configuration.version < configuration.version &&
+      peer.mayPush("configuration", PUSH_AGAIN_MILLISECONDS)
+    ) {
+      const kind = wire.MessageKind.MeshConfiguration;
+      peer.link.send({ kind, configuration: configuration.value });
+    }
+    if (
+      runners.value &&
+      told.runners.version < runners.version &&
+      peer.mayPush("runners", PUSH_AGAIN_MILLISECONDS)
+    ) {
+      const kind = wire.MessageKind.MeshRunners;
+      peer.link.send({ kind, list: runners.value });
+    }
+  }
+
+  /** Passes a newer document on as soon as it is here. */
+  async #pushChanges(
+    changes: common.ChangeNotice,
+    signal: AbortSignal,
+  ): Promise<void> {
+    while (!signal.aborted) {
+      await changes.next(LONGEST_PAUSE_MILLISECONDS, signal);
+      for (const peer of this.#peers.values()) this.#pushNewer(peer);
+    }
+  }
+
+  #beat(): void {
+    const stamp = this.#stamps.next();
+    for (const peer of this.#peers.values()) this.#sendBeat(peer, stamp);
+  }
+
+  #sendBeat(peer: meshPeer.MeshPeer, stamp: number): void {
+    const { configuration, runners, ready } = this.parameters;
+    peer.link.send({
+      kind: wire.MessageKind.MeshBeat,
+      stamp,
+      ...peer.echo(),
+      ready: ready() && !this.#leaving,
+      leaving: this.#leaving,
+      storeReachable: this.parameters.storeReachable(),
+      configuration: proofOf(configuration),
+      runners: proofOf(runners),
+      outstanding: this.parameters.outstanding(),
+    });
+  }
+}
+
+function proofOf<T extends traffic.Versioned>(
+  held: traffic.ProvenValue<T>,
+): wire.MeshProof {
+  const { version, age } = held;
+  return { version, age: Number.isFinite(age) ? age : -1 };
+}
+
+/** Links of this mesh tell nothing by their own heartbeats. */
+function noHeartbeat(): { clock: number; revision: number } {
+  return { clock: 0, revision: 0 };
+}
--- /dev/null
+++ b/packages/wire/src/mesh.ts
@@ -0,0 +1,62 @@
+import type * as traffic from "@geraniumkeel/traffic";
+import type * as message from "./message.ts";
+
+/** An entry as other entries and callers reach it. */
+export interface MeshMember {
+  host: string;
+  dataCentre: string;
+  address: string;
+  /** Where other entries open links. */
+  linkPort: number;
+  /** Where callers connect. */
+  callerPort: number;
+}
+
+/** First message of each side of a link between entries. */
+export interface MeshHello {
+  kind: message.MessageKind.MeshHello;
+  member: MeshMember;
+  incarnation: string;
+  /** Other entries that the sender knows. */
+  others: MeshMember[];
+}
+
+/** Until when a sender's version of a document is proved to be the newest. */
+export interface MeshProof {
+  version: number;
+  /** Milliseconds since then, at the time of sending; -1 for no proof. */
+  age: number;
+}
+
+/** What an entry tells the others several times a second. */
+export interface MeshBeat {
+  kind: message.MessageKind.MeshBeat;
+  /** Number of this beat, the same for all receivers. */
+  stamp: number;
+  /** Number of the receiver's beat that was received last; -1 for none. */
+  echoedStamp: number;
+  /** Milliseconds since that beat was received. */
+  echoedAge: number;
+  /** Whether callers may be sent there. */
+  ready: boolean;
+  /** Whether the process is about to stop. */
+  leaving: boolean;
+  /** Whether the store answered its latest call. */
+  storeReachable: boolean;
+  configuration: MeshProof;
+  runners: MeshProof;
+  /** Requests under way from the sender, by runner. */
+  outstanding: [runner: string, count: number][];
+}
+
+/** A newer configuration than the receiver has. */
+export interface MeshConfiguration {
+  kind: message.MessageKind.MeshConfiguration;
+  configuration: traffic.TrafficConfiguration;
+}
+
+/** A newer list of runners than the receiver has. */
+export interface MeshRunners {
+  kind: message.MessageKind.MeshRunners;
+  list: traffic.RunnerList;
+}
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -1,7 +1,9 @@
 import type * as attempt from "./attempt.ts";
 import type * as load from "./load.ts";
 import type * as member from "./member.ts";
+import type * as mesh from "./mesh.ts";
 import type * as order from "./order.ts";
+import type * as rankGroup from "./rank_group.ts";
 
 /** Kinds of message on links between the system's own processes. */
 export enum MessageKind {
@@ -36,6 +38,15 @@
   CreditRequest = 60,
   CreditGrant = 61,
   CreditReturn = 62,
+  MeshHello = 70,
+  MeshBeat = 71,
+  MeshConfiguration = 72,
+  MeshRunners = 73,
+  RankHello = 80,
+  LeaderBeat = 81,
+  RankBeat = 82,
+  RankCommand = 83,
+  RankReply = 84,
 }
 
 /** What kind of process is at the far end. */
@@ -109,6 +120,15 @@
 /** Any message on a link. */
 export type Message =
   | Hello
+  | mesh.MeshHello
+  | mesh.MeshBeat
+  | mesh.MeshConfiguration
+  | mesh.MeshRunners
+  | rankGroup.RankHello
+  | rankGroup.LeaderBeat
+  | rankGroup.RankBeat
+  | rankGroup.RankCommand
+  | rankGroup.RankReply
   | {
       kind: MessageKind.Heartbeat;
       clock: number;
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -5,6 +5,8 @@
 export * from "./load.ts";
 export * from "./map_changes.ts";
 export * from "./member.ts";
+export * from "./mesh.ts";
 export * from "./message.ts";
 export * from "./order.ts";
+export * from "./rank_group.ts";
 export * from "./estimate_tokens.ts";
--- /dev/null
+++ b/packages/wire/src/rank_group.ts
@@ -0,0 +1,111 @@
+import type * as message from "./message.ts";
+
+/** Experts of one rank or of all, by layer and rank: `map[layer][rank]`. */
+export type RankMap = number[][][];
+
+/** The rank next to which a process runs, as its engine tells. */
+export interface RankIdentity {
+  group: string;
+  /** Grows each time the group is formed anew. */
+  epoch: number;
+  rank: number;
+  size: number;
+}
+
+/** First message of each side of a link between processes of one group. */
+export interface RankHello {
+  kind: message.MessageKind.RankHello;
+  host: string;
+  runner: string;
+  /** `undefined` while the engine has not told it. */
+  identity: RankIdentity | undefined;
+  /** Highest token that was obeyed. */
+  token: number;
+}
+
+/** State of a rank's engine, as read from it. */
+export interface RankStatus {
+  epoch: number;
+  open: boolean;
+  /** Last pass that was begun. */
+  step: number;
+  mapVersion: number;
+  /** Version that is loaded and ready; 0 for none. */
+  preparedVersion: number;
+  /** Version and pass of an armed switch; 0 and 0 for none. */
+  armedVersion: number;
+  armedStep: number;
+  /** Pass that does not begin before a release; -1 for none. */
+  heldStep: number;
+}
+
+/** What the leader of a group tells all its ranks several times a second. */
+export interface LeaderBeat {
+  kind: message.MessageKind.LeaderBeat;
+  token: number;
+  group: string;
+  epoch: number;
+}
+
+/** What a rank tells its leader several times a second. */
+export interface RankBeat {
+  kind: message.MessageKind.RankBeat;
+  token: number;
+  identity: RankIdentity;
+  status: RankStatus;
+  /** How often each expert was chosen since the last beat, by layer. */
+  chosen: number[][];
+  /** Milliseconds in which they were chosen. */
+  spanMilliseconds: number;
+}
+
+/** Kinds of order that a leader gives a rank. */
+export enum RankOrderKind {
+  /** Load what a map needs, without using it. */
+  Prepare = "prepare",
+  /** Use a prepared map from a pass on. */
+  Arm = "arm",
+  /** Do not begin a pass before a release. */
+  Hold = "hold",
+  /** Begin a held pass. */
+  Release = "release",
+}
+
+/** An order to a rank's engine. */
+export type RankOrder =
+  | { kind: RankOrderKind.Prepare; version: number; map: RankMap }
+  | { kind: RankOrderKind.Arm; version: number; step: number }
+  | { kind: RankOrderKind.Hold; step: number }
+  | { kind: RankOrderKind.Release; step: number };
+
+/** An order from the leader. */
+export interface RankCommand {
+  kind: message.MessageKind.RankCommand;
+  question: number;
+  token: number;
+  epoch: number;
+  order: RankOrder;
+}
+
+/** How an order ended. */
+export enum RankOrderEnd {
+  /** The engine is in the state that the order asks for. */
+  Done = "done",
+  /** The engine will not carry it out; repeating changes nothing. */
+  Refused = "refused",
+  /** A higher token was obeyed: another process leads. */
+  Superseded = "superseded",
+  /** The engine gave no definite answer in time. */
+  Unknown = "unknown",
+}
+
+/** Answer to an order, with the engine's state after it. */
+export interface RankReply {
+  kind: message.MessageKind.RankReply;
+  question: number;
+  end: RankOrderEnd;
+  detail: string;
+  /** Highest token known at the rank. */
+  token: number;
+  status: RankStatus | undefined;
+}
