--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ["packages/*/dist/**/*_test.js"],
+  files: ["packages/*/dist/**/*_test.js", "platform/dist/**/*_test.js"],
   timeout: "2m",
   serial: true,
   concurrency: 8,
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -15,3 +15,5 @@
 export * from "./forwarding/runner_caller.ts";
 export * from "./dispatch/retry_budget.ts";
 export * from "./gateway/gateway.ts";
+export * from "./rank_group/rank_engine.ts";
+export * from "./rank_group/rank_process.ts";
--- a/packages/daemon/src/placement/improve_layer.ts
+++ b/packages/daemon/src/placement/improve_layer.ts
@@ -21,6 +21,8 @@
   /** Expert swapped or displaced; -1 if none. */
   other: number;
   copies: number;
+  /** How much lower the highest load of the ranks concerned gets per copy. */
+  gainPerCopy: number;
 }
 
 /** Ranks looked at as new places of an expert. */
@@ -33,12 +35,14 @@
 
 /**
  * The change that lowers the load of the slowest rank most per copy without
- * raising another above it, or `undefined` if there is none.
+ * raising another above it, or `undefined` if there is none. `mayLoad`
+ * rules out ranks that may not load a further expert.
  */
 export function bestChange(
   plan: layerPlan.LayerPlan,
   slots: number,
   smallestGain: number,
+  mayLoad: (rank: number) => boolean = () => true,
 ): Change | undefined {
   const from = plan.slowestRank;
   const peak = plan.rankLoad[from];
@@ -48,7 +52,8 @@
   let bestTo = -1;
   let bestOther = -1;
   let bestGain = Math.max(peak * SMALLEST_GAIN, smallestGain);
-  const targets = plan.lightest(TARGETS);
+  const targets = plan.lightest(TARGETS).filter(mayLoad);
+  const maySwap = mayLoad(from);
   for (const expert of plan.expertsOn[from]) {
     const ranks = plan.ranksOf[expert];
     const share = plan.load[expert] / ranks.length;
@@ -75,7 +80,7 @@
         const otherRanks = plan.ranksOf[other];
         const otherShare = plan.load[other] / otherRanks.length;
         const shared = otherRanks.includes(from);
-        if (!shared) {
+        if (!shared && maySwap) {
           const swapped = Math.max(
             peak - share + otherShare,
             toLoad + share - otherShare,
@@ -115,6 +120,7 @@
     to: bestTo,
     other: bestOther,
     copies: bestKind === ChangeKind.Swap ? 2 : 1,
+    gainPerCopy: bestGain,
   };
 }
 
--- /dev/null
+++ b/packages/daemon/src/placement/plan_quick.ts
@@ -0,0 +1,144 @@
+import * as improveLayer from "./improve_layer.ts";
+import * as layerPlan from "./layer_plan.ts";
+import * as planPlacement from "./plan_placement.ts";
+
+/** What a quick plan is made from. */
+export interface QuickPlanInput {
+  ranks: number;
+  /** Expert slots of a rank in one layer. */
+  slots: number;
+  /** Load by layer and expert, in any unit. */
+  load: readonly (readonly number[])[];
+  /** Ranks of each expert by layer, as in force. */
+  places: number[][][];
+  /** Experts that one rank loads at most, over all layers. */
+  copiesPerRank: number;
+  /** Experts that one rank loads at most in one layer. */
+  copiesPerRankAndLayer: number;
+}
+
+/** A plan with what it is expected to gain. */
+export interface QuickPlan {
+  places: number[][][];
+  copies: number;
+  /** Most experts that one rank has to load: loading takes that long. */
+  mostCopiesOfRank: number;
+  /** Slowest over mean rank load, averaged over layers by load. */
+  skewBefore: number;
+  skewAfter: number;
+}
+
+/**
+ * Changes below this part of a layer's peak are not worth a copy: the counts of
+ * a quarter second differ by more from one to the next.
+ */
+const SMALLEST_GAIN_SHARE = 0.01;
+
+/**
+ * The next map where demand changes every few seconds: ranks load their new
+ * experts one after the other, so what counts is how many the busiest of them has
+ * to load before the map can be used. The changes that gain most come first, over
+ * all layers, until no rank may load more.
+ */
+export function planQuick(input: QuickPlanInput): QuickPlan {
+  const plans = input.load.map(
+    (load, layer) =>
+      new layerPlan.LayerPlan(load, input.places[layer], input.ranks),
+  );
+  const loads = new CopyCounts(input);
+  const skewBefore = planPlacement.meanSkew(plans);
+  const candidates = plans.map((plan, layer) =>
+    nextChange(plan, layer, input, loads),
+  );
+  for (;;) {
+    const layer = bestOf(candidates);
+    if (layer < 0) break;
+    const change = candidates[layer] as improveLayer.Change;
+    loads.add(layer, change);
+    improveLayer.applyChange(plans[layer], change);
+    for (let other = 0; other < plans.length; other++) {
+      const stale = candidates[other];
+      // A rank that may load no more rules out changes planned before.
+      const blocked = stale && !loads.allows(other, stale);
+      if (other !== layer && !blocked) continue;
+      candidates[other] = nextChange(plans[other], other, input, loads);
+    }
+  }
+  return {
+    places: plans.map((plan) => plan.ranksOf),
+    copies: loads.total,
+    mostCopiesOfRank: loads.mostOfRank,
+    skewBefore,
+    skewAfter: planPlacement.meanSkew(plans),
+  };
+}
+
+function nextChange(
+  plan: layerPlan.LayerPlan,
+  layer: number,
+  input: QuickPlanInput,
+  loads: CopyCounts,
+): improveLayer.Change | undefined {
+  return improveLayer.bestChange(
+    plan,
+    input.slots,
+    plan.slowest * SMALLEST_GAIN_SHARE,
+    (rank) => loads.allowsRank(layer, rank),
+  );
+}
+
+function bestOf(candidates: (improveLayer.Change | undefined)[]): number {
+  let best = -1;
+  let most = 0;
+  candidates.forEach((candidate, layer) => {
+    if (!candidate || candidate.gainPerCopy <= most) return;
+    most = candidate.gainPerCopy;
+    best = layer;
+  });
+  return best;
+}
+
+/** Experts that each rank has to load for the changes made so far. */
+class CopyCounts {
+  readonly #ofRank: number[];
+  readonly #ofRankAndLayer: number[][];
+  total = 0;
+
+  constructor(readonly input: QuickPlanInput) {
+    this.#ofRank = new Array<number>(input.ranks).fill(0);
+    this.#ofRankAndLayer = input.load.map(() =>
+      new Array<number>(input.ranks).fill(0),
+    );
+  }
+
+  get mostOfRank(): number {
+    return Math.max(...this.#ofRank);
+  }
+
+  /** Whether the ranks that a change has load an expert may load one more. */
+  allows(layer: number, change: improveLayer.Change): boolean {
+    return ranksLoading(change).every((rank) => this.allowsRank(layer, rank));
+  }
+
+  /** Whether a rank may load one more expert of a layer. */
+  allowsRank(layer: number, rank: number): boolean {
+    const { copiesPerRank, copiesPerRankAndLayer } = this.input;
+    if (this.#ofRank[rank] >= copiesPerRank) return false;
+    return this.#ofRankAndLayer[layer][rank] < copiesPerRankAndLayer;
+  }
+
+  add(layer: number, change: improveLayer.Change): void {
+    for (const rank of ranksLoading(change)) {
+      this.#ofRank[rank]++;
+      this.#ofRankAndLayer[layer][rank]++;
+      this.total++;
+    }
+  }
+}
+
+/** Ranks that have to load an expert for a change. */
+function ranksLoading(change: improveLayer.Change): number[] {
+  return change.kind === improveLayer.ChangeKind.Swap
+    ? [change.from, change.to]
+    : [change.to];
+}
--- /dev/null
+++ b/packages/daemon/src/rank_group/choice_meter.ts
@@ -0,0 +1,63 @@
+/**
+ * How often each expert of a group is chosen of late. Counts lose half their
+ * weight in a fixed time, so that a change in demand outweighs the past soon and
+ * single passes do not.
+ */
+export class ChoiceMeter {
+  #rates: number[][] = [];
+  #decayedAt: number | undefined;
+
+  constructor(
+    readonly parameters: {
+      halfLifeMilliseconds: number;
+      expertsPerLayer: number;
+    },
+  ) {}
+
+  /** Weighted counts by layer and expert. */
+  get rates(): readonly number[][] {
+    return this.#rates;
+  }
+
+  /** Sum of all counts, by weight. */
+  get weight(): number {
+    let sum = 0;
+    for (const layer of this.#rates) {
+      for (const rate of layer) sum += rate;
+    }
+    return sum;
+  }
+
+  /** Adds what one rank counted, layer after layer. */
+  add(chosen: number[], now: number): void {
+    const { expertsPerLayer } = this.parameters;
+    this.#decay(now);
+    chosen.forEach((count, index) => {
+      const layer = Math.floor(index / expertsPerLayer);
+      const rates = (this.#rates[layer] ??= newLayer(expertsPerLayer));
+      rates[index % expertsPerLayer] += count;
+    });
+  }
+
+  /** Forgets all, as after a group was formed anew. */
+  clear(): void {
+    this.#rates = [];
+    this.#decayedAt = undefined;
+  }
+
+  #decay(now: number): void {
+    const elapsed = now - (this.#decayedAt ?? now);
+    this.#decayedAt = now;
+    if (elapsed <= 0) return;
+    const factor = 0.5 ** (elapsed / this.parameters.halfLifeMilliseconds);
+    for (const layer of this.#rates) {
+      for (let expert = 0; expert < layer.length; expert++) {
+        layer[expert] *= factor;
+      }
+    }
+  }
+}
+
+function newLayer(experts: number): number[] {
+  return new Array<number>(experts).fill(0);
+}
--- /dev/null
+++ b/packages/daemon/src/rank_group/execute_order.ts
@@ -0,0 +1,119 @@
+import * as common from "@geraniumkeel/common";
+import * as wire from "@geraniumkeel/wire";
+import * as rankEngine from "./rank_engine.ts";
+
+/** Time for which an order is repeated until its outcome is certain. */
+const INSIST_MILLISECONDS = 1_000;
+/** Pause before an engine that does not answer is asked again. */
+const PAUSE_MILLISECONDS = 15;
+
+/** How an order ended at an engine. */
+export interface OrderOutcome {
+  end: wire.RankOrderEnd;
+  detail: string;
+  status: wire.RankStatus | undefined;
+}
+
+/**
+ * Has an engine carry out an order, and makes sure of it. An order without an
+ * answer may be carried out seconds later, after newer ones, when it would split
+ * the group's maps. So each carries the number of orders begun so far as its
+ * condition, and is repeated under the same condition until one is begun: that
+ * changes the number, and all copies still on their way are refused.
+ */
+export async function executeOrder(parameters: {
+  engine: rankEngine.RankEngine;
+  order: wire.RankOrder;
+  token: number;
+  epoch: number;
+}): Promise<OrderOutcome> {
+  const { engine, order, token, epoch } = parameters;
+  const deadline = common.now() + INSIST_MILLISECONDS;
+  let status: wire.RankStatus | undefined;
+  let refusedAt = -1;
+  /** Orders begun when this one was last sent without an answer. */
+  let unansweredAt = Infinity;
+  while (common.now() < deadline) {
+    const report = await engine.report();
+    if (report.isErr()) {
+      await common.sleep(PAUSE_MILLISECONDS);
+      continue;
+    }
+    const { sequence } = report.value;
+    status = report.value.status;
+    if (status.epoch !== epoch) return refused(`epoch ${status.epoch}`, status);
+    if (isAchieved(order, status)) return done(status);
+    // Loading goes on for a while before the state shows it; that something was
+    // begun since does at once.
+    const loads = order.kind === wire.RankOrderKind.Prepare;
+    if (loads && sequence > unansweredAt) return done(status);
+    const obstacle = obstacleTo(order, status);
+    if (obstacle) return refused(obstacle, status);
+    // Refused although nothing was begun since: not for the number's sake.
+    if (refusedAt === sequence) return refused("refused by engine", status);
+    const answer = await engine.order(order, { token, epoch, sequence });
+    switch (answer) {
+      case rankEngine.EngineAnswer.Accepted:
+        return done(status);
+      case rankEngine.EngineAnswer.OldToken: {
+        const end = wire.RankOrderEnd.Superseded;
+        return { end, detail: "old token at engine", status };
+      }
+      case rankEngine.EngineAnswer.Refused:
+        refusedAt = sequence;
+        break;
+      case rankEngine.EngineAnswer.Unknown:
+        unansweredAt = sequence;
+        break;
+    }
+  }
+  return { end: wire.RankOrderEnd.Unknown, detail: "no answer", status };
+}
+
+/** Whether an engine is in the state that an order asks for. */
+function isAchieved(order: wire.RankOrder, status: wire.RankStatus): boolean {
+  switch (order.kind) {
+    case wire.RankOrderKind.Prepare:
+      return status.preparedVersion === order.version;
+    case wire.RankOrderKind.Arm:
+      return (
+        status.mapVersion === order.version ||
+        (status.armedVersion === order.version &&
+          status.armedStep === order.step)
+      );
+    case wire.RankOrderKind.Hold:
+      return status.heldStep === order.step;
+    case wire.RankOrderKind.Release:
+      return status.heldStep !== order.step;
+  }
+}
+
+/** Why an engine in this state would never carry out an order. */
+function obstacleTo(
+  order: wire.RankOrder,
+  status: wire.RankStatus,
+): string | undefined {
+  switch (order.kind) {
+    case wire.RankOrderKind.Prepare:
+      return status.armedVersion > 0 ? "armed" : undefined;
+    case wire.RankOrderKind.Arm:
+      return status.step >= order.step
+        ? `pass ${order.step} has begun`
+        : undefined;
+    case wire.RankOrderKind.Hold:
+      if (status.heldStep >= 0) return `holds pass ${status.heldStep}`;
+      return status.step >= order.step
+        ? `pass ${order.step} has begun`
+        : undefined;
+    case wire.RankOrderKind.Release:
+      return undefined;
+  }
+}
+
+function done(status: wire.RankStatus): OrderOutcome {
+  return { end: wire.RankOrderEnd.Done, detail: "", status };
+}
+
+function refused(detail: string, status: wire.RankStatus): OrderOutcome {
+  return { end: wire.RankOrderEnd.Refused, detail, status };
+}
--- /dev/null
+++ b/packages/daemon/src/rank_group/rank_member.ts
@@ -0,0 +1,121 @@
+import * as common from "@geraniumkeel/common";
+import * as wire from "@geraniumkeel/wire";
+import * as executeOrder from "./execute_order.ts";
+import type * as rankEngine from "./rank_engine.ts";
+
+/** How often the engine is read while nothing is being switched. */
+const CALM_MILLISECONDS = 100;
+/** How often it is read while a switch is under way. */
+const BUSY_MILLISECONDS = 25;
+
+/** What the process beside a rank knows of its own engine. */
+export class RankMember {
+  #report: rankEngine.RankReport | undefined;
+  #counts: rankEngine.ChosenCounts | undefined;
+  #countedAt = 0;
+  /** Choices that were not told to a leader yet. */
+  #untold: number[] = [];
+  #highestToken = 0;
+  /** Orders run one at a time: each reads the engine's state before. */
+  #previous: Promise<unknown> = Promise.resolve();
+  readonly changed = new common.ChangeNotice();
+
+  constructor(readonly engine: rankEngine.RankEngine) {}
+
+  /** Where the engine is in its group; `undefined` before it told. */
+  get identity(): wire.RankIdentity | undefined {
+    return this.#report?.identity;
+  }
+
+  /** The engine's state as last read. */
+  get status(): wire.RankStatus | undefined {
+    return this.#report?.status;
+  }
+
+  /** Highest token that was obeyed or heard. */
+  get token(): number {
+    return this.#highestToken;
+  }
+
+  /** Notes a token; whether none higher is known. */
+  heed(token: number): boolean {
+    if (token < this.#highestToken) return false;
+    this.#highestToken = token;
+    return true;
+  }
+
+  /** Reads the engine over and over until the signal aborts. */
+  async watch(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#read();
+      this.changed.announce();
+      await common.sleep(this.#pause(), signal);
+    }
+  }
+
+  /** Choices since the last call, layer after layer. */
+  takeChosen(): number[] {
+    const chosen = this.#untold;
+    this.#untold = [];
+    return chosen;
+  }
+
+  /** Carries out an order of a leader. */
+  execute(
+    command: Pick<wire.RankCommand, "token" | "epoch" | "order">,
+  ): Promise<executeOrder.OrderOutcome> {
+    const turn = this.#previous.then(() => this.#execute(command));
+    this.#previous = turn;
+    return turn;
+  }
+
+  async #execute(
+    command: Pick<wire.RankCommand, "token" | "epoch" | "order">,
+  ): Promise<executeOrder.OrderOutcome> {
+    const { token, epoch, order } = command;
+    if (!this.heed(token)) {
+      const end = wire.RankOrderEnd.Superseded;
+      const detail = `token ${this.#highestToken} is known`;
+      return { end, detail, status: this.status };
+    }
+    const { engine } = this;
+    return executeOrder.executeOrder({ engine, order, token, epoch });
+  }
+
+  async #read(): Promise<void> {
+    const report = await this.engine.report();
+    if (report.isErr()) return;
+    this.#report = report.value;
+    const now = common.now();
+    if (now - this.#countedAt < CALM_MILLISECONDS * 0.9) return;
+    this.#countedAt = now;
+    const counts = await this.engine.chosen();
+    if (counts.isOk()) this.#count(counts.value);
+  }
+
+  #count(counts: rankEngine.ChosenCounts): void {
+    const before = this.#counts;
+    this.#counts = counts;
+    if (before?.epoch !== counts.epoch) return;
+    counts.chosen.forEach((count, index) => {
+      // An engine that started anew counts from 0.
+      const added = Math.max(0, count - (before.chosen[index] ?? 0));
+      this.#untold[index] = (this.#untold[index] ?? 0) + added;
+    });
+  }
+
+  #pause(): number {
+    const status = this.status;
+    const busy =
+      status !== undefined &&
+      (status.armedVersion > 0 ||
+        status.heldStep >= 0 ||
+        status.preparedVersion > status.mapVersion);
+    return busy || this.#loading ? BUSY_MILLISECONDS : CALM_MILLISECONDS;
+  }
+
+  /** Whether the engine loads experts for a map. */
+  get #loading(): boolean {
+    return this.#report?.loading ?? false;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/rank_group/rank_port.ts
@@ -0,0 +1,142 @@
+import * as common from "@geraniumkeel/common";
+import * as wire from "@geraniumkeel/wire";
+import * as executeOrder from "./execute_order.ts";
+import type * as rankEngine from "./rank_engine.ts";
+import type * as switchGroup from "./switch_group.ts";
+
+/** Age of a beat up to which it tells a rank's state, in milliseconds. */
+const FRESH_MILLISECONDS = 500;
+/** Time for the process beside a rank to answer, in milliseconds. */
+const ANSWER_MILLISECONDS = 400;
+
+/** Who gives orders, and in which forming of the group. */
+export interface Leadership {
+  token: number;
+  epoch: number;
+}
+
+/**
+ * One rank of the group, as its leader reaches it: through the process beside it,
+ * whose orders cost nothing, or straight at its engine while that process is
+ * away, so that a held group never waits for a process to come back.
+ */
+export class LinkedRank implements switchGroup.RankPort {
+  #status: wire.RankStatus | undefined;
+  #heardAt = -Infinity;
+  #link: wire.Link | undefined;
+  #question = 0;
+  readonly #waiting = new Map<number, (reply: wire.RankReply) => void>();
+  readonly #waitingLists = new Map<
+    number,
+    (lists: wire.RankLists | undefined) => void
+  >();
+
+  constructor(
+    readonly rank: number,
+    readonly engine: rankEngine.RankEngine,
+    readonly leadership: () => Leadership,
+  ) {}
+
+  /** State as last heard. */
+  get status(): wire.RankStatus | undefined {
+    return this.#status;
+  }
+
+  /** Whether the state was heard lately. */
+  get fresh(): boolean {
+    return common.now() - this.#heardAt < FRESH_MILLISECONDS;
+  }
+
+  /** Whether the process beside the rank is linked. */
+  get linked(): boolean {
+    return this.#link !== undefined && this.#link.end === undefined;
+  }
+
+  /** Takes the link to the process beside the rank. */
+  attach(link: wire.Link): void {
+    this.#link = link;
+  }
+
+  /** Notes the rank's state. */
+  hear(status: wire.RankStatus): void {
+    this.#status = status;
+    this.#heardAt = common.now();
+  }
+
+  /** Takes an answer, if it came on this rank's link. */
+  receive(
+    message: wire.RankReply | wire.RankListsAnswer,
+    link: wire.Link,
+  ): void {
+    if (link !== this.#link) return;
+    switch (message.kind) {
+      case wire.MessageKind.RankReply:
+        return this.#waiting.get(message.question)?.(message);
+      case wire.MessageKind.RankListsAnswer:
+        return this.#waitingLists.get(message.question)?.(message.lists);
+    }
+  }
+
+  /** Reads the state from the engine itself. */
+  async refresh(): Promise<void> {
+    const report = await this.engine.report();
+    if (report.isOk()) this.hear(report.value.status);
+  }
+
+  /** Experts that the rank holds. */
+  async lists(): Promise<wire.RankLists | undefined> {
+    const link = this.#link;
+    if (link && this.linked) {
+      const question = ++this.#question;
+      const answer = new Promise<wire.RankLists | undefined>((resolve) =>
+        this.#waitingLists.set(question, resolve),
+      );
+      link.send({ kind: wire.MessageKind.RankListsRequest, question });
+      const lists = await common.withTimeout(answer, ANSWER_MILLISECONDS);
+      this.#waitingLists.delete(question);
+      if (lists) return lists;
+    }
+    const read = await this.engine.lists();
+    return read.isOk() ? read.value : undefined;
+  }
+
+  /** Gives an order and tells how it ended. */
+  async order(order: wire.RankOrder): Promise<wire.RankReply> {
+    const link = this.#link;
+    const reply =
+      (link && this.linked ? await this.#ask(link, order) : undefined) ??
+      (await this.#orderEngine(order));
+    if (reply.status) this.hear(reply.status);
+    return reply;
+  }
+
+  async #ask(
+    link: wire.Link,
+    order: wire.RankOrder,
+  ): Promise<wire.RankReply | undefined> {
+    const question = ++this.#question;
+    const answer = new Promise<wire.RankReply>((resolve) =>
+      this.#waiting.set(question, resolve),
+    );
+    const kind = wire.MessageKind.RankCommand;
+    link.send({ kind, question, ...this.leadership(), order });
+    const reply = await common.withTimeout(answer, ANSWER_MILLISECONDS);
+    this.#waiting.delete(question);
+    return reply;
+  }
+
+  async #orderEngine(order: wire.RankOrder): Promise<wire.RankReply> {
+    const leadership = this.leadership();
+    const outcome = await executeOrder.executeOrder({
+      engine: this.engine,
+      order,
+      ...leadership,
+    });
+    return {
+      kind: wire.MessageKind.RankReply,
+      question: 0,
+      token: leadership.token,
+      ...outcome,
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -0,0 +1,443 @@
+import type * as http from "node:http";
+import * as common from "@geraniumkeel/common";
+import type * as traffic from "@geraniumkeel/traffic";
+import * as wire from "@geraniumkeel/wire";
+import * as entryMesh from "../mesh/entry_mesh.ts";
+import * as listenModule from "../settings/listen.ts";
+import * as groupLeader from "./group_leader.ts";
+import type * as rankEngine from "./rank_engine.ts";
+import * as rankMember from "./rank_member.ts";
+import * as rankPort from "./rank_port.ts";
+
+/** Time between two beats of a leader, in milliseconds. */
+const LEADER_BEAT_MILLISECONDS = 150;
+/**
+ * Silence of a leader after which a rank takes its place: four beats, and more
+ * the higher the rank, so that one of them does.
+ */
+const LEADERLESS_MILLISECONDS = 600;
+const LEADERLESS_STAGGER_MILLISECONDS = 250;
+/** How often it is looked whether there is a leader. */
+const LOOK_MILLISECONDS = 50;
+/** Pause between attempts to link with the ranks that are missing. */
+const RELINK_MILLISECONDS = 300;
+/** Tokens are times: a process that starts anew goes on above its last one. */
+const TOKENS_PER_MILLISECOND = 64;
+const LINK_TIMING: wire.LinkTiming = {
+  heartbeat: 250,
+  silentAfter: 1_000,
+  connectTimeout: 400,
+};
+
+/** What the process beside a rank needs. */
+export interface RankProcessParameters {
+  host: string;
+  service: string;
+  engine: rankEngine.RankEngine;
+  /** Engine of another runner, for while the process beside it is away. */
+  engineAt: (runner: traffic.RunnerEntry) => rankEngine.RankEngine;
+  /** Port on which all these processes accept links. */
+  linkPort: number;
+  configurationSource: traffic.DocumentSource<traffic.TrafficConfiguration>;
+  runnerSource: traffic.DocumentSource<traffic.RunnerList>;
+  logger: common.Logger;
+  lifeCycle: common.LifeCycle;
+}
+
+/** A leadership under way. */
+interface Term {
+  token: number;
+  identity: wire.RankIdentity;
+  ended: AbortController;
+  ports: Map<number, rankPort.LinkedRank>;
+  leader: groupLeader.GroupLeader | undefined;
+}
+
+/**
+ * The process beside one rank. It reads its engine, tells the group's leader, and
+ * carries out the leader's orders. When no leader is heard it leads itself; that
+ * there is one leader at a time is likely, and safety does not rest on it.
+ */
+export class RankProcess {
+  readonly #member: rankMember.RankMember;
+  #leaderHeardAt = common.now();
+  /** Link to the leader that is followed. */
+  #leaderLink: wire.Link | undefined;
+  #term: Term | undefined;
+
+  constructor(readonly parameters: RankProcessParameters) {
+    this.#member = new rankMember.RankMember(parameters.engine);
+  }
+
+  /** Starts reading the engine, accepting links, and looking for a leader. */
+  start(linkServer: http.Server): void {
+    const { lifeCycle } = this.parameters;
+    const accepting = wire.acceptLinks({
+      server: linkServer,
+      path: listenModule.LINK_PATH,
+      key: entryMesh.LINK_WORD,
+      timing: LINK_TIMING,
+      heartbeat: noHeartbeat,
+      onLink: (link) =>
+        lifeCycle.run("accepted", (signal) => this.#serve(link, signal)),
+    });
+    lifeCycle.own({ name: "links", close: () => accepting.close() });
+    lifeCycle.run("watch", (signal) => this.#member.watch(signal));
+    lifeCycle.run("tell", (signal) => this.#tellLeader(signal));
+    lifeCycle.run("lead", (signal) => this.#leadWhenAlone(signal));
+  }
+
+  /** The state dump. */
+  describe(): unknown {
+    return {
+      identity: this.#member.identity,
+      status: this.#member.status,
+      token: this.#member.token,
+      leads: this.#term !== undefined,
+      leaderSilence: common.now() - this.#leaderHeardAt,
+    };
+  }
+
+  /** Follows the leader at the far end of a link. */
+  async #serve(link: wire.Link, signal: AbortSignal): Promise<void> {
+    link.closeOn(signal);
+    link.send(this.#hello());
+    for await (const message of link.messages()) {
+      switch (message.kind) {
+        case wire.MessageKind.RankHello:
+          break;
+        case wire.MessageKind.LeaderBeat:
+          this.#followLeader(link, message);
+          break;
+        case wire.MessageKind.RankCommand:
+          void this.#obey(link, message);
+          break;
+        case wire.MessageKind.RankListsRequest:
+          void this.#tellLists(link, message.question);
+          break;
+        default:
+          link.close(wire.LinkEnd.Unreadable);
+      }
+    }
+  }
+
+  #hello(): wire.RankHello {
+    return {
+      kind: wire.MessageKind.RankHello,
+      host: this.parameters.host,
+      runner: "",
+      identity: this.#member.identity,
+      token: this.#member.token,
+    };
+  }
+
+  #followLeader(link: wire.Link, beat: wire.LeaderBeat): void {
+    if (beat.group !== this.#member.identity?.group) return;
+    const own = this.#term?.token ?? -1;
+    if (beat.token < Math.max(own, this.#member.token)) {
+      // Tells an old leader, by the token, that there is a newer one.
+      link.send(this.#hello());
+      return;
+    }
+    if (this.#term && beat.token > own) this.#endTerm("a newer leader");
+    this.#member.heed(beat.token);
+    this.#leaderHeardAt = common.now();
+    this.#leaderLink = link;
+  }
+
+  async #obey(link: wire.Link, command: wire.RankCommand): Promise<void> {
+    const outcome = await this.#member.execute(command);
+    const { question } = command;
+    const { token } = this.#member;
+    const kind = wire.MessageKind.RankReply;
+    link.send({ kind, question, token, ...outcome });
+  }
+
+  async #tellLists(link: wire.Link, question: number): Promise<void> {
+    const read = await this.parameters.engine.lists();
+    const lists = read.isOk() ? read.value : undefined;
+    link.send({ kind: wire.MessageKind.RankListsAnswer, question, lists });
+  }
+
+  /** Tells the leader each time the engine was read. */
+  async #tellLeader(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#member.changed.next(LEADERLESS_MILLISECONDS, signal);
+      const { identity, status } = this.#member;
+      if (!identity || !status) continue;
+      if (this.#term) {
+        const { leader, ports } = this.#term;
+        ports.get(identity.rank)?.hear(status);
+        leader?.count(this.#member.takeChosen());
+        continue;
+      }
+      if (this.#leaderLink?.end !== undefined) continue;
+      this.#leaderLink?.send({
+        kind: wire.MessageKind.RankBeat,
+        token: this.#member.token,
+        identity,
+        status,
+        chosen: this.#member.takeChosen(),
+      });
+    }
+  }
+
+  async #leadWhenAlone(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await common.sleep(LOOK_MILLISECONDS, signal);
+      const { identity } = this.#member;
+      if (!identity) {
+        this.#leaderHeardAt = common.now();
+        continue;
+      }
+      const patience =
+        LEADERLESS_MILLISECONDS +
+        identity.rank * LEADERLESS_STAGGER_MILLISECONDS;
+      if (common.now() - this.#leaderHeardAt < patience) continue;
+      await this.#lead(identity, signal);
+      this.#leaderHeardAt = common.now();
+    }
+  }
+
+  /** Leads the group as long as it stays as it is and nobody else does. */
+  async #lead(identity: wire.RankIdentity, signal: AbortSignal): Promise<void> {
+    const { logger } = this.parameters;
+    const token = Math.max(
+      Math.floor(Date.now()) * TOKENS_PER_MILLISECOND + identity.rank,
+      this.#member.token + TOKENS_PER_MILLISECOND,
+    );
+    this.#member.heed(token);
+    const ended = new AbortController();
+    const term: Term = {
+      token,
+      identity,
+      ended,
+      ports: new Map(),
+      leader: undefined,
+    };
+    this.#term = term;
+    this.#leaderLink = undefined;
+    const { group, epoch, rank } = identity;
+    const code = common.EventCode.CoordinatorChanged;
+    logger.event(code, { group, epoch, rank, token, leads: true });
+    const both = AbortSignal.any([signal, ended.signal]);
+    try {
+      await this.#runTerm(term, both);
+    } finally {
+      if (this.#term === term) this.#endTerm("over");
+    }
+  }
+
+  #endTerm(reason: string): void {
+    const term = this.#term;
+    if (!term) return;
+    this.#term = undefined;
+    term.ended.abort();
+    const { group, epoch } = term.identity;
+    const code = common.EventCode.CoordinatorChanged;
+    this.parameters.logger.event(code, { group, epoch, leads: false, reason });
+  }
+
+  async #runTerm(term: Term, signal: AbortSignal): Promise<void> {
+    const { lifeCycle, logger } = this.parameters;
+    lifeCycle.run("links to ranks", () => this.#keepLinks(term, signal));
+    const { size, rank, epoch } = term.identity;
+    while (!signal.aborted && term.ports.size < size) {
+      if (this.#member.identity?.epoch !== epoch) return;
+      await common.sleep(LOOK_MILLISECONDS, signal);
+    }
+    const shape = await this.#readShape(signal);
+    const own = term.ports.get(rank);
+    if (!shape || !own || signal.aborted) return;
+    term.leader = new groupLeader.GroupLeader({
+      identity: term.identity,
+      ports: [...term.ports.values()].sort((a, b) => a.rank - b.rank),
+      own,
+      shape,
+      valid: () =>
+        !term.ended.signal.aborted &&
+        this.#member.identity?.epoch === epoch &&
+        this.#member.token === term.token,
+      onSuperseded: (detail) => this.#endTerm(detail),
+      logger,
+    });
+    await term.leader.lead(signal);
+  }
+
+  async #readShape(
+    signal: AbortSignal,
+  ): Promise<traffic.EngineShape | undefined> {
+    const { configurationSource, service } = this.parameters;
+    while (!signal.aborted) {
+      const read = await configurationSource.next(0);
+      const services = read.isOk() ? read.value.value?.services : undefined;
+      const found = services?.find(({ name }) => name === service);
+      if (found?.engine) return found.engine;
+      await common.sleep(RELINK_MILLISECONDS, signal);
+    }
+    return undefined;
+  }
+
+  /** Links with all ranks of the group, and tells them who leads. */
+  async #keepLinks(term: Term, signal: AbortSignal): Promise<void> {
+    const { parameters } = this;
+    const { group, epoch, rank, size } = term.identity;
+    const leadership = () => ({ token: term.token, epoch });
+    term.ports.set(
+      rank,
+      new OwnRank(rank, parameters.engine, leadership, this.#member),
+    );
+    const linked = new Map<string, AbortController>();
+    const kind = wire.MessageKind.LeaderBeat;
+    const links = new Set<wire.Link>();
+    const beat = setInterval(() => {
+      for (const link of links) {
+        link.send({ kind, token: term.token, group, epoch });
+      }
+    }, LEADER_BEAT_MILLISECONDS);
+    try {
+      while (!signal.aborted) {
+        const missing = linked.size < size - 1 || term.ports.size < size;
+        if (missing) await this.#linkMissing(term, linked, links, signal);
+        await common.sleep(RELINK_MILLISECONDS, signal);
+      }
+    } finally {
+      clearInterval(beat);
+      for (const link of links) link.close();
+    }
+  }
+
+  async #linkMissing(
+    term: Term,
+    linked: Map<string, AbortController>,
+    links: Set<wire.Link>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { runnerSource, service, lifeCycle } = this.parameters;
+    const read = await runnerSource.next(0);
+    const runners = read.isOk() ? (read.value.value?.runners ?? []) : [];
+    for (const runner of runners) {
+      if (runner.service !== service) continue;
+      if (linked.has(runner.address)) continue;
+      linked.set(runner.address, new AbortController());
+      lifeCycle.run("rank", async () => {
+        await this.#serveRank(term, runner, links, signal);
+        linked.delete(runner.address);
+      });
+    }
+  }
+
+  /** Links with the process beside a runner for as long as it lasts. */
+  async #serveRank(
+    term: Term,
+    runner: traffic.RunnerEntry,
+    links: Set<wire.Link>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { linkPort } = this.parameters;
+    const { group, epoch } = term.identity;
+    const dialled = await wire.dial({
+      url: `ws://${runner.address}:${linkPort}${listenModule.LINK_PATH}`,
+      key: entryMesh.LINK_WORD,
+      timing: LINK_TIMING,
+      heartbeat: noHeartbeat,
+    });
+    if (dialled.isErr()) {
+      await this.#identify(term, runner);
+      return common.sleep(RELINK_MILLISECONDS, signal);
+    }
+    const link = dialled.value;
+    link.closeOn(signal);
+    link.send(this.#hello());
+    for await (const message of link.messages()) {
+      switch (message.kind) {
+        case wire.MessageKind.RankHello: {
+          if (message.token > term.token) {
+            this.#member.heed(message.token);
+            this.#endTerm("a higher token is known");
+            return link.close();
+          }
+          const { identity } = message;
+          if (identity?.group !== group) {
+            // Of another group: its own leader links with it.
+            if (identity) await common.sleep(FOREIGN_MILLISECONDS, signal);
+            return link.close();
+          }
+          this.#portOf(term, runner, identity.rank).attach(link);
+          links.add(link);
+          const kind = wire.MessageKind.LeaderBeat;
+          link.send({ kind, token: term.token, group, epoch });
+          break;
+        }
+        case wire.MessageKind.RankBeat: {
+          const { rank } = message.identity;
+          const port = this.#portOf(term, runner, rank);
+          port.hear(message.status);
+          term.leader?.count(message.chosen);
+          break;
+        }
+        case wire.MessageKind.RankReply:
+        case wire.MessageKind.RankListsAnswer:
+          for (const port of term.ports.values()) port.receive(message, link);
+          break;
+        default:
+          link.close(wire.LinkEnd.Unreadable);
+      }
+    }
+    links.delete(link);
+  }
+
+  /** Learns from the engine itself which rank a runner is. */
+  async #identify(term: Term, runner: traffic.RunnerEntry): Promise<void> {
+    const report = await this.parameters.engineAt(runner).report();
+    if (report.isErr()) return;
+    const { identity, status } = report.value;
+    if (identity.group !== term.identity.group) return;
+    this.#portOf(term, runner, identity.rank).hear(status);
+  }
+
+  #portOf(
+    term: Term,
+    runner: traffic.RunnerEntry,
+    rank: number,
+  ): rankPort.LinkedRank {
+    const known = term.ports.get(rank);
+    if (known) return known;
+    const { epoch } = term.identity;
+    const created = new rankPort.LinkedRank(
+      rank,
+      this.parameters.engineAt(runner),
+      () => ({ token: term.token, epoch }),
+    );
+    term.ports.set(rank, created);
+    return created;
+  }
+}
+
+/** How long a process of another group is left alone before it is asked again. */
+const FOREIGN_MILLISECONDS = 5_000;
+
+/** The rank beside the leader: its orders go through the process's own queue. */
+class OwnRank extends rankPort.LinkedRank {
+  constructor(
+    rank: number,
+    engine: rankEngine.RankEngine,
+    leadership: () => rankPort.Leadership,
+    readonly member: rankMember.RankMember,
+  ) {
+    super(rank, engine, leadership);
+  }
+
+  /** Gives an order and tells how it ended. */
+  override async order(order: wire.RankOrder): Promise<wire.RankReply> {
+    const leadership = this.leadership();
+    const outcome = await this.member.execute({ ...leadership, order });
+    if (outcome.status) this.hear(outcome.status);
+    const kind = wire.MessageKind.RankReply;
+    return { kind, question: 0, token: this.member.token, ...outcome };
+  }
+}
+
+function noHeartbeat(): { clock: number; revision: number } {
+  return { clock: 0, revision: 0 };
+}
--- a/packages/stand_ins/src/demo/deployment.ts
+++ b/packages/stand_ins/src/demo/deployment.ts
@@ -181,7 +181,9 @@
   url: string,
   hosts: backingServices.Host[],
 ): Promise<void> {
-  const client = new backingServices.HttpClient(url, { timeoutMilliseconds: 5_000 });
+  const client = new backingServices.HttpClient(url, {
+    timeoutMilliseconds: 5_000,
+  });
   const answer = await client.request("PUT", "/hosts", hosts);
   await client.close();
   if (answer.isErr()) throw new Error(`host list: ${answer.error.reason}`);
--- a/packages/stand_ins/src/table_data.ts
+++ b/packages/stand_ins/src/table_data.ts
@@ -26,7 +26,9 @@
   }
 
   /** Commits a transaction or reports the rows in conflict. */
-  transact(transaction: backingServices.Transaction): backingServices.TransactionOutcome {
+  transact(
+    transaction: backingServices.Transaction,
+  ): backingServices.TransactionOutcome {
     this.writes++;
     const failed = transaction.conditions.filter((one) => !this.#holds(one));
     if (failed.length > 0) {
--- a/packages/stand_ins/src/testing/cluster.ts
+++ b/packages/stand_ins/src/testing/cluster.ts
@@ -229,7 +229,12 @@
     const running = started._unsafeUnwrap();
     if (proxy) proxy.target = portOf(running);
     const host = {
-      ...this.#hostOf(name, settings.place, backingServices.HostRole.Entry, running),
+      ...this.#hostOf(
+        name,
+        settings.place,
+        backingServices.HostRole.Entry,
+        running,
+      ),
       ...(proxy && { linkUrl: proxy.url }),
       callerUrl: running.urls.callers,
     };
@@ -306,7 +311,8 @@
 
   /** Publishes the host list as it is now. */
   publish(
-    change: (host: backingServices.Host) => backingServices.Host = (host) => host,
+    change: (host: backingServices.Host) => backingServices.Host = (host) =>
+      host,
   ): void {
     const all = [...this.entries, ...this.upstreams];
     this.platform.setHosts(all.map(({ host }) => change(host)));
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -47,6 +47,8 @@
   RankBeat = 82,
   RankCommand = 83,
   RankReply = 84,
+  RankListsRequest = 85,
+  RankListsAnswer = 86,
 }
 
 /** What kind of process is at the far end. */
@@ -129,6 +131,8 @@
   | rankGroup.RankBeat
   | rankGroup.RankCommand
   | rankGroup.RankReply
+  | rankGroup.RankListsRequest
+  | rankGroup.RankListsAnswer
   | {
       kind: MessageKind.Heartbeat;
       clock: number;
--- a/packages/wire/src/rank_group.ts
+++ b/packages/wire/src/rank_group.ts
@@ -53,10 +53,8 @@
   token: number;
   identity: RankIdentity;
   status: RankStatus;
-  /** How often each expert was chosen since the last beat, by layer. */
-  chosen: number[][];
-  /** Milliseconds in which they were chosen. */
-  spanMilliseconds: number;
+  /** How often each expert was chosen since the last beat, layer after layer. */
+  chosen: number[];
 }
 
 /** Kinds of order that a leader gives a rank. */
@@ -109,3 +107,23 @@
   token: number;
   status: RankStatus | undefined;
 }
+
+/** Asks a rank for the experts that it holds. */
+export interface RankListsRequest {
+  kind: message.MessageKind.RankListsRequest;
+  question: number;
+}
+
+/** Experts that a rank holds by the map in force. */
+export interface RankLists {
+  version: number;
+  /** By layer. */
+  experts: number[][];
+}
+
+/** Answer to a request for lists; `undefined` if the engine did not tell. */
+export interface RankListsAnswer {
+  kind: message.MessageKind.RankListsAnswer;
+  question: number;
+  lists: RankLists | undefined;
+}
