--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -8,13 +8,13 @@
 import * as stampClock from "./stamp_clock.ts";
 
 /** Time between two beats, in milliseconds: the lag of counts between entries. */
-const BEAT_MILLISECONDS = 200;
+const BEAT_MILLISECONDS = 300;
 /** Silence after which callers are no longer sent to an entry. */
-const UNHEARD_MILLISECONDS = 900;
+const UNHEARD_MILLISECONDS = 1_000;
 /** Silence after which a link is replaced. */
 const LINK_TIMING: wire.LinkTiming = {
-  heartbeat: 250,
-  silentAfter: 1_000,
+  heartbeat: 500,
+  silentAfter: 1_500,
   connectTimeout: 500,
 };
 /** Pauses between attempts to open a link. */
--- a/packages/daemon/src/placement/plan_quick.ts
+++ b/packages/daemon/src/placement/plan_quick.ts
@@ -11,6 +11,11 @@
   load: readonly (readonly number[])[];
   /** Ranks of each expert by layer, as in force. */
   places: number[][][];
+  /**
+   * Part of the time of all layers' slowest ranks that a copy must save: what
+   * loading it costs.
+   */
+  leastGainOfCopy: number;
   /** Experts that one rank loads at most, over all layers. */
   copiesPerRank: number;
   /** Experts that one rank loads at most in one layer. */
@@ -28,12 +33,6 @@
   skewAfter: number;
 }
 
-/**
- * Changes below this part of a layer's peak are not worth a copy: the counts of
- * a quarter second differ by more from one to the next.
- */
-const SMALLEST_GAIN_SHARE = 0.01;
-
 /**
  * The next map where demand changes every few seconds: ranks load their new
  * experts one after the other, so what counts is how many the busiest of them has
@@ -47,9 +46,13 @@
   );
   const loads = new CopyCounts(input);
   const skewBefore = planPlacement.meanSkew(plans);
-  const candidates = plans.map((plan, layer) =>
-    nextChange(plan, layer, input, loads),
-  );
+  const slowest = plans.reduce((sum, plan) => sum + plan.slowest, 0);
+  const leastGain = slowest * input.leastGainOfCopy;
+  const findChange = (layer: number) =>
+    improveLayer.bestChange(plans[layer], input.slots, leastGain, (rank) =>
+      loads.allowsRank(layer, rank),
+    );
+  const candidates = plans.map((_, layer) => findChange(layer));
   for (;;) {
     const layer = bestOf(candidates);
     if (layer < 0) break;
@@ -61,7 +64,7 @@
       // A rank that may load no more rules out changes planned before.
       const blocked = stale && !loads.allows(other, stale);
       if (other !== layer && !blocked) continue;
-      candidates[other] = nextChange(plans[other], other, input, loads);
+      candidates[other] = findChange(other);
     }
   }
   return {
@@ -73,20 +76,6 @@
   };
 }
 
-function nextChange(
-  plan: layerPlan.LayerPlan,
-  layer: number,
-  input: QuickPlanInput,
-  loads: CopyCounts,
-): improveLayer.Change | undefined {
-  return improveLayer.bestChange(
-    plan,
-    input.slots,
-    plan.slowest * SMALLEST_GAIN_SHARE,
-    (rank) => loads.allowsRank(layer, rank),
-  );
-}
-
 function bestOf(candidates: (improveLayer.Change | undefined)[]): number {
   let best = -1;
   let most = 0;
--- a/packages/daemon/src/rank_group/choice_meter.ts
+++ b/packages/daemon/src/rank_group/choice_meter.ts
@@ -15,7 +15,7 @@
   ) {}
 
   /** Weighted counts by layer and expert. */
-  get rates(): readonly number[][] {
+  get rates(): number[][] {
     return this.#rates;
   }
 
@@ -39,10 +39,10 @@
     });
   }
 
-  /** Forgets all, as after a group was formed anew. */
-  clear(): void {
-    this.#rates = [];
-    this.#decayedAt = undefined;
+  /** Takes over what another meter holds. */
+  copyFrom(other: ChoiceMeter): void {
+    this.#rates = other.#rates.map((layer) => [...layer]);
+    this.#decayedAt = other.#decayedAt;
   }
 
   #decay(now: number): void {
@@ -61,3 +61,18 @@
 function newLayer(experts: number): number[] {
   return new Array<number>(experts).fill(0);
 }
+
+/** Part of the choices, 0 to 1, in which two meters differ. */
+export function distanceOf(left: ChoiceMeter, right: ChoiceMeter): number {
+  const leftWeight = left.weight;
+  const rightWeight = right.weight;
+  if (leftWeight === 0 || rightWeight === 0) return 0;
+  let sum = 0;
+  left.rates.forEach((layer, index) => {
+    const other = right.rates[index];
+    layer.forEach((rate, expert) => {
+      sum += Math.abs(rate / leftWeight - (other?.[expert] ?? 0) / rightWeight);
+    });
+  });
+  return sum / 2;
+}
--- a/packages/daemon/src/rank_group/group_leader.ts
+++ b/packages/daemon/src/rank_group/group_leader.ts
@@ -3,19 +3,13 @@
 import type * as wire from "@geraniumkeel/wire";
 import * as planQuick from "../placement/plan_quick.ts";
 import * as planPlacement from "../placement/plan_placement.ts";
-import * as choiceMeter from "./choice_meter.ts";
+import * as demandModule from "./demand.ts";
 import type * as rankPort from "./rank_port.ts";
 import * as switchGroup from "./switch_group.ts";
+import * as worthOfCopy from "./worth_of_copy.ts";
 
 /** How often it is weighed whether a new map pays, in milliseconds. */
-const LOOK_MILLISECONDS = 50;
-/**
- * Time in which choices lose half their weight. Demand shifts every few seconds;
- * a quarter second holds some ten passes.
- */
-const HALF_LIFE_MILLISECONDS = 250;
-/** Choices, by weight, below which a plan would follow chance. */
-const LEAST_WEIGHT = 2_000;
+const LOOK_MILLISECONDS = 80;
 /**
  * Part by which a plan must lower the time of the slowest ranks. Loading slows
  * passes by a sixth for a third of a second; a gain of 4% repays that in 1.3 s.
@@ -38,7 +32,7 @@
 
 /** Keeps the map of one group close to demand, while its process leads it. */
 export class GroupLeader {
-  readonly meter: choiceMeter.ChoiceMeter;
+  readonly demand: demandModule.Demand;
   /** Map in force, and its version. */
   #map: wire.RankMap | undefined;
   #mapVersion = -1;
@@ -46,15 +40,13 @@
   #switches = 0;
 
   constructor(readonly parameters: GroupLeaderParameters) {
-    this.meter = new choiceMeter.ChoiceMeter({
-      halfLifeMilliseconds: HALF_LIFE_MILLISECONDS,
-      expertsPerLayer: parameters.shape.expertsPerLayer,
-    });
+    const { expertsPerLayer } = parameters.shape;
+    this.demand = new demandModule.Demand(expertsPerLayer);
   }
 
   /** Takes what a rank counted, layer after layer. */
   count(chosen: number[]): void {
-    this.meter.add(chosen, common.now());
+    this.demand.add(chosen, common.now());
   }
 
   /** Leads until it is no longer valid. */
@@ -88,19 +80,24 @@
   async #improve(): Promise<void> {
     const { ports, identity, shape, logger, own, valid } = this.parameters;
     const armed = ports.some(({ status }) => (status?.armedVersion ?? 0) > 0);
-    if (armed || this.meter.weight < LEAST_WEIGHT) return;
+    if (armed || !this.demand.known) return;
+    this.demand.noticeShift();
     const map = await this.#currentMap();
     if (!map) return;
+    const statuses = ports.flatMap(({ status }) => (status ? [status] : []));
+    const fullness = worthOfCopy.fullnessOf(statuses, shape.slots);
     const places = placesOf(map, shape.expertsPerLayer);
     const startedAt = common.now();
     const plan = planQuick.planQuick({
       ranks: identity.size,
       slots: shape.expertSlots,
-      load: this.meter.rates,
+      load: this.demand.load,
       places,
+      leastGainOfCopy: worthOfCopy.leastGainOfCopy(fullness),
       copiesPerRank: COPIES_PER_RANK,
       copiesPerRankAndLayer: shape.spareSlots,
     });
+    const { distance } = this.demand;
     const share = 1 - plan.skewAfter / plan.skewBefore;
     if (plan.copies === 0 || share < LEAST_GAIN_SHARE) return;
     const planMilliseconds = common.now() - startedAt;
@@ -117,11 +114,15 @@
       group: identity.group,
       epoch: identity.epoch,
       version,
-      copies: plan.mostCopiesOfRank,
+      distance: rounded(distance),
+      shifts: this.demand.shifts,
+      fullness: rounded(fullness),
+      copies: plan.copies,
+      mostCopiesOfRank: plan.mostCopiesOfRank,
       skewBefore: rounded(plan.skewBefore),
       skewAfter: rounded(plan.skewAfter),
       skewNow: rounded(
-        planPlacement.skewOf([...this.meter.rates], plan.places, identity.size),
+        planPlacement.skewOf([...this.demand.load], plan.places, identity.size),
       ),
       planMilliseconds: Math.round(planMilliseconds),
       prepareMilliseconds: Math.round(outcome.prepareMilliseconds),
--- a/packages/daemon/src/rank_group/rank_member.ts
+++ b/packages/daemon/src/rank_group/rank_member.ts
@@ -3,16 +3,22 @@
 import * as executeOrder from "./execute_order.ts";
 import type * as rankEngine from "./rank_engine.ts";
 
-/** How often the engine is read while nothing is being switched. */
-const CALM_MILLISECONDS = 100;
-/** How often it is read while a switch is under way. */
-const BUSY_MILLISECONDS = 25;
+/** How often choices are read while requests run, in milliseconds. */
+const COUNT_MILLISECONDS = 150;
+/**
+ * How often the engine's state is read while nothing is switched. Each reading
+ * costs the small host a third of a millisecond of its processor.
+ */
+const CALM_MILLISECONDS = 300;
+/** How often it is read while a switch is under way: the switch waits for it. */
+const BUSY_MILLISECONDS = 40;
 
 /** What the process beside a rank knows of its own engine. */
 export class RankMember {
   #report: rankEngine.RankReport | undefined;
   #counts: rankEngine.ChosenCounts | undefined;
-  #countedAt = 0;
+  #reportedAt = -Infinity;
+  #countedAt = -Infinity;
   /** Choices that were not told to a leader yet. */
   #untold: number[] = [];
   #highestToken = 0;
@@ -49,7 +55,8 @@
     while (!signal.aborted) {
       await this.#read();
       this.changed.announce();
-      await common.sleep(this.#pause(), signal);
+      const pause = this.#busy ? BUSY_MILLISECONDS : COUNT_MILLISECONDS;
+      await common.sleep(pause, signal);
     }
   }
 
@@ -83,11 +90,16 @@
   }
 
   async #read(): Promise<void> {
-    const report = await this.engine.report();
-    if (report.isErr()) return;
-    this.#report = report.value;
     const now = common.now();
-    if (now - this.#countedAt < CALM_MILLISECONDS * 0.9) return;
+    if (this.#busy || now - this.#reportedAt >= CALM_MILLISECONDS) {
+      this.#reportedAt = now;
+      const report = await this.engine.report();
+      if (report.isOk()) this.#report = report.value;
+    }
+    if (now - this.#countedAt < COUNT_MILLISECONDS) return;
+    // With no request there nothing is chosen.
+    const { status } = this;
+    if (!status || status.active + status.waiting === 0) return;
     this.#countedAt = now;
     const counts = await this.engine.chosen();
     if (counts.isOk()) this.#count(counts.value);
@@ -104,18 +116,14 @@
     });
   }
 
-  #pause(): number {
-    const status = this.status;
-    const busy =
-      status !== undefined &&
-      (status.armedVersion > 0 ||
-        status.heldStep >= 0 ||
-        status.preparedVersion > status.mapVersion);
-    return busy || this.#loading ? BUSY_MILLISECONDS : CALM_MILLISECONDS;
-  }
-
-  /** Whether the engine loads experts for a map. */
-  get #loading(): boolean {
-    return this.#report?.loading ?? false;
+  /** Whether a switch is under way here. */
+  get #busy(): boolean {
+    const report = this.#report;
+    if (!report) return false;
+    const { status, loading } = report;
+    const { active, preparedVersion, mapVersion } = status;
+    if (loading || status.heldStep >= 0) return true;
+    // Armed with no request: the pass that switches is not near.
+    return active > 0 && preparedVersion > mapVersion;
   }
 }
--- a/packages/daemon/src/rank_group/rank_port.ts
+++ b/packages/daemon/src/rank_group/rank_port.ts
@@ -5,7 +5,7 @@
 import type * as switchGroup from "./switch_group.ts";
 
 /** Age of a beat up to which it tells a rank's state, in milliseconds. */
-const FRESH_MILLISECONDS = 500;
+const FRESH_MILLISECONDS = 900;
 /** Time for the process beside a rank to answer, in milliseconds. */
 const ANSWER_MILLISECONDS = 400;
 
--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -10,12 +10,12 @@
 import * as rankPort from "./rank_port.ts";
 
 /** Time between two beats of a leader, in milliseconds. */
-const LEADER_BEAT_MILLISECONDS = 150;
+const LEADER_BEAT_MILLISECONDS = 200;
 /**
- * Silence of a leader after which a rank takes its place: four beats, and more
+ * Silence of a leader after which a rank takes its place: over three beats, and more
  * the higher the rank, so that one of them does.
  */
-const LEADERLESS_MILLISECONDS = 600;
+const LEADERLESS_MILLISECONDS = 700;
 const LEADERLESS_STAGGER_MILLISECONDS = 250;
 /** How often it is looked whether there is a leader. */
 const LOOK_MILLISECONDS = 50;
@@ -24,8 +24,8 @@
 /** Tokens are times: a process that starts anew goes on above its last one. */
 const TOKENS_PER_MILLISECOND = 64;
 const LINK_TIMING: wire.LinkTiming = {
-  heartbeat: 250,
-  silentAfter: 1_000,
+  heartbeat: 500,
+  silentAfter: 1_500,
   connectTimeout: 400,
 };
 
--- a/packages/wire/src/rank_group.ts
+++ b/packages/wire/src/rank_group.ts
@@ -27,6 +27,9 @@
 export interface RankStatus {
   epoch: number;
   open: boolean;
+  /** Requests that run and that wait there. */
+  active: number;
+  waiting: number;
   /** Last pass that was begun. */
   step: number;
   mapVersion: number;
