--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,14 +14,18 @@
 ];
 
 export default typescriptEslint.config(
-  { ignores: ["**/dist/**", "**/node_modules/**"] },
+  { ignores: ["**/dist/**", "**/node_modules/**", "target/**"] },
   js.default.configs.recommended,
   ...typescriptEslint.configs.recommendedTypeChecked,
   {
     languageOptions: {
       parserOptions: {
         projectService: {
-          allowDefaultProject: ["*.js", "packages/*/bin/*.mjs"],
+          allowDefaultProject: [
+            "*.js",
+            "packages/*/bin/*.mjs",
+            "platform/build.mjs",
+          ],
         },
         tsconfigRootDir: import.meta.dirname,
       },
--- a/packages/daemon/src/forwarding/answer_relay.ts
+++ b/packages/daemon/src/forwarding/answer_relay.ts
@@ -36,6 +36,8 @@
       sink: forwardRequest.AnswerSink;
       answerForm: traffic.AnswerForm;
       resumeAfter: string;
+      /** Called for each event that is passed on. */
+      onEvent: () => void;
     },
   ) {
     this.#resumeAfter = parameters.resumeAfter;
@@ -117,6 +119,7 @@
     }
     if (!this.#begun) sink.begin(head);
     this.#begun = true;
+    this.parameters.onEvent();
     await sink.write(event.bytes);
     return undefined;
   }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -6,10 +6,18 @@
 import * as runnerBoard from "./runner_board.ts";
 import * as runnerCaller from "./runner_caller.ts";
 
-/** Urgency of routes that state none, of 0 to 9. */
+/** When a caller is told to come back, spread so that not all come at once. */
 const RETRY_AFTER_LOW_MILLISECONDS = 250;
 const RETRY_AFTER_HIGH_MILLISECONDS = 900;
 
+/** How often it is looked whether an attempt gets on, in milliseconds. */
+const LOOK_MILLISECONDS = 150;
+/**
+ * How many times its objective an idempotent request waits for a whole answer
+ * before another runner is tried: nine in ten answers come within a third of it.
+ */
+const PATIENCE_OBJECTIVES = 1.5;
+
 /** One request on its way. */
 export interface ForwardedRequestParameters {
   request: forwardRequest.ForwardRequest;
@@ -38,6 +46,8 @@
   Broken = "broken",
   /** Time ran out. */
   TimedOut = "timed-out",
+  /** The runner did not get on and was given up. */
+  Stalled = "stalled",
   /** The caller has left. */
   Left = "left",
 }
@@ -76,6 +86,10 @@
   readonly #relay: answerRelay.AnswerRelay;
   /** Attempts that ran or may have. */
   #runs = 0;
+  /** Runner of the attempt under way. */
+  #runner = "";
+  /** When the attempt under way last got on. */
+  #progressAt = 0;
 
   constructor(readonly parameters: ForwardedRequestParameters) {
     const { route, request, sink } = parameters;
@@ -83,6 +97,7 @@
       sink,
       answerForm: route.answerForm,
       resumeAfter: request.resumeAfter,
+      onEvent: () => this.#noteProgress(),
     });
   }
 
@@ -137,6 +152,7 @@
       case AttemptKind.Failed:
       case AttemptKind.Unknown:
       case AttemptKind.Broken:
+      case AttemptKind.Stalled:
         return idempotent && this.#runs < route.mostAttempts;
       case AttemptKind.Answered:
       case AttemptKind.TimedOut:
@@ -149,7 +165,14 @@
     const { board } = this.parameters;
     const startedAt = common.now();
     const noteEnd = board.begin(runner.identifier);
-    const end = await this.#callRunner(runner);
+    this.#runner = runner.identifier;
+    this.#progressAt = startedAt;
+    const stalled = new AbortController();
+    const watch = setInterval(() => {
+      if (this.#givesUp()) stalled.abort();
+    }, LOOK_MILLISECONDS);
+    const end = await this.#callRunner(runner, stalled.signal);
+    clearInterval(watch);
     noteEnd(soundnessOf(end.kind));
     if (end.kind !== AttemptKind.NotRun) this.#runs++;
     this.#attempts.push({
@@ -161,7 +184,41 @@
     return end;
   }
 
-  async #callRunner(runner: traffic.RunnerEntry): Promise<AttemptEnd> {
+  /**
+   * Whether to try another runner in place of waiting on. Only where there is
+   * another, the request may be repeated, and the budget of repeats is not spent:
+   * a wait that may still end well is better than a refusal.
+   */
+  #givesUp(): boolean {
+    const { route, board, service, budgetOf } = this.parameters;
+    if (route.repeatability !== traffic.Repeatability.Idempotent) return false;
+    if (this.#runs + 1 >= route.mostAttempts) return false;
+    if (budgetOf(service).balance < 1) return false;
+    if (!this.#isLate(route)) return false;
+    const others = board.candidates(service, this.#tried);
+    return others.some(({ spared }) => !spared);
+  }
+
+  #isLate(route: traffic.Route): boolean {
+    const silence = common.now() - this.#progressAt;
+    switch (route.answerForm) {
+      case traffic.AnswerForm.Whole:
+        return silence > route.objectiveMilliseconds * PATIENCE_OBJECTIVES;
+      case traffic.AnswerForm.Events:
+        // Waiting its turn at a runner that gets on is no stall.
+        return this.parameters.board.stalled(this.#runner);
+    }
+  }
+
+  #noteProgress(): void {
+    this.#progressAt = common.now();
+    this.parameters.board.progress(this.#runner);
+  }
+
+  async #callRunner(
+    runner: traffic.RunnerEntry,
+    stalled: AbortSignal,
+  ): Promise<AttemptEnd> {
     const { request, sink, route, account, caller, board } = this.parameters;
     const answer = await caller.call({
       request,
@@ -170,9 +227,11 @@
       account: account?.name ?? "",
       urgency: account?.urgency ?? route.urgency,
       resumeAfter: this.#relay.resumeAfter,
-      signal: AbortSignal.any([sink.left, this.#expired.signal]),
+      signal: AbortSignal.any([sink.left, this.#expired.signal, stalled]),
     });
-    if (answer.isErr()) return this.#endOfFailure(runner, answer.error);
+    if (answer.isErr()) {
+      return this.#endOfFailure(runner, answer.error, stalled);
+    }
     const { verdict, head, signed, body } = answer.value;
     switch (verdict) {
       case runnerCaller.Verdict.WrongRunner:
@@ -191,14 +250,18 @@
         if (!signed) {
           return { kind: AttemptKind.Unknown, reason: "answer not signed" };
         }
-        return this.#relayAnswer(answer.value);
+        this.#noteProgress();
+        return this.#relayAnswer(answer.value, stalled);
     }
   }
 
-  async #relayAnswer(answer: runnerCaller.RunnerAnswer): Promise<AttemptEnd> {
+  async #relayAnswer(
+    answer: runnerCaller.RunnerAnswer,
+    stalled: AbortSignal,
+  ): Promise<AttemptEnd> {
     const relayed = await this.#relay.relay(answer);
     if (relayed.isOk()) return { kind: AttemptKind.Answered, reason: "" };
-    const cut = this.#endOfCut();
+    const cut = this.#endOfCut(stalled);
     if (cut) return cut;
     const kind = this.#relay.begun ? AttemptKind.Broken : AttemptKind.Unknown;
     return { kind, reason: relayed.error };
@@ -207,6 +270,7 @@
   #endOfFailure(
     runner: traffic.RunnerEntry,
     failure: runnerCaller.CallFailure,
+    stalled: AbortSignal,
   ): AttemptEnd {
     const { reason } = failure;
     switch (failure.kind) {
@@ -214,18 +278,21 @@
         this.parameters.board.spare(runner.identifier);
         return { kind: AttemptKind.NotRun, reason };
       case runnerCaller.CallFailureKind.Unknown:
-        return this.#endOfCut() ?? { kind: AttemptKind.Unknown, reason };
+        return this.#endOfCut(stalled) ?? { kind: AttemptKind.Unknown, reason };
     }
   }
 
   /** Why this side ended a call, if it did. */
-  #endOfCut(): AttemptEnd | undefined {
+  #endOfCut(stalled: AbortSignal): AttemptEnd | undefined {
     if (this.parameters.sink.left.aborted) {
       return { kind: AttemptKind.Left, reason: "caller left" };
     }
     if (this.#expired.signal.aborted) {
       return { kind: AttemptKind.TimedOut, reason: "time ran out" };
     }
+    if (stalled.aborted) {
+      return { kind: AttemptKind.Stalled, reason: "did not get on" };
+    }
     return undefined;
   }
 
@@ -277,6 +344,7 @@
     case AttemptKind.Failed:
     case AttemptKind.Unknown:
     case AttemptKind.Broken:
+    case AttemptKind.Stalled:
     case AttemptKind.TimedOut:
       return runnerBoard.CallEnd.Bad;
   }
--- /dev/null
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -0,0 +1,318 @@
+import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
+import * as traffic from "@geraniumkeel/traffic";
+import * as neverthrow from "neverthrow";
+import * as retryBudget from "../dispatch/retry_budget.ts";
+import * as forwardRequest from "./forward_request.ts";
+import * as forwarderModule from "./forwarder.ts";
+import * as runnerBoard from "./runner_board.ts";
+import * as runnerCaller from "./runner_caller.ts";
+
+const test = ava.default;
+
+const KEY = "k";
+
+/** What one call to a runner comes to, given the event to go on after. */
+type Script = (
+  call: runnerCaller.RunnerCall,
+) => Promise<
+  neverthrow.Result<runnerCaller.RunnerAnswer, runnerCaller.CallFailure>
+>;
+
+/** What the caller of a request saw. */
+interface Seen {
+  text: string;
+  status: number;
+  ended: "whole" | "broken" | "refused" | "";
+  refusal: forwardRequest.Refusal | undefined;
+}
+
+interface Scene {
+  answerForm?: traffic.AnswerForm;
+  repeatability?: traffic.Repeatability;
+  proofAge?: number;
+  key?: string;
+  repeats?: number;
+  timeoutMilliseconds?: number;
+}
+
+function routeOf(scene: Scene): traffic.Route {
+  return {
+    name: "r",
+    host: "h",
+    prefix: "/a/",
+    repeatability: scene.repeatability ?? traffic.Repeatability.Idempotent,
+    answerForm: scene.answerForm ?? traffic.AnswerForm.Whole,
+    open: false,
+    shares: [{ service: "s", weight: 1 }],
+    mostAttempts: 2,
+    timeoutMilliseconds: scene.timeoutMilliseconds ?? 5_000,
+    objectiveMilliseconds: 400,
+    gapMilliseconds: 120,
+    urgency: 1,
+  };
+}
+
+function configurationOf(
+  scene: Scene,
+): traffic.ProvenValue<traffic.TrafficConfiguration> {
+  const held = new traffic.ProvenValue<traffic.TrafficConfiguration>();
+  held.offer({
+    version: 1,
+    routes: [routeOf(scene)],
+    services: [{ name: "s", engine: undefined }],
+    accounts: [{ name: "a", keys: [KEY], urgency: undefined }],
+    limits: {
+      mostHeaderBytes: 1,
+      mostBodyBytes: 1,
+      headerMilliseconds: 1,
+      idleMilliseconds: 1,
+    },
+  });
+  const { monotonic, wall } = common.instant();
+  const age = scene.proofAge ?? 0;
+  held.prove(1, { monotonic: monotonic - age, wall: wall - age });
+  return held;
+}
+
+function boardOfTwo(): runnerBoard.RunnerBoard {
+  const random = new common.Random(1);
+  const board = new runnerBoard.RunnerBoard({ dataCentre: "d", random });
+  const runners = ["i-1", "i-2"].map((identifier, index) => ({
+    identifier,
+    service: "s",
+    address: "127.0.0.1",
+    port: index + 1,
+    dataCentre: "d",
+    slots: 8,
+    leaving: false,
+  }));
+  board.update({ version: 1, runners });
+  return board;
+}
+
+/** Sends one request past runners that answer by the scripts, in order. */
+async function send(
+  scene: Scene,
+  scripts: Script[],
+): Promise<{ seen: Seen; calls: runnerCaller.RunnerCall[] }> {
+  const calls: runnerCaller.RunnerCall[] = [];
+  const forwarder = new forwarderModule.Forwarder({
+    configuration: configurationOf(scene),
+    longestProofAge: 4_000,
+    board: boardOfTwo(),
+    caller: {
+      call: (call) => {
+        calls.push(call);
+        return scripts[calls.length - 1](call);
+      },
+    },
+    budgetOf: () => budget,
+    random: new common.Random(2),
+    logger: new common.RecordingLogger(),
+    metrics: common.discardMetrics(),
+  });
+  const repeats = scene.repeats ?? 5;
+  const budget = new retryBudget.RetryBudget({
+    earnedPerRequest: 0,
+    largestBalance: repeats,
+    initialBalance: repeats,
+  });
+  const seen: Seen = { text: "", status: 0, ended: "", refusal: undefined };
+  await forwarder.forward(
+    {
+      identifier: "q",
+      method: "POST",
+      target: "/a/b",
+      path: "/a/b",
+      host: "h",
+      headers: [],
+      body: Buffer.alloc(0),
+      key: scene.key ?? KEY,
+      patienceMilliseconds: 4_000,
+      resumeAfter: "",
+      arrivedAt: common.instant(),
+    },
+    sinkInto(seen),
+  );
+  return { seen, calls };
+}
+
+function sinkInto(seen: Seen): forwardRequest.AnswerSink {
+  return {
+    left: new AbortController().signal,
+    answer: (head, body) => {
+      seen.status = head.status;
+      seen.text += body.toString();
+      seen.ended = "whole";
+    },
+    begin: (head) => (seen.status = head.status),
+    write: async (piece) => {
+      seen.text += piece.toString();
+    },
+    end: () => (seen.ended = "whole"),
+    breakOff: () => (seen.ended = "broken"),
+    refuse: (refusal) => {
+      seen.refusal = refusal;
+      seen.ended = "refused";
+    },
+  };
+}
+
+function answers(
+  pieces: string[],
+  options: { breaks?: boolean; status?: number; signed?: boolean } = {},
+): Script {
+  async function* body(): AsyncGenerator<Buffer, void, void> {
+    for (const piece of pieces) yield Buffer.from(piece);
+    if (options.breaks) throw new runnerCaller.BrokenAnswer("reset");
+  }
+  const status = options.status ?? 200;
+  const verdict =
+    status === 200
+      ? runnerCaller.Verdict.Ran
+      : status === 503
+        ? runnerCaller.Verdict.NotRun
+        : runnerCaller.Verdict.Failed;
+  return async () =>
+    neverthrow.ok({
+      verdict,
+      head: { status, headers: [] },
+      signed: options.signed ?? true,
+      load: undefined,
+      faultyRunner: "",
+      body: body(),
+    });
+}
+
+function fails(kind: runnerCaller.CallFailureKind): Script {
+  return async () => neverthrow.err({ kind, reason: "reset" });
+}
+
+/** Says nothing until the call is ended. */
+function silent(): Script {
+  return (call) =>
+    new Promise((resolve) => {
+      call.signal.addEventListener("abort", () => {
+        const kind = runnerCaller.CallFailureKind.Unknown;
+        resolve(neverthrow.err({ kind, reason: "aborted" }));
+      });
+    });
+}
+
+const event = (number: number) => `id: ${number}\ndata: x\n\n`;
+const EVENTS = { answerForm: traffic.AnswerForm.Events };
+const ONCE = { repeatability: traffic.Repeatability.AtMostOnce };
+
+test("a whole answer is passed on as it is", async (t) => {
+  const { seen } = await send({}, [answers(["he", "llo"])]);
+  t.is(seen.text, "hello");
+  t.is(seen.ended, "whole");
+});
+
+// A delivery would be confirmed twice. The runner's connection is reset after the
+// request was sent: it may have run, so nobody else gets it, and the caller is
+// told that it may have run.
+test("a request that runs at most once is not repeated in doubt", async (t) => {
+  const { seen, calls } = await send(ONCE, [
+    fails(runnerCaller.CallFailureKind.Unknown),
+  ]);
+  t.is(calls.length, 1);
+  t.is(seen.refusal?.kind, forwardRequest.RefusalKind.MayHaveRun);
+});
+
+test("a request that certainly did not run goes to another runner", async (t) => {
+  for (const first of [
+    answers([], { status: 503 }),
+    fails(runnerCaller.CallFailureKind.NotSent),
+  ]) {
+    const { seen, calls } = await send(ONCE, [first, answers(["done"])]);
+    t.not(calls[0].runner.identifier, calls[1].runner.identifier);
+    t.is(seen.text, "done");
+  }
+});
+
+// "Not run" is a promise on which callers act. It holds only if no runner had it.
+test("not run is said only if no attempt may have run", async (t) => {
+  const refused = answers([], { status: 503 });
+  const both = await send(ONCE, [refused, refused]);
+  t.is(both.seen.refusal?.kind, forwardRequest.RefusalKind.NotRun);
+  t.true((both.seen.refusal?.retryAfterMilliseconds ?? 0) > 0);
+  const doubt = await send({}, [
+    fails(runnerCaller.CallFailureKind.Unknown),
+    refused,
+  ]);
+  t.is(doubt.seen.refusal?.kind, forwardRequest.RefusalKind.MayHaveRun);
+});
+
+// When much fails at once, repeats would multiply the load that made it fail.
+test("without budget nothing is repeated", async (t) => {
+  const scene = { repeats: 0 };
+  const { calls } = await send(scene, [answers([], { status: 503 })]);
+  t.is(calls.length, 1);
+});
+
+test("a success that is not signed is not passed on", async (t) => {
+  const { seen } = await send(ONCE, [answers(["x"], { signed: false })]);
+  t.is(seen.refusal?.kind, forwardRequest.RefusalKind.MayHaveRun);
+  t.is(seen.text, "");
+});
+
+test("a runner's own failure is passed on unchanged", async (t) => {
+  const { seen } = await send(ONCE, [answers(["why"], { status: 500 })]);
+  t.is(seen.status, 500);
+  t.is(seen.text, "why");
+});
+
+// The caller sees one stream without a gap. The first run breaks in the middle of
+// its third event; the second goes on after the second event.
+test("a stream that breaks goes on elsewhere after its last event", async (t) => {
+  const { seen, calls } = await send(EVENTS, [
+    answers([event(1), event(2), "id: 3\nda"], { breaks: true }),
+    answers([event(3), event(4)]),
+  ]);
+  t.is(calls[1].resumeAfter, "2");
+  t.is(seen.text, [1, 2, 3, 4].map(event).join(""));
+  t.is(seen.ended, "whole");
+});
+
+// A run that went on at the wrong event would give the caller a stream with a
+// piece missing, which looks complete. It is broken off, and can be asked again.
+test("a stream with a gap is broken off", async (t) => {
+  const { seen } = await send(EVENTS, [
+    answers([event(1), event(2)], { breaks: true }),
+    answers([event(4)]),
+  ]);
+  t.is(seen.text, [1, 2].map(event).join(""));
+  t.is(seen.ended, "broken");
+});
+
+// A rank of a group was lost: all its ranks say nothing for a second or two. The
+// caller has its first event from another group within its patience.
+test("a stream at a runner that stands still moves to another", async (t) => {
+  const { seen, calls } = await send(EVENTS, [silent(), answers([event(1)])]);
+  t.is(calls.length, 2);
+  t.is(seen.text, event(1));
+});
+
+test("an answer that does not come is ended at the route's time-out", async (t) => {
+  const scene = { ...ONCE, timeoutMilliseconds: 100 };
+  const { seen } = await send(scene, [silent()]);
+  t.is(seen.refusal?.kind, forwardRequest.RefusalKind.TimedOut);
+});
+
+// A key that was taken away would still work at an entry that is cut off. Past
+// the time for which a configuration is relied on it runs no keyed request, and
+// calls no key wrong either, as it may be newer than what it knows.
+test("an entry that may be out of date runs no keyed request", async (t) => {
+  for (const key of [KEY, "other"]) {
+    const { seen, calls } = await send({ proofAge: 4_500, key }, []);
+    t.is(calls.length, 0);
+    t.is(seen.refusal?.kind, forwardRequest.RefusalKind.NotRun);
+  }
+});
+
+test("an unknown key is refused by an entry that is up to date", async (t) => {
+  const { seen } = await send({ key: "other" }, []);
+  t.is(seen.refusal?.kind, forwardRequest.RefusalKind.UnknownKey);
+});
--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -21,15 +21,30 @@
 /** Time in which the share of failures halves without answers. */
 const FORGIVENESS_MILLISECONDS = 2_000;
 
+/**
+ * Silence of a runner with requests under way after which it counts as stalled.
+ * All ranks of a group make passes together, 25 to 100 ms each, and with every
+ * pass some request there gets its next event; when one rank is lost all stand
+ * still and say nothing for one to two seconds.
+ */
+const STALLED_MILLISECONDS = 450;
+
 /** What is known of one runner. */
 class RunnerRecord {
   own = 0;
+  /** When anything was last heard of a request there. */
+  progressAt = 0;
   failureShare = 0;
   failureSeenAt = 0;
   sparedUntil = 0;
 
   constructor(public entry: traffic.RunnerEntry) {}
 
+  /** Whether requests are under way and none of them gets on. */
+  stalled(now: number): boolean {
+    return this.own > 0 && now - this.progressAt > STALLED_MILLISECONDS;
+  }
+
   /** Part of its answers that failed; forgotten by and by. */
   currentFailureShare(now: number): number {
     const halvings = (now - this.failureSeenAt) / FORGIVENESS_MILLISECONDS;
@@ -93,7 +108,7 @@
         slots: entry.slots,
         sameDataCentre: entry.dataCentre === this.parameters.dataCentre,
         failureShare: record.currentFailureShare(now),
-        spared: record.sparedUntil > now,
+        spared: record.sparedUntil > now || record.stalled(now),
       });
     }
     return views;
@@ -113,6 +128,7 @@
   begin(identifier: string): (end: CallEnd) => void {
     const record = this.#records.get(identifier);
     if (!record) return () => {};
+    if (record.own === 0) record.progressAt = common.now();
     record.own++;
     return (end) => {
       record.own--;
@@ -120,6 +136,17 @@
     };
   }
 
+  /** Something was heard of a request at a runner. */
+  progress(identifier: string): void {
+    const record = this.#records.get(identifier);
+    if (record) record.progressAt = common.now();
+  }
+
+  /** Whether requests are under way at a runner and none of them gets on. */
+  stalled(identifier: string): boolean {
+    return this.#records.get(identifier)?.stalled(common.now()) ?? false;
+  }
+
   /** A runner at which nothing progresses gets no new work for a while. */
   spare(identifier: string): void {
     const record = this.#records.get(identifier);
--- a/packages/daemon/src/rank_group/group_leader.ts
+++ b/packages/daemon/src/rank_group/group_leader.ts
@@ -37,7 +37,6 @@
   #map: wire.RankMap | undefined;
   #mapVersion = -1;
   #lastVersion = 0;
-  #switches = 0;
 
   constructor(readonly parameters: GroupLeaderParameters) {
     const { expertsPerLayer } = parameters.shape;
@@ -131,7 +130,6 @@
     });
     switch (outcome.kind) {
       case switchGroup.GroupSwitchKind.Done:
-        this.#switches++;
         this.#map = next;
         this.#mapVersion = version;
         return;
--- a/packages/daemon/src/rank_group/rank_member.ts
+++ b/packages/daemon/src/rank_group/rank_member.ts
@@ -3,8 +3,12 @@
 import * as executeOrder from "./execute_order.ts";
 import type * as rankEngine from "./rank_engine.ts";
 
-/** How often choices are read while requests run, in milliseconds. */
+/** How often choices are read while several requests run, in milliseconds. */
 const COUNT_MILLISECONDS = 150;
+/** How often they are read while few run: then little is gained by haste. */
+const SELDOM_COUNT_MILLISECONDS = 300;
+/** Requests from which an engine counts as busy. */
+const SEVERAL_REQUESTS = 3;
 /**
  * How often the engine's state is read while nothing is switched. Each reading
  * costs the small host a third of a millisecond of its processor.
@@ -60,7 +64,7 @@
     while (!signal.aborted) {
       await this.#read();
       this.changed.announce();
-      const pause = this.#busy ? BUSY_MILLISECONDS : COUNT_MILLISECONDS;
+      const pause = this.#busy ? BUSY_MILLISECONDS : this.#countPeriod;
       await this.#ordered.next(pause, signal);
     }
   }
@@ -110,7 +114,7 @@
       const report = await this.engine.report();
       if (report.isOk()) this.#report = report.value;
     }
-    if (now - this.#countedAt < COUNT_MILLISECONDS) return;
+    if (now - this.#countedAt < this.#countPeriod) return;
     // With no request there nothing is chosen.
     const { status } = this;
     if (!status || status.active + status.waiting === 0) return;
@@ -130,6 +134,13 @@
     });
   }
 
+  get #countPeriod(): number {
+    const { active = 0, waiting = 0 } = this.status ?? {};
+    return active + waiting >= SEVERAL_REQUESTS
+      ? COUNT_MILLISECONDS
+      : SELDOM_COUNT_MILLISECONDS;
+  }
+
   /** Whether a switch is under way here. */
   get #busy(): boolean {
     const report = this.#report;
--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -47,9 +47,13 @@
 /** A leadership under way. */
 interface Term {
   token: number;
+  startedAt: number;
   identity: wire.RankIdentity;
   ended: AbortController;
   ports: Map<number, rankPort.LinkedRank>;
+  /** Runner of each rank that is known, but the own. */
+  runners: Map<number, traffic.RunnerEntry>;
+  links: Set<wire.Link>;
   leader: groupLeader.GroupLeader | undefined;
 }
 
@@ -64,6 +68,12 @@
   /** Link to the leader that is followed. */
   #leaderLink: wire.Link | undefined;
   #term: Term | undefined;
+  /**
+   * What the last leader knew. A leader that dies may leave a pass held; were its
+   * successor to ask the store first, the group would stand still for as long as
+   * the store is away.
+   */
+  #knowledge: wire.GroupKnowledge | undefined;
 
   constructor(readonly parameters: RankProcessParameters) {
     this.#member = new rankMember.RankMember(parameters.engine);
@@ -115,6 +125,9 @@
         case wire.MessageKind.RankListsRequest:
           void this.#tellLists(link, message.question);
           break;
+        case wire.MessageKind.GroupKnowledge:
+          this.#knowledge = message;
+          break;
         default:
           link.close(wire.LinkEnd.Unreadable);
       }
@@ -210,9 +223,12 @@
     const ended = new AbortController();
     const term: Term = {
       token,
+      startedAt: common.now(),
       identity,
       ended,
       ports: new Map(),
+      runners: new Map(),
+      links: new Set(),
       leader: undefined,
     };
     this.#term = term;
@@ -241,14 +257,22 @@
   async #runTerm(term: Term, signal: AbortSignal): Promise<void> {
     const { lifeCycle, logger } = this.parameters;
     lifeCycle.run("links to ranks", () => this.#keepLinks(term, signal));
-    const { size, rank, epoch } = term.identity;
+    const { group, size, rank, epoch } = term.identity;
     while (!signal.aborted && term.ports.size < size) {
       if (this.#member.identity?.epoch !== epoch) return;
       await common.sleep(LOOK_MILLISECONDS, signal);
     }
-    const shape = await this.#readShape(signal);
+    const shape = this.#knowledge?.shape ?? (await this.#readShape(signal));
     const own = term.ports.get(rank);
     if (!shape || !own || signal.aborted) return;
+    const runners = [...term.runners.entries()].sort(([a], [b]) => a - b);
+    this.#knowledge = {
+      kind: wire.MessageKind.GroupKnowledge,
+      group,
+      runners: runners.map(([, runner]) => runner),
+      shape,
+    };
+    for (const link of term.links) link.send(this.#knowledge);
     term.leader = new groupLeader.GroupLeader({
       identity: term.identity,
       ports: [...term.ports.values()].sort((a, b) => a.rank - b.rank),
@@ -289,7 +313,7 @@
     );
     const linked = new Map<string, AbortController>();
     const kind = wire.MessageKind.LeaderBeat;
-    const links = new Set<wire.Link>();
+    const { links } = term;
     const beat = setInterval(() => {
       for (const link of links) {
         link.send({ kind, token: term.token, group, epoch });
@@ -313,10 +337,8 @@
     links: Set<wire.Link>,
     signal: AbortSignal,
   ): Promise<void> {
-    const { runnerSource, service, lifeCycle } = this.parameters;
-    const read = await runnerSource.next(0);
-    const runners = read.isOk() ? (read.value.value?.runners ?? []) : [];
-    for (const runner of runners) {
+    const { service, lifeCycle } = this.parameters;
+    for (const runner of await this.#possibleRunners(term)) {
       if (runner.service !== service) continue;
       if (linked.has(runner.address)) continue;
       linked.set(runner.address, new AbortController());
@@ -327,6 +349,15 @@
     }
   }
 
+  /** Runners that may be of the group: as the last leader knew, or all listed. */
+  async #possibleRunners(term: Term): Promise<traffic.RunnerEntry[]> {
+    const known = this.#knowledge;
+    const fresh = common.now() - term.startedAt < KNOWLEDGE_MILLISECONDS;
+    if (known?.group === term.identity.group && fresh) return known.runners;
+    const read = await this.parameters.runnerSource.next(0);
+    return read.isOk() ? (read.value.value?.runners ?? []) : [];
+  }
+
   /** Links with the process beside a runner for as long as it lasts. */
   async #serveRank(
     term: Term,
@@ -367,6 +398,7 @@
           links.add(link);
           const kind = wire.MessageKind.LeaderBeat;
           link.send({ kind, token: term.token, group, epoch });
+          if (term.leader && this.#knowledge) link.send(this.#knowledge);
           break;
         }
         case wire.MessageKind.RankBeat: {
@@ -401,6 +433,7 @@
     runner: traffic.RunnerEntry,
     rank: number,
   ): rankPort.LinkedRank {
+    term.runners.set(rank, runner);
     const known = term.ports.get(rank);
     if (known) return known;
     const { epoch } = term.identity;
@@ -414,6 +447,8 @@
   }
 }
 
+/** How long a new leader goes by what the last one knew. */
+const KNOWLEDGE_MILLISECONDS = 2_000;
 /** How long a process of another group is left alone before it is asked again. */
 const FOREIGN_MILLISECONDS = 5_000;
 
--- a/packages/stand_ins/src/rank_group_stand_in.ts
+++ b/packages/stand_ins/src/rank_group_stand_in.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import * as daemon from "@geraniumkeel/daemon";
+import * as daemon from "@geraniumkeel/daemon/forwarding_mod";
 import * as wire from "@geraniumkeel/wire";
 import * as neverthrow from "neverthrow";
 
--- a/packages/stand_ins/src/system/rank_group_test.ts
+++ b/packages/stand_ins/src/system/rank_group_test.ts
@@ -1,6 +1,6 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
-import * as daemon from "@geraniumkeel/daemon";
+import * as daemon from "@geraniumkeel/daemon/forwarding_mod";
 import * as wire from "@geraniumkeel/wire";
 import * as rankGroupStandIn from "../rank_group_stand_in.ts";
 
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -49,6 +49,7 @@
   RankReply = 84,
   RankListsRequest = 85,
   RankListsAnswer = 86,
+  GroupKnowledge = 87,
 }
 
 /** What kind of process is at the far end. */
@@ -133,6 +134,7 @@
   | rankGroup.RankReply
   | rankGroup.RankListsRequest
   | rankGroup.RankListsAnswer
+  | rankGroup.GroupKnowledge
   | {
       kind: MessageKind.Heartbeat;
       clock: number;
--- a/packages/wire/src/rank_group.ts
+++ b/packages/wire/src/rank_group.ts
@@ -1,3 +1,4 @@
+import type * as traffic from "@geraniumkeel/traffic";
 import type * as message from "./message.ts";
 
 /** Experts of one rank or of all, by layer and rank: `map[layer][rank]`. */
@@ -130,3 +131,12 @@
   question: number;
   lists: RankLists | undefined;
 }
+
+/** What a leader knows of its group and a successor needs at once. */
+export interface GroupKnowledge {
+  kind: message.MessageKind.GroupKnowledge;
+  group: string;
+  /** Runner of each rank, in order. */
+  runners: traffic.RunnerEntry[];
+  shape: traffic.EngineShape;
+}
