--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -90,6 +90,8 @@
   #runner = "";
   /** When the attempt under way last got on. */
   #progressAt = 0;
+  /** Milliseconds from arrival to the first of an answer; -1 before it. */
+  #firstAfter = -1;
 
   constructor(readonly parameters: ForwardedRequestParameters) {
     const { route, request, sink } = parameters;
@@ -115,6 +117,7 @@
       clearTimeout(timer);
     }
     this.#finish(end);
+    this.#measure(end);
     return {
       route: route.name,
       account: account?.name ?? "",
@@ -125,6 +128,17 @@
     };
   }
 
+  #measure(end: AttemptEnd): void {
+    const { metrics, service } = this.parameters;
+    const outcome = end.kind;
+    metrics.count(common.Metric.Requests, { service, outcome });
+    const repeats = this.#attempts.length - 1;
+    if (repeats > 0) metrics.count(common.Metric.Retries, { service }, repeats);
+    if (this.#firstAfter >= 0) {
+      metrics.time(common.Metric.FirstToken, this.#firstAfter, { service });
+    }
+  }
+
   async #attemptUntilEnd(): Promise<AttemptEnd> {
     const { board, service, budgetOf } = this.parameters;
     const budget = budgetOf(service);
@@ -211,6 +225,7 @@
   }
 
   #noteProgress(): void {
+    if (this.#firstAfter < 0) this.#firstAfter = this.#elapsed();
     this.#progressAt = common.now();
     this.parameters.board.progress(this.#runner);
   }
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -66,6 +66,7 @@
     switch (admitted.kind) {
       case "refused": {
         const { kind, reason } = admitted.refusal;
+        this.parameters.metrics.count(common.Metric.Refusals, { reason });
         const code = common.EventCode.ForwardRefused;
         logger.event(code, { ...facts, kind, reason });
         return sink.refuse(admitted.refusal);
