--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -4,12 +4,9 @@
 import * as answerRelay from "./answer_relay.ts";
 import * as forwardRequest from "./forward_request.ts";
 import * as runnerBoard from "./runner_board.ts";
+import * as returnTime from "./return_time.ts";
 import * as runnerCaller from "./runner_caller.ts";
 
-/** When a caller is told to come back, spread so that not all come at once. */
-const RETRY_AFTER_LOW_MILLISECONDS = 250;
-const RETRY_AFTER_HIGH_MILLISECONDS = 900;
-
 /** How often it is looked whether an attempt gets on, in milliseconds. */
 const LOOK_MILLISECONDS = 150;
 /**
@@ -330,9 +327,9 @@
       : end.kind === AttemptKind.TimedOut
         ? forwardRequest.RefusalKind.TimedOut
         : forwardRequest.RefusalKind.MayHaveRun;
-    const retryAfterMilliseconds = random.between(
-      RETRY_AFTER_LOW_MILLISECONDS,
-      RETRY_AFTER_HIGH_MILLISECONDS,
+    const retryAfterMilliseconds = returnTime.returnTime(
+      this.#millisecondsLeft(),
+      random,
     );
     sink.refuse({ kind, reason: end.reason, retryAfterMilliseconds });
   }
--- /dev/null
+++ b/packages/daemon/src/forwarding/return_time_test.ts
@@ -0,0 +1,23 @@
+import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
+import * as returnTime from "./return_time.ts";
+
+const test = ava.default;
+
+// A hundred callers are refused in the second in which a group is lost, and it
+// takes two seconds to form anew. Nearly all must come back after that, not all at
+// once, and while they still have time.
+test("callers refused by a lost group come back when it is there again", (t) => {
+  const random = new common.Random(1);
+  const times = Array.from({ length: 100 }, () =>
+    returnTime.returnTime(7_900, random),
+  );
+  t.true(Math.min(...times) >= 1_500);
+  t.true(Math.max(...times) <= 7_900 / 3);
+  t.true(Math.max(...times) - Math.min(...times) > 700);
+});
+
+test("a caller with little time left is told a short time", (t) => {
+  const random = new common.Random(1);
+  t.is(returnTime.returnTime(300, random), 250);
+});
