--- /dev/null
+++ b/packages/cli/src/explain_request.ts
@@ -0,0 +1,119 @@
+/** One log line of one process, as far as explaining needs it. */
+export interface LogLine {
+  time: string;
+  host: string;
+  msg: string;
+  [field: string]: unknown;
+}
+
+/** One attempt of a request, as an entry logs it. */
+interface Attempt {
+  runner: string;
+  end: string;
+  reason: string;
+  milliseconds: number;
+}
+
+/** A request's way and the cause of its end. */
+export interface Explanation {
+  /** Lines about the request, in order of time. */
+  way: string[];
+  /** The cause in one sentence. */
+  cause: string;
+}
+
+/** Age in milliseconds from which a configuration counts as old in a sentence. */
+const OLD_MILLISECONDS = 2_000;
+
+/**
+ * Reads log lines; whatever stands before the first brace of a line, as a
+ * collector may put it, is passed over, as are lines of other programs.
+ */
+export function readLines(text: string): LogLine[] {
+  const lines: LogLine[] = [];
+  for (const line of text.split("\n")) {
+    const start = line.indexOf("{");
+    if (start < 0) continue;
+    try {
+      const parsed = JSON.parse(line.slice(start)) as Partial<LogLine>;
+      if (parsed.msg !== undefined && parsed.time)
+        lines.push(parsed as LogLine);
+    } catch {
+      // A line that was cut, or of another program: it tells nothing here.
+    }
+  }
+  return lines;
+}
+
+/** The way of a request over all processes, and why it ended as it did. */
+export function explainRequest(
+  identifier: string,
+  lines: LogLine[],
+): Explanation {
+  const about = lines
+    .filter(({ request }) => request === identifier)
+    .sort((left, right) => (left.time < right.time ? -1 : 1));
+  const way = about.flatMap((line) => describe(line));
+  const last = about.at(-1);
+  if (!last) {
+    return { way, cause: `No process logged request ${identifier}.` };
+  }
+  return { way, cause: causeOf(last, lines) };
+}
+
+function describe(line: LogLine): string[] {
+  const head = `${line.time} ${line.host} ${line.msg}`;
+  const attempts = attemptsOf(line).map(
+    ({ runner, end, reason, milliseconds }) =>
+      `  at ${runner}: ${end}${reason ? ` (${reason})` : ""} after ${milliseconds} ms`,
+  );
+  const facts = ["route", "account", "service", "kind", "reason", "end"]
+    .filter((name) => line[name])
+    .map((name) => `${name} ${text(line[name])}`);
+  const version = `configuration ${text(line.version)}, proved ${text(line.age)} ms before`;
+  return [`${head}: ${[...facts, version].join(", ")}`, ...attempts];
+}
+
+function causeOf(line: LogLine, lines: LogLine[]): string {
+  const where = `entry ${line.host}`;
+  if (line.msg === "ForwardRefused") return refusalCause(line, lines);
+  const attempts = attemptsOf(line);
+  const last = attempts.at(-1);
+  const tried = `${attempts.length} runner${attempts.length === 1 ? "" : "s"}`;
+  switch (line.end) {
+    case "answered":
+      return `It was answered by ${last?.runner} through ${where} in ${text(line.milliseconds)} ms.`;
+    case "not-run":
+      return attempts.length === 0
+        ? `Refused under load or loss: ${where} knew no runner of the service that took work.`
+        : `Refused under load or loss: ${tried} would not take it (${last?.reason}).`;
+    case "timed-out":
+      return `Its time ran out at ${where} while ${last?.runner} had it.`;
+    case "left":
+      return `The caller left ${where} after ${text(line.milliseconds)} ms.`;
+    default:
+      return `Lost with its runner: ${last?.runner} ended it (${last?.end}: ${last?.reason}) after ${tried}.`;
+  }
+}
+
+function refusalCause(line: LogLine, lines: LogLine[]): string {
+  const reason = text(line.reason);
+  const age = Number(line.age);
+  const store = lines.find(
+    ({ host, msg, time }) =>
+      host === line.host && msg === "DocumentUnavailable" && time <= line.time,
+  );
+  const why = store ? `; its store gave nothing (${text(store.reason)})` : "";
+  if (age > OLD_MILLISECONDS) {
+    return `Refused for an old configuration: ${line.host} had no proof for ${age} ms that version ${text(line.version)} was the newest${why} (${reason}).`;
+  }
+  return `Refused by configuration ${text(line.version)}, proved ${age} ms before: ${reason}.`;
+}
+
+function attemptsOf(line: LogLine): Attempt[] {
+  return Array.isArray(line.attempts) ? (line.attempts as Attempt[]) : [];
+}
+
+function text(value: unknown): string {
+  return typeof value === "string" ? value : JSON.stringify(value ?? "unknown");
+}
--- /dev/null
+++ b/packages/cli/src/explain_request_test.ts
@@ -0,0 +1,53 @@
+import * as ava from "ava";
+import * as explainRequest from "./explain_request.ts";
+
+const test = ava.default;
+
+function lineOf(fields: Record<string, unknown>): string {
+  const line = { time: "2026-01-01T00:00:01Z", host: "entry-1", ...fields };
+  return `12.5 entry-1 ${JSON.stringify(line)}`;
+}
+
+function causeOf(...lines: Record<string, unknown>[]): string {
+  const text = ["noise", ...lines.map(lineOf), '{"cut'].join("\n");
+  const read = explainRequest.readLines(text);
+  return explainRequest.explainRequest("q", read).cause;
+}
+
+const REFUSED = { msg: "ForwardRefused", request: "q", version: 7 };
+
+test("a request refused under load names what its runners said", (t) => {
+  const attempts = [
+    { runner: "i-1", end: "not-run", reason: "status 503", milliseconds: 3 },
+    { runner: "i-2", end: "not-run", reason: "status 503", milliseconds: 2 },
+  ];
+  const line = { msg: "Forwarded", request: "q", end: "not-run", attempts };
+  t.regex(causeOf(line), /under load.*2 runners.*status 503/);
+});
+
+test("a request lost with its runner names the runner", (t) => {
+  const attempts = [
+    { runner: "i-1", end: "unknown", reason: "reset", milliseconds: 80 },
+  ];
+  const line = { msg: "Forwarded", request: "q", end: "unknown", attempts };
+  t.regex(causeOf(line), /Lost with its runner: i-1.*reset/);
+});
+
+test("a request refused for an old configuration names age and store", (t) => {
+  const store = {
+    msg: "DocumentUnavailable",
+    reason: "UND_ERR",
+    time: "2026-01-01T00:00:00Z",
+  };
+  const line = { ...REFUSED, age: 4_300, reason: "keys may be old" };
+  t.regex(causeOf(store, line), /old configuration.*4300 ms.*UND_ERR/);
+});
+
+test("a request refused by a fresh configuration names its version", (t) => {
+  const line = { ...REFUSED, age: 300, reason: "no such key" };
+  t.regex(causeOf(line), /configuration 7.*no such key/);
+});
+
+test("a request that nobody logged is said to be so", (t) => {
+  t.regex(causeOf({ msg: "Forwarded", request: "other" }), /No process/);
+});
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,5 +1,6 @@
 import * as commander from "commander";
 import * as configuration from "./commands/configuration.ts";
+import * as explain from "./commands/explain.ts";
 import * as hosts from "./commands/hosts.ts";
 import * as preset from "./commands/preset.ts";
 import * as state from "./commands/state.ts";
@@ -20,7 +21,8 @@
     .addCommand(status.entriesCommand())
     .addCommand(hosts.hostsCommand())
     .addCommand(hosts.drainCommand())
-    .addCommand(state.stateCommand());
+    .addCommand(state.stateCommand())
+    .addCommand(explain.explainCommand());
 }
 
 /** Runs the tool; the exit code tells how it ended. */
