--- a/packages/daemon/src/rank_group/group_leader.ts
+++ b/packages/daemon/src/rank_group/group_leader.ts
@@ -37,12 +37,18 @@
   #map: wire.RankMap | undefined;
   #mapVersion = -1;
   #lastVersion = 0;
+  #switching = false;
 
   constructor(readonly parameters: GroupLeaderParameters) {
     const { expertsPerLayer } = parameters.shape;
     this.demand = new demandModule.Demand(expertsPerLayer);
   }
 
+  /** Whether a switch is under way. */
+  get switching(): boolean {
+    return this.#switching;
+  }
+
   /** Takes what a rank counted, layer after layer. */
   count(chosen: number[]): void {
     this.demand.add(chosen, common.now());
@@ -102,6 +108,7 @@
     const planMilliseconds = common.now() - startedAt;
     const next = mapOf(plan.places, identity.size);
     const version = this.#nextVersion();
+    this.#switching = true;
     const outcome = await switchGroup.switchGroup({
       ports,
       own,
@@ -109,6 +116,7 @@
       map: next,
       valid,
     });
+    this.#switching = false;
     logger.event(eventOf(outcome.kind), {
       group: identity.group,
       epoch: identity.epoch,
--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -19,6 +19,9 @@
 const LEADERLESS_STAGGER_MILLISECONDS = 250;
 /** How often it is looked whether there is a leader. */
 const LOOK_MILLISECONDS = 50;
+/** Longest time that a stopping process waits for its switch to end. */
+const DRAIN_MILLISECONDS = 3_000;
+const DRAIN_LOOK_MILLISECONDS = 20;
 /** Pause between attempts to link with the ranks that are missing. */
 const RELINK_MILLISECONDS = 300;
 /** Tokens are times: a process that starts anew goes on above its last one. */
@@ -68,6 +71,7 @@
   /** Link to the leader that is followed. */
   #leaderLink: wire.Link | undefined;
   #term: Term | undefined;
+  #stopping = false;
   /**
    * What the last leader knew. A leader that dies may leave a pass held; were its
    * successor to ask the store first, the group would stand still for as long as
@@ -97,6 +101,19 @@
     lifeCycle.run("lead", (signal) => this.#leadWhenAlone(signal));
   }
 
+  /**
+   * Leads no more, and resolves when the switch under way has ended: left halfway
+   * it would hold the group until another rank has taken over.
+   */
+  async drain(): Promise<void> {
+    this.#stopping = true;
+    const deadline = common.now() + DRAIN_MILLISECONDS;
+    while (this.#term?.leader?.switching && common.now() < deadline) {
+      await common.sleep(DRAIN_LOOK_MILLISECONDS);
+    }
+    this.#endTerm("stopping");
+  }
+
   /** The state dump. */
   describe(): unknown {
     return {
@@ -199,7 +216,7 @@
     while (!signal.aborted) {
       await common.sleep(LOOK_MILLISECONDS, signal);
       const { identity } = this.#member;
-      if (!identity) {
+      if (!identity || this.#stopping) {
         this.#leaderHeardAt = common.now();
         continue;
       }
