--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -15,6 +15,17 @@
  */
 const PATIENCE_OBJECTIVES = 1.5;
 
+/**
+ * Longest wait for a service all of whose runners turn requests away with room to
+ * spare, in milliseconds: a lost group is formed anew within it. A caller that is
+ * refused then has mostly used up its one retry when it is back.
+ */
+const LONGEST_WAIT_MILLISECONDS = 1_500;
+/** Part of the caller's patience that such a wait takes at most. */
+const LONGEST_WAIT_PART = 0.25;
+/** How often a waiting request looks for a runner, in milliseconds. */
+const WAIT_LOOK_MILLISECONDS = 50;
+
 /** One request on its way. */
 export interface ForwardedRequestParameters {
   request: forwardRequest.ForwardRequest;
@@ -144,7 +155,9 @@
     for (;;) {
       const runner = board.choose(service, this.#tried);
       if (!runner) {
-        return last ?? { kind: AttemptKind.NotRun, reason: "no runner" };
+        if (await this.#waitForRunner()) continue;
+        const cut = this.#endOfCut();
+        return cut ?? last ?? { kind: AttemptKind.NotRun, reason: "no runner" };
       }
       if (last && !budget.spend()) return last;
       this.#tried.add(runner.identifier);
@@ -153,6 +166,21 @@
     }
   }
 
+  /**
+   * Waits a moment for a service that is being formed anew; false if there is
+   * nothing to wait for, or not for so long.
+   */
+  async #waitForRunner(): Promise<boolean> {
+    const { board, service, sink, request } = this.parameters;
+    if (!board.hasClosed(service) || this.#endOfCut()) return false;
+    const patience = request.patienceMilliseconds * LONGEST_WAIT_PART;
+    const longest = Math.min(LONGEST_WAIT_MILLISECONDS, patience);
+    if (this.#elapsed() > longest) return false;
+    this.#tried.clear();
+    await board.opened.next(WAIT_LOOK_MILLISECONDS, sink.left);
+    return !this.#endOfCut();
+  }
+
   /** Whether another runner may be tried after an attempt. */
   #mayRepeat(end: AttemptEnd): boolean {
     const { route } = this.parameters;
@@ -250,6 +278,7 @@
         board.drop(runner.identifier);
         return { kind: AttemptKind.NotRun, reason: "another runner there" };
       case runnerCaller.Verdict.NotRun:
+        board.turnedAway(runner.identifier);
         return { kind: AttemptKind.NotRun, reason: `status ${head.status}` };
       case runnerCaller.Verdict.Failed: {
         const whole = await answerRelay.readWhole(body);
@@ -295,14 +324,14 @@
   }
 
   /** Why this side ended a call, if it did. */
-  #endOfCut(stalled: AbortSignal): AttemptEnd | undefined {
+  #endOfCut(stalled?: AbortSignal): AttemptEnd | undefined {
     if (this.parameters.sink.left.aborted) {
       return { kind: AttemptKind.Left, reason: "caller left" };
     }
     if (this.#expired.signal.aborted) {
       return { kind: AttemptKind.TimedOut, reason: "time ran out" };
     }
-    if (stalled.aborted) {
+    if (stalled?.aborted) {
       return { kind: AttemptKind.Stalled, reason: "did not get on" };
     }
     return undefined;
--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -29,6 +29,19 @@
  */
 const STALLED_MILLISECONDS = 450;
 
+/**
+ * Time for which a runner that turned a request away, although it had room, gets
+ * none, in milliseconds. Its group has lost a rank and is being formed anew, for
+ * half a second and more, and turns away whatever it is sent.
+ */
+const CLOSED_MILLISECONDS = 250;
+/**
+ * Time between two requests sent to see whether a service takes work again while
+ * all its runners are closed. Each that is turned away counts against the repeats
+ * allowed; an entry sends ten a second, whatever number of requests wait.
+ */
+const PROBE_MILLISECONDS = 100;
+
 /** What is known of one runner. */
 class RunnerRecord {
   own = 0;
@@ -37,6 +50,9 @@
   failureShare = 0;
   failureSeenAt = 0;
   sparedUntil = 0;
+  /** It turned a request away with room to spare, and took none since. */
+  closed = false;
+  closedUntil = 0;
 
   constructor(public entry: traffic.RunnerEntry) {}
 
@@ -57,6 +73,10 @@
   readonly #records = new Map<string, RunnerRecord>();
   /** Requests under way from other entries, by entry and runner. */
   readonly #others = new Map<string, Map<string, number>>();
+  /** When the next request may be sent to a service that is closed. */
+  readonly #nextProbeAt = new Map<string, number>();
+  /** Announces that some runner may take work that did not before. */
+  readonly opened = new common.ChangeNotice();
 
   constructor(
     readonly parameters: { dataCentre: string; random: common.Random },
@@ -71,6 +91,7 @@
       if (record) record.entry = entry;
       else this.#records.set(entry.identifier, new RunnerRecord(entry));
     }
+    this.opened.announce();
     for (const identifier of this.#records.keys()) {
       if (!listed.has(identifier)) this.#records.delete(identifier);
     }
@@ -102,6 +123,7 @@
       const { entry } = record;
       if (entry.service !== service || entry.leaving) continue;
       if (tried.has(identifier)) continue;
+      if (record.closed && now < record.closedUntil) continue;
       views.push({
         identifier,
         outstanding: record.own + this.#othersAt(identifier),
@@ -121,7 +143,38 @@
   ): traffic.RunnerEntry | undefined {
     const views = this.candidates(service, tried);
     const chosen = chooseRunner.chooseRunner(views, this.parameters.random);
-    return chosen && this.#records.get(chosen.identifier)?.entry;
+    const record = chosen && this.#records.get(chosen.identifier);
+    if (!record) return undefined;
+    if (record.closed && !this.#mayProbe(record)) return undefined;
+    return record.entry;
+  }
+
+  /** Whether some runner of a service turns away what it has room for. */
+  hasClosed(service: string): boolean {
+    for (const { entry, closed } of this.#records.values()) {
+      if (closed && entry.service === service && !entry.leaving) return true;
+    }
+    return false;
+  }
+
+  /** A runner turned a request away. */
+  turnedAway(identifier: string): void {
+    const record = this.#records.get(identifier);
+    if (!record) return;
+    const load = record.own + this.#othersAt(identifier);
+    if (load > record.entry.slots) return;
+    record.closed = true;
+    record.closedUntil = common.now() + CLOSED_MILLISECONDS;
+  }
+
+  /** One request is sent to see whether a closed runner takes work again. */
+  #mayProbe(record: RunnerRecord): boolean {
+    const now = common.now();
+    const { service } = record.entry;
+    if (now < (this.#nextProbeAt.get(service) ?? 0)) return false;
+    this.#nextProbeAt.set(service, now + PROBE_MILLISECONDS);
+    record.closedUntil = now + CLOSED_MILLISECONDS;
+    return true;
   }
 
   /** Notes a call to a runner; the returned function notes its end. */
@@ -139,7 +192,11 @@
   /** Something was heard of a request at a runner. */
   progress(identifier: string): void {
     const record = this.#records.get(identifier);
-    if (record) record.progressAt = common.now();
+    if (!record) return;
+    record.progressAt = common.now();
+    if (!record.closed) return;
+    record.closed = false;
+    this.opened.announce();
   }
 
   /** Whether requests are under way at a runner and none of them gets on. */
