--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -240,7 +240,7 @@
   t.true((both.seen.refusal?.retryAfterMilliseconds ?? 0) > 0);
   const doubt = await send({}, [
     fails(runnerCaller.CallFailureKind.Unknown),
-    refused,
+    ...Array<Script>(50).fill(refused),
   ]);
   t.is(doubt.seen.refusal?.kind, forwardRequest.RefusalKind.MayHaveRun);
 });
