--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -6,6 +6,7 @@
 import * as runnerBoard from "./runner_board.ts";
 import * as returnTime from "./return_time.ts";
 import * as runnerCaller from "./runner_caller.ts";
+import * as urgencyAtRunner from "./urgency_at_runner.ts";
 
 /** How often it is looked whether an attempt gets on, in milliseconds. */
 const LOOK_MILLISECONDS = 150;
@@ -265,7 +266,11 @@
       runner,
       patienceMilliseconds: this.#millisecondsLeft(),
       account: account?.name ?? "",
-      urgency: account?.urgency ?? route.urgency,
+      urgency: urgencyAtRunner.urgencyAtRunner({
+        urgency: account?.urgency ?? route.urgency,
+        elapsedMilliseconds: this.#elapsed(),
+        objectiveMilliseconds: route.objectiveMilliseconds,
+      }),
       resumeAfter: this.#relay.resumeAfter,
       signal: AbortSignal.any([sink.left, this.#expired.signal, stalled]),
     });
--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -27,7 +27,7 @@
  * pass some request there gets its next event; when one rank is lost all stand
  * still and say nothing for one to two seconds.
  */
-const STALLED_MILLISECONDS = 450;
+const STALLED_MILLISECONDS = 600;
 
 /**
  * Time for which a runner that turned a request away, although it had room, gets
