--- a/packages/stand_ins/src/system/processes_test.ts
+++ b/packages/stand_ins/src/system/processes_test.ts
@@ -225,7 +225,7 @@
     "host: found",
     "processKey: found",
     'unknown "colour"',
-    "backingServices.url: found",
+    "platform.url: found",
     "listen.callers.port: found 99999",
   ]) {
     t.true(run.stderr.includes(path), `${path} in ${run.stderr}`);
