--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -1,10 +1,10 @@
 import * as common from "@geraniumkeel/common";
-import type * as retryBudget from "../dispatch/retry_budget.ts";
 import * as traffic from "@geraniumkeel/traffic";
+import type * as retryBudget from "../dispatch/retry_budget.ts";
 import * as answerRelay from "./answer_relay.ts";
 import * as forwardRequest from "./forward_request.ts";
-import * as runnerBoard from "./runner_board.ts";
 import * as returnTime from "./return_time.ts";
+import * as runnerBoard from "./runner_board.ts";
 import * as runnerCaller from "./runner_caller.ts";
 import * as urgencyAtRunner from "./urgency_at_runner.ts";
 
@@ -154,11 +154,12 @@
     budget.earn();
     let last: AttemptEnd | undefined;
     for (;;) {
+      const cut = this.#endOfCut();
+      if (cut) return cut;
       const runner = board.choose(service, this.#tried);
       if (!runner) {
         if (await this.#waitForRunner()) continue;
-        const cut = this.#endOfCut();
-        return cut ?? last ?? { kind: AttemptKind.NotRun, reason: "no runner" };
+        return last ?? { kind: AttemptKind.NotRun, reason: "no runner" };
       }
       if (last && !budget.spend()) return last;
       this.#tried.add(runner.identifier);
@@ -179,7 +180,7 @@
     if (this.#elapsed() > longest) return false;
     this.#tried.clear();
     await board.opened.next(WAIT_LOOK_MILLISECONDS, sink.left);
-    return !this.#endOfCut();
+    return true;
   }
 
   /** Whether another runner may be tried after an attempt. */
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -35,6 +35,9 @@
 /** How often a stopping process looks whether all is answered. */
 const STOP_LOOK_MILLISECONDS = 50;
 
+/** How often the board is compared with the list, if no change is announced. */
+const BOARD_LOOK_MILLISECONDS = 1_000;
+
 /** What a gateway needs. */
 export interface GatewayParameters {
   self: wire.MeshMember;
@@ -229,6 +232,3 @@
     return created;
   }
 }
-
-/** How often the board is compared with the list, if no change is announced. */
-const BOARD_LOOK_MILLISECONDS = 1_000;
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -426,7 +426,7 @@
   return { version, age: Number.isFinite(age) ? age : -1 };
 }
 
-/** Links of this mesh tell nothing by their own heartbeats. */
-function noHeartbeat(): { clock: number; revision: number } {
+/** For links whose own heartbeats need tell nothing: their messages do. */
+export function noHeartbeat(): { clock: number; revision: number } {
   return { clock: 0, revision: 0 };
 }
--- a/packages/daemon/src/mesh/member_rows.ts
+++ b/packages/daemon/src/mesh/member_rows.ts
@@ -9,6 +9,9 @@
 /** Entries read at once; the target is 330. */
 const MOST_MEMBERS = 1_000;
 
+/** Time for which a stopping process waits for the store. */
+const REMOVE_TIMEOUT_MILLISECONDS = 500;
+
 /** An entry's row, with the revision to remove it at. */
 export interface MemberRow {
   member: wire.MeshMember;
@@ -65,6 +68,3 @@
     );
   }
 }
-
-/** Time for which a stopping process waits for the store. */
-const REMOVE_TIMEOUT_MILLISECONDS = 500;
--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -32,6 +32,12 @@
   connectTimeout: 400,
 };
 
+/** How long a process of another group is left alone before it is asked again. */
+const FOREIGN_MILLISECONDS = 5_000;
+
+/** How long a new leader goes by what the last one knew. */
+const KNOWLEDGE_MILLISECONDS = 2_000;
+
 /** What the process beside a rank needs. */
 export interface RankProcessParameters {
   host: string;
@@ -91,7 +97,7 @@
       path: listenModule.LINK_PATH,
       key: entryMesh.LINK_WORD,
       timing: LINK_TIMING,
-      heartbeat: noHeartbeat,
+      heartbeat: entryMesh.noHeartbeat,
       onLink: (link) =>
         lifeCycle.run("accepted", (signal) => this.#serve(link, signal)),
     });
@@ -155,7 +161,6 @@
     return {
       kind: wire.MessageKind.RankHello,
       host: this.parameters.host,
-      runner: "",
       identity: this.#member.identity,
       token: this.#member.token,
     };
@@ -388,7 +393,7 @@
       url: `ws://${runner.address}:${linkPort}${listenModule.LINK_PATH}`,
       key: entryMesh.LINK_WORD,
       timing: LINK_TIMING,
-      heartbeat: noHeartbeat,
+      heartbeat: entryMesh.noHeartbeat,
     });
     if (dialled.isErr()) {
       await this.#identify(term, runner);
@@ -464,11 +469,6 @@
   }
 }
 
-/** How long a new leader goes by what the last one knew. */
-const KNOWLEDGE_MILLISECONDS = 2_000;
-/** How long a process of another group is left alone before it is asked again. */
-const FOREIGN_MILLISECONDS = 5_000;
-
 /** The rank beside the leader: its orders go through the process's own queue. */
 class OwnRank extends rankPort.LinkedRank {
   constructor(
@@ -489,7 +489,3 @@
     return { kind, question: 0, token: this.member.token, ...outcome };
   }
 }
-
-function noHeartbeat(): { clock: number; revision: number } {
-  return { clock: 0, revision: 0 };
-}
--- a/packages/wire/src/rank_group.ts
+++ b/packages/wire/src/rank_group.ts
@@ -17,7 +17,6 @@
 export interface RankHello {
   kind: message.MessageKind.RankHello;
   host: string;
-  runner: string;
   /** `undefined` while the engine has not told it. */
   identity: RankIdentity | undefined;
   /** Highest token that was obeyed. */
