feat: status, hosts and state of the tool work on the users' hosts; callers that come back rank behind new ones

- The entries' address for operators answers the command-line tool: status, hosts, state; changes are refused with what to do instead.
- A caller that comes back has less patience left than its account usually has on that route: that tells how old its wish is, and it goes behind those that may still be in time.
For the seconds after an outage.
- A request whose time runs out before any runner has begun it is told as not run; it was told as 'may have run' (504).
- Load and faulty runner of an answer were decoded and used by nobody: removed.

--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -33,6 +33,8 @@
   sink: forwardRequest.AnswerSink;
   route: traffic.Route;
   account: traffic.Account | undefined;
+  /** Milliseconds that the caller has spent on earlier tries of its own. */
+  spentBefore: number;
   service: string;
   board: runnerBoard.RunnerBoard;
   caller: runnerCaller.RunnerCaller;
@@ -269,7 +271,7 @@
       account: account?.name ?? "",
       urgency: urgencyAtRunner.urgencyAtRunner({
         urgency: account?.urgency ?? route.urgency,
-        elapsedMilliseconds: this.#elapsed(),
+        elapsedMilliseconds: this.parameters.spentBefore + this.#elapsed(),
         objectiveMilliseconds: route.objectiveMilliseconds,
       }),
       resumeAfter: this.#relay.resumeAfter,
@@ -355,13 +357,7 @@
     }
     if (this.#relay.begun) return sink.breakOff();
     if (end.failure) return sink.answer(end.failure.head, end.failure.body);
-    // After a run, or one that may have been, nothing is "not run" any more.
-    const notRun = end.kind === AttemptKind.NotRun && this.#runs === 0;
-    const kind = notRun
-      ? forwardRequest.RefusalKind.NotRun
-      : end.kind === AttemptKind.TimedOut
-        ? forwardRequest.RefusalKind.TimedOut
-        : forwardRequest.RefusalKind.MayHaveRun;
+    const kind = this.#refusalKind(end);
     const retryAfterMilliseconds = returnTime.returnTime(
       this.#millisecondsLeft(),
       random,
@@ -369,6 +365,17 @@
     sink.refuse({ kind, reason: end.reason, retryAfterMilliseconds });
   }
 
+  /**
+   * After a run, or one that may have been, nothing is "not run" any more; before
+   * one it is, also where time ran out in waiting for a runner.
+   */
+  #refusalKind(end: AttemptEnd): forwardRequest.RefusalKind {
+    if (this.#runs === 0) return forwardRequest.RefusalKind.NotRun;
+    return end.kind === AttemptKind.TimedOut
+      ? forwardRequest.RefusalKind.TimedOut
+      : forwardRequest.RefusalKind.MayHaveRun;
+  }
+
   #elapsed(): number {
     return common.ageOf(this.parameters.request.arrivedAt);
   }
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -4,6 +4,7 @@
 import * as admitRequest from "./admit_request.ts";
 import * as forwardRequest from "./forward_request.ts";
 import * as forwardedRequest from "./forwarded_request.ts";
+import * as patienceRecord from "./patience_record.ts";
 import type * as runnerBoard from "./runner_board.ts";
 import type * as runnerCaller from "./runner_caller.ts";
 
@@ -24,6 +25,7 @@
 export class Forwarder {
   #view: traffic.TrafficView | undefined;
   #underWay = 0;
+  readonly #patience = new patienceRecord.PatienceRecord();
 
   constructor(readonly parameters: ForwarderParameters) {}
 
@@ -72,16 +74,27 @@
         return sink.refuse(admitted.refusal);
       }
       case "admitted": {
+        const { route, account } = admitted;
+        const spentBefore = this.#patience.spentBefore({
+          route: route.name,
+          account: account?.name ?? "",
+          patienceMilliseconds: request.patienceMilliseconds,
+        });
         const one = new forwardedRequest.ForwardedRequest({
           ...this.parameters,
           request,
           sink,
-          route: admitted.route,
-          account: admitted.account,
-          service: this.#pickService(admitted.route),
+          route,
+          account,
+          spentBefore,
+          service: this.#pickService(route),
         });
         const outcome = await one.run();
-        logger.event(common.EventCode.Forwarded, { ...facts, ...outcome });
+        logger.event(common.EventCode.Forwarded, {
+          ...facts,
+          spentBefore: Math.round(spentBefore),
+          ...outcome,
+        });
       }
     }
   }
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -179,8 +179,6 @@
       verdict,
       head: { status, headers: [] },
       signed: options.signed ?? true,
-      load: undefined,
-      faultyRunner: "",
       body: body(),
     });
 }
@@ -337,3 +335,17 @@
   t.true(common.now() - startedAt < 2_000);
   t.true(calls.length < 20);
 });
+
+// The caller gives up a confirmation that it may safely send again. Its time runs
+// out while it waits for a group that is formed anew; no runner has begun it.
+test("time that runs out before any run is told as not run", async (t) => {
+  const refused = answers([], { status: 503 });
+  const scripts = Array<Script>(50).fill(refused);
+  const scene = {
+    repeats: 50,
+    timeoutMilliseconds: 300,
+    repeatability: traffic.Repeatability.AtMostOnce,
+  };
+  const { seen } = await send(scene, scripts);
+  t.is(seen.refusal?.kind, forwardRequest.RefusalKind.NotRun);
+});
--- /dev/null
+++ b/packages/daemon/src/forwarding/patience_record.ts
@@ -0,0 +1,46 @@
+import * as common from "@geraniumkeel/common";
+
+/**
+ * Time for which the longest patience is remembered, in milliseconds. Callers of
+ * one account ask for a route several times a minute; patience that was shortened
+ * for good is taken for the usual one after two such times.
+ */
+const WINDOW_MILLISECONDS = 30_000;
+/** Routes and accounts remembered at most: 20 bytes of key each, a megabyte. */
+const MOST_KEYS = 20_000;
+
+/**
+ * How long the callers of each account wait on each route. A caller that comes back
+ * after a refusal or a broken connection is a new request to us, but its patience is
+ * shorter by the time it has spent: that tells how old its wish is. For the seconds
+ * after an outage, when those that come back and those that come first meet.
+ */
+export class PatienceRecord {
+  #longest = new Map<string, number>();
+  #longestBefore = new Map<string, number>();
+  #beganAt = common.now();
+
+  /** Time in milliseconds that a caller has spent before it came here. */
+  spentBefore(parameters: {
+    route: string;
+    account: string;
+    patienceMilliseconds: number;
+  }): number {
+    const { route, account, patienceMilliseconds: patience } = parameters;
+    this.#rotate();
+    const key = `${route} ${account}`;
+    const known = this.#longest.get(key) ?? 0;
+    if (patience > known) this.#longest.set(key, patience);
+    const usual = Math.max(known, this.#longestBefore.get(key) ?? 0);
+    return Math.max(0, usual - patience);
+  }
+
+  #rotate(): void {
+    const now = common.now();
+    const full = this.#longest.size >= MOST_KEYS;
+    if (!full && now - this.#beganAt < WINDOW_MILLISECONDS) return;
+    this.#longestBefore = this.#longest;
+    this.#longest = new Map();
+    this.#beganAt = now;
+  }
+}
--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -68,6 +68,21 @@
   }
 }
 
+/** One runner, as operators see it. */
+export interface BoardRunner {
+  identifier: string;
+  service: string;
+  dataCentre: string;
+  leaving: boolean;
+  /** Requests under way from this entry, and from all. */
+  own: number;
+  outstanding: number;
+  /** Part of its latest answers that failed, 0 to 1. */
+  failureShare: number;
+  /** It gets no new work for the moment. */
+  spared: boolean;
+}
+
 /** All runners that take requests, with the load and soundness of each. */
 export class RunnerBoard {
   readonly #records = new Map<string, RunnerRecord>();
@@ -215,17 +230,18 @@
     this.#records.delete(identifier);
   }
 
-  /** What the state dump says of each runner. */
-  describe(): unknown {
+  /** All runners, for operators. */
+  runners(): BoardRunner[] {
     const now = common.now();
     return [...this.#records].map(([identifier, record]) => ({
-      runner: identifier,
+      identifier,
       service: record.entry.service,
+      dataCentre: record.entry.dataCentre,
       leaving: record.entry.leaving,
       own: record.own,
-      others: this.#othersAt(identifier),
+      outstanding: record.own + this.#othersAt(identifier),
       failureShare: record.currentFailureShare(now),
-      spared: record.sparedUntil > now,
+      spared: record.sparedUntil > now || record.stalled(now),
     }));
   }
 
--- a/packages/daemon/src/forwarding/runner_caller.ts
+++ b/packages/daemon/src/forwarding/runner_caller.ts
@@ -29,22 +29,12 @@
   WrongRunner = "wrong-runner",
 }
 
-/** Load that a runner tells with an answer. */
-export interface ToldLoad {
-  active: number;
-  waiting: number;
-  slots: number;
-}
-
 /** A runner's answer, its body still to come. */
 export interface RunnerAnswer {
   verdict: Verdict;
   head: forwardRequest.AnswerHead;
   /** Whether the answer's origin is proved, so that it counts as a success. */
   signed: boolean;
-  load: ToldLoad | undefined;
-  /** Runner that is at fault, where another one than called; else empty. */
-  faultyRunner: string;
   /**
    * The body as it comes. It throws a `BrokenAnswer` if the connection ends
    * before the body does.
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -106,6 +106,16 @@
     });
   }
 
+  /** Name of this host. */
+  get host(): string {
+    return this.parameters.self.host;
+  }
+
+  /** Data centre of this host. */
+  get dataCentre(): string {
+    return this.parameters.self.dataCentre;
+  }
+
   /** Whether callers may be sent here. */
   get ready(): boolean {
     if (this.#stopping || !this.runners.value) return false;
@@ -176,7 +186,7 @@
         age: this.configuration.age,
       },
       runners: { version: this.runners.version, age: this.runners.age },
-      board: this.board.describe(),
+      board: this.board.runners(),
       mesh: this.mesh.describe(),
     };
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/operator_view.ts
@@ -0,0 +1,134 @@
+import type * as runnerBoard from "../forwarding/runner_board.ts";
+import * as problem from "../operator/problem.ts";
+import type * as gatewayModule from "./gateway.ts";
+
+/** An answer to an operator. */
+export interface OperatorAnswer {
+  status: number;
+  mediaType: string;
+  body: string;
+}
+
+/** Where an entry stands, as this one hears it. */
+enum EntryState {
+  Ready = "ready",
+  NotReady = "not-ready",
+  Leaving = "leaving",
+  /** Known from its row or from others, and not heard. */
+  Unheard = "unheard",
+}
+
+/** One entry in the answers. */
+interface EntryView {
+  host: string;
+  place: string;
+  state: EntryState;
+  revision: number;
+}
+
+/**
+ * What the command-line tool reads of a gateway, under the paths and in the shapes
+ * of the product's own interface: `status`, `hosts` and `state` show the same
+ * columns wherever they ask. Nothing here changes anything: the configuration is
+ * changed where the gateway follows it.
+ */
+export function answerOperator(
+  gateway: gatewayModule.Gateway,
+  method: string,
+  path: string,
+): OperatorAnswer {
+  if (method !== "GET") return refusal(405, "this entry is read only");
+  switch (path) {
+    case "/admin/v1/status":
+      return whole(statusOf(gateway));
+    case "/admin/v1/hosts":
+      return whole(hostsOf(gateway));
+    case "/admin/v1/state":
+    case `/admin/v1/state?host=${encodeURIComponent(gateway.host)}`:
+      return whole(gateway.describe());
+    default:
+      return refusal(404, "ask the process itself for its state");
+  }
+}
+
+function statusOf(gateway: gatewayModule.Gateway): unknown {
+  return {
+    host: gateway.host,
+    revision: gateway.configuration.version,
+    presetInForce: null,
+    draining: gateway.stopping,
+    stale: !gateway.ready && !gateway.stopping,
+    requests: gateway.forwarder.underWay,
+    entries: entriesOf(gateway),
+    runners: gateway.board.runners().map((runner) => ({
+      host: runner.identifier,
+      service: runner.service,
+      place: runner.dataCentre,
+      linked: !runner.spared,
+      leaving: runner.leaving,
+      sequences: runner.outstanding,
+    })),
+  };
+}
+
+function hostsOf(gateway: gatewayModule.Gateway): unknown {
+  const entries = entriesOf(gateway).map(({ host, place, state }) => ({
+    name: host,
+    role: "entry",
+    place,
+    service: "",
+    listed: "live",
+    seen: state,
+  }));
+  const runners = gateway.board.runners().map((runner) => ({
+    name: runner.identifier,
+    role: "upstream",
+    place: runner.dataCentre,
+    service: runner.service,
+    listed: runner.leaving ? "leaving" : "live",
+    seen: seenOf(runner),
+  }));
+  return [...entries, ...runners];
+}
+
+function seenOf(runner: runnerBoard.BoardRunner): string {
+  if (runner.leaving) return "leaving";
+  return runner.spared ? "spared" : "in use";
+}
+
+function entriesOf(gateway: gatewayModule.Gateway): EntryView[] {
+  const own: EntryView = {
+    host: gateway.host,
+    place: gateway.dataCentre,
+    state: stateOf(gateway.ready, gateway.stopping),
+    revision: gateway.configuration.version,
+  };
+  const others = gateway.mesh.others().map(({ member, beat }): EntryView => {
+    const { host, dataCentre } = member;
+    const state = beat ? stateOf(beat.ready, beat.leaving) : EntryState.Unheard;
+    const revision = beat?.configuration.version ?? -1;
+    return { host, place: dataCentre, state, revision };
+  });
+  return [own, ...others];
+}
+
+function stateOf(ready: boolean, leaving: boolean): EntryState {
+  if (leaving) return EntryState.Leaving;
+  return ready ? EntryState.Ready : EntryState.NotReady;
+}
+
+function whole(value: unknown): OperatorAnswer {
+  const body = JSON.stringify(value);
+  return { status: 200, mediaType: "application/json", body };
+}
+
+function refusal(status: number, detail: string): OperatorAnswer {
+  const body = problem.problemBody({
+    status,
+    title: status === 404 ? "Nothing there" : "Not allowed",
+    outcome: problem.Outcome.NotRun,
+    reason: "not-served-here",
+    detail,
+  });
+  return { status, mediaType: problem.PROBLEM_MEDIA_TYPE, body };
+}
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -125,6 +125,15 @@
     return members;
   }
 
+  /** All other entries, each with its last beat if it is heard. */
+  others(): { member: wire.MeshMember; beat: wire.MeshBeat | undefined }[] {
+    return [...this.#known.values()].map(({ member }) => {
+      const peer = this.#peers.get(member.host);
+      const beat = peer && this.#heard(peer) ? peer.beat : undefined;
+      return { member, beat };
+    });
+  }
+
   /** Number of entries, heard or not, this one included. */
   get size(): number {
     return this.#known.size + 1;
