--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -11,8 +11,8 @@
 const BEAT_MILLISECONDS = 300;
 /** Silence after which callers are no longer sent to an entry. */
 const UNHEARD_MILLISECONDS = 1_000;
-/** Silence after which a link is replaced. */
-const LINK_TIMING: wire.LinkTiming = {
+/** Silence after which a link is replaced, here and between ranks. */
+export const LINK_TIMING: wire.LinkTiming = {
   heartbeat: 500,
   silentAfter: 1_500,
   connectTimeout: 500,
--- /dev/null
+++ b/packages/daemon/src/rank_group/own_rank.ts
@@ -0,0 +1,25 @@
+import * as wire from "@geraniumkeel/wire";
+import type * as rankEngine from "./rank_engine.ts";
+import type * as rankMember from "./rank_member.ts";
+import * as rankPort from "./rank_port.ts";
+
+/** The rank beside the leader: its orders go through the process's own queue. */
+export class OwnRank extends rankPort.LinkedRank {
+  constructor(
+    rank: number,
+    engine: rankEngine.RankEngine,
+    leadership: () => rankPort.Leadership,
+    readonly member: rankMember.RankMember,
+  ) {
+    super(rank, engine, leadership);
+  }
+
+  /** Gives an order and tells how it ended. */
+  override async order(order: wire.RankOrder): Promise<wire.RankReply> {
+    const leadership = this.leadership();
+    const outcome = await this.member.execute({ ...leadership, order });
+    if (outcome.status) this.hear(outcome.status);
+    const kind = wire.MessageKind.RankReply;
+    return { kind, question: 0, token: this.member.token, ...outcome };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/rank_group/rank_links.ts
@@ -0,0 +1,199 @@
+import * as common from "@geraniumkeel/common";
+import type * as traffic from "@geraniumkeel/traffic";
+import * as wire from "@geraniumkeel/wire";
+import * as entryMesh from "../mesh/entry_mesh.ts";
+import * as listenModule from "../settings/listen.ts";
+import type * as rankEngine from "./rank_engine.ts";
+import * as rankPort from "./rank_port.ts";
+
+/** Time between two beats of a leader, in milliseconds. */
+const LEADER_BEAT_MILLISECONDS = 200;
+/** Pause between attempts to link with the ranks that are missing. */
+const RELINK_MILLISECONDS = 300;
+/** How long a process of another group is left alone before it is asked again. */
+const FOREIGN_MILLISECONDS = 5_000;
+/** How long a new leader goes by what the last one knew. */
+const KNOWLEDGE_MILLISECONDS = 2_000;
+
+/** What linking with the ranks of a group needs. */
+export interface RankLinksParameters {
+  token: number;
+  /** The leader's own place in the group. */
+  identity: wire.RankIdentity;
+  ownPort: rankPort.LinkedRank;
+  service: string;
+  /** Engine of another runner, for while the process beside it is away. */
+  engineAt: (runner: traffic.RunnerEntry) => rankEngine.RankEngine;
+  /** Port on which all processes beside ranks accept links. */
+  linkPort: number;
+  runnerSource: traffic.DocumentSource<traffic.RunnerList>;
+  /** What the last leader of the group knew. */
+  knowledge: () => wire.GroupKnowledge | undefined;
+  /** First message on each link. */
+  hello: () => wire.RankHello;
+  /** Takes what a rank counted. */
+  onChosen: (chosen: number[]) => void;
+  /** There is a newer leader. */
+  onHigherToken: (token: number) => void;
+  lifeCycle: common.LifeCycle;
+}
+
+/** A leader's links with all ranks of its group, for the time of one term. */
+export class RankLinks {
+  /** All ranks that are known so far, the own one among them. */
+  readonly ports = new Map<number, rankPort.LinkedRank>();
+  readonly #links = new Set<wire.Link>();
+  readonly #runners = new Map<number, traffic.RunnerEntry>();
+  readonly #startedAt = common.now();
+  /** What each rank is told as soon as it is linked. */
+  #told: wire.GroupKnowledge | undefined;
+
+  constructor(readonly parameters: RankLinksParameters) {
+    this.ports.set(parameters.identity.rank, parameters.ownPort);
+  }
+
+  /** Runners of the ranks that are known, in order of rank. */
+  get runners(): traffic.RunnerEntry[] {
+    const byRank = [...this.#runners].sort(([left], [right]) => left - right);
+    return byRank.map(([, runner]) => runner);
+  }
+
+  /** Tells all ranks, now and when they link, what a successor needs. */
+  tellKnowledge(knowledge: wire.GroupKnowledge): void {
+    this.#told = knowledge;
+    this.tellAll(knowledge);
+  }
+
+  /** Sends a message to all linked ranks. */
+  tellAll(message: wire.Message): void {
+    for (const link of this.#links) link.send(message);
+  }
+
+  /** Links with all ranks of the group, and tells them who leads. */
+  async keep(signal: AbortSignal): Promise<void> {
+    const { token, identity } = this.parameters;
+    const { group, epoch, size } = identity;
+    const linked = new Map<string, AbortController>();
+    const kind = wire.MessageKind.LeaderBeat;
+    const beat = setInterval(() => {
+      this.tellAll({ kind, token, group, epoch });
+    }, LEADER_BEAT_MILLISECONDS);
+    try {
+      while (!signal.aborted) {
+        const missing = linked.size < size - 1 || this.ports.size < size;
+        if (missing) await this.#linkMissing(linked, signal);
+        await common.sleep(RELINK_MILLISECONDS, signal);
+      }
+    } finally {
+      clearInterval(beat);
+      for (const link of this.#links) link.close();
+    }
+  }
+
+  async #linkMissing(
+    linked: Map<string, AbortController>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { service, lifeCycle } = this.parameters;
+    for (const runner of await this.#possibleRunners()) {
+      if (runner.service !== service) continue;
+      if (linked.has(runner.address)) continue;
+      linked.set(runner.address, new AbortController());
+      lifeCycle.run("rank", async () => {
+        await this.#serveRank(runner, signal);
+        linked.delete(runner.address);
+      });
+    }
+  }
+
+  /** Runners that may be of the group: as the last leader knew, or all listed. */
+  async #possibleRunners(): Promise<traffic.RunnerEntry[]> {
+    const { identity } = this.parameters;
+    const known = this.parameters.knowledge();
+    const fresh = common.now() - this.#startedAt < KNOWLEDGE_MILLISECONDS;
+    if (known?.group === identity.group && fresh) return known.runners;
+    const read = await this.parameters.runnerSource.next(0);
+    return read.isOk() ? (read.value.value?.runners ?? []) : [];
+  }
+
+  /** Links with the process beside a runner for as long as it lasts. */
+  async #serveRank(
+    runner: traffic.RunnerEntry,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { linkPort, token, identity: led } = this.parameters;
+    const { group, epoch } = led;
+    const dialled = await wire.dial({
+      url: `ws://${runner.address}:${linkPort}${listenModule.LINK_PATH}`,
+      key: entryMesh.LINK_WORD,
+      timing: entryMesh.LINK_TIMING,
+      heartbeat: entryMesh.noHeartbeat,
+    });
+    if (dialled.isErr()) {
+      await this.#identify(runner);
+      return common.sleep(RELINK_MILLISECONDS, signal);
+    }
+    const link = dialled.value;
+    link.closeOn(signal);
+    link.send(this.parameters.hello());
+    for await (const message of link.messages()) {
+      switch (message.kind) {
+        case wire.MessageKind.RankHello: {
+          if (message.token > token) {
+            this.parameters.onHigherToken(message.token);
+            return link.close();
+          }
+          const { identity } = message;
+          if (identity?.group !== group) {
+            // Of another group: its own leader links with it.
+            if (identity) await common.sleep(FOREIGN_MILLISECONDS, signal);
+            return link.close();
+          }
+          this.#portOf(runner, identity.rank).attach(link);
+          this.#links.add(link);
+          const kind = wire.MessageKind.LeaderBeat;
+          link.send({ kind, token, group, epoch });
+          if (this.#told) link.send(this.#told);
+          break;
+        }
+        case wire.MessageKind.RankBeat: {
+          const { rank } = message.identity;
+          this.#portOf(runner, rank).hear(message.status);
+          this.parameters.onChosen(message.chosen);
+          break;
+        }
+        case wire.MessageKind.RankReply:
+        case wire.MessageKind.RankListsAnswer:
+          for (const port of this.ports.values()) port.receive(message, link);
+          break;
+        default:
+          link.close(wire.LinkEnd.Unreadable);
+      }
+    }
+    this.#links.delete(link);
+  }
+
+  /** Learns from the engine itself which rank a runner is. */
+  async #identify(runner: traffic.RunnerEntry): Promise<void> {
+    const report = await this.parameters.engineAt(runner).report();
+    if (report.isErr()) return;
+    const { identity, status } = report.value;
+    if (identity.group !== this.parameters.identity.group) return;
+    this.#portOf(runner, identity.rank).hear(status);
+  }
+
+  #portOf(runner: traffic.RunnerEntry, rank: number): rankPort.LinkedRank {
+    this.#runners.set(rank, runner);
+    const known = this.ports.get(rank);
+    if (known) return known;
+    const { token, identity } = this.parameters;
+    const { epoch } = identity;
+    const created = new rankPort.LinkedRank(
+      rank,
+      this.parameters.engineAt(runner),
+      () => ({ token, epoch }),
+    );
+    this.ports.set(rank, created);
+    return created;
+  }
+}
--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -5,12 +5,11 @@
 import * as entryMesh from "../mesh/entry_mesh.ts";
 import * as listenModule from "../settings/listen.ts";
 import * as groupLeader from "./group_leader.ts";
+import * as ownRank from "./own_rank.ts";
 import type * as rankEngine from "./rank_engine.ts";
 import * as rankMember from "./rank_member.ts";
-import * as rankPort from "./rank_port.ts";
+import * as rankLinks from "./rank_links.ts";
 
-/** Time between two beats of a leader, in milliseconds. */
-const LEADER_BEAT_MILLISECONDS = 200;
 /**
  * Silence of a leader after which a rank takes its place: over three beats, and more
  * the higher the rank, so that one of them does.
@@ -22,21 +21,10 @@
 /** Longest time that a stopping process waits for its switch to end. */
 const DRAIN_MILLISECONDS = 3_000;
 const DRAIN_LOOK_MILLISECONDS = 20;
-/** Pause between attempts to link with the ranks that are missing. */
-const RELINK_MILLISECONDS = 300;
+/** Pause before the store is asked again for the shape of the engines. */
+const SHAPE_PAUSE_MILLISECONDS = 300;
 /** Tokens are times: a process that starts anew goes on above its last one. */
 const TOKENS_PER_MILLISECOND = 64;
-const LINK_TIMING: wire.LinkTiming = {
-  heartbeat: 500,
-  silentAfter: 1_500,
-  connectTimeout: 400,
-};
-
-/** How long a process of another group is left alone before it is asked again. */
-const FOREIGN_MILLISECONDS = 5_000;
-
-/** How long a new leader goes by what the last one knew. */
-const KNOWLEDGE_MILLISECONDS = 2_000;
 
 /** What the process beside a rank needs. */
 export interface RankProcessParameters {
@@ -56,13 +44,9 @@
 /** A leadership under way. */
 interface Term {
   token: number;
-  startedAt: number;
   identity: wire.RankIdentity;
   ended: AbortController;
-  ports: Map<number, rankPort.LinkedRank>;
-  /** Runner of each rank that is known, but the own. */
-  runners: Map<number, traffic.RunnerEntry>;
-  links: Set<wire.Link>;
+  links: rankLinks.RankLinks;
   leader: groupLeader.GroupLeader | undefined;
 }
 
@@ -96,7 +80,7 @@
       server: linkServer,
       path: listenModule.LINK_PATH,
       key: entryMesh.LINK_WORD,
-      timing: LINK_TIMING,
+      timing: entryMesh.LINK_TIMING,
       heartbeat: entryMesh.noHeartbeat,
       onLink: (link) =>
         lifeCycle.run("accepted", (signal) => this.#serve(link, signal)),
@@ -203,8 +187,8 @@
       const { identity, status } = this.#member;
       if (!identity || !status) continue;
       if (this.#term) {
-        const { leader, ports } = this.#term;
-        ports.get(identity.rank)?.hear(status);
+        const { leader, links } = this.#term;
+        links.ports.get(identity.rank)?.hear(status);
         leader?.count(this.#member.takeChosen());
         continue;
       }
@@ -263,16 +247,8 @@
     );
     this.#member.heed(token);
     const ended = new AbortController();
-    const term: Term = {
-      token,
-      startedAt: common.now(),
-      identity,
-      ended,
-      ports: new Map(),
-      runners: new Map(),
-      links: new Set(),
-      leader: undefined,
-    };
+    const links = this.#newLinks(token, identity);
+    const term: Term = { token, identity, ended, links, leader: undefined };
     this.#term = term;
     this.#leaderLink = undefined;
     const { group, epoch, rank } = identity;
@@ -298,27 +274,22 @@
 
   async #runTerm(term: Term, signal: AbortSignal): Promise<void> {
     const { lifeCycle, logger } = this.parameters;
-    lifeCycle.run("links to ranks", () => this.#keepLinks(term, signal));
-    const { group, size, rank, epoch } = term.identity;
-    while (!signal.aborted && term.ports.size < size) {
+    const { links } = term;
+    const { group, size, epoch } = term.identity;
+    lifeCycle.run("links to ranks", () => links.keep(signal));
+    while (!signal.aborted && links.ports.size < size) {
       if (this.#member.identity?.epoch !== epoch) return;
       await common.sleep(LOOK_MILLISECONDS, signal);
     }
     const shape = this.#knowledge?.shape ?? (await this.#readShape(signal));
-    const own = term.ports.get(rank);
-    if (!shape || !own || signal.aborted) return;
-    const runners = [...term.runners.entries()].sort(([a], [b]) => a - b);
-    this.#knowledge = {
-      kind: wire.MessageKind.GroupKnowledge,
-      group,
-      runners: runners.map(([, runner]) => runner),
-      shape,
-    };
-    for (const link of term.links) link.send(this.#knowledge);
+    if (!shape || signal.aborted) return;
+    const kind = wire.MessageKind.GroupKnowledge;
+    this.#knowledge = { kind, group, runners: links.runners, shape };
+    links.tellKnowledge(this.#knowledge);
     term.leader = new groupLeader.GroupLeader({
       identity: term.identity,
-      ports: [...term.ports.values()].sort((a, b) => a.rank - b.rank),
-      own,
+      ports: [...links.ports.values()].sort((a, b) => a.rank - b.rank),
+      own: links.parameters.ownPort,
       shape,
       valid: () =>
         !term.ended.signal.aborted &&
@@ -330,6 +301,30 @@
     await term.leader.lead(signal);
   }
 
+  #newLinks(token: number, identity: wire.RankIdentity): rankLinks.RankLinks {
+    const { parameters } = this;
+    const { rank, epoch } = identity;
+    const leadership = () => ({ token, epoch });
+    return new rankLinks.RankLinks({
+      ...parameters,
+      token,
+      identity,
+      ownPort: new ownRank.OwnRank(
+        rank,
+        parameters.engine,
+        leadership,
+        this.#member,
+      ),
+      knowledge: () => this.#knowledge,
+      hello: () => this.#hello(),
+      onChosen: (chosen) => this.#term?.leader?.count(chosen),
+      onHigherToken: (higher) => {
+        this.#member.heed(higher);
+        this.#endTerm("a higher token is known");
+      },
+    });
+  }
+
   async #readShape(
     signal: AbortSignal,
   ): Promise<traffic.EngineShape | undefined> {
@@ -339,173 +334,8 @@
       const services = read.isOk() ? read.value.value?.services : undefined;
       const found = services?.find(({ name }) => name === service);
       if (found?.engine) return found.engine;
-      await common.sleep(RELINK_MILLISECONDS, signal);
+      await common.sleep(SHAPE_PAUSE_MILLISECONDS, signal);
     }
     return undefined;
   }
-
-  /** Links with all ranks of the group, and tells them who leads. */
-  async #keepLinks(term: Term, signal: AbortSignal): Promise<void> {
-    const { parameters } = this;
-    const { group, epoch, rank, size } = term.identity;
-    const leadership = () => ({ token: term.token, epoch });
-    term.ports.set(
-      rank,
-      new OwnRank(rank, parameters.engine, leadership, this.#member),
-    );
-    const linked = new Map<string, AbortController>();
-    const kind = wire.MessageKind.LeaderBeat;
-    const { links } = term;
-    const beat = setInterval(() => {
-      for (const link of links) {
-        link.send({ kind, token: term.token, group, epoch });
-      }
-    }, LEADER_BEAT_MILLISECONDS);
-    try {
-      while (!signal.aborted) {
-        const missing = linked.size < size - 1 || term.ports.size < size;
-        if (missing) await this.#linkMissing(term, linked, links, signal);
-        await common.sleep(RELINK_MILLISECONDS, signal);
-      }
-    } finally {
-      clearInterval(beat);
-      for (const link of links) link.close();
-    }
-  }
-
-  async #linkMissing(
-    term: Term,
-    linked: Map<string, AbortController>,
-    links: Set<wire.Link>,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const { service, lifeCycle } = this.parameters;
-    for (const runner of await this.#possibleRunners(term)) {
-      if (runner.service !== service) continue;
-      if (linked.has(runner.address)) continue;
-      linked.set(runner.address, new AbortController());
-      lifeCycle.run("rank", async () => {
-        await this.#serveRank(term, runner, links, signal);
-        linked.delete(runner.address);
-      });
-    }
-  }
-
-  /** Runners that may be of the group: as the last leader knew, or all listed. */
-  async #possibleRunners(term: Term): Promise<traffic.RunnerEntry[]> {
-    const known = this.#knowledge;
-    const fresh = common.now() - term.startedAt < KNOWLEDGE_MILLISECONDS;
-    if (known?.group === term.identity.group && fresh) return known.runners;
-    const read = await this.parameters.runnerSource.next(0);
-    return read.isOk() ? (read.value.value?.runners ?? []) : [];
-  }
-
-  /** Links with the process beside a runner for as long as it lasts. */
-  async #serveRank(
-    term: Term,
-    runner: traffic.RunnerEntry,
-    links: Set<wire.Link>,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const { linkPort } = this.parameters;
-    const { group, epoch } = term.identity;
-    const dialled = await wire.dial({
-      url: `ws://${runner.address}:${linkPort}${listenModule.LINK_PATH}`,
-      key: entryMesh.LINK_WORD,
-      timing: LINK_TIMING,
-      heartbeat: entryMesh.noHeartbeat,
-    });
-    if (dialled.isErr()) {
-      await this.#identify(term, runner);
-      return common.sleep(RELINK_MILLISECONDS, signal);
-    }
-    const link = dialled.value;
-    link.closeOn(signal);
-    link.send(this.#hello());
-    for await (const message of link.messages()) {
-      switch (message.kind) {
-        case wire.MessageKind.RankHello: {
-          if (message.token > term.token) {
-            this.#member.heed(message.token);
-            this.#endTerm("a higher token is known");
-            return link.close();
-          }
-          const { identity } = message;
-          if (identity?.group !== group) {
-            // Of another group: its own leader links with it.
-            if (identity) await common.sleep(FOREIGN_MILLISECONDS, signal);
-            return link.close();
-          }
-          this.#portOf(term, runner, identity.rank).attach(link);
-          links.add(link);
-          const kind = wire.MessageKind.LeaderBeat;
-          link.send({ kind, token: term.token, group, epoch });
-          if (term.leader && this.#knowledge) link.send(this.#knowledge);
-          break;
-        }
-        case wire.MessageKind.RankBeat: {
-          const { rank } = message.identity;
-          const port = this.#portOf(term, runner, rank);
-          port.hear(message.status);
-          term.leader?.count(message.chosen);
-          break;
-        }
-        case wire.MessageKind.RankReply:
-        case wire.MessageKind.RankListsAnswer:
-          for (const port of term.ports.values()) port.receive(message, link);
-          break;
-        default:
-          link.close(wire.LinkEnd.Unreadable);
-      }
-    }
-    links.delete(link);
-  }
-
-  /** Learns from the engine itself which rank a runner is. */
-  async #identify(term: Term, runner: traffic.RunnerEntry): Promise<void> {
-    const report = await this.parameters.engineAt(runner).report();
-    if (report.isErr()) return;
-    const { identity, status } = report.value;
-    if (identity.group !== term.identity.group) return;
-    this.#portOf(term, runner, identity.rank).hear(status);
-  }
-
-  #portOf(
-    term: Term,
-    runner: traffic.RunnerEntry,
-    rank: number,
-  ): rankPort.LinkedRank {
-    term.runners.set(rank, runner);
-    const known = term.ports.get(rank);
-    if (known) return known;
-    const { epoch } = term.identity;
-    const created = new rankPort.LinkedRank(
-      rank,
-      this.parameters.engineAt(runner),
-      () => ({ token: term.token, epoch }),
-    );
-    term.ports.set(rank, created);
-    return created;
-  }
-}
-
-/** The rank beside the leader: its orders go through the process's own queue. */
-class OwnRank extends rankPort.LinkedRank {
-  constructor(
-    rank: number,
-    engine: rankEngine.RankEngine,
-    leadership: () => rankPort.Leadership,
-    readonly member: rankMember.RankMember,
-  ) {
-    super(rank, engine, leadership);
-  }
-
-  /** Gives an order and tells how it ended. */
-  override async order(order: wire.RankOrder): Promise<wire.RankReply> {
-    const leadership = this.leadership();
-    const outcome = await this.member.execute({ ...leadership, order });
-    if (outcome.status) this.hear(outcome.status);
-    const kind = wire.MessageKind.RankReply;
-    return { kind, question: 0, token: this.member.token, ...outcome };
-  }
 }
