--- a/packages/daemon/src/rank_group/rank_member_test.ts
+++ b/packages/daemon/src/rank_group/rank_member_test.ts
@@ -5,14 +5,16 @@
 
 const test = ava.default;
 
-/** An engine that tells one of the given counts at each reading, then the last. */
-function engineOf(parameters: {
-  step: number;
-  counts: number[][];
-}): rankEngine.RankEngine {
+const PATIENCE_MILLISECONDS = 5_000;
+
+/** An engine that tells the given counts, one list at each reading. */
+function engineOf(parameters: { step: number; counts: number[][] }): {
+  engine: rankEngine.RankEngine;
+  allRead: () => boolean;
+} {
   const { step, counts } = parameters;
   let readings = 0;
-  return {
+  const engine: rankEngine.RankEngine = {
     report: async () =>
       neverthrow.ok({
         identity: { group: "g", epoch: 2, rank: 0, size: 8 },
@@ -38,6 +40,7 @@
     lists: async () => neverthrow.err("not asked"),
     order: async () => rankEngine.EngineAnswer.Refused,
   };
+  return { engine, allRead: () => readings >= counts.length };
 }
 
 /** Sums of what is told to the leader until all counts were read. */
@@ -45,13 +48,14 @@
   t: ava.ExecutionContext,
   parameters: { step: number; counts: number[][] },
 ): Promise<number[]> {
-  const member = new rankMember.RankMember(engineOf(parameters));
+  const { engine, allRead } = engineOf(parameters);
+  const member = new rankMember.RankMember(engine);
   const stop = new AbortController();
   t.teardown(() => stop.abort());
   void member.watch(stop.signal);
   const sums: number[] = [];
-  for (let reading = 0; reading < parameters.counts.length; reading++) {
-    await member.changed.next(5_000, stop.signal);
+  while (!allRead()) {
+    await member.changed.next(PATIENCE_MILLISECONDS, stop.signal);
     member.takeChosen().forEach((count, index) => {
       sums[index] = (sums[index] ?? 0) + count;
     });
