perf: demand known before a group is formed anew is planned by; a group with its first map is read often

A group formed anew goes on counting its steps (710 before, 711 after, by its reports), so few steps are no sign of a new group; its first map is.

--- a/packages/daemon/src/rank_group/demand.ts
+++ b/packages/daemon/src/rank_group/demand.ts
@@ -25,6 +25,7 @@
 export class Demand {
   readonly #recent: choiceMeter.ChoiceMeter;
   readonly #settled: choiceMeter.ChoiceMeter;
+  #addedAt = -Infinity;
   #distance = 0;
   #shifts = 0;
 
@@ -49,6 +50,11 @@
     return this.#settled.weight >= LEAST_WEIGHT;
   }
 
+  /** When anything was last added, by the clock of `add`. */
+  get addedAt(): number {
+    return this.#addedAt;
+  }
+
   /** Distance between the two views when it was last looked at. */
   get distance(): number {
     return this.#distance;
@@ -61,6 +67,7 @@
 
   /** Adds what one rank counted, layer after layer. */
   add(chosen: number[], now: number): void {
+    this.#addedAt = now;
     this.#recent.add(chosen, now);
     this.#settled.add(chosen, now);
   }
--- a/packages/daemon/src/rank_group/group_leader.ts
+++ b/packages/daemon/src/rank_group/group_leader.ts
@@ -24,6 +24,8 @@
   ports: rankPort.LinkedRank[];
   own: rankPort.LinkedRank;
   shape: traffic.EngineShape;
+  /** Demand as this process saw it; it may know it from a term before. */
+  demand: demandModule.Demand;
   /** Whether this process still leads this forming of the group. */
   valid: () => boolean;
   onSuperseded: (detail: string) => void;
@@ -32,17 +34,13 @@
 
 /** Keeps the map of one group close to demand, while its process leads it. */
 export class GroupLeader {
-  readonly demand: demandModule.Demand;
   /** Map in force, and its version. */
   #map: wire.RankMap | undefined;
   #mapVersion = -1;
   #lastVersion = 0;
   #switching = false;
 
-  constructor(readonly parameters: GroupLeaderParameters) {
-    const { expertsPerLayer } = parameters.shape;
-    this.demand = new demandModule.Demand(expertsPerLayer);
-  }
+  constructor(readonly parameters: GroupLeaderParameters) {}
 
   /** Whether a switch is under way. */
   get switching(): boolean {
@@ -51,7 +49,7 @@
 
   /** Takes what a rank counted, layer after layer. */
   count(chosen: number[]): void {
-    this.demand.add(chosen, common.now());
+    this.parameters.demand.add(chosen, common.now());
   }
 
   /** Leads until it is no longer valid. */
@@ -84,9 +82,10 @@
 
   async #improve(): Promise<void> {
     const { ports, identity, shape, logger, own, valid } = this.parameters;
+    const { demand } = this.parameters;
     const armed = ports.some(({ status }) => (status?.armedVersion ?? 0) > 0);
-    if (armed || !this.demand.known) return;
-    this.demand.noticeShift();
+    if (armed || !demand.known) return;
+    demand.noticeShift();
     const map = await this.#currentMap();
     if (!map) return;
     const statuses = ports.flatMap(({ status }) => (status ? [status] : []));
@@ -96,13 +95,13 @@
     const plan = planQuick.planQuick({
       ranks: identity.size,
       slots: shape.expertSlots,
-      load: this.demand.load,
+      load: demand.load,
       places,
       leastGainOfCopy: worthOfCopy.leastGainOfCopy(fullness),
       copiesPerRank: COPIES_PER_RANK,
       copiesPerRankAndLayer: shape.spareSlots,
     });
-    const { distance } = this.demand;
+    const { distance } = demand;
     const share = 1 - plan.skewAfter / plan.skewBefore;
     if (plan.copies === 0 || share < LEAST_GAIN_SHARE) return;
     const planMilliseconds = common.now() - startedAt;
@@ -122,14 +121,14 @@
       epoch: identity.epoch,
       version,
       distance: rounded(distance),
-      shifts: this.demand.shifts,
+      shifts: demand.shifts,
       fullness: rounded(fullness),
       copies: plan.copies,
       mostCopiesOfRank: plan.mostCopiesOfRank,
       skewBefore: rounded(plan.skewBefore),
       skewAfter: rounded(plan.skewAfter),
       skewNow: rounded(
-        planPlacement.skewOf([...this.demand.load], plan.places, identity.size),
+        planPlacement.skewOf([...demand.load], plan.places, identity.size),
       ),
       planMilliseconds: Math.round(planMilliseconds),
       prepareMilliseconds: Math.round(outcome.prepareMilliseconds),
--- a/packages/daemon/src/rank_group/rank_member.ts
+++ b/packages/daemon/src/rank_group/rank_member.ts
@@ -18,13 +18,11 @@
 const BUSY_MILLISECONDS = 40;
 
 /**
- * How often it is read while the group is formed anew, and in its first passes: a
- * backlog waits, and the first map leaves the slowest rank almost three times the
- * mean until the demand is known.
+ * How often state and choices are read while the group has its first map, or is
+ * being formed: a backlog waits, and that map leaves the slowest rank almost three
+ * times the mean until demand is known.
  */
 const YOUNG_MILLISECONDS = 80;
-/** Passes up to which a group is young: about two seconds. */
-const YOUNG_PASSES = 40;
 
 /** How long the state is read often after an order. */
 const LOOK_CLOSELY_MILLISECONDS = 100;
@@ -148,10 +146,10 @@
     });
   }
 
-  /** Whether the group is being formed, or made its first pass lately. */
+  /** Whether the group is being formed, or still has its first map. */
   get #young(): boolean {
     const { status } = this;
-    return status !== undefined && (!status.open || status.step < YOUNG_PASSES);
+    return status !== undefined && (!status.open || status.mapVersion === 0);
   }
 
   /** How often the engine's state is read while nothing is switched. */
--- a/packages/daemon/src/rank_group/rank_member_test.ts
+++ b/packages/daemon/src/rank_group/rank_member_test.ts
@@ -8,11 +8,11 @@
 const PATIENCE_MILLISECONDS = 5_000;
 
 /** An engine that tells the given counts, one list at each reading. */
-function engineOf(parameters: { step: number; counts: number[][] }): {
+function engineOf(parameters: { mapVersion: number; counts: number[][] }): {
   engine: rankEngine.RankEngine;
   allRead: () => boolean;
 } {
-  const { step, counts } = parameters;
+  const { mapVersion, counts } = parameters;
   let readings = 0;
   const engine: rankEngine.RankEngine = {
     report: async () =>
@@ -23,9 +23,9 @@
           open: true,
           active: 5,
           waiting: 0,
-          step,
-          mapVersion: 1,
-          preparedVersion: 1,
+          step: 700,
+          mapVersion,
+          preparedVersion: mapVersion,
           armedVersion: 0,
           armedStep: 0,
           heldStep: -1,
@@ -46,7 +46,7 @@
 /** Sums of what is told to the leader until all counts were read. */
 async function toldBy(
   t: ava.ExecutionContext,
-  parameters: { step: number; counts: number[][] },
+  parameters: { mapVersion: number; counts: number[][] },
 ): Promise<number[]> {
   const { engine, allRead } = engineOf(parameters);
   const member = new rankMember.RankMember(engine);
@@ -69,7 +69,7 @@
     [110, 100],
     [115, 130],
   ];
-  t.deepEqual(await toldBy(t, { step: 900, counts }), [15, 30]);
+  t.deepEqual(await toldBy(t, { mapVersion: 4, counts }), [15, 30]);
 });
 
 // Callers' streams stall under the first map until demand is known. A group that
@@ -79,7 +79,7 @@
     [5, 9],
     [6, 9],
   ];
-  t.deepEqual(await toldBy(t, { step: 3, counts }), [6, 9]);
+  t.deepEqual(await toldBy(t, { mapVersion: 0, counts }), [6, 9]);
 });
 
 // A rank that crashed counts from 0 when it is back; its new counts are no loss.
@@ -88,5 +88,5 @@
     [100, 100],
     [2, 7],
   ];
-  t.deepEqual(await toldBy(t, { step: 900, counts }), [2, 7]);
+  t.deepEqual(await toldBy(t, { mapVersion: 4, counts }), [2, 7]);
 });
--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -4,6 +4,7 @@
 import * as wire from "@geraniumkeel/wire";
 import * as entryMesh from "../mesh/entry_mesh.ts";
 import * as listenModule from "../settings/listen.ts";
+import * as demandModule from "./demand.ts";
 import * as groupLeader from "./group_leader.ts";
 import * as ownRank from "./own_rank.ts";
 import type * as rankEngine from "./rank_engine.ts";
@@ -23,6 +24,11 @@
 const DRAIN_LOOK_MILLISECONDS = 20;
 /** Pause before the store is asked again for the shape of the engines. */
 const SHAPE_PAUSE_MILLISECONDS = 300;
+/**
+ * Age up to which demand seen in the term before is planned by: a group is formed
+ * anew in two to three seconds, and what is liked changes every few seconds.
+ */
+const DEMAND_KEPT_MILLISECONDS = 5_000;
 /** Tokens are times: a process that starts anew goes on above its last one. */
 const TOKENS_PER_MILLISECOND = 64;
 
@@ -68,6 +74,8 @@
    * the store is away.
    */
   #knowledge: wire.GroupKnowledge | undefined;
+  /** Demand as seen in the latest term of this process. */
+  #demand: demandModule.Demand | undefined;
 
   constructor(readonly parameters: RankProcessParameters) {
     this.#member = new rankMember.RankMember(parameters.engine);
@@ -291,6 +299,7 @@
       ports: [...links.ports.values()].sort((a, b) => a.rank - b.rank),
       own: links.parameters.ownPort,
       shape,
+      demand: this.#demandFor(shape),
       valid: () =>
         !term.ended.signal.aborted &&
         this.#member.identity?.epoch === epoch &&
@@ -325,6 +334,20 @@
     });
   }
 
+  /**
+   * What is known of demand at the beginning of a term. When one rank is lost its
+   * group is formed anew with its first map, under the same process and the same
+   * demand: the next map is loaded while the first requests are read, and not
+   * after the first passes have shown once more what is chosen.
+   */
+  #demandFor(shape: traffic.EngineShape): demandModule.Demand {
+    const known = this.#demand;
+    const age = common.now() - (known?.addedAt ?? -Infinity);
+    if (known && age < DEMAND_KEPT_MILLISECONDS) return known;
+    this.#demand = new demandModule.Demand(shape.expertsPerLayer);
+    return this.#demand;
+  }
+
   async #readShape(
     signal: AbortSignal,
   ): Promise<traffic.EngineShape | undefined> {
