--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -3,6 +3,7 @@
 import type * as traffic from "@geraniumkeel/traffic";
 import * as wire from "@geraniumkeel/wire";
 import * as listenModule from "../settings/listen.ts";
+import * as documentExchange from "./document_exchange.ts";
 import type * as memberRows from "./member_rows.ts";
 import * as meshPeer from "./mesh_peer.ts";
 import * as stampClock from "./stamp_clock.ts";
@@ -24,8 +25,6 @@
 const SECOND_DIALLER_DELAY_MILLISECONDS = 400;
 /** Time without any word after which an entry is taken for gone for good. */
 const FORGET_MILLISECONDS = 60_000;
-/** Time after which a push that had no effect is repeated. */
-const PUSH_AGAIN_MILLISECONDS = 400;
 /** Pause before the store is asked again for the other entries. */
 const REGISTER_PAUSE_MILLISECONDS = 500;
 /**
@@ -75,12 +74,19 @@
   readonly #known = new Map<string, KnownMember>();
   readonly #peers = new Map<string, meshPeer.MeshPeer>();
   readonly #stamps = new stampClock.StampClock();
+  readonly #documents: documentExchange.DocumentExchange;
   readonly #changed = new common.ChangeNotice();
   #leaving = false;
   /** Revision of the own row, once it is certain. */
   #ownRevision: number | undefined;
 
-  constructor(readonly parameters: EntryMeshParameters) {}
+  constructor(readonly parameters: EntryMeshParameters) {
+    const stamps = this.#stamps;
+    this.#documents = new documentExchange.DocumentExchange({
+      ...parameters,
+      stamps,
+    });
+  }
 
   /** Accepts links and looks for the other entries. */
   start(server: http.Server): void {
@@ -319,29 +325,21 @@
   }
 
   #receive(peer: meshPeer.MeshPeer, message: wire.Message): void {
-    const { configuration, runners, onOutstanding } = this.parameters;
+    const { onOutstanding } = this.parameters;
     const known = this.#known.get(peer.member.host);
     if (known) known.heardAt = common.now();
     switch (message.kind) {
       case wire.MessageKind.MeshBeat: {
         peer.receive(message);
         onOutstanding(peer.member.host, new Map(message.outstanding));
-        this.#takeProof(configuration, message, message.configuration);
-        this.#takeProof(runners, message, message.runners);
-        this.#pushNewer(peer);
+        this.#documents.takeProofs(message);
+        this.#documents.pushNewer(peer);
         if (message.leaving) this.#forget(peer.member.host);
         return;
       }
       case wire.MessageKind.MeshConfiguration:
-        if (configuration.offer(message.configuration)) {
-          this.#logInForce("configuration", configuration.version, peer);
-        }
-        return;
       case wire.MessageKind.MeshRunners:
-        if (runners.offer(message.list)) {
-          this.#logInForce("runners", runners.version, peer);
-        }
-        return;
+        return this.#documents.take(message, peer);
       default:
         // A message of another duty: both ends run the same program, so it is
         // a fault of the peer, and its link goes.
@@ -349,53 +347,6 @@
     }
   }
 
-  #logInForce(
-    document: string,
-    version: number,
-    peer: meshPeer.MeshPeer,
-  ): void {
-    const code = common.EventCode.DocumentInForce;
-    const from = peer.member.host;
-    this.parameters.logger.event(code, { document, version, from });
-  }
-
-  #takeProof<T extends traffic.Versioned>(
-    held: traffic.ProvenValue<T>,
-    beat: wire.MeshBeat,
-    proof: wire.MeshProof,
-  ): void {
-    const { echoedStamp, echoedAge } = beat;
-    const at = this.#stamps.provenAt({
-      echoedStamp,
-      echoedAge,
-      factAge: proof.age,
-    });
-    if (at) held.prove(proof.version, at);
-  }
-
-  /** Sends a peer what it is seen to lack. */
-  #pushNewer(peer: meshPeer.MeshPeer): void {
-    const { configuration, runners } = this.parameters;
-    const told = peer.beat;
-    if (!told) return;
-    if (
-      configuration.value &&
-      told.configuration.version < configuration.version &&
-      peer.mayPush("configuration", PUSH_AGAIN_MILLISECONDS)
-    ) {
-      const kind = wire.MessageKind.MeshConfiguration;
-      peer.link.send({ kind, configuration: configuration.value });
-    }
-    if (
-      runners.value &&
-      told.runners.version < runners.version &&
-      peer.mayPush("runners", PUSH_AGAIN_MILLISECONDS)
-    ) {
-      const kind = wire.MessageKind.MeshRunners;
-      peer.link.send({ kind, list: runners.value });
-    }
-  }
-
   /** Passes a newer document on as soon as it is here. */
   async #pushChanges(
     changes: common.ChangeNotice,
@@ -403,7 +354,9 @@
   ): Promise<void> {
     while (!signal.aborted) {
       await changes.next(LONGEST_PAUSE_MILLISECONDS, signal);
-      for (const peer of this.#peers.values()) this.#pushNewer(peer);
+      for (const peer of this.#peers.values()) {
+        this.#documents.pushNewer(peer);
+      }
     }
   }
 
@@ -413,7 +366,7 @@
   }
 
   #sendBeat(peer: meshPeer.MeshPeer, stamp: number): void {
-    const { configuration, runners, ready } = this.parameters;
+    const { ready } = this.parameters;
     peer.link.send({
       kind: wire.MessageKind.MeshBeat,
       stamp,
@@ -421,20 +374,12 @@
       ready: ready() && !this.#leaving,
       leaving: this.#leaving,
       storeReachable: this.parameters.storeReachable(),
-      configuration: proofOf(configuration),
-      runners: proofOf(runners),
+      ...this.#documents.proofs(),
       outstanding: this.parameters.outstanding(),
     });
   }
 }
 
-function proofOf<T extends traffic.Versioned>(
-  held: traffic.ProvenValue<T>,
-): wire.MeshProof {
-  const { version, age } = held;
-  return { version, age: Number.isFinite(age) ? age : -1 };
-}
-
 /** For links whose own heartbeats need tell nothing: their messages do. */
 export function noHeartbeat(): { clock: number; revision: number } {
   return { clock: 0, revision: 0 };
