--- /dev/null
+++ b/packages/daemon/src/rank_group/rank_member_test.ts
@@ -0,0 +1,92 @@
+import * as ava from "ava";
+import * as neverthrow from "neverthrow";
+import * as rankEngine from "./rank_engine.ts";
+import * as rankMember from "./rank_member.ts";
+
+const test = ava.default;
+
+const PATIENCE_MILLISECONDS = 5_000;
+
+/** An engine that tells the given counts, one list at each reading. */
+function engineOf(parameters: { mapVersion: number; counts: number[][] }): {
+  engine: rankEngine.RankEngine;
+  allRead: () => boolean;
+} {
+  const { mapVersion, counts } = parameters;
+  let readings = 0;
+  const engine: rankEngine.RankEngine = {
+    report: async () =>
+      neverthrow.ok({
+        identity: { group: "g", epoch: 2, rank: 0, size: 8 },
+        status: {
+          epoch: 2,
+          open: true,
+          active: 5,
+          waiting: 0,
+          step: 700,
+          mapVersion,
+          preparedVersion: mapVersion,
+          armedVersion: 0,
+          armedStep: 0,
+          heldStep: -1,
+        },
+        sequence: 0,
+        loading: false,
+      }),
+    chosen: async () => {
+      const chosen = counts[Math.min(readings++, counts.length - 1)];
+      return neverthrow.ok({ epoch: 2, chosen });
+    },
+    lists: async () => neverthrow.err("not asked"),
+    order: async () => rankEngine.EngineAnswer.Refused,
+  };
+  return { engine, allRead: () => readings >= counts.length };
+}
+
+/** Sums of what is told to the leader until all counts were read. */
+async function toldBy(
+  t: ava.ExecutionContext,
+  parameters: { mapVersion: number; counts: number[][] },
+): Promise<number[]> {
+  const { engine, allRead } = engineOf(parameters);
+  const member = new rankMember.RankMember(engine);
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  void member.watch(stop.signal);
+  const sums: number[] = [];
+  while (!allRead()) {
+    await member.changed.next(PATIENCE_MILLISECONDS, stop.signal);
+    member.takeChosen().forEach((count, index) => {
+      sums[index] = (sums[index] ?? 0) + count;
+    });
+  }
+  return sums;
+}
+
+test("what was chosen since the last reading is told", async (t) => {
+  const counts = [
+    [100, 100],
+    [110, 100],
+    [115, 130],
+  ];
+  t.deepEqual(await toldBy(t, { mapVersion: 4, counts }), [15, 30]);
+});
+
+// Callers' streams stall under the first map until demand is known. A group that
+// made its first passes has counted nothing old: its first counts are taken.
+test("the first counts of a young group are told", async (t) => {
+  const counts = [
+    [5, 9],
+    [6, 9],
+  ];
+  t.deepEqual(await toldBy(t, { mapVersion: 0, counts }), [6, 9]);
+});
+
+// A rank that crashed counts from 0 when it is back; its new counts are no loss.
+test("counts of an engine that started anew are told whole", async (t) => {
+  const counts = [
+    [100, 100],
+    [2, 7],
+  ];
+  t.deepEqual(await toldBy(t, { mapVersion: 4, counts }), [2, 7]);
+});
