refactor: ends of an attempt have a module of their own; two import circles are gone

The types that dispatcher and keyed_request, and map_changes and order, both need stand in runner_obtainer.ts and expert_map.ts.

--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -1,13 +1,12 @@
 import * as common from "@geraniumkeel/common";
 import type * as serviceQueue from "../admission/service_queue.ts";
 import type * as router from "../routing/router.ts";
-import type * as pendingDispatches from "./pending_dispatches.ts";
 import type * as answerSink from "./answer_sink.ts";
 import * as conductAttempt from "./conduct_attempt.ts";
 import * as keyedRequest from "./keyed_request.ts";
 import * as request from "./request.ts";
 import type * as retryBudget from "./retry_budget.ts";
-import type * as runnerLink from "./runner_link.ts";
+import type * as runnerObtainer from "./runner_obtainer.ts";
 
 /** Attempts at one request at most. */
 const MOST_ATTEMPTS = 4;
@@ -15,7 +14,9 @@
 /** What dispatching needs of the rest of the entry. */
 export interface DispatcherParameters {
   router: router.Router;
-  queueOf: (service: string) => serviceQueue.ServiceQueue<ReservedRunner>;
+  queueOf: (
+    service: string,
+  ) => serviceQueue.ServiceQueue<runnerObtainer.ReservedRunner>;
   budgetOf: (service: string) => retryBudget.RetryBudget;
   keyed: keyedRequest.KeyedRequests;
   logger: common.Logger;
@@ -26,21 +27,8 @@
   retryAfterMilliseconds: () => number;
 }
 
-/** A runner with room taken; the reservation is to be released. */
-export interface ReservedRunner {
-  runner: runnerLink.RunnerLink;
-  reservation: pendingDispatches.Reservation;
-  /** Attempts that the runner may have at once, this one included. */
-  limit: number;
-}
-
-/** Either a runner, or the end of the request. */
-export type ObtainedRunner =
-  | ({ kind: "runner" } & ReservedRunner)
-  | { kind: "result"; result: request.RequestResult };
-
 /** Runs accepted requests: queue, runner, attempts, result. */
-export class Dispatcher {
+export class Dispatcher implements runnerObtainer.RunnerObtainer {
   #running = 0;
 
   constructor(readonly parameters: DispatcherParameters) {}
@@ -73,7 +61,7 @@
     accepted: request.AcceptedRequest,
     excluded: ReadonlySet<string>,
     wasAdmitted: boolean,
-  ): Promise<ObtainedRunner> {
+  ): Promise<runnerObtainer.ObtainedRunner> {
     const { router } = this.parameters;
     const { service, runnerConcurrency, prefixBlocks } = accepted;
     const { promptTokens, expectedTokens } = accepted;
@@ -214,7 +202,7 @@
   }
 
   async #attemptAt(
-    { runner, reservation, limit }: ReservedRunner,
+    { runner, reservation, limit }: runnerObtainer.ReservedRunner,
     accepted: request.AcceptedRequest,
     number: number,
     sink: answerSink.AnswerSink,
@@ -234,7 +222,10 @@
     return conductAttempt.conductAttempt({ runner, outgoing, accepted, sink });
   }
 
-  #notRun(reason: request.NotRunReason, waitMilliseconds = 0): ObtainedRunner {
+  #notRun(
+    reason: request.NotRunReason,
+    waitMilliseconds = 0,
+  ): runnerObtainer.ObtainedRunner {
     return { kind: "result", result: this.notRun(reason, waitMilliseconds) };
   }
 }
--- a/packages/daemon/src/dispatch/keyed_request.ts
+++ b/packages/daemon/src/dispatch/keyed_request.ts
@@ -6,11 +6,11 @@
 import * as claimStore from "./claim_store.ts";
 import * as claimTakeover from "./claim_takeover.ts";
 import * as conductAttempt from "./conduct_attempt.ts";
-import type * as dispatcher from "./dispatcher.ts";
 import * as keepingSink from "./keeping_sink.ts";
 import * as request from "./request.ts";
 import type * as runnerDirectory from "./runner_directory.ts";
 import type * as runnerLink from "./runner_link.ts";
+import type * as runnerObtainer from "./runner_obtainer.ts";
 
 /**
  * Time for which a runner's room is kept while the claim is written. A store
@@ -52,7 +52,7 @@
 
   /** Runs a keyed request to its final result. */
   async run(
-    owner: dispatcher.Dispatcher,
+    owner: runnerObtainer.RunnerObtainer,
     accepted: request.AcceptedRequest,
     sink: answerSink.AnswerSink,
   ): Promise<request.RequestResult> {
@@ -88,7 +88,7 @@
   }
 
   async #runClaimed(
-    owner: dispatcher.Dispatcher,
+    owner: runnerObtainer.RunnerObtainer,
     accepted: request.AcceptedRequest,
     sink: answerSink.AnswerSink,
     key: string,
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -6,6 +6,7 @@
 import * as surgeReserve from "../admission/surge_reserve.ts";
 import * as configurationKeeper from "../configuration/configuration_keeper.ts";
 import * as configurationStore from "../configuration/configuration_store.ts";
+import type * as runnerObtainer from "../dispatch/runner_obtainer.ts";
 import * as claimStore from "../dispatch/claim_store.ts";
 import * as dispatcherModule from "../dispatch/dispatcher.ts";
 import * as keyedRequest from "../dispatch/keyed_request.ts";
@@ -79,7 +80,7 @@
   });
   const queues = new Map<
     string,
-    serviceQueue.ServiceQueue<dispatcherModule.ReservedRunner>
+    serviceQueue.ServiceQueue<runnerObtainer.ReservedRunner>
   >();
   const queued = new common.ChangeNotice();
   const pump = () => {
--- a/packages/daemon/src/entry/entry_context.ts
+++ b/packages/daemon/src/entry/entry_context.ts
@@ -4,6 +4,7 @@
 import type * as serviceQueue from "../admission/service_queue.ts";
 import type * as configurationKeeper from "../configuration/configuration_keeper.ts";
 import type * as configurationStore from "../configuration/configuration_store.ts";
+import type * as runnerObtainer from "../dispatch/runner_obtainer.ts";
 import type * as claimStore from "../dispatch/claim_store.ts";
 import type * as dispatcher from "../dispatch/dispatcher.ts";
 import type * as runnerDirectory from "../dispatch/runner_directory.ts";
@@ -34,7 +35,7 @@
   peers: peerLinks.PeerLinks;
   runners: runnerDirectory.RunnerDirectory;
   router: router.Router;
-  queues: Map<string, serviceQueue.ServiceQueue<dispatcher.ReservedRunner>>;
+  queues: Map<string, serviceQueue.ServiceQueue<runnerObtainer.ReservedRunner>>;
   /** Told whenever a request begins to wait in a queue. */
   queued: common.ChangeNotice;
   coordinators: coordinators.Coordinators;
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -2,6 +2,7 @@
 import * as traffic from "@geraniumkeel/traffic";
 import type * as retryBudget from "../dispatch/retry_budget.ts";
 import * as answerRelay from "./answer_relay.ts";
+import * as attemptEnd from "./attempt_end.ts";
 import * as forwardRequest from "./forward_request.ts";
 import * as returnTime from "./return_time.ts";
 import * as runnerBoard from "./runner_board.ts";
@@ -43,42 +44,6 @@
   metrics: common.Metrics;
 }
 
-/** How an attempt at one runner ended. */
-enum AttemptKind {
-  /** The caller has the whole answer. */
-  Answered = "answered",
-  /** Certainly not run. */
-  NotRun = "not-run",
-  /** It ran and failed, by the runner's own word. */
-  Failed = "failed",
-  /** It may have run; nothing of it reached the caller. */
-  Unknown = "unknown",
-  /** The answer broke off after some of it had reached the caller. */
-  Broken = "broken",
-  /** Time ran out. */
-  TimedOut = "timed-out",
-  /** The runner did not get on and was given up. */
-  Stalled = "stalled",
-  /** The caller has left. */
-  Left = "left",
-}
-
-/** End of an attempt, with what is told to the caller if it was the last. */
-interface AttemptEnd {
-  kind: AttemptKind;
-  reason: string;
-  /** The runner's own answer, where it failed. */
-  failure?: { head: forwardRequest.AnswerHead; body: Buffer };
-}
-
-/** What the log says of an attempt. */
-interface AttemptNote {
-  runner: string;
-  end: AttemptKind;
-  reason: string;
-  milliseconds: number;
-}
-
 /** What the log says of the request. */
 export interface ForwardOutcome {
   route: string;
@@ -86,12 +51,12 @@
   service: string;
   end: string;
   milliseconds: number;
-  attempts: AttemptNote[];
+  attempts: attemptEnd.AttemptNote[];
 }
 
 /** Conducts one admitted request: chooses runners, repeats what may be repeated. */
 export class ForwardedRequest {
-  readonly #attempts: AttemptNote[] = [];
+  readonly #attempts: attemptEnd.AttemptNote[] = [];
   readonly #tried = new Set<string>();
   readonly #expired = new AbortController();
   readonly #relay: answerRelay.AnswerRelay;
@@ -121,7 +86,7 @@
       () => this.#expired.abort(),
       Math.max(0, this.#millisecondsLeft()),
     );
-    let end: AttemptEnd;
+    let end: attemptEnd.AttemptEnd;
     try {
       end = await this.#attemptUntilEnd();
     } finally {
@@ -139,7 +104,7 @@
     };
   }
 
-  #measure(end: AttemptEnd): void {
+  #measure(end: attemptEnd.AttemptEnd): void {
     const { metrics, service } = this.parameters;
     const outcome = end.kind;
     metrics.count(common.Metric.Requests, { service, outcome });
@@ -150,23 +115,25 @@
     }
   }
 
-  async #attemptUntilEnd(): Promise<AttemptEnd> {
-    const { board, service, budgetOf } = this.parameters;
+  async #attemptUntilEnd(): Promise<attemptEnd.AttemptEnd> {
+    const { board, route, service, budgetOf } = this.parameters;
     const budget = budgetOf(service);
     budget.earn();
-    let last: AttemptEnd | undefined;
+    let last: attemptEnd.AttemptEnd | undefined;
     for (;;) {
       const cut = this.#endOfCut();
       if (cut) return cut;
       const runner = board.choose(service, this.#tried);
       if (!runner) {
         if (await this.#waitForRunner()) continue;
-        return last ?? { kind: AttemptKind.NotRun, reason: "no runner" };
+        return (
+          last ?? { kind: attemptEnd.AttemptKind.NotRun, reason: "no runner" }
+        );
       }
       if (last && !budget.spend()) return last;
       this.#tried.add(runner.identifier);
       last = await this.#attempt(runner);
-      if (!this.#mayRepeat(last)) return last;
+      if (!attemptEnd.mayRepeat(last, route, this.#runs)) return last;
     }
   }
 
@@ -185,26 +152,7 @@
     return true;
   }
 
-  /** Whether another runner may be tried after an attempt. */
-  #mayRepeat(end: AttemptEnd): boolean {
-    const { route } = this.parameters;
-    const idempotent = route.repeatability === traffic.Repeatability.Idempotent;
-    switch (end.kind) {
-      case AttemptKind.NotRun:
-        return true;
-      case AttemptKind.Failed:
-      case AttemptKind.Unknown:
-      case AttemptKind.Broken:
-      case AttemptKind.Stalled:
-        return idempotent && this.#runs < route.mostAttempts;
-      case AttemptKind.Answered:
-      case AttemptKind.TimedOut:
-      case AttemptKind.Left:
-        return false;
-    }
-  }
-
-  async #attempt(runner: traffic.RunnerEntry): Promise<AttemptEnd> {
+  async #attempt(runner: traffic.RunnerEntry): Promise<attemptEnd.AttemptEnd> {
     const { board } = this.parameters;
     const startedAt = common.now();
     const noteEnd = board.begin(runner.identifier);
@@ -216,8 +164,8 @@
     }, LOOK_MILLISECONDS);
     const end = await this.#callRunner(runner, stalled.signal);
     clearInterval(watch);
-    noteEnd(soundnessOf(end.kind));
-    if (end.kind !== AttemptKind.NotRun) this.#runs++;
+    noteEnd(attemptEnd.soundnessOf(end.kind));
+    if (end.kind !== attemptEnd.AttemptKind.NotRun) this.#runs++;
     this.#attempts.push({
       runner: runner.identifier,
       end: end.kind,
@@ -262,7 +210,7 @@
   async #callRunner(
     runner: traffic.RunnerEntry,
     stalled: AbortSignal,
-  ): Promise<AttemptEnd> {
+  ): Promise<attemptEnd.AttemptEnd> {
     const { request, sink, route, account, caller, board } = this.parameters;
     const answer = await caller.call({
       request,
@@ -284,20 +232,30 @@
     switch (verdict) {
       case runnerCaller.Verdict.WrongRunner:
         board.drop(runner.identifier);
-        return { kind: AttemptKind.NotRun, reason: "another runner there" };
+        return {
+          kind: attemptEnd.AttemptKind.NotRun,
+          reason: "another runner there",
+        };
       case runnerCaller.Verdict.NotRun:
         board.turnedAway(runner.identifier);
-        return { kind: AttemptKind.NotRun, reason: `status ${head.status}` };
+        return {
+          kind: attemptEnd.AttemptKind.NotRun,
+          reason: `status ${head.status}`,
+        };
       case runnerCaller.Verdict.Failed: {
         const whole = await answerRelay.readWhole(body);
         const reason = `status ${head.status}`;
-        if (whole.isErr()) return { kind: AttemptKind.Unknown, reason };
+        if (whole.isErr())
+          return { kind: attemptEnd.AttemptKind.Unknown, reason };
         const failure = { head, body: whole.value };
-        return { kind: AttemptKind.Failed, reason, failure };
+        return { kind: attemptEnd.AttemptKind.Failed, reason, failure };
       }
       case runnerCaller.Verdict.Ran:
         if (!signed) {
-          return { kind: AttemptKind.Unknown, reason: "answer not signed" };
+          return {
+            kind: attemptEnd.AttemptKind.Unknown,
+            reason: "answer not signed",
+          };
         }
         this.#noteProgress();
         return this.#relayAnswer(answer.value, stalled);
@@ -307,12 +265,15 @@
   async #relayAnswer(
     answer: runnerCaller.RunnerAnswer,
     stalled: AbortSignal,
-  ): Promise<AttemptEnd> {
+  ): Promise<attemptEnd.AttemptEnd> {
     const relayed = await this.#relay.relay(answer);
-    if (relayed.isOk()) return { kind: AttemptKind.Answered, reason: "" };
+    if (relayed.isOk())
+      return { kind: attemptEnd.AttemptKind.Answered, reason: "" };
     const cut = this.#endOfCut(stalled);
     if (cut) return cut;
-    const kind = this.#relay.begun ? AttemptKind.Broken : AttemptKind.Unknown;
+    const kind = this.#relay.begun
+      ? attemptEnd.AttemptKind.Broken
+      : attemptEnd.AttemptKind.Unknown;
     return { kind, reason: relayed.error };
   }
 
@@ -320,44 +281,49 @@
     runner: traffic.RunnerEntry,
     failure: runnerCaller.CallFailure,
     stalled: AbortSignal,
-  ): AttemptEnd {
+  ): attemptEnd.AttemptEnd {
     const { reason } = failure;
     switch (failure.kind) {
       case runnerCaller.CallFailureKind.NotSent:
         this.parameters.board.spare(runner.identifier);
-        return { kind: AttemptKind.NotRun, reason };
+        return { kind: attemptEnd.AttemptKind.NotRun, reason };
       case runnerCaller.CallFailureKind.Unknown:
-        return this.#endOfCut(stalled) ?? { kind: AttemptKind.Unknown, reason };
+        return (
+          this.#endOfCut(stalled) ?? {
+            kind: attemptEnd.AttemptKind.Unknown,
+            reason,
+          }
+        );
     }
   }
 
   /** Why this side ended a call, if it did. */
-  #endOfCut(stalled?: AbortSignal): AttemptEnd | undefined {
+  #endOfCut(stalled?: AbortSignal): attemptEnd.AttemptEnd | undefined {
     if (this.parameters.sink.left.aborted) {
-      return { kind: AttemptKind.Left, reason: "caller left" };
+      return { kind: attemptEnd.AttemptKind.Left, reason: "caller left" };
     }
     if (this.#expired.signal.aborted) {
-      return { kind: AttemptKind.TimedOut, reason: "time ran out" };
+      return { kind: attemptEnd.AttemptKind.TimedOut, reason: "time ran out" };
     }
     if (stalled?.aborted) {
-      return { kind: AttemptKind.Stalled, reason: "did not get on" };
+      return { kind: attemptEnd.AttemptKind.Stalled, reason: "did not get on" };
     }
     return undefined;
   }
 
   /** Gives the caller the final answer. */
-  #finish(end: AttemptEnd): void {
+  #finish(end: attemptEnd.AttemptEnd): void {
     const { sink, random } = this.parameters;
     switch (end.kind) {
-      case AttemptKind.Answered:
-      case AttemptKind.Left:
+      case attemptEnd.AttemptKind.Answered:
+      case attemptEnd.AttemptKind.Left:
         return;
       default:
         break;
     }
     if (this.#relay.begun) return sink.breakOff();
     if (end.failure) return sink.answer(end.failure.head, end.failure.body);
-    const kind = this.#refusalKind(end);
+    const kind = attemptEnd.refusalKind(end, this.#runs);
     const retryAfterMilliseconds = returnTime.returnTime(
       this.#millisecondsLeft(),
       random,
@@ -365,17 +331,6 @@
     sink.refuse({ kind, reason: end.reason, retryAfterMilliseconds });
   }
 
-  /**
-   * After a run, or one that may have been, nothing is "not run" any more; before
-   * one it is, also where time ran out in waiting for a runner.
-   */
-  #refusalKind(end: AttemptEnd): forwardRequest.RefusalKind {
-    if (this.#runs === 0) return forwardRequest.RefusalKind.NotRun;
-    return end.kind === AttemptKind.TimedOut
-      ? forwardRequest.RefusalKind.TimedOut
-      : forwardRequest.RefusalKind.MayHaveRun;
-  }
-
   #elapsed(): number {
     return common.ageOf(this.parameters.request.arrivedAt);
   }
@@ -387,19 +342,3 @@
     return Math.min(patience, route.timeoutMilliseconds) - this.#elapsed();
   }
 }
-
-function soundnessOf(kind: AttemptKind): runnerBoard.CallEnd {
-  switch (kind) {
-    case AttemptKind.Answered:
-      return runnerBoard.CallEnd.Good;
-    case AttemptKind.NotRun:
-    case AttemptKind.Left:
-      return runnerBoard.CallEnd.Neutral;
-    case AttemptKind.Failed:
-    case AttemptKind.Unknown:
-    case AttemptKind.Broken:
-    case AttemptKind.Stalled:
-    case AttemptKind.TimedOut:
-      return runnerBoard.CallEnd.Bad;
-  }
-}
--- a/packages/wire/src/map_changes.ts
+++ b/packages/wire/src/map_changes.ts
@@ -1,5 +1,5 @@
 import * as crypto from "node:crypto";
-import * as order from "./order.ts";
+import type * as expertMap from "./expert_map.ts";
 
 /** Places of one expert in a new map. */
 export type MapChange = [layer: number, expert: number, ranks: number[]];
@@ -16,8 +16,8 @@
 
 /** What differs between two maps of the same layers and experts. */
 export function changesBetween(
-  base: order.ExpertMap,
-  next: order.ExpertMap,
+  base: expertMap.ExpertMap,
+  next: expertMap.ExpertMap,
 ): MapChanges {
   const changes = next.places.flatMap((layer, layerIndex) =>
     layer.flatMap((ranks, expert): MapChange[] => {
@@ -38,9 +38,9 @@
  * maps; the digest of the whole map rules that out.
  */
 export function applyChanges(
-  base: order.ExpertMap,
+  base: expertMap.ExpertMap,
   changes: MapChanges,
-): order.ExpertMap | undefined {
+): expertMap.ExpertMap | undefined {
   if (base.version !== changes.base) return undefined;
   const places = base.places.map((layer) => [...layer]);
   for (const [layer, expert, ranks] of changes.changes) {
@@ -51,7 +51,7 @@
   return { version: changes.version, places };
 }
 
-function digestOf(places: order.ExpertPlaces): string {
+function digestOf(places: expertMap.ExpertPlaces): string {
   const text = JSON.stringify(places);
   return crypto.createHash("sha256").update(text).digest("base64");
 }
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -1,5 +1,6 @@
 export * from "./attempt.ts";
 export * from "./codec.ts";
+export * from "./expert_map.ts";
 export * from "./link.ts";
 export * from "./link_server.ts";
 export * from "./load.ts";
--- a/packages/wire/src/order.ts
+++ b/packages/wire/src/order.ts
@@ -1,3 +1,4 @@
+import type * as expertMap from "./expert_map.ts";
 import type * as mapChanges from "./map_changes.ts";
 
 /** Orders of a group's coordinator to its ranks, by way of their agents. */
@@ -18,19 +19,15 @@
   StageChanges = 10,
 }
 
-/** Replica places per layer and expert: `ranksOfExpert[layer][expert]`. */
-export type ExpertPlaces = number[][][];
-
-/** One expert map; a higher version is newer. */
-export interface ExpertMap {
-  version: number;
-  places: ExpertPlaces;
-}
-
 /** What is ordered. `fencing` orders coordinators, never clocks. */
 export type Order =
   | { kind: OrderKind.Promise; group: string; fencing: number }
-  | { kind: OrderKind.Stage; group: string; fencing: number; map: ExpertMap }
+  | {
+      kind: OrderKind.Stage;
+      group: string;
+      fencing: number;
+      map: expertMap.ExpertMap;
+    }
   | {
       kind: OrderKind.Arm;
       group: string;
