--- /dev/null
+++ b/packages/stand_ins/src/measure/capacity_gateway.ts
@@ -0,0 +1,81 @@
+import * as wire from "@geraniumkeel/wire";
+
+/** Beats of an entry to each other one, a second (`mesh/entry_mesh.ts`). */
+const BEATS_PER_SECOND = 1_000 / 300;
+/** Reports of a rank's process to its leader, a second (`rank_member.ts`). */
+const RANK_BEATS_PER_SECOND = 1_000 / 150;
+/** Bytes that a message takes on the wire beside its own: frame, TCP and IP. */
+const FRAME_BYTES = 46;
+/** Control that a node may send, in bytes a second. */
+const BUDGET_BYTES_PER_SECOND = 21_000;
+/** Sizes of a group: ranks, layers, experts a layer. */
+const GROUPS = [
+  { ranks: 8, layers: 6, experts: 64 },
+  { ranks: 32, layers: 12, experts: 128 },
+  { ranks: 64, layers: 60, experts: 256 },
+];
+const ENTRIES = [7, 46, 100, 330];
+const RUNNERS_IN_USE = [0, 8, 16, 64];
+
+/** What links of a gateway and of a rank's process carry, by size. */
+export function measureGateway(): object {
+  const beats = RUNNERS_IN_USE.map((runners) => ({
+    runners,
+    bytes: beatBytes(runners),
+  }));
+  const entries = ENTRIES.map((count) => {
+    const sent = (count - 1) * BEATS_PER_SECOND * beatBytes(16);
+    return { entries: count, bytesPerSecond: Math.round(sent) };
+  });
+  const groups = GROUPS.map((group) => {
+    const bytes = rankBeatBytes(group.layers * group.experts);
+    const bytesPerSecond = Math.round(bytes * RANK_BEATS_PER_SECOND);
+    const atLeader = bytesPerSecond * (group.ranks - 1);
+    return { ...group, bytes, bytesPerSecond, atLeader };
+  });
+  const perLink = BEATS_PER_SECOND * beatBytes(16);
+  const mostEntries = 1 + Math.floor(BUDGET_BYTES_PER_SECOND / perLink);
+  return { beats, entries, groups, mostEntries };
+}
+
+function beatBytes(runners: number): number {
+  const outstanding = Array.from(
+    { length: runners },
+    (_, index): [string, number] => [`i-${index.toString(16).padStart(10)}`, 3],
+  );
+  const beat: wire.MeshBeat = {
+    kind: wire.MessageKind.MeshBeat,
+    stamp: 90_000,
+    echoedStamp: 90_000,
+    echoedAge: 123.4,
+    ready: true,
+    leaving: false,
+    storeReachable: true,
+    configuration: { version: 40_000, age: 812.5 },
+    runners: { version: 40_000, age: 812.5 },
+    outstanding,
+  };
+  return wire.encode(beat).byteLength + FRAME_BYTES;
+}
+
+function rankBeatBytes(counts: number): number {
+  const beat: wire.RankBeat = {
+    kind: wire.MessageKind.RankBeat,
+    token: 113_709_290_299_521,
+    identity: { group: "g0-1", epoch: 3, rank: 7, size: 64 },
+    status: {
+      epoch: 3,
+      open: true,
+      active: 8,
+      waiting: 3,
+      step: 90_000,
+      mapVersion: 400,
+      preparedVersion: 400,
+      armedVersion: 0,
+      armedStep: 0,
+      heldStep: -1,
+    },
+    chosen: Array.from({ length: counts }, (_, index) => (index * 37) % 300),
+  };
+  return wire.encode(beat).byteLength + FRAME_BYTES;
+}
--- a/packages/stand_ins/src/measure/main.ts
+++ b/packages/stand_ins/src/measure/main.ts
@@ -1,4 +1,5 @@
 import * as commander from "commander";
+import * as capacityGateway from "./capacity_gateway.ts";
 import * as capacityLinks from "./capacity_links.ts";
 import * as measureAdmission from "./measure_admission.ts";
 import * as measureCapacity from "./measure_capacity.ts";
@@ -17,6 +18,7 @@
 const MEASUREMENTS: Record<string, Measurement> = {
   admission: measureAdmission.measureAdmission,
   capacity: measureCapacity.measureCapacity,
+  gateway: capacityGateway.measureGateway,
   groups: measureGroups.measureGroups,
   links: capacityLinks.measureLinks,
   configuration: measureConfiguration.measureConfiguration,
--- a/packages/stand_ins/src/system/rank_group_test.ts
+++ b/packages/stand_ins/src/system/rank_group_test.ts
@@ -166,3 +166,28 @@
   t.is(outcome.end, wire.RankOrderEnd.Refused);
   t.false(daemon.needsSettling(ports));
 });
+
+// Streams of a whole group stand still for as long as a host is frozen, four seconds
+// and more. Its process leads, holds a pass at the engine beside it, and freezes
+// before the release; a frozen host answers nobody, so no successor can release the
+// pass there. Held at another host it could.
+test.failing("a pass is not held at the leader's own host", async (t) => {
+  const group = startGroup(t);
+  const heldAt: number[] = [];
+  const ports = portsOf(group, 1).map((port) => ({
+    rank: port.rank,
+    get status() {
+      return port.status;
+    },
+    order: (order: wire.RankOrder) => {
+      if (order.kind === wire.RankOrderKind.Hold) heldAt.push(port.rank);
+      return port.order(order);
+    },
+  }));
+  const [own] = ports;
+  const map = mapOf(1);
+  const valid = () => true;
+  await daemon.switchGroup({ ports, own, version: 1, map, valid });
+  t.true(heldAt.length > 0);
+  t.false(heldAt.includes(own.rank));
+});
