--- a/packages/stand_ins/src/measure/main.ts
+++ b/packages/stand_ins/src/measure/main.ts
@@ -5,6 +5,7 @@
 import * as measureCapacity from "./measure_capacity.ts";
 import * as measureConfiguration from "./measure_configuration.ts";
 import * as measureGroups from "./measure_groups.ts";
+import * as measureLiveMap from "./measure_live_map.ts";
 import * as measureOverhead from "./measure_overhead.ts";
 import * as measurePlacement from "./measure_placement.ts";
 import * as measureReserve from "./measure_reserve.ts";
@@ -21,6 +22,7 @@
   gateway: capacityGateway.measureGateway,
   groups: measureGroups.measureGroups,
   links: capacityLinks.measureLinks,
+  "live-map": measureLiveMap.measureLiveMap,
   configuration: measureConfiguration.measureConfiguration,
   overhead: measureOverhead.measureOverhead,
   placement: measurePlacement.measurePlacement,
