--- a/packages/stand_ins/src/system/frozen_leader_test.ts
+++ b/packages/stand_ins/src/system/frozen_leader_test.ts
@@ -2,6 +2,8 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
 import * as daemon from "@geraniumkeel/daemon/forwarding_mod";
+import * as entryMesh from "@geraniumkeel/daemon/mesh/entry_mesh";
+import * as listen from "@geraniumkeel/daemon/settings/listen";
 import * as wire from "@geraniumkeel/wire";
 import * as rankGroupStandIn from "../rank_group_stand_in.ts";
 import * as rankProcesses from "../testing/rank_processes.ts";
@@ -11,11 +13,6 @@
 const RANKS = 4;
 const LEADER = 0;
 const PASS_MILLISECONDS = 5;
-const LINK_TIMING: wire.LinkTiming = {
-  heartbeat: 500,
-  silentAfter: 1_500,
-  connectTimeout: 400,
-};
 /** Callers give up a stream that says nothing for two seconds. */
 const LONGEST_STANDSTILL_MILLISECONDS = 2_000;
 
@@ -48,10 +45,10 @@
   for (let rank = 0; rank < RANKS; rank++) {
     if (rank === LEADER) continue;
     const dialled = await wire.dial({
-      url: `ws://${rankProcesses.addressOf(rank)}:${linkPort}/link`,
-      key: "geraniumkeel",
-      timing: LINK_TIMING,
-      heartbeat: () => ({ clock: 0, revision: 0 }),
+      url: `ws://${rankProcesses.addressOf(rank)}:${linkPort}${listen.LINK_PATH}`,
+      key: entryMesh.LINK_WORD,
+      timing: entryMesh.LINK_TIMING,
+      heartbeat: entryMesh.noHeartbeat,
     });
     const link = dialled._unsafeUnwrap();
     lifeCycle.own({ name: "link", close: () => link.close() });
