--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -231,7 +231,7 @@
     const { verdict, head, signed, body } = answer.value;
     switch (verdict) {
       case runnerCaller.Verdict.WrongRunner:
-        board.drop(runner.identifier);
+        board.drop(runner);
         return {
           kind: attemptEnd.AttemptKind.NotRun,
           reason: "another runner there",
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -80,6 +80,7 @@
   const board = new runnerBoard.RunnerBoard({ dataCentre: "d", random });
   const runners = ["i-1", "i-2"].map((identifier, index) => ({
     identifier,
+    bornAt: 0,
     service: "s",
     address: "127.0.0.1",
     port: index + 1,
--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -86,6 +86,8 @@
 /** All runners that take requests, with the load and soundness of each. */
 export class RunnerBoard {
   readonly #records = new Map<string, RunnerRecord>();
+  /** Listed runners that are gone from their addresses, each life of them. */
+  #disproved = new Set<string>();
   /** Requests under way from other entries, by entry and runner. */
   readonly #others = new Map<string, Map<string, number>>();
   /** When the next request may be sent to a service that is closed. */
@@ -100,12 +102,19 @@
   /** Takes a new list; runners that are not in it get nothing more. */
   update(list: traffic.RunnerList): void {
     const listed = new Set<string>();
+    const disproved = new Set<string>();
     for (const entry of list.runners) {
+      if (this.#disproved.has(lifeOf(entry))) {
+        disproved.add(lifeOf(entry));
+        continue;
+      }
       listed.add(entry.identifier);
       const record = this.#records.get(entry.identifier);
-      if (record) record.entry = entry;
+      // One that started anew has none of the faults and requests of before.
+      if (record?.entry.bornAt === entry.bornAt) record.entry = entry;
       else this.#records.set(entry.identifier, new RunnerRecord(entry));
     }
+    this.#disproved = disproved;
     this.opened.announce();
     for (const identifier of this.#records.keys()) {
       if (!listed.has(identifier)) this.#records.delete(identifier);
@@ -225,9 +234,16 @@
     if (record) record.sparedUntil = common.now() + SPARED_MILLISECONDS;
   }
 
-  /** A runner that is proved gone; the list will follow. */
-  drop(identifier: string): void {
-    this.#records.delete(identifier);
+  /**
+   * Another runner answers at the address of this one. It may stay listed for
+   * seconds, and gets no more for as long.
+   */
+  drop(runner: traffic.RunnerEntry): void {
+    this.#disproved.add(lifeOf(runner));
+    const record = this.#records.get(runner.identifier);
+    if (record && lifeOf(record.entry) === lifeOf(runner)) {
+      this.#records.delete(runner.identifier);
+    }
   }
 
   /** All runners, for operators. */
@@ -262,3 +278,9 @@
     return sum;
   }
 }
+
+/** One life of a runner at one address. */
+function lifeOf(runner: traffic.RunnerEntry): string {
+  const { identifier, bornAt, address, port } = runner;
+  return `${identifier} ${bornAt} ${address}:${port}`;
+}
--- a/packages/daemon/src/rank_group/execute_order.ts
+++ b/packages/daemon/src/rank_group/execute_order.ts
@@ -33,6 +33,7 @@
   let refusedAt = -1;
   /** Orders begun when this one was last sent without an answer. */
   let unansweredAt = Infinity;
+  let bornAt: number | undefined;
   while (common.now() < deadline) {
     const report = await engine.report();
     if (report.isErr()) {
@@ -41,6 +42,12 @@
     }
     const { sequence } = report.value;
     status = report.value.status;
+    // An engine that started anew counts its orders from 0: the number of before
+    // could come again, and the order would be carried out under it.
+    bornAt ??= report.value.bornAt;
+    if (report.value.bornAt !== bornAt) {
+      return refused("engine started anew", status);
+    }
     if (status.epoch !== epoch) return refused(`epoch ${status.epoch}`, status);
     if (isAchieved(order, status)) return done(status);
     // Loading goes on for a while before the state shows it; that something was
--- /dev/null
+++ b/packages/daemon/src/rank_group/execute_order_test.ts
@@ -0,0 +1,53 @@
+import * as ava from "ava";
+import * as wire from "@geraniumkeel/wire";
+import * as neverthrow from "neverthrow";
+import * as executeOrder from "./execute_order.ts";
+import * as rankEngine from "./rank_engine.ts";
+
+const test = ava.default;
+
+function reportOf(bornAt: number, sequence: number): rankEngine.RankReport {
+  return {
+    identity: { group: "g", epoch: 1, rank: 0, size: 1 },
+    bornAt,
+    status: {
+      epoch: 1,
+      open: true,
+      active: 0,
+      waiting: 0,
+      step: 10,
+      mapVersion: 0,
+      preparedVersion: 0,
+      armedVersion: 0,
+      armedStep: 0,
+      heldStep: -1,
+    },
+    sequence,
+    loading: false,
+  };
+}
+
+// A pass would be held that nobody releases. The engine does not answer an order and
+// crashes; started anew it has begun as many orders as before. The order was meant
+// for the engine of before.
+test("an order is not given again to an engine that started anew", async (t) => {
+  const reports = [reportOf(1_000, 3), reportOf(2_000, 3)];
+  let given = 0;
+  const engine: rankEngine.RankEngine = {
+    report: async () => neverthrow.ok(reports.shift() ?? reportOf(2_000, 3)),
+    chosen: async () => neverthrow.err("not asked"),
+    lists: async () => neverthrow.err("not asked"),
+    order: async () => {
+      given++;
+      return rankEngine.EngineAnswer.Unknown;
+    },
+  };
+  const outcome = await executeOrder.executeOrder({
+    engine,
+    order: { kind: wire.RankOrderKind.Hold, step: 40 },
+    token: 1,
+    epoch: 1,
+  });
+  t.is(outcome.end, wire.RankOrderEnd.Refused);
+  t.is(given, 1);
+});
--- a/packages/daemon/src/rank_group/rank_engine.ts
+++ b/packages/daemon/src/rank_group/rank_engine.ts
@@ -4,6 +4,8 @@
 /** What a rank's engine tells of itself. */
 export interface RankReport {
   identity: wire.RankIdentity;
+  /** Unix millisecond of the engine's start, 0 if it does not tell. */
+  bornAt: number;
   status: wire.RankStatus;
   /** Orders that the engine has begun since it started. */
   sequence: number;
@@ -14,6 +16,8 @@
 /** How often each expert was chosen since the engine started. */
 export interface ChosenCounts {
   epoch: number;
+  /** Unix millisecond of the engine's start, 0 if it does not tell. */
+  bornAt: number;
   /** Layer after layer, expert after expert. */
   chosen: number[];
 }
--- a/packages/daemon/src/rank_group/rank_member.ts
+++ b/packages/daemon/src/rank_group/rank_member.ts
@@ -136,10 +136,13 @@
     // Of an engine that ran before this process, it is not known how old its
     // counts are; those of a young one are new.
     if (!before && !this.#young) return;
-    // An engine that started anew counts from 0.
-    const restarted = counts.chosen.some(
-      (count, index) => count < (before?.chosen[index] ?? 0),
-    );
+    // An engine that started anew counts from 0, and may have come further since
+    // than it had before.
+    const restarted =
+      counts.bornAt !== (before?.bornAt ?? counts.bornAt) ||
+      counts.chosen.some(
+        (count, index) => count < (before?.chosen[index] ?? 0),
+      );
     counts.chosen.forEach((count, index) => {
       const old = restarted ? 0 : (before?.chosen[index] ?? 0);
       this.#untold[index] = (this.#untold[index] ?? 0) + count - old;
--- a/packages/daemon/src/rank_group/rank_member_test.ts
+++ b/packages/daemon/src/rank_group/rank_member_test.ts
@@ -7,17 +7,25 @@
 
 const PATIENCE_MILLISECONDS = 5_000;
 
+/** Counts of an engine, and when it started, at each reading. */
+interface Readings {
+  mapVersion: number;
+  counts: number[][];
+  births?: number[];
+}
+
 /** An engine that tells the given counts, one list at each reading. */
-function engineOf(parameters: { mapVersion: number; counts: number[][] }): {
+function engineOf(parameters: Readings): {
   engine: rankEngine.RankEngine;
   allRead: () => boolean;
 } {
-  const { mapVersion, counts } = parameters;
+  const { mapVersion, counts, births = [] } = parameters;
   let readings = 0;
   const engine: rankEngine.RankEngine = {
     report: async () =>
       neverthrow.ok({
         identity: { group: "g", epoch: 2, rank: 0, size: 8 },
+        bornAt: 0,
         status: {
           epoch: 2,
           open: true,
@@ -34,8 +42,9 @@
         loading: false,
       }),
     chosen: async () => {
-      const chosen = counts[Math.min(readings++, counts.length - 1)];
-      return neverthrow.ok({ epoch: 2, chosen });
+      const reading = Math.min(readings++, counts.length - 1);
+      const bornAt = births[reading] ?? 0;
+      return neverthrow.ok({ epoch: 2, bornAt, chosen: counts[reading] });
     },
     lists: async () => neverthrow.err("not asked"),
     order: async () => rankEngine.EngineAnswer.Refused,
@@ -46,7 +55,7 @@
 /** Sums of what is told to the leader until all counts were read. */
 async function toldBy(
   t: ava.ExecutionContext,
-  parameters: { mapVersion: number; counts: number[][] },
+  parameters: Readings,
 ): Promise<number[]> {
   const { engine, allRead } = engineOf(parameters);
   const member = new rankMember.RankMember(engine);
@@ -90,3 +99,14 @@
   ];
   t.deepEqual(await toldBy(t, { mapVersion: 4, counts }), [2, 7]);
 });
+
+// The map would be made for demand of long ago. An engine crashed and is back under
+// its old identifier; when it is read again it has counted more than before.
+test("counts of an engine with another start are told whole", async (t) => {
+  const counts = [
+    [10, 10],
+    [25, 70],
+  ];
+  const births = [1_000, 9_000];
+  t.deepEqual(await toldBy(t, { mapVersion: 4, counts, births }), [25, 70]);
+});
--- a/packages/stand_ins/src/rank_group_stand_in.ts
+++ b/packages/stand_ins/src/rank_group_stand_in.ts
@@ -100,7 +100,8 @@
   engine(index: number): daemon.RankEngine {
     return {
       report: async () => neverthrow.ok(this.#report(index)),
-      chosen: async () => neverthrow.ok({ epoch: this.#epoch, chosen: [] }),
+      chosen: async () =>
+        neverthrow.ok({ epoch: this.#epoch, bornAt: 0, chosen: [] }),
       lists: async () =>
         neverthrow.ok({ version: this.#ranks[index].mapVersion, experts: [] }),
       order: (order, conditions) => this.#receive(index, order, conditions),
@@ -123,6 +124,7 @@
         rank: index,
         size: this.size,
       },
+      bornAt: 0,
       status: {
         epoch: this.#epoch,
         open: true,
--- a/packages/stand_ins/src/testing/rank_processes.ts
+++ b/packages/stand_ins/src/testing/rank_processes.ts
@@ -34,6 +34,7 @@
 ): traffic.RunnerEntry[] {
   return Array.from({ length: group.size }, (_, rank) => ({
     identifier: `runner-${rank}`,
+    bornAt: 0,
     service: SERVICE,
     address: addressOf(rank),
     port: ENGINE_PORT,
--- a/packages/traffic/src/runner_entry.ts
+++ b/packages/traffic/src/runner_entry.ts
@@ -1,7 +1,12 @@
 /** A runner as the platform lists it. */
 export interface RunnerEntry {
-  /** New at each start of the runner. */
+  /** Mostly new at each start of the runner; it may have had it before. */
   identifier: string;
+  /**
+   * Unix millisecond of the runner's start, 0 if it does not tell. A runner that
+   * starts anew under its old identifier knows nothing of before.
+   */
+  bornAt: number;
   service: string;
   address: string;
   port: number;
