--- a/packages/backing_services/src/http_client.ts
+++ b/packages/backing_services/src/http_client.ts
@@ -63,14 +63,15 @@
     method: "GET" | "POST" | "PUT" | "DELETE",
     path: string,
     body?: unknown,
-    options: { ifNoneMatch?: string } = {},
+    options: { ifNoneMatch?: string; timeoutMilliseconds?: number } = {},
   ): Promise<neverthrow.Result<HttpAnswer, RequestFailure>> {
     if (this.#closed) {
       const kind = RequestFailureKind.NotSent;
       return neverthrow.err({ kind, reason: "client closed" });
     }
     const agent = this.#agent;
-    const timeout = this.parameters.timeoutMilliseconds;
+    const timeout =
+      options.timeoutMilliseconds ?? this.parameters.timeoutMilliseconds;
     const headers: Record<string, string> = {};
     if (body !== undefined) headers["content-type"] = "application/json";
     if (options.ifNoneMatch) headers["if-none-match"] = options.ifNoneMatch;
