fix: streams of a group that stands still are not sent to the one rank not heard of

Cause: while a group holds a pass for 0.9 s every rank with requests from an entry counts as stalled after 0.6 s, and one without requests does not; streams were given up and went there, often the frozen host's, and were never answered. Change: in a service whose runners advance in lock-step, a stall of one puts all in doubt that were not heard of for as long. Test first (runner_board_test).

--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -77,7 +77,11 @@
 
 function boardOfTwo(): runnerBoard.RunnerBoard {
   const random = new common.Random(1);
-  const board = new runnerBoard.RunnerBoard({ dataCentre: "d", random });
+  const board = new runnerBoard.RunnerBoard({
+    dataCentre: "d",
+    random,
+    inLockStep: () => false,
+  });
   const runners = ["i-1", "i-2"].map((identifier, index) => ({
     identifier,
     bornAt: 0,
--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -45,8 +45,10 @@
 /** What is known of one runner. */
 class RunnerRecord {
   own = 0;
-  /** When anything was last heard of a request there. */
+  /** When anything was last heard of a request there, or the first one was sent. */
   progressAt = 0;
+  /** When anything was last heard of a request there. */
+  heardAt = -Infinity;
   failureShare = 0;
   failureSeenAt = 0;
   sparedUntil = 0;
@@ -61,6 +63,16 @@
     return this.own > 0 && now - this.progressAt > STALLED_MILLISECONDS;
   }
 
+  /** Whether it is to get no new work for the moment. */
+  isSpared(now: number): boolean {
+    return this.sparedUntil > now || this.stalled(now);
+  }
+
+  /** Whether nothing was heard from it for as long as a stall takes to show. */
+  isSilent(now: number): boolean {
+    return now - this.heardAt > STALLED_MILLISECONDS;
+  }
+
   /** Part of its answers that failed; forgotten by and by. */
   currentFailureShare(now: number): number {
     const halvings = (now - this.failureSeenAt) / FORGIVENESS_MILLISECONDS;
@@ -96,7 +108,12 @@
   readonly opened = new common.ChangeNotice();
 
   constructor(
-    readonly parameters: { dataCentre: string; random: common.Random },
+    readonly parameters: {
+      dataCentre: string;
+      random: common.Random;
+      /** Whether the runners of a service advance in lock-step, in groups. */
+      inLockStep: (service: string) => boolean;
+    },
   ) {}
 
   /** Takes a new list; runners that are not in it get nothing more. */
@@ -142,6 +159,7 @@
     tried: ReadonlySet<string>,
   ): chooseRunner.RunnerView[] {
     const now = common.now();
+    const inDoubt = this.#standsStill(service, now);
     const views: chooseRunner.RunnerView[] = [];
     for (const [identifier, record] of this.#records) {
       const { entry } = record;
@@ -154,12 +172,26 @@
         slots: entry.slots,
         sameDataCentre: entry.dataCentre === this.parameters.dataCentre,
         failureShare: record.currentFailureShare(now),
-        spared: record.sparedUntil > now || record.stalled(now),
+        spared: record.isSpared(now) || (inDoubt && record.isSilent(now)),
       });
     }
     return views;
   }
 
+  /**
+   * Whether a runner whose ranks advance in lock-step with others' has stalled: all of
+   * its group have. One without requests from here does not show it, and looked like
+   * the way out: when a group stood still for 0.9 s, streams were given up at all its
+   * runners and went to the one whose host was frozen, where they were never answered.
+   */
+  #standsStill(service: string, now: number): boolean {
+    if (!this.parameters.inLockStep(service)) return false;
+    for (const record of this.#records.values()) {
+      if (record.entry.service === service && record.stalled(now)) return true;
+    }
+    return false;
+  }
+
   /** The runner for a request, or `undefined` if there is none left to try. */
   choose(
     service: string,
@@ -218,6 +250,7 @@
     const record = this.#records.get(identifier);
     if (!record) return;
     record.progressAt = common.now();
+    record.heardAt = record.progressAt;
     if (!record.closed) return;
     record.closed = false;
     this.opened.announce();
@@ -257,7 +290,7 @@
       own: record.own,
       outstanding: record.own + this.#othersAt(identifier),
       failureShare: record.currentFailureShare(now),
-      spared: record.sparedUntil > now || record.stalled(now),
+      spared: record.isSpared(now),
     }));
   }
 
--- a/packages/daemon/src/forwarding/runner_board_test.ts
+++ b/packages/daemon/src/forwarding/runner_board_test.ts
@@ -21,9 +21,14 @@
   };
 }
 
-function boardOf(runners: traffic.RunnerEntry[]): runnerBoard.RunnerBoard {
+function boardOf(
+  runners: traffic.RunnerEntry[],
+  lockStep = false,
+): runnerBoard.RunnerBoard {
   const random = new common.Random(1);
-  const board = new runnerBoard.RunnerBoard({ dataCentre: "a", random });
+  const inLockStep = () => lockStep;
+  const parameters = { dataCentre: "a", random, inLockStep };
+  const board = new runnerBoard.RunnerBoard(parameters);
   board.update({ version: 1, runners });
   return board;
 }
@@ -85,3 +90,45 @@
   board.drop(runnerOf());
   t.deepEqual(identifiers(board), ["i-1"]);
 });
+
+/** A board on which a request at `i-1` has made no progress for long enough. */
+async function boardWithStall(
+  lockStep: boolean,
+): Promise<runnerBoard.RunnerBoard> {
+  const runners = ["i-1", "i-2"].map((identifier, index) =>
+    runnerOf({ identifier, port: 80 + index }),
+  );
+  const board = boardOf(runners, lockStep);
+  board.begin("i-1");
+  const notice = new common.ChangeNotice();
+  await notice.until({
+    condition: () => {
+      setTimeout(() => notice.announce(), 20);
+      return board.stalled("i-1");
+    },
+    timeoutMilliseconds: 10_000,
+  });
+  return board;
+}
+
+function soundRunners(board: runnerBoard.RunnerBoard): string[] {
+  const views = board.candidates("s", new Set());
+  return views.filter(({ spared }) => !spared).map((view) => view.identifier);
+}
+
+// Callers' streams stand still while their group holds a pass, for 0.9 s. Given up
+// after 0.6 s they were all sent to the one rank that nothing was under way at, which
+// is on the frozen host, and never answered there. All ranks advance together: one
+// stalls, all have, and none is better before something is heard of it.
+test("when a rank has stalled, another is no way out until it is heard", async (t) => {
+  const board = await boardWithStall(true);
+  t.deepEqual(soundRunners(board), []);
+  board.begin("i-2");
+  board.progress("i-2");
+  t.deepEqual(soundRunners(board), ["i-2"]);
+});
+
+test("a runner on its own that stalls says nothing of the others", async (t) => {
+  const board = await boardWithStall(false);
+  t.deepEqual(soundRunners(board), ["i-2"]);
+});
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -78,7 +78,11 @@
     const { self, random, logger, metrics, caller } = parameters;
     this.#longestProofAge = parameters.revocationMilliseconds * RELIED_ON_SHARE;
     const { dataCentre } = self;
-    this.board = new runnerBoard.RunnerBoard({ dataCentre, random });
+    this.board = new runnerBoard.RunnerBoard({
+      dataCentre,
+      random,
+      inLockStep: (service) => this.#inLockStep(service),
+    });
     this.forwarder = new forwarderModule.Forwarder({
       configuration: this.configuration,
       longestProofAge: this.#longestProofAge,
@@ -191,6 +195,13 @@
     };
   }
 
+  /** Engines whose layers are spread over experts work in groups of ranks. */
+  #inLockStep(service: string): boolean {
+    const services = this.configuration.value?.services ?? [];
+    const shape = services.find(({ name }) => name === service)?.engine;
+    return (shape?.layers ?? 0) > 0;
+  }
+
   async #follow<T extends traffic.Versioned>(
     name: string,
     source: traffic.DocumentSource<T>,
