--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -5,10 +5,9 @@
 import * as wire from "@geraniumkeel/wire";
 import * as entryMesh from "../mesh/entry_mesh.ts";
 import * as listenModule from "../settings/listen.ts";
-import * as beatRecord from "./beat_record.ts";
 import * as demandModule from "./demand.ts";
 import * as groupLeader from "./group_leader.ts";
-import * as mapDifference from "./map_difference.ts";
+import * as leaderFollower from "./leader_follower.ts";
 import * as ownRank from "./own_rank.ts";
 import type * as rankEngine from "./rank_engine.ts";
 import * as rankMember from "./rank_member.ts";
@@ -38,8 +37,6 @@
  * anew in two to three seconds, and what is liked changes every few seconds.
  */
 const DEMAND_KEPT_MILLISECONDS = 5_000;
-/** Announced holds that are remembered: those of several switches. */
-const KEPT_NOTICES = 16;
 /** Tokens are times: a process that starts anew goes on above its last one. */
 const TOKENS_PER_MILLISECOND = 64;
 
@@ -74,25 +71,20 @@
  */
 export class RankProcess {
   readonly #member: rankMember.RankMember;
-  #leaderHeardAt = common.now();
-  /** Link to the leader that is followed. */
-  #leaderLink: wire.Link | undefined;
+  readonly #follower: leaderFollower.LeaderFollower;
   #term: Term | undefined;
-  readonly #told = new beatRecord.BeatRecord();
   #stopping = false;
-  /**
-   * What the last leader knew. A leader that dies may leave a pass held; were its
-   * successor to ask the store first, the group would stand still for as long as
-   * the store is away.
-   */
-  #knowledge: wire.GroupKnowledge | undefined;
-  /** Holds that leaders announced in this forming of the group, newest last. */
-  #announced: wire.HoldNotice[] = [];
   /** Demand as seen in the latest term of this process. */
   #demand: demandModule.Demand | undefined;
 
   constructor(readonly parameters: RankProcessParameters) {
     this.#member = new rankMember.RankMember(parameters.engine);
+    this.#follower = new leaderFollower.LeaderFollower({
+      ...parameters,
+      member: this.#member,
+      ownToken: () => this.#term?.token ?? -1,
+      onNewerLeader: () => this.#endTerm("a newer leader"),
+    });
   }
 
   /** Starts reading the engine, accepting links, and looking for a leader. */
@@ -105,7 +97,9 @@
       timing: entryMesh.LINK_TIMING,
       heartbeat: entryMesh.noHeartbeat,
       onLink: (link) =>
-        lifeCycle.run("accepted", (signal) => this.#serve(link, signal)),
+        lifeCycle.run("accepted", (signal) =>
+          this.#follower.serve(link, signal),
+        ),
     });
     lifeCycle.own({ name: "links", close: () => accepting.close() });
     lifeCycle.run("watch", (signal) => this.#member.watch(signal));
@@ -133,105 +127,10 @@
       status: this.#member.status,
       token: this.#member.token,
       leads: this.#term !== undefined,
-      leaderSilence: common.now() - this.#leaderHeardAt,
-    };
-  }
-
-  /** Follows the leader at the far end of a link. */
-  async #serve(link: wire.Link, signal: AbortSignal): Promise<void> {
-    link.closeOn(signal);
-    link.send(this.#hello());
-    for await (const message of link.messages()) {
-      switch (message.kind) {
-        case wire.MessageKind.RankHello:
-          break;
-        case wire.MessageKind.LeaderBeat:
-          this.#followLeader(link, message);
-          break;
-        case wire.MessageKind.RankCommand:
-          void this.#obey(link, message);
-          break;
-        case wire.MessageKind.RankListsRequest:
-          void this.#tellLists(link, message.question);
-          break;
-        case wire.MessageKind.GroupKnowledge:
-          this.#knowledge = message;
-          break;
-        case wire.MessageKind.HoldNotice:
-          this.#noteHold(message);
-          break;
-        default:
-          link.close(wire.LinkEnd.Unreadable);
-      }
-    }
-  }
-
-  #hello(): wire.RankHello {
-    return {
-      kind: wire.MessageKind.RankHello,
-      host: this.parameters.host,
-      identity: this.#member.identity,
-      token: this.#member.token,
+      leaderSilence: common.now() - this.#follower.heardAt,
     };
   }
 
-  #followLeader(link: wire.Link, beat: wire.LeaderBeat): void {
-    if (beat.group !== this.#member.identity?.group) return;
-    const own = this.#term?.token ?? -1;
-    // A leader is linked with itself too.
-    if (beat.token === own) return;
-    if (beat.token < Math.max(own, this.#member.token)) {
-      // Tells an old leader, by the token, that there is a newer one.
-      link.send(this.#hello());
-      return;
-    }
-    if (this.#term && beat.token > own) this.#endTerm("a newer leader");
-    this.#member.heed(beat.token);
-    this.#leaderHeardAt = common.now();
-    if (this.#leaderLink !== link) this.#told.forget();
-    this.#leaderLink = link;
-    this.#member.countEvery(beat.countMilliseconds);
-  }
-
-  #noteHold(notice: wire.HoldNotice): void {
-    const { epoch } = notice;
-    const ofEpoch = this.#announced.filter((known) => known.epoch === epoch);
-    this.#announced = [...ofEpoch, notice].slice(-KEPT_NOTICES);
-    if (notice.holder === this.#member.identity?.rank) {
-      this.#member.lookClosely();
-    }
-  }
-
-  async #obey(link: wire.Link, command: wire.RankCommand): Promise<void> {
-    const { question, token, epoch } = command;
-    const kind = wire.MessageKind.RankReply;
-    const order = this.#wholeOrder(command.order);
-    if (!order) {
-      const end = wire.RankOrderEnd.BaseUnknown;
-      const { status, token: known } = this.#member;
-      link.send({ kind, question, token: known, end, detail: "", status });
-      return;
-    }
-    const outcome = await this.#member.execute({ token, epoch, order });
-    link.send({ kind, question, token: this.#member.token, ...outcome });
-  }
-
-  /** An order as the engine takes it; `undefined` if its map cannot be made. */
-  #wholeOrder(order: wire.SentOrder): wire.RankOrder | undefined {
-    if (order.kind !== "prepare-changes") return order;
-    const { version, base, cells } = order;
-    const known = this.#member.mapOf(base);
-    if (!known) return undefined;
-    const map = mapDifference.withCells(known, cells);
-    return { kind: wire.RankOrderKind.Prepare, version, map };
-  }
-
-  async #tellLists(link: wire.Link, question: number): Promise<void> {
-    const read = await this.parameters.engine.lists();
-    const lists = read.isOk() ? read.value : undefined;
-    link.send({ kind: wire.MessageKind.RankListsAnswer, question, lists });
-  }
-
   /** Tells the leader each time the engine was read. */
   async #tellLeader(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -244,14 +143,7 @@
         leader?.count(identity.rank, this.#member.takeChosen());
         continue;
       }
-      const link = this.#leaderLink;
-      if (!link || link.end !== undefined) continue;
-      const chosen = this.#member.takeChosen();
-      const news = this.#told.take(status, common.now());
-      if (!news && chosen.length === 0) continue;
-      const kind = wire.MessageKind.RankBeat;
-      const { token } = this.#member;
-      link.send({ kind, token, identity, status, chosen });
+      this.#follower.tell();
     }
   }
 
@@ -259,11 +151,11 @@
     while (!signal.aborted) {
       const { identity } = this.#member;
       if (!identity || this.#stopping) {
-        this.#leaderHeardAt = common.now();
+        this.#follower.heardAt = common.now();
         await common.sleep(LOOK_MILLISECONDS, signal);
         continue;
       }
-      const silence = common.now() - this.#leaderHeardAt;
+      const silence = common.now() - this.#follower.heardAt;
       const patience = this.#patienceWithLeader(identity);
       if (silence < patience) {
         const pause = Math.max(LOOK_MILLISECONDS, patience - silence);
@@ -271,7 +163,7 @@
         continue;
       }
       await this.#lead(identity, signal);
-      this.#leaderHeardAt = this.#formedAnewSince(identity)
+      this.#follower.heardAt = this.#formedAnewSince(identity)
         ? -Infinity
         : common.now();
     }
@@ -291,7 +183,7 @@
    * certain, and a silence of 0.7 s need not show it first.
    */
   #formedAnewSince(led: wire.RankIdentity): boolean {
-    if (this.#leaderLink) return false;
+    if (this.#follower.follows) return false;
     return this.#member.identity?.epoch !== led.epoch;
   }
 
@@ -307,7 +199,7 @@
     const links = this.#newLinks(token, identity);
     const term: Term = { token, identity, ended, links, leader: undefined };
     this.#term = term;
-    this.#leaderLink = undefined;
+    this.#follower.forget();
     const { group, epoch, rank } = identity;
     const code = common.EventCode.CoordinatorChanged;
     logger.event(code, { group, epoch, rank, token, leads: true });
@@ -340,13 +232,16 @@
       if (this.#member.identity?.epoch !== epoch) return;
       await common.sleep(LOOK_MILLISECONDS, signal);
     }
-    const model = this.#knowledge?.model ?? (await this.#readModel(signal));
+    const model =
+      this.#follower.knowledge?.model ?? (await this.#readModel(signal));
     if (!model || signal.aborted) return;
     const { layers, expertsPerLayer } = model.shape;
     links.numbersPerReading = layers * expertsPerLayer;
     const kind = wire.MessageKind.GroupKnowledge;
-    this.#knowledge = { kind, group, epoch, runners: links.runners, model };
-    links.tellKnowledge(this.#knowledge);
+    const { runners } = links;
+    const knowledge = { kind, group, epoch, runners, model } as const;
+    this.#follower.knowledge = knowledge;
+    links.tellKnowledge(knowledge);
     term.leader = new groupLeader.GroupLeader({
       identity: term.identity,
       ports: [...links.ports.values()].sort((a, b) => a.rank - b.rank),
@@ -362,10 +257,10 @@
         const kind = wire.MessageKind.HoldNotice;
         const leader = term.identity.rank;
         const notice = { kind, group, epoch, leader, holder, step } as const;
-        this.#noteHold(notice);
+        this.#follower.noteHold(notice);
         links.tellAll(notice);
       },
-      announced: () => this.#announced.filter((known) => known.epoch === epoch),
+      announced: () => this.#follower.announcedIn(epoch),
       rememberedMap: (version) => this.#member.mapOf(version),
       logger,
     });
@@ -386,8 +281,8 @@
         leadership,
         this.#member,
       ),
-      knowledge: () => this.#knowledge,
-      hello: () => this.#hello(),
+      knowledge: () => this.#follower.knowledge,
+      hello: () => this.#follower.hello(),
       onChosen: (chosenAt, chosen) =>
         this.#term?.leader?.count(chosenAt, chosen),
       onOwnCounts: (milliseconds) => this.#member.countEvery(milliseconds),
--- a/packages/stand_ins/src/measure/capacity_gateway.ts
+++ b/packages/stand_ins/src/measure/capacity_gateway.ts
@@ -1,9 +1,10 @@
+import * as countPlan from "@geraniumkeel/daemon/rank_group/count_plan";
 import * as wire from "@geraniumkeel/wire";
 
 /** Beats of an entry to each other one, a second (`mesh/entry_mesh.ts`). */
 const BEATS_PER_SECOND = 1_000 / 300;
-/** Reports of a rank's process to its leader, a second (`rank_member.ts`). */
-const RANK_BEATS_PER_SECOND = 1_000 / 150;
+/** States of a rank told to its leader while nothing changes (`beat_record.ts`). */
+const STATES_PER_SECOND = 4;
 /** Bytes that a message takes on the wire beside its own: frame, TCP and IP. */
 const FRAME_BYTES = 46;
 /** Control that a node may send, in bytes a second. */
@@ -11,7 +12,9 @@
 /** Sizes of a group: ranks, layers, experts a layer. */
 const GROUPS = [
   { ranks: 8, layers: 6, experts: 64 },
+  { ranks: 12, layers: 4, experts: 72 },
   { ranks: 32, layers: 12, experts: 128 },
+  { ranks: 63, layers: 8, experts: 252 },
   { ranks: 64, layers: 60, experts: 256 },
 ];
 const ENTRIES = [7, 46, 100, 330];
@@ -28,10 +31,16 @@
     return { entries: count, bytesPerSecond: Math.round(sent) };
   });
   const groups = GROUPS.map((group) => {
-    const bytes = rankBeatBytes(group.layers * group.experts);
-    const bytesPerSecond = Math.round(bytes * RANK_BEATS_PER_SECOND);
-    const atLeader = bytesPerSecond * (group.ranks - 1);
-    return { ...group, bytes, bytesPerSecond, atLeader };
+    const numbersPerReading = group.layers * group.experts;
+    const linked = Array.from({ length: group.ranks }, (_, rank) => rank);
+    const plan = countPlan.planCounts({ linked, numbersPerReading });
+    const bytes = rankBeatBytes(numbersPerReading);
+    const perTeller = (bytes * 1_000) / plan.periodMilliseconds;
+    const perOther = rankBeatBytes(0) * STATES_PER_SECOND;
+    const tellers = plan.tellers.size;
+    const others = group.ranks - tellers;
+    const atLeader = Math.round(tellers * perTeller + others * perOther);
+    return { ...group, bytes, tellers, perTeller, perOther, atLeader };
   });
   const perLink = BEATS_PER_SECOND * beatBytes(16);
   const mostEntries = 1 + Math.floor(BUDGET_BYTES_PER_SECOND / perLink);
