--- a/packages/daemon/src/rank_group/map_planner_test.ts
+++ b/packages/daemon/src/rank_group/map_planner_test.ts
@@ -1,43 +1,20 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
-import type * as traffic from "@geraniumkeel/traffic";
 import type * as wire from "@geraniumkeel/wire";
 import * as demandModule from "./demand.ts";
 import * as mapPlanner from "./map_planner.ts";
+import * as rankFixture from "./rank_fixture.ts";
 
 const test = ava.default;
 
 const RANKS = 12;
 const EXPERTS = 72;
-const SHAPE: traffic.EngineShape = {
-  slots: 8,
-  stepMilliseconds: 5,
-  sequenceMilliseconds: 0.5,
-  promptTokensPerMillisecond: 75,
-  stepsPerPass: 6,
-  layers: 2,
-  expertsPerLayer: EXPERTS,
-  expertSlots: 8,
-  spareSlots: 3,
-  expertShare: 0.85,
-  copyMilliseconds: 98,
-  usualPromptTokens: 835,
-  usualAnswerTokens: 159,
-};
+const SHAPE = rankFixture.createShape({ layers: 2 });
 
 function statusesOf(active: number): wire.RankStatus[] {
-  return Array.from({ length: RANKS }, () => ({
-    epoch: 1,
-    open: true,
-    active,
-    waiting: 0,
-    step: 3,
-    mapVersion: 1,
-    preparedVersion: 0,
-    armedVersion: 0,
-    armedStep: 0,
-    heldStep: -1,
-  }));
+  return Array.from({ length: RANKS }, () =>
+    rankFixture.createStatus({ active }),
+  );
 }
 
 /** Each expert on one rank, in turn. */
--- /dev/null
+++ b/packages/daemon/src/rank_group/rank_fixture.ts
@@ -0,0 +1,43 @@
+import type * as traffic from "@geraniumkeel/traffic";
+import type * as wire from "@geraniumkeel/wire";
+
+/** For tests: engines like those of a group of twelve that carries a whole model. */
+export function createShape(
+  others: Partial<traffic.EngineShape> = {},
+): traffic.EngineShape {
+  return {
+    slots: 8,
+    stepMilliseconds: 5,
+    sequenceMilliseconds: 0.5,
+    promptTokensPerMillisecond: 75,
+    stepsPerPass: 6,
+    layers: 4,
+    expertsPerLayer: 72,
+    expertSlots: 8,
+    spareSlots: 3,
+    expertShare: 0.85,
+    copyMilliseconds: 98,
+    usualPromptTokens: 835,
+    usualAnswerTokens: 159,
+    ...others,
+  };
+}
+
+/** For tests: a rank that runs some requests on a map and switches nothing. */
+export function createStatus(
+  others: Partial<wire.RankStatus> = {},
+): wire.RankStatus {
+  return {
+    epoch: 1,
+    open: true,
+    active: 3,
+    waiting: 0,
+    step: 10,
+    mapVersion: 1,
+    preparedVersion: 0,
+    armedVersion: 0,
+    armedStep: 0,
+    heldStep: -1,
+    ...others,
+  };
+}
--- a/packages/daemon/src/rank_group/worth_of_copy_test.ts
+++ b/packages/daemon/src/rank_group/worth_of_copy_test.ts
@@ -1,40 +1,10 @@
 import * as ava from "ava";
-import type * as traffic from "@geraniumkeel/traffic";
-import type * as wire from "@geraniumkeel/wire";
+import * as rankFixture from "./rank_fixture.ts";
 import * as worthOfCopy from "./worth_of_copy.ts";
 
 const test = ava.default;
 
-const SHAPE: traffic.EngineShape = {
-  slots: 8,
-  stepMilliseconds: 5,
-  sequenceMilliseconds: 0.5,
-  promptTokensPerMillisecond: 75,
-  stepsPerPass: 6,
-  layers: 4,
-  expertsPerLayer: 72,
-  expertSlots: 8,
-  spareSlots: 3,
-  expertShare: 0.85,
-  copyMilliseconds: 98,
-  usualPromptTokens: 835,
-  usualAnswerTokens: 159,
-};
-
-function statusOf(active: number, mapVersion = 1): wire.RankStatus {
-  return {
-    epoch: 2,
-    open: true,
-    active,
-    waiting: 0,
-    step: 3,
-    mapVersion,
-    preparedVersion: mapVersion,
-    armedVersion: 0,
-    armedStep: 0,
-    heldStep: -1,
-  };
-}
+const SHAPE = rankFixture.createShape();
 
 function loadOf(
   active: number,
@@ -42,7 +12,9 @@
 ): worthOfCopy.GroupLoad {
   return {
     shape: SHAPE,
-    statuses: Array.from({ length: 12 }, () => statusOf(active)),
+    statuses: Array.from({ length: 12 }, () =>
+      rankFixture.createStatus({ active }),
+    ),
     skewAfterShift: 3.5,
     gapMilliseconds: 120,
     ...others,
@@ -81,7 +53,8 @@
 // After an outage the backlog arrives in the second in which the next map is
 // loaded: a map for the few requests that were there first is soon too weak.
 test("a group with its first map is planned for as strained", (t) => {
-  const first = [statusOf(1, 0), statusOf(1, 0)];
+  const status = rankFixture.createStatus({ active: 1, mapVersion: 0 });
+  const first = [status, status];
   t.is(worthOfCopy.strainOf(loadOf(1, { statuses: first })), 1);
   t.true(worthOfCopy.strainOf(loadOf(1)) < 0.6);
 });
