test: a map told as changes is whole at every rank, or sent whole

A rank whose process started anew knows no base; it asks for the map, so that no engine gets another map than the others. The kind of order told as changes is an enum member.

--- a/packages/daemon/src/rank_group/leader_follower.ts
+++ b/packages/daemon/src/rank_group/leader_follower.ts
@@ -147,7 +147,7 @@
 
   /** An order as the engine takes it; `undefined` if its map cannot be made. */
   #wholeOrder(order: wire.SentOrder): wire.RankOrder | undefined {
-    if (order.kind !== "prepare-changes") return order;
+    if (order.kind !== wire.RankOrderKind.PrepareChanges) return order;
     const { version, base, cells } = order;
     const known = this.parameters.member.mapOf(base);
     if (!known) return undefined;
--- /dev/null
+++ b/packages/daemon/src/rank_group/leader_follower_test.ts
@@ -0,0 +1,162 @@
+import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
+import * as wire from "@geraniumkeel/wire";
+import * as neverthrow from "neverthrow";
+import * as leaderFollower from "./leader_follower.ts";
+import * as rankEngine from "./rank_engine.ts";
+import * as rankFixture from "./rank_fixture.ts";
+import * as rankMember from "./rank_member.ts";
+import * as rankPort from "./rank_port.ts";
+
+const test = ava.default;
+
+const TOKEN = 7;
+const EPOCH = 2;
+const BASE = 3;
+const MAP: wire.RankMap = [
+  [[0, 1], [2]],
+  [[0], [1, 2]],
+];
+const NEXT: wire.RankMap = [
+  [[0, 1], [2]],
+  [[0, 2], [1]],
+];
+
+type PrepareOrder = Extract<
+  wire.RankOrder,
+  { kind: wire.RankOrderKind.Prepare }
+>;
+
+/** An engine on a map of some version; notes the maps that it is to prepare. */
+function createEngine(mapVersion: number): {
+  engine: rankEngine.RankEngine;
+  prepared: PrepareOrder[];
+} {
+  const prepared: PrepareOrder[] = [];
+  const engine: rankEngine.RankEngine = {
+    report: async () =>
+      neverthrow.ok({
+        identity: { group: "g", epoch: EPOCH, rank: 1, size: 2 },
+        bornAt: 0,
+        status: rankFixture.createStatus({ epoch: EPOCH, mapVersion }),
+        sequence: 0,
+        loading: false,
+      }),
+    chosen: async () => neverthrow.err("not asked"),
+    lists: async () => neverthrow.err("not asked"),
+    order: async (order) => {
+      if (order.kind === wire.RankOrderKind.Prepare) prepared.push(order);
+      return rankEngine.EngineAnswer.Accepted;
+    },
+  };
+  return { engine, prepared };
+}
+
+/** A leader's port and the process beside its rank, with a link between them. */
+function createPair(engine: rankEngine.RankEngine): {
+  port: rankPort.LinkedRank;
+  member: rankMember.RankMember;
+  sent: wire.Message[];
+  close: () => void;
+} {
+  const member = new rankMember.RankMember(engine);
+  const follower = new leaderFollower.LeaderFollower({
+    host: "h",
+    engine,
+    member,
+    ownToken: () => -1,
+    onNewerLeader: () => {},
+  });
+  const port = new rankPort.LinkedRank(1, engine, () => ({
+    token: TOKEN,
+    epoch: EPOCH,
+  }));
+  const inbox = new common.Channel<wire.Message>();
+  const sent: wire.Message[] = [];
+  const leaderSide = {
+    end: undefined,
+    send: (message: wire.Message) => {
+      sent.push(message);
+      inbox.push(message);
+    },
+  } as unknown as wire.Link;
+  const rankSide = {
+    end: undefined,
+    closeOn: () => {},
+    close: () => inbox.close(),
+    messages: () => inbox[Symbol.asyncIterator](),
+    send: (message: wire.Message) => {
+      if (message.kind !== wire.MessageKind.RankReply) return;
+      port.receive(message, leaderSide);
+    },
+  } as unknown as wire.Link;
+  port.attach(leaderSide);
+  void follower.serve(rankSide, new AbortController().signal);
+  return { port, member, sent, close: () => inbox.close() };
+}
+
+/** The order to prepare the next map, with the cells that differ from the base. */
+function prepareNext(): PrepareOrder {
+  const version = BASE + 1;
+  return {
+    kind: wire.RankOrderKind.Prepare,
+    version,
+    map: NEXT,
+    changes: {
+      kind: wire.RankOrderKind.PrepareChanges,
+      version,
+      base: BASE,
+      cells: [
+        [1, 0, 0, 2],
+        [1, 1, 1],
+      ],
+    },
+  };
+}
+
+function kindsOf(sent: wire.Message[]): string[] {
+  return sent.flatMap((message) =>
+    message.kind === wire.MessageKind.RankCommand ? [message.order.kind] : [],
+  );
+}
+
+test("a rank that knows the base makes the whole map of its changes", async (t) => {
+  const { engine, prepared } = createEngine(BASE);
+  const { port, member, sent, close } = createPair(engine);
+  t.teardown(close);
+  const kind = wire.RankOrderKind.Prepare;
+  const order = { kind, version: BASE, map: MAP } as const;
+  await member.execute({ token: TOKEN, epoch: EPOCH, order });
+  await port.refresh();
+  const reply = await port.order(prepareNext());
+  t.is(reply.end, wire.RankOrderEnd.Done);
+  t.deepEqual(kindsOf(sent), ["prepare-changes"]);
+  t.deepEqual(prepared.at(-1)?.map, NEXT);
+});
+
+// All streams of a group would meet two maps in one pass. The process beside a rank
+// started anew and remembers no map: changes alone would give its engine another map
+// than the others have, so it asks for the whole.
+test("a rank that does not know the base is sent the map whole", async (t) => {
+  const { engine, prepared } = createEngine(BASE);
+  const { port, sent, close } = createPair(engine);
+  t.teardown(close);
+  await port.refresh();
+  const reply = await port.order(prepareNext());
+  t.is(reply.end, wire.RankOrderEnd.Done);
+  t.deepEqual(kindsOf(sent), ["prepare-changes", "prepare"]);
+  t.deepEqual(
+    prepared.map(({ map }) => map),
+    [NEXT],
+  );
+});
+
+test("a rank with another map in force is sent the map whole at once", async (t) => {
+  const { engine, prepared } = createEngine(BASE - 1);
+  const { port, sent, close } = createPair(engine);
+  t.teardown(close);
+  await port.refresh();
+  await port.order(prepareNext());
+  t.deepEqual(kindsOf(sent), ["prepare"]);
+  t.deepEqual(prepared[0].map, NEXT);
+});
--- a/packages/daemon/src/rank_group/switch_group.ts
+++ b/packages/daemon/src/rank_group/switch_group.ts
@@ -117,7 +117,7 @@
     mapDifference.sizeOfCells(cells) < mapDifference.sizeOfMap(map);
   if (!isShorter) return { kind, version, map };
   const changes: wire.PrepareChanges = {
-    kind: "prepare-changes",
+    kind: wire.RankOrderKind.PrepareChanges,
     version,
     base: base.version,
     cells,
--- a/packages/wire/src/rank_group.ts
+++ b/packages/wire/src/rank_group.ts
@@ -66,6 +66,8 @@
 export enum RankOrderKind {
   /** Load what a map needs, without using it. */
   Prepare = "prepare",
+  /** The same, told as changes to a map that the rank knows; not for engines. */
+  PrepareChanges = "prepare-changes",
   /** Use a prepared map from a pass on. */
   Arm = "arm",
   /** Do not begin a pass before a release. */
@@ -99,7 +101,7 @@
 
 /** An order to prepare a map that is made of one the rank was told before. */
 export interface PrepareChanges {
-  kind: "prepare-changes";
+  kind: RankOrderKind.PrepareChanges;
   version: number;
   /** Version of the map that the changes are made to. */
   base: number;
