perf: when one rank of a group takes work again, all its ranks do

Cause: after an outage each entry finds out rank by rank which runners take work, one request a tenth of a second: 1.2 s for twelve ranks, 6 s for 63, although a group is formed as a whole. Change: in a service whose runners advance in lock-step, the first that gets on opens all. Test first (runner_board_test).

--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -252,10 +252,26 @@
     record.progressAt = common.now();
     record.heardAt = record.progressAt;
     if (!record.closed) return;
-    record.closed = false;
+    this.#reopen(record);
     this.opened.announce();
   }
 
+  /**
+   * Takes a runner that gets on for open again, and with it all that advance in
+   * lock-step with it. A group takes work as a whole; found out rank by rank, with a
+   * request each tenth of a second, each entry left most of twelve ranks alone for
+   * another second while the backlog of an outage waited. One of another group that is
+   * not formed yet turns the next request away, and is closed again.
+   */
+  #reopen(reopened: RunnerRecord): void {
+    const { service } = reopened.entry;
+    reopened.closed = false;
+    if (!this.parameters.inLockStep(service)) return;
+    for (const record of this.#records.values()) {
+      if (record.entry.service === service) record.closed = false;
+    }
+  }
+
   /** Whether requests are under way at a runner and none of them gets on. */
   stalled(identifier: string): boolean {
     return this.#records.get(identifier)?.stalled(common.now()) ?? false;
--- a/packages/daemon/src/forwarding/runner_board_test.ts
+++ b/packages/daemon/src/forwarding/runner_board_test.ts
@@ -132,3 +132,20 @@
   const board = await boardWithStall(false);
   t.deepEqual(soundRunners(board), ["i-2"]);
 });
+
+// A group that was formed anew takes work as a whole. Callers of a backlog waited for
+// another second while entries found that out rank by rank.
+test("when one rank of a group takes work again, all do", (t) => {
+  const runners = ["i-1", "i-2", "i-3"].map((identifier, index) =>
+    runnerOf({ identifier, port: 80 + index }),
+  );
+  const open = (lockStep: boolean) => {
+    const board = boardOf(runners, lockStep);
+    for (const { identifier } of runners) board.turnedAway(identifier);
+    board.begin("i-1");
+    board.progress("i-1");
+    return board.candidates("s", new Set()).map((view) => view.identifier);
+  };
+  t.deepEqual(open(true), ["i-1", "i-2", "i-3"]);
+  t.deepEqual(open(false), ["i-1"]);
+});
