--- a/packages/daemon/src/rank_group/count_plan.ts
+++ b/packages/daemon/src/rank_group/count_plan.ts
@@ -7,7 +7,7 @@
  */
 const NUMBERS_PER_SECOND = 80_000;
 /** How often a rank tells what its requests choose, where all may, in milliseconds. */
-const COUNT_MILLISECONDS = 100;
+export const COUNT_MILLISECONDS = 100;
 /**
  * Ranks that tell where not all may. They run some fifty requests at once, by which a
  * shift shows as surely as in a group of twelve; any rank runs any kind of request.
--- a/packages/daemon/src/rank_group/rank_links.ts
+++ b/packages/daemon/src/rank_group/rank_links.ts
@@ -58,7 +58,7 @@
   readonly #startedAt = common.now();
   /** Experts over all layers; 0 while the engines are not known. */
   numbersPerReading = 0;
-  /** What each rank is told as soon as it is linked. */
+  /** What likely successors are told as soon as they are linked. */
   #told: wire.GroupKnowledge | undefined;
 
   constructor(readonly parameters: RankLinksParameters) {
--- a/packages/daemon/src/rank_group/rank_member.ts
+++ b/packages/daemon/src/rank_group/rank_member.ts
@@ -1,11 +1,10 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
+import * as countPlan from "./count_plan.ts";
 import * as executeOrder from "./execute_order.ts";
 import type * as rankEngine from "./rank_engine.ts";
 
-/** How often choices are read while several requests run, in milliseconds. */
-const COUNT_MILLISECONDS = 100;
-/** How often they are read while few run: then little is gained by haste. */
+/** How often choices are read while few requests run: little is gained by haste. */
 const SELDOM_COUNT_MILLISECONDS = 300;
 /** Requests from which an engine counts as busy. */
 const SEVERAL_REQUESTS = 3;
@@ -55,7 +54,7 @@
   /** Version that the engine loads, and until when that is waited for. */
   #awaited = { version: 0, until: 0 };
   /** How often the leader asks for choices; 0 for never. */
-  #askedMilliseconds = COUNT_MILLISECONDS;
+  #askedMilliseconds = countPlan.COUNT_MILLISECONDS;
   readonly #ordered = new common.ChangeNotice();
   /** Maps that the engine was told to prepare, by version, oldest first. */
   readonly #maps = new Map<number, wire.RankMap>();
@@ -207,8 +206,8 @@
   get #countPeriod(): number {
     const asked = this.#askedMilliseconds;
     if (asked === 0) return Infinity;
-    const all = asked <= COUNT_MILLISECONDS;
-    if (this.#young && all) return YOUNG_MILLISECONDS;
+    const allTell = asked <= countPlan.COUNT_MILLISECONDS;
+    if (this.#young && allTell) return YOUNG_MILLISECONDS;
     const { active = 0, waiting = 0 } = this.status ?? {};
     const several = active + waiting >= SEVERAL_REQUESTS;
     return several ? asked : Math.max(asked, SELDOM_COUNT_MILLISECONDS);
