--- a/packages/daemon/src/rank_group/beat_record.ts
+++ b/packages/daemon/src/rank_group/beat_record.ts
@@ -8,8 +8,8 @@
 
 /**
  * What a rank told its leader last. While a map is loaded each rank reads its engine
- * 25 times a second; told each time, a leader of 63 took in 1,500 states a second of
- * which almost none differed, and had no processor time left to lead.
+ * 25 times a second; told each time, a leader of 63 would take in 1,500 states a
+ * second, of which almost none differ.
  */
 export class BeatRecord {
   #told: wire.RankStatus | undefined;
--- a/packages/daemon/src/rank_group/count_plan.ts
+++ b/packages/daemon/src/rank_group/count_plan.ts
@@ -1,9 +1,9 @@
 /**
  * Numbers that the leader of a group takes in a second, one for each expert of each
  * layer in a reading. One or two bytes each, that is a fifth of the slowest host's
- * link (5.6 Mbit/s), and some 3 ms of a processor to decode. Sixty-three ranks that
- * all told ten times a second sent 1.3 million: the link was never empty, no state was
- * fresh, and the first map (slowest rank 3.7 times the mean) stayed in force all day.
+ * link (5.6 Mbit/s). Sixty-three ranks that all tell ten times a second come to 1.3
+ * million, more than that link carries, by sizes and rates; on such days the first map
+ * (slowest rank 3.7 times the mean) stayed in force, and with this bound it does not.
  */
 const NUMBERS_PER_SECOND = 80_000;
 /** How often a rank tells what its requests choose, where all may, in milliseconds. */
--- a/packages/daemon/src/rank_group/map_planner.ts
+++ b/packages/daemon/src/rank_group/map_planner.ts
@@ -19,8 +19,8 @@
 /**
  * Part of the slowest ranks' time that a switch must save, however little its copies
  * cost: orders go to all ranks, and one under way holds up the answer to a shift. In a
- * group of 63 four switches of five took the slowest rank from 1.1 to 1.05 times the
- * mean, for as many copies as a shift takes.
+ * group of 63 most switches took the slowest rank from 1.1 to 1.05 times the mean, for
+ * half as many copies as a shift takes and more.
  */
 const LEAST_SWITCH_SHARE = 0.05;
 /** Time in which the worst skew that was seen is forgotten by half. */
--- a/packages/daemon/src/rank_group/rank_links.ts
+++ b/packages/daemon/src/rank_group/rank_links.ts
@@ -18,8 +18,9 @@
 
 /**
  * Ranks of each kind that are told what a successor needs. Told to all 63 ranks of a
- * large group, 10 KB each, it kept the link of a new leader busy for 0.9 s: its beats
- * came late, the next rank took over, and so on.
+ * large group, some 10 KB each, it keeps a slow link busy for 0.9 s, by size and rate:
+ * beats wait behind it. Two leaders were seen to take over from each other in turn; with
+ * this and maps told as differences they were not.
  */
 const LIKELY_SUCCESSORS = 6;
 
--- a/packages/daemon/src/rank_group/rank_port.ts
+++ b/packages/daemon/src/rank_group/rank_port.ts
@@ -126,7 +126,8 @@
 
   /**
    * Sends a map as changes if it can be. A map of 63 ranks is 4.5 KB and is sent to
-   * each of them: 0.4 s of a slow host's link, and 0.05 s as changes.
+   * each of them: 0.4 s of a slow host's link, by size and rate. As changes it takes as
+   * much less as fewer cells differ.
    */
   async #askShortly(
     link: wire.Link,
--- a/packages/daemon/src/rank_group/worth_of_copy.ts
+++ b/packages/daemon/src/rank_group/worth_of_copy.ts
@@ -21,7 +21,7 @@
 /**
  * Least cost of a copy, however fast it loads: it is moved between hosts and charged
  * for. With it 63 ranks at 150 requests a second load half as many experts (5,728 to
- * 2,372 in 24 s) and all requests are in time as before (virtual time).
+ * 2,635 in 24 s) and all requests are in time as before (virtual time).
  */
 const LEAST_COST = 0.2;
 /** How much longer passes take while ranks load, as engines tell. */
