perf: beats between entries and of ranks travel as lists; counts of others are summed as they come

A rank's state took 240 bytes. Choosing a runner summed the counts of all entries for all runners, for two that are compared. Ruled out: longer periods (a proof of freshness and a peer's silence rest on them).

--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import type * as traffic from "@geraniumkeel/traffic";
 import * as chooseRunner from "./choose_runner.ts";
+import * as outstandingElsewhere from "./outstanding_elsewhere.ts";
 
 /** How a call went, as far as it tells of the runner. */
 export enum CallEnd {
@@ -100,8 +101,7 @@
   readonly #records = new Map<string, RunnerRecord>();
   /** Listed runners that are gone from their addresses, each life of them. */
   #disproved = new Set<string>();
-  /** Requests under way from other entries, by entry and runner. */
-  readonly #others = new Map<string, Map<string, number>>();
+  readonly #others = new outstandingElsewhere.OutstandingElsewhere();
   /** When the next request may be sent to a service that is closed. */
   readonly #nextProbeAt = new Map<string, number>();
   /** Announces that some runner may take work that did not before. */
@@ -140,8 +140,7 @@
 
   /** Takes the counts of another entry; `undefined` when it is gone. */
   setOthers(host: string, counts: Map<string, number> | undefined): void {
-    if (counts) this.#others.set(host, counts);
-    else this.#others.delete(host);
+    this.#others.set(host, counts);
   }
 
   /** Requests under way from this entry, by runner; only runners with any. */
@@ -168,7 +167,7 @@
       if (record.closed && now < record.closedUntil) continue;
       views.push({
         identifier,
-        outstanding: record.own + this.#othersAt(identifier),
+        outstanding: record.own + this.#others.at(identifier),
         slots: entry.slots,
         sameDataCentre: entry.dataCentre === this.parameters.dataCentre,
         failureShare: record.currentFailureShare(now),
@@ -217,7 +216,7 @@
   turnedAway(identifier: string): void {
     const record = this.#records.get(identifier);
     if (!record) return;
-    const load = record.own + this.#othersAt(identifier);
+    const load = record.own + this.#others.at(identifier);
     if (load > record.entry.slots) return;
     record.closed = true;
     record.closedUntil = common.now() + CLOSED_MILLISECONDS;
@@ -304,7 +303,7 @@
       dataCentre: record.entry.dataCentre,
       leaving: record.entry.leaving,
       own: record.own,
-      outstanding: record.own + this.#othersAt(identifier),
+      outstanding: record.own + this.#others.at(identifier),
       failureShare: record.currentFailureShare(now),
       spared: record.isSpared(now),
     }));
@@ -318,14 +317,6 @@
     record.failureShare = before + NEWEST_WEIGHT * (failed - before);
     record.failureSeenAt = now;
   }
-
-  #othersAt(identifier: string): number {
-    let sum = 0;
-    for (const counts of this.#others.values()) {
-      sum += counts.get(identifier) ?? 0;
-    }
-    return sum;
-  }
 }
 
 /** One life of a runner at one address. */
--- a/packages/wire/src/compact.ts
+++ b/packages/wire/src/compact.ts
@@ -1,3 +1,6 @@
+import * as compactMeshBeat from "./compact_mesh_beat.ts";
+import * as compactRankBeat from "./compact_rank_beat.ts";
+import * as isNumbers from "./is_numbers.ts";
 import type * as load from "./load.ts";
 import * as message from "./message.ts";
 
@@ -27,11 +30,11 @@
 const TIME_FIELDS = new Set<string>(["rankMilliseconds", "stepMilliseconds"]);
 
 /**
- * The two messages that are sent all the time, as plain lists of whole numbers.
- * With field names they take 36 and 200 bytes, and over 128 links several times
- * what a node may spend on control.
+ * The messages that are sent all the time, as plain lists. With field names they take
+ * several times the bytes, and over hundreds of links more than a node may spend on
+ * control.
  */
-export function toCompact(value: message.Message): number[] | undefined {
+export function toCompact(value: message.Message): unknown[] | undefined {
   switch (value.kind) {
     case message.MessageKind.Heartbeat:
       return [value.kind, Math.round(value.clock), value.revision];
@@ -44,6 +47,10 @@
           Math.round(value.load[field] * scaleOf(field)),
         ),
       ];
+    case message.MessageKind.MeshBeat:
+      return compactMeshBeat.meshBeatToList(value);
+    case message.MessageKind.RankBeat:
+      return compactRankBeat.rankBeatToList(value);
     default:
       return undefined;
   }
@@ -51,7 +58,18 @@
 
 /** The message of a compact list, or `undefined` if it is none. */
 export function fromCompact(list: unknown[]): message.Message | undefined {
-  if (!list.every((one) => typeof one === "number")) return undefined;
+  switch (list[0] as message.MessageKind) {
+    case message.MessageKind.MeshBeat:
+      return compactMeshBeat.meshBeatFromList(list);
+    case message.MessageKind.RankBeat:
+      return compactRankBeat.rankBeatFromList(list);
+    default:
+      return fromNumbers(list);
+  }
+}
+
+function fromNumbers(list: unknown[]): message.Message | undefined {
+  if (!isNumbers.isNumbers(list)) return undefined;
   const [kind, clock, third, ...rest] = list;
   switch (kind as message.MessageKind) {
     case message.MessageKind.Heartbeat:
--- /dev/null
+++ b/packages/wire/src/compact_test.ts
@@ -0,0 +1,96 @@
+import * as ava from "ava";
+import * as codec from "./codec.ts";
+import type * as mesh from "./mesh.ts";
+import * as message from "./message.ts";
+import type * as rankGroup from "./rank_group.ts";
+
+const test = ava.default;
+
+function createMeshBeat(parts: Partial<mesh.MeshBeat> = {}): mesh.MeshBeat {
+  return {
+    kind: message.MessageKind.MeshBeat,
+    stamp: 1_234,
+    echoedStamp: 77,
+    echoedAge: 12,
+    ready: true,
+    leaving: false,
+    storeReachable: true,
+    configuration: { version: 40_012, age: 310 },
+    runners: { version: 51, age: -1 },
+    outstanding: [
+      ["i-7f3a91c2", 2],
+      ["i-0b", 1],
+    ],
+    ...parts,
+  };
+}
+
+function createRankBeat(chosen: number[]): rankGroup.RankBeat {
+  return {
+    kind: message.MessageKind.RankBeat,
+    token: 114_353_838_688_768,
+    identity: { group: "g0-1", epoch: 2, rank: 5, size: 96 },
+    status: {
+      epoch: 2,
+      open: true,
+      active: 3,
+      waiting: 1,
+      step: 812,
+      mapVersion: 114_353_838_688_001,
+      preparedVersion: 114_353_838_688_065,
+      armedVersion: 0,
+      armedStep: 0,
+      heldStep: -1,
+    },
+    chosen,
+  };
+}
+
+function sent(value: message.Message): message.Message | undefined {
+  const decoded = codec.decode(codec.encode(value));
+  return decoded.isOk() ? decoded.value : undefined;
+}
+
+test("beats arrive as they were sent", (t) => {
+  for (const beat of [
+    createMeshBeat(),
+    createMeshBeat({ ready: false, leaving: true, outstanding: [] }),
+    createRankBeat([0, 5, 300]),
+    createRankBeat([]),
+  ]) {
+    t.deepEqual(sent(beat), beat);
+  }
+});
+
+// An entry cut off from the store serves a key that was taken away: it holds its
+// configuration for fresher than it is, as ages were rounded the wrong way.
+test("a rounded age never makes a proof fresher", (t) => {
+  const beat = createMeshBeat({
+    echoedAge: 12.9,
+    configuration: { version: 1, age: 310.1 },
+    runners: { version: 1, age: 0.2 },
+  });
+  const arrived = sent(beat) as mesh.MeshBeat;
+  t.true(arrived.echoedAge <= beat.echoedAge);
+  t.true(arrived.configuration.age >= beat.configuration.age);
+  t.true(arrived.runners.age >= beat.runners.age);
+});
+
+test("an idle entry's beat takes under 50 bytes, a rank's state under 80", (t) => {
+  t.true(codec.encode(createMeshBeat({ outstanding: [] })).byteLength < 50);
+  t.true(codec.encode(createRankBeat([])).byteLength < 80);
+});
+
+test("a list cut short or of other types is no message", (t) => {
+  const beats = [createMeshBeat(), createRankBeat([1])];
+  for (const beat of beats) t.truthy(sent(beat));
+  for (const frame of [
+    [message.MessageKind.MeshBeat, 1, 2],
+    [message.MessageKind.MeshBeat, 1, 2, 3, 4, 5, 6, 7, 8, "i-1"],
+    [message.MessageKind.RankBeat, "g", 1, 2],
+    [message.MessageKind.RankBeat, 1, 2, 3, 4, 5, 6, 7],
+    [message.MessageKind.Heartbeat, "1", 2],
+  ]) {
+    t.true(codec.decode(codec.encode(frame as never)).isErr());
+  }
+});
