perf: a copy must save one percent, and a switch ten, however little loading costs

Fewer copies also make the order and the loading shorter. Small groups: copies cost one and more there, so the one percent changes nothing.

--- a/packages/daemon/src/rank_group/map_planner.ts
+++ b/packages/daemon/src/rank_group/map_planner.ts
@@ -18,11 +18,16 @@
 const COPIES_PER_SWITCH = 3;
 /**
  * Part of the slowest ranks' time that a switch must save, however little its copies
- * cost: orders go to all ranks, and one under way holds up the answer to a shift. In a
- * group of 63 most switches took the slowest rank from 1.1 to 1.05 times the mean, for
- * half as many copies as a shift takes and more.
+ * cost: orders go to all ranks, passes take longer meanwhile, and the next shift finds
+ * the group at it.
  */
-const LEAST_SWITCH_SHARE = 0.05;
+const LEAST_SWITCH_SHARE = 0.1;
+/**
+ * Part of the slowest ranks' time that any copy must save. Where copies are nearly
+ * free, the many that gain next to nothing make the order longer, and every rank waits
+ * for the rank that loads most.
+ */
+const LEAST_COPY_SHARE = 0.01;
 /** Time in which the worst skew that was seen is forgotten by half. */
 const SKEW_HALF_LIFE_MILLISECONDS = 10_000;
 
@@ -77,7 +82,10 @@
       gapMilliseconds,
     });
     const cost = worthOfCopy.costOfCopy(shape, ranks);
-    const leastGainOfCopy = cost * worthOfCopy.leastGainOfCopy(strain);
+    const leastGainOfCopy = Math.max(
+      LEAST_COPY_SHARE,
+      cost * worthOfCopy.leastGainOfCopy(strain),
+    );
     const plan = planQuick.planQuick({
       ranks,
       slots: shape.expertSlots,
