fix: a long answer over a slow link is read to its end

The leader's lines show that rank 0 leads from 38.0 s and switches no map in 23 s. Cause: with nobody left who knows the group's model its leader reads the configuration from the store, 1,520 routes on a link of 0.7 MB/s. Ruled out: leaders that take turns (one term from 38.0 to 61.2 s). Change: the timeout is for silence, before the answer and within it; an answer as a whole may take eight times as long. Three tests, the first failed before.

--- a/packages/backing_services/src/http_client.ts
+++ b/packages/backing_services/src/http_client.ts
@@ -1,5 +1,6 @@
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
+import * as silenceTimer from "./silence_timer.ts";
 
 /** What is known of a request that got no answer. */
 export enum RequestFailureKind {
@@ -53,7 +54,11 @@
 
   constructor(
     readonly origin: string,
-    readonly parameters: { timeoutMilliseconds: number; key?: string },
+    readonly parameters: {
+      /** Longest silence of the far end, before its answer and within it. */
+      timeoutMilliseconds: number;
+      key?: string;
+    },
   ) {
     this.#agent = this.#newAgent();
   }
@@ -78,15 +83,16 @@
     if (this.parameters.key) {
       headers["authorization"] = `Bearer ${this.parameters.key}`;
     }
+    const silence = new silenceTimer.SilenceTimer(timeout);
     try {
       const answer = await undici.request(`${this.origin}${path}`, {
         method,
         dispatcher: agent,
         headers,
         body: body === undefined ? undefined : JSON.stringify(body),
-        signal: AbortSignal.timeout(timeout),
+        signal: silence.signal,
       });
-      const text = await answer.body.text();
+      const text = await silence.read(answer.body);
       const entityTag = String(answer.headers.etag ?? "");
       return neverthrow.ok({
         status: answer.statusCode,
@@ -97,6 +103,8 @@
       const failure = classifyFailure(cause);
       if (failure.kind === RequestFailureKind.Unanswered) this.#replace(agent);
       return neverthrow.err(failure);
+    } finally {
+      silence.stop();
     }
   }
 
--- a/packages/backing_services/src/http_client_test.ts
+++ b/packages/backing_services/src/http_client_test.ts
@@ -68,3 +68,62 @@
   t.true(connections() >= 2);
   await client.close();
 });
+
+/** Answers piece by piece, with a pause before each. */
+function answerSlowly(
+  response: http.ServerResponse,
+  pieces: string[],
+  pauseMilliseconds: number,
+): void {
+  const left = [...pieces];
+  const timer = setInterval(() => {
+    const piece = left.shift();
+    if (piece === undefined) clearInterval(timer);
+    if (piece === undefined) response.end();
+    else response.write(piece);
+  }, pauseMilliseconds);
+  response.once("close", () => clearInterval(timer));
+}
+
+// After all hosts lost power a group keeps its first map, and every stream is late. Its
+// leader reads a configuration of many routes over a slow link; given up after a fixed
+// time, the answer is asked for again and again and never there.
+test("an answer that goes on coming is read to its end", async (t) => {
+  const pieces = Array.from({ length: 10 }, (_, index) => `piece ${index} `);
+  const { client } = await fixture(
+    t,
+    (_request, response) => answerSlowly(response, pieces, 100),
+    300,
+  );
+  const answer = await client.request("GET", "/");
+  t.is(answer.isOk() && answer.value.body, pieces.join(""));
+  await client.close();
+});
+
+// A connection goes silent in the middle of an answer, and nothing ever ends it.
+test("an answer that stops coming is given up", async (t) => {
+  const { client } = await fixture(
+    t,
+    (_request, response) => void response.write("the first half"),
+    200,
+  );
+  const answer = await client.request("GET", "/");
+  t.is(
+    answer.isErr() && answer.error.kind,
+    httpClient.RequestFailureKind.Unanswered,
+  );
+  await client.close();
+});
+
+// A far end that trickles is given up in the end: what asked would wait for good.
+test("an answer that takes far too long as a whole is given up", async (t) => {
+  const pieces = new Array<string>(1_000).fill("x");
+  const { client } = await fixture(
+    t,
+    (_request, response) => answerSlowly(response, pieces, 20),
+    60,
+  );
+  const answer = await client.request("GET", "/");
+  t.true(answer.isErr());
+  await client.close();
+});
