fix: a process that wakes from a freeze does not take the lead back

Now it waits 2 s. Ruled out: trusting the token alone for good, as its holder may have died. The leader also logs when it cannot read the configuration.

--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -25,6 +25,12 @@
  * 50 ms, and a leader that is succeeded too early loses that one switch.
  */
 const HELD_MILLISECONDS = 300;
+/**
+ * The same after a rank has told of a newer leader. A process that wakes from a freeze
+ * is linked anew within a second; taking the lead back meanwhile, it undoes the switch
+ * that its successor has begun. Should that one die, other ranks are less patient.
+ */
+const SUCCEEDED_MILLISECONDS = 2_000;
 /** How often it is looked whether there is a leader. */
 const LOOK_MILLISECONDS = 50;
 /** Longest time that a stopping process waits for its switch to end. */
@@ -76,6 +82,8 @@
   readonly #follower: leaderFollower.LeaderFollower;
   #term: Term | undefined;
   #stopping = false;
+  /** When a rank last told that another process leads by a higher token. */
+  #succeededAt = -Infinity;
   /** Demand as seen in the latest term of this process. */
   #demand: demandModule.Demand | undefined;
 
@@ -175,6 +183,8 @@
   #patienceWithLeader({ rank }: wire.RankIdentity): number {
     const holds = (this.#member.status?.heldStep ?? -1) >= 0;
     if (holds) return HELD_MILLISECONDS;
+    const sinceSucceeded = common.now() - this.#succeededAt;
+    if (sinceSucceeded < SUCCEEDED_MILLISECONDS) return SUCCEEDED_MILLISECONDS;
     return LEADERLESS_MILLISECONDS + rank * LEADERLESS_STAGGER_MILLISECONDS;
   }
 
@@ -289,6 +299,7 @@
         this.#term?.leader?.count(chosenAt, chosen),
       onOwnCounts: (milliseconds) => this.#member.countEvery(milliseconds),
       onHigherToken: (higher) => {
+        this.#succeededAt = common.now();
         this.#member.heed(higher);
         this.#endTerm("a higher token is known");
       },
@@ -310,9 +321,15 @@
   }
 
   async #readModel(signal: AbortSignal): Promise<wire.GroupModel | undefined> {
-    const { configurationSource, service } = this.parameters;
+    const { configurationSource, service, logger } = this.parameters;
+    let told = false;
     while (!signal.aborted) {
       const read = await configurationSource.next(0);
+      if (read.isErr() && !told) {
+        told = true;
+        const code = common.EventCode.DocumentUnavailable;
+        logger.event(code, { document: "configuration", ...read.error });
+      }
       const value = read.isOk() ? read.value.value : undefined;
       const model = value && modelOf(value, service);
       if (model) return model;
