--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -12,6 +12,7 @@
 import type * as rankEngine from "./rank_engine.ts";
 import * as rankMember from "./rank_member.ts";
 import * as rankLinks from "./rank_links.ts";
+import * as readGroupModel from "./read_group_model.ts";
 
 /**
  * Silence of a leader after which a rank takes its place: over three beats, and more
@@ -36,8 +37,6 @@
 /** Longest time that a stopping process waits for its switch to end. */
 const DRAIN_MILLISECONDS = 3_000;
 const DRAIN_LOOK_MILLISECONDS = 20;
-/** Pause before the store is asked again for the shape of the engines. */
-const SHAPE_PAUSE_MILLISECONDS = 300;
 /**
  * Age up to which demand seen in the term before is planned by: a group is formed
  * anew in two to three seconds, and what is liked changes every few seconds.
@@ -245,7 +244,8 @@
       await common.sleep(LOOK_MILLISECONDS, signal);
     }
     const model =
-      this.#follower.knowledge?.model ?? (await this.#readModel(signal));
+      this.#follower.knowledge?.model ??
+      (await readGroupModel.readGroupModel({ ...this.parameters, signal }));
     if (!model || signal.aborted) return;
     const { layers, expertsPerLayer } = model.shape;
     links.numbersPerReading = layers * expertsPerLayer;
@@ -319,38 +319,4 @@
     this.#demand = new demandModule.Demand(shape.expertsPerLayer);
     return this.#demand;
   }
-
-  async #readModel(signal: AbortSignal): Promise<wire.GroupModel | undefined> {
-    const { configurationSource, service, logger } = this.parameters;
-    let told = false;
-    while (!signal.aborted) {
-      const read = await configurationSource.next(0);
-      if (read.isErr() && !told) {
-        told = true;
-        const code = common.EventCode.DocumentUnavailable;
-        logger.event(code, { document: "configuration", ...read.error });
-      }
-      const value = read.isOk() ? read.value.value : undefined;
-      const model = value && modelOf(value, service);
-      if (model) return model;
-      await common.sleep(SHAPE_PAUSE_MILLISECONDS, signal);
-    }
-    return undefined;
-  }
-}
-
-/** What the configuration says of a service's engines and of their streams. */
-function modelOf(
-  configuration: traffic.TrafficConfiguration,
-  service: string,
-): wire.GroupModel | undefined {
-  const { services, routes } = configuration;
-  const shape = services.find(({ name }) => name === service)?.engine;
-  if (!shape) return undefined;
-  const gaps = routes.flatMap(({ shares, gapMilliseconds }) =>
-    gapMilliseconds > 0 && shares.some((share) => share.service === service)
-      ? [gapMilliseconds]
-      : [],
-  );
-  return { shape, gapMilliseconds: gaps.length > 0 ? Math.min(...gaps) : 0 };
 }
--- /dev/null
+++ b/packages/daemon/src/rank_group/read_group_model.ts
@@ -0,0 +1,46 @@
+import * as common from "@geraniumkeel/common";
+import type * as traffic from "@geraniumkeel/traffic";
+import type * as wire from "@geraniumkeel/wire";
+
+/** Pause before the store is asked again for the shape of the engines. */
+const PAUSE_MILLISECONDS = 300;
+
+/** Reads from the configuration what a group's engines are, until it is there. */
+export async function readGroupModel(parameters: {
+  configurationSource: traffic.DocumentSource<traffic.TrafficConfiguration>;
+  service: string;
+  logger: common.Logger;
+  signal: AbortSignal;
+}): Promise<wire.GroupModel | undefined> {
+  const { configurationSource, service, logger, signal } = parameters;
+  let told = false;
+  while (!signal.aborted) {
+    const read = await configurationSource.next(0);
+    if (read.isErr() && !told) {
+      told = true;
+      const code = common.EventCode.DocumentUnavailable;
+      logger.event(code, { document: "configuration", ...read.error });
+    }
+    const value = read.isOk() ? read.value.value : undefined;
+    const model = value && modelOf(value, service);
+    if (model) return model;
+    await common.sleep(PAUSE_MILLISECONDS, signal);
+  }
+  return undefined;
+}
+
+/** What the configuration says of a service's engines and of their streams. */
+function modelOf(
+  configuration: traffic.TrafficConfiguration,
+  service: string,
+): wire.GroupModel | undefined {
+  const { services, routes } = configuration;
+  const shape = services.find(({ name }) => name === service)?.engine;
+  if (!shape) return undefined;
+  const gaps = routes.flatMap(({ shares, gapMilliseconds }) =>
+    gapMilliseconds > 0 && shares.some((share) => share.service === service)
+      ? [gapMilliseconds]
+      : [],
+  );
+  return { shape, gapMilliseconds: gaps.length > 0 ? Math.min(...gaps) : 0 };
+}
