--- a/packages/daemon/src/rank_group/group_leader.ts
+++ b/packages/daemon/src/rank_group/group_leader.ts
@@ -122,8 +122,7 @@
   }
 
   async #improve(): Promise<void> {
-    const { ports, identity, shape, logger, own, valid } = this.parameters;
-    const { demand, announceHold } = this.parameters;
+    const { ports, shape, identity } = this.parameters;
     const armed = ports.some(({ status }) => (status?.armedVersion ?? 0) > 0);
     if (armed || !this.#planner.isDue(common.now())) return;
     const map = await this.#currentMap();
@@ -135,11 +134,35 @@
       mapDifference.placesOf(map, shape.expertsPerLayer),
     );
     if (!planned) return;
-    const { plan, strain } = planned;
-    const { distance, shifts } = demand;
     const planMilliseconds = common.now() - startedAt;
-    const next = mapDifference.mapOf(plan.places, identity.size);
+    const { distance, shifts } = this.parameters.demand;
+    const before = { distance, shifts, planMilliseconds };
     const version = this.#nextVersion();
+    const next = mapDifference.mapOf(planned.plan.places, identity.size);
+    const outcome = await this.#switchTo(next, version, map);
+    this.#log(version, planned, before, outcome);
+    switch (outcome.kind) {
+      case switchGroup.GroupSwitchKind.Done:
+        this.#map = next;
+        this.#mapVersion = version;
+        return;
+      case switchGroup.GroupSwitchKind.Outdated:
+        return;
+      case switchGroup.GroupSwitchKind.Superseded:
+        return this.parameters.onSuperseded(outcome.detail);
+      case switchGroup.GroupSwitchKind.GivenUp:
+      case switchGroup.GroupSwitchKind.Unfinished:
+        this.#mapVersion = -1;
+    }
+  }
+
+  async #switchTo(
+    next: wire.RankMap,
+    version: number,
+    map: wire.RankMap,
+  ): Promise<switchGroup.GroupSwitchOutcome> {
+    const { ports, own, valid, demand, announceHold } = this.parameters;
+    const { shifts } = demand;
     const holder = this.#chooseHolder();
     this.#switching = true;
     const outcome = await switchGroup.switchGroup({
@@ -159,39 +182,37 @@
     if (outcome.armMilliseconds > 0) {
       this.#lead.noteArming(outcome.armMilliseconds);
     }
+    return outcome;
+  }
+
+  #log(
+    version: number,
+    { plan, strain }: mapPlanner.PlannedMap,
+    before: { distance: number; shifts: number; planMilliseconds: number },
+    outcome: switchGroup.GroupSwitchOutcome,
+  ): void {
+    const { identity, demand, logger } = this.parameters;
+    const { group, epoch, size } = identity;
+    const skewNow = planPlacement.skewOf([...demand.load], plan.places, size);
     logger.event(eventOf(outcome.kind), {
-      group: identity.group,
-      epoch: identity.epoch,
+      group,
+      epoch,
       version,
-      distance: rounded(distance),
-      shifts,
+      distance: rounded(before.distance),
+      shifts: before.shifts,
       strain: rounded(strain),
       copies: plan.copies,
       mostCopiesOfRank: plan.mostCopiesOfRank,
       skewBefore: rounded(plan.skewBefore),
       skewAfter: rounded(plan.skewAfter),
-      skewNow: rounded(
-        planPlacement.skewOf([...demand.load], plan.places, identity.size),
-      ),
-      planMilliseconds: Math.round(planMilliseconds),
+      skewNow: rounded(skewNow),
+      planMilliseconds: Math.round(before.planMilliseconds),
       prepareMilliseconds: Math.round(outcome.prepareMilliseconds),
       lastToLoad: outcome.lastToLoad,
       armMilliseconds: Math.round(outcome.armMilliseconds),
+      kind: outcome.kind,
       detail: outcome.detail,
     });
-    switch (outcome.kind) {
-      case switchGroup.GroupSwitchKind.Done:
-        this.#map = next;
-        this.#mapVersion = version;
-        return;
-      case switchGroup.GroupSwitchKind.Outdated:
-        return;
-      case switchGroup.GroupSwitchKind.Superseded:
-        return this.parameters.onSuperseded(outcome.detail);
-      case switchGroup.GroupSwitchKind.GivenUp:
-      case switchGroup.GroupSwitchKind.Unfinished:
-        this.#mapVersion = -1;
-    }
   }
 
   #notePass(): void {
