fix: no rank tells counts before its leader knows the engines

Cause: while the engines are not known a reading counts as no numbers, so all ranks were asked to tell, each 80 ms as the group is young: 2.6 MB/s by sizes on a link of 0.7 MB/s, over which the leader reads what it lacks.

--- a/packages/daemon/src/rank_group/count_plan.ts
+++ b/packages/daemon/src/rank_group/count_plan.ts
@@ -29,6 +29,12 @@
   linkBytesPerSecond: number;
 }): CountPlan {
   const { linked, numbersPerReading, linkBytesPerSecond } = parameters;
+  // A leader that does not know the engines can plan nothing by counts. Told by all
+  // ranks of a busy group they fill its link, and what it reads to know the engines
+  // never arrives: the group keeps its first map, and all streams are late.
+  if (numbersPerReading <= 0) {
+    return { tellers: new Set(), periodMilliseconds: COUNT_MILLISECONDS };
+  }
   const readingBytes = numbersPerReading * BYTES_PER_NUMBER;
   const most = linkBytesPerSecond * LINK_SHARE;
   const perSecond = (ranks: number) =>
--- a/packages/daemon/src/rank_group/rank_member.ts
+++ b/packages/daemon/src/rank_group/rank_member.ts
@@ -122,6 +122,7 @@
   countEvery(milliseconds: number): void {
     const before = this.#askedMilliseconds;
     this.#askedMilliseconds = milliseconds;
+    if (milliseconds === 0) this.#untold = [];
     // What was counted while nobody asked is of the past.
     if (before === 0 && milliseconds > 0) this.#counts = undefined;
   }
--- a/packages/daemon/src/rank_group/rank_member_test.ts
+++ b/packages/daemon/src/rank_group/rank_member_test.ts
@@ -113,6 +113,22 @@
   t.deepEqual(await toldBy(t, { mapVersion: 4, counts, births }), [25, 70]);
 });
 
+// A new leader's link is full for as long as it needs to know its group: each rank of a
+// busy group tells it first all that it has counted while nobody led.
+test("what was counted before a leader asks for nothing is not told", async (t) => {
+  const counts = [[1], [5], [9]];
+  const { engine, allRead } = engineOf({ mapVersion: 4, counts });
+  const member = new rankMember.RankMember(engine);
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  void member.watch(stop.signal);
+  while (!allRead()) {
+    await member.changed.next(PATIENCE_MILLISECONDS, stop.signal);
+  }
+  member.countEvery(0);
+  t.deepEqual(member.takeChosen(), []);
+});
+
 const READINGS_WHILE_LOADING = 20;
 /** Calm readings would take 6 s, close ones 0.8 s. */
 const LOADING_SEEN_MILLISECONDS = 3_500;
