fix: a rank's older state in a reply is not put over that of a newer beat

Cause: a rank sends the reply to its order, with the state from before, and some ms later the state that says 'loaded'. Has the leader both at once, as it has 62 replies to go through, the beat is noted first and the reply by who waits for it, some turns of the event loop later: the leader waits for the rank's next beat, a quarter of a second. Ruled out: loading (same with 3 copies and 5), the order's bytes, timeouts of engines. Change: the state in a reply is noted as it arrives. Test failed before.

--- a/packages/daemon/src/rank_group/rank_port.ts
+++ b/packages/daemon/src/rank_group/rank_port.ts
@@ -71,6 +71,10 @@
     if (link !== this.#link) return;
     switch (message.kind) {
       case wire.MessageKind.RankReply:
+        // Noted here, in the order of arrival, and not by who waits for the reply: that
+        // one goes on later, and would put an older state over that of a newer beat.
+        // The leader then waits for a state that it has had, until the next beat.
+        if (message.status) this.hear(message.status);
         return this.#waiting.get(message.question)?.(message);
       case wire.MessageKind.RankListsAnswer:
         return this.#waitingLists.get(message.question)?.(message.lists);
@@ -106,9 +110,7 @@
     const link = this.#link;
     const reply =
       link && this.linked ? await this.#askShortly(link, order) : undefined;
-    if (!reply) return this.orderFromHere(order);
-    if (reply.status) this.hear(reply.status);
-    return reply;
+    return reply ?? this.orderFromHere(order);
   }
 
   /** Gives an order to the engine itself and tells how it ended. */
--- /dev/null
+++ b/packages/daemon/src/rank_group/rank_port_test.ts
@@ -0,0 +1,60 @@
+import * as ava from "ava";
+import * as wire from "@geraniumkeel/wire";
+import type * as rankEngine from "./rank_engine.ts";
+import * as rankFixture from "./rank_fixture.ts";
+import * as rankPort from "./rank_port.ts";
+
+const test = ava.default;
+
+const VERSION = 5;
+
+/** A link that answers a command with a state of before it, and at once with a newer. */
+function createLink(port: rankPort.LinkedRank): wire.Link {
+  const link = {
+    end: undefined,
+    send: (command: wire.RankCommand) => {
+      const kind = wire.MessageKind.RankReply as const;
+      const end = wire.RankOrderEnd.Done;
+      const status = rankFixture.createStatus({ preparedVersion: 0 });
+      const { question } = command;
+      port.receive({ kind, question, end, detail: "", token: 1, status }, link);
+      port.hear(rankFixture.createStatus({ preparedVersion: VERSION }));
+    },
+  } as unknown as wire.Link;
+  return link;
+}
+
+// Streams wait for the slowest rank a quarter of a second longer with most switches: a
+// rank tells that it has loaded the map right after it took the order. The leader has
+// both messages at once, and the state in the reply, which is older, stays.
+test("a state that came after a reply is not put back by it", async (t) => {
+  const port = new rankPort.LinkedRank(1, {} as rankEngine.RankEngine, () => ({
+    token: 1,
+    epoch: 1,
+  }));
+  port.attach(createLink(port));
+  const kind = wire.RankOrderKind.Prepare as const;
+  const reply = await port.order({ kind, version: VERSION, map: [] });
+  t.is(reply.end, wire.RankOrderEnd.Done);
+  t.is(port.status?.preparedVersion, VERSION);
+});
+
+test("a reply tells the state where nothing newer came", async (t) => {
+  const port = new rankPort.LinkedRank(1, {} as rankEngine.RankEngine, () => ({
+    token: 1,
+    epoch: 1,
+  }));
+  const status = rankFixture.createStatus({ step: 40 });
+  const link = {
+    end: undefined,
+    send: ({ question }: wire.RankCommand) => {
+      const kind = wire.MessageKind.RankReply as const;
+      const end = wire.RankOrderEnd.Done;
+      port.receive({ kind, question, end, detail: "", token: 1, status }, link);
+    },
+  } as unknown as wire.Link;
+  port.attach(link);
+  await port.order({ kind: wire.RankOrderKind.Release, step: 41 });
+  t.is(port.status?.step, 40);
+  t.true(port.fresh);
+});
