--- a/packages/stand_ins/src/system/frozen_leader_test.ts
+++ b/packages/stand_ins/src/system/frozen_leader_test.ts
@@ -2,8 +2,6 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
 import * as daemon from "@geraniumkeel/daemon/forwarding_mod";
-import * as entryMesh from "@geraniumkeel/daemon/mesh/entry_mesh";
-import * as listen from "@geraniumkeel/daemon/settings/listen";
 import * as wire from "@geraniumkeel/wire";
 import * as rankGroupStandIn from "../rank_group_stand_in.ts";
 import * as rankProcesses from "../testing/rank_processes.ts";
@@ -44,13 +42,7 @@
   const epoch = group.status(LEADER).epoch;
   for (let rank = 0; rank < RANKS; rank++) {
     if (rank === LEADER) continue;
-    const dialled = await wire.dial({
-      url: `ws://${rankProcesses.addressOf(rank)}:${linkPort}${listen.LINK_PATH}`,
-      key: entryMesh.LINK_WORD,
-      timing: entryMesh.LINK_TIMING,
-      heartbeat: entryMesh.noHeartbeat,
-    });
-    const link = dialled._unsafeUnwrap();
+    const link = await rankProcesses.dialRank(rank, linkPort);
     lifeCycle.own({ name: "link", close: () => link.close() });
     const token = 1;
     link.send({
--- a/packages/stand_ins/src/system/woken_leader_test.ts
+++ b/packages/stand_ins/src/system/woken_leader_test.ts
@@ -43,13 +43,7 @@
     },
   });
   const lead = async () => {
-    const dialled = await wire.dial({
-      url: `ws://${rankProcesses.addressOf(WOKEN)}:${linkPort}${listen.LINK_PATH}`,
-      key: entryMesh.LINK_WORD,
-      timing: entryMesh.LINK_TIMING,
-      heartbeat: entryMesh.noHeartbeat,
-    });
-    const link = dialled._unsafeUnwrap();
+    const link = await rankProcesses.dialRank(WOKEN, linkPort);
     const timer = setInterval(() => {
       const kind = wire.MessageKind.LeaderBeat;
       const countMilliseconds = 0;
--- a/packages/stand_ins/src/testing/rank_processes.ts
+++ b/packages/stand_ins/src/testing/rank_processes.ts
@@ -2,7 +2,10 @@
 import type * as net from "node:net";
 import * as common from "@geraniumkeel/common";
 import * as daemon from "@geraniumkeel/daemon/forwarding_mod";
+import * as entryMesh from "@geraniumkeel/daemon/mesh/entry_mesh";
+import * as listen from "@geraniumkeel/daemon/settings/listen";
 import * as traffic from "@geraniumkeel/traffic";
+import * as wire from "@geraniumkeel/wire";
 import * as neverthrow from "neverthrow";
 import type * as rankGroupStandIn from "../rank_group_stand_in.ts";
 
@@ -59,6 +62,20 @@
   return port;
 }
 
+/** Opens a link to the process beside a rank, as another rank's process does. */
+export async function dialRank(
+  rank: number,
+  linkPort: number,
+): Promise<wire.Link> {
+  const dialled = await wire.dial({
+    url: `ws://${addressOf(rank)}:${linkPort}${listen.LINK_PATH}`,
+    key: entryMesh.LINK_WORD,
+    timing: entryMesh.LINK_TIMING,
+    heartbeat: entryMesh.noHeartbeat,
+  });
+  return dialled._unsafeUnwrap();
+}
+
 /** Whether the store answers the processes beside the ranks. */
 export enum StoreState {
   Away = "away",
