--- a/packages/daemon/src/forwarding/choose_runner.ts
+++ b/packages/daemon/src/forwarding/choose_runner.ts
@@ -42,12 +42,10 @@
 }
 
 /**
- * Runners that are compared for a request, drawn anew each time. Entries know of each
- * other's requests a beat late: 45 entries that compare all 63 runners send the 60
- * requests of a beat to the same few, whose queues overflow while others idle. Of two
- * drawn at random the emptier one is taken by each entry without herding. In virtual
- * time with counts 0.3 s old (`measure -- choice`): 63 ranks at 190 requests a second 62
- * in 100 in time by comparing all and over 99 by two; 12 ranks at 40 a second 93 and 97.
+ * Runners that are compared for a request, drawn anew each time (the power of two
+ * choices). Entries know of each other's requests a beat late: if all of them compared
+ * all runners, the requests of a beat would go to the same few, whose queues overflow
+ * while others idle. Of two drawn at random each entry takes the emptier one.
  */
 const COMPARED = 2;
 /** Runners up to which all are compared: little can be sent blindly to so few. */
--- a/packages/daemon/src/rank_group/demand.ts
+++ b/packages/daemon/src/rank_group/demand.ts
@@ -22,10 +22,8 @@
 const NEWEST_WEIGHT = 0.08;
 /**
  * Time after a shift was seen in which the latest readings alone are gone by. The
- * first of them began before the shift and are half of the past: kept, they had the
- * map made twice (slowest rank 1.60 times the mean over a day of twelve ranks, and
- * 1.47 with this, with a tenth fewer copies; virtual time, demand that shifts every
- * 3.2 s).
+ * first of them began before the shift and are half of the past: kept, they would have
+ * the map made twice.
  */
 const PURGE_MILLISECONDS = 150;
 /** Choices, by weight, below which a view says nothing. */
--- a/packages/daemon/src/rank_group/lead_steps.ts
+++ b/packages/daemon/src/rank_group/lead_steps.ts
@@ -14,8 +14,7 @@
  * How many passes ahead a switch is aimed. A pass that is held before all ranks are
  * armed holds up every stream of the group; one too far ahead leaves the slow map in
  * force for longer. So the distance follows the time that arming took lately. For days
- * on which engines leave a tenth of the orders unanswered: arming then takes 50 to 190
- * ms, three to four passes, in place of 40.
+ * on which engines leave many orders unanswered, and arming takes several passes.
  */
 export class LeadSteps {
   #armMilliseconds = 0;
--- a/packages/daemon/src/rank_group/rank_links.ts
+++ b/packages/daemon/src/rank_group/rank_links.ts
@@ -17,10 +17,9 @@
 const KNOWLEDGE_MILLISECONDS = 2_000;
 
 /**
- * Ranks of each kind that are told what a successor needs. Told to all 63 ranks of a
- * large group, some 10 KB each, it keeps a slow link busy for 0.9 s, by size and rate:
- * beats wait behind it. Two leaders were seen to take over from each other in turn; with
- * this and maps told as differences they were not.
+ * Ranks of each kind that are told what a successor needs. Told to all ranks of a large
+ * group it keeps a slow link busy for long: beats wait behind it, and ranks that hear
+ * none take the lead from each other in turn.
  */
 const LIKELY_SUCCESSORS = 6;
 
--- a/packages/daemon/src/rank_group/rank_member.ts
+++ b/packages/daemon/src/rank_group/rank_member.ts
@@ -31,8 +31,8 @@
 const LOOK_CLOSELY_MILLISECONDS = 100;
 /**
  * Longest time for which the state is read often while a map is loaded. Engines do
- * not all count loading as being busy: read seldom meanwhile, a map that was loaded
- * in 0.2 s was seen after 0.47 s, and one of 0.5 s after 0.77 s.
+ * not all count loading as being busy: read seldom meanwhile, a map that is loaded is
+ * seen a calm period later.
  */
 const LOADING_MILLISECONDS = 4_000;
 /** Maps of earlier orders that are kept: the one in force, and two after it. */
--- a/packages/daemon/src/rank_group/worth_of_copy.ts
+++ b/packages/daemon/src/rank_group/worth_of_copy.ts
@@ -9,28 +9,21 @@
 const EASY_STRAIN = 0.6;
 const FULL_STRAIN = 1;
 /**
- * Part of the slowest ranks' time that loading one expert must save. Every copy
- * takes the link of a rank for a while and is charged for. With room, only the worst
- * peaks are levelled: at three quarters of the gap this halves the copies of a day
- * (381 to 240 in 34 s, twelve ranks in virtual time) and no answer is later for it.
- * Near the gap one percent pays: a stream that pauses too long is late as a whole,
- * and all streams of a group pause together.
+ * Part of the slowest ranks' time that loading one expert must save. Every copy takes
+ * the link of a rank for a while. With room, only the worst peaks are levelled, as no
+ * answer is later for the others. Near the gap one percent pays: a stream that pauses
+ * too long is late as a whole, and all streams of a group pause together.
  */
 const EASY_GAIN = 0.04;
 const FULL_GAIN = 0.01;
-/**
- * Least cost of a copy, however fast it loads: it is moved between hosts and charged
- * for. With it 63 ranks at 150 requests a second load half as many experts (5,728 to
- * 2,635 in 24 s) and all requests are in time as before (virtual time).
- */
+/** Least cost of a copy, however fast it loads: it is moved between hosts. */
 const LEAST_COST = 0.2;
 /** How much longer passes take while ranks load, as engines tell. */
 const LOADING_SLOWDOWN = 1.15;
 /**
  * Time that the rest of a switch takes, in milliseconds. Loading as long as that is
  * cheap; longer, a first small change that comes sooner is worth more than a better
- * one later: one copy a rank at 98 ms each had 96 in 100 answers in time where six
- * had 87 (twelve ranks, 44 requests a second, virtual time).
+ * one later.
  */
 const SWITCH_MILLISECONDS = 150;
 
@@ -80,10 +73,9 @@
 
 /**
  * What loading one expert costs, over what it costs where one millisecond of a rank's
- * link is spent for each request that gains by the faster pass: about that in groups
- * of eight (74 ms, 64 requests) and of twelve (98 ms, 96 requests). With 63 ranks it
- * is a thirtieth (14 ms, 441 requests): weighed alike, copies that are nearly free
- * were left out and the slowest rank stayed at 1.9 times the mean, not 1.2.
+ * link is spent for each request that gains by the faster pass. In a large group many
+ * gain by a short copy: weighed as in a small one, copies that are nearly free would be
+ * left out and the slowest rank would stay slow.
  */
 export function costOfCopy(shape: traffic.EngineShape, ranks: number): number {
   const { copyMilliseconds, slots } = shape;
--- a/packages/wire/src/packed_document.ts
+++ b/packages/wire/src/packed_document.ts
@@ -3,9 +3,8 @@
 import * as neverthrow from "neverthrow";
 
 /**
- * A document as it travels between entries: MessagePack, deflated. A configuration of
- * 580 routes is 158 KB as JSON, and most of it repeats: deflated by the fastest level it
- * is 11 KB (`measure -- gateway`), for about a millisecond of a processor a version.
+ * A document as it travels between our processes: MessagePack, deflated by the fastest
+ * level. Most of a configuration of hundreds of routes repeats.
  */
 export type PackedDocument = Uint8Array;
 
