fix: the map in force is remembered however many maps are loaded and left

A map that demand has left behind is dropped after it was loaded; three of them pushed the one in force out of what a rank remembers, and the next order was sent whole to it. Found by reading; the test failed before.

--- a/packages/daemon/src/rank_group/rank_member.ts
+++ b/packages/daemon/src/rank_group/rank_member.ts
@@ -158,8 +158,12 @@
   #awaitMap({ version, map }: { version: number; map: wire.RankMap }): void {
     this.#awaited = { version, until: common.now() + LOADING_MILLISECONDS };
     this.#maps.set(version, map);
-    const [oldest] = this.#maps.keys();
-    if (this.#maps.size > KEPT_MAPS) this.#maps.delete(oldest);
+    if (this.#maps.size <= KEPT_MAPS) return;
+    // However many maps are loaded and left unused, the next one is told as changes to
+    // the one in force.
+    const inForce = this.status?.mapVersion;
+    const oldest = [...this.#maps.keys()].find((known) => known !== inForce);
+    if (oldest !== undefined) this.#maps.delete(oldest);
   }
 
   async #read(): Promise<void> {
--- a/packages/daemon/src/rank_group/rank_member_test.ts
+++ b/packages/daemon/src/rank_group/rank_member_test.ts
@@ -129,6 +129,28 @@
   t.deepEqual(member.takeChosen(), []);
 });
 
+// A shift of demand is answered later than it could be: maps that were loaded and left
+// unused push out the one in force, and the next one has to be sent whole.
+test("the map in force is remembered while others are loaded and left", async (t) => {
+  const { engine } = engineOf({ mapVersion: 4, counts: [[1]] });
+  const member = new rankMember.RankMember({
+    ...engine,
+    order: async () => rankEngine.EngineAnswer.Accepted,
+  });
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  void member.watch(stop.signal);
+  await member.changed.next(PATIENCE_MILLISECONDS, stop.signal);
+  const kind = wire.RankOrderKind.Prepare as const;
+  for (let version = 4; version < 10; version++) {
+    const order = { kind, version, map: [[[version]]] };
+    await member.execute({ token: 1, epoch: 2, order });
+  }
+  t.deepEqual(member.mapOf(4), [[[4]]]);
+  t.deepEqual(member.mapOf(9), [[[9]]]);
+  t.is(member.mapOf(5), undefined);
+});
+
 const READINGS_WHILE_LOADING = 20;
 /** Calm readings would take 6 s, close ones 0.8 s. */
 const LOADING_SEEN_MILLISECONDS = 3_500;
