--- a/packages/daemon/src/rank_group/demand.ts
+++ b/packages/daemon/src/rank_group/demand.ts
@@ -11,9 +11,9 @@
 /**
  * Distance between the latest readings and the long view that means a shift of
  * demand, 0 to 1, and the same in times the usual distance. A shift of half of what is
- * liked shows whole in every reading that begins after it, with 0.25 and more. Chance
- * gives 0.03 to 0.06 with forty streams at a time, and 0.08 to 0.14 with twenty-five:
- * taken for shifts, these had a small group plan by a quarter of a second's streams.
+ * liked shows whole in every reading that begins after it. Chance gives less, but more
+ * the fewer streams there are: taken for a shift, it has a small group plan by a
+ * quarter of a second's streams.
  */
 const LEAST_SHIFT_DISTANCE = 0.12;
 const SHIFT_IN_USUAL = 2;
