feat: the log tells which runners ended, and which requests were under way there

An attempt that broke off now has its runner's address looked at, by a connection without a request. A silent host is settled by the list, once another life is registered in its place. RunnerEnded (2101) names the runner, the evidence, and the requests by id and by fingerprint, a hash of account, method, host, path and body. A runner that is leaving explains nothing.

Nothing is decided by it yet.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -55,6 +55,7 @@
   RunnerUnreadable = 1904,
   Forwarded = 2001,
   ForwardRefused = 2002,
+  RunnerEnded = 2101,
 }
 
 /** How much attention an event asks for. */
@@ -357,4 +358,11 @@
       "A request was answered without a runner; `reason` says why, `version` and `age` by which configuration.",
     action: NONE,
   },
+  [EventCode.RunnerEnded]: {
+    level: EventLevel.Warn,
+    meaning:
+      "A runner ended while requests of this entry were under way there; `evidence` tells how it was seen, `runs` which requests by id and fingerprint.",
+    action:
+      "If one fingerprint is in each, look at what that request asks for.",
+  },
 };
--- a/packages/daemon/src/forwarding/attempt_end.ts
+++ b/packages/daemon/src/forwarding/attempt_end.ts
@@ -78,6 +78,22 @@
     : forwardRequest.RefusalKind.MayHaveRun;
 }
 
+/** Whether an attempt ended in a way in which it also ends when its runner does. */
+export function brokeOff(kind: AttemptKind): boolean {
+  switch (kind) {
+    case AttemptKind.Unknown:
+    case AttemptKind.Broken:
+    case AttemptKind.Stalled:
+    case AttemptKind.TimedOut:
+      return true;
+    case AttemptKind.Answered:
+    case AttemptKind.NotRun:
+    case AttemptKind.Failed:
+    case AttemptKind.Left:
+      return false;
+  }
+}
+
 /** What an attempt tells of its runner. */
 export function soundnessOf(kind: AttemptKind): runnerBoard.CallEnd {
   switch (kind) {
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -1,6 +1,8 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
 import type * as retryBudget from "../dispatch/retry_budget.ts";
+import * as fingerprint from "../quarantine/fingerprint.ts";
+import type * as quarantine from "../quarantine/quarantine.ts";
 import * as answerRelay from "./answer_relay.ts";
 import * as attemptEnd from "./attempt_end.ts";
 import * as forwardRequest from "./forward_request.ts";
@@ -40,6 +42,7 @@
   board: runnerBoard.RunnerBoard;
   caller: runnerCaller.RunnerCaller;
   budgetOf: (service: string) => retryBudget.RetryBudget;
+  quarantine: quarantine.Quarantine;
   random: common.Random;
   metrics: common.Metrics;
 }
@@ -60,6 +63,7 @@
   readonly #tried = new Set<string>();
   readonly #expired = new AbortController();
   readonly #relay: answerRelay.AnswerRelay;
+  readonly #fingerprint: fingerprint.LazyFingerprint;
   /** Attempts that ran or may have. */
   #runs = 0;
   /** Runner of the attempt under way. */
@@ -70,7 +74,11 @@
   #firstAfter = -1;
 
   constructor(readonly parameters: ForwardedRequestParameters) {
-    const { route, request, sink } = parameters;
+    const { route, request, account, sink } = parameters;
+    this.#fingerprint = new fingerprint.LazyFingerprint(() => ({
+      ...request,
+      account: account?.name ?? "",
+    }));
     this.#relay = new answerRelay.AnswerRelay({
       sink,
       answerForm: route.answerForm,
@@ -132,11 +140,30 @@
       }
       if (last && !budget.spend()) return last;
       this.#tried.add(runner.identifier);
+      const startedAt = common.now();
       last = await this.#attempt(runner);
+      const explained = this.#explainBreak(last, runner, startedAt);
       if (!attemptEnd.mayRepeat(last, route, this.#runs)) return last;
+      await explained;
     }
   }
 
+  /** Finds out whether an attempt broke off as its runner ended. */
+  async #explainBreak(
+    end: attemptEnd.AttemptEnd,
+    runner: traffic.RunnerEntry,
+    startedAt: number,
+  ): Promise<void> {
+    if (!attemptEnd.brokeOff(end.kind)) return;
+    const { request, quarantine } = this.parameters;
+    await quarantine.brokenOff({
+      request: request.identifier,
+      fingerprint: this.#fingerprint.value,
+      runner,
+      startedAt,
+    });
+  }
+
   /**
    * Waits a moment for a service that is being formed anew; false if there is
    * nothing to wait for, or not for so long.
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import type * as retryBudget from "../dispatch/retry_budget.ts";
 import * as traffic from "@geraniumkeel/traffic";
+import type * as quarantine from "../quarantine/quarantine.ts";
 import * as admitRequest from "./admit_request.ts";
 import * as forwardRequest from "./forward_request.ts";
 import * as forwardedRequest from "./forwarded_request.ts";
@@ -16,6 +17,7 @@
   board: runnerBoard.RunnerBoard;
   caller: runnerCaller.RunnerCaller;
   budgetOf: (service: string) => retryBudget.RetryBudget;
+  quarantine: quarantine.Quarantine;
   random: common.Random;
   logger: common.Logger;
   metrics: common.Metrics;
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -3,6 +3,7 @@
 import * as traffic from "@geraniumkeel/traffic";
 import * as neverthrow from "neverthrow";
 import * as retryBudget from "../dispatch/retry_budget.ts";
+import * as quarantine from "../quarantine/quarantine.ts";
 import * as forwardRequest from "./forward_request.ts";
 import * as forwarderModule from "./forwarder.ts";
 import * as runnerBoard from "./runner_board.ts";
@@ -102,19 +103,28 @@
   scripts: Script[],
 ): Promise<{ seen: Seen; calls: runnerCaller.RunnerCall[] }> {
   const calls: runnerCaller.RunnerCall[] = [];
+  const board = boardOfTwo();
+  const presenceOf = async () => runnerCaller.Presence.Listening;
+  const logger = new common.RecordingLogger();
   const forwarder = new forwarderModule.Forwarder({
     configuration: configurationOf(scene),
     longestProofAge: 4_000,
-    board: boardOfTwo(),
+    board,
     caller: {
+      presenceOf,
       call: (call) => {
         calls.push(call);
         return scripts[calls.length - 1](call);
       },
     },
     budgetOf: () => budget,
+    quarantine: new quarantine.Quarantine({
+      presenceOf,
+      inUse: (runner) => board.inUse(runner),
+      logger,
+    }),
     random: new common.Random(2),
-    logger: new common.RecordingLogger(),
+    logger,
     metrics: common.discardMetrics(),
   });
   const repeats = scene.repeats ?? 5;
--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import type * as traffic from "@geraniumkeel/traffic";
+import * as traffic from "@geraniumkeel/traffic";
 import * as chooseRunner from "./choose_runner.ts";
 import * as outstandingElsewhere from "./outstanding_elsewhere.ts";
 
@@ -121,8 +121,8 @@
     const listed = new Set<string>();
     const disproved = new Set<string>();
     for (const entry of list.runners) {
-      if (this.#disproved.has(lifeOf(entry))) {
-        disproved.add(lifeOf(entry));
+      if (this.#disproved.has(traffic.lifeOf(entry))) {
+        disproved.add(traffic.lifeOf(entry));
         continue;
       }
       listed.add(entry.identifier);
@@ -204,6 +204,13 @@
     return record.entry;
   }
 
+  /** Whether this life of a runner is listed, and not as leaving. */
+  inUse(runner: traffic.RunnerEntry): boolean {
+    const entry = this.#records.get(runner.identifier)?.entry;
+    if (!entry || entry.leaving) return false;
+    return traffic.lifeOf(entry) === traffic.lifeOf(runner);
+  }
+
   /** Whether some runner of a service turns away what it has room for. */
   hasClosed(service: string): boolean {
     for (const { entry, closed } of this.#records.values()) {
@@ -287,9 +294,9 @@
    * seconds, and gets no more for as long.
    */
   drop(runner: traffic.RunnerEntry): void {
-    this.#disproved.add(lifeOf(runner));
+    this.#disproved.add(traffic.lifeOf(runner));
     const record = this.#records.get(runner.identifier);
-    if (record && lifeOf(record.entry) === lifeOf(runner)) {
+    if (record && traffic.lifeOf(record.entry) === traffic.lifeOf(runner)) {
       this.#records.delete(runner.identifier);
     }
   }
@@ -318,9 +325,3 @@
     record.failureSeenAt = now;
   }
 }
-
-/** One life of a runner at one address. */
-function lifeOf(runner: traffic.RunnerEntry): string {
-  const { identifier, bornAt, address, port } = runner;
-  return `${identifier} ${bornAt} ${address}:${port}`;
-}
--- a/packages/daemon/src/forwarding/runner_caller.ts
+++ b/packages/daemon/src/forwarding/runner_caller.ts
@@ -59,7 +59,19 @@
   reason: string;
 }
 
+/** What is found at a runner's address. */
+export enum Presence {
+  /** Something accepts connections. */
+  Listening = "listening",
+  /** The host is there, and nothing accepts connections. */
+  Refused = "refused",
+  /** No word came back in time. */
+  Silent = "silent",
+}
+
 /** Sends requests to runners. */
 export interface RunnerCaller {
   call(call: RunnerCall): Promise<neverthrow.Result<RunnerAnswer, CallFailure>>;
+  /** Looks what is at a runner's address; the runner itself is asked nothing. */
+  presenceOf(runner: traffic.RunnerEntry): Promise<Presence>;
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import type * as runnerCaller from "../forwarding/runner_caller.ts";
 import * as entryMesh from "../mesh/entry_mesh.ts";
 import * as memberRows from "../mesh/member_rows.ts";
+import * as quarantine from "../quarantine/quarantine.ts";
 
 /**
  * Part of the time in which a key that was taken away may still be served, after
@@ -69,6 +70,7 @@
   readonly board: runnerBoard.RunnerBoard;
   readonly forwarder: forwarderModule.Forwarder;
   readonly mesh: entryMesh.EntryMesh;
+  readonly quarantine: quarantine.Quarantine;
   readonly #budgets = new Map<string, retryBudget.RetryBudget>();
   readonly #longestProofAge: number;
   #storeReachable = true;
@@ -83,12 +85,18 @@
       random,
       inLockStep: (service) => this.#inLockStep(service),
     });
+    this.quarantine = new quarantine.Quarantine({
+      presenceOf: (runner) => caller.presenceOf(runner),
+      inUse: (runner) => this.board.inUse(runner),
+      logger,
+    });
     this.forwarder = new forwarderModule.Forwarder({
       configuration: this.configuration,
       longestProofAge: this.#longestProofAge,
       board: this.board,
       caller,
       budgetOf: (service) => this.#budgetOf(service),
+      quarantine: this.quarantine,
       random,
       logger,
       metrics,
@@ -231,7 +239,10 @@
     let version = -1;
     while (!signal.aborted) {
       const list = this.runners.value;
-      if (list && list.version !== version) this.board.update(list);
+      if (list && list.version !== version) {
+        this.board.update(list);
+        this.quarantine.listed(list);
+      }
       version = list?.version ?? version;
       await this.runners.changes.next(BOARD_LOOK_MILLISECONDS, signal);
     }
--- /dev/null
+++ b/packages/daemon/src/quarantine/broken_run.ts
@@ -0,0 +1,30 @@
+import type * as traffic from "@geraniumkeel/traffic";
+
+/** A run of a request that ended without an answer, and not because its caller left. */
+export interface BrokenRun {
+  /** The caller's own name for the request. */
+  request: string;
+  fingerprint: string;
+  runner: traffic.RunnerEntry;
+  /** When it was sent, by this process's monotonic clock. */
+  startedAt: number;
+}
+
+/** How it was found out that a runner has ended. */
+export enum EndEvidence {
+  /** Nothing accepts connections at its address any more. */
+  Refused = "refused",
+  /** Another runner, or another life of it, is listed at its address. */
+  Replaced = "replaced",
+  /** Another entry saw it end. */
+  Told = "told",
+}
+
+/** A runner that ended, with runs of this entry that were under way there. */
+export interface RunnerEnd {
+  runner: traffic.RunnerEntry;
+  /** When it ended, by this process's monotonic clock. */
+  endedAt: number;
+  evidence: EndEvidence;
+  runs: BrokenRun[];
+}
--- /dev/null
+++ b/packages/daemon/src/quarantine/end_watch.ts
@@ -0,0 +1,156 @@
+import * as common from "@geraniumkeel/common";
+import * as traffic from "@geraniumkeel/traffic";
+import * as runnerCaller from "../forwarding/runner_caller.ts";
+import * as brokenRun from "./broken_run.ts";
+
+/**
+ * Time for which a run that broke off waits to be explained, in milliseconds. A runner
+ * that fell silent is listed under a new life some seconds later.
+ */
+const KEPT_MILLISECONDS = 30_000;
+/**
+ * Longest time for which the next attempt of a request waits for the look at the
+ * runner of the last one, in milliseconds. It takes as long as making a connection.
+ */
+const LONGEST_WAIT_MILLISECONDS = 60;
+/** Runs that wait to be explained, at most. */
+const MOST_RUNS = 10_000;
+
+/** A runner's end, as it was seen. */
+interface SeenEnd {
+  at: number;
+  evidence: brokenRun.EndEvidence;
+}
+
+/** What is known of one life of a runner at which runs broke off. */
+interface WatchedRunner {
+  runner: traffic.RunnerEntry;
+  brokenAt: number;
+  /** Runs that are not explained yet. */
+  runs: brokenRun.BrokenRun[];
+  /** The look that is under way. */
+  look: Promise<void> | undefined;
+  /** The runner's end, once it is known. */
+  end: SeenEnd | undefined;
+}
+
+/** What watching runners' ends needs. */
+export interface EndWatchParameters {
+  presenceOf: (runner: traffic.RunnerEntry) => Promise<runnerCaller.Presence>;
+  /** Whether the runner is listed and not leaving. */
+  inUse: (runner: traffic.RunnerEntry) => boolean;
+  /** Told once for each run that a runner's end explains. */
+  onEnd: (end: brokenRun.RunnerEnd) => void;
+}
+
+/**
+ * Tells a runner's end from all else that breaks a run off. A lost link, a frozen host
+ * and a group that lost another rank look the same from the run; only the address of a
+ * runner that ended refuses connections, and is listed under a new life later.
+ */
+export class EndWatch {
+  readonly #watched = new Map<string, WatchedRunner>();
+  #runs = 0;
+
+  constructor(readonly parameters: EndWatchParameters) {}
+
+  /**
+   * Takes a run that broke off; resolves when it is known whether its runner ended, or
+   * after a moment. A runner that is leaving ends as planned, and explains nothing.
+   */
+  async brokenOff(run: brokenRun.BrokenRun): Promise<void> {
+    const { runner } = run;
+    this.#forgetOld();
+    const known = this.#watched.get(traffic.lifeOf(runner));
+    if (known?.end) return this.#explain(runner, known.end, [run]);
+    if (!this.parameters.inUse(runner) || this.#runs >= MOST_RUNS) return;
+    const watched = known ?? this.#watch(runner);
+    watched.runs.push(run);
+    this.#runs++;
+    watched.look ??= this.#look(watched);
+    await common.withTimeout(watched.look, LONGEST_WAIT_MILLISECONDS);
+  }
+
+  /** Another entry saw a life of a runner end, some time ago. */
+  toldEnd(life: string, endedAt: number): void {
+    const watched = this.#watched.get(life);
+    if (!watched || watched.end) return;
+    this.#ended(watched, { at: endedAt, evidence: brokenRun.EndEvidence.Told });
+  }
+
+  /** Takes a new list: a runner whose address another life has now has ended. */
+  listed(list: traffic.RunnerList): void {
+    if (this.#runs === 0) return;
+    const lives = new Map(
+      list.runners.map((entry) => [
+        traffic.placeOf(entry),
+        traffic.lifeOf(entry),
+      ]),
+    );
+    for (const [life, watched] of this.#watched) {
+      const present = lives.get(traffic.placeOf(watched.runner));
+      if (watched.end || !present || present === life) continue;
+      const evidence = brokenRun.EndEvidence.Replaced;
+      this.#ended(watched, { at: watched.brokenAt, evidence });
+    }
+  }
+
+  #watch(runner: traffic.RunnerEntry): WatchedRunner {
+    const watched: WatchedRunner = {
+      runner,
+      brokenAt: common.now(),
+      runs: [],
+      look: undefined,
+      end: undefined,
+    };
+    this.#watched.set(traffic.lifeOf(runner), watched);
+    return watched;
+  }
+
+  async #look(watched: WatchedRunner): Promise<void> {
+    const presence = await this.parameters.presenceOf(watched.runner);
+    watched.look = undefined;
+    switch (presence) {
+      case runnerCaller.Presence.Refused: {
+        if (watched.end) return;
+        const evidence = brokenRun.EndEvidence.Refused;
+        return this.#ended(watched, { at: watched.brokenAt, evidence });
+      }
+      case runnerCaller.Presence.Listening:
+        return this.#forget(watched);
+      case runnerCaller.Presence.Silent:
+        // A host that is cut off or has lost power: the list will tell.
+        return;
+    }
+  }
+
+  #ended(watched: WatchedRunner, end: SeenEnd): void {
+    const { runner, runs } = watched;
+    watched.end = end;
+    watched.runs = [];
+    this.#runs -= runs.length;
+    this.#explain(runner, end, runs);
+  }
+
+  #explain(
+    runner: traffic.RunnerEntry,
+    { at: endedAt, evidence }: SeenEnd,
+    runs: brokenRun.BrokenRun[],
+  ): void {
+    this.parameters.onEnd({ runner, endedAt, evidence, runs });
+  }
+
+  #forget(watched: WatchedRunner): void {
+    this.#runs -= watched.runs.length;
+    this.#watched.delete(traffic.lifeOf(watched.runner));
+  }
+
+  #forgetOld(): void {
+    const oldest = common.now() - KEPT_MILLISECONDS;
+    for (const watched of this.#watched.values()) {
+      // In order of time: what follows is younger.
+      if (watched.brokenAt > oldest) return;
+      this.#forget(watched);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/quarantine/end_watch_test.ts
@@ -0,0 +1,117 @@
+import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
+import type * as traffic from "@geraniumkeel/traffic";
+import * as runnerCaller from "../forwarding/runner_caller.ts";
+import * as brokenRun from "./broken_run.ts";
+import * as endWatch from "./end_watch.ts";
+
+const test = ava.default;
+
+function runnerOf(change: Partial<traffic.RunnerEntry> = {}) {
+  return {
+    identifier: "i-1",
+    bornAt: 1,
+    service: "s",
+    address: "127.0.0.1",
+    port: 1,
+    dataCentre: "d",
+    slots: 8,
+    leaving: false,
+    ...change,
+  };
+}
+
+function runAt(
+  runner: traffic.RunnerEntry,
+  request = "q",
+): brokenRun.BrokenRun {
+  return { request, fingerprint: "f", runner, startedAt: common.now() };
+}
+
+interface Scene {
+  watch: endWatch.EndWatch;
+  ends: brokenRun.RunnerEnd[];
+  looks: number;
+}
+
+function sceneOf(presence: runnerCaller.Presence, inUse = true): Scene {
+  const ends: brokenRun.RunnerEnd[] = [];
+  const scene: Scene = {
+    ends,
+    looks: 0,
+    watch: new endWatch.EndWatch({
+      presenceOf: async () => {
+        scene.looks++;
+        return presence;
+      },
+      inUse: () => inUse,
+      onEnd: (end) => ends.push(end),
+    }),
+  };
+  return scene;
+}
+
+test("a runner whose address refuses connections has ended", async (t) => {
+  const scene = sceneOf(runnerCaller.Presence.Refused);
+  const runs = [runAt(runnerOf(), "q"), runAt(runnerOf(), "r")];
+  await Promise.all(runs.map((run) => scene.watch.brokenOff(run)));
+  t.is(scene.looks, 1);
+  t.is(scene.ends.length, 1);
+  t.deepEqual(
+    scene.ends[0].runs.map(({ request }) => request),
+    ["q", "r"],
+  );
+  t.is(scene.ends[0].evidence, brokenRun.EndEvidence.Refused);
+});
+
+test("a run that is given up after its runner's end is explained by it", async (t) => {
+  const scene = sceneOf(runnerCaller.Presence.Refused);
+  await scene.watch.brokenOff(runAt(runnerOf(), "q"));
+  await scene.watch.brokenOff(runAt(runnerOf(), "late"));
+  t.is(scene.looks, 1);
+  t.is(scene.ends.length, 2);
+  t.is(scene.ends[1].runs[0].request, "late");
+  t.is(scene.ends[1].endedAt, scene.ends[0].endedAt);
+});
+
+// An answer that a sound runner broke off must not count as the runner's end.
+test("a runner that accepts connections has not ended", async (t) => {
+  const scene = sceneOf(runnerCaller.Presence.Listening);
+  await scene.watch.brokenOff(runAt(runnerOf()));
+  const runners = [runnerOf({ identifier: "i-2", bornAt: 9 })];
+  scene.watch.listed({ version: 2, runners });
+  t.deepEqual(scene.ends, []);
+});
+
+// A link that is cut, a host that froze and one that lost power say nothing; only the
+// last one's runner is listed under a new life afterwards.
+test("a silent runner has ended once another life is listed in its place", async (t) => {
+  const scene = sceneOf(runnerCaller.Presence.Silent);
+  await scene.watch.brokenOff(runAt(runnerOf()));
+  scene.watch.listed({ version: 2, runners: [] });
+  scene.watch.listed({ version: 3, runners: [runnerOf()] });
+  t.deepEqual(scene.ends, []);
+  scene.watch.listed({ version: 4, runners: [runnerOf({ bornAt: 2 })] });
+  t.is(scene.ends.length, 1);
+  t.is(scene.ends[0].evidence, brokenRun.EndEvidence.Replaced);
+});
+
+// Runners that leave as planned may cut off what they still run.
+test("the end of a runner that is leaving explains nothing", async (t) => {
+  const scene = sceneOf(runnerCaller.Presence.Refused, false);
+  await scene.watch.brokenOff(runAt(runnerOf()));
+  t.is(scene.looks, 0);
+  t.deepEqual(scene.ends, []);
+});
+
+test("what another entry saw explains the runs that broke off here", async (t) => {
+  const scene = sceneOf(runnerCaller.Presence.Silent);
+  const run = runAt(runnerOf());
+  await scene.watch.brokenOff(run);
+  const endedAt = common.now() - 5;
+  scene.watch.toldEnd("i-1 1 127.0.0.1:1", endedAt);
+  scene.watch.toldEnd("i-1 1 127.0.0.1:1", endedAt);
+  t.is(scene.ends.length, 1);
+  t.is(scene.ends[0].endedAt, endedAt);
+  t.is(scene.ends[0].evidence, brokenRun.EndEvidence.Told);
+});
--- a/packages/traffic/src/runner_entry.ts
+++ b/packages/traffic/src/runner_entry.ts
@@ -22,3 +22,15 @@
   version: number;
   runners: RunnerEntry[];
 }
+
+/** Name of one life of a runner at one address. */
+export function lifeOf(runner: RunnerEntry): string {
+  const { identifier, bornAt, address, port } = runner;
+  return `${identifier} ${bornAt} ${address}:${port}`;
+}
+
+/** Where a runner of a service is; two lives of one follow each other there. */
+export function placeOf(runner: RunnerEntry): string {
+  const { service, address, port } = runner;
+  return `${service} ${address}:${port}`;
+}
