--- /dev/null
+++ b/packages/stand_ins/src/gateways/gateways.ts
@@ -0,0 +1,245 @@
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as common from "@geraniumkeel/common";
+import * as daemon from "@geraniumkeel/daemon/forwarding_mod";
+import * as traffic from "@geraniumkeel/traffic";
+import * as neverthrow from "neverthrow";
+import type * as runnerPool from "./runner_pool.ts";
+import * as tableService from "./table_service.ts";
+
+const HOST = "service.example";
+const PATH = "/a/";
+const PATIENCE_MILLISECONDS = 8_000;
+const LINKED_MILLISECONDS = 10_000;
+
+/** Accounts of the deployment; each has the key `key-NAME`. */
+export enum AccountName {
+  One = "one",
+  Other = "other",
+}
+
+/** What differs between deployments of a few entries before a pool of runners. */
+export interface GatewaysShape {
+  entries: number;
+  repeatability: traffic.Repeatability;
+  inLockStep: boolean;
+}
+
+/** An entry in this process. */
+export interface RunningGateway {
+  gateway: daemon.Gateway;
+  logger: common.RecordingLogger;
+  lifeCycle: common.LifeCycle;
+}
+
+/** What a caller saw of one request. */
+export interface Seen {
+  status: "whole" | "broken" | daemon.RefusalKind | "failed";
+  refusal: daemon.Refusal | undefined;
+}
+
+/** A few entries with links between them, before one pool of runners. */
+export class Gateways {
+  readonly running: RunningGateway[] = [];
+  readonly table = tableService.createTable();
+  #requests = 0;
+
+  private constructor(
+    readonly shape: GatewaysShape,
+    readonly pool: runnerPool.RunnerPool,
+  ) {}
+
+  /** Starts the entries; they are linked and ready when this resolves. */
+  static async start(
+    pool: runnerPool.RunnerPool,
+    change: Partial<GatewaysShape> = {},
+  ): Promise<Gateways> {
+    const shape: GatewaysShape = {
+      entries: 3,
+      repeatability: traffic.Repeatability.Idempotent,
+      inLockStep: false,
+      ...change,
+    };
+    const gateways = new Gateways(shape, pool);
+    for (let number = 0; number < shape.entries; number++) {
+      await gateways.startOne(`entry-${number}`);
+    }
+    return gateways;
+  }
+
+  /** Starts one more entry, or one that was stopped; resolves once it is linked. */
+  async startOne(host: string): Promise<RunningGateway> {
+    const lifeCycle = new common.LifeCycle(host);
+    const logger = new common.RecordingLogger();
+    const links = http.createServer();
+    await new Promise<void>((resolve) => links.listen(0, "127.0.0.1", resolve));
+    lifeCycle.own({
+      name: "links",
+      close: () => {
+        links.close();
+        links.closeAllConnections();
+      },
+    });
+    const { port } = links.address() as net.AddressInfo;
+    const gateway = new daemon.Gateway({
+      self: {
+        host,
+        dataCentre: "d",
+        address: "127.0.0.1",
+        linkPort: port,
+        callerPort: 1,
+      },
+      seeds: [],
+      revocationMilliseconds: 5_000,
+      stopMilliseconds: 8_000,
+      retries: { share: 1, allowance: 10_000 },
+      table: this.table,
+      configurationSource: documentOf(configurationOf(this)),
+      runnerSource: this.pool.source(),
+      caller: this.pool.callerOf(host),
+      logger,
+      metrics: common.discardMetrics(),
+      lifeCycle,
+      random: new common.Random(1 + this.running.length),
+    });
+    gateway.start(links);
+    const others = this.running.filter(
+      ({ gateway: { host: other } }) => other !== host,
+    );
+    const started = { gateway, logger, lifeCycle };
+    this.running.splice(0, this.running.length, ...others, started);
+    await until(() => gateway.ready && this.#linked(gateway));
+    return started;
+  }
+
+  /** Ends an entry at once, as a kill does to its links. */
+  async stopOne(host: string): Promise<void> {
+    const index = this.running.findIndex(
+      ({ gateway }) => gateway.host === host,
+    );
+    const [stopped] = this.running.splice(index, 1);
+    await stopped.lifeCycle.close();
+  }
+
+  /** Sends a request to an entry and waits for what the caller sees. */
+  async send(
+    entry: number,
+    body: string,
+    change: { account?: AccountName; path?: string; left?: AbortSignal } = {},
+  ): Promise<Seen> {
+    const { account = AccountName.One, path = `${PATH}x`, left } = change;
+    const identifier = `q-${++this.#requests}`;
+    const { gateway } = this.running[entry % this.running.length];
+    const seen: Seen = { status: "failed", refusal: undefined };
+    await gateway.forwarder.forward(
+      {
+        identifier,
+        method: "POST",
+        target: path,
+        path,
+        host: HOST,
+        headers: [],
+        body: Buffer.from(body),
+        key: `key-${account}`,
+        patienceMilliseconds: PATIENCE_MILLISECONDS,
+        resumeAfter: "",
+        arrivedAt: common.instant(),
+      },
+      sinkInto(seen, left ?? new AbortController().signal),
+    );
+    return seen;
+  }
+
+  /** Ends all entries. */
+  async close(): Promise<void> {
+    this.pool.close();
+    await Promise.all(this.running.map(({ lifeCycle }) => lifeCycle.close()));
+  }
+
+  #linked(gateway: daemon.Gateway): boolean {
+    const heard = gateway.mesh.others().filter(({ beat }) => beat);
+    return heard.length >= this.running.length - 1;
+  }
+}
+
+/** Resolves once a condition holds; throws if it does not for long. */
+export async function until(
+  condition: () => boolean,
+  milliseconds = LINKED_MILLISECONDS,
+): Promise<void> {
+  const deadline = common.now() + milliseconds;
+  while (!condition()) {
+    if (common.now() > deadline) throw new Error("condition not met in time");
+    await common.sleep(10);
+  }
+}
+
+function sinkInto(seen: Seen, left: AbortSignal): daemon.AnswerSink {
+  return {
+    left,
+    answer: ({ status }) => (seen.status = status < 300 ? "whole" : "failed"),
+    begin: () => {},
+    write: () => Promise.resolve(),
+    end: () => (seen.status = "whole"),
+    breakOff: () => (seen.status = "broken"),
+    refuse: (refusal) => {
+      seen.status = refusal.kind;
+      seen.refusal = refusal;
+    },
+  };
+}
+
+function documentOf<T extends traffic.Versioned>(
+  value: T,
+): traffic.DocumentSource<T> {
+  let told = false;
+  return {
+    next: async (waitMilliseconds) => {
+      if (told) await common.sleep(waitMilliseconds);
+      told = true;
+      return neverthrow.ok({ value });
+    },
+  };
+}
+
+function configurationOf(gateways: Gateways): traffic.TrafficConfiguration {
+  const { service } = gateways.pool.shape;
+  const { repeatability, inLockStep } = gateways.shape;
+  const accounts = Object.values(AccountName);
+  return {
+    version: 1,
+    routes: [
+      {
+        name: "r",
+        host: HOST,
+        prefix: PATH,
+        repeatability,
+        answerForm: traffic.AnswerForm.Events,
+        open: false,
+        shares: [{ service, weight: 1 }],
+        mostAttempts: 2,
+        timeoutMilliseconds: PATIENCE_MILLISECONDS,
+        objectiveMilliseconds: 400,
+        gapMilliseconds: 120,
+        urgency: 1,
+      },
+    ],
+    services: [
+      {
+        name: service,
+        engine: inLockStep ? ({ layers: 1 } as never) : undefined,
+      },
+    ],
+    accounts: accounts.map((name) => ({
+      name,
+      keys: [`key-${name}`],
+      urgency: undefined,
+    })),
+    limits: {
+      mostHeaderBytes: 16_384,
+      mostBodyBytes: 1_000_000,
+      headerMilliseconds: 1_000,
+      idleMilliseconds: 1_000,
+    },
+  };
+}
--- /dev/null
+++ b/packages/stand_ins/src/gateways/runner_pool.ts
@@ -0,0 +1,175 @@
+import * as common from "@geraniumkeel/common";
+import * as daemon from "@geraniumkeel/daemon/forwarding_mod";
+import type * as traffic from "@geraniumkeel/traffic";
+import * as neverthrow from "neverthrow";
+import * as poolRunner from "./pool_runner.ts";
+
+/** What an entry finds in place of a runner that its link to is cut. */
+export enum Cut {
+  /** Nothing comes back. */
+  Silent = "silent",
+  /** What is under way is reset, and new connections are refused. */
+  Refused = "refused",
+}
+
+/** Size and speed of a pool. */
+export interface PoolShape {
+  service: string;
+  runners: number;
+  /** Milliseconds that a run takes. */
+  runMilliseconds: number;
+  /** Milliseconds from a runner's end until it is back. */
+  returnMilliseconds: number;
+}
+
+/** Slots that a listed runner tells. */
+const SLOTS = 8;
+
+/** A request that reached a runner. */
+export interface Arrival {
+  entry: string;
+  body: string;
+  at: number;
+}
+
+/** A runner's end, with the bodies that were under way there. */
+export interface PoolEnd {
+  runner: string;
+  at: number;
+  bodies: string[];
+}
+
+/**
+ * Runners of one service as entries call them, and the list that names them. A request
+ * whose body says so ends each runner that runs it; the runner is back after a while,
+ * with a new identifier.
+ */
+export class RunnerPool {
+  readonly runners: poolRunner.PoolRunner[];
+  readonly arrivals: Arrival[] = [];
+  readonly ends: PoolEnd[] = [];
+  /** Cuts between entries and runners, by entry and place. */
+  readonly cuts = new Map<string, Cut>();
+  readonly #changed = new common.ChangeNotice();
+  readonly #timers = new Set<NodeJS.Timeout>();
+  #version = 1;
+
+  constructor(readonly shape: PoolShape) {
+    this.runners = Array.from({ length: shape.runners }, (_, place) => {
+      const runner = new poolRunner.PoolRunner(place, shape.runMilliseconds);
+      runner.onEnd = () => this.end(place);
+      return runner;
+    });
+  }
+
+  /** The list of runners, as one entry follows it. */
+  source(): traffic.DocumentSource<traffic.RunnerList> {
+    let seen = 0;
+    return {
+      next: async (waitMilliseconds) => {
+        if (seen === this.#version) await this.#changed.next(waitMilliseconds);
+        seen = this.#version;
+        return neverthrow.ok({ value: this.list() });
+      },
+    };
+  }
+
+  /** The list as it is now. A runner that ended stays listed until it is back. */
+  list(): traffic.RunnerList {
+    const runners = this.runners.map((runner) => this.entryOf(runner));
+    return { version: this.#version, runners };
+  }
+
+  /** A runner as it is listed. */
+  entryOf(runner: poolRunner.PoolRunner): traffic.RunnerEntry {
+    return {
+      identifier: runner.identifier,
+      bornAt: runner.bornAt,
+      service: this.shape.service,
+      address: `runner-${runner.place}`,
+      port: 1,
+      dataCentre: "d",
+      slots: SLOTS,
+      leaving: runner.leaving,
+    };
+  }
+
+  /** Tells that what is listed has changed. */
+  announce(): void {
+    this.#version++;
+    this.#changed.announce();
+  }
+
+  /** Ends the runner at a place; it is back, as another one, after a while. */
+  end(place: number): void {
+    const runner = this.runners[place];
+    if (!runner.up) return;
+    const { identifier } = runner;
+    const bodies = runner.stop();
+    this.ends.push({ runner: identifier, at: common.now(), bodies });
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer);
+      runner.start();
+      this.announce();
+    }, this.shape.returnMilliseconds);
+    this.#timers.add(timer);
+  }
+
+  /** Cuts an entry off from a runner, or heals the cut. */
+  cut(entry: string, place: number, cut: Cut | undefined): void {
+    const key = `${entry} ${place}`;
+    if (cut === undefined) {
+      this.cuts.delete(key);
+      return;
+    }
+    this.cuts.set(key, cut);
+    this.runners[place].loseCaller(entry, cut === Cut.Refused);
+  }
+
+  /** Calls of one entry. */
+  callerOf(entry: string): daemon.RunnerCaller {
+    return {
+      call: (call) => this.#call(entry, call),
+      presenceOf: async (runner) => this.#presence(entry, runner),
+    };
+  }
+
+  /** Ends what the pool does by itself. */
+  close(): void {
+    for (const timer of this.#timers) clearTimeout(timer);
+    for (const runner of this.runners) runner.stop();
+  }
+
+  #runnerAt(entry: traffic.RunnerEntry): poolRunner.PoolRunner {
+    return this.runners[Number(entry.address.split("-")[1])];
+  }
+
+  #presence(entry: string, listed: traffic.RunnerEntry): daemon.Presence {
+    const runner = this.#runnerAt(listed);
+    switch (this.cuts.get(`${entry} ${runner.place}`)) {
+      case Cut.Silent:
+        return daemon.Presence.Silent;
+      case Cut.Refused:
+        return daemon.Presence.Refused;
+      case undefined:
+        return runner.up ? daemon.Presence.Listening : daemon.Presence.Refused;
+    }
+  }
+
+  async #call(
+    entry: string,
+    call: daemon.RunnerCall,
+  ): ReturnType<daemon.RunnerCaller["call"]> {
+    const runner = this.#runnerAt(call.runner);
+    if (this.#presence(entry, call.runner) !== daemon.Presence.Listening) {
+      const kind = daemon.CallFailureKind.NotSent;
+      return neverthrow.err({ kind, reason: "no connection" });
+    }
+    const body = call.request.body.toString();
+    this.arrivals.push({ entry, body, at: common.now() });
+    if (runner.identifier !== call.runner.identifier) {
+      return neverthrow.ok(poolRunner.wrongRunner());
+    }
+    return runner.run(entry, call);
+  }
+}
