--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -56,6 +56,9 @@
   Forwarded = 2001,
   ForwardRefused = 2002,
   RunnerEnded = 2101,
+  RunnerEndDisproved = 2102,
+  RequestQuarantined = 2103,
+  QuarantineEnded = 2104,
 }
 
 /** How much attention an event asks for. */
@@ -365,4 +368,23 @@
     action:
       "If one fingerprint is in each, look at what that request asks for.",
   },
+  [EventCode.RunnerEndDisproved]: {
+    level: EventLevel.Info,
+    meaning:
+      "A runner that was taken for ended was heard again; nothing is held against requests for it.",
+    action: "Look at the link between this runner and the entries in `seenBy`.",
+  },
+  [EventCode.RequestQuarantined]: {
+    level: EventLevel.Error,
+    meaning:
+      "Several runners ended while they ran one request, which is sent to no runner from now on; `ends` tells which runners, and which entries saw them end.",
+    action:
+      "Find the request by its fingerprint in RunnerEnded lines; mend the engine, or lift the quarantine if it is wrong.",
+  },
+  [EventCode.QuarantineEnded]: {
+    level: EventLevel.Info,
+    meaning:
+      "A request in quarantine may be sent to runners again: a whole answer or an operator spoke for it, or an end was disproved.",
+    action: NONE,
+  },
 };
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -5,6 +5,7 @@
   Requests = "requests",
   Refusals = "refusals",
   Retries = "retries",
+  Quarantined = "quarantined",
   FirstToken = "first_token",
   BetweenTokens = "between_tokens",
   QueueWait = "queue_wait",
@@ -54,6 +55,10 @@
   [Metric.Requests]: counter("Requests answered.", "service", "outcome"),
   [Metric.Refusals]: counter("Requests refused before running.", "reason"),
   [Metric.Retries]: counter("Attempts after the first.", "service"),
+  [Metric.Quarantined]: counter(
+    "Requests put in quarantine, once for each fingerprint.",
+    "service",
+  ),
   [Metric.FirstToken]: timing("From arrival to first token.", "service"),
   [Metric.BetweenTokens]: timing("Between tokens of one answer.", "service"),
   [Metric.QueueWait]: timing("Time queued before dispatch.", "service"),
--- a/packages/daemon/src/forwarding/attempt_end.ts
+++ b/packages/daemon/src/forwarding/attempt_end.ts
@@ -20,6 +20,8 @@
   Stalled = "stalled",
   /** The caller has left. */
   Left = "left",
+  /** It is in quarantine, and is sent to no runner. */
+  Quarantined = "quarantined",
 }
 
 /** End of an attempt, with what is told to the caller if it was the last. */
@@ -59,6 +61,7 @@
     case AttemptKind.Answered:
     case AttemptKind.TimedOut:
     case AttemptKind.Left:
+    case AttemptKind.Quarantined:
       return false;
   }
 }
@@ -90,6 +93,7 @@
     case AttemptKind.NotRun:
     case AttemptKind.Failed:
     case AttemptKind.Left:
+    case AttemptKind.Quarantined:
       return false;
   }
 }
@@ -101,6 +105,7 @@
       return runnerBoard.CallEnd.Good;
     case AttemptKind.NotRun:
     case AttemptKind.Left:
+    case AttemptKind.Quarantined:
       return runnerBoard.CallEnd.Neutral;
     case AttemptKind.Failed:
     case AttemptKind.Unknown:
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
 import type * as retryBudget from "../dispatch/retry_budget.ts";
+import type * as endWatch from "../quarantine/end_watch.ts";
 import * as fingerprint from "../quarantine/fingerprint.ts";
 import type * as quarantine from "../quarantine/quarantine.ts";
 import * as answerRelay from "./answer_relay.ts";
@@ -30,6 +31,15 @@
 /** How often a waiting request looks for a runner, in milliseconds. */
 const WAIT_LOOK_MILLISECONDS = 50;
 
+const TIMED_OUT: attemptEnd.AttemptEnd = {
+  kind: attemptEnd.AttemptKind.TimedOut,
+  reason: "time ran out",
+};
+const QUARANTINED: attemptEnd.AttemptEnd = {
+  kind: attemptEnd.AttemptKind.Quarantined,
+  reason: "in quarantine: runners ended while they ran this request",
+};
+
 /** One request on its way. */
 export interface ForwardedRequestParameters {
   request: forwardRequest.ForwardRequest;
@@ -43,6 +53,8 @@
   caller: runnerCaller.RunnerCaller;
   budgetOf: (service: string) => retryBudget.RetryBudget;
   quarantine: quarantine.Quarantine;
+  endWatch: endWatch.EndWatch;
+  onHeard: (runner: traffic.RunnerEntry) => void;
   random: common.Random;
   metrics: common.Metrics;
 }
@@ -58,10 +70,11 @@
 }
 
 /** Conducts one admitted request: chooses runners, repeats what may be repeated. */
-export class ForwardedRequest {
+export class ForwardedRequest implements quarantine.WatchedRequest {
   readonly #attempts: attemptEnd.AttemptNote[] = [];
   readonly #tried = new Set<string>();
-  readonly #expired = new AbortController();
+  /** Aborts with the end that this side gives an attempt under way. */
+  readonly #cut = new AbortController();
   readonly #relay: answerRelay.AnswerRelay;
   readonly #fingerprint: fingerprint.LazyFingerprint;
   /** Attempts that ran or may have. */
@@ -72,6 +85,8 @@
   #progressAt = 0;
   /** Milliseconds from arrival to the first of an answer; -1 before it. */
   #firstAfter = -1;
+  /** Milliseconds for which it is held in quarantine. */
+  #heldMilliseconds = 0;
 
   constructor(readonly parameters: ForwardedRequestParameters) {
     const { route, request, account, sink } = parameters;
@@ -87,18 +102,35 @@
     });
   }
 
+  /** Service that it is for. */
+  get service(): string {
+    return this.parameters.service;
+  }
+
+  /** Name of the request by what it asks for. */
+  get fingerprint(): string {
+    return this.#fingerprint.value;
+  }
+
+  /** It is put in quarantine. A run that answers is left to its end, good or bad. */
+  stop(): void {
+    if (this.#firstAfter < 0) this.#cut.abort(QUARANTINED);
+  }
+
   /** Runs the request to its answer. */
   async run(): Promise<ForwardOutcome> {
-    const { route, account, service } = this.parameters;
+    const { route, account, service, quarantine } = this.parameters;
     const timer = setTimeout(
-      () => this.#expired.abort(),
+      () => this.#cut.abort(TIMED_OUT),
       Math.max(0, this.#millisecondsLeft()),
     );
+    const unwatch = quarantine.watch(this);
     let end: attemptEnd.AttemptEnd;
     try {
       end = await this.#attemptUntilEnd();
     } finally {
       clearTimeout(timer);
+      unwatch();
     }
     this.#finish(end);
     this.#measure(end);
@@ -124,13 +156,15 @@
   }
 
   async #attemptUntilEnd(): Promise<attemptEnd.AttemptEnd> {
-    const { board, route, service, budgetOf } = this.parameters;
+    const { board, route, service, budgetOf, quarantine } = this.parameters;
     const budget = budgetOf(service);
     budget.earn();
     let last: attemptEnd.AttemptEnd | undefined;
     for (;;) {
       const cut = this.#endOfCut();
       if (cut) return cut;
+      this.#heldMilliseconds = quarantine.heldMilliseconds(this);
+      if (this.#heldMilliseconds > 0) return QUARANTINED;
       const runner = board.choose(service, this.#tried);
       if (!runner) {
         if (await this.#waitForRunner()) continue;
@@ -155,10 +189,10 @@
     startedAt: number,
   ): Promise<void> {
     if (!attemptEnd.brokeOff(end.kind)) return;
-    const { request, quarantine } = this.parameters;
-    await quarantine.brokenOff({
+    const { request, endWatch } = this.parameters;
+    await endWatch.brokenOff({
       request: request.identifier,
-      fingerprint: this.#fingerprint.value,
+      fingerprint: this.fingerprint,
       runner,
       startedAt,
     });
@@ -250,7 +284,7 @@
         objectiveMilliseconds: route.objectiveMilliseconds,
       }),
       resumeAfter: this.#relay.resumeAfter,
-      signal: AbortSignal.any([sink.left, this.#expired.signal, stalled]),
+      signal: AbortSignal.any([sink.left, this.#cut.signal, stalled]),
     });
     if (answer.isErr()) {
       return this.#endOfFailure(runner, answer.error, stalled);
@@ -285,17 +319,21 @@
           };
         }
         this.#noteProgress();
-        return this.#relayAnswer(answer.value, stalled);
+        this.parameters.onHeard(runner);
+        return this.#relayAnswer(runner, answer.value, stalled);
     }
   }
 
   async #relayAnswer(
+    runner: traffic.RunnerEntry,
     answer: runnerCaller.RunnerAnswer,
     stalled: AbortSignal,
   ): Promise<attemptEnd.AttemptEnd> {
     const relayed = await this.#relay.relay(answer);
-    if (relayed.isOk())
+    if (relayed.isOk()) {
+      this.parameters.quarantine.answered(this, runner.version);
       return { kind: attemptEnd.AttemptKind.Answered, reason: "" };
+    }
     const cut = this.#endOfCut(stalled);
     if (cut) return cut;
     const kind = this.#relay.begun
@@ -329,8 +367,8 @@
     if (this.parameters.sink.left.aborted) {
       return { kind: attemptEnd.AttemptKind.Left, reason: "caller left" };
     }
-    if (this.#expired.signal.aborted) {
-      return { kind: attemptEnd.AttemptKind.TimedOut, reason: "time ran out" };
+    if (this.#cut.signal.aborted) {
+      return this.#cut.signal.reason as attemptEnd.AttemptEnd;
     }
     if (stalled?.aborted) {
       return { kind: attemptEnd.AttemptKind.Stalled, reason: "did not get on" };
@@ -351,10 +389,9 @@
     if (this.#relay.begun) return sink.breakOff();
     if (end.failure) return sink.answer(end.failure.head, end.failure.body);
     const kind = attemptEnd.refusalKind(end, this.#runs);
-    const retryAfterMilliseconds = returnTime.returnTime(
-      this.#millisecondsLeft(),
-      random,
-    );
+    const retryAfterMilliseconds =
+      this.#heldMilliseconds ||
+      returnTime.returnTime(this.#millisecondsLeft(), random);
     sink.refuse({ kind, reason: end.reason, retryAfterMilliseconds });
   }
 
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -3,7 +3,8 @@
 import * as traffic from "@geraniumkeel/traffic";
 import * as neverthrow from "neverthrow";
 import * as retryBudget from "../dispatch/retry_budget.ts";
-import * as quarantine from "../quarantine/quarantine.ts";
+import * as endWatch from "../quarantine/end_watch.ts";
+import * as quarantineFixture from "../quarantine/quarantine_fixture.ts";
 import * as forwardRequest from "./forward_request.ts";
 import * as forwarderModule from "./forwarder.ts";
 import * as runnerBoard from "./runner_board.ts";
@@ -87,6 +88,7 @@
     identifier,
     bornAt: 0,
     service: "s",
+    version: "1",
     address: "127.0.0.1",
     port: index + 1,
     dataCentre: "d",
@@ -118,11 +120,14 @@
       },
     },
     budgetOf: () => budget,
-    quarantine: new quarantine.Quarantine({
+    quarantine: quarantineFixture.createQuarantine(),
+    endWatch: new endWatch.EndWatch({
       presenceOf,
       inUse: (runner) => board.inUse(runner),
-      logger,
+      endOf: () => undefined,
+      onEnd: () => {},
     }),
+    onHeard: () => {},
     random: new common.Random(2),
     logger,
     metrics: common.discardMetrics(),
--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -211,6 +211,17 @@
     return traffic.lifeOf(entry) === traffic.lifeOf(runner);
   }
 
+  /** Versions of the runners of a service that take requests. */
+  versionsOf(service: string): Set<string> {
+    const versions = new Set<string>();
+    for (const { entry } of this.#records.values()) {
+      if (entry.service === service && !entry.leaving) {
+        versions.add(entry.version);
+      }
+    }
+    return versions;
+  }
+
   /** Whether some runner of a service turns away what it has room for. */
   hasClosed(service: string): boolean {
     for (const { entry, closed } of this.#records.values()) {
--- a/packages/daemon/src/forwarding/runner_board_test.ts
+++ b/packages/daemon/src/forwarding/runner_board_test.ts
@@ -12,6 +12,7 @@
     identifier: "i-1",
     bornAt: 1_000,
     service: "s",
+    version: "1",
     address: "10.0.0.1",
     port: 80,
     dataCentre: "a",
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -9,6 +9,8 @@
 import type * as runnerCaller from "../forwarding/runner_caller.ts";
 import * as entryMesh from "../mesh/entry_mesh.ts";
 import * as memberRows from "../mesh/member_rows.ts";
+import * as endReview from "../quarantine/end_review.ts";
+import * as endWatch from "../quarantine/end_watch.ts";
 import * as quarantine from "../quarantine/quarantine.ts";
 
 /**
@@ -71,6 +73,8 @@
   readonly forwarder: forwarderModule.Forwarder;
   readonly mesh: entryMesh.EntryMesh;
   readonly quarantine: quarantine.Quarantine;
+  readonly endWatch: endWatch.EndWatch;
+  readonly endReview: endReview.EndReview;
   readonly #budgets = new Map<string, retryBudget.RetryBudget>();
   readonly #longestProofAge: number;
   #storeReachable = true;
@@ -86,9 +90,27 @@
       inLockStep: (service) => this.#inLockStep(service),
     });
     this.quarantine = new quarantine.Quarantine({
+      host: self.host,
+      entries: () => this.mesh.readyMembers().map(({ host }) => host),
+      versionsOf: (service) => this.board.versionsOf(service),
+      tell: (message, except) => this.mesh.tell(message, except),
+      relays: false,
+      onEndTold: (life, endedAt) => this.endWatch.toldEnd(life, endedAt),
+      logger,
+      metrics,
+    });
+    this.endWatch = new endWatch.EndWatch({
       presenceOf: (runner) => caller.presenceOf(runner),
       inUse: (runner) => this.board.inUse(runner),
-      logger,
+      endOf: (life) => this.quarantine.endOf(life),
+      onEnd: (end) => this.quarantine.runnerEnded(end),
+    });
+    this.endReview = new endReview.EndReview({
+      clock: common.now,
+      endOf: (life) => this.quarantine.endOf(life),
+      endedLives: (earliest, latest) =>
+        this.quarantine.endedLives(earliest, latest),
+      onAlive: (life) => this.quarantine.runnerHeard(life),
     });
     this.forwarder = new forwarderModule.Forwarder({
       configuration: this.configuration,
@@ -97,6 +119,8 @@
       caller,
       budgetOf: (service) => this.#budgetOf(service),
       quarantine: this.quarantine,
+      endWatch: this.endWatch,
+      onHeard: (runner) => this.endReview.heard(runner),
       random,
       logger,
       metrics,
@@ -112,6 +136,10 @@
       storeReachable: () => this.#storeReachable,
       outstanding: () => this.board.ownCounts(),
       onOutstanding: (host, counts) => this.board.setOthers(host, counts),
+      suspicions: {
+        take: (message, host) => this.quarantine.take(message, host),
+        everything: () => this.quarantine.everything(),
+      },
       random,
       logger,
       lifeCycle: parameters.lifeCycle,
@@ -199,6 +227,7 @@
       },
       runners: { version: this.runners.version, age: this.runners.age },
       board: this.board.runners(),
+      quarantine: this.quarantine.describe(),
       mesh: this.mesh.describe(),
     };
   }
@@ -241,8 +270,9 @@
       const list = this.runners.value;
       if (list && list.version !== version) {
         this.board.update(list);
-        this.quarantine.listed(list);
+        this.endWatch.listed(list);
       }
+      if (list) this.endReview.look(list, this.runners.age);
       version = list?.version ?? version;
       await this.runners.changes.next(BOARD_LOOK_MILLISECONDS, signal);
     }
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -50,6 +50,12 @@
     host: string,
     counts: Map<string, number> | undefined,
   ) => void;
+  /** What is told of requests that may end their runners. */
+  suspicions: {
+    take: (message: wire.Suspicions, host: string) => void;
+    /** For an entry that was just linked; `undefined` if there are none. */
+    everything: () => wire.Suspicions | undefined;
+  };
   random: common.Random;
   logger: common.Logger;
   lifeCycle: common.LifeCycle;
@@ -160,6 +166,13 @@
     return place < 0 ? hosts.length : place;
   }
 
+  /** Sends a message to all linked entries but one. */
+  tell(message: wire.Message, except?: string): void {
+    for (const [host, peer] of this.#peers) {
+      if (host !== except) peer.link.send(message);
+    }
+  }
+
   /** Tells the others at once that this process stops. */
   async leave(): Promise<void> {
     const { rows, self } = this.parameters;
@@ -315,6 +328,8 @@
     this.#changed.announce();
     logger.event(common.EventCode.LinkEstablished, { peer: host });
     this.#sendBeat(peer, this.#stamps.next());
+    const suspicions = this.parameters.suspicions.everything();
+    if (suspicions) link.send(suspicions);
     for await (const message of link.messages()) this.#receive(peer, message);
     logger.event(common.EventCode.LinkLost, { peer: host, end: link.end });
     if (this.#peers.get(host) === peer) {
@@ -340,6 +355,8 @@
       case wire.MessageKind.MeshConfiguration:
       case wire.MessageKind.MeshRunners:
         return this.#documents.take(message, peer);
+      case wire.MessageKind.Suspicions:
+        return this.parameters.suspicions.take(message, peer.member.host);
       default:
         // A message of another duty: both ends run the same program, so it is
         // a fault of the peer, and its link goes.
--- a/packages/daemon/src/quarantine/broken_run.ts
+++ b/packages/daemon/src/quarantine/broken_run.ts
@@ -16,8 +16,8 @@
   Refused = "refused",
   /** Another runner, or another life of it, is listed at its address. */
   Replaced = "replaced",
-  /** Another entry saw it end. */
-  Told = "told",
+  /** Its end was known before, from this entry or another. */
+  Known = "known",
 }
 
 /** A runner that ended, with runs of this entry that were under way there. */
--- /dev/null
+++ b/packages/daemon/src/quarantine/end_review_test.ts
@@ -0,0 +1,85 @@
+import * as ava from "ava";
+import * as traffic from "@geraniumkeel/traffic";
+import * as endReview from "./end_review.ts";
+
+const test = ava.default;
+
+const RUNNER: traffic.RunnerEntry = {
+  identifier: "i-1",
+  bornAt: 1,
+  service: "s",
+  version: "1",
+  address: "127.0.0.1",
+  port: 1,
+  dataCentre: "d",
+  slots: 8,
+  leaving: false,
+};
+const LIST: traffic.RunnerList = { version: 1, runners: [RUNNER] };
+
+interface Scene {
+  review: endReview.EndReview;
+  alive: string[];
+  /** Has time pass. */
+  pass: (milliseconds: number) => void;
+}
+
+/** A process that saw the runner end at 0, and began then. */
+function sceneOf(): Scene {
+  let now = 0;
+  const alive: string[] = [];
+  const life = traffic.lifeOf(RUNNER);
+  const review = new endReview.EndReview({
+    clock: () => now,
+    endOf: (asked) => (asked === life ? 0 : undefined),
+    endedLives: (earliest, latest) =>
+      earliest <= 0 && latest >= 0 ? [life] : [],
+    onAlive: (one) => alive.push(one),
+  });
+  return { review, alive, pass: (milliseconds) => (now += milliseconds) };
+}
+
+// A cut between one entry and a runner must not pass for the runner's end.
+test("a runner that answers after its end had not ended", (t) => {
+  const { review, alive, pass } = sceneOf();
+  pass(500);
+  review.heard(RUNNER);
+  t.deepEqual(alive, [traffic.lifeOf(RUNNER)]);
+});
+
+test("an answer that was on its way at the end says nothing", (t) => {
+  const { review, alive, pass } = sceneOf();
+  pass(50);
+  review.heard(RUNNER);
+  t.deepEqual(alive, []);
+});
+
+// A runner may start again under the identifier that it had.
+test("an answer seconds later may be of another life", (t) => {
+  const { review, alive, pass } = sceneOf();
+  pass(3_000);
+  review.heard(RUNNER);
+  t.deepEqual(alive, []);
+});
+
+test("a runner that stays listed had not ended", (t) => {
+  const { review, alive, pass } = sceneOf();
+  pass(5_000);
+  review.look(LIST, 100);
+  t.deepEqual(alive, []);
+  pass(6_000);
+  review.look({ version: 2, runners: [{ ...RUNNER, bornAt: 2 }] }, 100);
+  t.deepEqual(alive, []);
+  review.look(LIST, 100);
+  t.deepEqual(alive, [traffic.lifeOf(RUNNER)]);
+});
+
+// No registration lapses while the store is away, a dead runner's neither.
+test("a list that was not kept says nothing of who is alive", (t) => {
+  const { review, alive, pass } = sceneOf();
+  pass(8_000);
+  review.look(LIST, 5_000);
+  pass(6_000);
+  review.look(LIST, 100);
+  t.deepEqual(alive, []);
+});
--- a/packages/daemon/src/quarantine/end_watch.ts
+++ b/packages/daemon/src/quarantine/end_watch.ts
@@ -16,22 +16,13 @@
 /** Runs that wait to be explained, at most. */
 const MOST_RUNS = 10_000;
 
-/** A runner's end, as it was seen. */
-interface SeenEnd {
-  at: number;
-  evidence: brokenRun.EndEvidence;
-}
-
-/** What is known of one life of a runner at which runs broke off. */
+/** One life of a runner at which runs broke off that are not explained. */
 interface WatchedRunner {
   runner: traffic.RunnerEntry;
   brokenAt: number;
-  /** Runs that are not explained yet. */
   runs: brokenRun.BrokenRun[];
   /** The look that is under way. */
   look: Promise<void> | undefined;
-  /** The runner's end, once it is known. */
-  end: SeenEnd | undefined;
 }
 
 /** What watching runners' ends needs. */
@@ -39,6 +30,8 @@
   presenceOf: (runner: traffic.RunnerEntry) => Promise<runnerCaller.Presence>;
   /** Whether the runner is listed and not leaving. */
   inUse: (runner: traffic.RunnerEntry) => boolean;
+  /** When a life of a runner ended, if any entry saw it. */
+  endOf: (life: string) => number | undefined;
   /** Told once for each run that a runner's end explains. */
   onEnd: (end: brokenRun.RunnerEnd) => void;
 }
@@ -61,10 +54,14 @@
   async brokenOff(run: brokenRun.BrokenRun): Promise<void> {
     const { runner } = run;
     this.#forgetOld();
-    const known = this.#watched.get(traffic.lifeOf(runner));
-    if (known?.end) return this.#explain(runner, known.end, [run]);
+    const life = traffic.lifeOf(runner);
+    const endedAt = this.parameters.endOf(life);
+    if (endedAt !== undefined) {
+      const evidence = brokenRun.EndEvidence.Known;
+      return this.parameters.onEnd({ runner, endedAt, evidence, runs: [run] });
+    }
     if (!this.parameters.inUse(runner) || this.#runs >= MOST_RUNS) return;
-    const watched = known ?? this.#watch(runner);
+    const watched = this.#watched.get(life) ?? this.#watch(runner);
     watched.runs.push(run);
     this.#runs++;
     watched.look ??= this.#look(watched);
@@ -74,8 +71,8 @@
   /** Another entry saw a life of a runner end, some time ago. */
   toldEnd(life: string, endedAt: number): void {
     const watched = this.#watched.get(life);
-    if (!watched || watched.end) return;
-    this.#ended(watched, { at: endedAt, evidence: brokenRun.EndEvidence.Told });
+    if (!watched) return;
+    this.#ended(watched, brokenRun.EndEvidence.Known, endedAt);
   }
 
   /** Takes a new list: a runner whose address another life has now has ended. */
@@ -89,20 +86,15 @@
     );
     for (const [life, watched] of this.#watched) {
       const present = lives.get(traffic.placeOf(watched.runner));
-      if (watched.end || !present || present === life) continue;
+      if (present === undefined || present === life) continue;
       const evidence = brokenRun.EndEvidence.Replaced;
-      this.#ended(watched, { at: watched.brokenAt, evidence });
+      this.#ended(watched, evidence, watched.brokenAt);
     }
   }
 
   #watch(runner: traffic.RunnerEntry): WatchedRunner {
-    const watched: WatchedRunner = {
-      runner,
-      brokenAt: common.now(),
-      runs: [],
-      look: undefined,
-      end: undefined,
-    };
+    const brokenAt = common.now();
+    const watched = { runner, brokenAt, runs: [], look: undefined };
     this.#watched.set(traffic.lifeOf(runner), watched);
     return watched;
   }
@@ -112,37 +104,33 @@
     watched.look = undefined;
     switch (presence) {
       case runnerCaller.Presence.Refused: {
-        if (watched.end) return;
         const evidence = brokenRun.EndEvidence.Refused;
-        return this.#ended(watched, { at: watched.brokenAt, evidence });
+        return this.#ended(watched, evidence, watched.brokenAt);
       }
       case runnerCaller.Presence.Listening:
-        return this.#forget(watched);
+        this.#forget(watched);
+        return;
       case runnerCaller.Presence.Silent:
         // A host that is cut off or has lost power: the list will tell.
         return;
     }
   }
 
-  #ended(watched: WatchedRunner, end: SeenEnd): void {
-    const { runner, runs } = watched;
-    watched.end = end;
-    watched.runs = [];
-    this.#runs -= runs.length;
-    this.#explain(runner, end, runs);
-  }
-
-  #explain(
-    runner: traffic.RunnerEntry,
-    { at: endedAt, evidence }: SeenEnd,
-    runs: brokenRun.BrokenRun[],
+  #ended(
+    watched: WatchedRunner,
+    evidence: brokenRun.EndEvidence,
+    endedAt: number,
   ): void {
+    const { runner, runs } = watched;
+    if (!this.#forget(watched)) return;
     this.parameters.onEnd({ runner, endedAt, evidence, runs });
   }
 
-  #forget(watched: WatchedRunner): void {
+  /** Forgets a runner with its runs; false if that was done before. */
+  #forget(watched: WatchedRunner): boolean {
+    if (!this.#watched.delete(traffic.lifeOf(watched.runner))) return false;
     this.#runs -= watched.runs.length;
-    this.#watched.delete(traffic.lifeOf(watched.runner));
+    return true;
   }
 
   #forgetOld(): void {
--- a/packages/daemon/src/quarantine/end_watch_test.ts
+++ b/packages/daemon/src/quarantine/end_watch_test.ts
@@ -1,17 +1,20 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
-import type * as traffic from "@geraniumkeel/traffic";
+import * as traffic from "@geraniumkeel/traffic";
 import * as runnerCaller from "../forwarding/runner_caller.ts";
 import * as brokenRun from "./broken_run.ts";
 import * as endWatch from "./end_watch.ts";
 
 const test = ava.default;
 
-function runnerOf(change: Partial<traffic.RunnerEntry> = {}) {
+function runnerOf(
+  change: Partial<traffic.RunnerEntry> = {},
+): traffic.RunnerEntry {
   return {
     identifier: "i-1",
     bornAt: 1,
     service: "s",
+    version: "1",
     address: "127.0.0.1",
     port: 1,
     dataCentre: "d",
@@ -36,6 +39,7 @@
 
 function sceneOf(presence: runnerCaller.Presence, inUse = true): Scene {
   const ends: brokenRun.RunnerEnd[] = [];
+  const lives = new Map<string, number>();
   const scene: Scene = {
     ends,
     looks: 0,
@@ -45,7 +49,11 @@
         return presence;
       },
       inUse: () => inUse,
-      onEnd: (end) => ends.push(end),
+      endOf: (life) => lives.get(life),
+      onEnd: (end) => {
+        ends.push(end);
+        lives.set(traffic.lifeOf(end.runner), end.endedAt);
+      },
     }),
   };
   return scene;
@@ -72,6 +80,7 @@
   t.is(scene.ends.length, 2);
   t.is(scene.ends[1].runs[0].request, "late");
   t.is(scene.ends[1].endedAt, scene.ends[0].endedAt);
+  t.is(scene.ends[1].evidence, brokenRun.EndEvidence.Known);
 });
 
 // An answer that a sound runner broke off must not count as the runner's end.
@@ -113,5 +122,5 @@
   scene.watch.toldEnd("i-1 1 127.0.0.1:1", endedAt);
   t.is(scene.ends.length, 1);
   t.is(scene.ends[0].endedAt, endedAt);
-  t.is(scene.ends[0].evidence, brokenRun.EndEvidence.Told);
+  t.is(scene.ends[0].evidence, brokenRun.EndEvidence.Known);
 });
--- /dev/null
+++ b/packages/daemon/src/quarantine/evidence.ts
@@ -0,0 +1,42 @@
+/** A run that was under way when its runner ended, in milliseconds of one clock. */
+export interface EndedRun {
+  startedAt: number;
+  endedAt: number;
+}
+
+/** What the ends of runners say of a request that was under way at each. */
+export interface Evidence {
+  /** Runners that ended. */
+  ends: number;
+  /** The most of them whose runs followed each other: none began before the last ended. */
+  inTurn: number;
+}
+
+/** Evidence after which a request is sent to no runner more. */
+export const PROOF: Evidence = {
+  ends: 3,
+  /*
+   * When many hosts are lost at once, a request that many callers send is under way at
+   * each of them, but those runs overlap. One that ends its runners is there when the
+   * next one ends after it was sent again.
+   */
+  inTurn: 2,
+};
+
+/** Weighs runs of one request, none of which has been followed by a whole answer. */
+export function weigh(runs: Iterable<EndedRun>): Evidence {
+  const inOrder = [...runs].sort((left, right) => left.endedAt - right.endedAt);
+  let inTurn = 0;
+  let lastEnd = -Infinity;
+  for (const { startedAt, endedAt } of inOrder) {
+    if (startedAt < lastEnd) continue;
+    inTurn++;
+    lastEnd = endedAt;
+  }
+  return { ends: inOrder.length, inTurn };
+}
+
+/** Whether the evidence proves that the request ends the runners that run it. */
+export function proves(found: Evidence, proof = PROOF): boolean {
+  return found.ends >= proof.ends && found.inTurn >= proof.inTurn;
+}
--- /dev/null
+++ b/packages/daemon/src/quarantine/evidence_test.ts
@@ -0,0 +1,53 @@
+import * as ava from "ava";
+import * as fastCheck from "fast-check";
+import * as evidence from "./evidence.ts";
+
+const test = ava.default;
+
+function run(startedAt: number, endedAt: number): evidence.EndedRun {
+  return { startedAt, endedAt };
+}
+
+// One request sent again after each end: three runners in turn.
+test("runs that follow each other prove it with the third", (t) => {
+  const runs = [run(0, 100), run(110, 200), run(4_000, 4_100)];
+  t.deepEqual(evidence.weigh(runs), { ends: 3, inTurn: 3 });
+  t.false(evidence.proves(evidence.weigh(runs.slice(0, 2))));
+  t.true(evidence.proves(evidence.weigh(runs)));
+});
+
+// The same request sent twice at once, and twice again.
+test("runs of two copies at once prove it with the third", (t) => {
+  const runs = [run(0, 100), run(20, 110), run(4_000, 4_100)];
+  t.deepEqual(evidence.weigh(runs), { ends: 3, inTurn: 2 });
+  t.true(evidence.proves(evidence.weigh(runs)));
+});
+
+// Many hosts are lost at once while a popular request is under way at each of them.
+test("runs that were all under way at one moment prove nothing", (t) => {
+  const runs = Array.from({ length: 50 }, (_, index) =>
+    run(index, 1_000 + index),
+  );
+  t.deepEqual(evidence.weigh(runs), { ends: 50, inTurn: 1 });
+  t.false(evidence.proves(evidence.weigh(runs)));
+});
+
+test("the order in which runs are told does not matter", (t) => {
+  const any = fastCheck.tuple(
+    fastCheck.integer({ min: 0, max: 1_000 }),
+    fastCheck.integer({ min: 0, max: 500 }),
+  );
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.array(any, { maxLength: 12 }),
+      fastCheck.nat(),
+      (pairs, turn) => {
+        const runs = pairs.map(([start, lasts]) => run(start, start + lasts));
+        const split = runs.length === 0 ? 0 : turn % runs.length;
+        const turned = [...runs.slice(split), ...runs.slice(0, split)];
+        t.deepEqual(evidence.weigh(turned), evidence.weigh(runs));
+      },
+    ),
+    { seed: 1 },
+  );
+});
--- /dev/null
+++ b/packages/daemon/src/quarantine/quarantine_fixture.ts
@@ -0,0 +1,19 @@
+import * as common from "@geraniumkeel/common";
+import * as quarantine from "./quarantine.ts";
+
+/** A quarantine of one entry, alone unless a test says otherwise. */
+export function createQuarantine(
+  change: Partial<quarantine.QuarantineParameters> = {},
+): quarantine.Quarantine {
+  return new quarantine.Quarantine({
+    host: "entry-1",
+    entries: () => ["entry-1"],
+    versionsOf: () => new Set(["1"]),
+    tell: () => {},
+    relays: false,
+    onEndTold: () => {},
+    logger: new common.RecordingLogger(),
+    metrics: common.discardMetrics(),
+    ...change,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/quarantine/suspect_ledger.ts
@@ -0,0 +1,265 @@
+import * as evidence from "./evidence.ts";
+
+/** Runners' ends that are remembered, at most. */
+const MOST_ENDS = 4_000;
+/** Requests remembered for all ends together, at most. */
+const MOST_SUSPICIONS = 20_000;
+/** Requests held at once, at most. */
+const MOST_HELD = 1_000;
+/** Time for which a runner's end is remembered, in milliseconds: a day. */
+const REMEMBERED_MILLISECONDS = 24 * 3_600_000;
+
+/** A request that was under way when a runner ended. */
+export interface Suspicion {
+  fingerprint: string;
+  /** When it was sent there, by this process's clock. */
+  startedAt: number;
+  /** A whole answer or an operator spoke for it since. */
+  cleared: boolean;
+}
+
+/** A runner's end and the requests that were under way there, as one entry tells it. */
+export interface ReportedEnd {
+  /** Names one life of the runner. */
+  life: string;
+  runner: string;
+  service: string;
+  /** Version of its software; empty if it is not known. */
+  version: string;
+  /** By this process's clock. */
+  endedAt: number;
+  /** Entries that saw it. */
+  seenBy: string[];
+  /** The runner was heard again: it had not ended. */
+  disproved: boolean;
+  suspicions: Suspicion[];
+}
+
+/** What a report changed. */
+export interface LedgerChange {
+  /** Whether anything in it was news. */
+  news: boolean;
+  /** Requests that are held from now on. */
+  held: string[];
+  /** Requests that are held no more. */
+  released: string[];
+}
+
+interface RecordedSuspicion {
+  startedAt: number;
+  cleared: boolean;
+}
+
+interface RecordedEnd extends Omit<ReportedEnd, "seenBy" | "suspicions"> {
+  seenBy: Set<string>;
+  suspicions: Map<string, RecordedSuspicion>;
+}
+
+/** An end with the run of one request there. */
+export interface EndOfRequest extends evidence.EndedRun {
+  runner: string;
+  version: string;
+  seenBy: string[];
+}
+
+/**
+ * Ends of runners, as all entries report them, and the requests that were under way at
+ * each. Reports are merged as sets: a report may come twice, by several ways and in any
+ * order, and each runner's end counts once, whoever saw it. What is held for good
+ * reason stays when a flood of other suspects comes.
+ */
+export class SuspectLedger {
+  readonly #ends = new Map<string, RecordedEnd>();
+  readonly #endsOf = new Map<string, Set<RecordedEnd>>();
+  /** Requests that are proved to end their runners. */
+  readonly #held = new Set<string>();
+  #suspicions = 0;
+
+  /** Requests that are held. */
+  get held(): ReadonlySet<string> {
+    return this.#held;
+  }
+
+  /** Whether any request is under suspicion. */
+  get empty(): boolean {
+    return this.#endsOf.size === 0;
+  }
+
+  /** Numbers for the state dump. */
+  get size(): { ends: number; suspects: number; suspicions: number } {
+    return {
+      ends: this.#ends.size,
+      suspects: this.#endsOf.size,
+      suspicions: this.#suspicions,
+    };
+  }
+
+  /** When a life of a runner ended, if it is known to have. */
+  endOf(life: string): number | undefined {
+    const end = this.#ends.get(life);
+    return end && !end.disproved ? end.endedAt : undefined;
+  }
+
+  /** Ends under which a request was under way, and for which nothing cleared it. */
+  endsUnder(fingerprint: string): EndOfRequest[] {
+    const ends: EndOfRequest[] = [];
+    for (const end of this.#endsOf.get(fingerprint) ?? []) {
+      const suspicion = end.suspicions.get(fingerprint);
+      if (end.disproved || !suspicion || suspicion.cleared) continue;
+      const { runner, version, endedAt, seenBy } = end;
+      const { startedAt } = suspicion;
+      ends.push({ runner, version, startedAt, endedAt, seenBy: [...seenBy] });
+    }
+    return ends.sort((left, right) => left.endedAt - right.endedAt);
+  }
+
+  /** Service whose runners ended under a request. */
+  serviceOf(fingerprint: string): string {
+    const [first] = this.#endsOf.get(fingerprint) ?? [];
+    return first?.service ?? "";
+  }
+
+  /** All that is known of one life's end. */
+  reportOf(life: string): ReportedEnd | undefined {
+    const end = this.#ends.get(life);
+    return end && reportOf(end, undefined);
+  }
+
+  /** Ends that are not disproved, from `earliest` to `latest`. */
+  endedLives(earliest: number, latest: number): string[] {
+    return [...this.#ends.values()]
+      .filter(({ disproved }) => !disproved)
+      .filter(({ endedAt }) => endedAt >= earliest && endedAt <= latest)
+      .map(({ life }) => life);
+  }
+
+  /** Reports that tell all that is known of a request, or of all requests. */
+  reports(fingerprint?: string): ReportedEnd[] {
+    const ends =
+      fingerprint === undefined
+        ? this.#ends.values()
+        : (this.#endsOf.get(fingerprint) ?? []);
+    return [...ends].map((end) => reportOf(end, fingerprint));
+  }
+
+  /** Takes a report, of this entry or of another. */
+  merge(report: ReportedEnd, now: number): LedgerChange {
+    const change: LedgerChange = { news: false, held: [], released: [] };
+    if (report.endedAt < now - REMEMBERED_MILLISECONDS) return change;
+    const end = this.#ends.get(report.life) ?? this.#record(report);
+    const touched = new Set<string>();
+    if (report.disproved && !end.disproved) {
+      end.disproved = true;
+      for (const fingerprint of end.suspicions.keys()) touched.add(fingerprint);
+    }
+    end.endedAt = Math.min(end.endedAt, report.endedAt);
+    for (const host of report.seenBy) end.seenBy.add(host);
+    for (const suspicion of report.suspicions) {
+      if (this.#suspect(end, suspicion)) touched.add(suspicion.fingerprint);
+    }
+    change.news = touched.size > 0;
+    for (const fingerprint of touched) this.#judge(fingerprint, change);
+    this.#forget(now);
+    return change;
+  }
+
+  /** Holds what other entries hold: clocks differ, and all entries do the same. */
+  hold(fingerprint: string): boolean {
+    if (this.#held.has(fingerprint)) return false;
+    if (this.endsUnder(fingerprint).length < evidence.PROOF.ends) return false;
+    return this.#holdNow(fingerprint);
+  }
+
+  #record(report: ReportedEnd): RecordedEnd {
+    const end: RecordedEnd = {
+      ...report,
+      disproved: false,
+      seenBy: new Set(),
+      suspicions: new Map(),
+    };
+    this.#ends.set(report.life, end);
+    return end;
+  }
+
+  /** Notes a request under way at an end; whether that is news. */
+  #suspect(end: RecordedEnd, suspicion: Suspicion): boolean {
+    const { fingerprint, startedAt, cleared } = suspicion;
+    const known = end.suspicions.get(fingerprint);
+    if (!known) {
+      end.suspicions.set(fingerprint, { startedAt, cleared });
+      const ends = this.#endsOf.get(fingerprint) ?? new Set();
+      this.#endsOf.set(fingerprint, ends.add(end));
+      this.#suspicions++;
+      return true;
+    }
+    known.startedAt = Math.min(known.startedAt, startedAt);
+    if (known.cleared || !cleared) return false;
+    known.cleared = true;
+    return true;
+  }
+
+  #judge(fingerprint: string, change: LedgerChange): void {
+    const ends = this.endsUnder(fingerprint);
+    if (this.#held.has(fingerprint)) {
+      if (ends.length >= evidence.PROOF.ends) return;
+      this.#held.delete(fingerprint);
+      change.released.push(fingerprint);
+      return;
+    }
+    if (!evidence.proves(evidence.weigh(ends))) return;
+    if (this.#holdNow(fingerprint)) change.held.push(fingerprint);
+  }
+
+  #holdNow(fingerprint: string): boolean {
+    if (this.#held.size >= MOST_HELD) return false;
+    this.#held.add(fingerprint);
+    return true;
+  }
+
+  /** Keeps to the bounds: what is old goes, then what was seen once, oldest first. */
+  #forget(now: number): void {
+    const oldest = now - REMEMBERED_MILLISECONDS;
+    for (const end of this.#ends.values()) {
+      const full = this.#ends.size > MOST_ENDS;
+      if (end.endedAt >= oldest && !full) break;
+      this.#dropSuspicions(end, (fingerprint) => !this.#held.has(fingerprint));
+      if (end.suspicions.size === 0) this.#ends.delete(end.life);
+    }
+    if (this.#suspicions <= MOST_SUSPICIONS) return;
+    this.#makeRoom((fingerprint) => this.#endsOf.get(fingerprint)?.size === 1);
+    this.#makeRoom((fingerprint) => !this.#held.has(fingerprint));
+  }
+
+  #makeRoom(mayGo: (fingerprint: string) => boolean): void {
+    for (const end of this.#ends.values()) {
+      if (this.#suspicions <= MOST_SUSPICIONS) return;
+      this.#dropSuspicions(end, mayGo);
+    }
+  }
+
+  #dropSuspicions(
+    end: RecordedEnd,
+    mayGo: (fingerprint: string) => boolean,
+  ): void {
+    for (const fingerprint of end.suspicions.keys()) {
+      if (!mayGo(fingerprint)) continue;
+      end.suspicions.delete(fingerprint);
+      this.#suspicions--;
+      const ends = this.#endsOf.get(fingerprint);
+      ends?.delete(end);
+      if (ends?.size === 0) this.#endsOf.delete(fingerprint);
+    }
+  }
+}
+
+function reportOf(
+  end: RecordedEnd,
+  fingerprint: string | undefined,
+): ReportedEnd {
+  const suspicions: Suspicion[] = [];
+  for (const [name, suspicion] of end.suspicions) {
+    if (fingerprint !== undefined && name !== fingerprint) continue;
+    suspicions.push({ fingerprint: name, ...suspicion });
+  }
+  return { ...end, seenBy: [...end.seenBy], suspicions };
+}
--- /dev/null
+++ b/packages/daemon/src/quarantine/suspect_ledger_test.ts
@@ -0,0 +1,158 @@
+import * as ava from "ava";
+import * as fastCheck from "fast-check";
+import * as suspectLedger from "./suspect_ledger.ts";
+
+const test = ava.default;
+
+/** A runner's end with one request under way for 50 ms. */
+function endAt(
+  endedAt: number,
+  change: Partial<suspectLedger.ReportedEnd> = {},
+  fingerprints: string[] = ["f"],
+): suspectLedger.ReportedEnd {
+  return {
+    life: `life-${endedAt}`,
+    runner: `i-${endedAt}`,
+    service: "s",
+    version: "1",
+    endedAt,
+    seenBy: ["entry-1"],
+    disproved: false,
+    suspicions: fingerprints.map((fingerprint) => ({
+      fingerprint,
+      startedAt: endedAt - 50,
+      cleared: false,
+    })),
+    ...change,
+  };
+}
+
+function cleared(report: suspectLedger.ReportedEnd): suspectLedger.ReportedEnd {
+  const suspicions = report.suspicions.map((one) => ({
+    ...one,
+    cleared: true,
+  }));
+  return { ...report, suspicions };
+}
+
+function ledgerOf(
+  reports: suspectLedger.ReportedEnd[],
+): suspectLedger.SuspectLedger {
+  const ledger = new suspectLedger.SuspectLedger();
+  for (const report of reports) ledger.merge(report, 1_000);
+  return ledger;
+}
+
+test("three ends in turn hold a request", (t) => {
+  const ledger = ledgerOf([endAt(100), endAt(200)]);
+  t.deepEqual([...ledger.held], []);
+  t.deepEqual(ledger.merge(endAt(300), 1_000).held, ["f"]);
+  t.true(ledger.held.has("f"));
+});
+
+// One crash that several entries see must not count as several.
+test("a runner's end counts once, whoever saw it and how often it is told", (t) => {
+  const ledger = ledgerOf([
+    endAt(100),
+    endAt(100, { seenBy: ["entry-2"], endedAt: 104 }),
+    endAt(100),
+    endAt(200),
+  ]);
+  t.deepEqual([...ledger.held], []);
+  t.is(ledger.endsUnder("f").length, 2);
+  t.deepEqual(ledger.endsUnder("f")[0].seenBy, ["entry-1", "entry-2"]);
+  t.false(ledger.merge(endAt(200), 1_000).news);
+});
+
+// A popular request is under way at ends that have nothing to do with it.
+test("a whole answer speaks for a request, whenever it is told", (t) => {
+  const ends = [endAt(100), endAt(200)];
+  const spoken = ledgerOf([...ends, ...ends.map(cleared), endAt(300)]);
+  t.deepEqual([...spoken.held], []);
+  t.is(spoken.endsUnder("f").length, 1);
+  const before = ledgerOf([...ends.map(cleared), ...ends, endAt(300)]);
+  t.is(before.endsUnder("f").length, 1);
+});
+
+test("a held request is released when its ends are cleared or disproved", (t) => {
+  const ends = [endAt(100), endAt(200), endAt(300)];
+  const ledger = ledgerOf(ends);
+  t.deepEqual(ledger.merge(cleared(ends[0]), 1_000).released, ["f"]);
+  t.deepEqual([...ledger.held], []);
+  const disproof = endAt(300, { disproved: true }, []);
+  t.deepEqual(ledgerOf(ends).merge(disproof, 1_000).released, ["f"]);
+});
+
+// Entries hear of ends in any order, some twice, over other entries.
+test("entries that heard the same know the same, in any order", (t) => {
+  const reports = [100, 200, 300, 400].flatMap((at) => [
+    endAt(at, {}, ["f", `g-${at}`]),
+    endAt(at, { seenBy: ["entry-2"], endedAt: at + 3 }, ["h"]),
+    cleared(endAt(at, {}, [`g-${at}`])),
+  ]);
+  const expected = ledgerOf(reports);
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.shuffledSubarray(reports, { minLength: reports.length }),
+      fastCheck.subarray(reports),
+      (order, again) => {
+        const ledger = ledgerOf([...order, ...again]);
+        t.deepEqual([...ledger.held].sort(), [...expected.held].sort());
+        for (const name of ["f", "h", "g-100"]) {
+          const withOrderedHosts = (of: suspectLedger.SuspectLedger) =>
+            of.endsUnder(name).map((end) => ({
+              ...end,
+              seenBy: [...end.seenBy].sort(),
+            }));
+          t.deepEqual(withOrderedHosts(ledger), withOrderedHosts(expected));
+        }
+      },
+    ),
+    { seed: 1, numRuns: 50 },
+  );
+});
+
+// Clocks differ between entries by the time of a message; all are to do the same.
+test("what another entry holds is held, if its ends are known", (t) => {
+  const overlapping = [endAt(100), endAt(101), endAt(102)];
+  const ledger = ledgerOf(overlapping);
+  t.deepEqual([...ledger.held], []);
+  t.true(ledger.hold("f"));
+  t.true(ledger.held.has("f"));
+  t.false(ledgerOf([endAt(100)]).hold("f"));
+});
+
+// Everything under way is a suspect when all hosts are lost, again and again.
+test("a flood of suspects pushes out neither a held request nor memory", (t) => {
+  const ledger = ledgerOf([endAt(100), endAt(200), endAt(300)]);
+  for (let number = 0; number < 200; number++) {
+    const names = Array.from({ length: 500 }, (_, one) => `g-${number}-${one}`);
+    ledger.merge(endAt(1_000 + number, {}, names), 2_000);
+  }
+  t.true(ledger.held.has("f"));
+  t.is(ledger.endsUnder("f").length, 3);
+  t.true(ledger.size.suspicions <= 20_000);
+});
+
+test("what was seen twice outlives what was seen once", (t) => {
+  const ledger = ledgerOf([endAt(100), endAt(200)]);
+  for (let number = 0; number < 60; number++) {
+    const names = Array.from({ length: 500 }, (_, one) => `g-${number}-${one}`);
+    ledger.merge(endAt(1_000 + number, {}, names), 2_000);
+  }
+  t.is(ledger.endsUnder("f").length, 2);
+});
+
+test("ends are forgotten after a day, but for those of held requests", (t) => {
+  const day = 24 * 3_600_000;
+  const ledger = ledgerOf([
+    endAt(100),
+    endAt(200),
+    endAt(300),
+    endAt(400, {}, ["g"]),
+  ]);
+  ledger.merge(endAt(day + 1_000, {}, ["h"]), day + 1_000);
+  t.is(ledger.endsUnder("g").length, 0);
+  t.true(ledger.held.has("f"));
+  t.is(ledger.endsUnder("f").length, 3);
+});
--- a/packages/stand_ins/src/gateways/pool_runner.ts
+++ b/packages/stand_ins/src/gateways/pool_runner.ts
@@ -60,6 +60,11 @@
     return this.#up;
   }
 
+  /** Whether a request with a body is under way here. */
+  has(body: string): boolean {
+    return [...this.#runs].some((run) => run.body === body);
+  }
+
   /** Ends the present life; gives the bodies of what was under way. */
   stop(): string[] {
     this.#up = false;
--- a/packages/stand_ins/src/gateways/runner_pool.ts
+++ b/packages/stand_ins/src/gateways/runner_pool.ts
@@ -50,6 +50,8 @@
   readonly ends: PoolEnd[] = [];
   /** Cuts between entries and runners, by entry and place. */
   readonly cuts = new Map<string, Cut>();
+  /** Version of the runners' software. */
+  version = "1";
   readonly #changed = new common.ChangeNotice();
   readonly #timers = new Set<NodeJS.Timeout>();
   #version = 1;
@@ -86,6 +88,7 @@
       identifier: runner.identifier,
       bornAt: runner.bornAt,
       service: this.shape.service,
+      version: this.version,
       address: `runner-${runner.place}`,
       port: 1,
       dataCentre: "d",
--- a/packages/stand_ins/src/measure/main.ts
+++ b/packages/stand_ins/src/measure/main.ts
@@ -9,6 +9,7 @@
 import * as measureLiveMap from "./measure_live_map.ts";
 import * as measureOverhead from "./measure_overhead.ts";
 import * as measurePlacement from "./measure_placement.ts";
+import * as measureQuarantine from "./measure_quarantine.ts";
 import * as measureReserve from "./measure_reserve.ts";
 import * as measureReturn from "./measure_return.ts";
 import * as measureRouting from "./measure_routing.ts";
@@ -28,6 +29,7 @@
   configuration: measureConfiguration.measureConfiguration,
   overhead: measureOverhead.measureOverhead,
   placement: measurePlacement.measurePlacement,
+  quarantine: measureQuarantine.measureQuarantine,
   reserve: measureReserve.measureReserve,
   return: measureReturn.measureReturn,
   routing: measureRouting.measureRouting,
--- /dev/null
+++ b/packages/stand_ins/src/measure/measure_quarantine.ts
@@ -0,0 +1,145 @@
+import type * as common from "@geraniumkeel/common";
+import type * as evidence from "@geraniumkeel/daemon/quarantine/evidence";
+import * as world from "./quarantine_world/world.ts";
+import * as statistics from "./statistics.ts";
+
+const SEEDS = 40;
+const DURATION = 60_000;
+const REQUESTS_PER_SECOND = 40;
+const POPULAR_SHARE = 0.3;
+const RUNNERS = 16;
+
+/** Rules of evidence that are compared. */
+const PROOFS: evidence.Evidence[] = [
+  { ends: 2, inTurn: 1 },
+  { ends: 2, inTurn: 2 },
+  { ends: 3, inTurn: 1 },
+  { ends: 3, inTurn: 2 },
+  { ends: 3, inTurn: 3 },
+  { ends: 4, inTurn: 2 },
+  { ends: 4, inTurn: 4 },
+];
+
+type OtherEnds = world.WorldShape["otherEnds"];
+
+function every(pause: number, runners: number): OtherEnds {
+  return (random: common.Random) => {
+    const ends: { at: number; runners: number }[] = [];
+    for (let at = random.between(0, pause); at < DURATION; at += pause) {
+      ends.push({ at, runners });
+    }
+    return ends;
+  };
+}
+
+const NO_ENDS: OtherEnds = () => [];
+
+/** Ends that have nothing to do with any request. */
+const UNRELATED: Record<string, OtherEnds> = {
+  "one each 10 s": every(10_000, 1),
+  "one each second": every(1_000, 1),
+  "three at once each 5 s": every(5_000, 3),
+  "half at once each 6 s": every(6_000, RUNNERS / 2),
+  "all at once each 6 s": every(6_000, RUNNERS),
+};
+
+/** How the ending request comes. */
+const ENDINGS: Record<string, { copies: number; pause: number }> = {
+  "one each 4.4 s": { copies: 1, pause: 4_400 },
+  "two at once each 4.4 s": { copies: 2, pause: 4_400 },
+  "three at once each 4.4 s": { copies: 3, pause: 4_400 },
+  "one each 0.2 s": { copies: 1, pause: 200 },
+};
+
+const GROUPINGS: Record<string, { groups: number; ranks: number }> = {
+  "on their own": { groups: RUNNERS, ranks: 1 },
+  "two groups": { groups: 2, ranks: RUNNERS / 2 },
+  "one group": { groups: 1, ranks: RUNNERS },
+};
+
+async function playAll(
+  change: Omit<world.WorldShape, "seed" | "duration" | "requestsPerSecond">,
+): Promise<world.WorldResult[]> {
+  const results: world.WorldResult[] = [];
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const played = new world.World({
+      duration: DURATION,
+      requestsPerSecond: REQUESTS_PER_SECOND,
+      seed,
+      ...change,
+    });
+    results.push(await played.play());
+  }
+  return results;
+}
+
+function sum(results: world.WorldResult[], field: keyof world.WorldResult) {
+  return results.reduce((total, result) => total + result[field], 0);
+}
+
+async function judgeInnocents(
+  proof: evidence.Evidence,
+): Promise<Record<string, unknown>> {
+  const figures: Record<string, unknown> = {};
+  for (const [grouping, shape] of Object.entries(GROUPINGS)) {
+    for (const [name, otherEnds] of Object.entries(UNRELATED)) {
+      const popularShare = POPULAR_SHARE;
+      const ending = undefined;
+      const results = await playAll({
+        ...shape,
+        proof,
+        popularShare,
+        ending,
+        otherEnds,
+      });
+      const singles = sum(results, "singles");
+      const played = SEEDS * DURATION;
+      figures[`${grouping}, ${name}`] = {
+        heldOfAMillion: statistics.round(
+          (1e6 * sum(results, "heldSingles")) / singles,
+        ),
+        popularHeldShare: statistics.round(
+          sum(results, "popularHeld") / played,
+        ),
+      };
+    }
+  }
+  return figures;
+}
+
+async function judgeEndings(
+  proof: evidence.Evidence,
+): Promise<Record<string, unknown>> {
+  const figures: Record<string, unknown> = {};
+  for (const [grouping, shape] of Object.entries(GROUPINGS)) {
+    for (const [name, ending] of Object.entries(ENDINGS)) {
+      for (const beside of ["none", "one each second"]) {
+        const otherEnds = UNRELATED[beside] ?? NO_ENDS;
+        const results = await playAll({
+          ...shape,
+          proof,
+          popularShare: 0,
+          ending,
+          otherEnds,
+        });
+        figures[`${grouping}, ${name}, other ends: ${beside}`] = {
+          ends: statistics.spread(results.map(({ endsUnder }) => endsUnder)),
+          mostLateSends: Math.max(...results.map(({ lateSends }) => lateSends)),
+        };
+      }
+    }
+  }
+  return figures;
+}
+
+/** What each rule of evidence costs the innocent, and what it lets through. */
+export async function measureQuarantine(): Promise<object> {
+  const rules: Record<string, unknown> = {};
+  for (const proof of PROOFS) {
+    rules[`${proof.ends} ends, ${proof.inTurn} in turn`] = {
+      innocents: await judgeInnocents(proof),
+      endings: await judgeEndings(proof),
+    };
+  }
+  return { seeds: SEEDS, seconds: DURATION / 1_000, rules };
+}
--- a/packages/stand_ins/src/testing/rank_processes.ts
+++ b/packages/stand_ins/src/testing/rank_processes.ts
@@ -42,6 +42,7 @@
   return Array.from({ length: group.size }, (_, rank) => ({
     identifier: `runner-${rank}`,
     bornAt: 0,
+    version: "1",
     service: SERVICE,
     address: addressOf(rank),
     port: ENGINE_PORT,
--- a/packages/traffic/src/runner_entry.ts
+++ b/packages/traffic/src/runner_entry.ts
@@ -8,6 +8,8 @@
    */
   bornAt: number;
   service: string;
+  /** Version of its software; empty if it does not tell. */
+  version: string;
   address: string;
   port: number;
   dataCentre: string;
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -4,6 +4,7 @@
 import type * as mesh from "./mesh.ts";
 import type * as order from "./order.ts";
 import type * as rankGroup from "./rank_group.ts";
+import type * as suspicion from "./suspicion.ts";
 
 /** Kinds of message on links between the system's own processes. */
 export enum MessageKind {
@@ -51,6 +52,7 @@
   RankListsAnswer = 86,
   GroupKnowledge = 87,
   HoldNotice = 88,
+  Suspicions = 90,
 }
 
 /** What kind of process is at the far end. */
@@ -137,6 +139,7 @@
   | rankGroup.RankListsAnswer
   | rankGroup.GroupKnowledge
   | rankGroup.HoldNotice
+  | suspicion.Suspicions
   | {
       kind: MessageKind.Heartbeat;
       clock: number;
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -11,4 +11,5 @@
 export * from "./order.ts";
 export * from "./packed_document.ts";
 export * from "./rank_group.ts";
+export * from "./suspicion.ts";
 export * from "./estimate_tokens.ts";
--- /dev/null
+++ b/packages/wire/src/suspicion.ts
@@ -0,0 +1,35 @@
+import type * as message from "./message.ts";
+
+/** A request that was under way when a runner ended. */
+export interface ToldSuspicion {
+  fingerprint: string;
+  /** Milliseconds since it was sent there, at the time of telling. */
+  startedAge: number;
+  /** A whole answer or an operator spoke for it since. */
+  cleared: boolean;
+}
+
+/** A runner's end as entries tell it each other; merging it twice changes nothing. */
+export interface ToldEnd {
+  /** Names one life of the runner. */
+  life: string;
+  runner: string;
+  service: string;
+  /** Version of its software; empty if it is not known. */
+  version: string;
+  /** Milliseconds since it ended, at the time of telling. */
+  age: number;
+  /** Entries that saw it. */
+  seenBy: string[];
+  /** The runner was heard again: it had not ended. */
+  disproved: boolean;
+  suspicions: ToldSuspicion[];
+}
+
+/** What an entry tells others of requests that may end their runners. */
+export interface Suspicions {
+  kind: message.MessageKind.Suspicions;
+  ends: ToldEnd[];
+  /** Fingerprints of requests that the sender holds. */
+  held: string[];
+}
