feat: held requests outlive a loss of all entries, and come back on trial

When all entries lose power at once none is left that knows which request ends its runners, and the next three go. A held request is kept in a row of the platform's table service, written by one entry in the order all agree on; an entry reads the rows once, when it starts. While the table service is away nothing waits for it.

Found by the tests of this commit, and mended with them: an entry that put two others' ends together told everyone but the one it heard last, which then lacked the other's end and went on sending; a whole answer of another version on trial did not lift what the old version had been held for; on trial an attempt could be followed by another of the same request before its runner's end was known.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -59,6 +59,7 @@
   RunnerEndDisproved = 2102,
   RequestQuarantined = 2103,
   QuarantineEnded = 2104,
+  QuarantineNotKept = 2105,
 }
 
 /** How much attention an event asks for. */
@@ -381,6 +382,12 @@
     action:
       "Find the request by its fingerprint in RunnerEnded lines; mend the engine, or lift the quarantine if it is wrong.",
   },
+  [EventCode.QuarantineNotKept]: {
+    level: EventLevel.Warn,
+    meaning:
+      "The table service did not take a change of the quarantine; entries know of it as long as one of them lives.",
+    action: "Check the table service.",
+  },
   [EventCode.QuarantineEnded]: {
     level: EventLevel.Info,
     meaning:
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -12,6 +12,7 @@
 import * as endReview from "../quarantine/end_review.ts";
 import * as endWatch from "../quarantine/end_watch.ts";
 import * as quarantine from "../quarantine/quarantine.ts";
+import * as quarantineRows from "../quarantine/quarantine_rows.ts";
 
 /**
  * Part of the time in which a key that was taken away may still be served, after
@@ -75,6 +76,7 @@
   readonly quarantine: quarantine.Quarantine;
   readonly endWatch: endWatch.EndWatch;
   readonly endReview: endReview.EndReview;
+  readonly #rows: quarantineRows.QuarantineRows;
   readonly #budgets = new Map<string, retryBudget.RetryBudget>();
   readonly #longestProofAge: number;
   #storeReachable = true;
@@ -89,6 +91,7 @@
       random,
       inLockStep: (service) => this.#inLockStep(service),
     });
+    this.#rows = new quarantineRows.QuarantineRows(parameters);
     this.quarantine = new quarantine.Quarantine({
       host: self.host,
       entries: () => this.mesh.readyMembers().map(({ host }) => host),
@@ -96,6 +99,7 @@
       tell: (message, except) => this.mesh.tell(message, except),
       relays: false,
       onEndTold: (life, endedAt) => this.endWatch.toldEnd(life, endedAt),
+      rows: quarantineRows.inBackground(this.#rows, parameters.lifeCycle),
       logger,
       metrics,
     });
@@ -182,6 +186,10 @@
     lifeCycle.run("runners", (signal) =>
       this.#follow("runners", runnerSource, this.runners, signal),
     );
+    lifeCycle.run("quarantine", async (signal) => {
+      const kept = await this.#rows.read(signal);
+      if (kept) this.quarantine.restore(kept);
+    });
     lifeCycle.run("board", (signal) => this.#keepBoard(signal));
   }
 
--- a/packages/daemon/src/quarantine/quarantine.ts
+++ b/packages/daemon/src/quarantine/quarantine.ts
@@ -12,6 +12,8 @@
 /** Requests that an entry puts under suspicion in a second, at most. */
 const MOST_SUSPECTED = 500;
 const SECOND_MILLISECONDS = 1_000;
+/** Suspicions that an entry tells one that was just linked, at most. */
+const MOST_TOLD_AT_ONCE = 2_000;
 
 /** A request on its way, as far as the quarantine needs it. */
 export interface WatchedRequest {
@@ -46,6 +48,11 @@
   relays: boolean;
   /** Told of each runner's end that another entry saw. */
   onEndTold: (life: string, endedAt: number) => void;
+  /** Held requests in the platform's table service. */
+  rows: {
+    keep: (fingerprint: string, reports: suspectLedger.ReportedEnd[]) => void;
+    drop: (fingerprint: string) => void;
+  };
   logger: common.Logger;
   metrics: common.Metrics;
 }
@@ -93,7 +100,10 @@
   /** A runner of a version answered a request whole: it does not end its runners. */
   answered(request: WatchedRequest, version: string): void {
     if (this.#ledger.empty) return;
-    this.#clear(request.fingerprint, (end) => end.version === version);
+    const { fingerprint } = request;
+    const wasOnTrial = this.#trials.get(fingerprint) === request;
+    // Another version may run well what ends the runners of this one.
+    this.#clear(fingerprint, (end) => wasOnTrial || end.version === version);
   }
 
   /** Takes an operator's word that a request is sound; false if it is not held. */
@@ -103,6 +113,15 @@
     return true;
   }
 
+  /** Takes what the table service kept while no entry was there. */
+  restore(reports: suspectLedger.ReportedEnd[]): void {
+    const { held } = this.#merge(reports);
+    const kept = reports.flatMap(({ suspicions }) =>
+      suspicions.map(({ fingerprint }) => fingerprint),
+    );
+    this.#holdToo(kept, held);
+  }
+
   /** A runner ended while requests of this entry were under way there. */
   runnerEnded(end: brokenRun.RunnerEnd): void {
     this.#logEnd(end);
@@ -129,8 +148,8 @@
   runnerHeard(life: string): void {
     const report = this.#ledger.reportOf(life);
     if (!report || report.disproved) return;
-    const disproof = { ...report, disproved: true, suspicions: [] };
-    this.#merge([disproof]);
+    const disproof = { ...report, disproved: true };
+    this.#dropRows(this.#merge([disproof]));
     this.#tell([disproof], []);
     const { runner, seenBy } = report;
     const code = common.EventCode.RunnerEndDisproved;
@@ -152,21 +171,19 @@
     const now = common.now();
     const reports = message.ends.map((told) => toldEnds.fromTold(told, now));
     const change = this.#merge(reports);
-    for (const fingerprint of message.held) {
-      if (!this.#ledger.hold(fingerprint)) continue;
-      change.held.push(fingerprint);
-      this.#onHeld(fingerprint);
-    }
+    this.#holdToo(message.held, change.held);
     const relayed = this.parameters.relays && change.news ? reports : [];
-    this.#tell(relayed, change.held, from);
+    // The sender may lack the ends that others saw, and with them the proof.
+    const senderKnows = change.held.every((one) => message.held.includes(one));
+    this.#tell(relayed, change.held, senderKnows ? from : undefined);
     for (const { life, endedAt, disproved } of reports) {
       if (!disproved) this.parameters.onEndTold(life, endedAt);
     }
   }
 
-  /** All that is known, for an entry that was just linked; `undefined` if nothing. */
+  /** What weighs most, for an entry that was just linked; `undefined` if nothing. */
   everything(): wire.Suspicions | undefined {
-    const reports = this.#ledger.reports();
+    const reports = this.#ledger.weightiest(MOST_TOLD_AT_ONCE);
     if (reports.length === 0) return undefined;
     return messageOf(reports, [...this.#ledger.held]);
   }
@@ -205,16 +222,23 @@
     });
   }
 
-  /** One run at a time in all the system, so that a failed trial costs one runner. */
+  /**
+   * One attempt at a time in all the system, and one only of each request, so that a
+   * failed trial costs one runner.
+   */
   #takeTrial(fingerprint: string, request: WatchedRequest): boolean {
-    const { host, entries } = this.parameters;
-    if (common.rendezvous(fingerprint, entries()) !== host) return false;
-    const tried = this.#trials.get(fingerprint);
-    if (tried && tried !== request) return false;
+    if (!this.#isChosen(fingerprint)) return false;
+    if (this.#trials.has(fingerprint)) return false;
     this.#trials.set(fingerprint, request);
     return true;
   }
 
+  /** Whether this entry is the one that acts for all on a request. */
+  #isChosen(fingerprint: string): boolean {
+    const { host, entries } = this.parameters;
+    return common.rendezvous(fingerprint, entries()) === host;
+  }
+
   #clear(
     fingerprint: string,
     speaksFor: (end: { version: string }) => boolean,
@@ -231,7 +255,7 @@
         })),
       }));
     if (reports.length === 0) return;
-    this.#merge(reports);
+    this.#dropRows(this.#merge(reports));
     this.#tell(reports, []);
   }
 
@@ -253,6 +277,15 @@
     return merged;
   }
 
+  /** Holds what others found reason to hold, and adds it to what is held now. */
+  #holdToo(fingerprints: string[], held: string[]): void {
+    for (const fingerprint of fingerprints) {
+      if (!this.#ledger.hold(fingerprint)) continue;
+      held.push(fingerprint);
+      this.#onHeld(fingerprint);
+    }
+  }
+
   #onHeld(fingerprint: string): void {
     const { logger, metrics } = this.parameters;
     const service = this.#ledger.serviceOf(fingerprint);
@@ -262,12 +295,21 @@
     const code = common.EventCode.RequestQuarantined;
     logger.event(code, { fingerprint, service, ends });
     metrics.count(common.Metric.Quarantined, { service });
+    if (this.#isChosen(fingerprint)) {
+      const reports = this.#ledger.reports(fingerprint);
+      this.parameters.rows.keep(fingerprint, reports);
+    }
     for (const request of this.#underWay) {
       if (request.service !== service) continue;
       if (request.fingerprint === fingerprint) request.stop();
     }
   }
 
+  /** Who found the reason to release requests knows first that rows are to go. */
+  #dropRows({ released }: suspectLedger.LedgerChange): void {
+    for (const fingerprint of released) this.parameters.rows.drop(fingerprint);
+  }
+
   #onReleased(fingerprint: string): void {
     this.#trials.delete(fingerprint);
     const code = common.EventCode.QuarantineEnded;
--- a/packages/daemon/src/quarantine/quarantine_fixture.ts
+++ b/packages/daemon/src/quarantine/quarantine_fixture.ts
@@ -12,6 +12,7 @@
     tell: () => {},
     relays: false,
     onEndTold: () => {},
+    rows: { keep: () => {}, drop: () => {} },
     logger: new common.RecordingLogger(),
     metrics: common.discardMetrics(),
     ...change,
--- /dev/null
+++ b/packages/daemon/src/quarantine/quarantine_rows.ts
@@ -0,0 +1,161 @@
+import * as backingServices from "@geraniumkeel/backing_services";
+import * as common from "@geraniumkeel/common";
+import type * as suspectLedger from "./suspect_ledger.ts";
+
+const PREFIX = "quarantine/";
+/** First key behind all keys with the prefix. */
+const PREFIX_END = "quarantine0";
+/** Rows read at once; no more requests are held. */
+const MOST_ROWS = 1_000;
+const FIRST_PAUSE_MILLISECONDS = 100;
+const LONGEST_PAUSE_MILLISECONDS = 5_000;
+/** Time for which a write is tried again. */
+const PATIENCE_MILLISECONDS = 60_000;
+
+/** A runner's end in a row: times of day, as no monotonic clock outlives its process. */
+interface KeptEnd {
+  life: string;
+  runner: string;
+  service: string;
+  version: string;
+  endedAt: number;
+  /** Milliseconds from the run's start to the end. */
+  ranFor: number;
+  seenBy: string[];
+}
+
+/** What keeping held requests in the table service needs. */
+export interface QuarantineRowsParameters {
+  table: backingServices.TableService;
+  random: common.Random;
+  logger: common.Logger;
+}
+
+/**
+ * Held requests in the platform's table service, a row each. Entries tell each other
+ * all else, but when all of them lose power at once none is left who knows, and the
+ * same request would take as many runners along again.
+ */
+export class QuarantineRows {
+  constructor(readonly parameters: QuarantineRowsParameters) {}
+
+  /** Writes what speaks against a request. */
+  async keep(
+    fingerprint: string,
+    reports: suspectLedger.ReportedEnd[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    const value = JSON.stringify(reports.flatMap(toKept));
+    await this.#write(
+      backingServices.putRow(PREFIX + fingerprint, value),
+      signal,
+    );
+  }
+
+  /** Removes a request that is held no more. */
+  async drop(fingerprint: string, signal: AbortSignal): Promise<void> {
+    const key = PREFIX + fingerprint;
+    const kind = backingServices.WriteKind.Delete;
+    await this.#write({ kind, key }, signal);
+  }
+
+  /** What the rows say, once the table service tells; `undefined` if it never did. */
+  async read(
+    signal: AbortSignal,
+  ): Promise<suspectLedger.ReportedEnd[] | undefined> {
+    const backOff = this.#backOff();
+    while (!signal.aborted) {
+      const rows = await this.parameters.table.range({
+        from: PREFIX,
+        to: PREFIX_END,
+        limit: MOST_ROWS,
+      });
+      if (rows.isOk()) {
+        return rows.value.flatMap(({ key, value }) =>
+          fromKept(key.slice(PREFIX.length), JSON.parse(value) as KeptEnd[]),
+        );
+      }
+      await common.sleep(backOff.pause(), signal);
+    }
+    return undefined;
+  }
+
+  /** Repeating a write does no harm, so one whose answer was lost is repeated. */
+  async #write(
+    write: backingServices.Write,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { table, logger } = this.parameters;
+    const backOff = this.#backOff();
+    const deadline = common.now() + PATIENCE_MILLISECONDS;
+    while (!signal.aborted) {
+      const outcome = await table.transact({ conditions: [], writes: [write] });
+      if (outcome.kind === backingServices.OutcomeKind.Committed) return;
+      const pause = backOff.pause();
+      if (common.now() + pause > deadline) {
+        const code = common.EventCode.QuarantineNotKept;
+        return logger.event(code, { row: write.key, outcome: outcome.kind });
+      }
+      await common.sleep(pause, signal);
+    }
+  }
+
+  #backOff(): common.BackOff {
+    return new common.BackOff({
+      firstMilliseconds: FIRST_PAUSE_MILLISECONDS,
+      longestMilliseconds: LONGEST_PAUSE_MILLISECONDS,
+      random: this.parameters.random,
+    });
+  }
+}
+
+/** Rows that are written while requests go on. */
+export function inBackground(
+  rows: QuarantineRows,
+  lifeCycle: common.LifeCycle,
+): {
+  keep: (fingerprint: string, reports: suspectLedger.ReportedEnd[]) => void;
+  drop: (fingerprint: string) => void;
+} {
+  return {
+    keep: (fingerprint, reports) =>
+      lifeCycle.run("keep quarantine", (signal) =>
+        rows.keep(fingerprint, reports, signal),
+      ),
+    drop: (fingerprint) =>
+      lifeCycle.run("drop quarantine", (signal) =>
+        rows.drop(fingerprint, signal),
+      ),
+  };
+}
+
+function toKept(report: suspectLedger.ReportedEnd): KeptEnd[] {
+  const { life, runner, service, version, seenBy, endedAt } = report;
+  return report.suspicions
+    .filter(({ cleared }) => !cleared && !report.disproved)
+    .map(({ startedAt }) => ({
+      life,
+      runner,
+      service,
+      version,
+      seenBy,
+      endedAt: Math.round(Date.now() - (common.now() - endedAt)),
+      ranFor: Math.round(endedAt - startedAt),
+    }));
+}
+
+function fromKept(
+  fingerprint: string,
+  kept: KeptEnd[],
+): suspectLedger.ReportedEnd[] {
+  return kept.map(({ endedAt: timeOfDay, ranFor, ...same }) => {
+    const endedAt = common.now() - (Date.now() - timeOfDay);
+    const startedAt = endedAt - ranFor;
+    return {
+      ...same,
+      endedAt,
+      disproved: false,
+      suspicions: [{ fingerprint, startedAt, cleared: false }],
+    };
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/quarantine/quarantine_test.ts
@@ -0,0 +1,249 @@
+import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
+import type * as traffic from "@geraniumkeel/traffic";
+import type * as wire from "@geraniumkeel/wire";
+import * as brokenRun from "./broken_run.ts";
+import type * as quarantine from "./quarantine.ts";
+import * as quarantineFixture from "./quarantine_fixture.ts";
+
+const test = ava.default;
+
+/** Entries that tell each other what they see, over the links that there are. */
+class Network {
+  readonly entries = new Map<string, quarantine.Quarantine>();
+  readonly rows = new Set<string>();
+  readonly told: { from: string; to: string; message: wire.Suspicions }[] = [];
+  /** Pairs without a link. */
+  readonly cut = new Set<string>();
+
+  constructor(hosts: string[], relays = false) {
+    for (const host of hosts) {
+      const one = quarantineFixture.createQuarantine({
+        host,
+        entries: () => hosts,
+        relays,
+        tell: (message, except) => this.#tell(host, message, except),
+        rows: {
+          keep: (fingerprint) => this.rows.add(fingerprint),
+          drop: (fingerprint) => this.rows.delete(fingerprint),
+        },
+      });
+      this.entries.set(host, one);
+    }
+  }
+
+  at(host: string): quarantine.Quarantine {
+    const entry = this.entries.get(host);
+    if (!entry) throw new Error(`no entry ${host}`);
+    return entry;
+  }
+
+  /** Hosts of the entries that hold a request. */
+  holding(fingerprint = "f"): string[] {
+    return [...this.entries]
+      .filter(([, entry]) =>
+        entry.cases().some((one) => one.fingerprint === fingerprint),
+      )
+      .map(([host]) => host);
+  }
+
+  /** Has two entries link anew. */
+  link(one: string, other: string): void {
+    this.cut.delete(`${one} ${other}`);
+    this.cut.delete(`${other} ${one}`);
+    for (const [from, to] of [
+      [one, other],
+      [other, one],
+    ]) {
+      const message = this.at(from).everything();
+      if (message) this.at(to).take(message, from);
+    }
+  }
+
+  #tell(from: string, message: wire.Suspicions, except?: string): void {
+    for (const [to, entry] of this.entries) {
+      if (to === from || to === except) continue;
+      if (this.cut.has(`${from} ${to}`) || this.cut.has(`${to} ${from}`)) {
+        continue;
+      }
+      this.told.push({ from, to, message });
+      entry.take(message, from);
+    }
+  }
+}
+
+function runnerOf(name: string, version = "1"): traffic.RunnerEntry {
+  return {
+    identifier: name,
+    bornAt: 1,
+    service: "s",
+    version,
+    address: name,
+    port: 1,
+    dataCentre: "d",
+    slots: 8,
+    leaving: false,
+  };
+}
+
+let clock = common.now() - 100_000;
+
+/** A runner's end with requests under way, later than all before. */
+function endOf(
+  name: string,
+  fingerprints: string[] = ["f"],
+): brokenRun.RunnerEnd {
+  clock += 100;
+  const runner = runnerOf(name);
+  const startedAt = clock - 50;
+  return {
+    runner,
+    endedAt: clock,
+    evidence: brokenRun.EndEvidence.Refused,
+    runs: fingerprints.map((fingerprint) => ({
+      request: `of ${fingerprint}`,
+      fingerprint,
+      runner,
+      startedAt,
+    })),
+  };
+}
+
+function requestOf(
+  change: Partial<quarantine.WatchedRequest> = {},
+): quarantine.WatchedRequest {
+  return { service: "s", fingerprint: "f", stop: () => {}, ...change };
+}
+
+test("ends that three entries saw are put together by all", (t) => {
+  const network = new Network(["a", "b", "c"]);
+  network.at("a").runnerEnded(endOf("i-1"));
+  network.at("b").runnerEnded(endOf("i-2"));
+  t.deepEqual(network.holding(), []);
+  network.at("c").runnerEnded(endOf("i-3"));
+  t.deepEqual(network.holding(), ["a", "b", "c"]);
+  t.is(network.rows.size, 1);
+});
+
+// Without it entries that do not hear each other go on sending the request.
+test("an entry that hears two others tells each what the other saw", (t) => {
+  const network = new Network(["a", "b", "c"]);
+  network.cut.add("a b");
+  network.at("a").runnerEnded(endOf("i-1"));
+  network.at("b").runnerEnded(endOf("i-2"));
+  network.at("a").runnerEnded(endOf("i-3"));
+  t.deepEqual(network.holding(), ["a", "b", "c"]);
+});
+
+test("an entry that was cut off learns when it is linked again", (t) => {
+  const network = new Network(["a", "b", "c"]);
+  network.cut.add("a c").add("b c");
+  for (const name of ["i-1", "i-2", "i-3"]) {
+    network.at("a").runnerEnded(endOf(name));
+  }
+  t.deepEqual(network.holding(), ["a", "b"]);
+  network.link("b", "c");
+  t.deepEqual(network.holding(), ["a", "b", "c"]);
+});
+
+// Entries of a large system are linked with few others.
+test("where not all are linked each passes on what is new to it", (t) => {
+  const network = new Network(["a", "b", "c", "d"], true);
+  network.cut.add("a c").add("a d").add("b d");
+  network.at("a").runnerEnded(endOf("i-1"));
+  network.at("d").runnerEnded(endOf("i-2"));
+  network.at("b").runnerEnded(endOf("i-3"));
+  t.deepEqual(network.holding(), ["a", "b", "c", "d"]);
+});
+
+test("nothing is told while no runner ends, and little when one does", (t) => {
+  const network = new Network(["a", "b", "c"]);
+  network.at("a").answered(requestOf(), "1");
+  t.is(network.at("a").everything(), undefined);
+  t.is(network.told.length, 0);
+  network.at("a").runnerEnded(endOf("i-1"));
+  t.is(network.told.length, 2);
+  t.false(JSON.stringify(network.told[0].message).includes("of f"));
+});
+
+// All requests of a moment are under way somewhere when all hosts are lost.
+test("what is told of one second is bounded, the likeliest first", (t) => {
+  const network = new Network(["a", "b"]);
+  network.at("a").runnerEnded(endOf("i-1"));
+  const many = Array.from({ length: 2_000 }, (_, number) => `g-${number}`);
+  network.at("a").runnerEnded(endOf("i-2", [...many, "f"]));
+  network.at("a").runnerEnded(endOf("i-3", many));
+  const told = network.told.flatMap(({ message }) =>
+    message.ends.flatMap(({ suspicions }) => suspicions),
+  );
+  t.true(told.length <= 500);
+  t.is(told.filter(({ fingerprint }) => fingerprint === "f").length, 2);
+});
+
+test("a request that waits for its answer is ended when it is held", (t) => {
+  const network = new Network(["a", "b"]);
+  let stopped = 0;
+  const waiting = requestOf({ stop: () => stopped++ });
+  const other = requestOf({ fingerprint: "g", stop: () => t.fail() });
+  network.at("b").watch(other);
+  const unwatch = network.at("b").watch(waiting);
+  for (const name of ["i-1", "i-2", "i-3"]) {
+    network.at("a").runnerEnded(endOf(name));
+  }
+  t.is(stopped, 1);
+  unwatch();
+  t.true(network.at("b").heldMilliseconds(waiting) > 3_600_000);
+  t.is(network.at("b").heldMilliseconds(other), 0);
+});
+
+test("an operator's word lifts a quarantine everywhere, and for good", (t) => {
+  const network = new Network(["a", "b", "c"]);
+  const ends = ["i-1", "i-2", "i-3"].map((name) => endOf(name));
+  for (const end of ends) network.at("a").runnerEnded(end);
+  t.true(network.at("b").lift("f"));
+  t.deepEqual(network.holding(), []);
+  t.is(network.rows.size, 0);
+  // What an entry tells late brings nothing back.
+  network.at("c").runnerEnded(ends[2]);
+  t.deepEqual(network.holding(), []);
+  t.false(network.at("b").lift("f"));
+});
+
+test("a runner that is heard again had not ended, for any entry", (t) => {
+  const network = new Network(["a", "b", "c"]);
+  for (const name of ["i-1", "i-2", "i-3"]) {
+    network.at("a").runnerEnded(endOf(name));
+  }
+  network.at("c").runnerHeard("i-3 1 i-3:1");
+  t.deepEqual(network.holding(), []);
+});
+
+// A caller must not lose other requests of its own, nor others theirs.
+test("only the request that was at all the ends is held", (t) => {
+  const network = new Network(["a", "b"]);
+  network.at("a").runnerEnded(endOf("i-1", ["f", "g"]));
+  network.at("a").runnerEnded(endOf("i-2", ["f", "h"]));
+  network.at("a").runnerEnded(endOf("i-3", ["f", "g"]));
+  t.deepEqual(network.holding("f"), ["a", "b"]);
+  t.deepEqual(network.holding("g"), []);
+});
+
+test("operators see which runners ended, seen by which entries", (t) => {
+  const network = new Network(["a", "b"]);
+  network.at("a").runnerEnded(endOf("i-1"));
+  const seenTwice = endOf("i-2");
+  network.at("a").runnerEnded(seenTwice);
+  network.at("b").runnerEnded(seenTwice);
+  network.at("b").runnerEnded(endOf("i-3"));
+  const [held] = network.at("a").cases();
+  t.is(held.fingerprint, "f");
+  t.is(held.service, "s");
+  t.deepEqual(
+    held.ends.map(({ runner, seenBy }) => [runner, seenBy]),
+    [
+      ["i-1", ["a"]],
+      ["i-2", ["a", "b"]],
+      ["i-3", ["b"]],
+    ],
+  );
+});
--- a/packages/daemon/src/quarantine/suspect_ledger.ts
+++ b/packages/daemon/src/quarantine/suspect_ledger.ts
@@ -119,10 +119,10 @@
     return first?.service ?? "";
   }
 
-  /** All that is known of one life's end. */
+  /** What is known of one life's end, but for the requests. */
   reportOf(life: string): ReportedEnd | undefined {
     const end = this.#ends.get(life);
-    return end && reportOf(end, undefined);
+    return end && { ...end, seenBy: [...end.seenBy], suspicions: [] };
   }
 
   /** Ends that are not disproved, from `earliest` to `latest`. */
@@ -133,15 +133,31 @@
       .map(({ life }) => life);
   }
 
-  /** Reports that tell all that is known of a request, or of all requests. */
-  reports(fingerprint?: string): ReportedEnd[] {
-    const ends =
-      fingerprint === undefined
-        ? this.#ends.values()
-        : (this.#endsOf.get(fingerprint) ?? []);
+  /** Reports that tell all that is known of a request. */
+  reports(fingerprint: string): ReportedEnd[] {
+    const ends = this.#endsOf.get(fingerprint) ?? [];
     return [...ends].map((end) => reportOf(end, fingerprint));
   }
 
+  /** Reports of requests that were under way at the most ends, and at the latest. */
+  weightiest(mostSuspicions: number): ReportedEnd[] {
+    const pairs = [...this.#endsOf].flatMap(([fingerprint, ends]) =>
+      [...ends].map((end) => ({ fingerprint, end, weight: ends.size })),
+    );
+    pairs.sort(
+      (left, right) =>
+        right.weight - left.weight || right.end.endedAt - left.end.endedAt,
+    );
+    const told = new Map<RecordedEnd, ReportedEnd>();
+    for (const { fingerprint, end } of pairs.slice(0, mostSuspicions)) {
+      const one = reportOf(end, fingerprint);
+      const known = told.get(end);
+      if (known) known.suspicions.push(...one.suspicions);
+      else told.set(end, one);
+    }
+    return [...told.values()];
+  }
+
   /** Takes a report, of this entry or of another. */
   merge(report: ReportedEnd, now: number): LedgerChange {
     const change: LedgerChange = { news: false, held: [], released: [] };
@@ -252,14 +268,9 @@
   }
 }
 
-function reportOf(
-  end: RecordedEnd,
-  fingerprint: string | undefined,
-): ReportedEnd {
-  const suspicions: Suspicion[] = [];
-  for (const [name, suspicion] of end.suspicions) {
-    if (fingerprint !== undefined && name !== fingerprint) continue;
-    suspicions.push({ fingerprint: name, ...suspicion });
-  }
+/** What is known of one request at an end. */
+function reportOf(end: RecordedEnd, fingerprint: string): ReportedEnd {
+  const known = end.suspicions.get(fingerprint);
+  const suspicions = known ? [{ fingerprint, ...known }] : [];
   return { ...end, seenBy: [...end.seenBy], suspicions };
 }
--- a/packages/stand_ins/src/gateways/pool_runner.ts
+++ b/packages/stand_ins/src/gateways/pool_runner.ts
@@ -37,6 +37,8 @@
   leaving = false;
   /** Breaks off each answer after its first event, as a sound runner may. */
   breaksAnswers = false;
+  /** Whether requests that say so end the runner. */
+  endsOnRequest = true;
   /** Called when a request ends the runner. */
   onEnd: () => void = () => {};
 
@@ -96,7 +98,8 @@
     call: daemon.RunnerCall,
   ): ReturnType<daemon.RunnerCaller["call"]> {
     const body = call.request.body.toString();
-    const [, endsAfter] = /ends-runner after=(\d+)/.exec(body) ?? [];
+    const [, told] = /ends-runner after=(\d+)/.exec(body) ?? [];
+    const endsAfter = this.endsOnRequest ? told : undefined;
     const ending = new Promise<RunEnd>((resolve) => {
       const run = { entry, body, breakOff: () => resolve(RunEnd.Broken) };
       this.#runs.add(run);
