feat: operators list requests in quarantine, lift one, and see why a request was refused

geraniumkeel quarantine list tells for each fingerprint the service, since when, how long still, which runners ended and which entries saw it; quarantine lift lets it through at all entries. Both work against the product's gateway entries. The line of a refused request has its fingerprint, and explain goes from the caller's id to the runners' ends.

--- a/packages/cli/src/explain_request.ts
+++ b/packages/cli/src/explain_request.ts
@@ -67,7 +67,15 @@
     ({ runner, end, reason, milliseconds }) =>
       `  at ${runner}: ${end}${reason ? ` (${reason})` : ""} after ${milliseconds} ms`,
   );
-  const facts = ["route", "account", "service", "kind", "reason", "end"]
+  const facts = [
+    "route",
+    "account",
+    "service",
+    "kind",
+    "reason",
+    "end",
+    "fingerprint",
+  ]
     .filter((name) => line[name])
     .map((name) => `${name} ${text(line[name])}`);
   const version = `configuration ${text(line.version)}, proved ${text(line.age)} ms before`;
@@ -81,6 +89,8 @@
   const last = attempts.at(-1);
   const tried = `${attempts.length} runner${attempts.length === 1 ? "" : "s"}`;
   switch (line.end) {
+    case "quarantined":
+      return quarantineCause(line, lines);
     case "answered":
       return `It was answered by ${last?.runner} through ${where} in ${text(line.milliseconds)} ms.`;
     case "not-run":
@@ -96,6 +106,22 @@
   }
 }
 
+/** Since when, for which runners' ends and seen by whom a request is held. */
+function quarantineCause(line: LogLine, lines: LogLine[]): string {
+  const { fingerprint } = line;
+  const held = lines
+    .filter(({ msg }) => msg === "RequestQuarantined")
+    .filter((one) => one.fingerprint === fingerprint && one.time <= line.time)
+    .sort((left, right) => (left.time < right.time ? -1 : 1))
+    .at(0);
+  const subject = `Held in quarantine as ${text(fingerprint)}`;
+  if (!held) return `${subject}: no log here says since when.`;
+  const ends = (held.ends as { runner: string; seenBy: string[] }[])
+    .map(({ runner, seenBy }) => `${runner} (seen by ${seenBy.join(", ")})`)
+    .join(", ");
+  return `${subject} since ${held.time}: these runners ended while they ran it: ${ends}.`;
+}
+
 function refusalCause(line: LogLine, lines: LogLine[]): string {
   const reason = text(line.reason);
   const age = Number(line.age);
--- a/packages/cli/src/explain_request_test.ts
+++ b/packages/cli/src/explain_request_test.ts
@@ -51,3 +51,18 @@
 test("a request that nobody logged is said to be so", (t) => {
   t.regex(causeOf({ msg: "Forwarded", request: "other" }), /No process/);
 });
+
+test("a request in quarantine names the runners that ended, and who saw it", (t) => {
+  const ends = [
+    { runner: "i-1", version: "1", seenBy: ["entry-1"] },
+    { runner: "i-2", version: "1", seenBy: ["entry-2", "entry-3"] },
+  ];
+  const time = "2026-01-01T00:00:00Z";
+  const cause = causeOf(
+    { msg: "RequestQuarantined", fingerprint: "other", time, ends: [] },
+    { msg: "RequestQuarantined", fingerprint: "f", time, ends },
+    { msg: "Forwarded", request: "q", end: "quarantined", fingerprint: "f" },
+  );
+  t.regex(cause, /quarantine as f since 2026-01-01T00:00:00Z/);
+  t.regex(cause, /i-1 \(seen by entry-1\), i-2 \(seen by entry-2, entry-3\)/);
+});
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -3,6 +3,7 @@
 import * as explain from "./commands/explain.ts";
 import * as hosts from "./commands/hosts.ts";
 import * as preset from "./commands/preset.ts";
+import * as quarantine from "./commands/quarantine.ts";
 import * as state from "./commands/state.ts";
 import * as status from "./commands/status.ts";
 import * as exitCode from "./exit_code.ts";
@@ -21,6 +22,7 @@
     .addCommand(status.entriesCommand())
     .addCommand(hosts.hostsCommand())
     .addCommand(hosts.drainCommand())
+    .addCommand(quarantine.quarantineCommand())
     .addCommand(state.stateCommand())
     .addCommand(explain.explainCommand());
 }
--- a/packages/cli/src/session.ts
+++ b/packages/cli/src/session.ts
@@ -34,7 +34,7 @@
 
   /** Calls the operators' interface of the entry. */
   async call(
-    method: "GET" | "PUT" | "POST" | "PATCH",
+    method: "GET" | "PUT" | "POST" | "PATCH" | "DELETE",
     path: string,
     body?: unknown,
   ): Promise<Answer> {
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -67,6 +67,8 @@
   end: string;
   milliseconds: number;
   attempts: attemptEnd.AttemptNote[];
+  /** Name of the request by what it asks for, if it is in quarantine. */
+  fingerprint: string | undefined;
 }
 
 /** Conducts one admitted request: chooses runners, repeats what may be repeated. */
@@ -134,6 +136,7 @@
     }
     this.#finish(end);
     this.#measure(end);
+    const isHeld = end.kind === attemptEnd.AttemptKind.Quarantined;
     return {
       route: route.name,
       account: account?.name ?? "",
@@ -141,6 +144,7 @@
       end: end.kind,
       milliseconds: Math.round(this.#elapsed()),
       attempts: this.#attempts,
+      fingerprint: isHeld ? this.fingerprint : undefined,
     };
   }
 
--- a/packages/daemon/src/gateway/operator_view.ts
+++ b/packages/daemon/src/gateway/operator_view.ts
@@ -2,6 +2,9 @@
 import * as problem from "../operator/problem.ts";
 import type * as gatewayModule from "./gateway.ts";
 
+/** Path of a held request, before its fingerprint. */
+const QUARANTINE_PATH = "/admin/v1/quarantine/";
+
 /** An answer to an operator. */
 export interface OperatorAnswer {
   status: number;
@@ -28,17 +31,22 @@
 
 /**
  * What the command-line tool reads of a gateway, under the paths and in the shapes
- * of the product's own interface: `status`, `hosts` and `state` show the same
- * columns wherever they ask. Nothing here changes anything: the configuration is
- * changed where the gateway follows it.
+ * of the product's own interface: `status`, `hosts`, `state` and `quarantine` show the
+ * same columns wherever they ask. The configuration is changed where the gateway
+ * follows it; all that can be done here is to lift a quarantine.
  */
 export function answerOperator(
   gateway: gatewayModule.Gateway,
   method: string,
   path: string,
 ): OperatorAnswer {
+  if (method === "DELETE" && path.startsWith(QUARANTINE_PATH)) {
+    return lift(gateway, path.slice(QUARANTINE_PATH.length));
+  }
   if (method !== "GET") return refusal(405, "this entry is read only");
   switch (path) {
+    case "/admin/v1/quarantine":
+      return whole(gateway.quarantine.cases());
     case "/admin/v1/status":
       return whole(statusOf(gateway));
     case "/admin/v1/hosts":
@@ -51,6 +59,18 @@
   }
 }
 
+function lift(
+  gateway: gatewayModule.Gateway,
+  fingerprint: string,
+): OperatorAnswer {
+  if (gateway.quarantine.lift(fingerprint)) {
+    return whole({ fingerprint, lifted: true });
+  }
+  const told = problem.notInQuarantine(fingerprint);
+  const mediaType = problem.PROBLEM_MEDIA_TYPE;
+  return { status: told.status, mediaType, body: problem.problemBody(told) };
+}
+
 function statusOf(gateway: gatewayModule.Gateway): unknown {
   return {
     host: gateway.host,
--- a/packages/daemon/src/operator/problem.ts
+++ b/packages/daemon/src/operator/problem.ts
@@ -48,3 +48,14 @@
   const { status } = problem;
   return new Response(problemBody(problem), { status, headers });
 }
+
+/** What an operator is told who lifts a quarantine that is not there. */
+export function notInQuarantine(fingerprint: string): Problem {
+  return {
+    status: 404,
+    title: `No request ${JSON.stringify(fingerprint)} is in quarantine`,
+    outcome: Outcome.NotRun,
+    reason: "not-in-quarantine",
+    detail: "see `geraniumkeel quarantine list`",
+  };
+}
