--- a/packages/common/src/mod.ts
+++ b/packages/common/src/mod.ts
@@ -13,6 +13,7 @@
 export * from "./logger.ts";
 export * from "./metrics.ts";
 export * from "./metrics_registry.ts";
+export * from "./presence.ts";
 export * from "./random.ts";
 export * from "./unreachable.ts";
 export * from "./validation.ts";
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -194,10 +194,9 @@
   ): Promise<void> {
     if (!attemptEnd.brokeOff(end.kind)) return;
     const { request, endWatch } = this.parameters;
-    await endWatch.brokenOff({
+    await endWatch.brokenOff(runner, {
       request: request.identifier,
       fingerprint: this.fingerprint,
-      runner,
       startedAt,
     });
   }
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -106,7 +106,7 @@
 ): Promise<{ seen: Seen; calls: runnerCaller.RunnerCall[] }> {
   const calls: runnerCaller.RunnerCall[] = [];
   const board = boardOfTwo();
-  const presenceOf = async () => runnerCaller.Presence.Listening;
+  const presenceOf = async () => common.Presence.Listening;
   const logger = new common.RecordingLogger();
   const forwarder = new forwarderModule.Forwarder({
     configuration: configurationOf(scene),
--- a/packages/daemon/src/forwarding/runner_caller.ts
+++ b/packages/daemon/src/forwarding/runner_caller.ts
@@ -1,3 +1,4 @@
+import type * as common from "@geraniumkeel/common";
 import type * as neverthrow from "neverthrow";
 import type * as traffic from "@geraniumkeel/traffic";
 import type * as forwardRequest from "./forward_request.ts";
@@ -59,19 +60,9 @@
   reason: string;
 }
 
-/** What is found at a runner's address. */
-export enum Presence {
-  /** Something accepts connections. */
-  Listening = "listening",
-  /** The host is there, and nothing accepts connections. */
-  Refused = "refused",
-  /** No word came back in time. */
-  Silent = "silent",
-}
-
 /** Sends requests to runners. */
 export interface RunnerCaller {
   call(call: RunnerCall): Promise<neverthrow.Result<RunnerAnswer, CallFailure>>;
   /** Looks what is at a runner's address; the runner itself is asked nothing. */
-  presenceOf(runner: traffic.RunnerEntry): Promise<Presence>;
+  presenceOf(runner: traffic.RunnerEntry): Promise<common.Presence>;
 }
--- a/packages/daemon/src/quarantine/broken_run.ts
+++ b/packages/daemon/src/quarantine/broken_run.ts
@@ -1,11 +1,8 @@
-import type * as traffic from "@geraniumkeel/traffic";
-
 /** A run of a request that ended without an answer, and not because its caller left. */
 export interface BrokenRun {
   /** The caller's own name for the request. */
   request: string;
   fingerprint: string;
-  runner: traffic.RunnerEntry;
   /** When it was sent, by this process's monotonic clock. */
   startedAt: number;
 }
@@ -18,11 +15,18 @@
   Replaced = "replaced",
   /** Its end was known before, from this entry or another. */
   Known = "known",
+  /** The process on its host says so, or is itself another one now. */
+  Reported = "reported",
 }
 
 /** A runner that ended, with runs of this entry that were under way there. */
 export interface RunnerEnd {
-  runner: traffic.RunnerEntry;
+  /** Names one life of the runner. */
+  life: string;
+  runner: string;
+  service: string;
+  /** Version of its software; empty if it is not known. */
+  version: string;
   /** When it ended, by this process's monotonic clock. */
   endedAt: number;
   evidence: EndEvidence;
--- a/packages/daemon/src/quarantine/end_watch.ts
+++ b/packages/daemon/src/quarantine/end_watch.ts
@@ -1,6 +1,5 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
-import * as runnerCaller from "../forwarding/runner_caller.ts";
 import * as brokenRun from "./broken_run.ts";
 
 /**
@@ -27,7 +26,7 @@
 
 /** What watching runners' ends needs. */
 export interface EndWatchParameters {
-  presenceOf: (runner: traffic.RunnerEntry) => Promise<runnerCaller.Presence>;
+  presenceOf: (runner: traffic.RunnerEntry) => Promise<common.Presence>;
   /** Whether the runner is listed and not leaving. */
   inUse: (runner: traffic.RunnerEntry) => boolean;
   /** When a life of a runner ended, if any entry saw it. */
@@ -51,14 +50,17 @@
    * Takes a run that broke off; resolves when it is known whether its runner ended, or
    * after a moment. A runner that is leaving ends as planned, and explains nothing.
    */
-  async brokenOff(run: brokenRun.BrokenRun): Promise<void> {
-    const { runner } = run;
+  async brokenOff(
+    runner: traffic.RunnerEntry,
+    run: brokenRun.BrokenRun,
+  ): Promise<void> {
     this.#forgetOld();
     const life = traffic.lifeOf(runner);
     const endedAt = this.parameters.endOf(life);
     if (endedAt !== undefined) {
       const evidence = brokenRun.EndEvidence.Known;
-      return this.parameters.onEnd({ runner, endedAt, evidence, runs: [run] });
+      const end = { ...factsOf(runner), endedAt, evidence, runs: [run] };
+      return this.parameters.onEnd(end);
     }
     if (!this.parameters.inUse(runner) || this.#runs >= MOST_RUNS) return;
     const watched = this.#watched.get(life) ?? this.#watch(runner);
@@ -103,14 +105,14 @@
     const presence = await this.parameters.presenceOf(watched.runner);
     watched.look = undefined;
     switch (presence) {
-      case runnerCaller.Presence.Refused: {
+      case common.Presence.Refused: {
         const evidence = brokenRun.EndEvidence.Refused;
         return this.#ended(watched, evidence, watched.brokenAt);
       }
-      case runnerCaller.Presence.Listening:
+      case common.Presence.Listening:
         this.#forget(watched);
         return;
-      case runnerCaller.Presence.Silent:
+      case common.Presence.Silent:
         // A host that is cut off or has lost power: the list will tell.
         return;
     }
@@ -123,7 +125,7 @@
   ): void {
     const { runner, runs } = watched;
     if (!this.#forget(watched)) return;
-    this.parameters.onEnd({ runner, endedAt, evidence, runs });
+    this.parameters.onEnd({ ...factsOf(runner), endedAt, evidence, runs });
   }
 
   /** Forgets a runner with its runs; false if that was done before. */
@@ -142,3 +144,10 @@
     }
   }
 }
+
+function factsOf(
+  runner: traffic.RunnerEntry,
+): Pick<brokenRun.RunnerEnd, "life" | "runner" | "service" | "version"> {
+  const { identifier, service, version } = runner;
+  return { life: traffic.lifeOf(runner), runner: identifier, service, version };
+}
--- a/packages/daemon/src/quarantine/end_watch_test.ts
+++ b/packages/daemon/src/quarantine/end_watch_test.ts
@@ -1,7 +1,6 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
-import * as traffic from "@geraniumkeel/traffic";
-import * as runnerCaller from "../forwarding/runner_caller.ts";
+import type * as traffic from "@geraniumkeel/traffic";
 import * as brokenRun from "./broken_run.ts";
 import * as endWatch from "./end_watch.ts";
 
@@ -24,11 +23,8 @@
   };
 }
 
-function runAt(
-  runner: traffic.RunnerEntry,
-  request = "q",
-): brokenRun.BrokenRun {
-  return { request, fingerprint: "f", runner, startedAt: common.now() };
+function runOf(request = "q"): brokenRun.BrokenRun {
+  return { request, fingerprint: "f", startedAt: common.now() };
 }
 
 interface Scene {
@@ -37,7 +33,7 @@
   looks: number;
 }
 
-function sceneOf(presence: runnerCaller.Presence, inUse = true): Scene {
+function sceneOf(presence: common.Presence, inUse = true): Scene {
   const ends: brokenRun.RunnerEnd[] = [];
   const lives = new Map<string, number>();
   const scene: Scene = {
@@ -52,7 +48,7 @@
       endOf: (life) => lives.get(life),
       onEnd: (end) => {
         ends.push(end);
-        lives.set(traffic.lifeOf(end.runner), end.endedAt);
+        lives.set(end.life, end.endedAt);
       },
     }),
   };
@@ -60,9 +56,9 @@
 }
 
 test("a runner whose address refuses connections has ended", async (t) => {
-  const scene = sceneOf(runnerCaller.Presence.Refused);
-  const runs = [runAt(runnerOf(), "q"), runAt(runnerOf(), "r")];
-  await Promise.all(runs.map((run) => scene.watch.brokenOff(run)));
+  const scene = sceneOf(common.Presence.Refused);
+  const runs = [runOf("q"), runOf("r")];
+  await Promise.all(runs.map((run) => scene.watch.brokenOff(runnerOf(), run)));
   t.is(scene.looks, 1);
   t.is(scene.ends.length, 1);
   t.deepEqual(
@@ -73,9 +69,9 @@
 });
 
 test("a run that is given up after its runner's end is explained by it", async (t) => {
-  const scene = sceneOf(runnerCaller.Presence.Refused);
-  await scene.watch.brokenOff(runAt(runnerOf(), "q"));
-  await scene.watch.brokenOff(runAt(runnerOf(), "late"));
+  const scene = sceneOf(common.Presence.Refused);
+  await scene.watch.brokenOff(runnerOf(), runOf("q"));
+  await scene.watch.brokenOff(runnerOf(), runOf("late"));
   t.is(scene.looks, 1);
   t.is(scene.ends.length, 2);
   t.is(scene.ends[1].runs[0].request, "late");
@@ -85,8 +81,8 @@
 
 // An answer that a sound runner broke off must not count as the runner's end.
 test("a runner that accepts connections has not ended", async (t) => {
-  const scene = sceneOf(runnerCaller.Presence.Listening);
-  await scene.watch.brokenOff(runAt(runnerOf()));
+  const scene = sceneOf(common.Presence.Listening);
+  await scene.watch.brokenOff(runnerOf(), runOf());
   const runners = [runnerOf({ identifier: "i-2", bornAt: 9 })];
   scene.watch.listed({ version: 2, runners });
   t.deepEqual(scene.ends, []);
@@ -95,8 +91,8 @@
 // A link that is cut, a host that froze and one that lost power say nothing; only the
 // last one's runner is listed under a new life afterwards.
 test("a silent runner has ended once another life is listed in its place", async (t) => {
-  const scene = sceneOf(runnerCaller.Presence.Silent);
-  await scene.watch.brokenOff(runAt(runnerOf()));
+  const scene = sceneOf(common.Presence.Silent);
+  await scene.watch.brokenOff(runnerOf(), runOf());
   scene.watch.listed({ version: 2, runners: [] });
   scene.watch.listed({ version: 3, runners: [runnerOf()] });
   t.deepEqual(scene.ends, []);
@@ -107,16 +103,16 @@
 
 // Runners that leave as planned may cut off what they still run.
 test("the end of a runner that is leaving explains nothing", async (t) => {
-  const scene = sceneOf(runnerCaller.Presence.Refused, false);
-  await scene.watch.brokenOff(runAt(runnerOf()));
+  const scene = sceneOf(common.Presence.Refused, false);
+  await scene.watch.brokenOff(runnerOf(), runOf());
   t.is(scene.looks, 0);
   t.deepEqual(scene.ends, []);
 });
 
 test("what another entry saw explains the runs that broke off here", async (t) => {
-  const scene = sceneOf(runnerCaller.Presence.Silent);
-  const run = runAt(runnerOf());
-  await scene.watch.brokenOff(run);
+  const scene = sceneOf(common.Presence.Silent);
+  const run = runOf();
+  await scene.watch.brokenOff(runnerOf(), run);
   const endedAt = common.now() - 5;
   scene.watch.toldEnd("i-1 1 127.0.0.1:1", endedAt);
   scene.watch.toldEnd("i-1 1 127.0.0.1:1", endedAt);
--- a/packages/daemon/src/quarantine/quarantine.ts
+++ b/packages/daemon/src/quarantine/quarantine.ts
@@ -1,8 +1,7 @@
 import * as common from "@geraniumkeel/common";
-import * as traffic from "@geraniumkeel/traffic";
 import * as wire from "@geraniumkeel/wire";
 import type * as brokenRun from "./broken_run.ts";
-import * as evidence from "./evidence.ts";
+import * as evidenceModule from "./evidence.ts";
 import * as standing from "./standing.ts";
 import * as suspectLedger from "./suspect_ledger.ts";
 import * as toldEnds from "./told_ends.ts";
@@ -125,12 +124,12 @@
   /** A runner ended while requests of this entry were under way there. */
   runnerEnded(end: brokenRun.RunnerEnd): void {
     this.#logEnd(end);
-    const { runner, endedAt, runs } = end;
+    const { life, runner, service, version, endedAt, runs } = end;
     const report: suspectLedger.ReportedEnd = {
-      life: traffic.lifeOf(runner),
-      runner: runner.identifier,
-      service: runner.service,
-      version: runner.version,
+      life,
+      runner,
+      service,
+      version,
       endedAt,
       seenBy: [this.parameters.host],
       disproved: false,
@@ -193,7 +192,7 @@
     return [...this.#ledger.held].map((fingerprint) => {
       const found = this.#standingOf(fingerprint);
       const ends = this.#ledger.endsUnder(fingerprint);
-      const proving = ends[evidence.PROOF.ends - 1];
+      const proving = ends[evidenceModule.PROOF.ends - 1];
       return {
         fingerprint,
         service: this.#ledger.serviceOf(fingerprint),
@@ -348,13 +347,12 @@
   }
 
   #logEnd(end: brokenRun.RunnerEnd): void {
-    const { runner, endedAt, runs } = end;
-    const { identifier, bornAt, service } = runner;
+    const { runner, service, life, evidence, endedAt, runs } = end;
     this.parameters.logger.event(common.EventCode.RunnerEnded, {
-      runner: identifier,
-      bornAt,
+      runner,
       service,
-      evidence: end.evidence,
+      life,
+      evidence,
       runs: runs.slice(0, MOST_RUNS_LOGGED).map((run) => ({
         request: run.request,
         fingerprint: run.fingerprint,
--- a/packages/daemon/src/quarantine/quarantine_test.ts
+++ b/packages/daemon/src/quarantine/quarantine_test.ts
@@ -1,6 +1,5 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
-import type * as traffic from "@geraniumkeel/traffic";
 import type * as wire from "@geraniumkeel/wire";
 import * as brokenRun from "./broken_run.ts";
 import type * as quarantine from "./quarantine.ts";
@@ -72,20 +71,6 @@
   }
 }
 
-function runnerOf(name: string, version = "1"): traffic.RunnerEntry {
-  return {
-    identifier: name,
-    bornAt: 1,
-    service: "s",
-    version,
-    address: name,
-    port: 1,
-    dataCentre: "d",
-    slots: 8,
-    leaving: false,
-  };
-}
-
 let clock = common.now() - 100_000;
 
 /** A runner's end with requests under way, later than all before. */
@@ -94,16 +79,17 @@
   fingerprints: string[] = ["f"],
 ): brokenRun.RunnerEnd {
   clock += 100;
-  const runner = runnerOf(name);
   const startedAt = clock - 50;
   return {
-    runner,
+    life: `life of ${name}`,
+    runner: name,
+    service: "s",
+    version: "1",
     endedAt: clock,
     evidence: brokenRun.EndEvidence.Refused,
     runs: fingerprints.map((fingerprint) => ({
       request: `of ${fingerprint}`,
       fingerprint,
-      runner,
       startedAt,
     })),
   };
@@ -214,7 +200,7 @@
   for (const name of ["i-1", "i-2", "i-3"]) {
     network.at("a").runnerEnded(endOf(name));
   }
-  network.at("c").runnerHeard("i-3 1 i-3:1");
+  network.at("c").runnerHeard("life of i-3");
   t.deepEqual(network.holding(), []);
 });
 
--- a/packages/stand_ins/src/gateways/runner_pool.ts
+++ b/packages/stand_ins/src/gateways/runner_pool.ts
@@ -147,15 +147,15 @@
     return this.runners[Number(entry.address.split("-")[1])];
   }
 
-  #presence(entry: string, listed: traffic.RunnerEntry): daemon.Presence {
+  #presence(entry: string, listed: traffic.RunnerEntry): common.Presence {
     const runner = this.#runnerAt(listed);
     switch (this.cuts.get(`${entry} ${runner.place}`)) {
       case Cut.Silent:
-        return daemon.Presence.Silent;
+        return common.Presence.Silent;
       case Cut.Refused:
-        return daemon.Presence.Refused;
+        return common.Presence.Refused;
       case undefined:
-        return runner.up ? daemon.Presence.Listening : daemon.Presence.Refused;
+        return runner.up ? common.Presence.Listening : common.Presence.Refused;
     }
   }
 
@@ -164,7 +164,7 @@
     call: daemon.RunnerCall,
   ): ReturnType<daemon.RunnerCaller["call"]> {
     const runner = this.#runnerAt(call.runner);
-    if (this.#presence(entry, call.runner) !== daemon.Presence.Listening) {
+    if (this.#presence(entry, call.runner) !== common.Presence.Listening) {
       const kind = daemon.CallFailureKind.NotSent;
       return neverthrow.err({ kind, reason: "no connection" });
     }
