fix: on the product's own data path too, a request under which engines end is held

Callers of /v1/chat/completions saw engine after engine end under one request, which the entries went on handing to the next; the cause and the mechanism are those of the gateway. What differs is who sees an end: the process beside an engine passes all its runs, and says of a run that broke off which life of the engine ended with it; nothing listens on its port then. A run of that engine is not taken up again, as what the engine held of it is gone (it was asked for three times before, 0.3 s). A process that was itself replaced counts as an end as well.

Entries linked with few others pass on what is new to them. A call whose body is passed on in pieces is named once the last has passed; while any request of its service is held, bodies are read whole, so that the name is known before it is sent. A keyed call is held under any key.

Engine and service stand-ins end under a marked request and are back after a second.

--- a/packages/daemon/src/dispatch/claim_outcomes.ts
+++ b/packages/daemon/src/dispatch/claim_outcomes.ts
@@ -51,6 +51,8 @@
         return brokenResult(keeping, outcome.reason);
       case request.AttemptOutcomeKind.Deadline:
         return brokenResult(keeping, "deadline passed");
+      case request.AttemptOutcomeKind.Held:
+        return brokenResult(keeping, "put in quarantine");
       case request.AttemptOutcomeKind.CallerGone:
       case request.AttemptOutcomeKind.NeverStarted:
         return { kind: request.ResultKind.CallerGone };
--- a/packages/daemon/src/dispatch/claim_takeover.ts
+++ b/packages/daemon/src/dispatch/claim_takeover.ts
@@ -1,5 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
+import type * as quarantine from "../quarantine/quarantine.ts";
 import type * as answerSink from "./answer_sink.ts";
 import * as claimOutcomes from "./claim_outcomes.ts";
 import * as claimStore from "./claim_store.ts";
@@ -22,6 +23,7 @@
       runners: runnerDirectory.RunnerDirectory;
       logger: common.Logger;
       settleAfterMilliseconds: number;
+      quarantine: quarantine.Quarantine;
     },
   ) {}
 
@@ -79,7 +81,14 @@
       case wire.AttemptState.Finished: {
         const keeping = new keepingSink.KeepingSink(sink);
         const outgoing = runner.collect(attempt, accepted.window);
-        const conducted = { runner, outgoing, accepted, sink: keeping };
+        const { quarantine } = this.parameters;
+        const conducted = {
+          runner,
+          outgoing,
+          accepted,
+          sink: keeping,
+          quarantine,
+        };
         const outcome = await conductAttempt.conductAttempt(conducted);
         if (outcome.kind === request.AttemptOutcomeKind.NeverStarted) {
           return { kind: "take-over", base: held };
--- a/packages/daemon/src/dispatch/conduct_attempt.ts
+++ b/packages/daemon/src/dispatch/conduct_attempt.ts
@@ -1,32 +1,50 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
+import * as brokenRun from "../quarantine/broken_run.ts";
+import type * as quarantineModule from "../quarantine/quarantine.ts";
 import type * as answerSink from "./answer_sink.ts";
 import * as outgoingAttempt from "./outgoing_attempt.ts";
 import * as request from "./request.ts";
 import type * as runnerLink from "./runner_link.ts";
 
-/**
- * Follows one attempt to its outcome and passes its answer on. Only a word of
- * the runner settles an attempt; silence settles nothing.
- */
-export async function conductAttempt(parameters: {
+/** Engines do not tell the version of their software. */
+const UNKNOWN_VERSION = "";
+
+/** An attempt that is under way at a runner. */
+export interface ConductedAttempt {
   runner: runnerLink.RunnerLink;
   outgoing: outgoingAttempt.OutgoingAttempt;
   accepted: request.AcceptedRequest;
   sink: answerSink.AnswerSink;
-}): Promise<request.AttemptOutcome> {
-  const { runner, outgoing, accepted } = parameters;
+  quarantine: quarantineModule.Quarantine;
+}
+
+/**
+ * Follows one attempt to its outcome and passes its answer on. Only a word of
+ * the runner settles an attempt; silence settles nothing.
+ */
+export async function conductAttempt(
+  parameters: ConductedAttempt,
+): Promise<request.AttemptOutcome> {
+  const { runner, outgoing, accepted, sink } = parameters;
   const { attempt, events } = outgoing;
   const { AttemptEventKind } = outgoingAttempt;
   const onGone = () => events.push({ kind: AttemptEventKind.CallerGone });
   accepted.signal.addEventListener("abort", onGone, { once: true });
   if (accepted.signal.aborted) onGone();
+  const startedAt = common.now();
+  // What may not be repeated runs to its end, and so does what already answers.
+  accepted.watched.onStop = () => {
+    if (!accepted.repeatable || sink.delivered) return;
+    events.push({ kind: AttemptEventKind.Held });
+  };
   const timer = setTimeout(
     () => events.push({ kind: AttemptEventKind.Deadline }),
     Math.max(0, accepted.deadline - common.now()),
   );
   try {
     const outcome = await follow(parameters);
+    tellQuarantine(parameters, outcome, startedAt);
     const over = endsWork(outcome);
     // Giving up does not end the work: stop it where that is allowed. What may
     // not be repeated runs to its end, as stopping it half-way helps nobody.
@@ -35,11 +53,44 @@
     runner.close(attempt, over && !keep);
     return outcome;
   } finally {
+    accepted.watched.onStop = undefined;
     clearTimeout(timer);
     accepted.signal.removeEventListener("abort", onGone);
   }
 }
 
+/** What an outcome says of the request and of its runner. */
+function tellQuarantine(
+  { runner, accepted, quarantine }: ConductedAttempt,
+  outcome: request.AttemptOutcome,
+  startedAt: number,
+): void {
+  const { identifier, watched } = accepted;
+  switch (outcome.kind) {
+    case request.AttemptOutcomeKind.Complete:
+      return quarantine.answered(watched, UNKNOWN_VERSION);
+    case request.AttemptOutcomeKind.Broken:
+    case request.AttemptOutcomeKind.Unsettled: {
+      if (!outcome.endedLife) return;
+      const { fingerprint, service } = watched;
+      return quarantine.runnerEnded({
+        life: outcome.endedLife,
+        runner: runner.host.name,
+        service,
+        version: UNKNOWN_VERSION,
+        endedAt: common.now(),
+        evidence: brokenRun.EndEvidence.Reported,
+        runs: [{ request: identifier, fingerprint, startedAt }],
+      });
+    }
+    case request.AttemptOutcomeKind.NeverStarted:
+    case request.AttemptOutcomeKind.Deadline:
+    case request.AttemptOutcomeKind.CallerGone:
+    case request.AttemptOutcomeKind.Held:
+      return;
+  }
+}
+
 /** Whether nothing runs any more after this outcome. */
 function endsWork(outcome: request.AttemptOutcome): boolean {
   switch (outcome.kind) {
@@ -50,16 +101,14 @@
     case request.AttemptOutcomeKind.Unsettled:
     case request.AttemptOutcomeKind.Deadline:
     case request.AttemptOutcomeKind.CallerGone:
+    case request.AttemptOutcomeKind.Held:
       return false;
   }
 }
 
-async function follow(parameters: {
-  runner: runnerLink.RunnerLink;
-  outgoing: outgoingAttempt.OutgoingAttempt;
-  accepted: request.AcceptedRequest;
-  sink: answerSink.AnswerSink;
-}): Promise<request.AttemptOutcome> {
+async function follow(
+  parameters: ConductedAttempt,
+): Promise<request.AttemptOutcome> {
   const { runner, outgoing, accepted, sink } = parameters;
   const { identifier } = outgoing.attempt;
   const { AttemptEventKind } = outgoingAttempt;
@@ -90,14 +139,18 @@
         return {
           kind: AttemptOutcomeKind.Unsettled,
           reason: "upstream process replaced",
+          endedLife: outgoing.attempt.agentIncarnation,
         };
       case AttemptEventKind.Unreachable:
         return {
           kind: AttemptOutcomeKind.Unsettled,
           reason: "upstream process unreachable",
+          endedLife: "",
         };
       case AttemptEventKind.Deadline:
         return { kind: AttemptOutcomeKind.Deadline };
+      case AttemptEventKind.Held:
+        return { kind: AttemptOutcomeKind.Held };
       case AttemptEventKind.CallerGone:
         // The answer of a non-repeatable request is still waited for: its claim
         // must say how it ended.
@@ -107,7 +160,7 @@
         break;
     }
   }
-  return { kind: AttemptOutcomeKind.Unsettled, reason: "entry stopping" };
+  return unsettled("entry stopping");
 }
 
 /** A refusal is settled; only one that cost work is charged as a retry. */
@@ -133,15 +186,21 @@
       const kind = AttemptOutcomeKind.Complete;
       return { kind, finishReason, promptTokens };
     }
-    case wire.EndKind.Broken:
-      return { kind: AttemptOutcomeKind.Broken, reason: end.reason };
+    case wire.EndKind.Broken: {
+      const { reason, endedLife } = end;
+      return { kind: AttemptOutcomeKind.Broken, reason, endedLife };
+    }
     case wire.EndKind.NotStarted:
       return {
         kind: AttemptOutcomeKind.NeverStarted,
         cause: request.NotStartedCause.Failed,
       };
     case wire.EndKind.Cancelled:
-      return { kind: AttemptOutcomeKind.Broken, reason: "cancelled" };
+      return {
+        kind: AttemptOutcomeKind.Broken,
+        reason: "cancelled",
+        endedLife: "",
+      };
   }
 }
 
@@ -156,6 +215,11 @@
     case wire.AttemptState.Running:
     case wire.AttemptState.Finished:
     case wire.AttemptState.Forgotten:
-      return { kind: AttemptOutcomeKind.Unsettled, reason: "forgotten" };
+      return unsettled("forgotten");
   }
 }
+
+function unsettled(reason: string): request.AttemptOutcome {
+  const kind = request.AttemptOutcomeKind.Unsettled;
+  return { kind, reason, endedLife: "" };
+}
--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -1,4 +1,5 @@
 import * as common from "@geraniumkeel/common";
+import type * as quarantine from "../quarantine/quarantine.ts";
 import type * as serviceQueue from "../admission/service_queue.ts";
 import type * as router from "../routing/router.ts";
 import type * as answerSink from "./answer_sink.ts";
@@ -19,6 +20,7 @@
   ) => serviceQueue.ServiceQueue<runnerObtainer.ReservedRunner>;
   budgetOf: (service: string) => retryBudget.RetryBudget;
   keyed: keyedRequest.KeyedRequests;
+  quarantine: quarantine.Quarantine;
   logger: common.Logger;
   metrics: common.Metrics;
   history: common.HistoryRecorder;
@@ -44,6 +46,7 @@
     sink: answerSink.AnswerSink,
   ): Promise<request.RequestResult> {
     this.#running++;
+    const unwatch = this.parameters.quarantine.watch(accepted.watched);
     try {
       this.parameters.budgetOf(accepted.service).earn();
       if (accepted.idempotencyKey !== undefined && !accepted.repeatable) {
@@ -51,6 +54,7 @@
       }
       return await this.#runAttempts(accepted, sink);
     } finally {
+      unwatch();
       this.#running--;
       this.parameters.queueOf(accepted.service).pump();
     }
@@ -62,12 +66,14 @@
     excluded: ReadonlySet<string>,
     wasAdmitted: boolean,
   ): Promise<runnerObtainer.ObtainedRunner> {
-    const { router } = this.parameters;
+    const { router, quarantine } = this.parameters;
     const { service, runnerConcurrency, prefixBlocks } = accepted;
     const { promptTokens, expectedTokens } = accepted;
     if (!router.exists(service)) {
       return this.#notRun(request.NotRunReason.NoRunner);
     }
+    const held = quarantine.heldMilliseconds(accepted.watched);
+    if (held > 0) return this.#notRun(request.NotRunReason.Quarantined, held);
     const outcome = await this.parameters.queueOf(service).enter({
       account: accepted.account,
       weight: accepted.weight,
@@ -93,6 +99,11 @@
     switch (outcome.kind) {
       case "admitted": {
         const { waitedMilliseconds, runner: reserved } = outcome;
+        const heldNow = quarantine.admit(accepted.watched);
+        if (heldNow > 0) {
+          reserved.reservation.release();
+          return this.#notRun(request.NotRunReason.Quarantined, heldNow);
+        }
         const tags = { service };
         const metric = common.Metric.QueueWait;
         this.parameters.metrics.time(metric, waitedMilliseconds, tags);
@@ -176,6 +187,8 @@
           return { kind: request.ResultKind.CallerGone };
         case request.AttemptOutcomeKind.Deadline:
           return afterDelivery(sink, "deadline passed");
+        case request.AttemptOutcomeKind.Held:
+          return afterDelivery(sink, "put in quarantine");
         case request.AttemptOutcomeKind.NeverStarted:
           // It goes back to the queue; its deadline ends that.
           if (outcome.cause === request.NotStartedCause.Full) continue;
@@ -219,7 +232,13 @@
     const outgoing = runner.dispatch(attempt, sent);
     const { history, host } = this.parameters;
     history.record({ kind: "dispatched", host, identifier });
-    return conductAttempt.conductAttempt({ runner, outgoing, accepted, sink });
+    return conductAttempt.conductAttempt({
+      runner,
+      outgoing,
+      accepted,
+      sink,
+      quarantine: this.parameters.quarantine,
+    });
   }
 
   #notRun(
--- a/packages/daemon/src/dispatch/keyed_request.ts
+++ b/packages/daemon/src/dispatch/keyed_request.ts
@@ -1,6 +1,7 @@
 import * as crypto from "node:crypto";
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
+import type * as quarantine from "../quarantine/quarantine.ts";
 import type * as answerSink from "./answer_sink.ts";
 import * as claimOutcomes from "./claim_outcomes.ts";
 import * as claimStore from "./claim_store.ts";
@@ -28,6 +29,7 @@
   history: common.HistoryRecorder;
   host: string;
   settleAfterMilliseconds: number;
+  quarantine: quarantine.Quarantine;
 }
 
 /**
@@ -143,9 +145,15 @@
       const keeping = new keepingSink.KeepingSink(sink);
       const sent = { ...accepted, identifier, limit };
       const outgoing = runner.dispatch(attempt, sent);
-      const { history, host } = this.parameters;
+      const { history, host, quarantine } = this.parameters;
       history.record({ kind: "dispatched", host, identifier });
-      const conducted = { runner, outgoing, accepted, sink: keeping };
+      const conducted = {
+        runner,
+        outgoing,
+        accepted,
+        sink: keeping,
+        quarantine,
+      };
       const outcome = await conductAttempt.conductAttempt(conducted);
       if (outcome.kind === request.AttemptOutcomeKind.NeverStarted) {
         if (outcome.cause === request.NotStartedCause.Full) continue;
--- a/packages/daemon/src/dispatch/outgoing_attempt.ts
+++ b/packages/daemon/src/dispatch/outgoing_attempt.ts
@@ -15,6 +15,8 @@
   Unreachable = "unreachable",
   Deadline = "deadline",
   CallerGone = "caller-gone",
+  /** It was put in quarantine. */
+  Held = "held",
 }
 
 /** One thing that happened to an attempt. */
@@ -27,7 +29,8 @@
   | { kind: AttemptEventKind.Lost }
   | { kind: AttemptEventKind.Unreachable }
   | { kind: AttemptEventKind.Deadline }
-  | { kind: AttemptEventKind.CallerGone };
+  | { kind: AttemptEventKind.CallerGone }
+  | { kind: AttemptEventKind.Held };
 
 /** An attempt as the entry that made it sees it. */
 export class OutgoingAttempt {
@@ -71,7 +74,8 @@
   }
 
   #break(reason: string): void {
-    const end: wire.AttemptEnd = { kind: wire.EndKind.Broken, reason };
+    const { Broken } = wire.EndKind;
+    const end: wire.AttemptEnd = { kind: Broken, reason, endedLife: "" };
     this.events.push({ kind: AttemptEventKind.End, end });
   }
 }
--- a/packages/daemon/src/dispatch/request.ts
+++ b/packages/daemon/src/dispatch/request.ts
@@ -1,6 +1,7 @@
 import type * as wire from "@geraniumkeel/wire";
 import type * as bodySender from "./body_sender.ts";
 import type * as runnerLink from "./runner_link.ts";
+import type * as watchedAttempts from "./watched_attempts.ts";
 
 /** A request accepted from a caller. */
 export interface AcceptedRequest {
@@ -25,6 +26,7 @@
   window: number;
   /** Rest of a large body; it can be sent only once. */
   body?: bodySender.BodySender;
+  watched: watchedAttempts.WatchedAttempts;
 }
 
 /** How a request ended, as far as the caller must be told. */
@@ -49,6 +51,8 @@
   RetryBudget = "retry-budget",
   StoreUnavailable = "store-unavailable",
   EngineUnavailable = "engine-unavailable",
+  /** Runners ended while they ran it. */
+  Quarantined = "quarantined",
 }
 
 /** How a request ended. */
@@ -81,6 +85,8 @@
   Unsettled = "unsettled",
   Deadline = "deadline",
   CallerGone = "caller-gone",
+  /** It was put in quarantine while it was under way. */
+  Held = "held",
 }
 
 /** How one attempt ended. */
@@ -91,10 +97,15 @@
       promptTokens: number;
     }
   | { kind: AttemptOutcomeKind.NeverStarted; cause: NotStartedCause }
-  | { kind: AttemptOutcomeKind.Broken; reason: string }
-  | { kind: AttemptOutcomeKind.Unsettled; reason: string }
+  | {
+      kind: AttemptOutcomeKind.Broken | AttemptOutcomeKind.Unsettled;
+      reason: string;
+      /** Life of the runner that ended with it; empty if none did. */
+      endedLife: string;
+    }
   | { kind: AttemptOutcomeKind.Deadline }
-  | { kind: AttemptOutcomeKind.CallerGone };
+  | { kind: AttemptOutcomeKind.CallerGone }
+  | { kind: AttemptOutcomeKind.Held };
 
 /** Why an attempt never started. */
 export enum NotStartedCause {
--- /dev/null
+++ b/packages/daemon/src/dispatch/watched_attempts.ts
@@ -0,0 +1,23 @@
+import * as fingerprint from "../quarantine/fingerprint.ts";
+import type * as quarantine from "../quarantine/quarantine.ts";
+
+/** An accepted request as the quarantine sees it. */
+export class WatchedAttempts implements quarantine.WatchedRequest {
+  /** Ends the attempt under way, if it may be ended. */
+  onStop: (() => void) | undefined;
+
+  constructor(
+    readonly service: string,
+    readonly name: fingerprint.LazyFingerprint,
+  ) {}
+
+  /** Name of the request by what it asks for. */
+  get fingerprint(): string {
+    return this.name.value;
+  }
+
+  /** It is put in quarantine while it is under way. */
+  stop(): void {
+    this.onStop?.();
+  }
+}
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -17,6 +17,8 @@
 import * as hostView from "../membership/host_view.ts";
 import * as memberTable from "../membership/member_table.ts";
 import * as peerLinks from "../membership/peer_links.ts";
+import * as quarantineModule from "../quarantine/quarantine.ts";
+import * as quarantineRows from "../quarantine/quarantine_rows.ts";
 import * as routerModule from "../routing/router.ts";
 import type * as settingsModule from "../settings/settings.ts";
 import * as answerLengths from "./answer_lengths.ts";
@@ -77,6 +79,28 @@
     certificateAuthority,
     onMessage: (from, _link, message) =>
       parameters.onPeerMessage(from, message),
+    onLinked: (to) => {
+      const suspicions = quarantine.everything();
+      if (suspicions) peers.send(to, suspicions);
+    },
+  });
+  const rows = new quarantineRows.QuarantineRows({
+    table: parameters.table,
+    random,
+    logger,
+  });
+  const quarantine = new quarantineModule.Quarantine({
+    host,
+    entries: () => members.alive.map((member) => member.host),
+    // Engines do not tell the version of their software.
+    versionsOf: () => new Set(),
+    tell: (message, except) => peers.broadcast(message, except),
+    relays: true,
+    // The process beside a runner tells of its end whenever a run ends with it.
+    onEndTold: () => {},
+    rows: quarantineRows.inBackground(rows, lifeCycle),
+    logger,
+    metrics,
   });
   const queues = new Map<
     string,
@@ -132,6 +156,7 @@
     history,
     host,
     settleAfterMilliseconds: timing.settleAfter,
+    quarantine,
   });
   const dispatcher = new dispatcherModule.Dispatcher({
     router,
@@ -156,6 +181,7 @@
       }),
     budgetOf: createBudgets(),
     keyed,
+    quarantine,
     logger,
     metrics,
     history,
@@ -207,6 +233,8 @@
       send: (to, message) => peers.sendTo(to, message),
     }),
     dispatcher,
+    quarantine,
+    quarantineRows: rows,
     lengths: new answerLengths.AnswerLengths(),
     freshness,
     draining: false,
--- a/packages/daemon/src/entry/entry_context.ts
+++ b/packages/daemon/src/entry/entry_context.ts
@@ -12,6 +12,8 @@
 import type * as hostView from "../membership/host_view.ts";
 import type * as memberTable from "../membership/member_table.ts";
 import type * as peerLinks from "../membership/peer_links.ts";
+import type * as quarantine from "../quarantine/quarantine.ts";
+import type * as quarantineRows from "../quarantine/quarantine_rows.ts";
 import type * as router from "../routing/router.ts";
 import type * as settings from "../settings/settings.ts";
 import type * as answerLengths from "./answer_lengths.ts";
@@ -41,6 +43,8 @@
   coordinators: coordinators.Coordinators;
   limits: accountLimits.AccountLimits;
   dispatcher: dispatcher.Dispatcher;
+  quarantine: quarantine.Quarantine;
+  quarantineRows: quarantineRows.QuarantineRows;
   lengths: answerLengths.AnswerLengths;
   freshness: freshness.Freshness;
   draining: boolean;
--- a/packages/daemon/src/entry/generate_handler.ts
+++ b/packages/daemon/src/entry/generate_handler.ts
@@ -4,7 +4,9 @@
 import * as neverthrow from "neverthrow";
 import * as wire from "@geraniumkeel/wire";
 import * as request from "../dispatch/request.ts";
+import * as watchedAttempts from "../dispatch/watched_attempts.ts";
 import * as problem from "../operator/problem.ts";
+import * as fingerprint from "../quarantine/fingerprint.ts";
 import * as prefixIndex from "../routing/prefix_index.ts";
 import * as acceptWork from "./accept_work.ts";
 import * as callerConnection from "./caller_connection.ts";
@@ -29,7 +31,11 @@
 }): Promise<void> {
   const { context, welcome, incoming, response } = parameters;
   const arrivedAt = common.now();
-  const generation = await readGeneration(incoming, parameters.kind);
+  const body = await readBody.readBody(incoming, LARGEST_GENERATION_BODY);
+  if (body.isErr()) {
+    return problems.sendProblem(response, bodyProblem(body.error));
+  }
+  const generation = readGeneration(body.value, parameters.kind);
   if (generation.isErr()) {
     return problems.sendProblem(response, generation.error);
   }
@@ -54,6 +60,13 @@
     generation: generation.value,
     terms: terms.value,
     signal: connection.signal,
+    name: new fingerprint.LazyFingerprint({
+      account: welcome.account.name,
+      method: incoming.method ?? "",
+      host: "",
+      target: incoming.url ?? "",
+      body: body.value,
+    }),
   });
   const reserved = accepted.promptTokens + accepted.expectedTokens;
   const { name } = welcome.account;
@@ -74,13 +87,11 @@
   answer({ context, accepted, connection, sink, result, arrivedAt });
 }
 
-async function readGeneration(
-  incoming: http.IncomingMessage,
+function readGeneration(
+  body: Buffer,
   kind: openAi.GenerationInterface,
-): Promise<neverthrow.Result<openAi.GenerationRequest, problem.Problem>> {
-  const body = await readBody.readBody(incoming, LARGEST_GENERATION_BODY);
-  if (body.isErr()) return neverthrow.err(bodyProblem(body.error));
-  const text = body.value.toString("utf8");
+): neverthrow.Result<openAi.GenerationRequest, problem.Problem> {
+  const text = body.toString("utf8");
   switch (kind) {
     case openAi.GenerationInterface.Chat:
       return common
@@ -139,8 +150,9 @@
   generation: openAi.GenerationRequest;
   terms: acceptWork.RequestTerms;
   signal: AbortSignal;
+  name: fingerprint.LazyFingerprint;
 }): request.AcceptedRequest {
-  const { context, welcome, service, generation, terms } = parameters;
+  const { context, welcome, service, generation, terms, name } = parameters;
   const { prompt, options } = generation;
   const maximumTokens = generation.maximumTokens ?? service.maximumTokens;
   return {
@@ -165,6 +177,7 @@
     prefixBlocks: prefixIndex.prefixBlocks(prompt),
     runnerConcurrency: service.runnerConcurrency,
     window: WINDOW,
+    watched: new watchedAttempts.WatchedAttempts(service.name, name),
   };
 }
 
@@ -258,7 +271,10 @@
     case request.ResultKind.NotRun: {
       const { reason } = result;
       metrics.count(common.Metric.Refusals, { reason });
-      logger.event(common.EventCode.RequestRefused, { identifier, reason });
+      const held = reason === request.NotRunReason.Quarantined;
+      const fingerprint = held ? accepted.watched.fingerprint : undefined;
+      const facts = { identifier, reason, fingerprint };
+      logger.event(common.EventCode.RequestRefused, facts);
       break;
     }
     case request.ResultKind.MayHaveRun: {
--- a/packages/daemon/src/entry/plain_handler.ts
+++ b/packages/daemon/src/entry/plain_handler.ts
@@ -5,6 +5,8 @@
 import * as wire from "@geraniumkeel/wire";
 import * as bodySender from "../dispatch/body_sender.ts";
 import * as request from "../dispatch/request.ts";
+import * as watchedAttempts from "../dispatch/watched_attempts.ts";
+import * as fingerprint from "../quarantine/fingerprint.ts";
 import * as acceptWork from "./accept_work.ts";
 import * as callerConnection from "./caller_connection.ts";
 import type * as entryContext from "./entry_context.ts";
@@ -50,10 +52,12 @@
     return problems.sendProblem(response, problems.invalidInput(terms.error));
   }
   const keyed = terms.value.idempotencyKey !== undefined;
+  const suspect = context.quarantine.holdsAny(service.name);
   const body = await readBody.readBeginning(
     incoming,
-    // A key stands for the whole body, so all of it must be known.
-    keyed ? service.maximumBodyBytes : BUFFERED_BYTES,
+    // A key stands for the whole body, and so does a request in quarantine: all of
+    // it must be known before it is sent.
+    keyed || suspect ? service.maximumBodyBytes : BUFFERED_BYTES,
     service.maximumBodyBytes,
   );
   if (body.isErr()) {
@@ -84,6 +88,7 @@
       bodyFollows: body.value.rest !== undefined,
     },
     rest: body.value.rest,
+    target: incoming.url ?? "",
   });
   response.setHeader("x-request-id", accepted.identifier);
   const sink = new plainSink.PlainSink(connection);
@@ -142,13 +147,23 @@
   signal: AbortSignal;
   work: wire.CallWork;
   rest: AsyncIterator<Uint8Array> | undefined;
+  target: string;
 }): request.AcceptedRequest {
-  const { welcome, service, terms, work } = parameters;
+  const { welcome, service, terms, work, target } = parameters;
+  const { name: account } = welcome.account;
+  const name = new fingerprint.LazyFingerprint({
+    account,
+    method: work.method,
+    host: "",
+    target,
+    body: work.body,
+  });
+  const rest = parameters.rest && name.follow(parameters.rest);
   const configured = isRepeatable(service, work.method, work.path);
   const repeatable = configured && !terms.forbidsRepeat;
   return {
     identifier: common.randomIdentifier(),
-    account: welcome.account.name,
+    account,
     weight: welcome.account.weight,
     service: service.name,
     work,
@@ -162,6 +177,7 @@
     prefixBlocks: [],
     runnerConcurrency: service.runnerConcurrency,
     window: WINDOW,
-    body: parameters.rest && new bodySender.BodySender(parameters.rest),
+    body: rest && new bodySender.BodySender(rest),
+    watched: new watchedAttempts.WatchedAttempts(service.name, name),
   };
 }
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -55,6 +55,9 @@
     certificateAuthority: readAuthority(settings),
     onPeerMessage: (host, message) => {
       context.limits.handle(host, message);
+      if (message.kind === wire.MessageKind.Suspicions) {
+        context.quarantine.take(message, host);
+      }
       remote.handle(host, message);
     },
   });
@@ -156,11 +159,21 @@
   );
   lifeCycle.run("in-force", (signal) => followConfiguration(context, signal));
   peers.start();
+  lifeCycle.run("quarantine", (signal) => restoreQuarantine(context, signal));
   lifeCycle.run("queues", (signal) => pumpQueues(context, signal));
   lifeCycle.every(GAUGE_MILLISECONDS, () => reportGauges.reportGauges(context));
   lifeCycle.every(SWEEP_MILLISECONDS, () => context.limits.sweep());
 }
 
+/** Takes requests that were held before all entries started anew. */
+async function restoreQuarantine(
+  { quarantine, quarantineRows }: entryContext.EntryContext,
+  signal: AbortSignal,
+): Promise<void> {
+  const kept = await quarantineRows.read(signal);
+  if (kept) quarantine.restore(kept);
+}
+
 /**
  * Looks at the queues again while anything waits: deadlines pass, and rooms at
  * runners open, without an event. Timers that run for nothing are most of what
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -92,10 +92,10 @@
 
   constructor(readonly parameters: ForwardedRequestParameters) {
     const { route, request, account, sink } = parameters;
-    this.#fingerprint = new fingerprint.LazyFingerprint(() => ({
+    this.#fingerprint = new fingerprint.LazyFingerprint({
       ...request,
       account: account?.name ?? "",
-    }));
+    });
     this.#relay = new answerRelay.AnswerRelay({
       sink,
       answerForm: route.answerForm,
@@ -167,7 +167,7 @@
     for (;;) {
       const cut = this.#endOfCut();
       if (cut) return cut;
-      this.#heldMilliseconds = quarantine.heldMilliseconds(this);
+      this.#heldMilliseconds = quarantine.admit(this);
       if (this.#heldMilliseconds > 0) return QUARANTINED;
       const runner = board.choose(service, this.#tried);
       if (!runner) {
--- a/packages/daemon/src/membership/peer_links.ts
+++ b/packages/daemon/src/membership/peer_links.ts
@@ -39,6 +39,8 @@
   certificateAuthority: string | undefined;
   /** Handles messages of other slices. */
   onMessage: (host: string, link: wire.Link, message: wire.Message) => void;
+  /** Told when a peer is linked. */
+  onLinked: (host: string) => void;
 }
 
 /** An open link to another entry. */
@@ -105,6 +107,13 @@
     return peer !== undefined;
   }
 
+  /** Sends to all linked peers but one. */
+  broadcast(message: wire.Message, except?: string): void {
+    for (const host of this.#peers.keys()) {
+      if (host !== except) this.send(host, message);
+    }
+  }
+
   /**
    * Sends to any entry, opening a link on demand when it is not a neighbour.
    * False when it cannot be reached within the connect timeout.
@@ -258,6 +267,7 @@
     link.send({ kind: wire.MessageKind.Members, members: [members.self] });
     this.#compareMembers(link);
     this.#pushTo(host);
+    this.parameters.onLinked(host);
     for await (const message of link.messages()) {
       if (link.end !== undefined) break;
       this.lastHeardAt = common.now();
--- a/packages/daemon/src/operator/describe_entry.ts
+++ b/packages/daemon/src/operator/describe_entry.ts
@@ -88,6 +88,7 @@
       ]),
     ),
     limits: limits.describe(),
+    quarantine: context.quarantine.describe(),
     groups: context.coordinators.describe(),
     routing: router.describe(),
     answerLengths: lengths.describe(),
--- a/packages/daemon/src/operator/operator_server.ts
+++ b/packages/daemon/src/operator/operator_server.ts
@@ -57,6 +57,16 @@
     const report = inForceReport.reportInForce(context, revision);
     return Response.json(report);
   });
+  application.get("/admin/v1/quarantine", () =>
+    Response.json(context.quarantine.cases()),
+  );
+  application.delete("/admin/v1/quarantine/:fingerprint", (request) => {
+    const fingerprint = request.req.param("fingerprint");
+    if (context.quarantine.lift(fingerprint)) {
+      return Response.json({ fingerprint, lifted: true });
+    }
+    return problem.problemResponse(problem.notInQuarantine(fingerprint));
+  });
   application.post("/admin/v1/drain", async (request) => {
     const body = await readJson(request, DRAIN_BODY);
     if (body.isErr()) return problem.problemResponse(body.error);
--- a/packages/daemon/src/quarantine/fingerprint.ts
+++ b/packages/daemon/src/quarantine/fingerprint.ts
@@ -19,21 +19,46 @@
  * nobody can have requests of another account taken for bad ones.
  */
 export function fingerprintOf(identity: RequestIdentity): string {
-  const { account, method, host, target, body } = identity;
-  const head = JSON.stringify([account, method, host, target]);
-  const hash = crypto.createHash("sha256").update(`${head}\n`).update(body);
-  return hash.digest().subarray(0, KEPT_BYTES).toString("base64url");
+  return nameOf(hashOf(identity));
 }
 
-/** A fingerprint that is worked out when it is first asked for. */
+/**
+ * A fingerprint that is worked out when it is first asked for: nothing asks while no
+ * runner ends.
+ */
 export class LazyFingerprint {
   #value: string | undefined;
+  #hash: crypto.Hash | undefined;
 
-  constructor(readonly identity: () => RequestIdentity) {}
+  constructor(readonly identity: RequestIdentity) {}
 
-  /** The fingerprint. */
+  /** The fingerprint; of a body that is followed, all that has come of it so far. */
   get value(): string {
-    this.#value ??= fingerprintOf(this.identity());
+    this.#value ??= nameOf(this.#hash ?? hashOf(this.identity));
     return this.#value;
   }
+
+  /** Counts the rest of a body in, as it passes; `identity` has its beginning. */
+  async *follow(
+    rest: AsyncIterator<Uint8Array>,
+  ): AsyncGenerator<Uint8Array, void, void> {
+    const hash = hashOf(this.identity);
+    this.#hash = hash;
+    for (;;) {
+      const read = await rest.next();
+      if (read.done) return;
+      if (this.#value === undefined) hash.update(read.value);
+      yield read.value;
+    }
+  }
+}
+
+function hashOf(identity: RequestIdentity): crypto.Hash {
+  const { account, method, host, target, body } = identity;
+  const head = JSON.stringify([account, method, host, target]);
+  return crypto.createHash("sha256").update(`${head}\n`).update(body);
+}
+
+function nameOf(hash: crypto.Hash): string {
+  return hash.digest().subarray(0, KEPT_BYTES).toString("base64url");
 }
--- a/packages/daemon/src/quarantine/quarantine.ts
+++ b/packages/daemon/src/quarantine/quarantine.ts
@@ -82,6 +82,14 @@
     };
   }
 
+  /** Whether any request for a service is held. */
+  holdsAny(service: string): boolean {
+    for (const fingerprint of this.#ledger.held) {
+      if (this.#ledger.serviceOf(fingerprint) === service) return true;
+    }
+    return false;
+  }
+
   /** Milliseconds for which a request is sent to no runner; 0 if it may be now. */
   heldMilliseconds(request: WatchedRequest): number {
     if (this.#ledger.held.size === 0) return 0;
@@ -92,8 +100,22 @@
       case "held":
         return found.millisecondsLeft;
       case "on-trial":
-        return this.#takeTrial(fingerprint, request) ? 0 : SECOND_MILLISECONDS;
+        return this.#mayTry(fingerprint) ? 0 : SECOND_MILLISECONDS;
+    }
+  }
+
+  /**
+   * The same just before a request is sent. One that is sent on trial is the only one
+   * for as long as it is under way.
+   */
+  admit(request: WatchedRequest): number {
+    const milliseconds = this.heldMilliseconds(request);
+    if (milliseconds > 0 || this.#ledger.held.size === 0) return milliseconds;
+    const { fingerprint } = request;
+    if (this.#ledger.held.has(fingerprint)) {
+      this.#trials.set(fingerprint, request);
     }
+    return 0;
   }
 
   /** A runner of a version answered a request whole: it does not end its runners. */
@@ -225,11 +247,8 @@
    * One attempt at a time in all the system, and one only of each request, so that a
    * failed trial costs one runner.
    */
-  #takeTrial(fingerprint: string, request: WatchedRequest): boolean {
-    if (!this.#isChosen(fingerprint)) return false;
-    if (this.#trials.has(fingerprint)) return false;
-    this.#trials.set(fingerprint, request);
-    return true;
+  #mayTry(fingerprint: string): boolean {
+    return this.#isChosen(fingerprint) && !this.#trials.has(fingerprint);
   }
 
   /** Whether this entry is the one that acts for all on a request. */
--- a/packages/daemon/src/upstream/attempt_record.ts
+++ b/packages/daemon/src/upstream/attempt_record.ts
@@ -115,6 +115,7 @@
       return this.#sendEnd(link, offset, {
         kind: wire.EndKind.Broken,
         reason: "pieces no longer kept",
+        endedLife: "",
       });
     }
     this.#sendHead(link);
--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -239,19 +239,29 @@
   record: attemptRecord.AttemptRecord,
   work: wire.Work,
 ): Promise<void> {
-  const { backEnd } = context;
+  const { backEnd, lives } = context;
   const mismatch = { kind: wire.EndKind.NotStarted, reason: "wrong work" };
   switch (work.kind) {
     case wire.WorkKind.Generate:
       if (backEnd.kind !== settings.BackEndKind.Model) {
         return record.finish(mismatch as wire.AttemptEnd);
       }
-      return runAttempt.runGenerate({ record, engine: backEnd.engine, work });
+      return runAttempt.runGenerate({
+        record,
+        engine: backEnd.engine,
+        lives,
+        work,
+      });
     case wire.WorkKind.Call:
       if (backEnd.kind !== settings.BackEndKind.Plain) {
         return record.finish(mismatch as wire.AttemptEnd);
       }
-      return runAttempt.runCall({ record, service: backEnd.service, work });
+      return runAttempt.runCall({
+        record,
+        service: backEnd.service,
+        lives,
+        work,
+      });
   }
 }
 
--- a/packages/daemon/src/upstream/run_attempt.ts
+++ b/packages/daemon/src/upstream/run_attempt.ts
@@ -2,6 +2,7 @@
 import * as engineModule from "@geraniumkeel/engine";
 import * as wire from "@geraniumkeel/wire";
 import type * as attemptRecord from "./attempt_record.ts";
+import type * as backEndLives from "./back_end_lives.ts";
 
 /** Times a broken engine stream is taken up again. */
 const RESUME_TRIES = 3;
@@ -11,9 +12,10 @@
 export async function runGenerate(parameters: {
   record: attemptRecord.AttemptRecord;
   engine: engineModule.HttpEngine;
+  lives: backEndLives.BackEndLives;
   work: wire.GenerateWork;
 }): Promise<void> {
-  const { record, engine, work } = parameters;
+  const { record, engine, lives, work } = parameters;
   const { identifier } = record.attempt;
   const signal = record.abort.signal;
   let items = engine.generate({ ...work, identifier }, signal);
@@ -35,16 +37,22 @@
         }
         broken = last.reason;
         break;
-      case engineModule.EngineItemKind.Broken:
+      case engineModule.EngineItemKind.Broken: {
         broken = last.reason;
-        break;
+        const endedLife = await lives.endedUnder(record.startedAt);
+        if (endedLife === "") break;
+        // What the engine held of the sequence went with it.
+        const kind = wire.EndKind.Broken;
+        return record.finish({ kind, reason: broken, endedLife });
+      }
     }
     // The engine holds the sequence: going on from the next token keeps the
     // answer of one sampling, where a new generation would splice two.
     await common.sleep(RESUME_PAUSE_MILLISECONDS * (attempt + 1), signal);
     items = engine.resume(identifier, record.produced, signal);
   }
-  record.finish({ kind: wire.EndKind.Broken, reason: broken });
+  const endedLife = await lives.endedUnder(record.startedAt);
+  record.finish({ kind: wire.EndKind.Broken, reason: broken, endedLife });
 }
 
 /** Only an end that the engine itself calls complete is one. */
@@ -56,7 +64,8 @@
     (known) => String(known) === reason,
   );
   if (finishReason === undefined) {
-    return { kind: wire.EndKind.Broken, reason: `engine ended it: ${reason}` };
+    const told = `engine ended it: ${reason}`;
+    return { kind: wire.EndKind.Broken, reason: told, endedLife: "" };
   }
   return { kind: wire.EndKind.Complete, finishReason, promptTokens };
 }
@@ -90,17 +99,18 @@
 export async function runCall(parameters: {
   record: attemptRecord.AttemptRecord;
   service: engineModule.HttpPlainService;
+  lives: backEndLives.BackEndLives;
   work: wire.CallWork;
 }): Promise<void> {
-  const { record, service, work } = parameters;
+  const { record, service, lives, work } = parameters;
   const { method, path, headers } = work;
   const body = work.bodyFollows ? record.body.read(work.body) : work.body;
   const call = { method, path, headers, body };
   const answer = await service.call(call, record.abort.signal);
   if (answer.isErr()) {
     const { sent, reason } = answer.error;
-    const kind = sent ? wire.EndKind.Broken : wire.EndKind.NotStarted;
-    return record.finish({ kind, reason });
+    if (!sent) return record.finish({ kind: wire.EndKind.NotStarted, reason });
+    return breakOff(record, lives, reason);
   }
   const { status } = answer.value;
   record.setHead({ status, headers: answer.value.headers });
@@ -114,8 +124,7 @@
     if (record.abort.signal.aborted) {
       return record.finish({ kind: wire.EndKind.Cancelled });
     }
-    const reason = (cause as Error).message;
-    return record.finish({ kind: wire.EndKind.Broken, reason });
+    return breakOff(record, lives, (cause as Error).message);
   }
   record.finish({
     kind: wire.EndKind.Complete,
@@ -123,3 +132,14 @@
     promptTokens: 0,
   });
 }
+
+/** Ends a call that broke off, and says whether the service ended with it. */
+async function breakOff(
+  record: attemptRecord.AttemptRecord,
+  lives: backEndLives.BackEndLives,
+  reason: string,
+): Promise<void> {
+  const aborted = record.abort.signal.aborted;
+  const endedLife = aborted ? "" : await lives.endedUnder(record.startedAt);
+  record.finish({ kind: wire.EndKind.Broken, reason, endedLife });
+}
--- a/packages/daemon/src/upstream/start_upstream.ts
+++ b/packages/daemon/src/upstream/start_upstream.ts
@@ -6,6 +6,7 @@
 import type * as runningProcess from "../running_process.ts";
 import * as listenModule from "../settings/listen.ts";
 import * as settingsModule from "../settings/settings.ts";
+import * as backEndLives from "./back_end_lives.ts";
 import * as attemptTable from "./attempt_table.ts";
 import * as entryLink from "./entry_link.ts";
 import * as loadReporter from "./load_reporter.ts";
@@ -96,6 +97,7 @@
 ): upstreamContext.UpstreamContext {
   const incarnation = common.randomIdentifier();
   const table = new attemptTable.AttemptTable(incarnation);
+  const { backEnd } = parameters.settings;
   const context: upstreamContext.UpstreamContext = {
     ...parameters,
     incarnation,
@@ -103,6 +105,10 @@
     table,
     waitingRoom: entryLink.newWaitingRoom(table, () => context),
     backEnd: createBackEnd(parameters.settings, incarnation, lifeCycle),
+    lives: new backEndLives.BackEndLives({
+      incarnation,
+      presence: () => backEndLives.presenceAtUrl(backEnd.url),
+    }),
     links: new Map(),
     newestLink: new Map(),
     leaving: false,
--- a/packages/daemon/src/upstream/upstream_context.ts
+++ b/packages/daemon/src/upstream/upstream_context.ts
@@ -3,6 +3,7 @@
 import type * as wire from "@geraniumkeel/wire";
 import type * as rankOrders from "../expert_map/rank_orders.ts";
 import type * as settings from "../settings/settings.ts";
+import type * as backEndLives from "./back_end_lives.ts";
 import type * as attemptTable from "./attempt_table.ts";
 import type * as loadReporter from "./load_reporter.ts";
 import type * as waitingRoom from "./waiting_room.ts";
@@ -35,6 +36,7 @@
   history: common.HistoryRecorder;
   table: attemptTable.AttemptTable;
   backEnd: BackEnd;
+  lives: backEndLives.BackEndLives;
   /** Dispatches that came while the runner was full. */
   waitingRoom: waitingRoom.WaitingRoom<WaitingDispatch>;
   /** Open links from entries. */
--- a/packages/stand_ins/src/engine_rank.ts
+++ b/packages/stand_ins/src/engine_rank.ts
@@ -33,6 +33,10 @@
   readonly events: engine.EngineCacheEvent[] = [];
   /** Times each identifier was started. */
   readonly starts = new Map<string, number>();
+  /** Prompts that were under way at each end of this rank's engine. */
+  readonly ends: string[][] = [];
+  /** Called when a request ends this rank's engine. */
+  onEnd: () => void = () => {};
   readonly #cache = new Set<string>();
   #eventSequence = 0;
   #running: sequence.Sequence[] = [];
@@ -113,6 +117,15 @@
     this.sequencesById.get(identifier)?.finish("cancelled");
   }
 
+  /** Ends the engine under what it runs; the map stays as it was. */
+  end(): void {
+    const lost = [...this.#running, ...this.#waiting];
+    this.ends.push(lost.map(({ call }) => call.prompt));
+    for (const one of lost) one.finish("lost");
+    this.sequencesById.clear();
+    this.onEnd();
+  }
+
   /** Applies what is due at a step, and holds where an order says so. */
   beforeStep(step: number): void {
     this.step = step;
--- a/packages/stand_ins/src/engine_stand_in.ts
+++ b/packages/stand_ins/src/engine_stand_in.ts
@@ -2,6 +2,7 @@
 import * as engine from "@geraniumkeel/engine";
 import type * as http from "node:http";
 import type * as wire from "@geraniumkeel/wire";
+import * as endingMark from "./ending_mark.ts";
 import * as engineGroup from "./engine_group.ts";
 import * as engineOrders from "./engine_orders.ts";
 import type * as engineRank from "./engine_rank.ts";
@@ -25,7 +26,7 @@
   port = 0,
 ): Promise<EngineStandIn> {
   const group = new engineGroup.EngineGroup(options);
-  const servings = await Promise.all(
+  const servings: serveModule.Serving[] = await Promise.all(
     group.ranks.map((rank, index) =>
       serveModule.serveHandler(
         (request, response) => void handle(rank, request, response),
@@ -33,6 +34,9 @@
       ),
     ),
   );
+  group.ranks.forEach((rank, index) => {
+    rank.onEnd = () => servings[index].bounce(endingMark.RETURN_MILLISECONDS);
+  });
   group.start();
   return {
     group,
@@ -139,7 +143,10 @@
     faults.refuseCalls--;
     return send(response, 503, { reason: "refused" });
   }
-  return stream(rank, rank.add(call), 0, response);
+  const added = rank.add(call);
+  const after = endingMark.endsAfter(call.prompt);
+  if (after !== undefined) setTimeout(() => rank.end(), after);
+  return stream(rank, added, 0, response);
 }
 
 async function stream(
--- a/packages/stand_ins/src/plain_stand_in.ts
+++ b/packages/stand_ins/src/plain_stand_in.ts
@@ -1,5 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import type * as http from "node:http";
+import * as endingMark from "./ending_mark.ts";
 import * as serveModule from "./serve.ts";
 
 /** Faults of the plain service. */
@@ -16,6 +17,8 @@
   /** Times each call was run, by its `x-call` header. */
   calls: Map<string, number>;
   faults: PlainFaults;
+  /** Times that a request ended it. */
+  ends: number;
   /** Called when a call starts to count. */
   onCall: ((call: string) => void) | undefined;
 }
@@ -26,12 +29,17 @@
   const faults = { delayMilliseconds: 0, breakAnswers: 0, dropCalls: 0 };
   const serving = await serveModule.serveHandler((request, response) => {
     const onCall = (call: string) => standIn.onCall?.(call);
-    void answer({ request, response, calls, faults, onCall });
+    const onEnd = () => {
+      standIn.ends++;
+      serving.bounce(endingMark.RETURN_MILLISECONDS);
+    };
+    void answer({ request, response, calls, faults, onCall, onEnd });
   }, port);
   const standIn: PlainStandIn = {
     ...serving,
     calls,
     faults,
+    ends: 0,
     onCall: undefined,
   };
   return standIn;
@@ -43,6 +51,7 @@
   calls: Map<string, number>;
   faults: PlainFaults;
   onCall: (call: string) => void;
+  onEnd: () => void;
 }): Promise<void> {
   const { request, response, calls, faults, onCall } = parameters;
   const chunks: Buffer[] = [];
@@ -67,8 +76,13 @@
     return;
   }
   const call = String(request.headers["x-call"] ?? "");
+  const after = endingMark.endsAfter(body.toString("latin1"));
   calls.set(call, (calls.get(call) ?? 0) + 1);
   onCall(call);
+  if (after !== undefined) {
+    setTimeout(() => parameters.onEnd(), after);
+    return;
+  }
   if (faults.delayMilliseconds > 0)
     await common.sleep(faults.delayMilliseconds);
   const echoed = { call, method: request.method, url: request.url };
--- a/packages/stand_ins/src/serve.ts
+++ b/packages/stand_ins/src/serve.ts
@@ -6,6 +6,8 @@
   url: string;
   port: number;
   close: () => Promise<void>;
+  /** Ends all connections as a death does, and listens again after a while. */
+  bounce: (milliseconds: number) => void;
 }
 
 /** Serves an application on loopback; port 0 takes any free one. */
@@ -28,13 +30,23 @@
     server.listen(port, "127.0.0.1", () => resolve());
   });
   const taken = (server.address() as { port: number }).port;
+  let returning: NodeJS.Timeout | undefined;
+  const stop = () =>
+    new Promise<void>((resolve) => {
+      server.close(() => resolve());
+      server.closeAllConnections();
+    });
   return {
     url: `http://127.0.0.1:${taken}`,
     port: taken,
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
+    close: () => {
+      clearTimeout(returning);
+      return stop();
+    },
+    bounce: (milliseconds) => {
+      void stop();
+      const listen = () => server.listen(taken, "127.0.0.1");
+      returning = setTimeout(listen, milliseconds);
+    },
   };
 }
--- a/packages/wire/src/attempt.ts
+++ b/packages/wire/src/attempt.ts
@@ -74,7 +74,12 @@
       finishReason: FinishReason;
       promptTokens: number;
     }
-  | { kind: EndKind.Broken; reason: string }
+  | {
+      kind: EndKind.Broken;
+      reason: string;
+      /** Life of the engine or service that ended with it; empty if none did. */
+      endedLife: string;
+    }
   | { kind: EndKind.NotStarted; reason: string }
   | { kind: EndKind.Cancelled };
 
