test: the explorer plays requests that end engines, and judges what is held

A fault of its own, alone and with three others, checked with all promises and two of its own: a request that ends engines is soon sent to no more, and no other is held.

--- a/packages/stand_ins/src/checkers/check_all.ts
+++ b/packages/stand_ins/src/checkers/check_all.ts
@@ -2,6 +2,7 @@
 import * as checkConfiguration from "./check_configuration.ts";
 import * as checkExpertMap from "./check_expert_map.ts";
 import * as checkLeaving from "./check_leaving.ts";
+import * as checkQuarantine from "./check_quarantine.ts";
 import type * as historyModule from "./history.ts";
 
 /** One checker per promise. */
@@ -17,6 +18,8 @@
   checkConfiguration.checkNoRevert,
   checkConfiguration.checkInForceEverywhere,
   checkConfiguration.checkInForceSoon,
+  checkQuarantine.checkEndings,
+  checkQuarantine.checkInnocents,
 ];
 
 /** All violations in a history. */
--- a/packages/stand_ins/src/checkers/checkers_test.ts
+++ b/packages/stand_ins/src/checkers/checkers_test.ts
@@ -4,6 +4,7 @@
 import * as checkConfiguration from "./check_configuration.ts";
 import * as checkExpertMap from "./check_expert_map.ts";
 import * as checkLeaving from "./check_leaving.ts";
+import * as checkQuarantine from "./check_quarantine.ts";
 import * as historyModule from "./history.ts";
 
 const test = ava.default;
@@ -29,6 +30,9 @@
     stepsTaken: 20,
     mixedSteps: 0,
     workStarts: [{ host: "up", at: 1_000 }],
+    endings: [
+      { work: "d", starts: [1, 2, 3, 3_050], ends: [10, 20, 30, 3_060] },
+    ],
     leavings: [{ host: "up", at: 500 }],
     inForce: [
       { process: "e1", revision: 1, at: 0 },
@@ -123,3 +127,21 @@
   history.final.push({ process: "e2", revision: 1 });
   t.is(checkConfiguration.checkInForceEverywhere(history).length, 1);
 });
+
+test("a request that goes on ending engines is found", (t) => {
+  const history = soundHistory();
+  const starts = [1, 2, 3, 3_100, 3_200, 3_300, 3_400];
+  history.endings = [{ work: "d", starts, ends: [10, 20, 30] }];
+  const [found] = checkQuarantine.checkEndings(history);
+  t.regex(found.detail, /^d: 4 starts/);
+  history.endings = [{ work: "d", starts, ends: [10, 20] }];
+  t.deepEqual(checkQuarantine.checkEndings(history), []);
+});
+
+test("a request that is held without reason is found", (t) => {
+  const history = soundHistory();
+  history.calls.push(
+    call({ work: "e", outcome: "not-run", detail: "503 quarantined" }),
+  );
+  t.is(checkQuarantine.checkInnocents(history).length, 1);
+});
--- a/packages/stand_ins/src/checkers/history.ts
+++ b/packages/stand_ins/src/checkers/history.ts
@@ -17,6 +17,8 @@
   mixedSteps: number;
   /** Work started at a host, with the time. */
   workStarts: { host: string; at: number }[];
+  /** Requests that end each engine that runs them. */
+  endings: EndingRecord[];
   /** Hosts told to leave, with the time. */
   leavings: { host: string; at: number }[];
   /** Revisions put in force in a process. */
@@ -39,6 +41,13 @@
   duringPlannedStopOnly: boolean;
 }
 
+/** A request that ends each engine that runs it, with the times of what it did. */
+export interface EndingRecord {
+  work: string;
+  starts: number[];
+  ends: number[];
+}
+
 /** A rank uses a map from a step on. */
 export interface MapUse {
   rank: number;
@@ -55,6 +64,7 @@
     stepsTaken: 0,
     mixedSteps: 0,
     workStarts: [],
+    endings: [],
     leavings: [],
     inForce: [],
     accepted: [],
--- a/packages/stand_ins/src/engine_rank.ts
+++ b/packages/stand_ins/src/engine_rank.ts
@@ -33,8 +33,8 @@
   readonly events: engine.EngineCacheEvent[] = [];
   /** Times each identifier was started. */
   readonly starts = new Map<string, number>();
-  /** Prompts that were under way at each end of this rank's engine. */
-  readonly ends: string[][] = [];
+  /** Ends of this rank's engine, with the prompts that were under way. */
+  readonly ends: { at: number; prompts: string[] }[] = [];
   /** Called when a request ends this rank's engine. */
   onEnd: () => void = () => {};
   readonly #cache = new Set<string>();
@@ -120,7 +120,8 @@
   /** Ends the engine under what it runs; the map stays as it was. */
   end(): void {
     const lost = [...this.#running, ...this.#waiting];
-    this.ends.push(lost.map(({ call }) => call.prompt));
+    const prompts = lost.map(({ call }) => call.prompt);
+    this.ends.push({ at: common.now(), prompts });
     for (const one of lost) one.finish("lost");
     this.sequencesById.clear();
     this.onEnd();
--- a/packages/stand_ins/src/explore/fault.ts
+++ b/packages/stand_ins/src/explore/fault.ts
@@ -32,6 +32,7 @@
   DrainEntry = "drain-entry",
   ReplaceUpstream = "replace-upstream",
   LostOrders = "lost-orders",
+  EndingRequest = "ending-request",
 }
 
 /** Faults that are no faults but planned stops: they cut off nothing. */
--- a/packages/stand_ins/src/explore/fault_tests.ts
+++ b/packages/stand_ins/src/explore/fault_tests.ts
@@ -26,6 +26,9 @@
   [FaultKind.CutUpstreamLinks, FaultKind.BreakStreams],
   [FaultKind.LostOrders, FaultKind.ReplaceUpstream],
   [FaultKind.LostOrders, FaultKind.DrainUpstream],
+  [FaultKind.EndingRequest, FaultKind.KillEntry],
+  [FaultKind.EndingRequest, FaultKind.SilentPeerLinks],
+  [FaultKind.EndingRequest, FaultKind.BreakStreams],
 ];
 
 /** Cases of a part of the fault tests; parts run in processes of their own. */
--- a/packages/stand_ins/src/explore/inject.ts
+++ b/packages/stand_ins/src/explore/inject.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
 import type * as historyModule from "../checkers/history.ts";
+import * as endingMark from "../ending_mark.ts";
 import type * as cluster from "../testing/cluster.ts";
 import * as tcpProxy from "../testing/tcp_proxy.ts";
 import * as fault from "./fault.ts";
@@ -145,6 +146,28 @@
       await pause();
       faults.dropOrders = "";
       return;
+    case FaultKind.EndingRequest:
+      return sendEnding(target);
+  }
+}
+
+/** Time for which an ending request comes again: until it must be held, and on. */
+const ENDING_MILLISECONDS = 8_000;
+const ENDING_PAUSE_MILLISECONDS = 120;
+const ENDS_AFTER_MILLISECONDS = 20;
+
+/** One request comes again and again, at any entry, and ends the engines that run it. */
+async function sendEnding(target: Target): Promise<void> {
+  const { system, history, random } = target;
+  const work = `ending-${history.endings.length}`;
+  history.endings.push({ work, starts: [], ends: [] });
+  const prompt = `${work} ${endingMark.endingMark(ENDS_AFTER_MILLISECONDS)}`;
+  const until = common.now() + ENDING_MILLISECONDS;
+  while (common.now() < until) {
+    const entry = random.below(system.entries.length);
+    // Broken answers and refusals are what it earns.
+    await system.generate({ prompt, entry }).catch(() => undefined);
+    await common.sleep(ENDING_PAUSE_MILLISECONDS);
   }
 }
 
--- a/packages/stand_ins/src/explore/run_case.ts
+++ b/packages/stand_ins/src/explore/run_case.ts
@@ -94,6 +94,8 @@
   engine.group.onStart = (rank, call) => {
     started(workload.workOf(call.prompt));
     history.workStarts.push({ host: `rank-${rank}`, at: common.now() });
+    const ending = endingOf(history, call.prompt);
+    ending?.starts.push(common.now());
   };
   engine.group.onMapUse = (rank, step, version) =>
     history.mapUses.push({ rank, step, version });
@@ -101,6 +103,14 @@
   return history;
 }
 
+/** The record of the ending request that a prompt is, if it is one. */
+function endingOf(
+  history: historyModule.History,
+  prompt: string,
+): historyModule.EndingRecord | undefined {
+  return history.endings.find(({ work }) => prompt.includes(work));
+}
+
 /** Waits until the newest accepted configuration is in force everywhere. */
 async function settle(target: inject.Target): Promise<void> {
   const { system, history } = target;
@@ -116,6 +126,11 @@
     await common.sleep(50);
   }
   history.final.push(...revisions());
+  for (const { at, prompts } of system.engine.group.ranks.flatMap(
+    ({ ends }) => ends,
+  )) {
+    for (const prompt of prompts) endingOf(history, prompt)?.ends.push(at);
+  }
   history.stepsTaken = system.engine.group.history.steps;
   history.mixedSteps = system.engine.group.history.mixedSteps;
   for (const entry of system.history) {
--- a/packages/stand_ins/src/system/quarantine_cluster_test.ts
+++ b/packages/stand_ins/src/system/quarantine_cluster_test.ts
@@ -43,7 +43,8 @@
 /** Ends of engines under a prompt; each adds one start of the request. */
 function endsUnder({ engine }: cluster.Cluster, prompt: string): number {
   const all = engine.group.ranks.flatMap(({ ends }) => ends);
-  return all.filter((lost) => lost.some((one) => one.includes(prompt))).length;
+  const isUnder = (one: string) => one.includes(prompt);
+  return all.filter(({ prompts }) => prompts.some(isUnder)).length;
 }
 
 async function provoke(
