--- a/packages/cli/src/commands/quarantine.ts
+++ b/packages/cli/src/commands/quarantine.ts
@@ -3,7 +3,7 @@
 import * as table from "../table.ts";
 
 const PATH = "/admin/v1/quarantine";
-const MINUTE_MILLISECONDS = 60_000;
+const SECOND_MILLISECONDS = 1_000;
 
 interface QuarantineCase {
   fingerprint: string;
@@ -55,13 +55,13 @@
 /** A row for each runner that ended. */
 function renderCases(cases: QuarantineCase[]): string {
   return table.renderTable(
-    ["FINGERPRINT", "SERVICE", "SINCE", "MINUTES LEFT", "RUNNER", "SEEN BY"],
+    ["FINGERPRINT", "SERVICE", "SINCE", "SECONDS LEFT", "RUNNER", "SEEN BY"],
     cases.flatMap(({ fingerprint, service, since, millisecondsLeft, ends }) =>
       ends.map(({ runner, seenBy }) => [
         fingerprint,
         service,
         since,
-        Math.ceil(millisecondsLeft / MINUTE_MILLISECONDS),
+        Math.ceil(millisecondsLeft / SECOND_MILLISECONDS),
         runner,
         seenBy.join(", "),
       ]),
--- a/packages/daemon/src/forwarding/attempt_end.ts
+++ b/packages/daemon/src/forwarding/attempt_end.ts
@@ -82,13 +82,15 @@
 }
 
 /** Whether an attempt ended in a way in which it also ends when its runner does. */
-export function brokeOff(kind: AttemptKind): boolean {
+export function brokeOff(kind: AttemptKind, runnerIsSilent: boolean): boolean {
   switch (kind) {
     case AttemptKind.Unknown:
     case AttemptKind.Broken:
     case AttemptKind.Stalled:
-    case AttemptKind.TimedOut:
       return true;
+    case AttemptKind.TimedOut:
+      // Many do when runners have too much to do, and go on.
+      return runnerIsSilent;
     case AttemptKind.Answered:
     case AttemptKind.NotRun:
     case AttemptKind.Failed:
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -192,8 +192,9 @@
     runner: traffic.RunnerEntry,
     startedAt: number,
   ): Promise<void> {
-    if (!attemptEnd.brokeOff(end.kind)) return;
-    const { request, endWatch } = this.parameters;
+    const { request, endWatch, board } = this.parameters;
+    const silent = board.isSilent(runner.identifier);
+    if (!attemptEnd.brokeOff(end.kind, silent)) return;
     await endWatch.brokenOff(runner, {
       request: request.identifier,
       fingerprint: this.fingerprint,
--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -294,6 +294,11 @@
     return this.#records.get(identifier)?.stalled(common.now()) ?? false;
   }
 
+  /** Whether nothing has come from a runner lately. */
+  isSilent(identifier: string): boolean {
+    return this.#records.get(identifier)?.isSilent(common.now()) ?? true;
+  }
+
   /** A runner at which nothing progresses gets no new work for a while. */
   spare(identifier: string): void {
     const record = this.#records.get(identifier);
