--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -87,8 +87,6 @@
   #progressAt = 0;
   /** Milliseconds from arrival to the first of an answer; -1 before it. */
   #firstAfter = -1;
-  /** Milliseconds for which it is held in quarantine. */
-  #heldMilliseconds = 0;
 
   constructor(readonly parameters: ForwardedRequestParameters) {
     const { route, request, account, sink } = parameters;
@@ -114,8 +112,13 @@
     return this.#fingerprint.value;
   }
 
-  /** It is put in quarantine. A run that answers is left to its end, good or bad. */
+  /**
+   * It is put in quarantine. A run that answers is left to its end, good or bad, and so
+   * is one that may not be repeated.
+   */
   stop(): void {
+    const { repeatability } = this.parameters.route;
+    if (repeatability !== traffic.Repeatability.Idempotent) return;
     if (this.#firstAfter < 0) this.#cut.abort(QUARANTINED);
   }
 
@@ -167,8 +170,7 @@
     for (;;) {
       const cut = this.#endOfCut();
       if (cut) return cut;
-      this.#heldMilliseconds = quarantine.admit(this);
-      if (this.#heldMilliseconds > 0) return QUARANTINED;
+      if (quarantine.admit(this) > 0) return QUARANTINED;
       const runner = board.choose(service, this.#tried);
       if (!runner) {
         if (await this.#waitForRunner()) continue;
@@ -382,7 +384,7 @@
 
   /** Gives the caller the final answer. */
   #finish(end: attemptEnd.AttemptEnd): void {
-    const { sink, random } = this.parameters;
+    const { sink, random, quarantine } = this.parameters;
     switch (end.kind) {
       case attemptEnd.AttemptKind.Answered:
       case attemptEnd.AttemptKind.Left:
@@ -394,7 +396,7 @@
     if (end.failure) return sink.answer(end.failure.head, end.failure.body);
     const kind = attemptEnd.refusalKind(end, this.#runs);
     const retryAfterMilliseconds =
-      this.#heldMilliseconds ||
+      quarantine.heldMilliseconds(this) ||
       returnTime.returnTime(this.#millisecondsLeft(), random);
     sink.refuse({ kind, reason: end.reason, retryAfterMilliseconds });
   }
