--- a/packages/daemon/src/dispatch/watched_attempts.ts
+++ b/packages/daemon/src/dispatch/watched_attempts.ts
@@ -1,8 +1,8 @@
 import * as fingerprint from "../quarantine/fingerprint.ts";
-import type * as quarantine from "../quarantine/quarantine.ts";
+import type * as watchedRequests from "../quarantine/watched_requests.ts";
 
 /** An accepted request as the quarantine sees it. */
-export class WatchedAttempts implements quarantine.WatchedRequest {
+export class WatchedAttempts implements watchedRequests.WatchedRequest {
   /** Ends the attempt under way, if it may be ended. */
   onStop: (() => void) | undefined;
 
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -4,6 +4,7 @@
 import type * as endWatch from "../quarantine/end_watch.ts";
 import * as fingerprint from "../quarantine/fingerprint.ts";
 import type * as quarantine from "../quarantine/quarantine.ts";
+import type * as watchedRequests from "../quarantine/watched_requests.ts";
 import * as answerRelay from "./answer_relay.ts";
 import * as attemptEnd from "./attempt_end.ts";
 import * as forwardRequest from "./forward_request.ts";
@@ -72,7 +73,7 @@
 }
 
 /** Conducts one admitted request: chooses runners, repeats what may be repeated. */
-export class ForwardedRequest implements quarantine.WatchedRequest {
+export class ForwardedRequest implements watchedRequests.WatchedRequest {
   readonly #attempts: attemptEnd.AttemptNote[] = [];
   readonly #tried = new Set<string>();
   /** Aborts with the end that this side gives an attempt under way. */
--- a/packages/daemon/src/quarantine/quarantine.ts
+++ b/packages/daemon/src/quarantine/quarantine.ts
@@ -1,39 +1,20 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
 import type * as brokenRun from "./broken_run.ts";
-import * as evidenceModule from "./evidence.ts";
+import * as quarantineCase from "./quarantine_case.ts";
 import * as standing from "./standing.ts";
 import * as suspectLedger from "./suspect_ledger.ts";
+import * as suspicionLimit from "./suspicion_limit.ts";
 import * as toldEnds from "./told_ends.ts";
+import * as watchedRequests from "./watched_requests.ts";
 
 /** Runs that one log line names at most. */
 const MOST_RUNS_LOGGED = 16;
-/** Requests that an entry puts under suspicion in a second, at most. */
-const MOST_SUSPECTED = 500;
-const SECOND_MILLISECONDS = 1_000;
+/** When a request is to come back while another one like it is on trial. */
+const TRIAL_MILLISECONDS = 1_000;
 /** Suspicions that an entry tells one that was just linked, at most. */
 const MOST_TOLD_AT_ONCE = 2_000;
 
-/** A request on its way, as far as the quarantine needs it. */
-export interface WatchedRequest {
-  service: string;
-  /** Name of the request by what it asks for; worked out when it is asked for. */
-  readonly fingerprint: string;
-  /** Ends the attempt under way, unless the caller has some of its answer. */
-  stop(): void;
-}
-
-/** A request in quarantine, as operators see it. */
-export interface QuarantineCase {
-  fingerprint: string;
-  service: string;
-  /** Time of day since which it is held. */
-  since: string;
-  /** Milliseconds until it is tried again; 0 if that may be now. */
-  millisecondsLeft: number;
-  ends: { runner: string; version: string; at: string; seenBy: string[] }[];
-}
-
 /** What the quarantine needs of its entry. */
 export interface QuarantineParameters {
   host: string;
@@ -63,23 +44,14 @@
  */
 export class Quarantine {
   readonly #ledger = new suspectLedger.SuspectLedger();
-  readonly #underWay = new Set<WatchedRequest>();
-  /** Requests on trial here, by fingerprint. */
-  readonly #trials = new Map<string, WatchedRequest>();
-  #suspectedSince = -Infinity;
-  #suspected = 0;
+  readonly #watched = new watchedRequests.WatchedRequests();
+  readonly #limit = new suspicionLimit.SuspicionLimit();
 
   constructor(readonly parameters: QuarantineParameters) {}
 
   /** Watches a request while it is under way; the returned function ends that. */
-  watch(request: WatchedRequest): () => void {
-    this.#underWay.add(request);
-    return () => {
-      this.#underWay.delete(request);
-      for (const [fingerprint, tried] of this.#trials) {
-        if (tried === request) this.#trials.delete(fingerprint);
-      }
-    };
+  watch(request: watchedRequests.WatchedRequest): () => void {
+    return this.#watched.watch(request);
   }
 
   /** Whether any request for a service is held. */
@@ -91,7 +63,7 @@
   }
 
   /** Milliseconds for which a request is sent to no runner; 0 if it may be now. */
-  heldMilliseconds(request: WatchedRequest): number {
+  heldMilliseconds(request: watchedRequests.WatchedRequest): number {
     if (this.#ledger.held.size === 0) return 0;
     const { fingerprint } = request;
     if (!this.#ledger.held.has(fingerprint)) return 0;
@@ -100,7 +72,7 @@
       case "held":
         return found.millisecondsLeft;
       case "on-trial":
-        return this.#mayTry(fingerprint) ? 0 : SECOND_MILLISECONDS;
+        return this.#mayTry(fingerprint) ? 0 : TRIAL_MILLISECONDS;
     }
   }
 
@@ -108,23 +80,24 @@
    * The same just before a request is sent. One that is sent on trial is the only one
    * for as long as it is under way.
    */
-  admit(request: WatchedRequest): number {
+  admit(request: watchedRequests.WatchedRequest): number {
     const milliseconds = this.heldMilliseconds(request);
     if (milliseconds > 0 || this.#ledger.held.size === 0) return milliseconds;
-    const { fingerprint } = request;
-    if (this.#ledger.held.has(fingerprint)) {
-      this.#trials.set(fingerprint, request);
+    if (this.#ledger.held.has(request.fingerprint)) {
+      this.#watched.beginTrial(request);
     }
     return 0;
   }
 
   /** A runner of a version answered a request whole: it does not end its runners. */
-  answered(request: WatchedRequest, version: string): void {
+  answered(request: watchedRequests.WatchedRequest, version: string): void {
     if (this.#ledger.empty) return;
-    const { fingerprint } = request;
-    const wasOnTrial = this.#trials.get(fingerprint) === request;
+    const wasOnTrial = this.#watched.isOnTrial(request);
     // Another version may run well what ends the runners of this one.
-    this.#clear(fingerprint, (end) => wasOnTrial || end.version === version);
+    this.#clear(
+      request.fingerprint,
+      (end) => wasOnTrial || end.version === version,
+    );
   }
 
   /** Takes an operator's word that a request is sound; false if it is not held. */
@@ -146,7 +119,11 @@
   /** A runner ended while requests of this entry were under way there. */
   runnerEnded(end: brokenRun.RunnerEnd): void {
     this.#logEnd(end);
-    const { life, runner, service, version, endedAt, runs } = end;
+    const { life, runner, service, version, endedAt } = end;
+    const runs = this.#limit.take(
+      end.runs,
+      (fingerprint) => this.#ledger.endsUnder(fingerprint).length,
+    );
     const report: suspectLedger.ReportedEnd = {
       life,
       runner,
@@ -155,7 +132,7 @@
       endedAt,
       seenBy: [this.parameters.host],
       disproved: false,
-      suspicions: this.#bounded(runs).map(({ fingerprint, startedAt }) => ({
+      suspicions: runs.map(({ fingerprint, startedAt }) => ({
         fingerprint,
         startedAt,
         cleared: false,
@@ -206,26 +183,19 @@
   everything(): wire.Suspicions | undefined {
     const reports = this.#ledger.weightiest(MOST_TOLD_AT_ONCE);
     if (reports.length === 0) return undefined;
-    return messageOf(reports, [...this.#ledger.held]);
+    return toldEnds.messageOf(reports, [...this.#ledger.held]);
   }
 
   /** Requests that are held, for operators. */
-  cases(): QuarantineCase[] {
-    return [...this.#ledger.held].map((fingerprint) => {
-      const found = this.#standingOf(fingerprint);
-      const ends = this.#ledger.endsUnder(fingerprint);
-      const proving = ends[evidenceModule.PROOF.ends - 1];
-      return {
+  cases(): quarantineCase.QuarantineCase[] {
+    return [...this.#ledger.held].map((fingerprint) =>
+      quarantineCase.caseOf({
         fingerprint,
         service: this.#ledger.serviceOf(fingerprint),
-        since: timeOfDay(proving.endedAt),
-        millisecondsLeft:
-          found.kind === "held" ? Math.round(found.millisecondsLeft) : 0,
-        ends: ends.map(({ runner, version, endedAt, seenBy }) => {
-          return { runner, version, at: timeOfDay(endedAt), seenBy };
-        }),
-      };
-    });
+        ends: this.#ledger.endsUnder(fingerprint),
+        found: this.#standingOf(fingerprint),
+      }),
+    );
   }
 
   /** What the state dump says of it. */
@@ -248,7 +218,7 @@
    * failed trial costs one runner.
    */
   #mayTry(fingerprint: string): boolean {
-    return this.#isChosen(fingerprint) && !this.#trials.has(fingerprint);
+    return this.#isChosen(fingerprint) && !this.#watched.hasTrial(fingerprint);
   }
 
   /** Whether this entry is the one that acts for all on a request. */
@@ -317,10 +287,7 @@
       const reports = this.#ledger.reports(fingerprint);
       this.parameters.rows.keep(fingerprint, reports);
     }
-    for (const request of this.#underWay) {
-      if (request.service !== service) continue;
-      if (request.fingerprint === fingerprint) request.stop();
-    }
+    this.#watched.stop(service, fingerprint);
   }
 
   /** Who found the reason to release requests knows first that rows are to go. */
@@ -329,7 +296,6 @@
   }
 
   #onReleased(fingerprint: string): void {
-    this.#trials.delete(fingerprint);
     const code = common.EventCode.QuarantineEnded;
     this.parameters.logger.event(code, { fingerprint });
   }
@@ -343,26 +309,7 @@
     const proofs = held.flatMap((name) => this.#ledger.reports(name));
     const told = [...reports, ...proofs];
     if (told.length === 0) return;
-    this.parameters.tell(messageOf(told, held), except);
-  }
-
-  /**
-   * Runs that are told of: when all hosts are lost at once, each request of a moment
-   * is under way somewhere. Those seen before go first.
-   */
-  #bounded(runs: brokenRun.BrokenRun[]): brokenRun.BrokenRun[] {
-    const now = common.now();
-    if (now - this.#suspectedSince > SECOND_MILLISECONDS) {
-      this.#suspectedSince = now;
-      this.#suspected = 0;
-    }
-    const seen = ({ fingerprint }: brokenRun.BrokenRun) =>
-      this.#ledger.endsUnder(fingerprint).length;
-    const told = [...runs]
-      .sort((left, right) => seen(right) - seen(left))
-      .slice(0, MOST_SUSPECTED - this.#suspected);
-    this.#suspected += told.length;
-    return told;
+    this.parameters.tell(toldEnds.messageOf(told, held), except);
   }
 
   #logEnd(end: brokenRun.RunnerEnd): void {
@@ -381,20 +328,3 @@
     });
   }
 }
-
-function messageOf(
-  reports: suspectLedger.ReportedEnd[],
-  held: string[],
-): wire.Suspicions {
-  const now = common.now();
-  return {
-    kind: wire.MessageKind.Suspicions,
-    ends: reports.map((report) => toldEnds.toTold(report, now)),
-    held,
-  };
-}
-
-/** Time of day of a moment of this process's monotonic clock. */
-function timeOfDay(moment: number): string {
-  return new Date(Date.now() - (common.now() - moment)).toISOString();
-}
--- a/packages/daemon/src/quarantine/quarantine_test.ts
+++ b/packages/daemon/src/quarantine/quarantine_test.ts
@@ -4,6 +4,7 @@
 import * as brokenRun from "./broken_run.ts";
 import type * as quarantine from "./quarantine.ts";
 import * as quarantineFixture from "./quarantine_fixture.ts";
+import type * as watchedRequests from "./watched_requests.ts";
 
 const test = ava.default;
 
@@ -96,8 +97,8 @@
 }
 
 function requestOf(
-  change: Partial<quarantine.WatchedRequest> = {},
-): quarantine.WatchedRequest {
+  change: Partial<watchedRequests.WatchedRequest> = {},
+): watchedRequests.WatchedRequest {
   return { service: "s", fingerprint: "f", stop: () => {}, ...change };
 }
 
--- a/packages/daemon/src/quarantine/told_ends.ts
+++ b/packages/daemon/src/quarantine/told_ends.ts
@@ -1,11 +1,22 @@
-import type * as wire from "@geraniumkeel/wire";
+import * as common from "@geraniumkeel/common";
+import * as wire from "@geraniumkeel/wire";
 import type * as suspectLedger from "./suspect_ledger.ts";
 
+/** What entries tell each other of ends, and of the requests that they hold. */
+export function messageOf(
+  reports: suspectLedger.ReportedEnd[],
+  held: string[],
+): wire.Suspicions {
+  const now = common.now();
+  return {
+    kind: wire.MessageKind.Suspicions,
+    ends: reports.map((report) => toTold(report, now)),
+    held,
+  };
+}
+
 /** A report as it is told: no two clocks are compared, so times travel as ages. */
-export function toTold(
-  report: suspectLedger.ReportedEnd,
-  now: number,
-): wire.ToldEnd {
+function toTold(report: suspectLedger.ReportedEnd, now: number): wire.ToldEnd {
   const { endedAt, suspicions, ...same } = report;
   return {
     ...same,
