--- a/packages/stand_ins/src/measure/measure_quarantine.ts
+++ b/packages/stand_ins/src/measure/measure_quarantine.ts
@@ -1,5 +1,6 @@
 import type * as common from "@geraniumkeel/common";
 import type * as evidence from "@geraniumkeel/daemon/quarantine/evidence";
+import * as quarantineCost from "./quarantine_world/quarantine_cost.ts";
 import * as world from "./quarantine_world/world.ts";
 import * as statistics from "./statistics.ts";
 
@@ -141,5 +142,6 @@
       endings: await judgeEndings(proof),
     };
   }
-  return { seeds: SEEDS, seconds: DURATION / 1_000, rules };
+  const cost = quarantineCost.measureCost();
+  return { seeds: SEEDS, seconds: DURATION / 1_000, rules, cost };
 }
--- /dev/null
+++ b/packages/stand_ins/src/measure/quarantine_world/quarantine_cost.ts
@@ -0,0 +1,142 @@
+import * as common from "@geraniumkeel/common";
+import * as brokenRun from "@geraniumkeel/daemon/quarantine/broken_run";
+import * as fingerprint from "@geraniumkeel/daemon/quarantine/fingerprint";
+import * as quarantine from "@geraniumkeel/daemon/quarantine/quarantine";
+import * as wire from "@geraniumkeel/wire";
+import * as statistics from "../statistics.ts";
+import * as usedHeap from "../used_heap.ts";
+
+const REQUESTS = 200_000;
+const HASHES = 20_000;
+const BODY_BYTES = [4_096, 65_536];
+const SUSPECTS_OF_AN_END = 8;
+const ENDS = 2_500;
+const MICROSECONDS = 1_000;
+
+/** An entry's quarantine, and what it tells others. */
+function createQuarantine(): {
+  entry: quarantine.Quarantine;
+  told: wire.Suspicions[];
+} {
+  const told: wire.Suspicions[] = [];
+  const entry = new quarantine.Quarantine({
+    host: "entry-1",
+    entries: () => ["entry-1"],
+    versionsOf: () => new Set(["1"]),
+    tell: (message) => told.push(message),
+    relays: false,
+    onEndTold: () => {},
+    rows: { keep: () => {}, drop: () => {} },
+    logger: { event: () => {} },
+    metrics: common.discardMetrics(),
+  });
+  return { entry, told };
+}
+
+function endOf(number: number, fingerprints: string[]): brokenRun.RunnerEnd {
+  const endedAt = common.now();
+  return {
+    life: `runner-${number} 1700000000000 10.0.0.1:8000`,
+    runner: `runner-${number}`,
+    service: "model",
+    version: "1",
+    endedAt,
+    evidence: brokenRun.EndEvidence.Refused,
+    runs: fingerprints.map((one) => ({
+      request: one,
+      fingerprint: one,
+      startedAt: endedAt - 100,
+    })),
+  };
+}
+
+function nameOf(text: string): string {
+  return fingerprint.fingerprintOf(identityOf(Buffer.from(text)));
+}
+
+function identityOf(body: Buffer): fingerprint.RequestIdentity {
+  return { account: "a", method: "POST", host: "h", target: "/a/b", body };
+}
+
+/** Microseconds of one of many actions. */
+function timeOf(count: number, action: (number: number) => void): number {
+  const startedAt = common.now();
+  for (let number = 0; number < count; number++) action(number);
+  const each = ((common.now() - startedAt) * MICROSECONDS) / count;
+  return statistics.round(each);
+}
+
+/** What the quarantine takes of an entry's time, memory and links. */
+export function measureCost(): object {
+  const body = Buffer.alloc(BODY_BYTES[0], "x");
+  const pass = (entry: quarantine.Quarantine) => () => {
+    const name = new fingerprint.LazyFingerprint(identityOf(body));
+    const request = {
+      service: "model",
+      get fingerprint() {
+        return name.value;
+      },
+      stop: () => {},
+    };
+    const unwatch = entry.watch(request);
+    entry.admit(request);
+    entry.answered(request, "1");
+    unwatch();
+  };
+  const calm = createQuarantine();
+  const holding = createQuarantine();
+  for (const number of [1, 2, 3]) {
+    holding.entry.runnerEnded(endOf(number, [nameOf("held")]));
+  }
+  const requestMicroseconds = {
+    calm: timeOf(REQUESTS, pass(calm.entry)),
+    whileOneIsHeld: timeOf(HASHES, pass(holding.entry)),
+  };
+  const fingerprintMicroseconds = BODY_BYTES.map((bytes) => ({
+    bytes,
+    each: timeOf(HASHES, () =>
+      fingerprint.fingerprintOf(identityOf(Buffer.alloc(bytes))),
+    ),
+  }));
+  return {
+    requestMicroseconds,
+    fingerprintMicroseconds,
+    ...measureLedger(),
+  };
+}
+
+/** Memory and bytes when each request of a long time is under suspicion. */
+function measureLedger(): object {
+  const { entry, told } = createQuarantine();
+  const names = Array.from({ length: SUSPECTS_OF_AN_END }, (_, one) =>
+    nameOf(`first ${one}`),
+  );
+  entry.runnerEnded(endOf(0, names));
+  const endBytes = wire.encode(told[0]).byteLength;
+  const before = usedHeap.usedHeap();
+  // Told by another entry: what one entry tells in a second is bounded.
+  for (let number = 1; number <= ENDS; number++) {
+    const ends = [
+      {
+        ...told[0].ends[0],
+        life: `runner-${number}`,
+        suspicions: Array.from({ length: SUSPECTS_OF_AN_END }, (_, one) => ({
+          fingerprint: nameOf(`${number} ${one}`),
+          startedAge: 100,
+          cleared: false,
+        })),
+      },
+    ];
+    entry.take({ ...told[0], ends }, "entry-2");
+  }
+  const suspicions = ENDS * SUSPECTS_OF_AN_END;
+  const bytes = usedHeap.usedHeap() - before;
+  const toNewEntry = entry.everything();
+  return {
+    endBytes,
+    suspicionBytes: Math.round(bytes / suspicions),
+    suspicions,
+    megabytes: statistics.round(bytes / 1e6),
+    toNewEntryBytes: toNewEntry ? wire.encode(toNewEntry).byteLength : 0,
+  };
+}
