--- a/packages/wire/src/codec.ts
+++ b/packages/wire/src/codec.ts
@@ -1,14 +1,17 @@
 import * as msgpackr from "msgpackr";
 import * as neverthrow from "neverthrow";
 import * as compact from "./compact.ts";
-import * as message from "./message.ts";
+import type * as message from "./message.ts";
+import * as messageKind from "./message_kind.ts";
 
 const packer = new msgpackr.Packr({
   useRecords: false,
   encodeUndefinedAsNil: true,
 });
 const KINDS = new Set<unknown>(
-  Object.values(message.MessageKind).filter((kind) => typeof kind === "number"),
+  Object.values(messageKind.MessageKind).filter(
+    (kind) => typeof kind === "number",
+  ),
 );
 
 /** A frame that is not one of our messages. */
--- a/packages/wire/src/compact.ts
+++ b/packages/wire/src/compact.ts
@@ -2,13 +2,17 @@
 import * as compactRankBeat from "./compact_rank_beat.ts";
 import * as isNumbers from "./is_numbers.ts";
 import type * as load from "./load.ts";
-import * as message from "./message.ts";
+import type * as message from "./message.ts";
+import * as messageKind from "./message_kind.ts";
 
 type HeartbeatMessage = Extract<
   message.Message,
-  { kind: message.MessageKind.Heartbeat }
+  { kind: messageKind.MessageKind.Heartbeat }
+>;
+type LoadMessage = Extract<
+  message.Message,
+  { kind: messageKind.MessageKind.Load }
 >;
-type LoadMessage = Extract<message.Message, { kind: message.MessageKind.Load }>;
 
 /** Microseconds in a millisecond: times travel as whole microseconds. */
 const MICROSECONDS = 1_000;
@@ -36,9 +40,9 @@
  */
 export function toCompact(value: message.Message): unknown[] | undefined {
   switch (value.kind) {
-    case message.MessageKind.Heartbeat:
+    case messageKind.MessageKind.Heartbeat:
       return [value.kind, Math.round(value.clock), value.revision];
-    case message.MessageKind.Load:
+    case messageKind.MessageKind.Load:
       return [
         value.kind,
         Math.round(value.clock),
@@ -47,9 +51,9 @@
           Math.round(value.load[field] * scaleOf(field)),
         ),
       ];
-    case message.MessageKind.MeshBeat:
+    case messageKind.MessageKind.MeshBeat:
       return compactMeshBeat.meshBeatToList(value);
-    case message.MessageKind.RankBeat:
+    case messageKind.MessageKind.RankBeat:
       return compactRankBeat.rankBeatToList(value);
     default:
       return undefined;
@@ -58,10 +62,10 @@
 
 /** The message of a compact list, or `undefined` if it is none. */
 export function fromCompact(list: unknown[]): message.Message | undefined {
-  switch (list[0] as message.MessageKind) {
-    case message.MessageKind.MeshBeat:
+  switch (list[0] as messageKind.MessageKind) {
+    case messageKind.MessageKind.MeshBeat:
       return compactMeshBeat.meshBeatFromList(list);
-    case message.MessageKind.RankBeat:
+    case messageKind.MessageKind.RankBeat:
       return compactRankBeat.rankBeatFromList(list);
     default:
       return fromNumbers(list);
@@ -71,10 +75,10 @@
 function fromNumbers(list: unknown[]): message.Message | undefined {
   if (!isNumbers.isNumbers(list)) return undefined;
   const [kind, clock, third, ...rest] = list;
-  switch (kind as message.MessageKind) {
-    case message.MessageKind.Heartbeat:
+  switch (kind as messageKind.MessageKind) {
+    case messageKind.MessageKind.Heartbeat:
       return heartbeat(clock, third);
-    case message.MessageKind.Load:
+    case messageKind.MessageKind.Load:
       if (rest.length !== LOAD_FIELDS.length) return undefined;
       return loadMessage(clock, third, rest);
     default:
@@ -83,7 +87,7 @@
 }
 
 function heartbeat(clock: number, revision: number): HeartbeatMessage {
-  return { kind: message.MessageKind.Heartbeat, clock, revision };
+  return { kind: messageKind.MessageKind.Heartbeat, clock, revision };
 }
 
 function loadMessage(
@@ -96,7 +100,7 @@
     values[index] / scaleOf(field),
   ]);
   const load = Object.fromEntries(entries) as unknown as load.RunnerLoad;
-  return { kind: message.MessageKind.Load, load, clock, dispatches };
+  return { kind: messageKind.MessageKind.Load, load, clock, dispatches };
 }
 
 function scaleOf(field: string): number {
--- a/packages/wire/src/compact_mesh_beat.ts
+++ b/packages/wire/src/compact_mesh_beat.ts
@@ -1,6 +1,6 @@
 import * as isNumbers from "./is_numbers.ts";
 import type * as mesh from "./mesh.ts";
-import * as message from "./message.ts";
+import * as messageKind from "./message_kind.ts";
 
 /** What the flags of a beat say, a bit each. */
 enum Flag {
@@ -41,7 +41,7 @@
   if (!outstanding) return undefined;
   const [, stamp, echoedStamp, echoedAge, flags, ...proofs] = head;
   return {
-    kind: message.MessageKind.MeshBeat,
+    kind: messageKind.MessageKind.MeshBeat,
     stamp,
     echoedStamp,
     echoedAge,
--- a/packages/wire/src/compact_rank_beat.ts
+++ b/packages/wire/src/compact_rank_beat.ts
@@ -1,5 +1,5 @@
 import * as isNumbers from "./is_numbers.ts";
-import * as message from "./message.ts";
+import * as messageKind from "./message_kind.ts";
 import type * as rankGroup from "./rank_group.ts";
 
 /** Order of a state's numbers on the wire; whether the group is open precedes them. */
@@ -51,7 +51,7 @@
   if (list.length < HEAD_LENGTH + STATUS_FIELDS.length) return undefined;
   const [token, epoch, rank, size, open, ...rest] = numbers;
   return {
-    kind: message.MessageKind.RankBeat,
+    kind: messageKind.MessageKind.RankBeat,
     token,
     identity: { group, epoch, rank, size },
     status: { open: open === 1, ...statusNumbers(rest) },
--- a/packages/wire/src/compact_test.ts
+++ b/packages/wire/src/compact_test.ts
@@ -1,14 +1,15 @@
 import * as ava from "ava";
 import * as codec from "./codec.ts";
 import type * as mesh from "./mesh.ts";
-import * as message from "./message.ts";
+import type * as message from "./message.ts";
+import * as messageKind from "./message_kind.ts";
 import type * as rankGroup from "./rank_group.ts";
 
 const test = ava.default;
 
 function createMeshBeat(parts: Partial<mesh.MeshBeat> = {}): mesh.MeshBeat {
   return {
-    kind: message.MessageKind.MeshBeat,
+    kind: messageKind.MessageKind.MeshBeat,
     stamp: 1_234,
     echoedStamp: 77,
     echoedAge: 12,
@@ -27,7 +28,7 @@
 
 function createRankBeat(chosen: number[]): rankGroup.RankBeat {
   return {
-    kind: message.MessageKind.RankBeat,
+    kind: messageKind.MessageKind.RankBeat,
     token: 114_353_838_688_768,
     identity: { group: "g0-1", epoch: 2, rank: 5, size: 96 },
     status: {
@@ -85,11 +86,11 @@
   const beats = [createMeshBeat(), createRankBeat([1])];
   for (const beat of beats) t.truthy(sent(beat));
   for (const frame of [
-    [message.MessageKind.MeshBeat, 1, 2],
-    [message.MessageKind.MeshBeat, 1, 2, 3, 4, 5, 6, 7, 8, "i-1"],
-    [message.MessageKind.RankBeat, "g", 1, 2],
-    [message.MessageKind.RankBeat, 1, 2, 3, 4, 5, 6, 7],
-    [message.MessageKind.Heartbeat, "1", 2],
+    [messageKind.MessageKind.MeshBeat, 1, 2],
+    [messageKind.MessageKind.MeshBeat, 1, 2, 3, 4, 5, 6, 7, 8, "i-1"],
+    [messageKind.MessageKind.RankBeat, "g", 1, 2],
+    [messageKind.MessageKind.RankBeat, 1, 2, 3, 4, 5, 6, 7],
+    [messageKind.MessageKind.Heartbeat, "1", 2],
   ]) {
     t.true(codec.decode(codec.encode(frame as never)).isErr());
   }
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -2,7 +2,8 @@
 import * as neverthrow from "neverthrow";
 import * as ws from "ws";
 import * as codec from "./codec.ts";
-import * as message from "./message.ts";
+import type * as message from "./message.ts";
+import * as messageKind from "./message_kind.ts";
 import * as sharedTimer from "./shared_timer.ts";
 
 /** Why a link ended. */
@@ -101,7 +102,7 @@
     if (this.#end !== undefined) return;
     if (this.socket.readyState !== ws.WebSocket.OPEN) return;
     const frame = codec.encode(value);
-    if (value.kind !== message.MessageKind.Heartbeat) {
+    if (value.kind !== messageKind.MessageKind.Heartbeat) {
       this.lastUsedAt = common.now();
     }
     this.counts.sentMessages++;
@@ -141,7 +142,7 @@
     this.counts.receivedBytes += data.byteLength;
     const decoded = codec.decode(data);
     if (decoded.isErr()) return this.#finish(LinkEnd.Unreadable);
-    if (decoded.value.kind === message.MessageKind.Heartbeat) {
+    if (decoded.value.kind === messageKind.MessageKind.Heartbeat) {
       if (this.side === LinkSide.Accepted) this.#beat();
       this.onHeartbeat?.(decoded.value);
       return;
@@ -184,7 +185,7 @@
   #beat(): void {
     this.#ticksSinceBeat = 0;
     const { clock, revision } = this.heartbeat();
-    this.send({ kind: message.MessageKind.Heartbeat, clock, revision });
+    this.send({ kind: messageKind.MessageKind.Heartbeat, clock, revision });
   }
 
   /**
--- a/packages/wire/src/link_test.ts
+++ b/packages/wire/src/link_test.ts
@@ -5,7 +5,8 @@
 import * as codec from "./codec.ts";
 import * as link from "./link.ts";
 import * as linkServer from "./link_server.ts";
-import * as message from "./message.ts";
+import type * as message from "./message.ts";
+import * as messageKind from "./message_kind.ts";
 
 const test = ava.default;
 const TIMING = { heartbeat: 40, silentAfter: 200, connectTimeout: 500 };
@@ -72,6 +73,6 @@
   t.true(codec.decode(Buffer.from([0xc1])).isErr());
   const unknown = { kind: 99 } as unknown as message.Message;
   t.true(codec.decode(codec.encode(unknown)).isErr());
-  const sent = { kind: message.MessageKind.Drain } as const;
+  const sent = { kind: messageKind.MessageKind.Drain } as const;
   t.deepEqual(codec.decode(codec.encode(sent))._unsafeUnwrap(), sent);
 });
--- a/packages/wire/src/mesh.ts
+++ b/packages/wire/src/mesh.ts
@@ -1,4 +1,4 @@
-import type * as message from "./message.ts";
+import type * as messageKind from "./message_kind.ts";
 import type * as packedDocument from "./packed_document.ts";
 
 /** An entry as other entries and callers reach it. */
@@ -14,7 +14,7 @@
 
 /** First message of each side of a link between entries. */
 export interface MeshHello {
-  kind: message.MessageKind.MeshHello;
+  kind: messageKind.MessageKind.MeshHello;
   member: MeshMember;
   incarnation: string;
   /** Other entries that the sender knows. */
@@ -30,7 +30,7 @@
 
 /** What an entry tells the others several times a second. */
 export interface MeshBeat {
-  kind: message.MessageKind.MeshBeat;
+  kind: messageKind.MessageKind.MeshBeat;
   /** Number of this beat, the same for all receivers. */
   stamp: number;
   /** Number of the receiver's beat that was received last; -1 for none. */
@@ -51,7 +51,7 @@
 
 /** A newer configuration than the receiver has. */
 export interface MeshConfiguration {
-  kind: message.MessageKind.MeshConfiguration;
+  kind: messageKind.MessageKind.MeshConfiguration;
   version: number;
   /** A `TrafficConfiguration`. */
   packed: packedDocument.PackedDocument;
@@ -59,7 +59,7 @@
 
 /** A newer list of runners than the receiver has. */
 export interface MeshRunners {
-  kind: message.MessageKind.MeshRunners;
+  kind: messageKind.MessageKind.MeshRunners;
   version: number;
   /** A `RunnerList`. */
   packed: packedDocument.PackedDocument;
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -2,59 +2,11 @@
 import type * as load from "./load.ts";
 import type * as member from "./member.ts";
 import type * as mesh from "./mesh.ts";
+import type * as messageKind from "./message_kind.ts";
 import type * as order from "./order.ts";
 import type * as rankGroup from "./rank_group.ts";
 import type * as suspicion from "./suspicion.ts";
 
-/** Kinds of message on links between the system's own processes. */
-export enum MessageKind {
-  Hello = 1,
-  Heartbeat = 2,
-  Dispatch = 10,
-  Resume = 11,
-  Acknowledge = 12,
-  Cancel = 13,
-  Settle = 14,
-  Release = 15,
-  BodyPiece = 16,
-  BodyWanted = 17,
-  Refused = 20,
-  Head = 21,
-  Pieces = 22,
-  End = 23,
-  Settled = 24,
-  Load = 25,
-  CacheEvents = 26,
-  Leaving = 27,
-  Order = 30,
-  OrderAnswer = 31,
-  ConfigurationPush = 40,
-  ConfigurationRequest = 41,
-  InForce = 42,
-  Members = 50,
-  MembersDigest = 54,
-  Drain = 51,
-  StateRequest = 52,
-  StateAnswer = 53,
-  CreditRequest = 60,
-  CreditGrant = 61,
-  CreditReturn = 62,
-  MeshHello = 70,
-  MeshBeat = 71,
-  MeshConfiguration = 72,
-  MeshRunners = 73,
-  RankHello = 80,
-  LeaderBeat = 81,
-  RankBeat = 82,
-  RankCommand = 83,
-  RankReply = 84,
-  RankListsRequest = 85,
-  RankListsAnswer = 86,
-  GroupKnowledge = 87,
-  HoldNotice = 88,
-  Suspicions = 90,
-}
-
 /** What kind of process is at the far end. */
 export enum PeerRole {
   Entry = 1,
@@ -63,7 +15,7 @@
 
 /** First message of each side of a link. */
 export interface Hello {
-  kind: MessageKind.Hello;
+  kind: messageKind.MessageKind.Hello;
   role: PeerRole;
   host: string;
   place: string;
@@ -141,12 +93,12 @@
   | rankGroup.HoldNotice
   | suspicion.Suspicions
   | {
-      kind: MessageKind.Heartbeat;
+      kind: messageKind.MessageKind.Heartbeat;
       clock: number;
       revision: number;
     }
   | {
-      kind: MessageKind.Dispatch;
+      kind: messageKind.MessageKind.Dispatch;
       attempt: attempt.Attempt;
       account: string;
       service: string;
@@ -158,21 +110,25 @@
       work: attempt.Work;
     }
   | {
-      kind: MessageKind.Resume;
+      kind: messageKind.MessageKind.Resume;
       attempt: attempt.Attempt;
       offset: number;
       window: number;
     }
-  | { kind: MessageKind.Acknowledge; identifier: string; offset: number }
-  | { kind: MessageKind.Cancel; attempt: attempt.Attempt }
   | {
-      kind: MessageKind.Settle;
+      kind: messageKind.MessageKind.Acknowledge;
+      identifier: string;
+      offset: number;
+    }
+  | { kind: messageKind.MessageKind.Cancel; attempt: attempt.Attempt }
+  | {
+      kind: messageKind.MessageKind.Settle;
       attempt: attempt.Attempt;
       question: number;
     }
-  | { kind: MessageKind.Release; identifier: string }
+  | { kind: messageKind.MessageKind.Release; identifier: string }
   | {
-      kind: MessageKind.BodyPiece;
+      kind: messageKind.MessageKind.BodyPiece;
       identifier: string;
       /** Number of the piece, from 0. */
       index: number;
@@ -181,79 +137,87 @@
       ends: BodyEnd;
     }
   | {
-      kind: MessageKind.BodyWanted;
+      kind: messageKind.MessageKind.BodyWanted;
       identifier: string;
       /** All pieces before this one have arrived; this one is welcome. */
       index: number;
     }
   | {
-      kind: MessageKind.Refused;
+      kind: messageKind.MessageKind.Refused;
       identifier: string;
       reason: RefusalReason;
     }
-  | { kind: MessageKind.Head; identifier: string; head: attempt.AnswerHead }
   | {
-      kind: MessageKind.Pieces;
+      kind: messageKind.MessageKind.Head;
+      identifier: string;
+      head: attempt.AnswerHead;
+    }
+  | {
+      kind: messageKind.MessageKind.Pieces;
       identifier: string;
       offset: number;
       pieces: attempt.AnswerPiece[];
     }
   | {
-      kind: MessageKind.End;
+      kind: messageKind.MessageKind.End;
       identifier: string;
       offset: number;
       end: attempt.AttemptEnd;
     }
   | {
-      kind: MessageKind.Settled;
+      kind: messageKind.MessageKind.Settled;
       identifier: string;
       question: number;
       state: attempt.AttemptState;
     }
   | {
-      kind: MessageKind.Load;
+      kind: messageKind.MessageKind.Load;
       load: load.RunnerLoad;
       clock: number;
       /** Dispatches received on this link so far. */
       dispatches: number;
     }
-  | { kind: MessageKind.CacheEvents; changes: CacheChange[] }
-  | { kind: MessageKind.Leaving }
+  | { kind: messageKind.MessageKind.CacheEvents; changes: CacheChange[] }
+  | { kind: messageKind.MessageKind.Leaving }
   | {
-      kind: MessageKind.Order;
+      kind: messageKind.MessageKind.Order;
       question: number;
       agentIncarnation: string;
       order: order.Order;
     }
   | {
-      kind: MessageKind.OrderAnswer;
+      kind: messageKind.MessageKind.OrderAnswer;
       question: number;
       answer: order.OrderAnswer;
     }
   | {
-      kind: MessageKind.ConfigurationPush;
+      kind: messageKind.MessageKind.ConfigurationPush;
       head: ConfigurationHead;
       sections: SectionPush[];
     }
   | {
-      kind: MessageKind.ConfigurationRequest;
+      kind: messageKind.MessageKind.ConfigurationRequest;
       /** Section revisions already held; only others are wanted. */
       held: Record<string, number>;
     }
   | {
-      kind: MessageKind.InForce;
+      kind: messageKind.MessageKind.InForce;
       revision: number;
       /** Hosts on which the revision, or a newer one, is in force. */
       hosts: string[];
     }
-  | { kind: MessageKind.Members; members: member.Member[] }
+  | { kind: messageKind.MessageKind.Members; members: member.Member[] }
   /** Asks for all members if the receiver knows other ones. */
-  | { kind: MessageKind.MembersDigest; digest: string }
-  | { kind: MessageKind.Drain }
-  | { kind: MessageKind.StateRequest; question: number }
-  | { kind: MessageKind.StateAnswer; question: number; text: string }
+  | { kind: messageKind.MessageKind.MembersDigest; digest: string }
+  | { kind: messageKind.MessageKind.Drain }
+  | { kind: messageKind.MessageKind.StateRequest; question: number }
+  | {
+      kind: messageKind.MessageKind.StateAnswer;
+      question: number;
+      text: string;
+    }
   | {
-      kind: MessageKind.CreditRequest;
+      kind: messageKind.MessageKind.CreditRequest;
       account: string;
       /** Least that is of use. */
       requests: number;
@@ -263,7 +227,7 @@
       wantedTokens: number;
     }
   | {
-      kind: MessageKind.CreditGrant;
+      kind: messageKind.MessageKind.CreditGrant;
       account: string;
       requests: number;
       tokens: number;
@@ -271,7 +235,7 @@
       retryAfter: number;
     }
   | {
-      kind: MessageKind.CreditReturn;
+      kind: messageKind.MessageKind.CreditReturn;
       account: string;
       requests: number;
       tokens: number;
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./member.ts";
 export * from "./mesh.ts";
 export * from "./message.ts";
+export * from "./message_kind.ts";
 export * from "./order.ts";
 export * from "./packed_document.ts";
 export * from "./rank_group.ts";
--- a/packages/wire/src/rank_group.ts
+++ b/packages/wire/src/rank_group.ts
@@ -1,5 +1,5 @@
 import type * as traffic from "@geraniumkeel/traffic";
-import type * as message from "./message.ts";
+import type * as messageKind from "./message_kind.ts";
 import type * as packedDocument from "./packed_document.ts";
 
 /** Experts of one rank or of all, by layer and rank: `map[layer][rank]`. */
@@ -16,7 +16,7 @@
 
 /** First message of each side of a link between processes of one group. */
 export interface RankHello {
-  kind: message.MessageKind.RankHello;
+  kind: messageKind.MessageKind.RankHello;
   host: string;
   /** `undefined` while the engine has not told it. */
   identity: RankIdentity | undefined;
@@ -45,7 +45,7 @@
 
 /** What the leader of a group tells all its ranks several times a second. */
 export interface LeaderBeat {
-  kind: message.MessageKind.LeaderBeat;
+  kind: messageKind.MessageKind.LeaderBeat;
   token: number;
   group: string;
   epoch: number;
@@ -55,7 +55,7 @@
 
 /** What a rank tells its leader several times a second. */
 export interface RankBeat {
-  kind: message.MessageKind.RankBeat;
+  kind: messageKind.MessageKind.RankBeat;
   token: number;
   identity: RankIdentity;
   status: RankStatus;
@@ -120,7 +120,7 @@
 
 /** An order from the leader. */
 export interface RankCommand {
-  kind: message.MessageKind.RankCommand;
+  kind: messageKind.MessageKind.RankCommand;
   question: number;
   token: number;
   epoch: number;
@@ -143,7 +143,7 @@
 
 /** Answer to an order, with the engine's state after it. */
 export interface RankReply {
-  kind: message.MessageKind.RankReply;
+  kind: messageKind.MessageKind.RankReply;
   question: number;
   end: RankOrderEnd;
   detail: string;
@@ -154,7 +154,7 @@
 
 /** Asks a rank for the experts that it holds. */
 export interface RankListsRequest {
-  kind: message.MessageKind.RankListsRequest;
+  kind: messageKind.MessageKind.RankListsRequest;
   question: number;
 }
 
@@ -167,14 +167,14 @@
 
 /** Answer to a request for lists; `undefined` if the engine did not tell. */
 export interface RankListsAnswer {
-  kind: message.MessageKind.RankListsAnswer;
+  kind: messageKind.MessageKind.RankListsAnswer;
   question: number;
   lists: RankLists | undefined;
 }
 
 /** Told to all ranks just before a leader has one of them hold a pass. */
 export interface HoldNotice {
-  kind: message.MessageKind.HoldNotice;
+  kind: messageKind.MessageKind.HoldNotice;
   group: string;
   epoch: number;
   /** Rank that is armed after all others: the one beside the leader. */
@@ -193,7 +193,7 @@
 
 /** What a leader knows of its group and a successor needs at once. */
 export interface GroupKnowledge {
-  kind: message.MessageKind.GroupKnowledge;
+  kind: messageKind.MessageKind.GroupKnowledge;
   group: string;
   epoch: number;
   /** Runner of each rank, in order. */
--- a/packages/wire/src/suspicion.ts
+++ b/packages/wire/src/suspicion.ts
@@ -1,4 +1,4 @@
-import type * as message from "./message.ts";
+import type * as messageKind from "./message_kind.ts";
 
 /** A request that was under way when a runner ended. */
 export interface ToldSuspicion {
@@ -28,7 +28,7 @@
 
 /** What an entry tells others of requests that may end their runners. */
 export interface Suspicions {
-  kind: message.MessageKind.Suspicions;
+  kind: messageKind.MessageKind.Suspicions;
   ends: ToldEnd[];
   /** Fingerprints of requests that the sender holds. */
   held: string[];
