--- a/packages/daemon/src/forwarding/attempt_end.ts
+++ b/packages/daemon/src/forwarding/attempt_end.ts
@@ -32,6 +32,30 @@
   failure?: { head: forwardRequest.AnswerHead; body: Buffer };
 }
 
+/** End of an attempt whose request ran out of time. */
+export const TIMED_OUT: AttemptEnd = {
+  kind: AttemptKind.TimedOut,
+  reason: "time ran out",
+};
+
+/** End of an attempt whose request was put in quarantine. */
+export const QUARANTINED: AttemptEnd = {
+  kind: AttemptKind.Quarantined,
+  reason: "in quarantine: runners ended while they ran this request",
+};
+
+/**
+ * Why this side ended a request, if it did: its caller has left, or `cut` was aborted
+ * with an end.
+ */
+export function endOfCut(
+  left: AbortSignal,
+  cut: AbortSignal,
+): AttemptEnd | undefined {
+  if (left.aborted) return { kind: AttemptKind.Left, reason: "caller left" };
+  return cut.aborted ? (cut.reason as AttemptEnd) : undefined;
+}
+
 /** What the log says of an attempt. */
 export interface AttemptNote {
   runner: string;
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -9,17 +9,10 @@
 import * as attemptEnd from "./attempt_end.ts";
 import * as forwardRequest from "./forward_request.ts";
 import * as returnTime from "./return_time.ts";
-import * as runnerBoard from "./runner_board.ts";
-import * as runnerCaller from "./runner_caller.ts";
-import * as urgencyAtRunner from "./urgency_at_runner.ts";
-
-/** How often it is looked whether an attempt gets on, in milliseconds. */
-const LOOK_MILLISECONDS = 150;
-/**
- * How many times its objective an idempotent request waits for a whole answer
- * before another runner is tried: nine in ten answers come within a third of it.
- */
-const PATIENCE_OBJECTIVES = 1.5;
+import type * as runnerBoard from "./runner_board.ts";
+import * as requestClock from "./request_clock.ts";
+import * as runnerAttempt from "./runner_attempt.ts";
+import type * as runnerCaller from "./runner_caller.ts";
 
 /**
  * Longest wait for a service all of whose runners turn requests away with room to
@@ -32,15 +25,6 @@
 /** How often a waiting request looks for a runner, in milliseconds. */
 const WAIT_LOOK_MILLISECONDS = 50;
 
-const TIMED_OUT: attemptEnd.AttemptEnd = {
-  kind: attemptEnd.AttemptKind.TimedOut,
-  reason: "time ran out",
-};
-const QUARANTINED: attemptEnd.AttemptEnd = {
-  kind: attemptEnd.AttemptKind.Quarantined,
-  reason: "in quarantine: runners ended while they ran this request",
-};
-
 /** One request on its way. */
 export interface ForwardedRequestParameters {
   request: forwardRequest.ForwardRequest;
@@ -82,15 +66,14 @@
   readonly #fingerprint: fingerprint.LazyFingerprint;
   /** Attempts that ran or may have. */
   #runs = 0;
-  /** Runner of the attempt under way. */
-  #runner = "";
-  /** When the attempt under way last got on. */
-  #progressAt = 0;
+  readonly #clock: requestClock.RequestClock;
+  #attempt: runnerAttempt.RunnerAttempt | undefined;
   /** Milliseconds from arrival to the first of an answer; -1 before it. */
   #firstAfter = -1;
 
   constructor(readonly parameters: ForwardedRequestParameters) {
     const { route, request, account, sink } = parameters;
+    this.#clock = new requestClock.RequestClock(request, route);
     this.#fingerprint = new fingerprint.LazyFingerprint({
       ...request,
       account: account?.name ?? "",
@@ -99,7 +82,7 @@
       sink,
       answerForm: route.answerForm,
       resumeAfter: request.resumeAfter,
-      onEvent: () => this.#noteProgress(),
+      onEvent: () => this.#noteEvent(),
     });
   }
 
@@ -120,15 +103,15 @@
   stop(): void {
     const { repeatability } = this.parameters.route;
     if (repeatability !== traffic.Repeatability.Idempotent) return;
-    if (this.#firstAfter < 0) this.#cut.abort(QUARANTINED);
+    if (this.#firstAfter < 0) this.#cut.abort(attemptEnd.QUARANTINED);
   }
 
   /** Runs the request to its answer. */
   async run(): Promise<ForwardOutcome> {
     const { route, account, service, quarantine } = this.parameters;
     const timer = setTimeout(
-      () => this.#cut.abort(TIMED_OUT),
-      Math.max(0, this.#millisecondsLeft()),
+      () => this.#cut.abort(attemptEnd.TIMED_OUT),
+      Math.max(0, this.#clock.millisecondsLeft),
     );
     const unwatch = quarantine.watch(this);
     let end: attemptEnd.AttemptEnd;
@@ -146,7 +129,7 @@
       account: account?.name ?? "",
       service,
       end: end.kind,
-      milliseconds: Math.round(this.#elapsed()),
+      milliseconds: Math.round(this.#clock.elapsed),
       attempts: this.#attempts,
       fingerprint: isHeld ? this.fingerprint : undefined,
     };
@@ -171,7 +154,7 @@
     for (;;) {
       const cut = this.#endOfCut();
       if (cut) return cut;
-      if (quarantine.admit(this) > 0) return QUARANTINED;
+      if (quarantine.admit(this) > 0) return attemptEnd.QUARANTINED;
       const runner = board.choose(service, this.#tried);
       if (!runner) {
         if (await this.#waitForRunner()) continue;
@@ -181,9 +164,8 @@
       }
       if (last && !budget.spend()) return last;
       this.#tried.add(runner.identifier);
-      const startedAt = common.now();
-      last = await this.#attempt(runner);
-      const explained = this.#explainBreak(last, runner, startedAt);
+      last = await this.#attemptAt(runner);
+      const explained = this.#explainBreak(last, runner);
       if (!attemptEnd.mayRepeat(last, route, this.#runs)) return last;
       await explained;
     }
@@ -193,7 +175,6 @@
   async #explainBreak(
     end: attemptEnd.AttemptEnd,
     runner: traffic.RunnerEntry,
-    startedAt: number,
   ): Promise<void> {
     const { request, endWatch, board } = this.parameters;
     const silent = board.isSilent(runner.identifier);
@@ -201,7 +182,7 @@
     await endWatch.brokenOff(runner, {
       request: request.identifier,
       fingerprint: this.fingerprint,
-      startedAt,
+      startedAt: this.#attempt?.startedAt ?? common.now(),
     });
   }
 
@@ -214,173 +195,68 @@
     if (!board.hasClosed(service) || this.#endOfCut()) return false;
     const patience = request.patienceMilliseconds * LONGEST_WAIT_PART;
     const longest = Math.min(LONGEST_WAIT_MILLISECONDS, patience);
-    if (this.#elapsed() > longest) return false;
+    if (this.#clock.elapsed > longest) return false;
     this.#tried.clear();
     await board.opened.next(WAIT_LOOK_MILLISECONDS, sink.left);
     return true;
   }
 
-  async #attempt(runner: traffic.RunnerEntry): Promise<attemptEnd.AttemptEnd> {
-    const { board } = this.parameters;
-    const startedAt = common.now();
-    const noteEnd = board.begin(runner.identifier);
-    this.#runner = runner.identifier;
-    this.#progressAt = startedAt;
-    const stalled = new AbortController();
-    const watch = setInterval(() => {
-      if (this.#givesUp()) stalled.abort();
-    }, LOOK_MILLISECONDS);
-    const end = await this.#callRunner(runner, stalled.signal);
-    clearInterval(watch);
-    noteEnd(attemptEnd.soundnessOf(end.kind));
+  async #attemptAt(
+    runner: traffic.RunnerEntry,
+  ): Promise<attemptEnd.AttemptEnd> {
+    const attempt = new runnerAttempt.RunnerAttempt({
+      ...this.parameters,
+      runner,
+      clock: this.#clock,
+      relay: this.#relay,
+      cut: this.#cut.signal,
+      mayGiveUp: () => this.#mayGiveUp(),
+      onHeard: () => {
+        this.#noteAnswer();
+        this.parameters.onHeard(runner);
+      },
+    });
+    this.#attempt = attempt;
+    const end = await attempt.run();
+    const { quarantine } = this.parameters;
+    if (end.kind === attemptEnd.AttemptKind.Answered) {
+      quarantine.answered(this, runner.version);
+    }
     if (end.kind !== attemptEnd.AttemptKind.NotRun) this.#runs++;
     this.#attempts.push({
       runner: runner.identifier,
       end: end.kind,
       reason: end.reason,
-      milliseconds: Math.round(common.now() - startedAt),
+      milliseconds: Math.round(common.now() - attempt.startedAt),
     });
     return end;
   }
 
   /**
-   * Whether to try another runner in place of waiting on. Only where there is
+   * Whether another runner may be tried in place of waiting on. Only where there is
    * another, the request may be repeated, and the budget of repeats is not spent:
    * a wait that may still end well is better than a refusal.
    */
-  #givesUp(): boolean {
+  #mayGiveUp(): boolean {
     const { route, board, service, budgetOf } = this.parameters;
     if (route.repeatability !== traffic.Repeatability.Idempotent) return false;
     if (this.#runs + 1 >= route.mostAttempts) return false;
     if (budgetOf(service).balance < 1) return false;
-    if (!this.#isLate(route)) return false;
     const others = board.candidates(service, this.#tried);
     return others.some(({ spared }) => !spared);
   }
 
-  #isLate(route: traffic.Route): boolean {
-    const silence = common.now() - this.#progressAt;
-    switch (route.answerForm) {
-      case traffic.AnswerForm.Whole:
-        return silence > route.objectiveMilliseconds * PATIENCE_OBJECTIVES;
-      case traffic.AnswerForm.Events:
-        // Waiting its turn at a runner that gets on is no stall.
-        return this.parameters.board.stalled(this.#runner);
-    }
-  }
-
-  #noteProgress(): void {
-    if (this.#firstAfter < 0) this.#firstAfter = this.#elapsed();
-    this.#progressAt = common.now();
-    this.parameters.board.progress(this.#runner);
-  }
-
-  async #callRunner(
-    runner: traffic.RunnerEntry,
-    stalled: AbortSignal,
-  ): Promise<attemptEnd.AttemptEnd> {
-    const { request, sink, route, account, caller, board } = this.parameters;
-    const answer = await caller.call({
-      request,
-      runner,
-      patienceMilliseconds: this.#millisecondsLeft(),
-      account: account?.name ?? "",
-      urgency: urgencyAtRunner.urgencyAtRunner({
-        urgency: account?.urgency ?? route.urgency,
-        elapsedMilliseconds: this.parameters.spentBefore + this.#elapsed(),
-        objectiveMilliseconds: route.objectiveMilliseconds,
-      }),
-      resumeAfter: this.#relay.resumeAfter,
-      signal: AbortSignal.any([sink.left, this.#cut.signal, stalled]),
-    });
-    if (answer.isErr()) {
-      return this.#endOfFailure(runner, answer.error, stalled);
-    }
-    const { verdict, head, signed, body } = answer.value;
-    switch (verdict) {
-      case runnerCaller.Verdict.WrongRunner:
-        board.drop(runner);
-        return {
-          kind: attemptEnd.AttemptKind.NotRun,
-          reason: "another runner there",
-        };
-      case runnerCaller.Verdict.NotRun:
-        board.turnedAway(runner.identifier);
-        return {
-          kind: attemptEnd.AttemptKind.NotRun,
-          reason: `status ${head.status}`,
-        };
-      case runnerCaller.Verdict.Failed: {
-        const whole = await answerRelay.readWhole(body);
-        const reason = `status ${head.status}`;
-        if (whole.isErr())
-          return { kind: attemptEnd.AttemptKind.Unknown, reason };
-        const failure = { head, body: whole.value };
-        return { kind: attemptEnd.AttemptKind.Failed, reason, failure };
-      }
-      case runnerCaller.Verdict.Ran:
-        if (!signed) {
-          return {
-            kind: attemptEnd.AttemptKind.Unknown,
-            reason: "answer not signed",
-          };
-        }
-        this.#noteProgress();
-        this.parameters.onHeard(runner);
-        return this.#relayAnswer(runner, answer.value, stalled);
-    }
-  }
-
-  async #relayAnswer(
-    runner: traffic.RunnerEntry,
-    answer: runnerCaller.RunnerAnswer,
-    stalled: AbortSignal,
-  ): Promise<attemptEnd.AttemptEnd> {
-    const relayed = await this.#relay.relay(answer);
-    if (relayed.isOk()) {
-      this.parameters.quarantine.answered(this, runner.version);
-      return { kind: attemptEnd.AttemptKind.Answered, reason: "" };
-    }
-    const cut = this.#endOfCut(stalled);
-    if (cut) return cut;
-    const kind = this.#relay.begun
-      ? attemptEnd.AttemptKind.Broken
-      : attemptEnd.AttemptKind.Unknown;
-    return { kind, reason: relayed.error };
+  #endOfCut(): attemptEnd.AttemptEnd | undefined {
+    return attemptEnd.endOfCut(this.parameters.sink.left, this.#cut.signal);
   }
 
-  #endOfFailure(
-    runner: traffic.RunnerEntry,
-    failure: runnerCaller.CallFailure,
-    stalled: AbortSignal,
-  ): attemptEnd.AttemptEnd {
-    const { reason } = failure;
-    switch (failure.kind) {
-      case runnerCaller.CallFailureKind.NotSent:
-        this.parameters.board.spare(runner.identifier);
-        return { kind: attemptEnd.AttemptKind.NotRun, reason };
-      case runnerCaller.CallFailureKind.Unknown:
-        return (
-          this.#endOfCut(stalled) ?? {
-            kind: attemptEnd.AttemptKind.Unknown,
-            reason,
-          }
-        );
-    }
+  #noteEvent(): void {
+    this.#noteAnswer();
+    this.#attempt?.noteProgress();
   }
 
-  /** Why this side ended a call, if it did. */
-  #endOfCut(stalled?: AbortSignal): attemptEnd.AttemptEnd | undefined {
-    if (this.parameters.sink.left.aborted) {
-      return { kind: attemptEnd.AttemptKind.Left, reason: "caller left" };
-    }
-    if (this.#cut.signal.aborted) {
-      return this.#cut.signal.reason as attemptEnd.AttemptEnd;
-    }
-    if (stalled?.aborted) {
-      return { kind: attemptEnd.AttemptKind.Stalled, reason: "did not get on" };
-    }
-    return undefined;
+  #noteAnswer(): void {
+    if (this.#firstAfter < 0) this.#firstAfter = this.#clock.elapsed;
   }
 
   /** Gives the caller the final answer. */
@@ -398,18 +274,7 @@
     const kind = attemptEnd.refusalKind(end, this.#runs);
     const retryAfterMilliseconds =
       quarantine.heldMilliseconds(this) ||
-      returnTime.returnTime(this.#millisecondsLeft(), random);
+      returnTime.returnTime(this.#clock.millisecondsLeft, random);
     sink.refuse({ kind, reason: end.reason, retryAfterMilliseconds });
   }
-
-  #elapsed(): number {
-    return common.ageOf(this.parameters.request.arrivedAt);
-  }
-
-  /** Time until the caller gives up or the route's time-out, whichever is first. */
-  #millisecondsLeft(): number {
-    const { request, route } = this.parameters;
-    const patience = request.patienceMilliseconds || Infinity;
-    return Math.min(patience, route.timeoutMilliseconds) - this.#elapsed();
-  }
 }
