--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -1,6 +1,7 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
+import * as runnerFixture from "@geraniumkeel/traffic/runner_fixture";
 import * as neverthrow from "neverthrow";
 import * as retryBudget from "../dispatch/retry_budget.ts";
 import * as endWatch from "../quarantine/end_watch.ts";
@@ -84,17 +85,9 @@
     random,
     inLockStep: () => false,
   });
-  const runners = ["i-1", "i-2"].map((identifier, index) => ({
-    identifier,
-    bornAt: 0,
-    service: "s",
-    version: "1",
-    address: "127.0.0.1",
-    port: index + 1,
-    dataCentre: "d",
-    slots: 8,
-    leaving: false,
-  }));
+  const runners = ["i-1", "i-2"].map((identifier, index) =>
+    runnerFixture.createRunner({ identifier, port: index + 1 }),
+  );
   board.update({ version: 1, runners });
   return board;
 }
--- a/packages/daemon/src/forwarding/runner_board_test.ts
+++ b/packages/daemon/src/forwarding/runner_board_test.ts
@@ -1,34 +1,18 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
 import type * as traffic from "@geraniumkeel/traffic";
+import * as runnerFixture from "@geraniumkeel/traffic/runner_fixture";
 import * as runnerBoard from "./runner_board.ts";
 
 const test = ava.default;
 
-function runnerOf(
-  others: Partial<traffic.RunnerEntry> = {},
-): traffic.RunnerEntry {
-  return {
-    identifier: "i-1",
-    bornAt: 1_000,
-    service: "s",
-    version: "1",
-    address: "10.0.0.1",
-    port: 80,
-    dataCentre: "a",
-    slots: 8,
-    leaving: false,
-    ...others,
-  };
-}
-
 function boardOf(
   runners: traffic.RunnerEntry[],
   lockStep = false,
 ): runnerBoard.RunnerBoard {
   const random = new common.Random(1);
   const inLockStep = () => lockStep;
-  const parameters = { dataCentre: "a", random, inLockStep };
+  const parameters = { dataCentre: "d", random, inLockStep };
   const board = new runnerBoard.RunnerBoard(parameters);
   board.update({ version: 1, runners });
   return board;
@@ -42,13 +26,16 @@
 // its requests, hung and crashed; started anew under its identifier, it has none of
 // the failures and none of the requests of its former life.
 test("a runner that started anew has a clean record", (t) => {
-  const board = boardOf([runnerOf()]);
+  const board = boardOf([runnerFixture.createRunner()]);
   for (let call = 0; call < 6; call++) {
     board.begin("i-1")(runnerBoard.CallEnd.Bad);
   }
   const endOld = board.begin("i-1");
   board.spare("i-1");
-  board.update({ version: 2, runners: [runnerOf({ bornAt: 2_000 })] });
+  board.update({
+    version: 2,
+    runners: [runnerFixture.createRunner({ bornAt: 2_000 })],
+  });
   const [reborn] = board.runners();
   t.is(reborn.failureShare, 0);
   t.is(reborn.own, 0);
@@ -59,9 +46,12 @@
 });
 
 test("a runner that goes on keeps its record", (t) => {
-  const board = boardOf([runnerOf()]);
+  const board = boardOf([runnerFixture.createRunner()]);
   board.begin("i-1")(runnerBoard.CallEnd.Bad);
-  board.update({ version: 2, runners: [runnerOf({ slots: 4 })] });
+  board.update({
+    version: 2,
+    runners: [runnerFixture.createRunner({ slots: 4 })],
+  });
   t.true(board.runners()[0].failureShare > 0);
 });
 
@@ -69,26 +59,32 @@
 // that all share. The address was given to another runner, and the old registration
 // stays listed for seconds while the list changes for other reasons.
 test("a runner that is gone from its address gets no more while listed", (t) => {
-  const other = runnerOf({ identifier: "i-2", port: 81 });
-  const board = boardOf([runnerOf(), other]);
-  board.drop(runnerOf());
-  board.update({ version: 2, runners: [runnerOf(), other] });
-  board.update({ version: 3, runners: [runnerOf(), other] });
+  const other = runnerFixture.createRunner({ identifier: "i-2", port: 81 });
+  const board = boardOf([runnerFixture.createRunner(), other]);
+  board.drop(runnerFixture.createRunner());
+  board.update({ version: 2, runners: [runnerFixture.createRunner(), other] });
+  board.update({ version: 3, runners: [runnerFixture.createRunner(), other] });
   t.deepEqual(identifiers(board), ["i-2"]);
 });
 
 test("a runner that is gone is taken again once it started anew", (t) => {
-  const board = boardOf([runnerOf()]);
-  board.drop(runnerOf());
-  board.update({ version: 2, runners: [runnerOf({ bornAt: 2_000 })] });
+  const board = boardOf([runnerFixture.createRunner()]);
+  board.drop(runnerFixture.createRunner());
+  board.update({
+    version: 2,
+    runners: [runnerFixture.createRunner({ bornAt: 2_000 })],
+  });
   t.deepEqual(identifiers(board), ["i-1"]);
 });
 
 // The answer to a request of the former life comes when the new one is listed.
 test("a late word of the former life does not drop the new one", (t) => {
-  const board = boardOf([runnerOf()]);
-  board.update({ version: 2, runners: [runnerOf({ bornAt: 2_000 })] });
-  board.drop(runnerOf());
+  const board = boardOf([runnerFixture.createRunner()]);
+  board.update({
+    version: 2,
+    runners: [runnerFixture.createRunner({ bornAt: 2_000 })],
+  });
+  board.drop(runnerFixture.createRunner());
   t.deepEqual(identifiers(board), ["i-1"]);
 });
 
@@ -97,7 +93,7 @@
   lockStep: boolean,
 ): Promise<runnerBoard.RunnerBoard> {
   const runners = ["i-1", "i-2"].map((identifier, index) =>
-    runnerOf({ identifier, port: 80 + index }),
+    runnerFixture.createRunner({ identifier, port: 80 + index }),
   );
   const board = boardOf(runners, lockStep);
   board.begin("i-1");
@@ -138,7 +134,7 @@
 // another second while entries found that out rank by rank.
 test("when one rank of a group takes work again, all do", (t) => {
   const runners = ["i-1", "i-2", "i-3"].map((identifier, index) =>
-    runnerOf({ identifier, port: 80 + index }),
+    runnerFixture.createRunner({ identifier, port: 80 + index }),
   );
   const open = (lockStep: boolean) => {
     const board = boardOf(runners, lockStep);
--- a/packages/daemon/src/quarantine/end_review_test.ts
+++ b/packages/daemon/src/quarantine/end_review_test.ts
@@ -1,20 +1,11 @@
 import * as ava from "ava";
 import * as traffic from "@geraniumkeel/traffic";
+import * as runnerFixture from "@geraniumkeel/traffic/runner_fixture";
 import * as endReview from "./end_review.ts";
 
 const test = ava.default;
 
-const RUNNER: traffic.RunnerEntry = {
-  identifier: "i-1",
-  bornAt: 1,
-  service: "s",
-  version: "1",
-  address: "127.0.0.1",
-  port: 1,
-  dataCentre: "d",
-  slots: 8,
-  leaving: false,
-};
+const RUNNER = runnerFixture.createRunner();
 const LIST: traffic.RunnerList = { version: 1, runners: [RUNNER] };
 
 interface Scene {
@@ -68,7 +59,7 @@
   review.look(LIST, 100);
   t.deepEqual(alive, []);
   pass(6_000);
-  review.look({ version: 2, runners: [{ ...RUNNER, bornAt: 2 }] }, 100);
+  review.look({ version: 2, runners: [{ ...RUNNER, bornAt: 2_000 }] }, 100);
   t.deepEqual(alive, []);
   review.look(LIST, 100);
   t.deepEqual(alive, [traffic.lifeOf(RUNNER)]);
--- a/packages/daemon/src/quarantine/end_watch_test.ts
+++ b/packages/daemon/src/quarantine/end_watch_test.ts
@@ -1,27 +1,13 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
-import type * as traffic from "@geraniumkeel/traffic";
+import * as traffic from "@geraniumkeel/traffic";
+import * as runnerFixture from "@geraniumkeel/traffic/runner_fixture";
 import * as brokenRun from "./broken_run.ts";
 import * as endWatch from "./end_watch.ts";
 
 const test = ava.default;
 
-function runnerOf(
-  change: Partial<traffic.RunnerEntry> = {},
-): traffic.RunnerEntry {
-  return {
-    identifier: "i-1",
-    bornAt: 1,
-    service: "s",
-    version: "1",
-    address: "127.0.0.1",
-    port: 1,
-    dataCentre: "d",
-    slots: 8,
-    leaving: false,
-    ...change,
-  };
-}
+const LIFE = traffic.lifeOf(runnerFixture.createRunner());
 
 function runOf(request = "q"): brokenRun.BrokenRun {
   return { request, fingerprint: "f", startedAt: common.now() };
@@ -58,7 +44,9 @@
 test("a runner whose address refuses connections has ended", async (t) => {
   const scene = sceneOf(common.Presence.Refused);
   const runs = [runOf("q"), runOf("r")];
-  await Promise.all(runs.map((run) => scene.watch.brokenOff(runnerOf(), run)));
+  await Promise.all(
+    runs.map((run) => scene.watch.brokenOff(runnerFixture.createRunner(), run)),
+  );
   t.is(scene.looks, 1);
   t.is(scene.ends.length, 1);
   t.deepEqual(
@@ -70,8 +58,8 @@
 
 test("a run that is given up after its runner's end is explained by it", async (t) => {
   const scene = sceneOf(common.Presence.Refused);
-  await scene.watch.brokenOff(runnerOf(), runOf("q"));
-  await scene.watch.brokenOff(runnerOf(), runOf("late"));
+  await scene.watch.brokenOff(runnerFixture.createRunner(), runOf("q"));
+  await scene.watch.brokenOff(runnerFixture.createRunner(), runOf("late"));
   t.is(scene.looks, 1);
   t.is(scene.ends.length, 2);
   t.is(scene.ends[1].runs[0].request, "late");
@@ -82,8 +70,10 @@
 // An answer that a sound runner broke off must not count as the runner's end.
 test("a runner that accepts connections has not ended", async (t) => {
   const scene = sceneOf(common.Presence.Listening);
-  await scene.watch.brokenOff(runnerOf(), runOf());
-  const runners = [runnerOf({ identifier: "i-2", bornAt: 9 })];
+  await scene.watch.brokenOff(runnerFixture.createRunner(), runOf());
+  const runners = [
+    runnerFixture.createRunner({ identifier: "i-2", bornAt: 9 }),
+  ];
   scene.watch.listed({ version: 2, runners });
   t.deepEqual(scene.ends, []);
 });
@@ -92,11 +82,14 @@
 // last one's runner is listed under a new life afterwards.
 test("a silent runner has ended once another life is listed in its place", async (t) => {
   const scene = sceneOf(common.Presence.Silent);
-  await scene.watch.brokenOff(runnerOf(), runOf());
+  await scene.watch.brokenOff(runnerFixture.createRunner(), runOf());
   scene.watch.listed({ version: 2, runners: [] });
-  scene.watch.listed({ version: 3, runners: [runnerOf()] });
+  scene.watch.listed({ version: 3, runners: [runnerFixture.createRunner()] });
   t.deepEqual(scene.ends, []);
-  scene.watch.listed({ version: 4, runners: [runnerOf({ bornAt: 2 })] });
+  scene.watch.listed({
+    version: 4,
+    runners: [runnerFixture.createRunner({ bornAt: 2 })],
+  });
   t.is(scene.ends.length, 1);
   t.is(scene.ends[0].evidence, brokenRun.EndEvidence.Replaced);
 });
@@ -104,7 +97,7 @@
 // Runners that leave as planned may cut off what they still run.
 test("the end of a runner that is leaving explains nothing", async (t) => {
   const scene = sceneOf(common.Presence.Refused, false);
-  await scene.watch.brokenOff(runnerOf(), runOf());
+  await scene.watch.brokenOff(runnerFixture.createRunner(), runOf());
   t.is(scene.looks, 0);
   t.deepEqual(scene.ends, []);
 });
@@ -112,10 +105,10 @@
 test("what another entry saw explains the runs that broke off here", async (t) => {
   const scene = sceneOf(common.Presence.Silent);
   const run = runOf();
-  await scene.watch.brokenOff(runnerOf(), run);
+  await scene.watch.brokenOff(runnerFixture.createRunner(), run);
   const endedAt = common.now() - 5;
-  scene.watch.toldEnd("i-1 1 127.0.0.1:1", endedAt);
-  scene.watch.toldEnd("i-1 1 127.0.0.1:1", endedAt);
+  scene.watch.toldEnd(LIFE, endedAt);
+  scene.watch.toldEnd(LIFE, endedAt);
   t.is(scene.ends.length, 1);
   t.is(scene.ends[0].endedAt, endedAt);
   t.is(scene.ends[0].evidence, brokenRun.EndEvidence.Known);
