fix: a trial that shows nothing is not followed by one with each request that comes

While a service had no room, each copy of a held request that came to the entry chosen for its trial reached a runner and was turned away. The next trial waits ten seconds.

--- a/packages/daemon/src/quarantine/quarantine.ts
+++ b/packages/daemon/src/quarantine/quarantine.ts
@@ -296,6 +296,7 @@
   }
 
   #onReleased(fingerprint: string): void {
+    this.#watched.forgetTrial(fingerprint);
     const code = common.EventCode.QuarantineEnded;
     this.parameters.logger.event(code, { fingerprint });
   }
--- a/packages/daemon/src/quarantine/watched_requests.ts
+++ b/packages/daemon/src/quarantine/watched_requests.ts
@@ -1,3 +1,5 @@
+import * as common from "@geraniumkeel/common";
+
 /** A request on its way, as far as the quarantine needs it. */
 export interface WatchedRequest {
   service: string;
@@ -7,21 +9,27 @@
   stop(): void;
 }
 
+/**
+ * Time from the beginning of one trial to the next, in milliseconds, if it shows nothing:
+ * its runner had no room, or its caller left.
+ */
+const TRIAL_PAUSE_MILLISECONDS = 10_000;
+
+interface Trial {
+  request: WatchedRequest;
+  begunAt: number;
+}
+
 /** Requests under way at this entry, and those among them that are on trial. */
 export class WatchedRequests {
   readonly #underWay = new Set<WatchedRequest>();
-  /** Requests on trial, by fingerprint. */
-  readonly #trials = new Map<string, WatchedRequest>();
+  /** The last trial of each fingerprint. */
+  readonly #trials = new Map<string, Trial>();
 
   /** Watches a request while it is under way; the returned function ends that. */
   watch(request: WatchedRequest): () => void {
     this.#underWay.add(request);
-    return () => {
-      this.#underWay.delete(request);
-      for (const [fingerprint, tried] of this.#trials) {
-        if (tried === request) this.#trials.delete(fingerprint);
-      }
-    };
+    return () => this.#underWay.delete(request);
   }
 
   /** Stops all requests under way that ask for the same. */
@@ -32,18 +40,27 @@
     }
   }
 
-  /** Whether one that asks for this is on trial. */
+  /** Whether one that asks for this is on trial, or was just now. */
   hasTrial(fingerprint: string): boolean {
-    return this.#trials.has(fingerprint);
+    const trial = this.#trials.get(fingerprint);
+    if (!trial) return false;
+    if (this.#underWay.has(trial.request)) return true;
+    return common.now() - trial.begunAt < TRIAL_PAUSE_MILLISECONDS;
   }
 
   /** Whether this very request is on trial. */
   isOnTrial(request: WatchedRequest): boolean {
-    return this.#trials.get(request.fingerprint) === request;
+    return this.#trials.get(request.fingerprint)?.request === request;
   }
 
   /** Puts a request on trial for as long as it is under way. */
   beginTrial(request: WatchedRequest): void {
-    this.#trials.set(request.fingerprint, request);
+    const trial = { request, begunAt: common.now() };
+    this.#trials.set(request.fingerprint, trial);
+  }
+
+  /** Forgets the trial of a request that is held no more. */
+  forgetTrial(fingerprint: string): void {
+    this.#trials.delete(fingerprint);
   }
 }
--- /dev/null
+++ b/packages/daemon/src/quarantine/watched_requests_test.ts
@@ -0,0 +1,37 @@
+import * as ava from "ava";
+import * as watchedRequests from "./watched_requests.ts";
+
+const test = ava.default;
+
+function requestOf(stop = () => {}): watchedRequests.WatchedRequest {
+  return { service: "s", fingerprint: "f", stop };
+}
+
+test("all requests under way that ask for the same are stopped", (t) => {
+  const watched = new watchedRequests.WatchedRequests();
+  let stopped = 0;
+  const unwatch = [1, 2, 3].map(() =>
+    watched.watch(requestOf(() => stopped++)),
+  );
+  watched.watch({ ...requestOf(() => t.fail()), fingerprint: "g" });
+  watched.watch({ ...requestOf(() => t.fail()), service: "other" });
+  unwatch[0]();
+  watched.stop("s", "f");
+  t.is(stopped, 2);
+});
+
+// A trial whose runner has no room would be followed by one with each request that
+// comes; each of them reaches a runner.
+test("a trial that shows nothing is not followed by another at once", (t) => {
+  const watched = new watchedRequests.WatchedRequests();
+  const request = requestOf();
+  const unwatch = watched.watch(request);
+  watched.beginTrial(request);
+  t.true(watched.isOnTrial(request));
+  t.false(watched.isOnTrial(requestOf()));
+  unwatch();
+  t.true(watched.hasTrial("f"));
+  t.false(watched.hasTrial("g"));
+  watched.forgetTrial("f");
+  t.false(watched.hasTrial("f"));
+});
