fix: a request that ends its runners is held even if a thousand are

Whoever's request was held as the thousand-and-first went on losing runners: room for held requests ran out and never came back, because nothing released one that nobody sends again.

The ledger's new test failed before (nothing held at the thousand-and-first). Now the one whose runners ended longest ago is released for it, at all entries alike, and its row is dropped by the entry that acts for all; one that is itself the oldest is not held, so entries that differ by one do not push each other's out in turn.

--- a/packages/daemon/src/quarantine/quarantine.ts
+++ b/packages/daemon/src/quarantine/quarantine.ts
@@ -109,11 +109,11 @@
 
   /** Takes what the table service kept while no entry was there. */
   restore(reports: suspectLedger.ReportedEnd[]): void {
-    const { held } = this.#merge(reports);
+    this.#merge(reports);
     const kept = reports.flatMap(({ suspicions }) =>
       suspicions.map(({ fingerprint }) => fingerprint),
     );
-    this.#holdToo(kept, held);
+    this.#holdToo(kept);
   }
 
   /** A runner ended while requests of this entry were under way there. */
@@ -169,7 +169,7 @@
     const now = common.now();
     const reports = message.ends.map((told) => toldEnds.fromTold(told, now));
     const change = this.#merge(reports);
-    this.#holdToo(message.held, change.held);
+    change.held.push(...this.#holdToo(message.held));
     const relayed = this.parameters.relays && change.news ? reports : [];
     // The sender may lack the ends that others saw, and with them the proof.
     const senderKnows = change.held.every((one) => message.held.includes(one));
@@ -249,29 +249,27 @@
 
   #merge(reports: suspectLedger.ReportedEnd[]): suspectLedger.LedgerChange {
     const now = common.now();
-    const merged: suspectLedger.LedgerChange = {
-      news: false,
-      held: [],
-      released: [],
-    };
-    for (const report of reports) {
-      const change = this.#ledger.merge(report, now);
-      merged.news ||= change.news;
-      merged.held.push(...change.held);
-      merged.released.push(...change.released);
-    }
-    for (const fingerprint of merged.held) this.#onHeld(fingerprint);
-    for (const fingerprint of merged.released) this.#onReleased(fingerprint);
-    return merged;
+    return this.#follow(
+      reports.map((report) => this.#ledger.merge(report, now)),
+    );
   }
 
-  /** Holds what others found reason to hold, and adds it to what is held now. */
-  #holdToo(fingerprints: string[], held: string[]): void {
-    for (const fingerprint of fingerprints) {
-      if (!this.#ledger.hold(fingerprint)) continue;
-      held.push(fingerprint);
-      this.#onHeld(fingerprint);
-    }
+  /** Holds what others found reason to hold; what that is of all that is named. */
+  #holdToo(fingerprints: string[]): string[] {
+    const changes = fingerprints.map((one) => this.#ledger.hold(one));
+    return this.#follow(changes).held;
+  }
+
+  /** Does what changes of the ledger ask for, and returns them as one. */
+  #follow(changes: suspectLedger.LedgerChange[]): suspectLedger.LedgerChange {
+    const change = {
+      news: changes.some(({ news }) => news),
+      held: changes.flatMap(({ held }) => held),
+      released: changes.flatMap(({ released }) => released),
+    };
+    for (const fingerprint of change.held) this.#onHeld(fingerprint);
+    for (const fingerprint of change.released) this.#onReleased(fingerprint);
+    return change;
   }
 
   #onHeld(fingerprint: string): void {
@@ -290,13 +288,14 @@
     this.#watched.stop(service, fingerprint);
   }
 
-  /** Who found the reason to release requests knows first that rows are to go. */
+  /** The chosen entry may be cut off, so who found the reason drops rows as well. */
   #dropRows({ released }: suspectLedger.LedgerChange): void {
     for (const fingerprint of released) this.parameters.rows.drop(fingerprint);
   }
 
   #onReleased(fingerprint: string): void {
     this.#watched.forgetTrial(fingerprint);
+    if (this.#isChosen(fingerprint)) this.parameters.rows.drop(fingerprint);
     const code = common.EventCode.QuarantineEnded;
     this.parameters.logger.event(code, { fingerprint });
   }
--- a/packages/daemon/src/quarantine/suspect_ledger.ts
+++ b/packages/daemon/src/quarantine/suspect_ledger.ts
@@ -180,10 +180,12 @@
   }
 
   /** Holds what other entries hold: clocks differ, and all entries do the same. */
-  hold(fingerprint: string): boolean {
-    if (this.#held.has(fingerprint)) return false;
-    if (this.endsUnder(fingerprint).length < evidence.PROOF.ends) return false;
-    return this.#holdNow(fingerprint);
+  hold(fingerprint: string): LedgerChange {
+    const change: LedgerChange = { news: false, held: [], released: [] };
+    if (this.#held.has(fingerprint)) return change;
+    const { length } = this.endsUnder(fingerprint);
+    if (length >= evidence.PROOF.ends) this.#holdNow(fingerprint, change);
+    return change;
   }
 
   #record(report: ReportedEnd): RecordedEnd {
@@ -223,13 +225,27 @@
       return;
     }
     if (!evidence.proves(evidence.weigh(ends))) return;
-    if (this.#holdNow(fingerprint)) change.held.push(fingerprint);
+    this.#holdNow(fingerprint, change);
   }
 
-  #holdNow(fingerprint: string): boolean {
-    if (this.#held.size >= MOST_HELD) return false;
+  /** Holds a request; if there are too many, the one that nobody sent for longest goes. */
+  #holdNow(fingerprint: string, change: LedgerChange): void {
     this.#held.add(fingerprint);
-    return true;
+    const pushedOut = this.#heldTooMany();
+    if (pushedOut !== undefined) this.#held.delete(pushedOut);
+    if (pushedOut === fingerprint) return;
+    change.held.push(fingerprint);
+    if (pushedOut !== undefined) change.released.push(pushedOut);
+  }
+
+  #heldTooMany(): string | undefined {
+    if (this.#held.size <= MOST_HELD) return undefined;
+    const lastEnds = [...this.#held].map((fingerprint) => {
+      const endedAt = this.endsUnder(fingerprint).at(-1)?.endedAt ?? -Infinity;
+      return { fingerprint, endedAt };
+    });
+    lastEnds.sort((left, right) => left.endedAt - right.endedAt);
+    return lastEnds[0].fingerprint;
   }
 
   /** Keeps to the bounds: what is old goes, then what was seen once, oldest first. */
--- a/packages/daemon/src/quarantine/suspect_ledger_test.ts
+++ b/packages/daemon/src/quarantine/suspect_ledger_test.ts
@@ -117,9 +117,9 @@
   const overlapping = [endAt(100), endAt(101), endAt(102)];
   const ledger = ledgerOf(overlapping);
   t.deepEqual([...ledger.held], []);
-  t.true(ledger.hold("f"));
+  t.deepEqual(ledger.hold("f").held, ["f"]);
   t.true(ledger.held.has("f"));
-  t.false(ledgerOf([endAt(100)]).hold("f"));
+  t.deepEqual(ledgerOf([endAt(100)]).hold("f").held, []);
 });
 
 // Everything under way is a suspect when all hosts are lost, again and again.
@@ -156,3 +156,25 @@
   t.true(ledger.held.has("f"));
   t.is(ledger.endsUnder("f").length, 3);
 });
+
+// Of requests that ended runners once, most are never sent again; they must not take
+// the room of one that does so now.
+test("when too many are held, the one that nobody sent for longest is released", (t) => {
+  const ledger = new suspectLedger.SuspectLedger();
+  const endUnder = (name: string, at: number) =>
+    ledger.merge(endAt(at, {}, [name]), at);
+  for (let number = 0; number < 1_000; number++) {
+    for (const end of [1, 2, 3])
+      endUnder(`g-${number}`, 1_000 * number + 100 * end);
+  }
+  t.is(ledger.held.size, 1_000);
+  const now = 1_000 * 1_000;
+  endUnder("f", now + 100);
+  endUnder("f", now + 200);
+  const change = endUnder("f", now + 300);
+  t.deepEqual(change.held, ["f"]);
+  t.deepEqual(change.released, ["g-0"]);
+  t.true(ledger.held.has("f"));
+  t.deepEqual(ledger.hold("g-0"), { news: false, held: [], released: [] });
+  t.is(ledger.held.size, 1_000);
+});
