--- a/packages/daemon/src/quarantine/quarantine.ts
+++ b/packages/daemon/src/quarantine/quarantine.ts
@@ -109,11 +109,10 @@
 
   /** Takes what the table service kept while no entry was there. */
   restore(reports: suspectLedger.ReportedEnd[]): void {
-    this.#merge(reports);
     const kept = reports.flatMap(({ suspicions }) =>
       suspicions.map(({ fingerprint }) => fingerprint),
     );
-    this.#holdToo(kept);
+    this.#merge(reports, kept);
   }
 
   /** A runner ended while requests of this entry were under way there. */
@@ -168,8 +167,7 @@
   take(message: wire.Suspicions, from: string): void {
     const now = common.now();
     const reports = message.ends.map((told) => toldEnds.fromTold(told, now));
-    const change = this.#merge(reports);
-    change.held.push(...this.#holdToo(message.held));
+    const change = this.#merge(reports, message.held);
     const relayed = this.parameters.relays && change.news ? reports : [];
     // The sender may lack the ends that others saw, and with them the proof.
     const senderKnows = change.held.every((one) => message.held.includes(one));
@@ -247,26 +245,11 @@
     this.#tell(reports, []);
   }
 
-  #merge(reports: suspectLedger.ReportedEnd[]): suspectLedger.LedgerChange {
-    const now = common.now();
-    return this.#follow(
-      reports.map((report) => this.#ledger.merge(report, now)),
-    );
-  }
-
-  /** Holds what others found reason to hold; what that is of all that is named. */
-  #holdToo(fingerprints: string[]): string[] {
-    const changes = fingerprints.map((one) => this.#ledger.hold(one));
-    return this.#follow(changes).held;
-  }
-
-  /** Does what changes of the ledger ask for, and returns them as one. */
-  #follow(changes: suspectLedger.LedgerChange[]): suspectLedger.LedgerChange {
-    const change = {
-      news: changes.some(({ news }) => news),
-      held: changes.flatMap(({ held }) => held),
-      released: changes.flatMap(({ released }) => released),
-    };
+  #merge(
+    reports: suspectLedger.ReportedEnd[],
+    heldElsewhere: string[] = [],
+  ): suspectLedger.LedgerChange {
+    const change = this.#ledger.merge(reports, common.now(), heldElsewhere);
     for (const fingerprint of change.held) this.#onHeld(fingerprint);
     for (const fingerprint of change.released) this.#onReleased(fingerprint);
     return change;
--- a/packages/daemon/src/quarantine/quarantine_test.ts
+++ b/packages/daemon/src/quarantine/quarantine_test.ts
@@ -234,3 +234,32 @@
     ],
   );
 });
+
+// An entry that starts a day after a request ended its runners must hold it as the
+// others do, or it would send it to three more.
+test("a request that is held for days is held by entries that start then", (t) => {
+  const network = new Network(["a", "b"]);
+  network.cut.add("a b");
+  const day = 24 * 3_600_000;
+  const ends = [1, 2, 3].map((number) => {
+    const endedAt = common.now() - 2 * day + 1_000 * number;
+    return {
+      life: `life-${number}`,
+      runner: `r${number}`,
+      service: "s",
+      version: "1",
+      endedAt,
+      seenBy: ["c"],
+      disproved: false,
+      suspicions: [
+        { fingerprint: "f", startedAt: endedAt - 50, cleared: false },
+      ],
+    };
+  });
+  network.at("a").restore(ends);
+  t.deepEqual(network.holding(), ["a"]);
+  network.link("a", "b");
+  t.deepEqual(network.holding(), ["a", "b"]);
+  network.at("b").runnerEnded(endOf("r4", ["g"]));
+  t.deepEqual(network.holding(), ["a", "b"]);
+});
--- a/packages/daemon/src/quarantine/suspect_ledger.ts
+++ b/packages/daemon/src/quarantine/suspect_ledger.ts
@@ -158,12 +158,33 @@
     return [...told.values()];
   }
 
-  /** Takes a report, of this entry or of another. */
-  merge(report: ReportedEnd, now: number): LedgerChange {
+  /**
+   * Takes reports, of this entry or of another, and what the other holds: clocks differ,
+   * and all entries are to do the same.
+   */
+  merge(
+    reports: ReportedEnd[],
+    now: number,
+    heldElsewhere: string[] = [],
+  ): LedgerChange {
     const change: LedgerChange = { news: false, held: [], released: [] };
-    if (report.endedAt < now - REMEMBERED_MILLISECONDS) return change;
-    const end = this.#ends.get(report.life) ?? this.#record(report);
+    const wanted = new Set(heldElsewhere);
+    const touched = new Set<string>();
+    for (const report of reports) {
+      if (!isRemembered(report, now, wanted)) continue;
+      for (const fingerprint of this.#take(report)) touched.add(fingerprint);
+    }
+    change.news = touched.size > 0;
+    for (const fingerprint of touched) this.#judge(fingerprint, change);
+    for (const fingerprint of wanted) this.#holdToo(fingerprint, change);
+    this.#forget(now);
+    return change;
+  }
+
+  /** Takes one report; the requests of which it says anything new. */
+  #take(report: ReportedEnd): Set<string> {
     const touched = new Set<string>();
+    const end = this.#ends.get(report.life) ?? this.#record(report);
     if (report.disproved && !end.disproved) {
       end.disproved = true;
       for (const fingerprint of end.suspicions.keys()) touched.add(fingerprint);
@@ -173,19 +194,7 @@
     for (const suspicion of report.suspicions) {
       if (this.#suspect(end, suspicion)) touched.add(suspicion.fingerprint);
     }
-    change.news = touched.size > 0;
-    for (const fingerprint of touched) this.#judge(fingerprint, change);
-    this.#forget(now);
-    return change;
-  }
-
-  /** Holds what other entries hold: clocks differ, and all entries do the same. */
-  hold(fingerprint: string): LedgerChange {
-    const change: LedgerChange = { news: false, held: [], released: [] };
-    if (this.#held.has(fingerprint)) return change;
-    const { length } = this.endsUnder(fingerprint);
-    if (length >= evidence.PROOF.ends) this.#holdNow(fingerprint, change);
-    return change;
+    return touched;
   }
 
   #record(report: ReportedEnd): RecordedEnd {
@@ -228,6 +237,12 @@
     this.#holdNow(fingerprint, change);
   }
 
+  #holdToo(fingerprint: string, change: LedgerChange): void {
+    if (this.#held.has(fingerprint)) return;
+    if (this.endsUnder(fingerprint).length < evidence.PROOF.ends) return;
+    this.#holdNow(fingerprint, change);
+  }
+
   /** Holds a request; if there are too many, the one that nobody sent for longest goes. */
   #holdNow(fingerprint: string, change: LedgerChange): void {
     this.#held.add(fingerprint);
@@ -284,6 +299,16 @@
   }
 }
 
+/** Whether a report is young enough, or speaks against a request that is held. */
+function isRemembered(
+  { endedAt, suspicions }: ReportedEnd,
+  now: number,
+  held: ReadonlySet<string>,
+): boolean {
+  if (endedAt >= now - REMEMBERED_MILLISECONDS) return true;
+  return suspicions.some(({ fingerprint }) => held.has(fingerprint));
+}
+
 /** What is known of one request at an end. */
 function reportOf(end: RecordedEnd, fingerprint: string): ReportedEnd {
   const known = end.suspicions.get(fingerprint);
--- a/packages/daemon/src/quarantine/suspect_ledger_test.ts
+++ b/packages/daemon/src/quarantine/suspect_ledger_test.ts
@@ -39,14 +39,14 @@
   reports: suspectLedger.ReportedEnd[],
 ): suspectLedger.SuspectLedger {
   const ledger = new suspectLedger.SuspectLedger();
-  for (const report of reports) ledger.merge(report, 1_000);
+  for (const report of reports) ledger.merge([report], 1_000);
   return ledger;
 }
 
 test("three ends in turn hold a request", (t) => {
   const ledger = ledgerOf([endAt(100), endAt(200)]);
   t.deepEqual([...ledger.held], []);
-  t.deepEqual(ledger.merge(endAt(300), 1_000).held, ["f"]);
+  t.deepEqual(ledger.merge([endAt(300)], 1_000).held, ["f"]);
   t.true(ledger.held.has("f"));
 });
 
@@ -61,7 +61,7 @@
   t.deepEqual([...ledger.held], []);
   t.is(ledger.endsUnder("f").length, 2);
   t.deepEqual(ledger.endsUnder("f")[0].seenBy, ["entry-1", "entry-2"]);
-  t.false(ledger.merge(endAt(200), 1_000).news);
+  t.false(ledger.merge([endAt(200)], 1_000).news);
 });
 
 // A popular request is under way at ends that have nothing to do with it.
@@ -77,10 +77,10 @@
 test("a held request is released when its ends are cleared or disproved", (t) => {
   const ends = [endAt(100), endAt(200), endAt(300)];
   const ledger = ledgerOf(ends);
-  t.deepEqual(ledger.merge(cleared(ends[0]), 1_000).released, ["f"]);
+  t.deepEqual(ledger.merge([cleared(ends[0])], 1_000).released, ["f"]);
   t.deepEqual([...ledger.held], []);
   const disproof = endAt(300, { disproved: true }, []);
-  t.deepEqual(ledgerOf(ends).merge(disproof, 1_000).released, ["f"]);
+  t.deepEqual(ledgerOf(ends).merge([disproof], 1_000).released, ["f"]);
 });
 
 // Entries hear of ends in any order, some twice, over other entries.
@@ -117,9 +117,9 @@
   const overlapping = [endAt(100), endAt(101), endAt(102)];
   const ledger = ledgerOf(overlapping);
   t.deepEqual([...ledger.held], []);
-  t.deepEqual(ledger.hold("f").held, ["f"]);
+  t.deepEqual(ledger.merge([], 1_000, ["f"]).held, ["f"]);
   t.true(ledger.held.has("f"));
-  t.deepEqual(ledgerOf([endAt(100)]).hold("f").held, []);
+  t.deepEqual(ledgerOf([endAt(100)]).merge([], 1_000, ["f"]).held, []);
 });
 
 // Everything under way is a suspect when all hosts are lost, again and again.
@@ -127,7 +127,7 @@
   const ledger = ledgerOf([endAt(100), endAt(200), endAt(300)]);
   for (let number = 0; number < 200; number++) {
     const names = Array.from({ length: 500 }, (_, one) => `g-${number}-${one}`);
-    ledger.merge(endAt(1_000 + number, {}, names), 2_000);
+    ledger.merge([endAt(1_000 + number, {}, names)], 2_000);
   }
   t.true(ledger.held.has("f"));
   t.is(ledger.endsUnder("f").length, 3);
@@ -138,7 +138,7 @@
   const ledger = ledgerOf([endAt(100), endAt(200)]);
   for (let number = 0; number < 60; number++) {
     const names = Array.from({ length: 500 }, (_, one) => `g-${number}-${one}`);
-    ledger.merge(endAt(1_000 + number, {}, names), 2_000);
+    ledger.merge([endAt(1_000 + number, {}, names)], 2_000);
   }
   t.is(ledger.endsUnder("f").length, 2);
 });
@@ -151,7 +151,7 @@
     endAt(300),
     endAt(400, {}, ["g"]),
   ]);
-  ledger.merge(endAt(day + 1_000, {}, ["h"]), day + 1_000);
+  ledger.merge([endAt(day + 1_000, {}, ["h"])], day + 1_000);
   t.is(ledger.endsUnder("g").length, 0);
   t.true(ledger.held.has("f"));
   t.is(ledger.endsUnder("f").length, 3);
@@ -162,7 +162,7 @@
 test("when too many are held, the one that nobody sent for longest is released", (t) => {
   const ledger = new suspectLedger.SuspectLedger();
   const endUnder = (name: string, at: number) =>
-    ledger.merge(endAt(at, {}, [name]), at);
+    ledger.merge([endAt(at, {}, [name])], at);
   for (let number = 0; number < 1_000; number++) {
     for (const end of [1, 2, 3])
       endUnder(`g-${number}`, 1_000 * number + 100 * end);
@@ -175,6 +175,6 @@
   t.deepEqual(change.held, ["f"]);
   t.deepEqual(change.released, ["g-0"]);
   t.true(ledger.held.has("f"));
-  t.deepEqual(ledger.hold("g-0"), { news: false, held: [], released: [] });
+  t.deepEqual(ledger.merge([], now, ["g-0"]).held, []);
   t.is(ledger.held.size, 1_000);
 });
