fix: the row of a held request tells of the ends under its trials

After all entries lost power at once a held request was tried again after half a minute, whatever its failed trials had said: its row was written once, when it was first held, with three ends. Each loss of all entries cost a runner more.

Found by reading; the new test failed before (one write instead of two).

--- a/packages/daemon/src/quarantine/quarantine.ts
+++ b/packages/daemon/src/quarantine/quarantine.ts
@@ -251,6 +251,7 @@
   ): suspectLedger.LedgerChange {
     const change = this.#ledger.merge(reports, common.now(), heldElsewhere);
     for (const fingerprint of change.held) this.#onHeld(fingerprint);
+    for (const fingerprint of change.confirmed) this.#keepRow(fingerprint);
     for (const fingerprint of change.released) this.#onReleased(fingerprint);
     return change;
   }
@@ -264,13 +265,16 @@
     const code = common.EventCode.RequestQuarantined;
     logger.event(code, { fingerprint, service, ends });
     metrics.count(common.Metric.Quarantined, { service });
-    if (this.#isChosen(fingerprint)) {
-      const reports = this.#ledger.reports(fingerprint);
-      this.parameters.rows.keep(fingerprint, reports);
-    }
+    this.#keepRow(fingerprint);
     this.#watched.stop(service, fingerprint);
   }
 
+  #keepRow(fingerprint: string): void {
+    if (!this.#isChosen(fingerprint)) return;
+    const reports = this.#ledger.reports(fingerprint);
+    this.parameters.rows.keep(fingerprint, reports);
+  }
+
   /** The chosen entry may be cut off, so who found the reason drops rows as well. */
   #dropRows({ released }: suspectLedger.LedgerChange): void {
     for (const fingerprint of released) this.parameters.rows.drop(fingerprint);
--- a/packages/daemon/src/quarantine/quarantine_test.ts
+++ b/packages/daemon/src/quarantine/quarantine_test.ts
@@ -263,3 +263,16 @@
   network.at("b").runnerEnded(endOf("r4", ["g"]));
   t.deepEqual(network.holding(), ["a", "b"]);
 });
+
+// After a loss of all entries the row is all that is known: without the end under a
+// trial, the next trial would come far too early.
+test("the row of a held request has the ends under trials too", (t) => {
+  const kept: number[] = [];
+  const one = quarantineFixture.createQuarantine({
+    rows: { keep: (_, reports) => kept.push(reports.length), drop: () => {} },
+  });
+  for (const name of ["i-1", "i-2", "i-3"]) one.runnerEnded(endOf(name));
+  one.runnerEnded(endOf("i-4"));
+  one.runnerEnded(endOf("i-5", ["g"]));
+  t.deepEqual(kept, [3, 4]);
+});
--- a/packages/daemon/src/quarantine/suspect_ledger.ts
+++ b/packages/daemon/src/quarantine/suspect_ledger.ts
@@ -41,6 +41,8 @@
   news: boolean;
   /** Requests that are held from now on. */
   held: string[];
+  /** Requests that stay held, of which more is known now. */
+  confirmed: string[];
   /** Requests that are held no more. */
   released: string[];
 }
@@ -167,7 +169,12 @@
     now: number,
     heldElsewhere: string[] = [],
   ): LedgerChange {
-    const change: LedgerChange = { news: false, held: [], released: [] };
+    const change: LedgerChange = {
+      news: false,
+      held: [],
+      confirmed: [],
+      released: [],
+    };
     const wanted = new Set(heldElsewhere);
     const touched = new Set<string>();
     for (const report of reports) {
@@ -228,9 +235,10 @@
   #judge(fingerprint: string, change: LedgerChange): void {
     const ends = this.endsUnder(fingerprint);
     if (this.#held.has(fingerprint)) {
-      if (ends.length >= evidence.PROOF.ends) return;
-      this.#held.delete(fingerprint);
-      change.released.push(fingerprint);
+      const stays = ends.length >= evidence.PROOF.ends;
+      if (!stays) this.#held.delete(fingerprint);
+      const where = stays ? change.confirmed : change.released;
+      where.push(fingerprint);
       return;
     }
     if (!evidence.proves(evidence.weigh(ends))) return;
