fix: a held request's row has what was wanted last

With the table service away for a moment, the writes of one row were tried again each by itself: a request that an operator lifted could be back in the table, to be held again once all entries had started anew, and a row could fall back to fewer ends. One task a row now writes what was wanted last. A write of which the answer was lost may still land later; then the request is tried once more, as its hold is over, which costs nobody anything.

Found by reading; two of the three new tests failed before.

--- a/packages/daemon/src/quarantine/quarantine_rows.ts
+++ b/packages/daemon/src/quarantine/quarantine_rows.ts
@@ -37,6 +37,9 @@
  * same request would take as many runners along again.
  */
 export class QuarantineRows {
+  /** By key, what is still to be written; a task is at each. */
+  readonly #wanted = new Map<string, backingServices.Write>();
+
   constructor(readonly parameters: QuarantineRowsParameters) {}
 
   /** Writes what speaks against a request. */
@@ -80,21 +83,36 @@
     return undefined;
   }
 
-  /** Repeating a write does no harm, so one whose answer was lost is repeated. */
+  /** One task at a time writes a row, until the last that was wanted is there. */
   async #write(
     write: backingServices.Write,
     signal: AbortSignal,
   ): Promise<void> {
+    const { key } = write;
+    const isUnderWay = this.#wanted.has(key);
+    this.#wanted.set(key, write);
+    if (!isUnderWay) await this.#writeWanted(key, signal);
+  }
+
+  /** Repeating a write does no harm, so one whose answer was lost is repeated. */
+  async #writeWanted(key: string, signal: AbortSignal): Promise<void> {
     const { table, logger } = this.parameters;
     const backOff = this.#backOff();
     const deadline = common.now() + PATIENCE_MILLISECONDS;
     while (!signal.aborted) {
+      const write = this.#wanted.get(key);
+      if (!write) return;
       const outcome = await table.transact({ conditions: [], writes: [write] });
-      if (outcome.kind === backingServices.OutcomeKind.Committed) return;
+      if (outcome.kind === backingServices.OutcomeKind.Committed) {
+        // Something else may have been wanted meanwhile.
+        if (this.#wanted.get(key) === write) this.#wanted.delete(key);
+        continue;
+      }
       const pause = backOff.pause();
       if (common.now() + pause > deadline) {
+        this.#wanted.delete(key);
         const code = common.EventCode.QuarantineNotKept;
-        return logger.event(code, { row: write.key, outcome: outcome.kind });
+        return logger.event(code, { row: key, outcome: outcome.kind });
       }
       await common.sleep(pause, signal);
     }
--- /dev/null
+++ b/packages/daemon/src/quarantine/quarantine_rows_test.ts
@@ -0,0 +1,92 @@
+import * as ava from "ava";
+import * as backingServices from "@geraniumkeel/backing_services";
+import * as common from "@geraniumkeel/common";
+import * as neverthrow from "neverthrow";
+import * as quarantineRows from "./quarantine_rows.ts";
+import type * as suspectLedger from "./suspect_ledger.ts";
+
+const test = ava.default;
+
+/** A table in memory that fails the first writes. */
+class MemoryTable implements backingServices.TableService {
+  readonly rows = new Map<string, string>();
+
+  constructor(private failures: number) {}
+
+  async get(): Promise<neverthrow.Result<undefined, never>> {
+    return neverthrow.ok(undefined);
+  }
+
+  async range(): Promise<neverthrow.Result<backingServices.Row[], never>> {
+    const rows = [...this.rows].map(([key, value]) => {
+      return { key, value, revision: 1 };
+    });
+    return neverthrow.ok(rows);
+  }
+
+  async transact({
+    writes,
+  }: backingServices.Transaction): Promise<backingServices.TransactionOutcome> {
+    if (this.failures-- > 0) {
+      return { kind: backingServices.OutcomeKind.Unavailable, reason: "away" };
+    }
+    for (const write of writes) {
+      if (write.kind === backingServices.WriteKind.Put) {
+        this.rows.set(write.key, write.value);
+      } else this.rows.delete(write.key);
+    }
+    return { kind: backingServices.OutcomeKind.Committed, revisions: {} };
+  }
+}
+
+function createRows(table: MemoryTable): quarantineRows.QuarantineRows {
+  const random = new common.Random(1);
+  const logger = new common.RecordingLogger();
+  return new quarantineRows.QuarantineRows({ table, random, logger });
+}
+
+function endOf(number: number): suspectLedger.ReportedEnd {
+  const endedAt = common.now() - 10_000 + 100 * number;
+  return {
+    life: `life-${number}`,
+    runner: `i-${number}`,
+    service: "s",
+    version: "1",
+    endedAt,
+    seenBy: ["a"],
+    disproved: false,
+    suspicions: [{ fingerprint: "f", startedAt: endedAt - 50, cleared: false }],
+  };
+}
+
+const { signal } = new AbortController();
+
+test("what was written is read again, with the time that has passed", async (t) => {
+  const rows = createRows(new MemoryTable(0));
+  const end = endOf(1);
+  await rows.keep("f", [end], signal);
+  const [read] = (await rows.read(signal)) ?? [];
+  const { endedAt, suspicions } = end;
+  t.deepEqual({ ...read, endedAt, suspicions }, end);
+  // Times of day are whole milliseconds.
+  t.true(Math.abs(read.endedAt - endedAt) < 1_000);
+  t.is(read.suspicions[0].fingerprint, "f");
+  t.is(Math.round(read.endedAt - read.suspicions[0].startedAt), 50);
+});
+
+// A write that is tried again must not bring back a request that was released since.
+test("a row that is dropped while its write is tried again stays away", async (t) => {
+  const table = new MemoryTable(1);
+  const rows = createRows(table);
+  const kept = rows.keep("f", [endOf(1)], signal);
+  await Promise.all([kept, rows.drop("f", signal)]);
+  t.is(table.rows.size, 0);
+});
+
+test("the last of several writes of a row is the one that stays", async (t) => {
+  const rows = createRows(new MemoryTable(1));
+  const ends = [endOf(1), endOf(2), endOf(3)];
+  const first = rows.keep("f", ends.slice(0, 1), signal);
+  await Promise.all([first, rows.keep("f", ends, signal)]);
+  t.is((await rows.read(signal))?.length, 3);
+});
