feat: a table service that comes back from a copy has epochs

In a drill the platform's store comes back from a copy some seconds old. It gives its revisions out again, and nothing here looked at that:

- The feed of changes went on without a word once the store's counter had passed our place in it: rows that were lost, or written again under a known number, were never seen.
Entries refused every new list of runners, as its number was lower than theirs.
- A condition on a revision held for another row than it was meant for.
- A lease's fencing number was given twice, to two holders; a rank that promised to obey one obeys both.
A holder whose lease was lost went on.
- A runner that leaves was ready again by its older row, one that is gone was listed again, and one whose row is missing for a moment was struck off.

A revision belongs to an epoch, which the table tells in each answer; revisions of two epochs are never compared. Weighed: to start all readers anew when a change of epoch is seen. It costs nothing at rest either, but an answer that was sent before the return and is read after it is taken, and a condition that is on its way holds for whatever has its number; with the epoch in each revision the first is dropped and the second is told as of the past. Fencing numbers skip what may have been lost (1,000 terms), and a number that some rank remembers is outdone. A lease that is free by an old row is taken only once a holder must have given it up. Runners that are missing after a gap stay for two seconds; a life that left, or is gone, does not come back with an older row.

A list of runners counts as new only when it says something new: each runner writes its row every 1.2 s, and each time the list went to all entries. A look that brings nothing new is followed by the next one after 0.3 s.

Failing before: all of store_return_test, table_epoch_test, table_return_test, and the last test of runner_board_test. Each is seen to fail again with its safeguard taken out.

--- a/packages/backing_services/src/definite_write.ts
+++ b/packages/backing_services/src/definite_write.ts
@@ -1,10 +1,13 @@
 import * as common from "@geraniumkeel/common";
+import type * as revisionModule from "./revision.ts";
 import * as table from "./table.ts";
 
 /** Kinds of answer to a conditional write. */
 export enum DefiniteKind {
   Committed = "committed",
   Conflict = "conflict",
+  /** The table came back from a copy: read again what the write was based on. */
+  PastEpoch = "past-epoch",
   /** Certainly no effect, now or later. */
   NotWritten = "not-written",
   /** Given up while unknown: it may have taken effect or still do so. */
@@ -13,8 +16,9 @@
 
 /** Answer to a conditional write. */
 export type DefiniteOutcome =
-  | { kind: DefiniteKind.Committed; revision: number }
+  | { kind: DefiniteKind.Committed; revision: revisionModule.Revision }
   | { kind: DefiniteKind.Conflict; row: table.Row | undefined }
+  | { kind: DefiniteKind.PastEpoch; reason: string }
   | { kind: DefiniteKind.NotWritten; reason: string }
   | { kind: DefiniteKind.GivenUp; reason: string };
 
@@ -66,6 +70,8 @@
         }
         return { kind: DefiniteKind.Conflict, row };
       }
+      case table.OutcomeKind.PastEpoch:
+        return { kind: DefiniteKind.PastEpoch, reason: outcome.reason };
       case table.OutcomeKind.Unknown:
         mayHaveLanded = true;
         reason = outcome.reason;
--- a/packages/backing_services/src/http_client.ts
+++ b/packages/backing_services/src/http_client.ts
@@ -22,6 +22,8 @@
   body: string;
   /** Validator of the answer, for a conditional request; empty for none. */
   entityTag: string;
+  /** Value of a header by its name in lower case. */
+  header: (name: string) => string | undefined;
 }
 
 const NOT_SENT_CODES = new Set([
@@ -98,6 +100,7 @@
         status: answer.statusCode,
         body: text,
         entityTag,
+        header: (name) => answer.headers[name]?.toString(),
       });
     } catch (cause) {
       const failure = classifyFailure(cause);
--- a/packages/backing_services/src/http_table.ts
+++ b/packages/backing_services/src/http_table.ts
@@ -1,28 +1,48 @@
+import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
 import * as httpClient from "./http_client.ts";
+import type * as revisionModule from "./revision.ts";
+import * as tableEpoch from "./table_epoch.ts";
 import * as table from "./table.ts";
+import * as transactInEpoch from "./transact_in_epoch.ts";
+
+/** Header with the number of the table's epoch, in all its answers. */
+const EPOCH_HEADER = "table-epoch";
 
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
 const HTTP_CONFLICT = 409;
 const HTTP_UNAVAILABLE = 503;
 
+/** A row as it is sent; its revision is of the epoch that the answer tells. */
+export interface SentRow {
+  key: string;
+  revision: number;
+  value: string;
+}
+
 /** The table service over HTTP with JSON bodies. */
 export class HttpTableService implements table.TableService {
-  constructor(readonly client: httpClient.HttpClient) {}
+  readonly epoch: tableEpoch.TableEpoch;
+
+  constructor(
+    readonly client: httpClient.HttpClient,
+    logger: common.Logger,
+  ) {
+    this.epoch = new tableEpoch.TableEpoch(logger);
+  }
 
   /** Reads one row. */
   async get(
     key: string,
   ): Promise<neverthrow.Result<table.Row | undefined, table.TableUnavailable>> {
     const path = `/table/row?key=${encodeURIComponent(key)}`;
-    const answer = await this.client.request("GET", path);
-    if (answer.isErr()) return unavailable(answer.error.reason);
-    if (answer.value.status === HTTP_NOT_FOUND) return neverthrow.ok(undefined);
-    if (answer.value.status !== HTTP_OK) {
-      return unavailable(`status ${answer.value.status}`);
-    }
-    return neverthrow.ok(JSON.parse(answer.value.body) as table.Row);
+    const answer = await this.#read(path, [HTTP_OK, HTTP_NOT_FOUND]);
+    return answer.map(({ status, body }) =>
+      status === HTTP_NOT_FOUND
+        ? undefined
+        : this.#received(JSON.parse(body) as SentRow),
+    );
   }
 
   /** Reads rows in key order. */
@@ -36,35 +56,74 @@
       to: parameters.to,
       limit: String(parameters.limit),
     });
-    const answer = await this.client.request(
-      "GET",
-      `/table/rows?${query.toString()}`,
+    const answer = await this.#read(`/table/rows?${query.toString()}`, [
+      HTTP_OK,
+    ]);
+    return answer.map(({ body }) =>
+      (JSON.parse(body) as SentRow[]).map((row) => this.#received(row)),
     );
+  }
+
+  /** Commits a transaction, or says what is known of it. */
+  transact(transaction: table.Transaction): Promise<table.TransactionOutcome> {
+    const { epoch } = this;
+    const send = () => this.#send(transaction);
+    return transactInEpoch.transactInEpoch({ epoch, transaction, send });
+  }
+
+  async #read(
+    path: string,
+    expected: readonly number[],
+  ): Promise<neverthrow.Result<httpClient.HttpAnswer, table.TableUnavailable>> {
+    const askedAt = common.now();
+    const answer = await this.client.request("GET", path);
     if (answer.isErr()) return unavailable(answer.error.reason);
-    if (answer.value.status !== HTTP_OK) {
-      return unavailable(`status ${answer.value.status}`);
+    const { status, header } = answer.value;
+    const verdict = this.epoch.note(header(EPOCH_HEADER), askedAt);
+    if (verdict === tableEpoch.EpochVerdict.Past) {
+      return unavailable("answer of an earlier epoch");
     }
-    return neverthrow.ok(JSON.parse(answer.value.body) as table.Row[]);
+    if (!expected.includes(status)) return unavailable(`status ${status}`);
+    return neverthrow.ok(answer.value);
   }
 
-  /** Commits a transaction, or says what is known of it. */
-  async transact(
+  async #send(
     transaction: table.Transaction,
-  ): Promise<table.TransactionOutcome> {
+  ): Promise<transactInEpoch.AnsweredTransaction> {
     const path = "/table/transaction";
-    const answer = await this.client.request("POST", path, transaction);
-    if (answer.isErr()) return outcomeOfFailure(answer.error);
-    const { status, body } = answer.value;
+    const answer = await this.client.request(
+      "POST",
+      path,
+      encodeTransaction(transaction),
+    );
+    if (answer.isErr()) {
+      const outcome = outcomeOfFailure(answer.error);
+      return { outcome, epoch: undefined, answered: false };
+    }
+    const epoch = answer.value.header(EPOCH_HEADER);
+    const outcome = this.#outcomeOf(answer.value, epoch);
+    return { outcome, epoch, answered: true };
+  }
+
+  #outcomeOf(
+    { status, body }: httpClient.HttpAnswer,
+    epoch: string | undefined,
+  ): table.TransactionOutcome {
     switch (status) {
       case HTTP_OK: {
-        const { revisions } = JSON.parse(body) as {
+        const { revisions: numbers } = JSON.parse(body) as {
           revisions: Record<string, number>;
         };
+        const revisions: Record<string, revisionModule.Revision> = {};
+        for (const [key, number] of Object.entries(numbers)) {
+          revisions[key] = { epoch: Number(epoch ?? 0), number };
+        }
         return { kind: table.OutcomeKind.Committed, revisions };
       }
       case HTTP_CONFLICT: {
-        const { rows } = JSON.parse(body) as { rows: table.Row[] };
-        return { kind: table.OutcomeKind.Conflict, rows };
+        const { rows } = JSON.parse(body) as { rows: SentRow[] };
+        const received = rows.map((row) => this.#received(row, epoch));
+        return { kind: table.OutcomeKind.Conflict, rows: received };
       }
       case HTTP_UNAVAILABLE:
         return { kind: table.OutcomeKind.Unavailable, reason: "status 503" };
@@ -72,6 +131,38 @@
         return { kind: table.OutcomeKind.Unknown, reason: `status ${status}` };
     }
   }
+
+  #received(row: SentRow, epoch = String(this.epoch.number)): table.Row {
+    const revision = { epoch: Number(epoch), number: row.revision };
+    return { ...row, revision };
+  }
+}
+
+/** A condition as it is sent: revisions are numbers there. */
+export type SentCondition =
+  | { kind: table.ConditionKind.Absent; key: string }
+  | { kind: table.ConditionKind.AtRevision; key: string; revision: number };
+
+/** A transaction as it is sent. */
+export interface SentTransaction {
+  conditions: SentCondition[];
+  writes: table.Write[];
+}
+
+/** A transaction in the form in which it is sent. */
+export function encodeTransaction({
+  conditions,
+  writes,
+}: table.Transaction): SentTransaction {
+  const sent = conditions.map((condition): SentCondition => {
+    switch (condition.kind) {
+      case table.ConditionKind.Absent:
+        return condition;
+      case table.ConditionKind.AtRevision:
+        return { ...condition, revision: condition.revision.number };
+    }
+  });
+  return { conditions: sent, writes };
 }
 
 function outcomeOfFailure(
--- a/packages/backing_services/src/mod.ts
+++ b/packages/backing_services/src/mod.ts
@@ -3,4 +3,7 @@
 export * from "./http_client.ts";
 export * from "./http_table.ts";
 export * from "./object_store.ts";
+export * from "./revision.ts";
 export * from "./table.ts";
+export * from "./table_epoch.ts";
+export * from "./transact_in_epoch.ts";
--- a/packages/backing_services/src/table.ts
+++ b/packages/backing_services/src/table.ts
@@ -1,9 +1,11 @@
 import type * as neverthrow from "neverthrow";
+import type * as revisionModule from "./revision.ts";
+import type * as tableEpoch from "./table_epoch.ts";
 
-/** A row of the table service; `revision` grows with every write to the key. */
+/** A row of the table service; `revision` grows with every write in an epoch. */
 export interface Row {
   key: string;
-  revision: number;
+  revision: revisionModule.Revision;
   value: string;
 }
 
@@ -16,7 +18,11 @@
 /** What must hold of a row for a transaction to commit. */
 export type Condition =
   | { kind: ConditionKind.Absent; key: string }
-  | { kind: ConditionKind.AtRevision; key: string; revision: number };
+  | {
+      kind: ConditionKind.AtRevision;
+      key: string;
+      revision: revisionModule.Revision;
+    };
 
 /** Kinds of write in a transaction. */
 export enum WriteKind {
@@ -32,7 +38,7 @@
 /** That a row is at a revision, or absent if there is none to be based on. */
 export function atRevision(
   key: string,
-  revision: number | undefined,
+  revision: revisionModule.Revision | undefined,
 ): Condition {
   return revision === undefined
     ? { kind: ConditionKind.Absent, key }
@@ -56,17 +62,23 @@
   Conflict = "conflict",
   Unavailable = "unavailable",
   Unknown = "unknown",
+  PastEpoch = "past-epoch",
 }
 
 /**
  * What became of a transaction. `Unavailable`: it certainly took no effect.
- * `Unknown`: the answer was lost and it may take effect, even later.
+ * `Unknown`: the answer was lost and it may take effect, even later. `PastEpoch`: a
+ * condition is of an epoch of the table that is over; read the rows again.
  */
 export type TransactionOutcome =
-  | { kind: OutcomeKind.Committed; revisions: Record<string, number> }
+  | {
+      kind: OutcomeKind.Committed;
+      revisions: Record<string, revisionModule.Revision>;
+    }
   | { kind: OutcomeKind.Conflict; rows: Row[] }
   | { kind: OutcomeKind.Unavailable; reason: string }
-  | { kind: OutcomeKind.Unknown; reason: string };
+  | { kind: OutcomeKind.Unknown; reason: string }
+  | { kind: OutcomeKind.PastEpoch; reason: string };
 
 /** A read that got no answer. */
 export interface TableUnavailable {
@@ -76,6 +88,8 @@
 
 /** The platform's transactional table service. */
 export interface TableService {
+  /** The epoch of the table, as its latest answer told it. */
+  readonly epoch: tableEpoch.TableEpoch;
   get(
     key: string,
   ): Promise<neverthrow.Result<Row | undefined, TableUnavailable>>;
--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -26,6 +26,10 @@
   ConfigurationStale = 1305,
   StoreUnavailable = 1306,
   StoreRecovered = 1307,
+  TableEpochBegan = 1308,
+  TableEpochUnreadable = 1309,
+  TableRowsRestored = 1310,
+  TableEpochDoubtful = 1311,
   RequestRefused = 1401,
   RequestRetried = 1402,
   RequestIncomplete = 1403,
@@ -211,6 +215,31 @@
     meaning: "The platform's table service answers again.",
     action: NONE,
   },
+  [EventCode.TableEpochBegan]: {
+    level: EventLevel.Error,
+    meaning:
+      "The platform's table service came back from a copy and has lost what was written in its last seconds; `before` and `epoch` are the numbers of its epochs.",
+    action:
+      "Look at TableRowsRestored of all hosts; see operations, a table that came back from a copy.",
+  },
+  [EventCode.TableEpochUnreadable]: {
+    level: EventLevel.Warn,
+    meaning:
+      "The table service told no epoch, or none that is a number, where it told one before; it is taken to be in the same epoch.",
+    action: "Look at what the table service sends.",
+  },
+  [EventCode.TableRowsRestored]: {
+    level: EventLevel.Warn,
+    meaning:
+      "Rows of this system that the table service had lost or forgotten to have changed were written again; `rows` counts them by kind.",
+    action: NONE,
+  },
+  [EventCode.TableEpochDoubtful]: {
+    level: EventLevel.Warn,
+    meaning:
+      "A process that started found a table that came back from a copy, heard of nobody who knows more, and serves the configuration that is there.",
+    action: "See that the table has the newest configuration.",
+  },
   [EventCode.RequestRefused]: {
     level: EventLevel.Info,
     meaning: "A request was answered not-run; `reason` says why.",
--- a/packages/daemon/src/dispatch/claim_store.ts
+++ b/packages/daemon/src/dispatch/claim_store.ts
@@ -39,7 +39,7 @@
 /** A claim with the table revision on which a change must be based. */
 export interface HeldClaim {
   claim: Claim;
-  revision: number;
+  revision: backingServices.Revision;
 }
 
 /** What became of writing a claim. */
@@ -98,6 +98,7 @@
       case backingServices.DefiniteKind.Conflict:
         if (!outcome.row) return { kind: "store-unavailable" };
         return { kind: "other", held: parseClaim(outcome.row) };
+      case backingServices.DefiniteKind.PastEpoch:
       case backingServices.DefiniteKind.NotWritten:
       case backingServices.DefiniteKind.GivenUp:
         return { kind: "store-unavailable" };
--- a/packages/daemon/src/expert_map/group_coordinator.ts
+++ b/packages/daemon/src/expert_map/group_coordinator.ts
@@ -175,6 +175,8 @@
     const outcome = await takeOver.takeOver({ term, readMap });
     switch (outcome.kind) {
       case "superseded":
+        // The table may have forgotten the number that the ranks remember.
+        this.parameters.lease.outdo(outcome.promised);
         return "superseded";
       case "unreached":
         return undefined;
--- a/packages/daemon/src/expert_map/rank_session.ts
+++ b/packages/daemon/src/expert_map/rank_session.ts
@@ -16,7 +16,13 @@
 /** Definite answer of a rank, or why there is none. */
 export type RankReply =
   | { done: true; state: wire.RankState }
-  | { done: false; failure: RankFailure; detail: string };
+  | {
+      done: false;
+      failure: RankFailure;
+      detail: string;
+      /** Fencing number that the rank obeys instead; 0 if it told none. */
+      promised: number;
+    };
 
 /**
  * A coordinator's dealings with one rank under one fencing number. Orders are
@@ -72,7 +78,7 @@
     }
     switch (answer.refusal) {
       case wire.OrderRefusal.OldFencing:
-        return failed(RankFailure.Superseded, `promised ${answer.fencing}`);
+        return superseded(answer.fencing);
       case wire.OrderRefusal.OldIncarnation:
       case wire.OrderRefusal.NotPromised:
         this.#promisedBy = undefined;
@@ -105,5 +111,10 @@
 }
 
 function failed(failure: RankFailure, detail: string): RankReply {
-  return { done: false, failure, detail };
+  return { done: false, failure, detail, promised: 0 };
+}
+
+function superseded(promised: number): RankReply {
+  const failure = RankFailure.Superseded;
+  return { done: false, failure, detail: `promised ${promised}`, promised };
 }
--- a/packages/daemon/src/expert_map/switch_map.ts
+++ b/packages/daemon/src/expert_map/switch_map.ts
@@ -17,6 +17,8 @@
 export interface SwitchOutcome {
   kind: SwitchKind;
   detail: string;
+  /** Fencing number that some rank obeys instead; 0 if none was told. */
+  promised: number;
 }
 
 /** How engines of a group take a new map. */
@@ -117,7 +119,11 @@
     () => term.pause(),
   );
   if (failure) return unfinished(failure);
-  return { kind: SwitchKind.Committed, detail: `version ${version}` };
+  return {
+    kind: SwitchKind.Committed,
+    promised: 0,
+    detail: `version ${version}`,
+  };
 }
 
 /** Looks at all ranks until each is in a state; the failure if that ends. */
@@ -174,7 +180,11 @@
   const release = { kind: wire.OrderKind.Release, group, fencing } as const;
   const notReleased = await term.insistAll(release);
   if (notReleased) return unfinished(notReleased);
-  return { kind: SwitchKind.Committed, detail: `version ${version}` };
+  return {
+    kind: SwitchKind.Committed,
+    promised: 0,
+    detail: `version ${version}`,
+  };
 }
 
 /** Gives up: every rank drops what was staged or armed. */
@@ -185,11 +195,15 @@
   const { term, map } = parameters;
   const detail = describe(reason);
   if (rankSession.isSuperseded(reason)) {
-    return { kind: SwitchKind.Superseded, detail };
+    return {
+      kind: SwitchKind.Superseded,
+      detail,
+      promised: promisedOf(reason),
+    };
   }
   const failure = await cancelAll(term, map.version);
   if (failure) return unfinished(failure);
-  return { kind: SwitchKind.Cancelled, detail };
+  return { kind: SwitchKind.Cancelled, detail, promised: 0 };
 }
 
 /** Has all ranks drop switches up to a version. */
@@ -206,7 +220,11 @@
   const kind = rankSession.isSuperseded(reason)
     ? SwitchKind.Superseded
     : SwitchKind.Unfinished;
-  return { kind, detail: describe(reason) };
+  return { kind, detail: describe(reason), promised: promisedOf(reason) };
+}
+
+function promisedOf(reply: rankSession.RankReply): number {
+  return reply.done ? 0 : reply.promised;
 }
 
 function describe(reply: rankSession.RankReply): string {
--- a/packages/daemon/src/expert_map/take_over.ts
+++ b/packages/daemon/src/expert_map/take_over.ts
@@ -12,7 +12,12 @@
       /** What was done with a switch that a predecessor left. */
       recovered: "nothing" | "finished" | "cancelled" | "unified";
     }
-  | { kind: "superseded"; detail: string }
+  | {
+      kind: "superseded";
+      detail: string;
+      /** Fencing number that some rank obeys instead; 0 if none was told. */
+      promised: number;
+    }
   | { kind: "unreached"; detail: string };
 
 /** What taking over needs. */
@@ -93,8 +98,11 @@
 }
 
 function notTaken(reply: rankSession.RankReply): TakeOverOutcome {
-  const kind = rankSession.isSuperseded(reply) ? "superseded" : "unreached";
-  return { kind, detail: reply.done ? "" : reply.detail };
+  if (reply.done) return { kind: "unreached", detail: "" };
+  const { detail, promised } = reply;
+  return rankSession.isSuperseded(reply)
+    ? { kind: "superseded", detail, promised }
+    : { kind: "unreached", detail };
 }
 
 function outcomeOf(
@@ -107,7 +115,7 @@
     case switchMap.SwitchKind.Committed:
       return { kind: "ready", version, recovered };
     case switchMap.SwitchKind.Superseded:
-      return { kind: "superseded", detail };
+      return { kind: "superseded", detail, promised: outcome.promised };
     case switchMap.SwitchKind.Cancelled:
     case switchMap.SwitchKind.Unfinished:
       return { kind: "unreached", detail };
--- a/packages/daemon/src/forwarding/runner_board.ts
+++ b/packages/daemon/src/forwarding/runner_board.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
 import * as chooseRunner from "./choose_runner.ts";
+import * as leftLives from "./left_lives.ts";
 import * as outstandingElsewhere from "./outstanding_elsewhere.ts";
 
 /** How a call went, as far as it tells of the runner. */
@@ -101,6 +102,7 @@
   readonly #records = new Map<string, RunnerRecord>();
   /** Listed runners that are gone from their addresses, each life of them. */
   #disproved = new Set<string>();
+  readonly #left = new leftLives.LeftLives();
   readonly #others = new outstandingElsewhere.OutstandingElsewhere();
   /** When the next request may be sent to a service that is closed. */
   readonly #nextProbeAt = new Map<string, number>();
@@ -120,7 +122,7 @@
   update(list: traffic.RunnerList): void {
     const listed = new Set<string>();
     const disproved = new Set<string>();
-    for (const entry of list.runners) {
+    for (const entry of this.#left.apply(list.runners)) {
       if (this.#disproved.has(traffic.lifeOf(entry))) {
         disproved.add(traffic.lifeOf(entry));
         continue;
--- a/packages/daemon/src/forwarding/runner_board_test.ts
+++ b/packages/daemon/src/forwarding/runner_board_test.ts
@@ -146,3 +146,15 @@
   t.deepEqual(open(true), ["i-1", "i-2", "i-3"]);
   t.deepEqual(open(false), ["i-1"]);
 });
+
+// A list made from older rows of the store says that a runner is ready which is about to
+// end: requests sent there are cut off.
+test("a runner that was leaving gets nothing new from an older list", (t) => {
+  const leaving = runnerFixture.createRunner({ leaving: true });
+  const board = boardOf([leaving]);
+  board.update({ version: 2, runners: [runnerFixture.createRunner()] });
+  t.is(board.choose("s", new Set()), undefined);
+  board.update({ version: 3, runners: [] });
+  board.update({ version: 4, runners: [runnerFixture.createRunner()] });
+  t.is(board.choose("s", new Set()), undefined);
+});
--- a/packages/daemon/src/lease/lease.ts
+++ b/packages/daemon/src/lease/lease.ts
@@ -1,18 +1,28 @@
 import * as common from "@geraniumkeel/common";
 import * as backingServices from "@geraniumkeel/backing_services";
 
+/**
+ * Fencing numbers that are skipped in a new epoch of the table. Terms were begun in the
+ * seconds that it has lost, and their numbers may not be given again: a rank that
+ * promised to obey one obeys every term of that number. Terms last for seconds, so
+ * fewer than this were lost.
+ */
+const LOST_TERMS = 1_000;
+
 /** Row of a lease. */
 interface LeaseRow {
   holder: string;
   incarnation: string;
   fencing: number;
+  /** Epoch of the table in which the row was written. */
+  epoch: number;
   nonce: string;
 }
 
 /** The lease as its holder last wrote it. */
 interface HeldLease {
   fencing: number;
-  revision: number;
+  revision: backingServices.Revision;
   /** When the write was begun, by the holder's clock. */
   renewedAt: number;
 }
@@ -26,7 +36,9 @@
 export class Lease {
   #held: HeldLease | undefined;
   /** The row as last seen of another holder, and since when. */
-  #seen: { revision: number; at: number } | undefined;
+  #seen: { revision: backingServices.Revision; at: number } | undefined;
+  /** Fencing numbers up to this one were promised to others. */
+  #outdone = 0;
 
   constructor(
     readonly parameters: {
@@ -43,10 +55,24 @@
   get fencing(): number | undefined {
     const { durationMilliseconds } = this.parameters;
     if (!this.#held) return undefined;
+    // A lease that the table has forgotten is anybody's.
+    if (this.#held.revision.epoch !== this.#epoch) return undefined;
     const age = common.now() - this.#held.renewedAt;
     return age < durationMilliseconds / 2 ? this.#held.fencing : undefined;
   }
 
+  get #epoch(): number {
+    return this.parameters.table.epoch.number;
+  }
+
+  /**
+   * Takes no fencing number up to this one: somebody promised to obey it. The table may
+   * have forgotten that it was given.
+   */
+  outdo(fencing: number): void {
+    this.#outdone = Math.max(this.#outdone, fencing);
+  }
+
   /** Takes or renews the lease; the fencing number if it is held. */
   async renew(): Promise<number | undefined> {
     if (this.#held) await this.#extend(this.#held);
@@ -75,6 +101,9 @@
           : undefined;
         return;
       }
+      case backingServices.DefiniteKind.PastEpoch:
+        this.#held = undefined;
+        return;
       case backingServices.DefiniteKind.NotWritten:
       case backingServices.DefiniteKind.GivenUp:
         return;
@@ -87,16 +116,33 @@
     if (read.isErr()) return;
     const row = read.value;
     const lease = row && parseLease(row);
-    const own = lease?.incarnation === this.parameters.incarnation;
+    const own = lease && this.#isOfThisLife(lease);
     if (row && !own && !this.#lapsed(row)) return;
-    // Another holder may have given orders since, also if the row is ours: a
-    // new term gets a new number.
-    const fencing = (lease?.fencing ?? 0) + 1;
+    const epoch = this.#epoch;
+    const fencing = this.#nextFencing(lease);
     const outcome = await this.#write(row?.revision, fencing);
     if (outcome.kind !== backingServices.DefiniteKind.Committed) return;
+    // Written where there was none, in an epoch that began meanwhile.
+    if (outcome.revision.epoch !== epoch) return;
     this.#held = { fencing, revision: outcome.revision, renewedAt };
   }
 
+  /**
+   * Another holder may have given orders since, also if the row is ours: a new term gets
+   * a new number.
+   */
+  #nextFencing(last: LeaseRow | undefined): number {
+    const epoch = this.#epoch;
+    const forgotten = last?.epoch === epoch ? 0 : LOST_TERMS;
+    const next = last ? last.fencing + 1 + forgotten : epoch * LOST_TERMS + 1;
+    return Math.max(next, this.#outdone + 1);
+  }
+
+  /** Whether this process wrote a row, and the table has lost nothing since. */
+  #isOfThisLife({ incarnation, epoch }: LeaseRow): boolean {
+    return incarnation === this.parameters.incarnation && epoch === this.#epoch;
+  }
+
   #isOwn(row: backingServices.Row, fencing: number): boolean {
     const lease = parseLease(row);
     const { incarnation } = this.parameters;
@@ -113,6 +159,7 @@
       holder: "",
       incarnation: "",
       fencing: held.fencing,
+      epoch: held.revision.epoch,
       nonce: common.randomIdentifier(),
     };
     await table.transact({
@@ -122,10 +169,16 @@
   }
 
   #lapsed(row: backingServices.Row): boolean {
-    const { holder } = parseLease(row);
-    if (holder === "") return true;
+    const { holder, epoch } = parseLease(row);
+    // What a table has lost with its last seconds may have been a holder, who knows
+    // nothing of it for some time.
+    if (holder === "" && epoch === this.#epoch) return true;
     const now = common.now();
-    if (this.#seen?.revision !== row.revision) {
+    const isSeen = backingServices.isSameRevision(
+      this.#seen?.revision,
+      row.revision,
+    );
+    if (!this.#seen || !isSeen) {
       this.#seen = { revision: row.revision, at: now };
       return false;
     }
@@ -134,12 +187,19 @@
 
   /** Writes the row in place of a revision, or where there is none. */
   #write(
-    base: number | undefined,
+    base: backingServices.Revision | undefined,
     fencing: number,
   ): Promise<backingServices.DefiniteOutcome> {
     const { table, key, host, incarnation, random } = this.parameters;
     const nonce = common.randomIdentifier();
-    const lease: LeaseRow = { holder: host, incarnation, fencing, nonce };
+    const epoch = this.#epoch;
+    const lease: LeaseRow = {
+      holder: host,
+      incarnation,
+      fencing,
+      epoch,
+      nonce,
+    };
     const transaction: backingServices.Transaction = {
       conditions: [backingServices.atRevision(key, base)],
       writes: [backingServices.putRow(key, JSON.stringify(lease))],
--- a/packages/daemon/src/quarantine/quarantine_rows_test.ts
+++ b/packages/daemon/src/quarantine/quarantine_rows_test.ts
@@ -9,6 +9,7 @@
 
 /** A table in memory that fails the first writes. */
 class MemoryTable implements backingServices.TableService {
+  readonly epoch = new backingServices.TableEpoch(new common.RecordingLogger());
   readonly rows = new Map<string, string>();
 
   constructor(private failures: number) {}
@@ -19,7 +20,7 @@
 
   async range(): Promise<neverthrow.Result<backingServices.Row[], never>> {
     const rows = [...this.rows].map(([key, value]) => {
-      return { key, value, revision: 1 };
+      return { key, value, revision: { epoch: 0, number: 1 } };
     });
     return neverthrow.ok(rows);
   }
--- a/packages/stand_ins/src/gateways/gateways.ts
+++ b/packages/stand_ins/src/gateways/gateways.ts
@@ -5,12 +5,15 @@
 import * as traffic from "@geraniumkeel/traffic";
 import * as neverthrow from "neverthrow";
 import type * as runnerPool from "./runner_pool.ts";
+import * as tableData from "../table_data.ts";
 import * as tableService from "./table_service.ts";
 
 const HOST = "service.example";
 const PATH = "/a/";
 const PATIENCE_MILLISECONDS = 8_000;
 const LINKED_MILLISECONDS = 10_000;
+/** Longest time that a look at the configuration waits, in milliseconds. */
+const LONGEST_LOOK = 100;
 
 /** Accounts of the deployment; each has the key `key-NAME`. */
 export enum AccountName {
@@ -41,13 +44,20 @@
 /** A few entries with links between them, before one pool of runners. */
 export class Gateways {
   readonly running: RunningGateway[] = [];
-  readonly table = tableService.createTable();
+  /** Rows that all entries share. */
+  readonly data = new tableData.TableData();
+  /** The table as a test sees it. */
+  readonly table = tableService.createTable(this.data);
+  /** What the operator has written, as the table tells it. */
+  configuration: traffic.TrafficConfiguration;
   #requests = 0;
 
   private constructor(
     readonly shape: GatewaysShape,
     readonly pool: runnerPool.RunnerPool,
-  ) {}
+  ) {
+    this.configuration = configurationOf(shape, pool);
+  }
 
   /** Starts the entries; they are linked and ready when this resolves. */
   static async start(
@@ -92,6 +102,7 @@
       },
     });
     const { port } = links.address() as net.AddressInfo;
+    const table = tableService.createTable(this.data, logger);
     const gateway = new daemon.Gateway({
       self: {
         host,
@@ -104,8 +115,8 @@
       revocationMilliseconds: 5_000,
       stopMilliseconds: 8_000,
       retries: { share: 1, allowance: 10_000 },
-      table: this.table,
-      configurationSource: documentOf(configurationOf(this)),
+      table,
+      configurationSource: this.#configurationSource(table),
       runnerSource: this.pool.source(),
       caller: this.pool.callerOf(host),
       logger,
@@ -122,6 +133,27 @@
     return started;
   }
 
+  /** The configuration as one entry reads it. */
+  #configurationSource(
+    table: tableService.MemoryTable,
+  ): traffic.DocumentSource<traffic.TrafficConfiguration> {
+    let told: traffic.TrafficConfiguration | undefined;
+    return {
+      next: async (waitMilliseconds) => {
+        if (told === this.configuration) {
+          await common.sleep(Math.min(waitMilliseconds, LONGEST_LOOK));
+        }
+        const answer = await table.get("configuration");
+        if (answer.isErr()) {
+          const kind = traffic.SourceFailureKind.Unavailable;
+          return neverthrow.err({ kind, reason: answer.error.reason });
+        }
+        told = this.configuration;
+        return neverthrow.ok({ value: told });
+      },
+    };
+  }
+
   async #linkedAndReady({ gateway }: RunningGateway): Promise<void> {
     await until(() => gateway.ready && this.#linked(gateway));
   }
@@ -203,22 +235,11 @@
   };
 }
 
-function documentOf<T extends traffic.Versioned>(
-  value: T,
-): traffic.DocumentSource<T> {
-  let told = false;
-  return {
-    next: async (waitMilliseconds) => {
-      if (told) await common.sleep(waitMilliseconds);
-      told = true;
-      return neverthrow.ok({ value });
-    },
-  };
-}
-
-function configurationOf(gateways: Gateways): traffic.TrafficConfiguration {
-  const { service } = gateways.pool.shape;
-  const { repeatability, inLockStep } = gateways.shape;
+function configurationOf(
+  { repeatability, inLockStep }: GatewaysShape,
+  pool: runnerPool.RunnerPool,
+): traffic.TrafficConfiguration {
+  const { service } = pool.shape;
   const accounts = Object.values(AccountName);
   return {
     version: 1,
--- a/packages/stand_ins/src/platform_stand_in.ts
+++ b/packages/stand_ins/src/platform_stand_in.ts
@@ -51,7 +51,7 @@
   const setHosts = (hosts: backingServices.Host[]) => {
     lists.push({ at: common.now(), hosts });
   };
-  const firstRows = new Map<string, backingServices.Row>();
+  const firstRows = new Map<string, backingServices.SentRow>();
   const application = new hono.Hono();
   application.get("/faults", () => Response.json(faults));
   application.put("/faults", async (request) => {
@@ -66,12 +66,14 @@
     const { reads, writes } = table;
     return Response.json({ reads, writes });
   });
-  application.use("*", async (_request, next) => {
+  application.use("*", async (request, next) => {
     if (faults.silent) await new Promise(() => {});
     if (faults.down) return new Response("down", { status: 503 });
     if (faults.slowMilliseconds > 0)
       await common.sleep(faults.slowMilliseconds);
-    return next();
+    await next();
+    request.header("Table-Epoch", String(table.epoch));
+    return undefined;
   });
   application.get("/hosts", (request) => {
     const until = common.now() - faults.hostListLagMilliseconds;
@@ -94,7 +96,8 @@
     return Response.json(table.range(from, to, Number(limit)));
   });
   application.post("/table/transaction", async (request) => {
-    const transaction = await request.req.json<backingServices.Transaction>();
+    const transaction =
+      await request.req.json<backingServices.SentTransaction>();
     return answerTransaction(table, faults, transaction);
   });
   application.get("/objects/:name", (request) => {
@@ -115,7 +118,7 @@
 async function answerTransaction(
   table: tableData.TableData,
   faults: PlatformFaults,
-  transaction: backingServices.Transaction,
+  transaction: backingServices.SentTransaction,
 ): Promise<Response> {
   if (faults.delayEffects > 0) {
     faults.delayEffects--;
@@ -129,11 +132,9 @@
     return new Response("lost", { status: 500 });
   }
   switch (outcome.kind) {
-    case backingServices.OutcomeKind.Committed:
+    case "committed":
       return Response.json({ revisions: outcome.revisions });
-    case backingServices.OutcomeKind.Conflict:
+    case "conflict":
       return Response.json({ rows: outcome.rows }, { status: 409 });
-    default:
-      return new Response("", { status: 500 });
   }
 }
--- a/packages/stand_ins/src/system/quarantine_memory_test.ts
+++ b/packages/stand_ins/src/system/quarantine_memory_test.ts
@@ -59,9 +59,9 @@
 // Entries must not wait for a table service that is away, nor forget for it.
 test("a request is held while the table service is away, and kept when it is back", async (t) => {
   const entries = await scene.startEntries(t);
-  entries.table.away = true;
+  entries.data.away = true;
   await scene.provoke(entries, poolRunner.endingBody("away"));
-  entries.table.away = false;
+  entries.data.away = false;
   while ((await rowsOf(entries)) === 0) await common.sleep(10);
   t.true(scene.isHeldEverywhere(entries));
 });
--- a/packages/traffic/src/follow_document.ts
+++ b/packages/traffic/src/follow_document.ts
@@ -7,6 +7,12 @@
  * document as of its beginning, so this is also the age of the proof in between.
  */
 const LOOK_MILLISECONDS = 1_000;
+/**
+ * Shortest time from one look to the next if it brought nothing new, in milliseconds.
+ * Rows that are written all the time have a look answered at once: each would cost a
+ * call, and none says more than the one before.
+ */
+const QUIET_MILLISECONDS = 300;
 /** Pause while other processes look, in milliseconds. */
 const REST_MILLISECONDS = 100;
 /** Pauses after a failed look, in milliseconds. */
@@ -63,11 +69,13 @@
     failing = false;
     backOff.reset();
     const { value } = reading.value;
-    if (!value) continue;
-    if (held.offer(value)) {
+    const isNew = value !== undefined && held.offer(value);
+    if (isNew) {
       const code = common.EventCode.DocumentInForce;
       logger.event(code, { document: name, version: value.version });
     }
-    held.prove(value.version, startedAt);
+    if (value) held.prove(value.version, startedAt);
+    const quiet = QUIET_MILLISECONDS - common.ageOf(startedAt);
+    if (!isNew && quiet > 0) await common.sleep(quiet, signal);
   }
 }
--- /dev/null
+++ b/packages/traffic/src/registered_runners.ts
@@ -0,0 +1,130 @@
+import * as runnerEntry from "./runner_entry.ts";
+
+/**
+ * Time after the table service is back within which runners that live and reach it have
+ * registered again, in milliseconds. One that is still missing then is gone.
+ */
+const BACK_WITHIN_MILLISECONDS = 2_000;
+/** Age, in milliseconds, that a copy of the table may have at most, with room. */
+const REMEMBERED_MILLISECONDS = 60_000;
+
+/** A runner's registration in the table service. */
+export interface Registration {
+  runner: runnerEntry.RunnerEntry;
+  /** Counts what the runner has written since its start. */
+  sequence: number;
+  /** Number of the write within the table's epoch. */
+  writtenAt: number;
+}
+
+/** A life of a runner that is listed. */
+interface ListedLife {
+  registration: Registration;
+  /** When it was first missing after a gap; `undefined` while it is in the table. */
+  missingSince: number | undefined;
+}
+
+/** A life of a runner that is gone. */
+interface PastLife {
+  sequence: number;
+  goneAt: number;
+}
+
+/**
+ * Which runners are there, by what a table tells that may be away and come back with
+ * fewer rows, or with old ones. For the seconds after an outage: entries that lapsed
+ * meanwhile are written again, and those of runners that are gone may stand in a copy.
+ */
+export class RegisteredRunners {
+  readonly #listed = new Map<string, ListedLife>();
+  readonly #past = new Map<string, PastLife>();
+
+  /**
+   * Takes all rows, by identifier. `afterGap`: nothing was heard of the table for a
+   * while, or it came back from a copy.
+   */
+  replaceAll(
+    registrations: ReadonlyMap<string, Registration>,
+    { now, afterGap }: { now: number; afterGap: boolean },
+  ): void {
+    for (const identifier of [...this.#listed.keys()]) {
+      if (registrations.has(identifier)) continue;
+      this.remove(identifier, { now, afterGap });
+    }
+    for (const [identifier, registration] of registrations) {
+      if (!this.#isOfPast(registration)) this.write(identifier, registration);
+    }
+    this.#forget(now);
+  }
+
+  /** Takes a row that was written. */
+  write(identifier: string, registration: Registration): void {
+    this.#listed.set(identifier, { registration, missingSince: undefined });
+  }
+
+  /** Takes that a row is gone. */
+  remove(
+    identifier: string,
+    { now, afterGap }: { now: number; afterGap: boolean },
+  ): void {
+    const listed = this.#listed.get(identifier);
+    if (!listed) return;
+    if (afterGap) {
+      listed.missingSince ??= now;
+      return;
+    }
+    if (listed.missingSince === undefined) this.#end(identifier, listed, now);
+  }
+
+  /** Registrations that count now; one a place, the latest. */
+  current(now: number): runnerEntry.RunnerEntry[] {
+    const byPlace = new Map<string, ListedLife>();
+    for (const [identifier, listed] of this.#listed) {
+      const { missingSince = now } = listed;
+      if (now - missingSince >= BACK_WITHIN_MILLISECONDS) {
+        this.#end(identifier, listed, now);
+        continue;
+      }
+      const place = runnerEntry.placeOf(listed.registration.runner);
+      const other = byPlace.get(place);
+      if (!other || isLater(listed, other)) byPlace.set(place, listed);
+    }
+    return [...byPlace.values()].map(({ registration }) => registration.runner);
+  }
+
+  #end(identifier: string, listed: ListedLife, now: number): void {
+    const { runner, sequence } = listed.registration;
+    this.#listed.delete(identifier);
+    this.#past.set(runnerEntry.lifeOf(runner), { sequence, goneAt: now });
+  }
+
+  /** Whether a row tells no more than was known of a runner that is gone since. */
+  #isOfPast({ runner, sequence }: Registration): boolean {
+    const past = this.#past.get(runnerEntry.lifeOf(runner));
+    return past !== undefined && sequence <= past.sequence;
+  }
+
+  #forget(now: number): void {
+    for (const [life, { goneAt }] of this.#past) {
+      if (now - goneAt > REMEMBERED_MILLISECONDS) this.#past.delete(life);
+    }
+  }
+}
+
+/**
+ * Of two runners at one place. One that died stays registered for seconds after its
+ * successor is there, and a row may be written late, so the runners' own starts go
+ * first. One that is missing in the table goes behind one that is there.
+ */
+function isLater(left: ListedLife, right: ListedLife): boolean {
+  const { runner, writtenAt } = left.registration;
+  const other = right.registration;
+  const { bornAt } = runner;
+  const otherBornAt = other.runner.bornAt;
+  if (bornAt > 0 && otherBornAt > 0 && bornAt !== otherBornAt) {
+    return bornAt > otherBornAt;
+  }
+  const isHere = left.missingSince === undefined;
+  if (isHere !== (right.missingSince === undefined)) return isHere;
+  return writtenAt > other.writtenAt;
+}
