feat: entries write again what the table service lost, and doubt an older configuration

After the table came back from a copy, entries that started later found nobody, as the rows of the others were lost; a request that was held or lifted had its older row, for the next loss of power; and a process that started before the operator had written again served the copy's configuration, with keys that had been taken away.

Entries tell the table's epoch in their beats (one number), since most of them never ask it. Each writes its own row again, the chosen one those of held and lifted requests.

Weighed: waiting at each start for a word of another entry. It needs no row, but costs each start after a loss of all power the time until the first link.

--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -13,6 +13,8 @@
 /** What passing requests on needs. */
 export interface ForwarderParameters {
   configuration: traffic.ProvenValue<traffic.TrafficConfiguration>;
+  /** Milliseconds for which a newer configuration may have gone unseen. */
+  proofAge: () => number;
   /** Age of the configuration's proof up to which keyed requests are run. */
   longestProofAge: number;
   board: runnerBoard.RunnerBoard;
@@ -59,7 +61,7 @@
   ): Promise<void> {
     const { configuration, longestProofAge, logger } = this.parameters;
     const view = this.#currentView();
-    const proofAge = configuration.age;
+    const proofAge = this.parameters.proofAge();
     const admitted = admitRequest.admitRequest({
       request,
       view,
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -101,8 +101,10 @@
   const board = boardOfTwo();
   const presenceOf = async () => common.Presence.Listening;
   const logger = new common.RecordingLogger();
+  const configuration = configurationOf(scene);
   const forwarder = new forwarderModule.Forwarder({
-    configuration: configurationOf(scene),
+    configuration,
+    proofAge: () => configuration.age,
     longestProofAge: 4_000,
     board,
     caller: {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import type * as runnerCaller from "../forwarding/runner_caller.ts";
 import * as entryMesh from "../mesh/entry_mesh.ts";
 import * as memberRows from "../mesh/member_rows.ts";
+import * as epochConfirmation from "./epoch_confirmation.ts";
 import * as endReview from "../quarantine/end_review.ts";
 import * as endWatch from "../quarantine/end_watch.ts";
 import * as quarantine from "../quarantine/quarantine.ts";
@@ -77,6 +78,9 @@
   readonly endWatch: endWatch.EndWatch;
   readonly endReview: endReview.EndReview;
   readonly #rows: quarantineRows.QuarantineRows;
+  readonly #confirmation: epochConfirmation.EpochConfirmation;
+  /** The latest reading of the configuration from the store. */
+  #latestReading: epochConfirmation.ReadConfiguration | undefined;
   readonly #budgets = new Map<string, retryBudget.RetryBudget>();
   readonly #longestProofAge: number;
   #storeReachable = true;
@@ -118,6 +122,7 @@
     });
     this.forwarder = new forwarderModule.Forwarder({
       configuration: this.configuration,
+      proofAge: () => this.#proofAge,
       longestProofAge: this.#longestProofAge,
       board: this.board,
       caller,
@@ -129,10 +134,11 @@
       logger,
       metrics,
     });
+    const rows = new memberRows.MemberRows(parameters.table);
     this.mesh = new entryMesh.EntryMesh({
       self,
       incarnation: common.randomIdentifier(),
-      rows: new memberRows.MemberRows(parameters.table),
+      rows,
       seeds: parameters.seeds,
       configuration: this.configuration,
       runners: this.runners,
@@ -148,6 +154,14 @@
       logger,
       lifeCycle: parameters.lifeCycle,
     });
+    this.#confirmation = new epochConfirmation.EpochConfirmation({
+      rows,
+      heldVersion: () => this.configuration.version,
+      latestReading: () => this.#latestReading,
+      servedVersion: () => this.#servedVersion(),
+      isOwner: () => this.mesh.followPlace() === 0,
+      logger,
+    });
   }
 
   /** Name of this host. */
@@ -163,7 +177,12 @@
   /** Whether callers may be sent here. */
   get ready(): boolean {
     if (this.#stopping || !this.runners.value) return false;
-    return this.configuration.age <= this.#longestProofAge;
+    return this.#proofAge <= this.#longestProofAge;
+  }
+
+  /** Milliseconds for which a newer configuration may have gone unseen. */
+  get #proofAge(): number {
+    return this.#confirmation.trusted ? this.configuration.age : Infinity;
   }
 
   /** Whether this process is about to stop. */
@@ -178,7 +197,7 @@
     lifeCycle.run("configuration", (signal) =>
       this.#follow(
         "configuration",
-        configurationSource,
+        this.#noted(configurationSource),
         this.configuration,
         signal,
       ),
@@ -191,6 +210,8 @@
       if (kept) this.quarantine.restore(kept);
     });
     lifeCycle.run("board", (signal) => this.#keepBoard(signal));
+    lifeCycle.run("confirm", (signal) => this.#confirmation.run(signal));
+    lifeCycle.run("restore", (signal) => this.#restoreRows(signal));
   }
 
   /** Entries that a caller may use now; all known ones if none says it is ready. */
@@ -266,6 +287,47 @@
     });
   }
 
+  /** A source of which each reading is noted with the table's epoch. */
+  #noted(
+    source: traffic.DocumentSource<traffic.TrafficConfiguration>,
+  ): traffic.DocumentSource<traffic.TrafficConfiguration> {
+    const { epoch } = this.parameters.table;
+    return {
+      next: async (waitMilliseconds) => {
+        const read = await source.next(waitMilliseconds);
+        const version = read.isOk() ? read.value.value?.version : undefined;
+        if (version !== undefined) {
+          this.#latestReading = { epoch: epoch.number, version };
+        }
+        return read;
+      },
+    };
+  }
+
+  /** Lowest version of the configuration at an entry that takes requests. */
+  #servedVersion(): number | undefined {
+    const versions = this.mesh
+      .others()
+      .flatMap(({ beat }) => (beat?.ready ? [beat.configuration.version] : []));
+    return versions.length > 0 ? Math.min(...versions) : undefined;
+  }
+
+  /** Writes held requests again whenever the table came back from a copy. */
+  async #restoreRows(signal: AbortSignal): Promise<void> {
+    const { table, logger } = this.parameters;
+    let known = table.epoch.number;
+    while (!signal.aborted) {
+      await table.epoch.began.next(BOARD_LOOK_MILLISECONDS, signal);
+      const { number: epoch, sawBegin } = table.epoch;
+      if (epoch === known) continue;
+      known = epoch;
+      if (!sawBegin) continue;
+      const quarantine = this.quarantine.restoreRows();
+      const code = common.EventCode.TableRowsRestored;
+      logger.event(code, { epoch, rows: { entry: 1, quarantine } });
+    }
+  }
+
   #restBelowAge(): number {
     const later = this.mesh.followPlace() - FOLLOWERS;
     if (later < 0) return 0;
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import type * as backingServices from "@geraniumkeel/backing_services";
 import * as common from "@geraniumkeel/common";
 import type * as traffic from "@geraniumkeel/traffic";
 import * as wire from "@geraniumkeel/wire";
@@ -25,6 +26,8 @@
 const SECOND_DIALLER_DELAY_MILLISECONDS = 400;
 /** Time without any word after which an entry is taken for gone for good. */
 const FORGET_MILLISECONDS = 60_000;
+/** How often it is looked whether the table came back, if nothing is announced. */
+const EPOCH_LOOK_MILLISECONDS = 5_000;
 /** Pause before the store is asked again for the other entries. */
 const REGISTER_PAUSE_MILLISECONDS = 500;
 /**
@@ -66,7 +69,7 @@
   member: wire.MeshMember;
   heardAt: number;
   /** Revision of its row; `undefined` if it was not read from the store. */
-  revision: number | undefined;
+  revision: backingServices.Revision | undefined;
   dialling: AbortController;
 }
 
@@ -84,7 +87,7 @@
   readonly #changed = new common.ChangeNotice();
   #leaving = false;
   /** Revision of the own row, once it is certain. */
-  #ownRevision: number | undefined;
+  #ownRevision: backingServices.Revision | undefined;
 
   constructor(readonly parameters: EntryMeshParameters) {
     const stamps = this.#stamps;
@@ -198,19 +201,33 @@
     return peer.open && peer.silence < UNHEARD_MILLISECONDS;
   }
 
-  /** Writes the own row, and learns of the others, once. */
+  /**
+   * Writes the own row, and learns of the others: at the start, and again whenever the
+   * table came back from a copy, which may lack the row.
+   */
   async #register(signal: AbortSignal): Promise<void> {
     const { rows, self } = this.parameters;
     while (!signal.aborted && !this.#leaving) {
       this.#ownRevision ??= await rows.register(self);
       const read = this.#ownRevision ? await rows.read() : undefined;
-      if (read?.isOk()) {
-        for (const { member, revision } of read.value) {
-          this.#learn(member, revision);
-        }
-        return;
+      if (read?.isErr() ?? true) {
+        await common.sleep(REGISTER_PAUSE_MILLISECONDS, signal);
+        continue;
+      }
+      for (const { member, revision } of read?.unwrapOr([]) ?? []) {
+        this.#learn(member, revision);
       }
-      await common.sleep(REGISTER_PAUSE_MILLISECONDS, signal);
+      await this.#nextEpoch(signal);
+      this.#ownRevision = undefined;
+    }
+  }
+
+  /** Resolves when the own row is of an epoch of the table that is over. */
+  async #nextEpoch(signal: AbortSignal): Promise<void> {
+    const { epoch } = this.parameters.rows;
+    const isOver = () => this.#ownRevision?.epoch !== epoch.number;
+    while (!signal.aborted && !isOver()) {
+      await epoch.began.next(EPOCH_LOOK_MILLISECONDS, signal);
     }
   }
 
@@ -236,7 +253,10 @@
     }
   }
 
-  #learn(member: wire.MeshMember, revision: number | undefined): void {
+  #learn(
+    member: wire.MeshMember,
+    revision: backingServices.Revision | undefined,
+  ): void {
     const { self, lifeCycle, logger } = this.parameters;
     if (member.host === self.host) return;
     const known = this.#known.get(member.host);
@@ -346,6 +366,7 @@
     switch (message.kind) {
       case wire.MessageKind.MeshBeat: {
         peer.receive(message);
+        this.#hearEpoch(message.tableEpoch);
         onOutstanding(peer.member.host, new Map(message.outstanding));
         this.#documents.takeProofs(message);
         this.#documents.pushNewer(peer);
@@ -364,6 +385,12 @@
     }
   }
 
+  /** Few entries ask the table; the others learn from them that it came back. */
+  #hearEpoch(told: number): void {
+    const { epoch } = this.parameters.rows;
+    if (told > epoch.number) epoch.note(String(told), common.now());
+  }
+
   /** Passes a newer document on as soon as it is here. */
   async #pushChanges(
     changes: common.ChangeNotice,
@@ -391,6 +418,7 @@
       ready: ready() && !this.#leaving,
       leaving: this.#leaving,
       storeReachable: this.parameters.storeReachable(),
+      tableEpoch: this.parameters.rows.epoch.number,
       ...this.#documents.proofs(),
       outstanding: this.parameters.outstanding(),
     });
--- a/packages/daemon/src/quarantine/quarantine.ts
+++ b/packages/daemon/src/quarantine/quarantine.ts
@@ -12,6 +12,8 @@
 const MOST_RUNS_LOGGED = 16;
 /** When a request is to come back while another one like it is on trial. */
 const TRIAL_MILLISECONDS = 1_000;
+/** How long a request that was held is remembered after that, in milliseconds. */
+const RELEASED_MILLISECONDS = 60_000;
 /** Suspicions that an entry tells one that was just linked, at most. */
 const MOST_TOLD_AT_ONCE = 2_000;
 
@@ -46,6 +48,8 @@
   readonly #ledger = new suspectLedger.SuspectLedger();
   readonly #watched = new watchedRequests.WatchedRequests();
   readonly #limit = new suspicionLimit.SuspicionLimit();
+  /** Requests that are held no more, and since when. */
+  readonly #released = new Map<string, number>();
 
   constructor(readonly parameters: QuarantineParameters) {}
 
@@ -115,6 +119,24 @@
     this.#merge(reports, kept);
   }
 
+  /**
+   * Writes rows again that the table service has lost, and removes those that it has
+   * again: it came back from a copy. The number of rows that it was for this entry to
+   * write.
+   */
+  restoreRows(): number {
+    const now = common.now();
+    for (const [fingerprint, at] of this.#released) {
+      if (now - at > RELEASED_MILLISECONDS) this.#released.delete(fingerprint);
+    }
+    const isMine = (fingerprint: string) => this.#isChosen(fingerprint);
+    const held = [...this.#ledger.held].filter(isMine);
+    const released = [...this.#released.keys()].filter(isMine);
+    for (const fingerprint of held) this.#keepRow(fingerprint);
+    for (const fingerprint of released) this.parameters.rows.drop(fingerprint);
+    return held.length + released.length;
+  }
+
   /** A runner ended while requests of this entry were under way there. */
   runnerEnded(end: brokenRun.RunnerEnd): void {
     this.#logEnd(end);
@@ -257,6 +279,7 @@
   }
 
   #onHeld(fingerprint: string): void {
+    this.#released.delete(fingerprint);
     const { logger, metrics } = this.parameters;
     const service = this.#ledger.serviceOf(fingerprint);
     const ends = this.#ledger
@@ -281,6 +304,7 @@
   }
 
   #onReleased(fingerprint: string): void {
+    this.#released.set(fingerprint, common.now());
     this.#watched.forgetTrial(fingerprint);
     if (this.#isChosen(fingerprint)) this.parameters.rows.drop(fingerprint);
     const code = common.EventCode.QuarantineEnded;
--- a/packages/stand_ins/src/measure/capacity_gateway.ts
+++ b/packages/stand_ins/src/measure/capacity_gateway.ts
@@ -97,6 +97,7 @@
     ready: true,
     leaving: false,
     storeReachable: true,
+    tableEpoch: 1,
     configuration: { version: 40_000, age: 812.5 },
     runners: { version: 40_000, age: 812.5 },
     outstanding,
--- a/packages/wire/src/compact_mesh_beat.ts
+++ b/packages/wire/src/compact_mesh_beat.ts
@@ -10,7 +10,7 @@
 }
 
 /** Numbers of a beat before its counts by runner. */
-const HEAD_LENGTH = 9;
+const HEAD_LENGTH = 10;
 
 /**
  * A beat between entries as a plain list, which goes over each link several times a
@@ -25,6 +25,7 @@
     beat.echoedStamp,
     Math.floor(beat.echoedAge),
     flagsOf(beat),
+    beat.tableEpoch,
     configuration.version,
     Math.ceil(configuration.age),
     runners.version,
@@ -39,7 +40,7 @@
   const outstanding = countsOf(list.slice(HEAD_LENGTH));
   if (!isNumbers.isNumbers(head) || head.length < HEAD_LENGTH) return undefined;
   if (!outstanding) return undefined;
-  const [, stamp, echoedStamp, echoedAge, flags, ...proofs] = head;
+  const [, stamp, echoedStamp, echoedAge, flags, tableEpoch, ...proofs] = head;
   return {
     kind: messageKind.MessageKind.MeshBeat,
     stamp,
@@ -48,6 +49,7 @@
     ready: (flags & Flag.Ready) !== 0,
     leaving: (flags & Flag.Leaving) !== 0,
     storeReachable: (flags & Flag.StoreReachable) !== 0,
+    tableEpoch,
     configuration: { version: proofs[0], age: proofs[1] },
     runners: { version: proofs[2], age: proofs[3] },
     outstanding,
--- a/packages/wire/src/compact_test.ts
+++ b/packages/wire/src/compact_test.ts
@@ -16,6 +16,7 @@
     ready: true,
     leaving: false,
     storeReachable: true,
+    tableEpoch: 3,
     configuration: { version: 40_012, age: 310 },
     runners: { version: 51, age: -1 },
     outstanding: [
--- a/packages/wire/src/mesh.ts
+++ b/packages/wire/src/mesh.ts
@@ -43,6 +43,8 @@
   leaving: boolean;
   /** Whether the store answered its latest call. */
   storeReachable: boolean;
+  /** Epoch of the table service, as the sender knows it. */
+  tableEpoch: number;
   configuration: MeshProof;
   runners: MeshProof;
   /** Requests under way from the sender, by runner. */
