feat: claims and configuration outlast a table service that comes back from a copy

On the product's own data path:

- A claim that named the run of a request that may not be repeated was lost with the table's last seconds, and the caller that asked again had it run twice.
Dispatches carry their claim; before an entry runs the first keyed request in an epoch it asks the processes beside the runners for the claims of the last two minutes, and yields to one that is older than its own.
What was found is written again.
While one of them has not answered, for ten seconds at most, keyed requests are refused as not run.
- A preset or configuration that was accepted was gone, and the next change took one of the lost numbers, which no entry would ever put in force.
Heads tell the epoch in which they were written; one of an earlier epoch is replaced by what is in force, under a number above all that were lost.
A process that starts meanwhile hears the others first.

Weighed for the configuration: to order by epoch and revision. Every message, heartbeat and operator's base revision would carry both; skipping 10,000 numbers in a new epoch keeps one number.

The explorer brings such returns about as one of its faults, alone and in pairs.

Failing before: all five tests of table_return_cluster_test.

--- a/packages/daemon/src/configuration/configuration_store.ts
+++ b/packages/daemon/src/configuration/configuration_store.ts
@@ -5,6 +5,12 @@
 import type * as wire from "@geraniumkeel/wire";
 
 const HEAD_KEY = "configuration/head";
+/**
+ * Revisions that are skipped in a new epoch of the table. Changes were accepted in the
+ * seconds that it has lost, and are in force: a change under one of their numbers would
+ * never come into force where they are. Fewer than this fit into those seconds.
+ */
+const LOST_REVISIONS = 10_000;
 /** Replaced sections kept, for readers that still hold an older head. */
 const KEPT_REPLACED_SECTIONS = 64;
 
@@ -17,12 +23,17 @@
 /** Head row as stored. */
 interface StoredHead extends configuration.Head {
   replaced: ReplacedSection[];
+  /**
+   * Epoch of the table in which it was written. One of an earlier epoch comes from a
+   * copy: newer ones may have been lost.
+   */
+  epoch: number;
 }
 
 /** The head and the table revision on which a change must be based. */
 export interface ReadHead {
   head: StoredHead;
-  rowRevision: number;
+  rowRevision: backingServices.Revision;
 }
 
 /** What became of a change. */
@@ -46,6 +57,11 @@
     },
   ) {}
 
+  /** Number of the table's epoch. */
+  get epoch(): number {
+    return this.parameters.table.epoch.number;
+  }
+
   /** Reads the head; `undefined` before the first change. */
   async readHead(): Promise<
     neverthrow.Result<ReadHead | undefined, backingServices.TableUnavailable>
@@ -86,16 +102,19 @@
     base: ReadHead | undefined;
     baseTexts: configuration.Sections;
     document: configuration.Document;
+    /** Revision in force here, which the new one must outdo. */
+    inForce: number;
     signal?: AbortSignal;
   }): Promise<CommitOutcome> {
-    const { base, baseTexts, document } = parameters;
-    const revision = (base?.head.revision ?? 0) + 1;
+    const { base, baseTexts, document, inForce } = parameters;
+    const { epoch } = this;
+    const revision = nextRevision(base, inForce, epoch);
     const texts = configuration.splitDocument(document);
     const changed = Object.keys(texts).filter(
       (name) => texts[name] !== baseTexts[name],
     );
     const nonce = common.randomIdentifier();
-    const head = nextHead({ base, revision, changed, nonce, document });
+    const head = nextHead({ base, revision, changed, nonce, document, epoch });
     const { transaction, stored } = buildTransaction({
       base,
       head,
@@ -111,6 +130,11 @@
     });
     switch (outcome.kind) {
       case backingServices.DefiniteKind.Committed: {
+        if (outcome.revision.epoch !== epoch) {
+          // Written in an epoch that began meanwhile, under a number of the last one.
+          const reason = "the table came back from a copy";
+          return { kind: "given-up", reason };
+        }
         const sections = changed.map((name) => ({
           name,
           revision,
@@ -124,6 +148,7 @@
       }
       case backingServices.DefiniteKind.NotWritten:
         return { kind: "not-written", reason: outcome.reason };
+      case backingServices.DefiniteKind.PastEpoch:
       case backingServices.DefiniteKind.GivenUp:
         return { kind: "given-up", reason: outcome.reason };
     }
@@ -142,7 +167,21 @@
 
 function parseHead(row: backingServices.Row): ReadHead {
   const head = JSON.parse(row.value) as StoredHead;
-  return { head, rowRevision: row.revision };
+  return {
+    head: { ...head, epoch: head.epoch ?? 0 },
+    rowRevision: row.revision,
+  };
+}
+
+/** A revision above all that were in force anywhere. */
+function nextRevision(
+  base: ReadHead | undefined,
+  inForce: number,
+  epoch: number,
+): number {
+  const last = Math.max(base?.head.revision ?? 0, inForce);
+  const mayBeLost = base ? base.head.epoch !== epoch : last > 0;
+  return last + 1 + (mayBeLost ? LOST_REVISIONS : 0);
 }
 
 function nextHead(parameters: {
@@ -151,8 +190,9 @@
   changed: string[];
   nonce: string;
   document: configuration.Document;
+  epoch: number;
 }): StoredHead {
-  const { base, revision, changed, nonce, document } = parameters;
+  const { base, revision, changed, nonce, document, epoch } = parameters;
   const sections = { ...base?.head.sections };
   const replaced = [...(base?.head.replaced ?? [])];
   for (const name of changed) {
@@ -160,7 +200,7 @@
     sections[name] = revision;
   }
   const { presetInForce } = document;
-  return { revision, nonce, presetInForce, sections, replaced };
+  return { revision, nonce, presetInForce, sections, replaced, epoch };
 }
 
 function buildTransaction(parameters: {
--- a/packages/daemon/src/dispatch/keyed_request.ts
+++ b/packages/daemon/src/dispatch/keyed_request.ts
@@ -8,6 +8,7 @@
 import * as claimTakeover from "./claim_takeover.ts";
 import * as conductAttempt from "./conduct_attempt.ts";
 import * as keepingSink from "./keeping_sink.ts";
+import type * as lostClaims from "./lost_claims.ts";
 import * as request from "./request.ts";
 import type * as runnerDirectory from "./runner_directory.ts";
 import type * as runnerLink from "./runner_link.ts";
@@ -30,6 +31,7 @@
   host: string;
   settleAfterMilliseconds: number;
   quarantine: quarantine.Quarantine;
+  lostClaims: lostClaims.LostClaims;
 }
 
 /**
@@ -141,9 +143,27 @@
         base = resolved.base;
         continue;
       }
+      const { lostClaims: lost } = this.parameters;
+      // The claim stays: it names an attempt that was not sent.
+      if (!(await lost.gather())) {
+        return owner.notRun(request.NotRunReason.StoreUnavailable);
+      }
+      const before = lost.find(key);
+      if (before && before.attempt.identifier !== attempt.identifier) {
+        const resolved = await this.#yieldTo(before, accepted, sink, {
+          key,
+          digest,
+          held: written.held,
+        });
+        if (resolved.kind === "result") return resolved.result;
+        base = resolved.base;
+        continue;
+      }
+      lost.remember(key, written.held.claim);
       base = written.held;
       const keeping = new keepingSink.KeepingSink(sink);
-      const sent = { ...accepted, identifier, limit };
+      const claim = { key, digest };
+      const sent = { ...accepted, identifier, limit, claim };
       const outgoing = runner.dispatch(attempt, sent);
       const { history, host, quarantine } = this.parameters;
       history.record({ kind: "dispatched", host, identifier });
@@ -171,6 +191,24 @@
     }
   }
 
+  /** Puts a claim that the table had lost in place of a later one of this entry. */
+  async #yieldTo(
+    before: Omit<claimStore.Claim, "nonce">,
+    accepted: request.AcceptedRequest,
+    sink: answerSink.AnswerSink,
+    own: { key: string; digest: string; held: claimStore.HeldClaim },
+  ): Promise<claimTakeover.Resolution> {
+    const { key, digest, held: base } = own;
+    const { claims } = this.parameters;
+    const written = await claims.write({ key, claim: before, base });
+    if (written.kind === "store-unavailable") {
+      const result = claimOutcomes.mayHaveRun("its claim was lost");
+      return { kind: "result", result };
+    }
+    const { held } = written;
+    return this.#takeover.resolve(accepted, sink, key, digest, held);
+  }
+
   #newClaim(
     digest: string,
     runner: runnerLink.RunnerLink,
--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -38,6 +38,8 @@
   promptTokens: number;
   /** Attempts that the runner may have at once. */
   limit: number;
+  /** The claim that names it, for requests under an idempotency key. */
+  claim?: wire.AttemptClaim;
   /** Rest of the request body, if the work says that it follows. */
   body?: bodySender.BodySender;
 }
@@ -179,6 +181,7 @@
       window: dispatch.window,
       // What was sent of a body is gone, so it could not be sent again.
       limit: dispatch.body ? 0 : dispatch.limit,
+      claim: dispatch.claim,
       work: dispatch.work,
     });
     const send = (message: wire.Message) => this.#link?.send(message);
@@ -229,6 +232,19 @@
     return answer?.kind === wire.MessageKind.Settled ? answer.state : undefined;
   }
 
+  /** Claims of attempts that started there lately; `undefined` without an answer. */
+  async readClaims(
+    timeoutMilliseconds: number,
+  ): Promise<wire.ClaimsAnswer["claims"] | undefined> {
+    const answer = await this.#ask(timeoutMilliseconds, (question) => ({
+      kind: wire.MessageKind.ClaimsRequest,
+      question,
+    }));
+    return answer?.kind === wire.MessageKind.ClaimsAnswer
+      ? answer.claims
+      : undefined;
+  }
+
   /** Gives a group order; `undefined` when the answer is unknown. */
   async order(
     order: wire.Order,
@@ -360,6 +376,7 @@
       case wire.MessageKind.Settled:
         return this.#settled(message);
       case wire.MessageKind.OrderAnswer:
+      case wire.MessageKind.ClaimsAnswer:
       case wire.MessageKind.StateAnswer:
         return this.#questions.answer(message.question, message);
       case wire.MessageKind.Load:
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -5,11 +5,13 @@
 import * as serviceQueue from "../admission/service_queue.ts";
 import * as surgeReserve from "../admission/surge_reserve.ts";
 import * as configurationKeeper from "../configuration/configuration_keeper.ts";
+import * as copiedHead from "../configuration/copied_head.ts";
 import * as configurationStore from "../configuration/configuration_store.ts";
 import type * as runnerObtainer from "../dispatch/runner_obtainer.ts";
 import * as claimStore from "../dispatch/claim_store.ts";
 import * as dispatcherModule from "../dispatch/dispatcher.ts";
 import * as keyedRequest from "../dispatch/keyed_request.ts";
+import * as lostClaims from "../dispatch/lost_claims.ts";
 import * as retryBudget from "../dispatch/retry_budget.ts";
 import * as runnerDirectory from "../dispatch/runner_directory.ts";
 import * as coordinatorsModule from "../expert_map/coordinators.ts";
@@ -148,7 +150,16 @@
     random,
     patienceMilliseconds: timing.storePatience,
   });
+  const owns = (duty: string) => ownsDuty(duty, host, members);
+  const lost = new lostClaims.LostClaims({
+    claims,
+    epoch: parameters.table.epoch,
+    runners: () => runners.all,
+    isOwner: owns,
+    host,
+  });
   const keyed = new keyedRequest.KeyedRequests({
+    lostClaims: lost,
     claims,
     runners,
     lifeCycle,
@@ -202,7 +213,13 @@
       random,
       patienceMilliseconds: timing.storePatience,
     }),
+    copiedHead: new copiedHead.CopiedHead({
+      epoch: parameters.table.epoch,
+      keeper,
+      isOwner: () => owns("configuration"),
+    }),
     claims,
+    lostClaims: lost,
     table: parameters.table,
     hosts,
     members,
@@ -255,3 +272,14 @@
   map.set(key, created);
   return created;
 }
+
+/** Whether a duty that one entry has for all is this one's. */
+function ownsDuty(
+  duty: string,
+  host: string,
+  members: memberTable.MemberTable,
+): boolean {
+  const others = members.present.map((member) => member.host);
+  const entries = [...new Set([host, ...others])];
+  return common.rendezvous(duty, entries) === host;
+}
--- a/packages/daemon/src/entry/entry_context.ts
+++ b/packages/daemon/src/entry/entry_context.ts
@@ -1,8 +1,10 @@
+import type * as lostClaims from "../dispatch/lost_claims.ts";
 import type * as common from "@geraniumkeel/common";
 import type * as backingServices from "@geraniumkeel/backing_services";
 import type * as accountLimits from "../admission/account_limits.ts";
 import type * as serviceQueue from "../admission/service_queue.ts";
 import type * as configurationKeeper from "../configuration/configuration_keeper.ts";
+import type * as copiedHead from "../configuration/copied_head.ts";
 import type * as configurationStore from "../configuration/configuration_store.ts";
 import type * as runnerObtainer from "../dispatch/runner_obtainer.ts";
 import type * as claimStore from "../dispatch/claim_store.ts";
@@ -30,7 +32,9 @@
   random: common.Random;
   keeper: configurationKeeper.ConfigurationKeeper;
   store: configurationStore.ConfigurationStore;
+  copiedHead: copiedHead.CopiedHead;
   claims: claimStore.ClaimStore;
+  lostClaims: lostClaims.LostClaims;
   table: backingServices.TableService;
   hosts: hostView.HostView;
   members: memberTable.MemberTable;
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -17,6 +17,7 @@
 import * as drainEntry from "./drain_entry.ts";
 import type * as entryContext from "./entry_context.ts";
 import * as reportGauges from "./report_gauges.ts";
+import * as restoreRows from "./restore_rows.ts";
 
 const PUMP_MILLISECONDS = 50;
 /** Time after which empty queues are looked at all the same. */
@@ -47,7 +48,7 @@
   const context = createContext.createContext({
     ...parameters,
     lifeCycle,
-    table: new backingServices.HttpTableService(client),
+    table: new backingServices.HttpTableService(client, logger),
     hostList: new backingServices.HttpHostList(client),
     objects: new backingServices.HttpObjectStore(client),
     callerUrl: settings.advertise.callerUrl ?? listeners.callers.url,
@@ -149,6 +150,7 @@
     configurationSync.syncWithStore({
       keeper,
       store,
+      copiedHead: context.copiedHead,
       logger,
       random,
       periodMilliseconds: settings.timing.configurationPoll,
@@ -160,6 +162,9 @@
   lifeCycle.run("in-force", (signal) => followConfiguration(context, signal));
   peers.start();
   lifeCycle.run("quarantine", (signal) => restoreQuarantine(context, signal));
+  lifeCycle.run("restore", (signal) =>
+    restoreRows.restoreRows(context, signal),
+  );
   lifeCycle.run("queues", (signal) => pumpQueues(context, signal));
   lifeCycle.every(GAUGE_MILLISECONDS, () => reportGauges.reportGauges(context));
   lifeCycle.every(SWEEP_MILLISECONDS, () => context.limits.sweep());
--- a/packages/daemon/src/operator/change_configuration.ts
+++ b/packages/daemon/src/operator/change_configuration.ts
@@ -56,6 +56,7 @@
     base: base.value,
     baseTexts: texts.value,
     document: checked.value,
+    inForce: context.keeper.revision,
   });
   switch (outcome.kind) {
     case "committed": {
--- a/packages/daemon/src/upstream/attempt_record.ts
+++ b/packages/daemon/src/upstream/attempt_record.ts
@@ -21,6 +21,8 @@
   endedAt: number | undefined;
   /** When its last subscriber was lost. */
   orphanedAt: number | undefined;
+  /** The claim that names it, if the table service has one. */
+  claim: wire.AttemptClaim | undefined;
   readonly #subscriptions: answerSubscription.AnswerSubscription[] = [];
   /** Rest of the request body, if it follows in pieces. */
   readonly body: bodyReceiver.BodyReceiver;
--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -10,6 +10,12 @@
 /** Dispatches that may wait for room at once. */
 const MOST_WAITING = 64;
 
+/**
+ * Age up to which claims of attempts are told, in milliseconds: beyond that of any copy
+ * of the table that it may come back from.
+ */
+const CLAIMS_TOLD_MILLISECONDS = 120_000;
+
 /** What this process says first on every link. */
 export function helloOf(context: upstreamContext.UpstreamContext): wire.Hello {
   const { settings: own, incarnation } = context;
@@ -113,6 +119,8 @@
       const kind = wire.MessageKind.StateAnswer;
       return link.send({ kind, question, text });
     }
+    case wire.MessageKind.ClaimsRequest:
+      return tellClaims(context, link, message.question);
     case wire.MessageKind.Order:
       context.lifeCycle.run("order", () => order(context, link, message));
       return;
@@ -219,6 +227,7 @@
       ? wire.estimateTokens(message.work.prompt)
       : 0,
   );
+  record.claim = message.claim;
   context.table.add(record);
   context.history.record({
     kind: "agent-started",
@@ -298,6 +307,23 @@
   link.send({ kind, identifier, question, state });
 }
 
+/**
+ * Tells the claims of attempts that started lately. The table service may have lost them
+ * with its last seconds, and the entries that made them may be gone.
+ */
+function tellClaims(
+  context: upstreamContext.UpstreamContext,
+  link: wire.Link,
+  question: number,
+): void {
+  const since = common.now() - CLAIMS_TOLD_MILLISECONDS;
+  const claims: wire.ClaimsAnswer["claims"] = [];
+  for (const { claim, attempt, startedAt } of context.table.records.values()) {
+    if (claim && startedAt >= since) claims.push({ claim, attempt });
+  }
+  link.send({ kind: wire.MessageKind.ClaimsAnswer, question, claims });
+}
+
 /** Cancels a running attempt, and refuses one that has not arrived yet. */
 function cancel(
   context: upstreamContext.UpstreamContext,
--- a/packages/stand_ins/src/explore/fault.ts
+++ b/packages/stand_ins/src/explore/fault.ts
@@ -33,6 +33,7 @@
   ReplaceUpstream = "replace-upstream",
   LostOrders = "lost-orders",
   EndingRequest = "ending-request",
+  StoreReturns = "store-returns",
 }
 
 /** Faults that are no faults but planned stops: they cut off nothing. */
--- a/packages/stand_ins/src/explore/fault_tests.ts
+++ b/packages/stand_ins/src/explore/fault_tests.ts
@@ -29,6 +29,11 @@
   [FaultKind.EndingRequest, FaultKind.KillEntry],
   [FaultKind.EndingRequest, FaultKind.SilentPeerLinks],
   [FaultKind.EndingRequest, FaultKind.BreakStreams],
+  [FaultKind.StoreReturns, FaultKind.SwitchPreset],
+  [FaultKind.StoreReturns, FaultKind.KillEntry],
+  [FaultKind.StoreReturns, FaultKind.KillCoordinator],
+  [FaultKind.StoreReturns, FaultKind.BreakPlainAnswers],
+  [FaultKind.StoreReturns, FaultKind.StoreReturns],
 ];
 
 /** Cases of a part of the fault tests; parts run in processes of their own. */
--- a/packages/stand_ins/src/explore/inject.ts
+++ b/packages/stand_ins/src/explore/inject.ts
@@ -148,9 +148,28 @@
       return;
     case FaultKind.EndingRequest:
       return sendEnding(target);
+    case FaultKind.StoreReturns:
+      return storeReturns(target, pause);
   }
 }
 
+/** Time for which the table service is away before it comes back. */
+const RETURN_AWAY_MILLISECONDS = 100;
+
+/** The table service comes back from a copy, and has lost what was written since. */
+async function storeReturns(
+  { system }: Target,
+  pause: () => Promise<void>,
+): Promise<void> {
+  const { platform } = system;
+  const copy = platform.table.copy();
+  await pause();
+  platform.faults.down = true;
+  await common.sleep(RETURN_AWAY_MILLISECONDS);
+  platform.table.comeBackFrom(copy);
+  platform.faults.down = false;
+}
+
 /** Time for which an ending request comes again: until it must be held, and on. */
 const ENDING_MILLISECONDS = 8_000;
 const ENDING_PAUSE_MILLISECONDS = 120;
--- a/packages/wire/src/attempt.ts
+++ b/packages/wire/src/attempt.ts
@@ -9,6 +9,13 @@
   issuedAt: number;
 }
 
+/** Key under which an attempt is the only one, and what the caller asked for. */
+export interface AttemptClaim {
+  key: string;
+  /** Digest of the request. */
+  digest: string;
+}
+
 /** What an upstream process knows of an attempt it is asked about. */
 export enum AttemptState {
   /** It never started, and now never will. */
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -75,6 +75,19 @@
   sections: Record<string, number>;
 }
 
+/** Asks an upstream process for the claims of attempts that it was sent lately. */
+export interface ClaimsRequest {
+  kind: messageKind.MessageKind.ClaimsRequest;
+  question: number;
+}
+
+/** Claims of attempts that started lately. */
+export interface ClaimsAnswer {
+  kind: messageKind.MessageKind.ClaimsAnswer;
+  question: number;
+  claims: { claim: attempt.AttemptClaim; attempt: attempt.Attempt }[];
+}
+
 /** Any message on a link. */
 export type Message =
   | Hello
@@ -92,6 +105,8 @@
   | rankGroup.GroupKnowledge
   | rankGroup.HoldNotice
   | suspicion.Suspicions
+  | ClaimsRequest
+  | ClaimsAnswer
   | {
       kind: messageKind.MessageKind.Heartbeat;
       clock: number;
@@ -107,6 +122,8 @@
       window: number;
       /** Attempts that the runner may have at once; 0 for any number. */
       limit: number;
+      /** The claim that names it; for requests under an idempotency key. */
+      claim?: attempt.AttemptClaim;
       work: attempt.Work;
     }
   | {
--- a/packages/wire/src/message_kind.ts
+++ b/packages/wire/src/message_kind.ts
@@ -10,6 +10,8 @@
   Release = 15,
   BodyPiece = 16,
   BodyWanted = 17,
+  ClaimsRequest = 18,
+  ClaimsAnswer = 19,
   Refused = 20,
   Head = 21,
   Pieces = 22,
