perf: the process beside a rank reads its engine when something is new there

- four readings in five came in the four seconds after each switch, one each 15 ms: an engine that has switched tells the map as prepared no more, so it was waited for still;
- while a map was loaded all ranks read so from the first moment, though it is known how many experts each loads and how long one takes;
- 12 times a second while nothing runs, as long as the group has its first map;
- 25 times a second before the engine has started.

\`reading_plan.ts\` decides when what is read, without network. A follower reads twice a second, and while it loads a map from the moment on at which that should be there (the order tells the time of a copy). The leader sees at its own rank that all have switched: they were armed for one pass. It alone reads closely meanwhile.

Log lines are gathered for 0.2 s in place of 0.05 s, as each write wakes two threads.

Two ways for the state of followers after a switch: each rank reads and tells it (as it was), or the leader takes it from its own rank (kept). The first costs 71 readings a switch and more, and holds up the next plan until the last one has told.

--- /dev/null
+++ b/packages/backing_services/src/answer_collector.ts
@@ -0,0 +1,119 @@
+import type * as http from "node:http";
+import * as common from "@geraniumkeel/common";
+import type * as undici from "undici";
+
+/** How many times the longest silence an answer may take as a whole. */
+const LONGEST_ANSWER = 8;
+
+/** An answer as it was collected. */
+export interface CollectedAnswer {
+  status: number;
+  headers: http.IncomingHttpHeaders;
+  body: string;
+}
+
+/** A request that was given up, or whose connection failed. */
+export interface FailedRequest {
+  cause: Error;
+  /** Whether any of it may have been sent. */
+  begun: boolean;
+}
+
+/**
+ * Collects the answer to one request. Gives up on a far end that says nothing, and not on
+ * one whose answer takes long: on a slow link a large answer takes longer than any useful
+ * timeout, and given up halfway and asked for again it never arrives. Timers of the
+ * client library are right to half a second, too late for what an engine is asked.
+ */
+export class AnswerCollector implements undici.Dispatcher.DispatchHandler {
+  readonly #pieces: Buffer[] = [];
+  readonly #startedAt = common.now();
+  readonly #silence: NodeJS.Timeout;
+  #controller: undici.Dispatcher.DispatchController | undefined;
+  #status = 0;
+  #headers: http.IncomingHttpHeaders = {};
+  #over = false;
+
+  constructor(
+    readonly parameters: {
+      /** Longest silence of the far end, before its answer and within it. */
+      timeoutMilliseconds: number;
+      onAnswer: (answer: CollectedAnswer) => void;
+      onFailure: (failure: FailedRequest) => void;
+    },
+  ) {
+    const { timeoutMilliseconds } = parameters;
+    this.#silence = setTimeout(
+      () => this.#giveUp("no answer in time"),
+      timeoutMilliseconds,
+    );
+  }
+
+  /** The request is about to be sent; not any more if it was given up. */
+  onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    if (this.#over) return controller.abort(new Error("given up"));
+    this.#controller = controller;
+  }
+
+  /** Status and headers are there. */
+  onResponseStart(
+    _controller: undici.Dispatcher.DispatchController,
+    status: number,
+    headers: http.IncomingHttpHeaders,
+  ): void {
+    this.#status = status;
+    this.#headers = headers;
+    this.#silence.refresh();
+  }
+
+  /** A piece of the body is there. */
+  onResponseData(
+    _controller: undici.Dispatcher.DispatchController,
+    piece: Buffer,
+  ): void {
+    this.#pieces.push(piece);
+    this.#silence.refresh();
+    const longest = this.parameters.timeoutMilliseconds * LONGEST_ANSWER;
+    if (common.now() - this.#startedAt > longest) {
+      this.#giveUp("answer takes too long");
+    }
+  }
+
+  /** The answer is whole. */
+  onResponseEnd(): void {
+    if (!this.#end()) return;
+    this.parameters.onAnswer({
+      status: this.#status,
+      headers: this.#headers,
+      body: Buffer.concat(this.#pieces).toString("utf8"),
+    });
+  }
+
+  /** The connection failed, or could not be made. */
+  onResponseError(
+    _controller: undici.Dispatcher.DispatchController,
+    cause: Error,
+  ): void {
+    this.#fail(cause);
+  }
+
+  #giveUp(reason: string): void {
+    const cause = new Error(reason);
+    this.#fail(cause);
+    this.#controller?.abort(cause);
+  }
+
+  #fail(cause: Error): void {
+    if (!this.#end()) return;
+    const begun = this.#controller !== undefined;
+    this.parameters.onFailure({ cause, begun });
+  }
+
+  /** Whether this is the end; the first one counts. */
+  #end(): boolean {
+    if (this.#over) return false;
+    this.#over = true;
+    clearTimeout(this.#silence);
+    return true;
+  }
+}
--- a/packages/backing_services/src/http_client.ts
+++ b/packages/backing_services/src/http_client.ts
@@ -1,6 +1,6 @@
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
-import * as silenceTimer from "./silence_timer.ts";
+import * as answerCollector from "./answer_collector.ts";
 
 /** What is known of a request that got no answer. */
 export enum RequestFailureKind {
@@ -34,14 +34,15 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-/** Whether a failure proves that nothing was sent. */
-export function classifyFailure(cause: unknown): RequestFailure {
+/** Whether a failure proves that nothing was sent; `begun`: whether any of it may be. */
+export function classifyFailure(cause: unknown, begun = true): RequestFailure {
   const error = cause as { code?: unknown; name?: string; message?: string };
   // A timeout of an abort signal carries a number here, and its name.
   const code = typeof error.code === "string" ? error.code : "";
-  const kind = NOT_SENT_CODES.has(code)
-    ? RequestFailureKind.NotSent
-    : RequestFailureKind.Unanswered;
+  const kind =
+    !begun || NOT_SENT_CODES.has(code)
+      ? RequestFailureKind.NotSent
+      : RequestFailureKind.Unanswered;
   return { kind, reason: code || (error.message ?? "failed") };
 }
 
@@ -51,7 +52,7 @@
  * request opens a connection of its own.
  */
 export class HttpClient {
-  #agent: undici.Agent;
+  #pool: undici.Pool;
   #closed = false;
 
   constructor(
@@ -62,7 +63,7 @@
       key?: string;
     },
   ) {
-    this.#agent = this.#newAgent();
+    this.#pool = this.#newPool();
   }
 
   /** Sends a request with a JSON body and reads the whole answer. */
@@ -76,7 +77,7 @@
       const kind = RequestFailureKind.NotSent;
       return neverthrow.err({ kind, reason: "client closed" });
     }
-    const agent = this.#agent;
+    const pool = this.#pool;
     const timeout =
       options.timeoutMilliseconds ?? this.parameters.timeoutMilliseconds;
     const headers: Record<string, string> = {};
@@ -85,53 +86,73 @@
     if (this.parameters.key) {
       headers["authorization"] = `Bearer ${this.parameters.key}`;
     }
-    const silence = new silenceTimer.SilenceTimer(timeout);
-    try {
-      const answer = await undici.request(`${this.origin}${path}`, {
-        method,
-        dispatcher: agent,
-        headers,
-        body: body === undefined ? undefined : JSON.stringify(body),
-        signal: silence.signal,
-      });
-      const text = await silence.read(answer.body);
-      const entityTag = String(answer.headers.etag ?? "");
-      return neverthrow.ok({
-        status: answer.statusCode,
+    const collected = await this.#collect(pool, timeout, {
+      path,
+      method,
+      headers,
+      body: body === undefined ? undefined : JSON.stringify(body),
+    });
+    return collected
+      .map(({ status, body: text, headers: told }) => ({
+        status,
         body: text,
-        entityTag,
-        header: (name) => answer.headers[name]?.toString(),
+        entityTag: told.etag ?? "",
+        header: (name: string) => told[name]?.toString(),
+      }))
+      .mapErr(({ cause, begun }) => {
+        const failure = classifyFailure(cause, begun);
+        if (failure.kind === RequestFailureKind.Unanswered) this.#replace(pool);
+        return failure;
       });
-    } catch (cause) {
-      const failure = classifyFailure(cause);
-      if (failure.kind === RequestFailureKind.Unanswered) this.#replace(agent);
-      return neverthrow.err(failure);
-    } finally {
-      silence.stop();
-    }
+  }
+
+  #collect(
+    pool: undici.Pool,
+    timeoutMilliseconds: number,
+    request: undici.Dispatcher.DispatchOptions,
+  ): Promise<
+    neverthrow.Result<
+      answerCollector.CollectedAnswer,
+      answerCollector.FailedRequest
+    >
+  > {
+    return new Promise((resolve) => {
+      const collector = new answerCollector.AnswerCollector({
+        timeoutMilliseconds,
+        onAnswer: (answer) => resolve(neverthrow.ok(answer)),
+        onFailure: (failure) => resolve(neverthrow.err(failure)),
+      });
+      try {
+        pool.dispatch(request, collector);
+      } catch (cause) {
+        // A pool that is closed throws at once.
+        const failure = { cause: cause as Error, begun: false };
+        resolve(neverthrow.err(failure));
+      }
+    });
   }
 
   /** Closes all connections. */
   async close(): Promise<void> {
     this.#closed = true;
-    await this.#agent.destroy();
+    await this.#pool.destroy();
   }
 
-  #replace(agent: undici.Agent): void {
+  #replace(pool: undici.Pool): void {
     // A request that ends by our own closing must not open a pool anew, nor
     // close one that is destroyed: that rejects, and would end the process.
-    if (this.#closed || this.#agent !== agent) return;
-    this.#agent = this.#newAgent();
+    if (this.#closed || this.#pool !== pool) return;
+    this.#pool = this.#newPool();
     // Other requests may be waiting on the old pool; it closes when they end.
-    agent.close().catch(() => undefined);
+    pool.close().catch(() => undefined);
   }
 
-  #newAgent(): undici.Agent {
-    const timeout = this.parameters.timeoutMilliseconds;
-    return new undici.Agent({
-      connect: { timeout },
-      headersTimeout: timeout,
-      bodyTimeout: timeout,
+  #newPool(): undici.Pool {
+    return new undici.Pool(this.origin, {
+      connect: { timeout: this.parameters.timeoutMilliseconds },
+      // The silence of the far end is bounded for each request.
+      headersTimeout: 0,
+      bodyTimeout: 0,
       keepAliveTimeout: 4_000,
       connections: 16,
     });
--- a/packages/common/src/log_writer.ts
+++ b/packages/common/src/log_writer.ts
@@ -3,7 +3,7 @@
 /** Bytes of lines that wait to be written before further ones are dropped. */
 const LARGEST_BACKLOG_BYTES = 256 * 1024;
 /** Time in which lines are gathered into one write, in milliseconds. */
-const GATHER_MILLISECONDS = 50;
+const GATHER_MILLISECONDS = 200;
 
 /**
  * Writes log lines to a file descriptor without ever waiting for its reader. A
--- a/packages/daemon/src/rank_group/group_leader.ts
+++ b/packages/daemon/src/rank_group/group_leader.ts
@@ -161,7 +161,7 @@
     version: number,
     map: wire.RankMap,
   ): Promise<switchGroup.GroupSwitchOutcome> {
-    const { ports, own, valid, demand, announceHold } = this.parameters;
+    const { ports, own, shape, valid, demand, announceHold } = this.parameters;
     const { shifts } = demand;
     const holder = this.#chooseHolder();
     this.#switching = true;
@@ -172,6 +172,7 @@
       version,
       map: next,
       base: { version: this.#mapVersion, map },
+      copyMilliseconds: shape.copyMilliseconds,
       leadSteps: () => this.#leadStepsNow(),
       valid,
       outdated: () => this.#hasShiftedSince(shifts),
@@ -179,6 +180,9 @@
       pause: insistOrder.shortPause,
     });
     this.#switching = false;
+    if (own.status?.mapVersion === version) {
+      for (const port of ports) port.noteSwitched(version);
+    }
     if (outcome.armMilliseconds > 0) {
       this.#lead.noteArming(outcome.armMilliseconds);
     }
--- a/packages/daemon/src/rank_group/leader_follower.ts
+++ b/packages/daemon/src/rank_group/leader_follower.ts
@@ -125,7 +125,11 @@
     if (own >= 0) onNewerLeader();
     member.heed(beat.token);
     this.heardAt = common.now();
-    if (this.#link !== link) this.#told.forget();
+    if (this.#link !== link) {
+      this.#told.forget();
+      // A new leader knows nothing of this rank, and a pass may be held.
+      member.lookClosely();
+    }
     this.#link = link;
     member.countEvery(beat.countMilliseconds);
   }
@@ -148,13 +152,18 @@
   /** An order as the engine takes it; `undefined` if its map cannot be made. */
   #wholeOrder(order: wire.SentOrder): wire.RankOrder | undefined {
     if (order.kind !== wire.RankOrderKind.PrepareChanges) return order;
-    const { version, base, exchanges } = order;
+    const { version, base, exchanges, copyMilliseconds } = order;
     const known = this.parameters.member.mapOf(base);
     const unpacked = wire.unpackDocument<wire.RankMapExchange[]>(exchanges);
     // Sent whole, the map reaches this rank all the same.
     if (!known || unpacked.isErr()) return undefined;
     const map = mapDifference.withExchanges(known, unpacked.value);
-    return { kind: wire.RankOrderKind.Prepare, version, map };
+    return {
+      kind: wire.RankOrderKind.Prepare,
+      version,
+      map,
+      copyMilliseconds,
+    };
   }
 
   async #tellLists(link: wire.Link, question: number): Promise<void> {
--- a/packages/daemon/src/rank_group/rank_member.ts
+++ b/packages/daemon/src/rank_group/rank_member.ts
@@ -3,38 +3,14 @@
 import * as countPlan from "./count_plan.ts";
 import * as executeOrder from "./execute_order.ts";
 import type * as rankEngine from "./rank_engine.ts";
+import * as readingPlan from "./reading_plan.ts";
 
-/** How often choices are read while few requests run: little is gained by haste. */
-const SELDOM_COUNT_MILLISECONDS = 300;
-/** Requests from which an engine counts as busy. */
-const SEVERAL_REQUESTS = 3;
-/**
- * How often the engine's state is read while nothing is switched. Each reading
- * costs the small host a third of a millisecond of its processor.
- */
-const CALM_MILLISECONDS = 300;
-/** How often it is read while a switch is under way: the switch waits for it. */
-const BUSY_MILLISECONDS = 40;
-/**
- * The same while a map is loaded: all ranks wait for the one that is seen last to have
- * loaded it, and the more ranks, the surer one of them was read just before.
- */
-const LOADING_READ_MILLISECONDS = 15;
-/**
- * How often state and choices are read while the group has its first map, or is
- * being formed: a backlog waits, and that map leaves the slowest rank almost three
- * times the mean until demand is known.
- */
-const YOUNG_MILLISECONDS = 80;
-
-/** How long the state is read often after an order. */
+/** How long the state is read closely once that is asked for. */
 const LOOK_CLOSELY_MILLISECONDS = 100;
-/**
- * Longest time for which the state is read often while a map is loaded. Engines do
- * not all count loading as being busy: read seldom meanwhile, a map that is loaded is
- * seen a calm period later.
- */
+/** Longest time for which a map that is loaded is waited for. */
 const LOADING_MILLISECONDS = 4_000;
+/** Longest time without a look at what there is to read. */
+const LONGEST_PAUSE_MILLISECONDS = 300;
 /** Maps of earlier orders that are kept: the one in force, and two after it. */
 const KEPT_MAPS = 3;
 
@@ -55,8 +31,8 @@
   #untold: number[] = [];
   #highestToken = 0;
   #lookCloselyUntil = 0;
-  /** Version that the engine loads, and until when that is waited for. */
-  #awaited = { version: 0, until: 0 };
+  /** Version that the engine loads, when it should be there, and how long to wait. */
+  #awaited = { version: 0, loadedAt: 0, until: 0 };
   /** How often the leader asks for choices; 0 for never. */
   #askedMilliseconds = countPlan.COUNT_MILLISECONDS;
   readonly #ordered = new common.ChangeNotice();
@@ -66,7 +42,11 @@
   #previous: Promise<unknown> = Promise.resolve();
   readonly changed = new common.ChangeNotice();
 
-  constructor(readonly engine: rankEngine.RankEngine) {}
+  constructor(
+    readonly engine: rankEngine.RankEngine,
+    /** What this process is to its group. */
+    readonly part: () => readingPlan.Part = () => readingPlan.Part.Alone,
+  ) {}
 
   /** Where the engine is in its group; `undefined` before it told. */
   get identity(): wire.RankIdentity | undefined {
@@ -105,9 +85,11 @@
   async watch(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.#read();
-      this.changed.announce();
-      const pause = Math.min(this.#readPeriod, this.#statePeriod);
-      await this.#ordered.next(pause, signal);
+      const pause = Math.max(0, this.#nextReadingAt - common.now());
+      await this.#ordered.next(
+        Math.min(pause, LONGEST_PAUSE_MILLISECONDS),
+        signal,
+      );
     }
   }
 
@@ -149,14 +131,20 @@
       epoch,
     });
     const loads = order.kind === wire.RankOrderKind.Prepare;
-    if (loads && outcome.end === wire.RankOrderEnd.Done) this.#awaitMap(order);
-    // What it began shows in the engine's state; the leader waits for that.
-    this.lookClosely();
+    const isDone = outcome.end === wire.RankOrderEnd.Done;
+    if (loads && isDone) this.#awaitMap(order);
+    // It can be armed for a map that is loaded only.
+    const arms = order.kind === wire.RankOrderKind.Arm;
+    if (arms && isDone) this.#awaited.until = 0;
     return outcome;
   }
 
-  #awaitMap({ version, map }: { version: number; map: wire.RankMap }): void {
-    this.#awaited = { version, until: common.now() + LOADING_MILLISECONDS };
+  #awaitMap(order: wire.PrepareOrder): void {
+    const { version, map, copyMilliseconds = 0 } = order;
+    const now = common.now();
+    const loadedAt = now + this.#copiesOf(map) * copyMilliseconds;
+    this.#awaited = { version, loadedAt, until: now + LOADING_MILLISECONDS };
+    this.#ordered.announce();
     this.#maps.set(version, map);
     if (this.#maps.size <= KEPT_MAPS) return;
     // However many maps are loaded and left unused, the next one is told as changes to
@@ -166,20 +154,59 @@
     if (oldest !== undefined) this.#maps.delete(oldest);
   }
 
+  /** Experts of a map that the rank has to load for it, as far as is known here. */
+  #copiesOf(map: wire.RankMap): number {
+    const { rank = 0 } = this.identity ?? {};
+    const base = this.mapOf(this.status?.mapVersion ?? 0);
+    if (!base) return 0;
+    return map.reduce((sum, ranks, layer) => {
+      const held = base[layer]?.[rank] ?? [];
+      const added = ranks[rank].filter((expert) => !held.includes(expert));
+      return sum + added.length;
+    }, 0);
+  }
+
+  /** Reads what is due, and announces it. */
   async #read(): Promise<void> {
     const now = common.now();
-    if (this.#busy || now - this.#reportedAt >= this.#statePeriod) {
+    const state = this.#readingState(now);
+    const stateIsDue = now >= readingPlan.nextStateAt(state, this.#reportedAt);
+    if (stateIsDue) {
       this.#reportedAt = now;
       const report = await this.engine.report();
       if (report.isOk()) this.#report = report.value;
     }
-    if (now - this.#countedAt < this.#countPeriod) return;
-    // With no request there nothing is chosen.
-    const { status } = this;
-    if (!status || status.active + status.waiting === 0) return;
-    this.#countedAt = now;
-    const counts = await this.engine.chosen();
-    if (counts.isOk()) this.#count(counts.value);
+    const countIsDue = now >= this.#nextCountAt(now);
+    if (countIsDue) {
+      this.#countedAt = now;
+      const counts = await this.engine.chosen();
+      if (counts.isOk()) this.#count(counts.value);
+    }
+    if (stateIsDue || countIsDue) this.changed.announce();
+  }
+
+  #readingState(now: number): readingPlan.ReadingState {
+    return {
+      part: this.part(),
+      status: this.status,
+      loadedAt: this.#awaitsMap(now) ? this.#awaited.loadedAt : undefined,
+      closelyUntil: this.#lookCloselyUntil,
+      countMilliseconds: this.#askedMilliseconds,
+      now,
+    };
+  }
+
+  get #nextReadingAt(): number {
+    const now = common.now();
+    const state = this.#readingState(now);
+    const stateAt = readingPlan.nextStateAt(state, this.#reportedAt);
+    return Math.min(stateAt, this.#nextCountAt(now));
+  }
+
+  #nextCountAt(now: number): number {
+    const allTell = this.#askedMilliseconds <= countPlan.COUNT_MILLISECONDS;
+    const state = this.#readingState(now);
+    return readingPlan.nextCountAt(state, this.#countedAt, allTell);
   }
 
   #count(counts: rankEngine.ChosenCounts): void {
@@ -203,47 +230,14 @@
 
   /** Whether the group is being formed, or still has its first map. */
   get #young(): boolean {
-    const { status } = this;
-    return status !== undefined && (!status.open || status.mapVersion === 0);
-  }
-
-  /** How often the engine's state is read while nothing is switched. */
-  get #statePeriod(): number {
-    return this.#young ? YOUNG_MILLISECONDS : CALM_MILLISECONDS;
-  }
-
-  get #countPeriod(): number {
-    const asked = this.#askedMilliseconds;
-    if (asked === 0) return Infinity;
-    const allTell = asked <= countPlan.COUNT_MILLISECONDS;
-    if (this.#young && allTell) return YOUNG_MILLISECONDS;
-    const { active = 0, waiting = 0 } = this.status ?? {};
-    const several = active + waiting >= SEVERAL_REQUESTS;
-    return several ? asked : Math.max(asked, SELDOM_COUNT_MILLISECONDS);
-  }
-
-  /** How often the engine is read. */
-  get #readPeriod(): number {
-    if (this.#awaitsMap) return LOADING_READ_MILLISECONDS;
-    return this.#busy ? BUSY_MILLISECONDS : this.#countPeriod;
+    return this.status !== undefined && readingPlan.isYoung(this.status);
   }
 
   /** Whether the engine loads a map that it was told to prepare. */
-  get #awaitsMap(): boolean {
+  #awaitsMap(now: number): boolean {
     const { version, until } = this.#awaited;
-    const { preparedVersion = 0 } = this.status ?? {};
-    return preparedVersion < version && common.now() < until;
-  }
-
-  /** Whether a switch is under way here. */
-  get #busy(): boolean {
-    const report = this.#report;
-    if (!report) return false;
-    if (common.now() < this.#lookCloselyUntil) return true;
-    const { status, loading } = report;
-    const { active, preparedVersion, mapVersion } = status;
-    if (loading || status.heldStep >= 0 || this.#awaitsMap) return true;
-    // Armed with no request: the pass that switches is not near.
-    return active > 0 && preparedVersion > mapVersion;
+    // An engine that uses a map tells it as prepared no more.
+    const { preparedVersion = 0, mapVersion = 0 } = this.status ?? {};
+    return Math.max(preparedVersion, mapVersion) < version && now < until;
   }
 }
--- a/packages/daemon/src/rank_group/rank_member_test.ts
+++ b/packages/daemon/src/rank_group/rank_member_test.ts
@@ -189,3 +189,37 @@
   const took = common.now() - startedAt;
   t.true(took < LOADING_SEEN_MILLISECONDS, `${took} ms`);
 });
+
+// The process beside each rank reads its engine 60 times a second for seconds after each
+// switch: an engine that has switched tells the map as prepared no more.
+test("a map that is in force is waited for no more", async (t) => {
+  let readings = 0;
+  const { engine } = engineOf({ mapVersion: 5, counts: [[1]] });
+  const read = async () => {
+    readings++;
+    const report = (await engine.report())._unsafeUnwrap();
+    const status = { ...report.status, preparedVersion: 0 };
+    return neverthrow.ok({ ...report, status });
+  };
+  const member = new rankMember.RankMember({
+    ...engine,
+    report: read,
+    order: async () => rankEngine.EngineAnswer.Accepted,
+  });
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  member.countEvery(0);
+  void member.watch(stop.signal);
+  const kind = wire.RankOrderKind.Prepare as const;
+  await member.execute({
+    token: 1,
+    epoch: 2,
+    order: { kind, version: 5, map: [] },
+  });
+  await member.changed.next(PATIENCE_MILLISECONDS, stop.signal);
+  const before = readings;
+  const startedAt = common.now();
+  await member.changed.next(PATIENCE_MILLISECONDS, stop.signal);
+  t.is(readings, before + 1);
+  t.true(common.now() - startedAt > 200);
+});
--- a/packages/daemon/src/rank_group/rank_port.ts
+++ b/packages/daemon/src/rank_group/rank_port.ts
@@ -23,6 +23,8 @@
 export class LinkedRank implements groupRank.GroupRank {
   #status: wire.RankStatus | undefined;
   #heardAt = -Infinity;
+  /** The last switch that the rank is known to have made, and in which forming. */
+  #switched = { version: 0, epoch: -1 };
   #link: wire.Link | undefined;
   #question = 0;
   readonly #waiting = new Map<number, (reply: wire.RankReply) => void>();
@@ -59,10 +61,28 @@
 
   /** Notes the rank's state. */
   hear(status: wire.RankStatus): void {
-    this.#status = status;
+    this.#status = this.#asOfNow(status);
     this.#heardAt = common.now();
   }
 
+  /**
+   * Notes that the rank uses a map, as another one does that was armed for the same
+   * pass. Its own process need not read that first, nor tell it.
+   */
+  noteSwitched(version: number): void {
+    const { epoch = -1 } = this.#status ?? {};
+    this.#switched = { version, epoch };
+    if (this.#status) this.#status = this.#asOfNow(this.#status);
+  }
+
+  /** A state that was read before the last switch is of the past. */
+  #asOfNow(status: wire.RankStatus): wire.RankStatus {
+    const { version, epoch } = this.#switched;
+    const isPast = status.epoch === epoch && status.mapVersion < version;
+    if (!isPast) return status;
+    return { ...status, mapVersion: version, armedVersion: 0, armedStep: 0 };
+  }
+
   /** Takes an answer, if it came on this rank's link. */
   receive(
     message: wire.RankReply | wire.RankListsAnswer,
--- a/packages/daemon/src/rank_group/rank_port_test.ts
+++ b/packages/daemon/src/rank_group/rank_port_test.ts
@@ -58,3 +58,20 @@
   t.is(port.status?.step, 40);
   t.true(port.fresh);
 });
+
+// Its leader would take the group for one with two maps, and make no next one, until the
+// process beside the rank has read its engine again.
+test("a state that was read before a switch does not take it back", (t) => {
+  const port = new rankPort.LinkedRank(1, {} as rankEngine.RankEngine, () => ({
+    token: 1,
+    epoch: 1,
+  }));
+  port.hear(rankFixture.createStatus({ mapVersion: 4, armedVersion: 5 }));
+  port.noteSwitched(5);
+  t.is(port.status?.mapVersion, 5);
+  port.hear(rankFixture.createStatus({ mapVersion: 4, armedVersion: 5 }));
+  t.is(port.status?.mapVersion, 5);
+  t.is(port.status?.armedVersion, 0);
+  port.hear(rankFixture.createStatus({ epoch: 2, mapVersion: 0 }));
+  t.is(port.status?.mapVersion, 0);
+});
--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -12,6 +12,7 @@
 import type * as rankEngine from "./rank_engine.ts";
 import * as rankMember from "./rank_member.ts";
 import * as rankLinks from "./rank_links.ts";
+import * as readingPlan from "./reading_plan.ts";
 import * as readGroupModel from "./read_group_model.ts";
 
 /**
@@ -87,7 +88,9 @@
   #demand: demandModule.Demand | undefined;
 
   constructor(readonly parameters: RankProcessParameters) {
-    this.#member = new rankMember.RankMember(parameters.engine);
+    this.#member = new rankMember.RankMember(parameters.engine, () =>
+      this.#part(),
+    );
     this.#follower = new leaderFollower.LeaderFollower({
       ...parameters,
       member: this.#member,
@@ -140,6 +143,16 @@
     };
   }
 
+  /** What this process is to its group. */
+  #part(): readingPlan.Part {
+    const { leader } = this.#term ?? {};
+    if (leader?.switching) return readingPlan.Part.Switches;
+    if (this.#term) return readingPlan.Part.Leads;
+    const silence = common.now() - this.#follower.heardAt;
+    const isLed = this.#follower.follows && silence < LEADERLESS_MILLISECONDS;
+    return isLed ? readingPlan.Part.Follows : readingPlan.Part.Alone;
+  }
+
   /** Tells the leader each time the engine was read. */
   async #tellLeader(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
--- a/packages/daemon/src/rank_group/switch_group.ts
+++ b/packages/daemon/src/rank_group/switch_group.ts
@@ -47,6 +47,8 @@
   map: wire.RankMap;
   /** The map in force, to which the next one is told as changes. */
   base?: { version: number; map: wire.RankMap };
+  /** Time that a rank loads for each expert that is new to it; 0 if it is not known. */
+  copyMilliseconds?: number;
   /** Passes between the one under way and the one that switches, as of now. */
   leadSteps: () => number;
   /** Whether the leader still is what it was. */
@@ -78,7 +80,7 @@
   parameters: GroupSwitchParameters,
 ): Promise<GroupSwitchOutcome> {
   const startedAt = common.now();
-  const { ports, holder, version, valid, outdated, pause } = parameters;
+  const { ports, own, holder, version, valid, outdated, pause } = parameters;
   const outcome: GroupSwitchOutcome = {
     kind: GroupSwitchKind.GivenUp,
     detail: "",
@@ -116,8 +118,11 @@
   const order = { kind: wire.RankOrderKind.Release, step } as const;
   await insistOrder.insistOrder({ port: holder, order, valid, pause });
   outcome.armMilliseconds = common.now() - preparedAt;
-  await waitUntil(SWITCH_MILLISECONDS, parameters, () =>
-    ports.every(({ status }) => status?.mapVersion === version),
+  // All were armed for one pass, which all ranks begin together.
+  await waitUntil(
+    SWITCH_MILLISECONDS,
+    parameters,
+    () => own.status?.mapVersion === version,
   );
   return { ...outcome, kind: GroupSwitchKind.Done };
 }
@@ -131,21 +136,24 @@
   version,
   map,
   base,
+  copyMilliseconds,
 }: GroupSwitchParameters): wire.RankOrder {
   const kind = wire.RankOrderKind.Prepare;
+  const whole = { kind, version, map, copyMilliseconds } as const;
   // No rank was told the first map of a group.
-  if (!base || base.version <= 0) return { kind, version, map };
+  if (!base || base.version <= 0) return whole;
   const exchanges = mapDifference.differenceOf(base.map, map);
   const isShorter =
     mapDifference.sizeOfExchanges(exchanges) < mapDifference.sizeOfMap(map);
-  if (!isShorter) return { kind, version, map };
+  if (!isShorter) return whole;
   const changes: wire.PrepareChanges = {
     kind: wire.RankOrderKind.PrepareChanges,
     version,
     base: base.version,
     exchanges: wire.packDocument(exchanges),
+    copyMilliseconds,
   };
-  return { kind, version, map, changes };
+  return { ...whole, changes };
 }
 
 /**
--- a/packages/wire/src/rank_group.ts
+++ b/packages/wire/src/rank_group.ts
@@ -79,15 +79,20 @@
   Disarm = "disarm",
 }
 
+/** An order to load what a map needs. */
+export interface PrepareOrder {
+  kind: RankOrderKind.Prepare;
+  version: number;
+  map: RankMap;
+  /** The same as changes to a map that most ranks know. */
+  changes?: PrepareChanges;
+  /** Time that a rank loads for each expert that is new to it; 0 if it is not known. */
+  copyMilliseconds?: number;
+}
+
 /** An order to a rank's engine. */
 export type RankOrder =
-  | {
-      kind: RankOrderKind.Prepare;
-      version: number;
-      map: RankMap;
-      /** The same as changes to a map that most ranks know. */
-      changes?: PrepareChanges;
-    }
+  | PrepareOrder
   | { kind: RankOrderKind.Arm; version: number; step: number }
   | { kind: RankOrderKind.Hold; step: number }
   | { kind: RankOrderKind.Release; step: number }
@@ -113,6 +118,7 @@
   base: number;
   /** A list of `RankMapExchange`, packed once for all ranks. */
   exchanges: packedDocument.PackedDocument;
+  copyMilliseconds?: number;
 }
 
 /** An order as it is sent to the process beside a rank. */
