feat: log what a runner's answers say about its request rate limit

The adapter reads the header; a changed value is logged once (RunnerRateLimit, 2201), an unreadable one once a runner (2202), and each attempt in Forwarded (2001) says when it was sent. Nothing is decided by it.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -64,6 +64,8 @@
   RequestQuarantined = 2103,
   QuarantineEnded = 2104,
   QuarantineNotKept = 2105,
+  RunnerRateLimit = 2201,
+  RunnerRateLimitUnreadable = 2202,
 }
 
 /** How much attention an event asks for. */
@@ -423,4 +425,16 @@
       "A request in quarantine may be sent to runners again: a whole answer or an operator spoke for it, or an end was disproved.",
     action: NONE,
   },
+  [EventCode.RunnerRateLimit]: {
+    level: EventLevel.Info,
+    meaning:
+      "A runner named another request rate limit than before in the answer to `request`: `perSecond` from all entries together, absent if it named none.",
+    action: NONE,
+  },
+  [EventCode.RunnerRateLimitUnreadable]: {
+    level: EventLevel.Warn,
+    meaning:
+      "A runner named a request rate limit that is no decimal number; it is ignored, and what the runner said before holds.",
+    action: "Look at what the runner sends.",
+  },
 };
--- a/packages/daemon/src/forwarding/attempt_outcome.ts
+++ b/packages/daemon/src/forwarding/attempt_outcome.ts
@@ -70,6 +70,8 @@
   /** Kind of the attempt's outcome. */
   end: AttemptOutcomeKind;
   reason: string;
+  /** When the attempt was sent, in milliseconds after the request arrived. */
+  sentAfter: number;
   milliseconds: number;
 }
 
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -12,6 +12,7 @@
 import type * as runnerTracker from "./runner_tracker.ts";
 import * as requestClock from "./request_clock.ts";
 import * as runnerAttempt from "./runner_attempt.ts";
+import type * as rateLimits from "../rate_limit/rate_limits.ts";
 import type * as runnerClientModule from "./runner_client.ts";
 
 /**
@@ -50,6 +51,7 @@
   crashDetector: crashDetector.CrashDetector;
   /** Called when the head of a signed successful answer has arrived. */
   onAnswerStart: (runner: traffic.RunnerEntry) => void;
+  rateLimits: rateLimits.RateLimits;
   random: common.Random;
   metrics: common.Metrics;
 }
@@ -271,6 +273,7 @@
       },
     });
     this.#attempt = attempt;
+    const sentAfter = Math.round(this.#clock.elapsed);
     const outcome = await attempt.run();
     const { quarantine } = this.parameters;
     if (outcome.kind === attemptOutcome.AttemptOutcomeKind.Answered) {
@@ -281,6 +284,7 @@
       runner: runner.identifier,
       end: outcome.kind,
       reason: outcome.reason,
+      sentAfter,
       milliseconds: Math.round(common.now() - attempt.startedAt),
     });
     return outcome;
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -8,6 +8,7 @@
 import * as forwardedRequest from "./forwarded_request.ts";
 import * as timeoutHistory from "./timeout_history.ts";
 import type * as runnerTracker from "./runner_tracker.ts";
+import type * as rateLimits from "../rate_limit/rate_limits.ts";
 import type * as runnerClientModule from "./runner_client.ts";
 
 /** What a forwarder needs. */
@@ -28,6 +29,7 @@
   crashDetector: crashDetector.CrashDetector;
   /** Called when the head of a signed successful answer has arrived. */
   onAnswerStart: (runner: traffic.RunnerEntry) => void;
+  rateLimits: rateLimits.RateLimits;
   random: common.Random;
   logger: common.Logger;
   metrics: common.Metrics;
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -6,6 +6,7 @@
 import * as retryBudget from "../dispatch/retry_budget.ts";
 import * as crashDetector from "../quarantine/crash_detector.ts";
 import * as quarantineFixture from "../quarantine/quarantine_fixture.ts";
+import * as rateLimits from "../rate_limit/rate_limits.ts";
 import * as callerRequest from "./caller_request.ts";
 import * as forwarderModule from "./forwarder.ts";
 import * as runnerTracker from "./runner_tracker.ts";
@@ -126,6 +127,7 @@
       onCrash: () => {},
     }),
     onAnswerStart: () => {},
+    rateLimits: new rateLimits.RateLimits({ logger }),
     random: new common.Random(2),
     logger,
     metrics: common.discardMetrics(),
@@ -202,6 +204,7 @@
       verdict,
       head: { status, headers: [] },
       signed: options.signed ?? true,
+      rateLimit: undefined,
       body: body(),
     });
 }
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -4,6 +4,8 @@
 import * as attemptOutcome from "./attempt_outcome.ts";
 import type * as callerRequest from "./caller_request.ts";
 import type * as requestClock from "./request_clock.ts";
+import * as rateLimitHeader from "../rate_limit/rate_limit_header.ts";
+import type * as rateLimits from "../rate_limit/rate_limits.ts";
 import type * as runnerTracker from "./runner_tracker.ts";
 import * as runnerClientModule from "./runner_client.ts";
 import * as urgencyAtRunner from "./urgency_at_runner.ts";
@@ -36,6 +38,7 @@
   cancel: AbortSignal;
   /** Whether the attempt may be abandoned for another runner. */
   mayTryAnother: () => boolean;
+  rateLimits: rateLimits.RateLimits;
   /** Called when the head of a signed successful answer has arrived. */
   onAnswerStart: (runner: traffic.RunnerEntry) => void;
 }
@@ -113,6 +116,7 @@
   ): Promise<attemptOutcome.AttemptOutcome> {
     const { tracker, runner, onAnswerStart } = this.parameters;
     const { verdict, head, signed, body } = answer;
+    this.#noteRateLimit(answer);
     const reason = `status ${head.status}`;
     switch (verdict) {
       case runnerClientModule.Verdict.WrongRunner:
@@ -148,6 +152,15 @@
     }
   }
 
+  /** Passes on what an answer of the runner says about its rate limit. */
+  #noteRateLimit(answer: runnerClientModule.RunnerAnswer): void {
+    const { runner, request, rateLimits } = this.parameters;
+    const { verdict, signed, rateLimit } = answer;
+    if (verdict === runnerClientModule.Verdict.WrongRunner) return;
+    const reading = rateLimitHeader.readRateLimit(rateLimit);
+    rateLimits.note({ runner, request: request.identifier, reading, signed });
+  }
+
   async #relayAnswer(
     answer: runnerClientModule.RunnerAnswer,
   ): Promise<attemptOutcome.AttemptOutcome> {
--- a/packages/daemon/src/forwarding/runner_client.ts
+++ b/packages/daemon/src/forwarding/runner_client.ts
@@ -50,6 +50,11 @@
    * attempt's outcome is unknown.
    */
   signed: boolean;
+  /**
+   * Value of the header in which the runner names its request rate limit;
+   * `undefined` without one.
+   */
+  rateLimit: string | undefined;
   /**
    * The body as it arrives. Throws a `TruncatedBody` if the connection ends
    * before the body does.
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
 import * as crashReview from "../quarantine/crash_review.ts";
 import * as crashDetector from "../quarantine/crash_detector.ts";
 import * as quarantine from "../quarantine/quarantine.ts";
+import * as rateLimits from "../rate_limit/rate_limits.ts";
 import * as quarantineRows from "../quarantine/quarantine_rows.ts";
 
 /**
@@ -97,6 +98,8 @@
   readonly forwarder: forwarderModule.Forwarder;
   readonly mesh: entryMesh.EntryMesh;
   readonly quarantine: quarantine.Quarantine;
+  /** Request rate limits that runners name. */
+  readonly rateLimits: rateLimits.RateLimits;
   /** Finds out which runners crashed while they ran requests. */
   readonly crashDetector: crashDetector.CrashDetector;
   /** Finds reports of crashes that did not happen. */
@@ -146,6 +149,7 @@
         this.quarantine.crashedIncarnations(earliest, latest),
       onDisproved: (incarnation) => this.quarantine.disproveCrash(incarnation),
     });
+    this.rateLimits = new rateLimits.RateLimits({ logger });
     this.forwarder = new forwarderModule.Forwarder({
       configuration: this.configuration,
       proofAge: () => this.#proofAge,
@@ -155,6 +159,7 @@
       budgetOf: (service) => this.#budgetOf(service),
       quarantine: this.quarantine,
       crashDetector: this.crashDetector,
+      rateLimits: this.rateLimits,
       onAnswerStart: (runner) => this.crashReview.reviewAnswer(runner),
       random,
       logger,
--- a/packages/stand_ins/src/gateways/pool_runner.ts
+++ b/packages/stand_ins/src/gateways/pool_runner.ts
@@ -133,6 +133,7 @@
     verdict: daemon.Verdict.Ran,
     head: { status: 200, headers: [] },
     signed: true,
+    rateLimit: undefined,
     body: eventsOf(ending, Number(resumeAfter)),
   });
 }
@@ -161,6 +162,7 @@
     verdict: daemon.Verdict.WrongRunner,
     head: { status: 421, headers: [] },
     signed: false,
+    rateLimit: undefined,
     body: (async function* () {})(),
   };
 }
