test: a runner that names a limit gets more than it takes

What is counted is what reached the runner, from entries that it had told half a second before or earlier, over each window of four seconds that ends three seconds after the naming or later.

--- a/packages/stand_ins/src/gateways/pool_runner.ts
+++ b/packages/stand_ins/src/gateways/pool_runner.ts
@@ -37,6 +37,8 @@
   leaving = false;
   /** Breaks off each answer after its first event, as a sound runner may. */
   breaksAnswers = false;
+  /** Value of the rate limit header of its answers; `undefined` for none. */
+  rateLimit: string | undefined;
   /** Whether requests that say so end the runner. */
   endsOnRequest = true;
   /** Called when a request ends the runner. */
@@ -120,7 +122,8 @@
       });
     });
     const answers = endsAfter === undefined || Number(endsAfter) > 0;
-    return answers ? answerOf(ending, call.resumeAfter) : noAnswer(ending);
+    if (!answers) return noAnswer(ending);
+    return answerOf(ending, call.resumeAfter, this.rateLimit);
   }
 }
 
@@ -128,12 +131,13 @@
 async function answerOf(
   ending: Promise<RunEnd>,
   resumeAfter: string,
+  rateLimit: string | undefined,
 ): ReturnType<daemon.RunnerClient["call"]> {
   return neverthrow.ok({
     verdict: daemon.Verdict.Ran,
     head: { status: 200, headers: [] },
     signed: true,
-    rateLimit: undefined,
+    rateLimit,
     body: eventsOf(ending, Number(resumeAfter)),
   });
 }
--- a/packages/stand_ins/src/gateways/runner_pool.ts
+++ b/packages/stand_ins/src/gateways/runner_pool.ts
@@ -28,10 +28,19 @@
 /** A request that reached a runner. */
 export interface Arrival {
   entry: string;
+  /** Runner at which it arrived. */
+  runner: string;
   body: string;
   at: number;
 }
 
+/** An answer in which a runner named a rate limit to an entry. */
+export interface Naming {
+  entry: string;
+  runner: string;
+  at: number;
+}
+
 /** A runner's end, with the bodies that were under way there. */
 export interface PoolEnd {
   runner: string;
@@ -47,6 +56,7 @@
 export class RunnerPool {
   readonly runners: poolRunner.PoolRunner[];
   readonly arrivals: Arrival[] = [];
+  readonly namings: Naming[] = [];
   readonly ends: PoolEnd[] = [];
   /** Cuts between entries and runners, by entry and place. */
   readonly cuts = new Map<string, Cut>();
@@ -169,10 +179,19 @@
       return neverthrow.err({ kind, reason: "no connection" });
     }
     const body = call.request.body.toString();
-    this.arrivals.push({ entry, body, at: common.now() });
-    if (runner.identifier !== call.runner.identifier) {
+    const { identifier } = runner;
+    this.arrivals.push({
+      entry,
+      runner: identifier,
+      body,
+      at: common.now(),
+    });
+    if (identifier !== call.runner.identifier) {
       return neverthrow.ok(poolRunner.wrongRunner());
     }
+    if (runner.rateLimit !== undefined) {
+      this.namings.push({ entry, runner: identifier, at: common.now() });
+    }
     return runner.run(entry, call);
   }
 }
