feat: operators see the rate limits that runners name, and which of them refused a request

`geraniumkeel rate-limits` lists limit, age, allocator, share and use of each limited runner; `explain ID` says which runner's limit a request waited for or was refused by, how much of it this entry allocates, and how old the runner's statement was.

--- a/packages/cli/src/explain_request.ts
+++ b/packages/cli/src/explain_request.ts
@@ -14,6 +14,16 @@
   milliseconds: number;
 }
 
+/** What decided about a request at a runner with a request rate limit. */
+interface RateLimitTrace {
+  runner: string;
+  perSecond: number;
+  share: number;
+  allocator: string;
+  age: number;
+  wait: number;
+}
+
 /** A request's way and the cause of its end. */
 export interface Explanation {
   /** Lines about the request, in order of time. */
@@ -79,7 +89,9 @@
     .filter((name) => line[name])
     .map((name) => `${name} ${text(line[name])}`);
   const version = `configuration ${text(line.version)}, proved ${text(line.age)} ms before`;
-  return [`${head}: ${[...facts, version].join(", ")}`, ...attempts];
+  const limit = rateLimitOf(line);
+  const waited = limit ? [`  ${rateLimitFacts(limit)}`] : [];
+  return [`${head}: ${[...facts, version].join(", ")}`, ...waited, ...attempts];
 }
 
 function causeOf(line: LogLine, lines: LogLine[]): string {
@@ -93,10 +105,13 @@
       return quarantineCause(line, lines);
     case "answered":
       return `It was answered by ${last?.runner} through ${where} in ${text(line.milliseconds)} ms.`;
-    case "not-run":
+    case "not-run": {
+      const limit = rateLimitOf(line);
+      if (limit) return `Refused at a rate limit: ${rateLimitFacts(limit)}.`;
       return attempts.length === 0
         ? `Refused under load or loss: ${where} knew no runner of the service that took work.`
         : `Refused under load or loss: ${tried} would not take it (${last?.reason}).`;
+    }
     case "timed-out":
       return `Its time ran out at ${where} while ${last?.runner} had it.`;
     case "left":
@@ -136,6 +151,16 @@
   return `Refused by configuration ${text(line.version)}, proved ${age} ms before: ${reason}.`;
 }
 
+function rateLimitOf(line: LogLine): RateLimitTrace | undefined {
+  return line.rateLimit as RateLimitTrace | undefined;
+}
+
+function rateLimitFacts(limit: RateLimitTrace): string {
+  const { runner, perSecond, share, allocator, age, wait } = limit;
+  const part = `this entry allocates ${share.toFixed(2)} of it, ${allocator || "nobody"} its share`;
+  return `turn after ${wait} ms within the rate limit of ${runner}, ${perSecond} a second (${part}, as of ${age} ms before)`;
+}
+
 function attemptsOf(line: LogLine): Attempt[] {
   return Array.isArray(line.attempts) ? (line.attempts as Attempt[]) : [];
 }
--- a/packages/cli/src/explain_request_test.ts
+++ b/packages/cli/src/explain_request_test.ts
@@ -66,3 +66,18 @@
   t.regex(cause, /quarantine as f since 2026-01-01T00:00:00Z/);
   t.regex(cause, /i-1 \(seen by entry-1\), i-2 \(seen by entry-2, entry-3\)/);
 });
+
+test("a request that a rate limit refused leads to the runner and its limit", (t) => {
+  const rateLimit = {
+    runner: "i-1",
+    perSecond: 0.5,
+    share: 0,
+    allocator: "e2",
+    age: 40,
+    wait: 1_900,
+  };
+  const forwarded = { msg: "Forwarded", request: "q", attempts: [], rateLimit };
+  const cause = causeOf({ ...forwarded, end: "not-run" });
+  t.regex(cause, /^Refused at a rate limit: turn after 1900 ms/);
+  t.regex(cause, /rate limit of i-1, 0.5 a second .*e2 its share, as of 40 ms/);
+});
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -4,6 +4,7 @@
 import * as hosts from "./commands/hosts.ts";
 import * as preset from "./commands/preset.ts";
 import * as quarantine from "./commands/quarantine.ts";
+import * as rateLimits from "./commands/rate_limits.ts";
 import * as state from "./commands/state.ts";
 import * as status from "./commands/status.ts";
 import * as exitCode from "./exit_code.ts";
@@ -23,6 +24,7 @@
     .addCommand(hosts.hostsCommand())
     .addCommand(hosts.drainCommand())
     .addCommand(quarantine.quarantineCommand())
+    .addCommand(rateLimits.rateLimitsCommand())
     .addCommand(state.stateCommand())
     .addCommand(explain.explainCommand());
 }
--- a/packages/daemon/src/gateway/operator_view.ts
+++ b/packages/daemon/src/gateway/operator_view.ts
@@ -34,7 +34,8 @@
 /**
  * Answers the command-line tool's requests to a gateway, under the paths and in
  * the formats of the daemon's own interface for operators (folder `operator`),
- * so that `status`, `hosts`, `state` and `quarantine` show the same columns for
+ * so that `status`, `hosts`, `state`, `rate-limits` and `quarantine` show the
+ * same columns for
  * a gateway and for the daemon's entries. The configuration cannot be changed
  * here, because a gateway only follows it. The only change that a gateway
  * accepts is to lift a quarantine; it answers every other request but GET with
@@ -52,6 +53,8 @@
   switch (path) {
     case "/admin/v1/quarantine":
       return jsonAnswer(gateway.quarantine.cases());
+    case "/admin/v1/rate-limits":
+      return jsonAnswer(gateway.rateLimits.describe());
     case "/admin/v1/status":
       return jsonAnswer(statusOf(gateway));
     case "/admin/v1/hosts":
