fix: a back end behind the product's own interface gets no more than it says it takes

All requests to a back end pass the process on its host, which paces them by the same module as entries do. It refuses what comes too early as not run, with the time after which there may be room; the entry leaves the runner out until then and its request goes back to the queue, where accounts share as before. A resumed stream waits for its turn. A request whose body cannot be sent twice is refused as not run.

--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -230,6 +230,13 @@
         case request.AttemptOutcomeKind.NeverStarted:
           // The request returns to the queue, at most until its deadline.
           if (outcome.cause === request.NotStartedCause.Full) continue;
+          if (outcome.cause === request.NotStartedCause.AtRateLimit) {
+            if (!accepted.body) continue;
+            return withEarlierAttempts(
+              this.notRun(request.NotRunReason.AtRateLimit),
+              mayHaveRunReason,
+            );
+          }
           if (this.permitRetry(accepted, ++failures, outcome.cause)) break;
           return withEarlierAttempts(
             this.notRun(request.NotRunReason.EngineUnavailable),
--- a/packages/daemon/src/dispatch/follow_attempt.ts
+++ b/packages/daemon/src/dispatch/follow_attempt.ts
@@ -195,6 +195,8 @@
       return { kind, cause: request.NotStartedCause.Leaving };
     case wire.RefusalReason.Full:
       return { kind, cause: request.NotStartedCause.Full };
+    case wire.RefusalReason.AtRateLimit:
+      return { kind, cause: request.NotStartedCause.AtRateLimit };
     case wire.RefusalReason.OldIncarnation:
     case wire.RefusalReason.Tombstoned:
     case wire.RefusalReason.TooOld:
--- a/packages/daemon/src/dispatch/keyed_requests.ts
+++ b/packages/daemon/src/dispatch/keyed_requests.ts
@@ -195,6 +195,10 @@
       const outcome = await followAttempt.followAttempt(followed);
       if (outcome.kind === request.AttemptOutcomeKind.NeverStarted) {
         if (outcome.cause === request.NotStartedCause.Full) continue;
+        if (outcome.cause === request.NotStartedCause.AtRateLimit) {
+          if (!accepted.body) continue;
+          return obtainer.notRun(request.NotRunReason.AtRateLimit);
+        }
         excluded.add(runner.host.name);
         if (obtainer.permitRetry(accepted, ++failures, outcome.cause)) continue;
         return obtainer.notRun(request.NotRunReason.EngineUnavailable);
--- a/packages/daemon/src/dispatch/request.ts
+++ b/packages/daemon/src/dispatch/request.ts
@@ -68,6 +68,8 @@
   EngineUnavailable = "engine-unavailable",
   /** Runners crashed while they ran the request. */
   Quarantined = "quarantined",
+  /** The runner's request rate limit is used up. */
+  AtRateLimit = "at-rate-limit",
 }
 
 /** Final result of a request. */
@@ -145,6 +147,11 @@
    * queue.
    */
   Full = "full",
+  /**
+   * Its runner's request rate limit is used up. The request returns to the
+   * queue, unless its body cannot be sent again.
+   */
+  AtRateLimit = "at-rate-limit",
 }
 
 /** An attempt with the runner that it was sent to. */
--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -13,6 +13,17 @@
 const INITIAL_PAUSE_MILLISECONDS = 50;
 const MAX_PAUSE_MILLISECONDS = 1_000;
 
+/** How long operators are shown a rate limit that a runner told. */
+const RATE_LIMIT_SHOWN_MILLISECONDS = 10_000;
+
+/** A request rate limit that a runner told with a refusal. */
+export interface ToldRateLimit {
+  perSecond: number;
+  at: number;
+  /** Until when it is used up. */
+  until: number;
+}
+
 /** Parameters that all runner links of an entry share. */
 export interface RunnerLinkParameters {
   settings: settingsModule.EntrySettings;
@@ -86,6 +97,8 @@
    */
   progressAt = common.now();
   #isFull = false;
+  /** The runner's request rate limit, as it last told this entry. */
+  #rateLimit: ToldRateLimit | undefined;
   /** Work of this entry that the last load report does not include. */
   readonly #pending = new pendingDispatches.PendingDispatches();
   #link: wire.Link | undefined;
@@ -147,6 +160,19 @@
     return this.#isFull;
   }
 
+  /** Whether the runner's request rate limit is used up for now. */
+  get isAtRateLimit(): boolean {
+    return common.now() < (this.#rateLimit?.until ?? -Infinity);
+  }
+
+  /** The runner's rate limit; `undefined` if it told none in the last seconds. */
+  get rateLimit(): ToldRateLimit | undefined {
+    const told = this.#rateLimit;
+    if (!told || common.now() - told.at > RATE_LIMIT_SHOWN_MILLISECONDS)
+      return undefined;
+    return told;
+  }
+
   /**
    * Prompt tokens of this entry's requests that the last load report does not
    * include.
@@ -455,6 +481,8 @@
         const kind = outgoingAttempt.AttemptEventKind.Refused;
         if (reason === wire.RefusalReason.Leaving) this.#markLeaving();
         if (reason === wire.RefusalReason.Full) this.#isFull = true;
+        if (reason === wire.RefusalReason.AtRateLimit)
+          this.#noteRateLimit(message.retryAfter ?? 0, message.perSecond ?? 0);
         this.#findAttempt(message.identifier)?.events.push({ kind, reason });
         return;
       }
@@ -533,6 +561,11 @@
     this.parameters.onLoad(this);
   }
 
+  #noteRateLimit(retryAfterMilliseconds: number, perSecond: number): void {
+    const at = common.now();
+    this.#rateLimit = { perSecond, at, until: at + retryAfterMilliseconds };
+  }
+
   #markLeaving(): void {
     if (this.#announcedLeaving) return;
     this.#announcedLeaving = true;
--- a/packages/daemon/src/operator/describe_entry.ts
+++ b/packages/daemon/src/operator/describe_entry.ts
@@ -1,3 +1,4 @@
+import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
 import type * as entryContext from "../entry/entry_context.ts";
 
@@ -95,3 +96,20 @@
     memory: process.memoryUsage(),
   };
 }
+
+/**
+ * Request rate limits that runners told this entry in the last seconds. The
+ * process beside a runner allocates the whole limit; its state dump shows how
+ * much of it is used.
+ */
+export function describeRateLimits({
+  runners,
+}: entryContext.EntryContext): unknown[] {
+  return runners.all.flatMap(({ host, rateLimit }) => {
+    if (!rateLimit) return [];
+    const { perSecond, at } = rateLimit;
+    const age = Math.round(common.now() - at);
+    const { name: runner, service } = host;
+    return [{ runner, service, perSecond, age, allocator: runner, share: 1 }];
+  });
+}
--- a/packages/daemon/src/operator/operator_server.ts
+++ b/packages/daemon/src/operator/operator_server.ts
@@ -57,6 +57,9 @@
     const report = inForceReport.reportInForce(context, revision);
     return Response.json(report);
   });
+  application.get("/admin/v1/rate-limits", () =>
+    Response.json(describeEntry.describeRateLimits(context)),
+  );
   application.get("/admin/v1/quarantine", () =>
     Response.json(context.quarantine.cases()),
   );
--- a/packages/daemon/src/rate_limit/limited_runner.ts
+++ b/packages/daemon/src/rate_limit/limited_runner.ts
@@ -95,6 +95,11 @@
     return answer;
   }
 
+  /** Milliseconds until the whole limit has room for a request. */
+  waitMilliseconds(now: number): number {
+    return this.#pacer.waitMilliseconds(now);
+  }
+
   /** Requests that this entry allowed in the last seconds, per second. */
   grantedPerSecond(now: number): number {
     const oldest = now - USE_WINDOW_MILLISECONDS;
--- a/packages/daemon/src/rate_limit/request_pacer.ts
+++ b/packages/daemon/src/rate_limit/request_pacer.ts
@@ -27,6 +27,11 @@
   /** When the next request may be sent if none was saved up. */
   #nextAt = -Infinity;
 
+  /** Milliseconds until a request that asks then may be sent at once. */
+  waitMilliseconds(now: number): number {
+    return Math.max(0, this.#nextAt - now);
+  }
+
   /** Reserves a time for a request if there is one within its delay. */
   schedule(request: PacedRequest): PacerAnswer {
     const { perSecond, burst, now, maxDelayMilliseconds } = request;
--- a/packages/daemon/src/upstream/attempt_table.ts
+++ b/packages/daemon/src/upstream/attempt_table.ts
@@ -17,7 +17,13 @@
 
 /** Why an attempt may not start, if it may not. */
 export type Admission =
-  { admitted: true } | { admitted: false; reason: wire.RefusalReason };
+  | { admitted: true }
+  | {
+      admitted: false;
+      reason: wire.RefusalReason;
+      /** Milliseconds after which there may be room; with `AtRateLimit`. */
+      retryAfter?: number;
+    };
 
 /** All attempts this incarnation knows, and the tombstones. */
 export class AttemptTable {
--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -145,8 +145,12 @@
   });
   if (leaving) return refuse(wire.RefusalReason.Leaving);
   const admission = table.admit(attempt);
-  if (admission.admitted && !hasRoom(table, limit)) {
-    return refuse(wire.RefusalReason.Full);
+  if (!admission.admitted) return admission;
+  if (!hasRoom(table, limit)) return refuse(wire.RefusalReason.Full);
+  const retryAfter = context.rateLimit.take();
+  if (retryAfter > 0) {
+    const reason = wire.RefusalReason.AtRateLimit;
+    return { admitted: false, reason, retryAfter };
   }
   return admission;
 }
@@ -163,7 +167,8 @@
 ): waitingRoom.WaitingRoom<upstreamContext.WaitingDispatch> {
   return new waitingRoom.WaitingRoom({
     changed: table.changed,
-    hasRoom: ({ message }) => hasRoom(table, message.limit),
+    hasRoom: ({ message }) =>
+      hasRoom(table, message.limit) && context().rateLimit.hasRoom,
     leave: (waiting) => {
       // Its entry has asked again over a new link, and was told "never started".
       if (waiting.link.end !== undefined) return;
@@ -202,21 +207,25 @@
   if (context.table.records.has(identifier)) return;
   const admission = admit(context, message);
   if (!admission.admitted) {
-    const { reason } = admission;
-    const waits = mayWait && reason === wire.RefusalReason.Full;
+    const { reason, retryAfter } = admission;
+    const isFull =
+      reason === wire.RefusalReason.Full ||
+      reason === wire.RefusalReason.AtRateLimit;
+    const waits = mayWait && isFull;
     if (waits && context.waitingRoom.enter({ link, message })) return;
     // A full runner is no trouble, and refuses many in a surge.
-    if (reason !== wire.RefusalReason.Full) {
+    if (!isFull) {
       const code = common.EventCode.DispatchRefused;
       context.logger.event(code, { identifier, reason });
     }
     const kind = wire.MessageKind.Refused;
     // Refused is final: without the tombstone a copy could still start.
     if (reason === wire.RefusalReason.Leaving) context.table.settle(attempt);
-    if (reason === wire.RefusalReason.Full) context.table.turnAway(attempt);
+    if (isFull) context.table.turnAway(attempt);
     // Its entry counts it as under way until a report includes it.
     context.table.changed.announce();
-    return link.send({ kind, identifier, reason });
+    const { perSecond } = context.rateLimit;
+    return link.send({ kind, identifier, reason, retryAfter, perSecond });
   }
   const record = new attemptRecord.AttemptRecord(
     attempt,
@@ -248,7 +257,7 @@
   record: attemptRecord.AttemptRecord,
   work: wire.Work,
 ): Promise<void> {
-  const { backEnd, lives } = context;
+  const { backEnd, lives, rateLimit } = context;
   const mismatch = { kind: wire.EndKind.NotStarted, reason: "wrong work" };
   switch (work.kind) {
     case wire.WorkKind.Generate:
@@ -259,6 +268,7 @@
         record,
         engine: backEnd.engine,
         lives,
+        rateLimit,
         work,
       });
     case wire.WorkKind.Call:
--- a/packages/daemon/src/upstream/entry_link_test.ts
+++ b/packages/daemon/src/upstream/entry_link_test.ts
@@ -4,6 +4,7 @@
 import * as attemptRecord from "./attempt_record.ts";
 import * as attemptTable from "./attempt_table.ts";
 import * as entryLink from "./entry_link.ts";
+import * as backEndRateLimit from "./back_end_rate_limit.ts";
 import type * as upstreamContext from "./upstream_context.ts";
 
 const test = ava.default;
@@ -85,6 +86,11 @@
     links: new Map(),
     newestLink: new Map(),
     leaving: false,
+    rateLimit: new backEndRateLimit.BackEndRateLimit({
+      host: "h",
+      service: "s",
+      logger: new common.RecordingLogger(),
+    }),
   } as unknown as upstreamContext.UpstreamContext;
   context.waitingRoom = entryLink.newWaitingRoom(table, () => context);
   return {
--- a/packages/daemon/src/upstream/run_attempt.ts
+++ b/packages/daemon/src/upstream/run_attempt.ts
@@ -2,6 +2,7 @@
 import * as engineModule from "@geraniumkeel/engine";
 import * as wire from "@geraniumkeel/wire";
 import type * as attemptRecord from "./attempt_record.ts";
+import type * as backEndRateLimit from "./back_end_rate_limit.ts";
 import type * as backEndLives from "./back_end_lives.ts";
 
 /** Times a broken engine stream is taken up again. */
@@ -13,9 +14,10 @@
   record: attemptRecord.AttemptRecord;
   engine: engineModule.HttpEngine;
   lives: backEndLives.BackEndLives;
+  rateLimit: backEndRateLimit.BackEndRateLimit;
   work: wire.GenerateWork;
 }): Promise<void> {
-  const { record, engine, lives, work } = parameters;
+  const { record, engine, lives, rateLimit, work } = parameters;
   const { identifier } = record.attempt;
   const signal = record.abort.signal;
   let items = engine.generate({ ...work, identifier }, signal);
@@ -49,6 +51,7 @@
     // The engine holds the sequence: going on from the next token keeps the
     // answer of one sampling, where a new generation would splice two.
     await common.sleep(RESUME_PAUSE_MILLISECONDS * (attempt + 1), signal);
+    await rateLimit.takeInTurn(signal);
     items = engine.resume(identifier, record.produced, signal);
   }
   const endedLife = await lives.endedUnder(record.startedAt);
--- a/packages/daemon/src/upstream/start_upstream.ts
+++ b/packages/daemon/src/upstream/start_upstream.ts
@@ -6,6 +6,7 @@
 import type * as runningProcess from "../running_process.ts";
 import * as listenModule from "../settings/listen.ts";
 import * as settingsModule from "../settings/settings.ts";
+import * as backEndRateLimit from "./back_end_rate_limit.ts";
 import * as backEndLives from "./back_end_lives.ts";
 import * as attemptTable from "./attempt_table.ts";
 import * as entryLink from "./entry_link.ts";
@@ -97,14 +98,21 @@
 ): upstreamContext.UpstreamContext {
   const incarnation = common.randomIdentifier();
   const table = new attemptTable.AttemptTable(incarnation);
-  const { backEnd } = parameters.settings;
+  const { settings, logger } = parameters;
+  const { backEnd, host, service } = settings;
+  const rateLimit = new backEndRateLimit.BackEndRateLimit({
+    host,
+    service,
+    logger,
+  });
   const context: upstreamContext.UpstreamContext = {
     ...parameters,
     incarnation,
     lifeCycle,
     table,
     waitingRoom: entryLink.newWaitingRoom(table, () => context),
-    backEnd: createBackEnd(parameters.settings, incarnation, lifeCycle),
+    backEnd: createBackEnd({ settings, incarnation, lifeCycle, rateLimit }),
+    rateLimit,
     lives: new backEndLives.BackEndLives({
       incarnation,
       presence: () => backEndLives.presenceAtUrl(backEnd.url),
@@ -130,13 +138,19 @@
   context.waitingRoom.clear();
 }
 
-function createBackEnd(
-  settings: settingsModule.UpstreamSettings,
-  incarnation: string,
-  lifeCycle: common.LifeCycle,
-): upstreamContext.BackEnd {
+function createBackEnd(parameters: {
+  settings: settingsModule.UpstreamSettings;
+  incarnation: string;
+  lifeCycle: common.LifeCycle;
+  rateLimit: backEndRateLimit.BackEndRateLimit;
+}): upstreamContext.BackEnd {
+  const { settings, incarnation, lifeCycle, rateLimit } = parameters;
   const { backEnd, timing } = settings;
-  const options = { progressTimeoutMilliseconds: timing.progressTimeout };
+  const options = {
+    progressTimeoutMilliseconds: timing.progressTimeout,
+    onRateLimit: (notice: engineModule.RateLimitNotice) =>
+      rateLimit.note(notice),
+  };
   switch (backEnd.kind) {
     case settingsModule.BackEndKind.Model: {
       const engine = new engineModule.HttpEngine(backEnd.url, options);
@@ -209,6 +223,7 @@
     leaving: context.leaving,
     links: context.links.size,
     load: reporter.last,
+    rateLimit: context.rateLimit.describe(),
     promisedFencing:
       backEnd.kind === settingsModule.BackEndKind.Model
         ? backEnd.orders.promisedFencing
--- a/packages/engine/src/http_engine.ts
+++ b/packages/engine/src/http_engine.ts
@@ -1,9 +1,11 @@
+import * as common from "@geraniumkeel/common";
 import type * as wire from "@geraniumkeel/wire";
 import * as httpFailure from "./http_failure.ts";
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
 import * as engine from "./engine.ts";
 import * as newAgent from "./new_agent.ts";
+import * as rateLimitNotice from "./rate_limit_notice.ts";
 
 /** Streams at once; each takes a connection. */
 const MOST_CONNECTIONS = 512;
@@ -18,7 +20,11 @@
 
   constructor(
     readonly origin: string,
-    readonly parameters: { progressTimeoutMilliseconds: number },
+    readonly parameters: {
+      progressTimeoutMilliseconds: number;
+      /** Called with each answer to a generation. */
+      onRateLimit?: (notice: rateLimitNotice.RateLimitNotice) => void;
+    },
   ) {
     const connections = MOST_CONNECTIONS;
     this.#agent = newAgent.newAgent({ ...parameters, connections });
@@ -106,6 +112,7 @@
     body: string | undefined,
     signal: AbortSignal,
   ): AsyncGenerator<engine.EngineItem, void, void> {
+    const sentAt = common.instant();
     try {
       const answer = await undici.request(`${this.origin}${path}`, {
         method,
@@ -113,6 +120,8 @@
         body,
         signal,
       });
+      const value = rateLimitNotice.rateLimitValue(answer.headers);
+      this.parameters.onRateLimit?.({ value, sentAt });
       if (answer.statusCode === 503) {
         await answer.body.dump();
         yield { kind: engine.EngineItemKind.NotStarted, reason: "status 503" };
--- a/packages/engine/src/plain_service.ts
+++ b/packages/engine/src/plain_service.ts
@@ -1,8 +1,10 @@
 import * as stream from "node:stream";
+import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
 import * as newAgent from "./new_agent.ts";
 import * as httpFailure from "./http_failure.ts";
+import * as rateLimitNotice from "./rate_limit_notice.ts";
 
 /** A call of a plain service. */
 export interface PlainCall {
@@ -59,7 +61,11 @@
 
   constructor(
     readonly origin: string,
-    readonly parameters: { progressTimeoutMilliseconds: number },
+    readonly parameters: {
+      progressTimeoutMilliseconds: number;
+      /** Called with each answer. */
+      onRateLimit?: (notice: rateLimitNotice.RateLimitNotice) => void;
+    },
   ) {
     const connections = MOST_CONNECTIONS;
     this.#agent = newAgent.newAgent({ ...parameters, connections });
@@ -70,6 +76,7 @@
     call: PlainCall,
     signal: AbortSignal,
   ): Promise<neverthrow.Result<PlainAnswer, PlainFailure>> {
+    const sentAt = common.instant();
     try {
       const answer = await undici.request(`${this.origin}${call.path}`, {
         method: call.method,
@@ -78,6 +85,8 @@
         body: bodyOf(call.body),
         signal,
       });
+      const value = rateLimitNotice.rateLimitValue(answer.headers);
+      this.parameters.onRateLimit?.({ value, sentAt });
       const headers = Object.entries(answer.headers).flatMap(
         ([name, value]): [string, string][] =>
           [value ?? []].flat().map((one) => [name, one]),
--- a/packages/stand_ins/src/plain_stand_in.ts
+++ b/packages/stand_ins/src/plain_stand_in.ts
@@ -10,6 +10,8 @@
   breakAnswers: number;
   /** Calls refused by closing the connection before anything counts. */
   dropCalls: number;
+  /** Requests a second that its answers name; empty for none. */
+  rateLimit: string;
 }
 
 /** A running stand-in of a plain service, whose calls count. */
@@ -26,7 +28,12 @@
 /** Starts a plain service that counts its calls by their `x-call` header. */
 export async function startPlain(port = 0): Promise<PlainStandIn> {
   const calls = new Map<string, number>();
-  const faults = { delayMilliseconds: 0, breakAnswers: 0, dropCalls: 0 };
+  const faults: PlainFaults = {
+    delayMilliseconds: 0,
+    breakAnswers: 0,
+    dropCalls: 0,
+    rateLimit: "",
+  };
   const serving = await serveModule.serveHandler((request, response) => {
     const onCall = (call: string) => standIn.onCall?.(call);
     const onEnd = () => {
@@ -90,6 +97,7 @@
   response.writeHead(200, {
     "content-type": "application/json",
     "x-count": String(calls.get(call)),
+    ...(faults.rateLimit && { "requests-per-second": faults.rateLimit }),
   });
   if (faults.breakAnswers > 0) {
     faults.breakAnswers--;
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -49,6 +49,8 @@
   Tombstoned = "tombstoned",
   /** As many attempts as it may have are under way. */
   Full = "full",
+  /** It names a request rate limit, which is used up. */
+  AtRateLimit = "at-rate-limit",
 }
 
 /** Prefix blocks that an engine now holds or no longer holds. */
@@ -167,6 +169,10 @@
       kind: messageKind.MessageKind.Refused;
       identifier: string;
       reason: RefusalReason;
+      /** Milliseconds after which there may be room; with `AtRateLimit`. */
+      retryAfter?: number;
+      /** Requests a second that the runner takes; with `AtRateLimit`. */
+      perSecond?: number;
     }
   | {
       kind: messageKind.MessageKind.Head;
