--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -32,6 +32,11 @@
  * not wait.
  */
 const MAX_WAIT_TIMEOUT_FRACTION = 0.25;
+/**
+ * Random part of the retry delay of a request that a rate limit refused, as a
+ * fraction: in a surge the paced delays of all reach their upper bound.
+ */
+const RETRY_JITTER = 0.25;
 /** How often a waiting request checks for a runner. */
 const WAIT_CHECK_INTERVAL_MILLISECONDS = 50;
 
@@ -288,12 +293,11 @@
     waitMilliseconds,
     trace,
   }: Extract<obtainRunner.ObtainedRunner, { kind: "at-limit" }>): void {
-    const { rateLimits } = this.parameters;
+    const { rateLimits, random } = this.parameters;
     this.#rateLimitTrace = trace;
-    this.#rateLimitRetryMilliseconds = rateLimits.nextRetryDelay(
-      runner,
-      waitMilliseconds,
-    );
+    const paced = rateLimits.nextRetryDelay(runner, waitMilliseconds);
+    this.#rateLimitRetryMilliseconds =
+      paced * random.between(1 - RETRY_JITTER, 1 + RETRY_JITTER);
   }
 
   /** Longest time from its arrival for which the request waits for a runner. */
