--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -66,6 +66,7 @@
   QuarantineNotKept = 2105,
   RunnerRateLimit = 2201,
   RunnerRateLimitUnreadable = 2202,
+  RunnerAsksForRest = 2203,
 }
 
 /** How much attention an event asks for. */
@@ -437,4 +438,10 @@
       "A runner named a request rate limit that is no decimal number; it is ignored, and what the runner said before holds.",
     action: "Look at what the runner sends.",
   },
+  [EventCode.RunnerAsksForRest]: {
+    level: EventLevel.Info,
+    meaning:
+      "A runner turned `request` away and wants nothing from this entry for `milliseconds`; logged if that ends later than what it asked for before.",
+    action: NONE,
+  },
 };
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -15,6 +15,7 @@
 import * as runnerAttempt from "./runner_attempt.ts";
 import type * as rateLimitPermit from "../rate_limit/rate_limit_permit.ts";
 import type * as rateLimits from "../rate_limit/rate_limits.ts";
+import type * as runnerRests from "../runner_rest/runner_rests.ts";
 import type * as runnerClientModule from "./runner_client.ts";
 
 /**
@@ -59,6 +60,7 @@
   /** Called when the head of a signed successful answer has arrived. */
   onAnswerStart: (runner: traffic.RunnerEntry) => void;
   rateLimits: rateLimits.RateLimits;
+  rests: runnerRests.RunnerRests;
   random: common.Random;
   metrics: common.Metrics;
 }
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -9,6 +9,7 @@
 import * as timeoutHistory from "./timeout_history.ts";
 import type * as runnerTracker from "./runner_tracker.ts";
 import type * as rateLimits from "../rate_limit/rate_limits.ts";
+import type * as runnerRests from "../runner_rest/runner_rests.ts";
 import type * as runnerClientModule from "./runner_client.ts";
 
 /** What a forwarder needs. */
@@ -30,6 +31,7 @@
   /** Called when the head of a signed successful answer has arrived. */
   onAnswerStart: (runner: traffic.RunnerEntry) => void;
   rateLimits: rateLimits.RateLimits;
+  rests: runnerRests.RunnerRests;
   random: common.Random;
   logger: common.Logger;
   metrics: common.Metrics;
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -6,6 +6,7 @@
 import * as retryBudget from "../dispatch/retry_budget.ts";
 import * as crashDetector from "../quarantine/crash_detector.ts";
 import * as quarantineFixture from "../quarantine/quarantine_fixture.ts";
+import * as runnerRests from "../runner_rest/runner_rests.ts";
 import * as rateLimitsFixture from "../rate_limit/rate_limits_fixture.ts";
 import * as callerRequest from "./caller_request.ts";
 import * as forwarderModule from "./forwarder.ts";
@@ -128,6 +129,7 @@
       onCrash: () => {},
     }),
     onAnswerStart: () => {},
+    rests: new runnerRests.RunnerRests({ logger }),
     rateLimits: rateLimitsFixture.createRateLimits(),
     random: new common.Random(2),
     logger,
@@ -206,6 +208,7 @@
       head: { status, headers: [] },
       signed: options.signed ?? true,
       rateLimit: undefined,
+      retryAfter: undefined,
       body: body(),
     });
 }
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -7,6 +7,7 @@
 import * as rateLimitHeader from "../rate_limit/rate_limit_header.ts";
 import type * as rateLimitPermit from "../rate_limit/rate_limit_permit.ts";
 import type * as rateLimits from "../rate_limit/rate_limits.ts";
+import type * as runnerRests from "../runner_rest/runner_rests.ts";
 import type * as runnerTracker from "./runner_tracker.ts";
 import * as runnerClientModule from "./runner_client.ts";
 import * as urgencyAtRunner from "./urgency_at_runner.ts";
@@ -41,6 +42,7 @@
   /** Whether the attempt may be abandoned for another runner. */
   mayTryAnother: () => boolean;
   rateLimits: rateLimits.RateLimits;
+  rests: runnerRests.RunnerRests;
   /** Called when the head of a signed successful answer has arrived. */
   onAnswerStart: (runner: traffic.RunnerEntry) => void;
 }
@@ -126,6 +128,7 @@
     const { verdict, head, signed, body } = answer;
     this.#noteRateLimit(answer);
     const reason = `status ${head.status}`;
+    this.#noteRest(answer);
     switch (verdict) {
       case runnerClientModule.Verdict.WrongRunner:
         tracker.removeReplaced(runner);
@@ -162,6 +165,16 @@
     }
   }
 
+  /** Notes whether an answer of the runner asks for rest. */
+  #noteRest(answer: runnerClientModule.RunnerAnswer): void {
+    const { runner, request, rests } = this.parameters;
+    const { verdict, head, retryAfter } = answer;
+    if (verdict === runnerClientModule.Verdict.WrongRunner) return;
+    const { identifier } = request;
+    const { status } = head;
+    rests.note({ runner, request: identifier, status, retryAfter });
+  }
+
   /** Passes on what an answer of the runner says about its rate limit. */
   #noteRateLimit(answer: runnerClientModule.RunnerAnswer): void {
     const { runner, request, rateLimits } = this.parameters;
--- a/packages/daemon/src/forwarding/runner_client.ts
+++ b/packages/daemon/src/forwarding/runner_client.ts
@@ -61,6 +61,8 @@
    * `undefined` without one.
    */
   rateLimit: string | undefined;
+  /** Value of the `Retry-After` header; `undefined` without one. */
+  retryAfter: string | undefined;
   /**
    * The body as it arrives. Throws a `TruncatedBody` if the connection ends
    * before the body does.
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import * as crashDetector from "../quarantine/crash_detector.ts";
 import * as quarantine from "../quarantine/quarantine.ts";
 import * as rateLimits from "../rate_limit/rate_limits.ts";
+import * as runnerRests from "../runner_rest/runner_rests.ts";
 import * as quarantineRows from "../quarantine/quarantine_rows.ts";
 
 /**
@@ -103,6 +104,8 @@
   readonly quarantine: quarantine.Quarantine;
   /** Request rate limits that runners name. */
   readonly rateLimits: rateLimits.RateLimits;
+  /** Rests that runners ask this entry for. */
+  readonly rests: runnerRests.RunnerRests;
   /** Finds out which runners crashed while they ran requests. */
   readonly crashDetector: crashDetector.CrashDetector;
   /** Finds reports of crashes that did not happen. */
@@ -153,6 +156,7 @@
         this.quarantine.crashedIncarnations(earliest, latest),
       onDisproved: (incarnation) => this.quarantine.disproveCrash(incarnation),
     });
+    this.rests = new runnerRests.RunnerRests({ logger });
     this.rateLimits = new rateLimits.RateLimits({
       host: self.host,
       entries: () =>
@@ -178,6 +182,7 @@
       quarantine: this.quarantine,
       crashDetector: this.crashDetector,
       rateLimits: this.rateLimits,
+      rests: this.rests,
       onAnswerStart: (runner) => this.crashReview.reviewAnswer(runner),
       random,
       logger,
--- a/packages/stand_ins/src/gateways/pool_runner.ts
+++ b/packages/stand_ins/src/gateways/pool_runner.ts
@@ -138,6 +138,7 @@
     head: { status: 200, headers: [] },
     signed: true,
     rateLimit,
+    retryAfter: undefined,
     body: eventsOf(ending, Number(resumeAfter)),
   });
 }
@@ -167,6 +168,7 @@
     head: { status: 421, headers: [] },
     signed: false,
     rateLimit: undefined,
+    retryAfter: undefined,
     body: (async function* () {})(),
   };
 }
