--- a/packages/stand_ins/src/gateways/pool_runner.ts
+++ b/packages/stand_ins/src/gateways/pool_runner.ts
@@ -39,6 +39,11 @@
   breaksAnswers = false;
   /** Value of the rate limit header of its answers; `undefined` for none. */
   rateLimit: string | undefined;
+  /**
+   * `Retry-After` of the answers with which it turns all requests away;
+   * `undefined` while it runs them.
+   */
+  restWanted: string | undefined;
   /** Whether requests that say so end the runner. */
   endsOnRequest = true;
   /** Called when a request ends the runner. */
@@ -172,3 +177,15 @@
     body: (async function* () {})(),
   };
 }
+
+/** The answer of a runner that turns a request away and wants rest. */
+export function turnedAway(retryAfter: string): daemon.RunnerAnswer {
+  return {
+    verdict: daemon.Verdict.NotRun,
+    head: { status: 503, headers: [] },
+    signed: false,
+    rateLimit: undefined,
+    retryAfter,
+    body: (async function* () {})(),
+  };
+}
--- a/packages/stand_ins/src/gateways/runner_pool.ts
+++ b/packages/stand_ins/src/gateways/runner_pool.ts
@@ -41,6 +41,15 @@
   at: number;
 }
 
+/** An answer in which a runner turned an entry away and asked for rest. */
+export interface TurnAway {
+  entry: string;
+  runner: string;
+  at: number;
+  /** When the rest ends. */
+  until: number;
+}
+
 /** A runner's end, with the bodies that were under way there. */
 export interface PoolEnd {
   runner: string;
@@ -57,6 +66,7 @@
   readonly runners: poolRunner.PoolRunner[];
   readonly arrivals: Arrival[] = [];
   readonly namings: Naming[] = [];
+  readonly turnAways: TurnAway[] = [];
   readonly ends: PoolEnd[] = [];
   /** Cuts between entries and runners, by entry and place. */
   readonly cuts = new Map<string, Cut>();
@@ -192,6 +202,13 @@
     if (runner.rateLimit !== undefined) {
       this.namings.push({ entry, runner: identifier, at: common.now() });
     }
+    const { restWanted } = runner;
+    if (restWanted !== undefined) {
+      const at = common.now();
+      const until = at + Number(restWanted) * 1_000;
+      this.turnAways.push({ entry, runner: identifier, at, until });
+      return neverthrow.ok(poolRunner.turnedAway(restWanted));
+    }
     return runner.run(entry, call);
   }
 }
