fix: a runner that turns an entry away gets nothing from it for as long as it asks

Cause: nothing read how long a runner wants rest. A refusal with room was taken for that of a group that lost a rank, with a pause of a quarter of a second for all of them, and then the idle runner was the least loaded and the first choice. Ruled out: requests that had chosen the runner before (they came 1.4 s and more after the refusal), and a group that refuses as a whole.

A rest is kept by the entry that was asked, for that incarnation, until the later of all the ends that were named; nothing goes to the runner in it, checked where an attempt sends its request, which all ways to a runner pass. After it one request goes first and the others follow when it was taken, or a second later. If all runners rest, a request waits if the first rest ends within a quarter of its time and 1.5 s, and is refused at once otherwise, with the end of that rest. A refusal with a rest is not taken for that of a group. 429 and 503 ask for rest, other answers do not; a rest is kept for an hour at most and then asked about.

Waiting for the end of a rest was not measured against refusing at once.

--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -7,6 +7,7 @@
   Retries = "retries",
   Quarantined = "quarantined",
   RateLimitDecisions = "rate_limit_decisions",
+  RunnerRests = "runner_rests",
   FirstToken = "first_token",
   BetweenTokens = "between_tokens",
   QueueWait = "queue_wait",
@@ -65,6 +66,10 @@
     "service",
     "outcome",
   ),
+  [Metric.RunnerRests]: counter(
+    "Rests that runners asked this entry for.",
+    "service",
+  ),
   [Metric.FirstToken]: timing("From arrival to first token.", "service"),
   [Metric.BetweenTokens]: timing("Between tokens of one answer.", "service"),
   [Metric.QueueWait]: timing("Time queued before dispatch.", "service"),
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -302,6 +302,17 @@
       paced * random.between(1 - RETRY_JITTER, 1 + RETRY_JITTER);
   }
 
+  /**
+   * Retry delay if runners of the service want rest; 0 otherwise. A little
+   * longer than the first rest, so that callers do not all return at its end.
+   */
+  #restRetryMilliseconds(): number {
+    const { tracker, service, random } = this.parameters;
+    const restEnd = tracker.firstRestEnd(service);
+    if (restEnd === undefined || tracker.hasCandidates(service)) return 0;
+    return restEnd * random.between(1, 1 + RETRY_JITTER);
+  }
+
   /** Longest time from its arrival for which the request waits for a runner. */
   get #maxWait(): number {
     const { timeoutMilliseconds } = this.parameters.request;
@@ -310,16 +321,18 @@
   }
 
   /**
-   * Waits a moment if a runner of the service refuses requests although it has
-   * room, as the runners of a group do while the group is re-formed. After
+   * Waits a moment if the rest that a runner of the service wants ends soon, or
+   * if one refuses requests although it has room, as the runners of a group do while the group is re-formed. After
    * that, runners that were tried before may be tried again. Returns false,
    * without waiting, if no runner refuses requests, if the request is
    * cancelled, or if it arrived too long ago.
    */
   async #waitForRunner(): Promise<boolean> {
     const { tracker, service, sink } = this.parameters;
-    if (!tracker.hasRefusing(service) || this.#cancelledOutcome()) return false;
-    if (this.#clock.elapsed > this.#maxWait) return false;
+    const remaining = this.#maxWait - this.#clock.elapsed;
+    const restEnd = tracker.firstRestEnd(service) ?? Infinity;
+    const mayOpen = tracker.hasRefusing(service) || restEnd <= remaining;
+    if (!mayOpen || this.#cancelledOutcome() || remaining < 0) return false;
     this.#tried.clear();
     await tracker.availabilityChanged.next(
       WAIT_CHECK_INTERVAL_MILLISECONDS,
@@ -415,6 +428,7 @@
     const retryAfterMilliseconds =
       quarantine.remainingMilliseconds(this) ||
       this.#rateLimitRetryMilliseconds ||
+      this.#restRetryMilliseconds() ||
       retryDelay.retryDelayMilliseconds(this.#clock.millisecondsLeft, random);
     sink.refuse({ kind, reason: outcome.reason, retryAfterMilliseconds });
   }
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -89,6 +89,7 @@
     dataCentre: "d",
     random,
     rateLimitWaitOf: () => 0,
+    restOf: () => 0,
     inLockStep: () => false,
   });
   const runners = ["i-1", "i-2"].map((identifier, index) =>
@@ -129,7 +130,10 @@
       onCrash: () => {},
     }),
     onAnswerStart: () => {},
-    rests: new runnerRests.RunnerRests({ logger }),
+    rests: new runnerRests.RunnerRests({
+      logger,
+      metrics: common.discardMetrics(),
+    }),
     rateLimits: rateLimitsFixture.createRateLimits(),
     random: new common.Random(2),
     logger,
--- a/packages/daemon/src/forwarding/obtain_runner.ts
+++ b/packages/daemon/src/forwarding/obtain_runner.ts
@@ -45,7 +45,7 @@
   const runner = tracker.choose(service, tried);
   if (!runner) return { kind: "none" };
   const admission = await rateLimits.admit(runner, 0);
-  if (admission.kind === "denied" || !tracker.inUse(runner))
+  if (admission.kind === "denied" || !tracker.mayReceive(runner))
     return { kind: "retry" };
   const { permit } = admission;
   return { kind: "runner", runner, permit, trace: undefined };
@@ -84,7 +84,7 @@
     const { permit } = admission;
     const remainingMilliseconds = permit.remainingMilliseconds();
     await common.sleep(remainingMilliseconds, signal);
-    if (!tracker.inUse(runner)) return { kind: "retry" };
+    if (!tracker.mayReceive(runner)) return { kind: "retry" };
     const waited = rateLimits.trace(runner, remainingMilliseconds);
     return { kind: "runner", runner, permit, trace: waited };
   }
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -74,10 +74,17 @@
   /** Notes that a part of the answer has arrived. */
   noteProgress(): void {
     const { tracker, runner } = this.parameters;
+    this.#noteTaken();
     this.#progressAt = common.now();
     tracker.noteProgress(runner.identifier);
   }
 
+  /** Notes that the runner took the request, which shows that its rest is over. */
+  #noteTaken(): void {
+    const { tracker, runner, rests } = this.parameters;
+    if (rests.noteTaken(runner)) tracker.availabilityChanged.announce();
+  }
+
   #hasStalled(): boolean {
     const { route, tracker, runner } = this.parameters;
     const waited = common.now() - this.#progressAt;
@@ -91,13 +98,26 @@
     }
   }
 
+  /**
+   * Why the request may not be sent after all. This is the only place from
+   * which requests go to runners.
+   */
+  #obstacle(): string | undefined {
+    const { permit, rests, runner } = this.parameters;
+    if (permit.isExpired()) return "permit expired";
+    return rests.waitOf(runner) > 0 ? "runner wants rest" : undefined;
+  }
+
   async #callRunner(): Promise<attemptOutcome.AttemptOutcome> {
-    const { request, runner, permit, sink, route, account } = this.parameters;
+    const { request, runner, permit, rests } = this.parameters;
+    const { sink, route, account } = this.parameters;
     const { runnerClient, relay, clock, cancel, spentBefore } = this.parameters;
-    if (permit.isExpired()) {
+    const obstacle = this.#obstacle();
+    if (obstacle !== undefined) {
       const kind = attemptOutcome.AttemptOutcomeKind.NotRun;
-      return { kind, reason: "permit expired" };
+      return { kind, reason: obstacle };
     }
+    rests.noteSent(runner);
     const answer = await runnerClient.call({
       request,
       runner,
@@ -128,7 +148,7 @@
     const { verdict, head, signed, body } = answer;
     this.#noteRateLimit(answer);
     const reason = `status ${head.status}`;
-    this.#noteRest(answer);
+    const wantsRest = this.#asksForRest(answer);
     switch (verdict) {
       case runnerClientModule.Verdict.WrongRunner:
         tracker.removeReplaced(runner);
@@ -137,11 +157,12 @@
           reason: "another runner there",
         };
       case runnerClientModule.Verdict.NotRun:
-        // A runner at its limit is no failing one, and its group is complete.
-        if (answer.rateLimit === undefined)
+        // A runner at its limit, or at rest, says itself when it takes requests.
+        if (answer.rateLimit === undefined && !wantsRest)
           tracker.noteRefusal(runner.identifier);
         return { kind: attemptOutcome.AttemptOutcomeKind.NotRun, reason };
       case runnerClientModule.Verdict.Failed: {
+        this.#noteTaken();
         const completeBody = await answerRelay.readCompleteBody(body);
         if (completeBody.isErr())
           return { kind: attemptOutcome.AttemptOutcomeKind.Unknown, reason };
@@ -165,14 +186,14 @@
     }
   }
 
-  /** Notes whether an answer of the runner asks for rest. */
-  #noteRest(answer: runnerClientModule.RunnerAnswer): void {
+  /** Whether an answer of the runner asks for rest, which is noted. */
+  #asksForRest(answer: runnerClientModule.RunnerAnswer): boolean {
     const { runner, request, rests } = this.parameters;
     const { verdict, head, retryAfter } = answer;
-    if (verdict === runnerClientModule.Verdict.WrongRunner) return;
+    if (verdict === runnerClientModule.Verdict.WrongRunner) return false;
     const { identifier } = request;
     const { status } = head;
-    rests.note({ runner, request: identifier, status, retryAfter });
+    return rests.note({ runner, request: identifier, status, retryAfter });
   }
 
   /** Passes on what an answer of the runner says about its rate limit. */
--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -54,6 +54,8 @@
  */
 const PROBE_INTERVAL_MILLISECONDS = 100;
 
+const NONE_TRIED: ReadonlySet<string> = new Set();
+
 /** What this entry knows about one runner. */
 class RunnerRecord {
   /** Requests in progress from this entry. */
@@ -146,6 +148,11 @@
        * limit; 0 if it may have now.
        */
       rateLimitWaitOf: (runner: traffic.RunnerEntry) => number;
+      /**
+       * Milliseconds for which a runner wants nothing from this entry; 0 for
+       * none.
+       */
+      restOf: (runner: traffic.RunnerEntry) => number;
     },
   ) {}
 
@@ -203,6 +210,7 @@
       if (tried.has(identifier)) continue;
       if (record.refusing && now < record.avoidUntil) continue;
       if (this.parameters.rateLimitWaitOf(entry) > 0) continue;
+      if (this.parameters.restOf(entry) > 0) continue;
       views.push({
         identifier,
         outstanding: record.own + this.#otherEntries.countAt(identifier),
@@ -261,6 +269,7 @@
     for (const { entry } of this.#records.values()) {
       if (entry.service !== service || entry.leaving) continue;
       if (tried.has(entry.identifier)) continue;
+      if (this.parameters.restOf(entry) > 0) continue;
       const waitMilliseconds = this.parameters.rateLimitWaitOf(entry);
       if (waitMilliseconds === 0) continue;
       if (next && next.waitMilliseconds <= waitMilliseconds) continue;
@@ -269,6 +278,30 @@
     return next;
   }
 
+  /**
+   * Milliseconds until the first runner of a service that wants rest may get a
+   * request; `undefined` if none wants rest.
+   */
+  firstRestEnd(service: string): number | undefined {
+    const waits: number[] = [];
+    for (const { entry } of this.#records.values()) {
+      if (entry.service !== service || entry.leaving) continue;
+      const wait = this.parameters.restOf(entry);
+      if (wait > 0) waits.push(wait);
+    }
+    return waits.length > 0 ? Math.min(...waits) : undefined;
+  }
+
+  /** Whether any runner of a service may get a request now. */
+  hasCandidates(service: string): boolean {
+    return this.candidates(service, NONE_TRIED).length > 0;
+  }
+
+  /** Whether this entry may send a request to a runner now. */
+  mayReceive(runner: traffic.RunnerEntry): boolean {
+    return this.inUse(runner) && this.parameters.restOf(runner) === 0;
+  }
+
   /** Whether this incarnation of a runner is listed, and not as leaving. */
   inUse(runner: traffic.RunnerEntry): boolean {
     const entry = this.#records.get(runner.identifier)?.entry;
--- a/packages/daemon/src/forwarding/runner_tracker_test.ts
+++ b/packages/daemon/src/forwarding/runner_tracker_test.ts
@@ -12,9 +12,15 @@
 ): runnerTracker.RunnerTracker {
   const random = new common.Random(1);
   const inLockStep = () => lockStep;
-  const rateLimitWaitOf = () => 0;
+  const [rateLimitWaitOf, restOf] = [() => 0, () => 0];
   const dataCentre = "d";
-  const parameters = { dataCentre, random, inLockStep, rateLimitWaitOf };
+  const parameters = {
+    dataCentre,
+    random,
+    inLockStep,
+    rateLimitWaitOf,
+    restOf,
+  };
   const tracker = new runnerTracker.RunnerTracker(parameters);
   tracker.update({ version: 1, runners });
   return tracker;
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -129,6 +129,7 @@
       random,
       inLockStep: (service) => this.#inLockStep(service),
       rateLimitWaitOf: (runner) => this.rateLimits.waitOf(runner),
+      restOf: (runner) => this.rests.waitOf(runner),
     });
     this.#rows = new quarantineRows.QuarantineRows(parameters);
     this.quarantine = new quarantine.Quarantine({
@@ -156,7 +157,7 @@
         this.quarantine.crashedIncarnations(earliest, latest),
       onDisproved: (incarnation) => this.quarantine.disproveCrash(incarnation),
     });
-    this.rests = new runnerRests.RunnerRests({ logger });
+    this.rests = new runnerRests.RunnerRests({ logger, metrics });
     this.rateLimits = new rateLimits.RateLimits({
       host: self.host,
       entries: () =>
@@ -323,6 +324,7 @@
       board: this.runnerTracker.runners(),
       quarantine: this.quarantine.describe(),
       rateLimits: this.rateLimits.describe(),
+      rests: this.rests.describe(),
       mesh: this.mesh.describe(),
     };
   }
@@ -429,6 +431,7 @@
         this.runnerTracker.update(list);
         this.crashDetector.applyList(list);
         this.rateLimits.retain(list);
+        this.rests.retain(list);
       }
       if (list) this.crashReview.reviewList(list, this.runners.age);
       version = list?.version ?? version;
