--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -213,6 +213,7 @@
       signed: options.signed ?? true,
       rateLimit: undefined,
       retryAfter: undefined,
+      leaving: false,
       body: body(),
     });
 }
--- a/packages/daemon/src/forwarding/runner_client.ts
+++ b/packages/daemon/src/forwarding/runner_client.ts
@@ -61,6 +61,8 @@
    * `undefined` without one.
    */
   rateLimit: string | undefined;
+  /** Whether the answer says that its runner is leaving. */
+  leaving: boolean;
   /** Value of the `Retry-After` header; `undefined` without one. */
   retryAfter: string | undefined;
   /**
--- a/packages/stand_ins/src/gateways/pool_runner.ts
+++ b/packages/stand_ins/src/gateways/pool_runner.ts
@@ -35,6 +35,8 @@
   readonly #runs = new Set<Run>();
   /** It takes no new work and ends soon, as planned. */
   leaving = false;
+  /** Says in its answers that it is leaving. */
+  saysLeaving = false;
   /** Breaks off each answer after its first event, as a sound runner may. */
   breaksAnswers = false;
   /** Value of the rate limit header of its answers; `undefined` for none. */
@@ -88,6 +90,7 @@
     this.#life++;
     this.#up = true;
     this.leaving = false;
+    this.saysLeaving = false;
   }
 
   /** An entry's connections are lost: reset, or silent for good. */
@@ -128,7 +131,7 @@
     });
     const answers = endsAfter === undefined || Number(endsAfter) > 0;
     if (!answers) return noAnswer(ending);
-    return answerOf(ending, call.resumeAfter, this.rateLimit);
+    return answerOf(ending, call.resumeAfter, this);
   }
 }
 
@@ -136,7 +139,7 @@
 async function answerOf(
   ending: Promise<RunEnd>,
   resumeAfter: string,
-  rateLimit: string | undefined,
+  { rateLimit, saysLeaving: leaving }: PoolRunner,
 ): ReturnType<daemon.RunnerClient["call"]> {
   return neverthrow.ok({
     verdict: daemon.Verdict.Ran,
@@ -144,6 +147,7 @@
     signed: true,
     rateLimit,
     retryAfter: undefined,
+    leaving,
     body: eventsOf(ending, Number(resumeAfter)),
   });
 }
@@ -174,6 +178,7 @@
     signed: false,
     rateLimit: undefined,
     retryAfter: undefined,
+    leaving: false,
     body: (async function* () {})(),
   };
 }
@@ -186,6 +191,7 @@
     signed: false,
     rateLimit: undefined,
     retryAfter,
+    leaving: false,
     body: (async function* () {})(),
   };
 }
--- a/packages/stand_ins/src/gateways/runner_pool.ts
+++ b/packages/stand_ins/src/gateways/runner_pool.ts
@@ -41,6 +41,13 @@
   at: number;
 }
 
+/** An answer in which a runner said to an entry that it is leaving. */
+export interface LeaveNotice {
+  entry: string;
+  runner: string;
+  at: number;
+}
+
 /** An answer in which a runner turned an entry away and asked for rest. */
 export interface TurnAway {
   entry: string;
@@ -66,6 +73,7 @@
   readonly runners: poolRunner.PoolRunner[];
   readonly arrivals: Arrival[] = [];
   readonly namings: Naming[] = [];
+  readonly leaveNotices: LeaveNotice[] = [];
   readonly turnAways: TurnAway[] = [];
   readonly ends: PoolEnd[] = [];
   /** Cuts between entries and runners, by entry and place. */
@@ -202,6 +210,10 @@
     if (runner.rateLimit !== undefined) {
       this.namings.push({ entry, runner: identifier, at: common.now() });
     }
+    if (runner.saysLeaving) {
+      const at = common.now();
+      this.leaveNotices.push({ entry, runner: identifier, at });
+    }
     const { restWanted } = runner;
     if (restWanted !== undefined) {
       const at = common.now();
