--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -225,7 +225,9 @@
       if (quarantine.remainingMilliseconds(this) > 0)
         return attemptOutcome.QUARANTINED;
       if (lastOutcome && budget.balance < 1) return lastOutcome;
-      const obtained = await this.#obtainRunner();
+      const obtaining = this.#obtainRunner();
+      const obtained =
+        obtaining instanceof Promise ? await obtaining : obtaining;
       switch (obtained.kind) {
         case "retry":
           continue;
@@ -276,11 +278,18 @@
    * Finds a runner that may get the request now. If there is none, the request
    * waits a moment for one that refuses requests, or for the rate limit of one.
    */
-  async #obtainRunner(): Promise<obtainRunner.ObtainedRunner> {
-    const { sink } = this.parameters;
+  #obtainRunner():
+    obtainRunner.ObtainedRunner | Promise<obtainRunner.ObtainedRunner> {
     const parameters = { ...this.parameters, tried: this.#tried };
-    const obtained = await obtainRunner.obtainRunner(parameters);
-    if (obtained.kind !== "none") return obtained;
+    const obtained = obtainRunner.obtainRunner(parameters);
+    if (obtained instanceof Promise) return obtained;
+    return obtained.kind === "none" ? this.#awaitRunner(parameters) : obtained;
+  }
+
+  async #awaitRunner(
+    parameters: obtainRunner.ObtainRunnerParameters,
+  ): Promise<obtainRunner.ObtainedRunner> {
+    const { sink } = this.parameters;
     if (await this.#waitForRunner()) return { kind: "retry" };
     return obtainRunner.awaitRateLimit({
       ...parameters,
--- a/packages/daemon/src/forwarding/obtain_runner.ts
+++ b/packages/daemon/src/forwarding/obtain_runner.ts
@@ -1,7 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import type * as traffic from "@geraniumkeel/traffic";
 import type * as rateLimitPermit from "../rate_limit/rate_limit_permit.ts";
-import type * as rateLimits from "../rate_limit/rate_limits.ts";
+import type * as rateLimitsModule from "../rate_limit/rate_limits.ts";
 import type * as runnerTracker from "./runner_tracker.ts";
 
 /** A runner for one attempt of a request, or why there is none. */
@@ -11,7 +11,7 @@
       runner: traffic.RunnerEntry;
       permit: rateLimitPermit.RateLimitPermit;
       /** How long the request waited; `undefined` if no rate limit decided. */
-      trace: rateLimits.RateLimitTrace | undefined;
+      trace: rateLimitsModule.RateLimitTrace | undefined;
     }
   /** The runner that was chosen is at its rate limit; choose again. */
   | { kind: "retry" }
@@ -22,7 +22,7 @@
       kind: "at-limit";
       runner: traffic.RunnerEntry;
       waitMilliseconds: number;
-      trace: rateLimits.RateLimitTrace | undefined;
+      trace: rateLimitsModule.RateLimitTrace | undefined;
     };
 
 /** What finding a runner needs. */
@@ -31,24 +31,31 @@
   /** Runners that the request does not go to. */
   tried: ReadonlySet<string>;
   tracker: runnerTracker.RunnerTracker;
-  rateLimits: rateLimits.RateLimits;
+  rateLimits: rateLimitsModule.RateLimits;
 }
 
 /**
  * Chooses a runner and asks for a permit to send to it, without waiting for a
  * rate limit. Prefers runners with room within their limits to all others.
  */
-export async function obtainRunner(
+export function obtainRunner(
   parameters: ObtainRunnerParameters,
-): Promise<ObtainedRunner> {
+): ObtainedRunner | Promise<ObtainedRunner> {
   const { service, tried, tracker, rateLimits } = parameters;
   const runner = tracker.choose(service, tried);
   if (!runner) return { kind: "none" };
-  const admission = await rateLimits.admit(runner, 0);
-  if (admission.kind === "denied" || !tracker.mayReceive(runner))
-    return { kind: "retry" };
-  const { permit } = admission;
-  return { kind: "runner", runner, permit, trace: undefined };
+  const admission = rateLimits.admit(runner, 0);
+  const obtained = (
+    settled: rateLimitsModule.RateLimitAdmission,
+  ): ObtainedRunner => {
+    if (settled.kind === "denied" || !tracker.mayReceive(runner))
+      return { kind: "retry" };
+    const { permit } = settled;
+    return { kind: "runner", runner, permit, trace: undefined };
+  };
+  return admission instanceof Promise
+    ? admission.then(obtained)
+    : obtained(admission);
 }
 
 /**
--- a/packages/daemon/src/rate_limit/rate_limits.ts
+++ b/packages/daemon/src/rate_limit/rate_limits.ts
@@ -129,33 +129,22 @@
     return Math.max(0, limited.nextAskAt - this.#now());
   }
 
-  /** Asks for the permit that each request to a runner needs. */
-  async admit(
+  /**
+   * Asks for the permit that each request to a runner needs. For a runner
+   * without a limit it is there at once, without a turn of the event loop.
+   */
+  admit(
     runner: traffic.RunnerEntry,
     maxDelayMilliseconds: number,
-  ): Promise<RateLimitAdmission> {
+  ): RateLimitAdmission | Promise<RateLimitAdmission> {
     const limited = this.#limitedOf(runner);
+    if (limited) return this.#admitLimited(limited, maxDelayMilliseconds);
     const incarnation = traffic.incarnationOf(runner);
-    if (!limited) {
-      const { RateLimitPermit } = rateLimitPermit;
-      const permit = new RateLimitPermit(incarnation, undefined);
-      return { kind: "granted", permit };
-    }
-    const waitMilliseconds = this.waitOf(runner);
-    if (waitMilliseconds > maxDelayMilliseconds)
-      return this.#denied(limited, waitMilliseconds);
-    const askedAt = this.#instant();
-    const answer = await this.#ask(limited, maxDelayMilliseconds);
-    if (answer.kind === "denied")
-      return this.#denied(limited, answer.waitMilliseconds);
-    const { delayMilliseconds } = answer;
-    this.#count(limited, delayMilliseconds > 0 ? "waited" : "granted");
-    const permit = new rateLimitPermit.RateLimitPermit(
-      incarnation,
-      delayMilliseconds,
-      askedAt,
-    );
-    return { kind: "granted", permit };
+    const { RateLimitPermit } = rateLimitPermit;
+    return {
+      kind: "granted",
+      permit: new RateLimitPermit(incarnation, undefined),
+    };
   }
 
   /** What a decision about a runner was based on; `undefined` without a limit. */
@@ -282,6 +271,27 @@
     return limited.delegations.allocatorOf(this.parameters.host) ?? "";
   }
 
+  async #admitLimited(
+    limited: limitedRunner.LimitedRunner,
+    maxDelayMilliseconds: number,
+  ): Promise<RateLimitAdmission> {
+    const waitMilliseconds = limited.nextAskAt - this.#now();
+    if (waitMilliseconds > maxDelayMilliseconds)
+      return this.#denied(limited, waitMilliseconds);
+    const askedAt = this.#instant();
+    const answer = await this.#ask(limited, maxDelayMilliseconds);
+    if (answer.kind === "denied")
+      return this.#denied(limited, answer.waitMilliseconds);
+    const { delayMilliseconds } = answer;
+    this.#count(limited, delayMilliseconds > 0 ? "waited" : "granted");
+    const permit = new rateLimitPermit.RateLimitPermit(
+      limited.incarnation,
+      delayMilliseconds,
+      askedAt,
+    );
+    return { kind: "granted", permit };
+  }
+
   async #ask(
     limited: limitedRunner.LimitedRunner,
     maxDelay: number,
