fix: a back end behind the product's own interface rests for as long as it asks

The process decides by the same module; it refuses as not run, with the time that is left, and entries leave the runner out until then, as at a rate limit. A stream that broke off is taken up again after the rest.

--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -5,6 +5,7 @@
 import type * as answerSink from "./answer_sink.ts";
 import * as followAttempt from "./follow_attempt.ts";
 import * as keyedRequests from "./keyed_requests.ts";
+import * as notYetReason from "./not_yet_reason.ts";
 import * as request from "./request.ts";
 import type * as retryBudget from "./retry_budget.ts";
 import type * as runnerObtainer from "./runner_obtainer.ts";
@@ -200,6 +201,7 @@
   ): Promise<request.RequestResult> {
     const excluded = new Set<string>();
     let mayHaveRunReason: string | undefined;
+    let notYet: request.NotRunReason | undefined;
     let failures = 0;
     for (let attempts = 1; ; attempts++) {
       const wasAdmitted = attempts > 1;
@@ -230,13 +232,10 @@
         case request.AttemptOutcomeKind.NeverStarted:
           // The request returns to the queue, at most until its deadline.
           if (outcome.cause === request.NotStartedCause.Full) continue;
-          if (outcome.cause === request.NotStartedCause.AtRateLimit) {
-            if (!accepted.body) continue;
-            return withEarlierAttempts(
-              this.notRun(request.NotRunReason.AtRateLimit),
-              mayHaveRunReason,
-            );
-          }
+          notYet = notYetReason.notYetReason(outcome.cause);
+          if (notYet && !accepted.body) continue;
+          if (notYet)
+            return withEarlierAttempts(this.notRun(notYet), mayHaveRunReason);
           if (this.permitRetry(accepted, ++failures, outcome.cause)) break;
           return withEarlierAttempts(
             this.notRun(request.NotRunReason.EngineUnavailable),
--- a/packages/daemon/src/dispatch/follow_attempt.ts
+++ b/packages/daemon/src/dispatch/follow_attempt.ts
@@ -197,6 +197,8 @@
       return { kind, cause: request.NotStartedCause.Full };
     case wire.RefusalReason.AtRateLimit:
       return { kind, cause: request.NotStartedCause.AtRateLimit };
+    case wire.RefusalReason.Resting:
+      return { kind, cause: request.NotStartedCause.Resting };
     case wire.RefusalReason.OldIncarnation:
     case wire.RefusalReason.Tombstoned:
     case wire.RefusalReason.TooOld:
--- a/packages/daemon/src/dispatch/keyed_requests.ts
+++ b/packages/daemon/src/dispatch/keyed_requests.ts
@@ -9,6 +9,7 @@
 import * as followAttempt from "./follow_attempt.ts";
 import * as recordingSink from "./recording_sink.ts";
 import type * as lostClaims from "./lost_claims.ts";
+import * as notYetReason from "./not_yet_reason.ts";
 import * as request from "./request.ts";
 import type * as runnerDirectory from "./runner_directory.ts";
 import type * as runnerLink from "./runner_link.ts";
@@ -195,10 +196,9 @@
       const outcome = await followAttempt.followAttempt(followed);
       if (outcome.kind === request.AttemptOutcomeKind.NeverStarted) {
         if (outcome.cause === request.NotStartedCause.Full) continue;
-        if (outcome.cause === request.NotStartedCause.AtRateLimit) {
-          if (!accepted.body) continue;
-          return obtainer.notRun(request.NotRunReason.AtRateLimit);
-        }
+        const notYet = notYetReason.notYetReason(outcome.cause);
+        if (notYet && !accepted.body) continue;
+        if (notYet) return obtainer.notRun(notYet);
         excluded.add(runner.host.name);
         if (obtainer.permitRetry(accepted, ++failures, outcome.cause)) continue;
         return obtainer.notRun(request.NotRunReason.EngineUnavailable);
--- a/packages/daemon/src/dispatch/request.ts
+++ b/packages/daemon/src/dispatch/request.ts
@@ -70,6 +70,8 @@
   Quarantined = "quarantined",
   /** The runner's request rate limit is used up. */
   AtRateLimit = "at-rate-limit",
+  /** The runner wants nothing for a while. */
+  Resting = "resting",
 }
 
 /** Final result of a request. */
@@ -152,6 +154,8 @@
    * queue, unless its body cannot be sent again.
    */
   AtRateLimit = "at-rate-limit",
+  /** Its runner wants rest. The same holds as at a rate limit. */
+  Resting = "resting",
 }
 
 /** An attempt with the runner that it was sent to. */
--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -97,6 +97,8 @@
    */
   progressAt = common.now();
   #isFull = false;
+  /** Until when the runner wants nothing, as it said. */
+  #restsUntil = -Infinity;
   /** The runner's request rate limit, as it last told this entry. */
   #rateLimit: ToldRateLimit | undefined;
   /** Work of this entry that the last load report does not include. */
@@ -160,6 +162,11 @@
     return this.#isFull;
   }
 
+  /** Whether the runner wants nothing for now. */
+  get isResting(): boolean {
+    return common.now() < this.#restsUntil;
+  }
+
   /** Whether the runner's request rate limit is used up for now. */
   get isAtRateLimit(): boolean {
     return common.now() < (this.#rateLimit?.until ?? -Infinity);
@@ -483,6 +490,8 @@
         if (reason === wire.RefusalReason.Full) this.#isFull = true;
         if (reason === wire.RefusalReason.AtRateLimit)
           this.#noteRateLimit(message.retryAfter ?? 0, message.perSecond ?? 0);
+        if (reason === wire.RefusalReason.Resting)
+          this.#restsUntil = common.now() + (message.retryAfter ?? 0);
         this.#findAttempt(message.identifier)?.events.push({ kind, reason });
         return;
       }
--- a/packages/daemon/src/entry/problems.ts
+++ b/packages/daemon/src/entry/problems.ts
@@ -24,6 +24,7 @@
     "A request that may not be repeated needs the table service, which does not answer",
   [request.NotRunReason.EngineUnavailable]: "The runners tried did not take it",
   [request.NotRunReason.AtRateLimit]: "The runner's rate limit is used up",
+  [request.NotRunReason.Resting]: "The runner takes nothing for a while",
   [request.NotRunReason.Quarantined]:
     "Runners ended while they ran this request; it is in quarantine",
 };
--- a/packages/daemon/src/routing/router.ts
+++ b/packages/daemon/src/routing/router.ts
@@ -237,7 +237,7 @@
   #isEligible(runner: runnerLink.RunnerLink, request: RoutingRequest): boolean {
     const { name } = runner.host;
     if (!runner.available || request.excluded.has(name)) return false;
-    if (runner.isFull || runner.isAtRateLimit) return false;
+    if (runner.isFull || runner.isAtRateLimit || runner.isResting) return false;
     if (this.#updateSuspension(runner)) return false;
     const limit = request.runnerConcurrency * this.#concurrencyShare(name);
     return runner.sequences < Math.max(1, limit);
--- a/packages/daemon/src/upstream/attempt_table.ts
+++ b/packages/daemon/src/upstream/attempt_table.ts
@@ -21,7 +21,7 @@
   | {
       admitted: false;
       reason: wire.RefusalReason;
-      /** Milliseconds after which there may be room; with `AtRateLimit`. */
+      /** Milliseconds after which there may be room; with `AtRateLimit`, `Resting`. */
       retryAfter?: number;
     };
 
--- a/packages/daemon/src/upstream/back_end_rate_limit.ts
+++ b/packages/daemon/src/upstream/back_end_rate_limit.ts
@@ -21,9 +21,9 @@
   ) {}
 
   /** Notes what an answer of the back end says. */
-  note({ value, sentAt }: engineModule.RateLimitNotice): void {
+  note({ rateLimit, sentAt }: engineModule.AnswerNotice): void {
     const { host, service, logger } = this.parameters;
-    const reading = rateLimitHeader.readRateLimit(value);
+    const reading = rateLimitHeader.readRateLimit(rateLimit);
     if (reading.kind === "unreadable") {
       if (this.#unreadable) return;
       this.#unreadable = true;
--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -147,6 +147,11 @@
   const admission = table.admit(attempt);
   if (!admission.admitted) return admission;
   if (!hasRoom(table, limit)) return refuse(wire.RefusalReason.Full);
+  const restMilliseconds = context.rest.waitMilliseconds;
+  if (restMilliseconds > 0) {
+    const reason = wire.RefusalReason.Resting;
+    return { admitted: false, reason, retryAfter: restMilliseconds };
+  }
   const retryAfter = context.rateLimit.take();
   if (retryAfter > 0) {
     const reason = wire.RefusalReason.AtRateLimit;
@@ -168,7 +173,9 @@
   return new waitingRoom.WaitingRoom({
     changed: table.changed,
     hasRoom: ({ message }) =>
-      hasRoom(table, message.limit) && context().rateLimit.hasRoom,
+      hasRoom(table, message.limit) &&
+      context().rateLimit.hasRoom &&
+      context().rest.waitMilliseconds === 0,
     leave: (waiting) => {
       // Its entry has asked again over a new link, and was told "never started".
       if (waiting.link.end !== undefined) return;
@@ -210,7 +217,8 @@
     const { reason, retryAfter } = admission;
     const isFull =
       reason === wire.RefusalReason.Full ||
-      reason === wire.RefusalReason.AtRateLimit;
+      reason === wire.RefusalReason.AtRateLimit ||
+      reason === wire.RefusalReason.Resting;
     const waits = mayWait && isFull;
     if (waits && context.waitingRoom.enter({ link, message })) return;
     // A full runner is no trouble, and refuses many in a surge.
@@ -237,6 +245,7 @@
       : 0,
   );
   record.claim = message.claim;
+  context.rest.noteSent();
   context.table.add(record);
   context.history.record({
     kind: "agent-started",
@@ -257,7 +266,7 @@
   record: attemptRecord.AttemptRecord,
   work: wire.Work,
 ): Promise<void> {
-  const { backEnd, lives, rateLimit } = context;
+  const { backEnd, lives, rateLimit, rest } = context;
   const mismatch = { kind: wire.EndKind.NotStarted, reason: "wrong work" };
   switch (work.kind) {
     case wire.WorkKind.Generate:
@@ -269,6 +278,7 @@
         engine: backEnd.engine,
         lives,
         rateLimit,
+        rest,
         work,
       });
     case wire.WorkKind.Call:
--- a/packages/daemon/src/upstream/entry_link_test.ts
+++ b/packages/daemon/src/upstream/entry_link_test.ts
@@ -4,6 +4,7 @@
 import * as attemptRecord from "./attempt_record.ts";
 import * as attemptTable from "./attempt_table.ts";
 import * as entryLink from "./entry_link.ts";
+import * as backEndRest from "./back_end_rest.ts";
 import * as backEndRateLimit from "./back_end_rate_limit.ts";
 import type * as upstreamContext from "./upstream_context.ts";
 
@@ -86,6 +87,12 @@
     links: new Map(),
     newestLink: new Map(),
     leaving: false,
+    rest: new backEndRest.BackEndRest({
+      host: "h",
+      service: "s",
+      logger: new common.RecordingLogger(),
+      metrics: common.discardMetrics(),
+    }),
     rateLimit: new backEndRateLimit.BackEndRateLimit({
       host: "h",
       service: "s",
--- a/packages/daemon/src/upstream/run_attempt.ts
+++ b/packages/daemon/src/upstream/run_attempt.ts
@@ -3,6 +3,7 @@
 import * as wire from "@geraniumkeel/wire";
 import type * as attemptRecord from "./attempt_record.ts";
 import type * as backEndRateLimit from "./back_end_rate_limit.ts";
+import type * as backEndRest from "./back_end_rest.ts";
 import type * as backEndLives from "./back_end_lives.ts";
 
 /** Times a broken engine stream is taken up again. */
@@ -15,9 +16,10 @@
   engine: engineModule.HttpEngine;
   lives: backEndLives.BackEndLives;
   rateLimit: backEndRateLimit.BackEndRateLimit;
+  rest: backEndRest.BackEndRest;
   work: wire.GenerateWork;
 }): Promise<void> {
-  const { record, engine, lives, rateLimit, work } = parameters;
+  const { record, engine, lives, rateLimit, rest, work } = parameters;
   const { identifier } = record.attempt;
   const signal = record.abort.signal;
   let items = engine.generate({ ...work, identifier }, signal);
@@ -51,6 +53,7 @@
     // The engine holds the sequence: going on from the next token keeps the
     // answer of one sampling, where a new generation would splice two.
     await common.sleep(RESUME_PAUSE_MILLISECONDS * (attempt + 1), signal);
+    await rest.wait(signal);
     await rateLimit.takeInTurn(signal);
     items = engine.resume(identifier, record.produced, signal);
   }
--- a/packages/daemon/src/upstream/start_upstream.ts
+++ b/packages/daemon/src/upstream/start_upstream.ts
@@ -7,6 +7,7 @@
 import * as listenModule from "../settings/listen.ts";
 import * as settingsModule from "../settings/settings.ts";
 import * as backEndRateLimit from "./back_end_rate_limit.ts";
+import * as backEndRest from "./back_end_rest.ts";
 import * as backEndLives from "./back_end_lives.ts";
 import * as attemptTable from "./attempt_table.ts";
 import * as entryLink from "./entry_link.ts";
@@ -98,21 +99,27 @@
 ): upstreamContext.UpstreamContext {
   const incarnation = common.randomIdentifier();
   const table = new attemptTable.AttemptTable(incarnation);
-  const { settings, logger } = parameters;
+  const { settings, logger, metrics } = parameters;
   const { backEnd, host, service } = settings;
   const rateLimit = new backEndRateLimit.BackEndRateLimit({
     host,
     service,
     logger,
   });
+  const rest = new backEndRest.BackEndRest({ host, service, logger, metrics });
+  const onAnswer = (notice: engineModule.AnswerNotice) => {
+    rateLimit.note(notice);
+    rest.note(notice);
+  };
   const context: upstreamContext.UpstreamContext = {
     ...parameters,
     incarnation,
     lifeCycle,
     table,
     waitingRoom: entryLink.newWaitingRoom(table, () => context),
-    backEnd: createBackEnd({ settings, incarnation, lifeCycle, rateLimit }),
+    backEnd: createBackEnd({ settings, incarnation, lifeCycle, onAnswer }),
     rateLimit,
+    rest,
     lives: new backEndLives.BackEndLives({
       incarnation,
       presence: () => backEndLives.presenceAtUrl(backEnd.url),
@@ -142,14 +149,13 @@
   settings: settingsModule.UpstreamSettings;
   incarnation: string;
   lifeCycle: common.LifeCycle;
-  rateLimit: backEndRateLimit.BackEndRateLimit;
+  onAnswer: (notice: engineModule.AnswerNotice) => void;
 }): upstreamContext.BackEnd {
-  const { settings, incarnation, lifeCycle, rateLimit } = parameters;
+  const { settings, incarnation, lifeCycle, onAnswer } = parameters;
   const { backEnd, timing } = settings;
   const options = {
     progressTimeoutMilliseconds: timing.progressTimeout,
-    onRateLimit: (notice: engineModule.RateLimitNotice) =>
-      rateLimit.note(notice),
+    onAnswer,
   };
   switch (backEnd.kind) {
     case settingsModule.BackEndKind.Model: {
@@ -224,6 +230,7 @@
     links: context.links.size,
     load: reporter.last,
     rateLimit: context.rateLimit.describe(),
+    restMilliseconds: Math.round(context.rest.waitMilliseconds),
     promisedFencing:
       backEnd.kind === settingsModule.BackEndKind.Model
         ? backEnd.orders.promisedFencing
--- a/packages/daemon/src/upstream/upstream_context.ts
+++ b/packages/daemon/src/upstream/upstream_context.ts
@@ -4,6 +4,7 @@
 import type * as orderGate from "../expert_map/order_gate.ts";
 import type * as settings from "../settings/settings.ts";
 import type * as backEndRateLimit from "./back_end_rate_limit.ts";
+import type * as backEndRest from "./back_end_rest.ts";
 import type * as backEndLives from "./back_end_lives.ts";
 import type * as attemptTable from "./attempt_table.ts";
 import type * as loadReporter from "./load_reporter.ts";
@@ -40,6 +41,8 @@
   lives: backEndLives.BackEndLives;
   /** Request rate limit that the back end names. */
   rateLimit: backEndRateLimit.BackEndRateLimit;
+  /** Rest that the back end asks for. */
+  rest: backEndRest.BackEndRest;
   /** Dispatches that came while the runner was full. */
   waitingRoom: waitingRoom.WaitingRoom<WaitingDispatch>;
   /** Open links from entries. */
--- a/packages/engine/src/http_engine.ts
+++ b/packages/engine/src/http_engine.ts
@@ -5,7 +5,7 @@
 import * as undici from "undici";
 import * as engine from "./engine.ts";
 import * as newAgent from "./new_agent.ts";
-import * as rateLimitNotice from "./rate_limit_notice.ts";
+import * as answerNotice from "./answer_notice.ts";
 
 /** Streams at once; each takes a connection. */
 const MOST_CONNECTIONS = 512;
@@ -23,7 +23,7 @@
     readonly parameters: {
       progressTimeoutMilliseconds: number;
       /** Called with each answer to a generation. */
-      onRateLimit?: (notice: rateLimitNotice.RateLimitNotice) => void;
+      onAnswer?: (notice: answerNotice.AnswerNotice) => void;
     },
   ) {
     const connections = MOST_CONNECTIONS;
@@ -120,8 +120,7 @@
         body,
         signal,
       });
-      const value = rateLimitNotice.rateLimitValue(answer.headers);
-      this.parameters.onRateLimit?.({ value, sentAt });
+      this.parameters.onAnswer?.(answerNotice.answerNotice(answer, sentAt));
       if (answer.statusCode === 503) {
         await answer.body.dump();
         yield { kind: engine.EngineItemKind.NotStarted, reason: "status 503" };
--- a/packages/engine/src/mod.ts
+++ b/packages/engine/src/mod.ts
@@ -1,4 +1,4 @@
 export * from "./engine.ts";
 export * from "./http_engine.ts";
 export * from "./plain_service.ts";
-export * from "./rate_limit_notice.ts";
+export * from "./answer_notice.ts";
--- a/packages/engine/src/plain_service.ts
+++ b/packages/engine/src/plain_service.ts
@@ -4,7 +4,7 @@
 import * as undici from "undici";
 import * as newAgent from "./new_agent.ts";
 import * as httpFailure from "./http_failure.ts";
-import * as rateLimitNotice from "./rate_limit_notice.ts";
+import * as answerNotice from "./answer_notice.ts";
 
 /** A call of a plain service. */
 export interface PlainCall {
@@ -64,7 +64,7 @@
     readonly parameters: {
       progressTimeoutMilliseconds: number;
       /** Called with each answer. */
-      onRateLimit?: (notice: rateLimitNotice.RateLimitNotice) => void;
+      onAnswer?: (notice: answerNotice.AnswerNotice) => void;
     },
   ) {
     const connections = MOST_CONNECTIONS;
@@ -85,8 +85,7 @@
         body: bodyOf(call.body),
         signal,
       });
-      const value = rateLimitNotice.rateLimitValue(answer.headers);
-      this.parameters.onRateLimit?.({ value, sentAt });
+      this.parameters.onAnswer?.(answerNotice.answerNotice(answer, sentAt));
       const headers = Object.entries(answer.headers).flatMap(
         ([name, value]): [string, string][] =>
           [value ?? []].flat().map((one) => [name, one]),
--- a/packages/stand_ins/src/plain_stand_in.ts
+++ b/packages/stand_ins/src/plain_stand_in.ts
@@ -12,6 +12,8 @@
   dropCalls: number;
   /** Requests a second that its answers name; empty for none. */
   rateLimit: string;
+  /** `Retry-After` with which calls are turned away; empty while they run. */
+  restWanted: string;
 }
 
 /** A running stand-in of a plain service, whose calls count. */
@@ -21,6 +23,8 @@
   faults: PlainFaults;
   /** Times that a request ended it. */
   ends: number;
+  /** When calls were turned away. */
+  turnedAway: number[];
   /** Called when a call starts to count. */
   onCall: ((call: string) => void) | undefined;
 }
@@ -33,6 +37,7 @@
     breakAnswers: 0,
     dropCalls: 0,
     rateLimit: "",
+    restWanted: "",
   };
   const serving = await serveModule.serveHandler((request, response) => {
     const onCall = (call: string) => standIn.onCall?.(call);
@@ -40,13 +45,16 @@
       standIn.ends++;
       serving.bounce(endingMark.RETURN_MILLISECONDS);
     };
-    void answer({ request, response, calls, faults, onCall, onEnd });
+    const onTurnedAway = () => standIn.turnedAway.push(common.now());
+    const parameters = { request, response, calls, faults };
+    void answer({ ...parameters, onCall, onTurnedAway, onEnd });
   }, port);
   const standIn: PlainStandIn = {
     ...serving,
     calls,
     faults,
     ends: 0,
+    turnedAway: [],
     onCall: undefined,
   };
   return standIn;
@@ -58,6 +66,7 @@
   calls: Map<string, number>;
   faults: PlainFaults;
   onCall: (call: string) => void;
+  onTurnedAway: () => void;
   onEnd: () => void;
 }): Promise<void> {
   const { request, response, calls, faults, onCall } = parameters;
@@ -82,6 +91,11 @@
     response.destroy();
     return;
   }
+  if (faults.restWanted !== "") {
+    parameters.onTurnedAway();
+    response.writeHead(503, { "retry-after": faults.restWanted }).end();
+    return;
+  }
   const call = String(request.headers["x-call"] ?? "");
   const after = endingMark.endsAfter(body.toString("latin1"));
   calls.set(call, (calls.get(call) ?? 0) + 1);
--- a/packages/stand_ins/src/system/rate_limit_cluster_test.ts
+++ b/packages/stand_ins/src/system/rate_limit_cluster_test.ts
@@ -60,3 +60,24 @@
     t.true(statuses.every((status) => status === 200 || status === 503));
   }),
 );
+
+// Guards against a service that asks for rest and is called by all entries all the same.
+test(
+  "a service behind the product's own interface gets nothing while it wants rest",
+  withCluster.withCluster(SHAPE, async (t, system) => {
+    const { plain } = system;
+    plain.faults.restWanted = "2";
+    const stop = load(system);
+    await system.until(() => plain.turnedAway.length > 0);
+    const [firstAt] = plain.turnedAway;
+    await common.sleep(1_900);
+    const inRest = plain.turnedAway.filter(
+      (at) => at > firstAt + 500 && at < firstAt + 2_000,
+    );
+    t.true(inRest.length <= 2, `${inRest.length} in a rest`);
+    plain.faults.restWanted = "";
+    await system.until(() => plain.calls.size > 0);
+    const statuses = await stop();
+    t.true(statuses.includes(200));
+  }),
+);
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -51,6 +51,8 @@
   Full = "full",
   /** It names a request rate limit, which is used up. */
   AtRateLimit = "at-rate-limit",
+  /** It wants nothing for a while. */
+  Resting = "resting",
 }
 
 /** Prefix blocks that an engine now holds or no longer holds. */
@@ -169,7 +171,7 @@
       kind: messageKind.MessageKind.Refused;
       identifier: string;
       reason: RefusalReason;
-      /** Milliseconds after which there may be room; with `AtRateLimit`. */
+      /** Milliseconds after which there may be room; with `AtRateLimit`, `Resting`. */
       retryAfter?: number;
       /** Requests a second that the runner takes; with `AtRateLimit`. */
       perSecond?: number;
