test: the explorer draws rate limits and rests, alone and in pairs

A rank that names 0.25 requests a second, and one that turns all away and wants half a second of rest, beside kills, broken streams, silent links and each other; what arrives at each engine is checked in every run.

--- a/packages/stand_ins/src/checkers/check_all.ts
+++ b/packages/stand_ins/src/checkers/check_all.ts
@@ -2,6 +2,7 @@
 import * as checkConfiguration from "./check_configuration.ts";
 import * as checkExpertMap from "./check_expert_map.ts";
 import * as checkLeaving from "./check_leaving.ts";
+import * as checkPacing from "./check_pacing.ts";
 import * as checkQuarantine from "./check_quarantine.ts";
 import type * as historyModule from "./history.ts";
 
@@ -20,6 +21,8 @@
   checkConfiguration.checkInForceSoon,
   checkQuarantine.checkEndings,
   checkQuarantine.checkInnocents,
+  checkPacing.checkRateLimits,
+  checkPacing.checkRests,
 ];
 
 /** All violations in a history. */
--- a/packages/stand_ins/src/checkers/checkers_test.ts
+++ b/packages/stand_ins/src/checkers/checkers_test.ts
@@ -4,6 +4,7 @@
 import * as checkConfiguration from "./check_configuration.ts";
 import * as checkExpertMap from "./check_expert_map.ts";
 import * as checkLeaving from "./check_leaving.ts";
+import * as checkPacing from "./check_pacing.ts";
 import * as checkQuarantine from "./check_quarantine.ts";
 import * as historyModule from "./history.ts";
 
@@ -30,6 +31,7 @@
     stepsTaken: 20,
     mixedSteps: 0,
     workStarts: [{ host: "up", at: 1_000 }],
+    arrivals: [],
     endings: [
       { work: "d", starts: [1, 2, 3, 3_050], ends: [10, 20, 30, 3_060] },
     ],
@@ -145,3 +147,25 @@
   );
   t.is(checkQuarantine.checkInnocents(history).length, 1);
 });
+
+test("an engine that gets more than it takes, or no rest, is found", (t) => {
+  const history = soundHistory();
+  const arrivalOf = (at: number): historyModule.ArrivalRecord => ({
+    host: "rank-0",
+    at,
+    perSecond: 1,
+    restMilliseconds: undefined,
+  });
+  history.arrivals = [0, 200, 1_000, 2_000].map(arrivalOf);
+  t.deepEqual(checkPacing.checkRateLimits(history), []);
+  history.arrivals = Array.from({ length: 20 }, (_, at) => arrivalOf(at * 100));
+  t.is(checkPacing.checkRateLimits(history).length, 1);
+  history.arrivals = history.arrivals.map((one) => ({
+    ...one,
+    perSecond: undefined,
+    restMilliseconds: one.at === 0 ? 600 : undefined,
+  }));
+  t.is(checkPacing.checkRests(history).length, 1);
+  history.arrivals = history.arrivals.filter(({ at }) => at === 0 || at > 600);
+  t.deepEqual(checkPacing.checkRests(history), []);
+});
--- a/packages/stand_ins/src/checkers/history.ts
+++ b/packages/stand_ins/src/checkers/history.ts
@@ -19,6 +19,8 @@
   workStarts: { host: string; at: number }[];
   /** Requests that end each engine that runs them. */
   endings: EndingRecord[];
+  /** Calls that arrived at engines, with what the answers said. */
+  arrivals: ArrivalRecord[];
   /** Hosts told to leave, with the time. */
   leavings: { host: string; at: number }[];
   /** Revisions put in force in a process. */
@@ -48,6 +50,16 @@
   ends: number[];
 }
 
+/** A call that arrived at an engine, and what its answer said of the engine. */
+export interface ArrivalRecord {
+  host: string;
+  at: number;
+  /** Requests a second that it named; `undefined` for none. */
+  perSecond: number | undefined;
+  /** Milliseconds of rest that it asked for; `undefined` for none. */
+  restMilliseconds: number | undefined;
+}
+
 /** A rank uses a map from a step on. */
 export interface MapUse {
   rank: number;
@@ -65,6 +77,7 @@
     mixedSteps: 0,
     workStarts: [],
     endings: [],
+    arrivals: [],
     leavings: [],
     inForce: [],
     accepted: [],
--- a/packages/stand_ins/src/engine_group.ts
+++ b/packages/stand_ins/src/engine_group.ts
@@ -26,6 +26,12 @@
   reportLagMilliseconds: number;
   /** Cache events that are never published. */
   dropCacheEvents: number;
+  /** Rank whose answers name a rate limit, and what they name. */
+  limitedRank: number;
+  rateLimit: string;
+  /** Rank that turns generations away, and the `Retry-After` that it sends. */
+  restingRank: number;
+  restWanted: string;
 }
 
 /** What a group did, for the history checkers. */
@@ -41,6 +47,15 @@
   switches: number;
 }
 
+/** A call that arrived at a rank, and what its answer says of the rank. */
+export interface EngineArrival {
+  rank: number;
+  /** Requests a second that the answer names; `undefined` for none. */
+  perSecond: number | undefined;
+  /** Milliseconds of rest that the answer asks for; `undefined` for none. */
+  restMilliseconds: number | undefined;
+}
+
 /** How orders are given to the engines of a group. */
 export interface GroupOptions {
   model: engineModel.EngineModel;
@@ -80,7 +95,13 @@
     dropOrders: "",
     reportLagMilliseconds: 100,
     dropCacheEvents: 0,
+    limitedRank: -1,
+    rateLimit: "",
+    restingRank: -1,
+    restWanted: "",
   };
+  /** Called when a generation, or a call to take one up again, arrives. */
+  onArrival: ((arrival: EngineArrival) => void) | undefined;
   step = 0;
   /** Called when a rank's engine starts a sequence. */
   onStart: ((rank: number, call: engine.GenerateCall) => void) | undefined;
--- a/packages/stand_ins/src/engine_stand_in.ts
+++ b/packages/stand_ins/src/engine_stand_in.ts
@@ -64,6 +64,7 @@
       return generate(rank, JSON.parse(body) as engine.GenerateCall, response);
     case "GET /generate/": {
       const known = rank.sequencesById.get(identifier);
+      tellArrival(rank);
       if (!known) return send(response, 404, { reason: "unknown sequence" });
       const from = Number(url.searchParams.get("from") ?? 0);
       return stream(rank, known, from, response);
@@ -139,6 +140,12 @@
   response: http.ServerResponse,
 ): Promise<void> {
   const { faults } = rank.parameters.group;
+  tellArrival(rank);
+  if (faults.restingRank === rank.parameters.rank) {
+    response.writeHead(503, { "retry-after": faults.restWanted });
+    response.end(JSON.stringify({ reason: "resting" }));
+    return;
+  }
   if (faults.refuseCalls > 0) {
     faults.refuseCalls--;
     return send(response, 503, { reason: "refused" });
@@ -149,6 +156,18 @@
   return stream(rank, added, 0, response);
 }
 
+/** Tells the group of a call that arrived at a rank. */
+function tellArrival(rank: engineRank.EngineRank): void {
+  const { group, rank: number } = rank.parameters;
+  const { limitedRank, rateLimit, restingRank, restWanted } = group.faults;
+  group.onArrival?.({
+    rank: number,
+    perSecond: limitedRank === number ? Number(rateLimit) : undefined,
+    restMilliseconds:
+      restingRank === number ? Number(restWanted) * 1_000 : undefined,
+  });
+}
+
 async function stream(
   rank: engineRank.EngineRank,
   one: sequence.Sequence,
@@ -158,7 +177,12 @@
   const { faults } = rank.parameters.group;
   const breaks = faults.breakStreams > 0;
   if (breaks) faults.breakStreams--;
-  response.writeHead(200, { "content-type": "application/x-ndjson" });
+  response.writeHead(200, {
+    "content-type": "application/x-ndjson",
+    ...(faults.limitedRank === rank.parameters.rank && {
+      [engine.RATE_LIMIT_HEADER]: faults.rateLimit,
+    }),
+  });
   let index = from;
   while (!response.destroyed) {
     let lines = "";
--- a/packages/stand_ins/src/explore/fault.ts
+++ b/packages/stand_ins/src/explore/fault.ts
@@ -34,6 +34,8 @@
   LostOrders = "lost-orders",
   EndingRequest = "ending-request",
   StoreReturns = "store-returns",
+  RateLimit = "rate-limit",
+  Rest = "rest",
 }
 
 /** Faults that are no faults but planned stops: they cut off nothing. */
--- a/packages/stand_ins/src/explore/fault_tests.ts
+++ b/packages/stand_ins/src/explore/fault_tests.ts
@@ -34,6 +34,10 @@
   [FaultKind.StoreReturns, FaultKind.KillCoordinator],
   [FaultKind.StoreReturns, FaultKind.BreakPlainAnswers],
   [FaultKind.StoreReturns, FaultKind.StoreReturns],
+  [FaultKind.RateLimit, FaultKind.KillEntry],
+  [FaultKind.RateLimit, FaultKind.BreakStreams],
+  [FaultKind.RateLimit, FaultKind.Rest],
+  [FaultKind.Rest, FaultKind.SilentUpstreamLinks],
 ];
 
 /** Cases of a part of the fault tests; parts run in processes of their own. */
--- a/packages/stand_ins/src/explore/inject.ts
+++ b/packages/stand_ins/src/explore/inject.ts
@@ -6,6 +6,13 @@
 import * as tcpProxy from "../testing/tcp_proxy.ts";
 import * as fault from "./fault.ts";
 
+/** Requests a second that a rank names. */
+const NAMED_LIMIT = "0.25";
+/** Shortest time for which it is named: fewer requests show no breach. */
+const MIN_LIMITED_MILLISECONDS = 1_900;
+/** Rest that a rank asks for, in seconds. */
+const WANTED_REST_SECONDS = "0.5";
+
 /** A cluster under faults, with the history that is being recorded. */
 export interface Target {
   system: cluster.Cluster;
@@ -150,6 +157,20 @@
       return sendEnding(target);
     case FaultKind.StoreReturns:
       return storeReturns(target, pause);
+    case FaultKind.RateLimit:
+      faults.limitedRank = random.below(engine.group.ranks.length);
+      faults.rateLimit = NAMED_LIMIT;
+      await common.sleep(
+        Math.max(lengthMilliseconds, MIN_LIMITED_MILLISECONDS),
+      );
+      faults.limitedRank = -1;
+      return;
+    case FaultKind.Rest:
+      faults.restingRank = random.below(engine.group.ranks.length);
+      faults.restWanted = WANTED_REST_SECONDS;
+      await pause();
+      faults.restingRank = -1;
+      return;
   }
 }
 
--- a/packages/stand_ins/src/explore/run_case.ts
+++ b/packages/stand_ins/src/explore/run_case.ts
@@ -97,6 +97,8 @@
     const ending = endingOf(history, call.prompt);
     ending?.starts.push(common.now());
   };
+  engine.group.onArrival = ({ rank, ...said }) =>
+    history.arrivals.push({ host: `rank-${rank}`, at: common.now(), ...said });
   engine.group.onMapUse = (rank, step, version) =>
     history.mapUses.push({ rank, step, version });
   plain.onCall = started;
