--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -230,6 +230,8 @@
       const obtaining = this.#obtainRunner();
       const obtained =
         obtaining instanceof Promise ? await obtaining : obtaining;
+      const cancelledMeanwhile = this.#cancelledOutcome();
+      if (cancelledMeanwhile) return cancelledMeanwhile;
       switch (obtained.kind) {
         case "retry":
           continue;
@@ -241,8 +243,6 @@
         case "runner":
           break;
       }
-      const cancelledMeanwhile = this.#cancelledOutcome();
-      if (cancelledMeanwhile) return cancelledMeanwhile;
       if (quarantine.admit(this) > 0) return attemptOutcome.QUARANTINED;
       if (lastOutcome && !budget.spend()) return lastOutcome;
       const { runner } = obtained;
--- a/packages/daemon/src/rate_limit/rate_limits.ts
+++ b/packages/daemon/src/rate_limit/rate_limits.ts
@@ -4,9 +4,10 @@
 import * as openQuestions from "../dispatch/open_questions.ts";
 import * as entryCensus from "./entry_census.ts";
 import * as limitedRunner from "./limited_runner.ts";
-import * as rateLimitFact from "./rate_limit_fact.ts";
+import type * as rateLimitFact from "./rate_limit_fact.ts";
 import type * as rateLimitHeader from "./rate_limit_header.ts";
 import * as rateLimitPermit from "./rate_limit_permit.ts";
+import * as rateLimitReport from "./rate_limit_report.ts";
 import type * as requestPacer from "./request_pacer.ts";
 
 /** Longest wait for the answer of another entry that allocates a limit. */
@@ -17,15 +18,8 @@
 const REPORT_INTERVAL_MILLISECONDS = 3_000;
 /** Time between two counts of the entries while no limit is in force. */
 const IDLE_CENSUS_MILLISECONDS = 1_000;
-/**
- * Longest time that a report of another entry may have been under way. Within
- * it, a report does not count as newer than an answer that arrived here.
- */
-const MAX_TRANSIT_MILLISECONDS = 1_500;
 /** How long the limit of a runner that is no longer listed is remembered. */
 const RETENTION_MILLISECONDS = 60_000;
-/** Value on the wire for a runner that named no limit. */
-const NO_LIMIT = -1;
 
 /** What an answer of a runner says about its request rate limit. */
 export interface RateLimitStatement {
@@ -395,14 +389,8 @@
   #receiveReports(message: wire.RateLimitReports, host: string): void {
     const now = this.#instant();
     for (const report of message.limits) {
-      const { life, runner, service, perSecond, allocator } = report;
-      const { sentAge, receivedAge } = report;
-      const sentBefore = sentAge + MAX_TRANSIT_MILLISECONDS;
-      const fact: rateLimitFact.RateLimitFact = {
-        perSecond: perSecond === NO_LIMIT ? undefined : perSecond,
-        sentAt: rateLimitFact.instantBefore(sentBefore, now),
-        receivedAt: rateLimitFact.instantBefore(receivedAge, now),
-      };
+      const { life, runner, service, allocator } = report;
+      const fact = rateLimitReport.factOf(report, now);
       const named = { incarnation: life, runner, service, fact };
       const known = this.#apply(named, { from: host });
       // The sender believes something else than what holds here.
@@ -463,15 +451,10 @@
     runners: limitedRunner.LimitedRunner[],
   ): wire.RateLimitReports | undefined {
     if (runners.length === 0) return undefined;
-    const limits = runners.map((limited): wire.ReportedRateLimit => ({
-      life: limited.incarnation,
-      runner: limited.runner,
-      service: limited.service,
-      perSecond: limited.fact.perSecond ?? NO_LIMIT,
-      sentAge: this.#ageOf(limited.fact.sentAt),
-      receivedAge: this.#ageOf(limited.fact.receivedAt),
-      allocator: this.#allocatorOf(limited),
-    }));
+    const now = this.#instant();
+    const limits = runners.map((limited) =>
+      rateLimitReport.toReport(limited, this.#allocatorOf(limited), now),
+    );
     return { kind: wire.MessageKind.RateLimitReports, limits };
   }
 
