--- a/packages/daemon/src/forwarding/departed_incarnations.ts
+++ b/packages/daemon/src/forwarding/departed_incarnations.ts
@@ -19,10 +19,9 @@
  * Remembers the incarnations of runners that a runner list showed as leaving,
  * until `RETENTION_MILLISECONDS` after the last such list, and those that said
  * so themselves for as long as they are listed and that time more. A leaving
- * runner
- * still runs, but stops soon. A later list may be made from older rows of the
- * runners and show it as ready. Without this record the runner would then get
- * new requests shortly before it stops.
+ * runner still runs, but stops soon. A later list may be made from older rows of
+ * the runners and show it as ready. Without this record the runner would then
+ * get new requests shortly before it stops.
  */
 export class DepartedIncarnations {
   readonly #departures = new Map<string, Departure>();
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -333,10 +333,10 @@
 
   /**
    * Waits a moment if the rest that a runner of the service wants ends soon, or
-   * if one refuses requests although it has room, as the runners of a group do while the group is re-formed. After
-   * that, runners that were tried before may be tried again. Returns false,
-   * without waiting, if no runner refuses requests, if the request is
-   * cancelled, or if it arrived too long ago.
+   * if one refuses requests although it has room, as the runners of a group do
+   * while the group is re-formed. After that, runners that were tried before may
+   * be tried again. Returns false, without waiting, if there is no such runner,
+   * if the request is cancelled, or if it arrived too long ago.
    */
   async #waitForRunner(): Promise<boolean> {
     const { tracker, service, sink } = this.parameters;
