--- a/packages/daemon/src/entry/generate_handler.ts
+++ b/packages/daemon/src/entry/generate_handler.ts
@@ -14,7 +14,7 @@
 import * as generationSink from "./generation_sink.ts";
 import * as openAi from "./open_ai.ts";
 import * as problems from "./problems.ts";
-import * as readBody from "./read_body.ts";
+import * as readBody from "../caller_connections/read_body.ts";
 
 /** Largest body of a generation request, in bytes. */
 export const LARGEST_GENERATION_BODY = 4 * 1024 * 1024;
--- a/packages/daemon/src/entry/plain_handler.ts
+++ b/packages/daemon/src/entry/plain_handler.ts
@@ -13,7 +13,7 @@
 import * as generateHandler from "./generate_handler.ts";
 import * as plainSink from "./plain_sink.ts";
 import * as problems from "./problems.ts";
-import * as readBody from "./read_body.ts";
+import * as readBody from "../caller_connections/read_body.ts";
 
 /** Path under which plain services are reached. */
 export const SERVICES_PREFIX = "/services/";
