feat: log why a caller's connection ended, and what was unanswered on it

The lines could not tell the hypotheses apart: none said that an answer which had begun was broken off, by whom and why, nor what was open when a process ended. CallerConnectionEnded (2301) is one line for each connection that this process ends, or that ends before an answer has left whole: the reason as a typed value, the requests without a whole answer, the bytes written and those still held, the configuration and the signal in force with their ages. An ordinary end of a connection on which all was answered is counted, not logged.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -67,6 +67,7 @@
   RunnerRateLimit = 2201,
   RunnerRateLimitUnreadable = 2202,
   RunnerAsksForRest = 2203,
+  CallerConnectionEnded = 2301,
 }
 
 /** How much attention an event asks for. */
@@ -444,4 +445,15 @@
       "A runner turned `request` away and wants nothing from this entry for `milliseconds`; logged if that ends later than what it asked for before.",
     action: NONE,
   },
+  [EventCode.CallerConnectionEnded]: {
+    level: EventLevel.Info,
+    meaning:
+      "A caller's connection ended because of this process, or before an answer " +
+      "had left whole. `kind` and `reason` say why, `unanswered` which requests " +
+      "got no whole answer, `handedBytes` what was written to the connection, " +
+      "`heldBytes` what of that had not left the process; `version` and `signal`, " +
+      "with their ages in milliseconds, what was in force.",
+    action:
+      "With `unanswered` and a kind other than caller-left: see OPERATIONS.md.",
+  },
 };
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -8,6 +8,7 @@
   Quarantined = "quarantined",
   RateLimitDecisions = "rate_limit_decisions",
   RunnerRests = "runner_rests",
+  CallerConnectionsEnded = "caller_connections_ended",
   FirstToken = "first_token",
   BetweenTokens = "between_tokens",
   QueueWait = "queue_wait",
@@ -70,6 +71,10 @@
     "Rests that runners asked this entry for.",
     "service",
   ),
+  [Metric.CallerConnectionsEnded]: counter(
+    "Connections of callers that ended, by why.",
+    "end",
+  ),
   [Metric.FirstToken]: timing("From arrival to first token.", "service"),
   [Metric.BetweenTokens]: timing("Between tokens of one answer.", "service"),
   [Metric.QueueWait]: timing("Time queued before dispatch.", "service"),
--- a/packages/daemon/src/forwarding/caller_request.ts
+++ b/packages/daemon/src/forwarding/caller_request.ts
@@ -75,9 +75,10 @@
   /** Finishes an answer as complete. */
   end(): void;
   /**
-   * Breaks the connection off, so that a partial answer cannot look complete.
+   * Breaks the connection off, so that a partial answer cannot look complete;
+   * the reason is for people.
    */
-  abort(): void;
+  abort(reason: string): void;
   /** Sends a refusal by this entry. */
   refuse(refusal: Refusal): void;
 }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -431,7 +431,8 @@
       default:
         break;
     }
-    if (this.#relay.begun) return sink.abort();
+    if (this.#relay.begun)
+      return sink.abort(`${outcome.kind}: ${outcome.reason}`);
     if (outcome.failure)
       return sink.answer(outcome.failure.head, outcome.failure.body);
     const kind = attemptOutcome.refusalKind(outcome, this.#runs);
--- a/packages/daemon/src/forwarding_mod.ts
+++ b/packages/daemon/src/forwarding_mod.ts
@@ -4,6 +4,9 @@
  * without the servers of the daemon's own interface, in a third of the time.
  */
 export * from "./caller_connections/read_body.ts";
+export * from "./caller_connections/caller_connections.ts";
+export * from "./caller_connections/caller_exchange.ts";
+export * from "./caller_connections/in_force.ts";
 export * from "./dispatch/retry_budget.ts";
 export * from "./forwarding/caller_request.ts";
 export * from "./forwarding/forwarder.ts";
@@ -20,3 +23,4 @@
 export * from "./rank_group/rank_process.ts";
 export * from "./rank_group/recover_switch.ts";
 export * from "./rank_group/switch_group.ts";
+export * from "./shutdown/process_signals.ts";
--- a/packages/traffic/src/proven_value.ts
+++ b/packages/traffic/src/proven_value.ts
@@ -13,6 +13,7 @@
 export class ProvenValue<T extends Versioned> {
   #value: T | undefined;
   #provenAt: common.Instant | undefined;
+  #takenAt: common.Instant | undefined;
   readonly changes = new common.ChangeNotice();
 
   /** The document, or `undefined` before the first. */
@@ -31,10 +32,16 @@
     return common.ageOf(this.#provenAt);
   }
 
+  /** Milliseconds since the document was taken; 0 before the first. */
+  get heldMilliseconds(): number {
+    return this.#takenAt ? common.ageOf(this.#takenAt) : 0;
+  }
+
   /** Takes a version if it is newer than the one held; whether it was. */
   offer(value: T): boolean {
     if (this.#value && value.version <= this.#value.version) return false;
     this.#value = value;
+    this.#takenAt = common.instant();
     this.changes.announce();
     return true;
   }
