fix: a stop closes a caller's connection only when its answers have left

What callers saw: the beginning of an answer and the end of the connection, when their entry stopped just after the answer had been given.

Cause: an answer that was handed to a connection counted as one that had left. Another way of the same kind: in a stop the first answer closed the connection although a second request was read behind it and handed on.

Callers' connections now have one owner, CallerConnections. It hands requests of one connection on one by one, lets only the last answer close the connection, ends a connection by its own side, reads and drops what still comes, and closes when everything has left or the time is up. Idle, header and stall time-outs are its as well: Node would check heads each 30 seconds only, and would tell callers a longer idle time than it keeps. An answer ends a request only when it has left; the log says so (delivered), and 'answered' is said of nothing else.

--- a/packages/daemon/src/caller_connections/caller_connections.ts
+++ b/packages/daemon/src/caller_connections/caller_connections.ts
@@ -1,41 +1,137 @@
 import type * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as common from "@geraniumkeel/common";
 import * as callerExchange from "./caller_exchange.ts";
 import * as connectionEnd from "./connection_end.ts";
-import type * as inForce from "./in_force.ts";
+import type * as inForceModule from "./in_force.ts";
 import * as trackedConnection from "./tracked_connection.ts";
 
-/** What tracking callers' connections needs. */
+/**
+ * Options with which a server for callers is created. By default the time-out of
+ * heads is checked each 30 seconds only.
+ */
+export const CALLER_SERVER_OPTIONS = {
+  connectionsCheckingInterval: 1_000,
+  noDelay: true,
+};
+
+/** How often connections are checked for idleness and progress. */
+const SWEEP_INTERVAL_MILLISECONDS = 250;
+/**
+ * How much longer a connection is kept than callers may leave it idle, so that
+ * it is not closed just as a request comes.
+ */
+const IDLE_SLACK_MILLISECONDS = 1_000;
+/** How often a closing process checks whether all connections are closed. */
+const CLOSE_CHECK_INTERVAL_MILLISECONDS = 20;
+
+const HEAD_TIMEOUT_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
+const HEAD_TOO_LARGE_CODE = "HPE_HEADER_OVERFLOW";
+
+/** How long callers may take. */
+export interface ConnectionLimits {
+  /** Longest time between an answer and the next request. */
+  idleMilliseconds: number;
+  /** Longest time for the head of a request. */
+  headerMilliseconds: number;
+  /** Longest time for which a caller takes nothing of an answer. */
+  stallMilliseconds: number;
+}
+
+/** What serving callers' connections needs. */
 export interface CallerConnectionsParameters {
+  /** A server created with `CALLER_SERVER_OPTIONS`. */
   server: http.Server;
-  inForce: () => inForce.InForce;
+  /** Handles one request. */
+  handle: (exchange: callerExchange.CallerExchange) => void;
+  limits: () => ConnectionLimits;
+  inForce: () => inForceModule.InForce;
+  lifeCycle: common.LifeCycle;
   logger: common.Logger;
   metrics: common.Metrics;
 }
 
-/** Handles one request of a caller. */
-export type ExchangeHandler = (exchange: callerExchange.CallerExchange) => void;
-
 /**
- * Tracks the connections of callers to one server, and logs why each ended if
- * this process ended it, or if it ended before an answer had left whole.
+ * The connections of callers to one server. Requests on one connection are
+ * handled one after the other. Each connection that this process ends is ended
+ * here, for a reason that is logged; so is one that ends before an answer has
+ * left whole.
  */
 export class CallerConnections {
   readonly #open = new Map<net.Socket, trackedConnection.TrackedConnection>();
   #opened = 0;
+  #closesAfterAnswers = false;
+  #closing = false;
 
   constructor(readonly parameters: CallerConnectionsParameters) {
-    parameters.server.on("connection", (socket) => this.#track(socket));
+    const { server, lifeCycle } = parameters;
+    server.on("connection", (socket) => this.#track(socket));
+    server.on("request", (incoming, response) =>
+      this.#receive(incoming, response),
+    );
+    server.on("clientError", (cause, socket) =>
+      this.#endUnreadable(cause, socket as net.Socket),
+    );
+    // With a listener of this event the server does not close idle connections
+    // itself: it does so also if a request came while the process was held up.
+    server.on("timeout", () => {});
+    server.requestTimeout = 0;
+    this.#applyLimits();
+    lifeCycle.every(SWEEP_INTERVAL_MILLISECONDS, () => this.#sweep());
+    const noteExit = () => this.#noteProcessExit();
+    process.once("exit", noteExit);
+    lifeCycle.own({
+      name: "caller-connections",
+      close: () => {
+        process.off("exit", noteExit);
+      },
+    });
   }
 
-  /** Begins the exchange of a request that the server has read the head of. */
-  begin(
+  /** Lets each answer that is still to begin close its connection. */
+  closeAfterAnswers(): void {
+    this.#closesAfterAnswers = true;
+    for (const connection of this.#open.values())
+      connection.announceClosing(true);
+  }
+
+  /**
+   * Takes no new connections, and ends each open one as soon as all that was
+   * read on it is answered and has left. Resolves when that is done, or after
+   * `timeoutMilliseconds`; what has not left by then is lost.
+   */
+  async close(timeoutMilliseconds: number): Promise<void> {
+    const deadline = common.now() + timeoutMilliseconds;
+    const { server } = this.parameters;
+    this.closeAfterAnswers();
+    this.#closing = true;
+    // The HTTP server's own method also destroys connections with answers that
+    // have ended and not left.
+    net.Server.prototype.close.call(server);
+    for (const connection of this.#open.values())
+      this.#endIfAnswered(connection);
+    while (this.#open.size > 0 && common.now() < deadline) {
+      await common.sleep(CLOSE_CHECK_INTERVAL_MILLISECONDS);
+      const now = common.now();
+      const connections = [...this.#open.values()];
+      if (connections.every((connection) => connection.isSpent(now))) break;
+    }
+    const reason = "not spent in time";
+    const kind = connectionEnd.ConnectionEndKind.Stop;
+    for (const connection of this.#open.values())
+      connection.destroy({ kind, reason });
+  }
+
+  #receive(
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
-  ): callerExchange.CallerExchange {
-    const connection =
-      this.#open.get(incoming.socket) ?? this.#track(incoming.socket);
+  ): void {
+    const connection = this.#open.get(incoming.socket);
+    if (!connection?.takesRequests) {
+      // It came behind the last answer on its connection, and is not handled.
+      incoming.resume();
+      return;
+    }
     const exchange = new callerExchange.CallerExchange(
       connection,
       incoming,
@@ -43,20 +139,30 @@
     );
     connection.requests++;
     connection.latest = exchange;
-    connection.unanswered.add(exchange);
-    return exchange;
+    connection.unanswered.push(exchange);
+    connection.announceClosing(this.#closesAfterAnswers);
+    response.once("finish", () => this.#noteAnswered(exchange));
+    if (connection.unanswered.length === 1) this.parameters.handle(exchange);
   }
 
-  /** Logs the connections that the end of the process ends. */
-  noteProcessExit(): void {
-    const kind = connectionEnd.ConnectionEndKind.ProcessExit;
-    for (const connection of this.#open.values()) {
-      connection.noteEnd({ kind, reason: "" });
-      this.#logEnd(connection);
-    }
+  #noteAnswered(exchange: callerExchange.CallerExchange): void {
+    const { connection } = exchange;
+    connection.remove(exchange);
+    connection.promisedIdleMilliseconds =
+      this.parameters.limits().idleMilliseconds;
+    const [next] = connection.unanswered;
+    // The server gives the connection to the next answer after this event.
+    if (next) setImmediate(() => this.parameters.handle(next));
+    else if (this.#closing) this.#endIfAnswered(connection);
+  }
+
+  #endIfAnswered(connection: trackedConnection.TrackedConnection): void {
+    if (connection.unanswered.length > 0) return;
+    const kind = connectionEnd.ConnectionEndKind.Stop;
+    connection.endGracefully({ kind, reason: "all answered" });
   }
 
-  #track(socket: net.Socket): trackedConnection.TrackedConnection {
+  #track(socket: net.Socket): void {
     const connection = new trackedConnection.TrackedConnection(
       ++this.#opened,
       socket,
@@ -66,14 +172,99 @@
       this.#open.delete(socket);
       this.#logEnd(connection);
     });
-    return connection;
+  }
+
+  /** Ends a connection on which the head of a request could not be read. */
+  #endUnreadable(cause: NodeJS.ErrnoException, socket: net.Socket): void {
+    const connection = this.#open.get(socket);
+    if (!connection || connection.isEnding) return;
+    if (cause.syscall !== undefined) {
+      // The caller reset the connection.
+      socket.destroy();
+      return;
+    }
+    const isTimeout = cause.code === HEAD_TIMEOUT_CODE;
+    const end = {
+      kind: isTimeout
+        ? connectionEnd.ConnectionEndKind.HeaderTimeout
+        : connectionEnd.ConnectionEndKind.MalformedRequest,
+      reason: cause.message,
+    };
+    if (!socket.writable) return connection.destroy(end);
+    // What was read before it is answered first.
+    const [unanswered] = connection.unanswered.slice(-1);
+    if (unanswered) {
+      unanswered.keepOpenAfter(false);
+      unanswered.response.once("finish", () => connection.endGracefully(end));
+      return;
+    }
+    if (socket.bytesRead > 0) socket.write(refusalOf(cause.code));
+    connection.endGracefully(end);
+  }
+
+  #sweep(): void {
+    this.#applyLimits();
+    const now = common.now();
+    for (const connection of this.#open.values()) {
+      if (connection.isSpent(now)) connection.socket.destroy();
+      else if (this.#isStalled(connection, now)) {
+        const kind = connectionEnd.ConnectionEndKind.CallerStalled;
+        connection.destroy({ kind, reason: "caller takes nothing" });
+      } else if (this.#isIdle(connection, now)) {
+        // What came while the process was held up is read before this runs.
+        setImmediate(() => this.#endIfIdle(connection));
+      }
+    }
+  }
+
+  #isStalled(
+    connection: trackedConnection.TrackedConnection,
+    now: number,
+  ): boolean {
+    const { stallMilliseconds } = this.parameters.limits();
+    return connection.stalledMilliseconds(now) > stallMilliseconds;
+  }
+
+  #isIdle(
+    connection: trackedConnection.TrackedConnection,
+    now: number,
+  ): boolean {
+    if (connection.isEnding || connection.requests === 0) return false;
+    const { idleMilliseconds } = this.parameters.limits();
+    const { promisedIdleMilliseconds } = connection;
+    const longest = Math.max(idleMilliseconds, promisedIdleMilliseconds);
+    const idle = connection.idleMilliseconds(now);
+    return idle > longest + IDLE_SLACK_MILLISECONDS;
+  }
+
+  #endIfIdle(connection: trackedConnection.TrackedConnection): void {
+    if (!this.#isIdle(connection, common.now())) return;
+    const kind = connectionEnd.ConnectionEndKind.IdleTimeout;
+    connection.endGracefully({ kind, reason: "" });
+  }
+
+  #applyLimits(): void {
+    const { server, limits } = this.parameters;
+    const { idleMilliseconds, headerMilliseconds } = limits();
+    // Callers are told this time; connections are kept a little longer.
+    server.keepAliveTimeout = idleMilliseconds;
+    server.headersTimeout = headerMilliseconds;
+  }
+
+  /** Logs the connections that the end of the process ends. */
+  #noteProcessExit(): void {
+    const kind = connectionEnd.ConnectionEndKind.ProcessExit;
+    for (const connection of this.#open.values()) {
+      connection.noteEnd({ kind, reason: "" });
+      this.#logEnd(connection);
+    }
   }
 
   #logEnd(connection: trackedConnection.TrackedConnection): void {
     const { logger, metrics } = this.parameters;
     const { end, unanswered, heldBytes } = connection;
     metrics.count(common.Metric.CallerConnectionsEnded, { end: end.kind });
-    const isWhole = unanswered.size === 0 && heldBytes === 0;
+    const isWhole = unanswered.length === 0 && heldBytes === 0;
     if (isWhole && connectionEnd.isOrdinary(end.kind)) return;
     const { version, versionAge, signal } = this.parameters.inForce();
     logger.event(common.EventCode.CallerConnectionEnded, {
@@ -82,7 +273,7 @@
       milliseconds: Math.round(common.now() - connection.openedAt),
       requests: connection.requests,
       latest: connection.latest?.identifier,
-      unanswered: [...unanswered].map(describeUnanswered),
+      unanswered: unanswered.map(describeUnanswered),
       handedBytes: connection.handedBytes,
       heldBytes,
       version,
@@ -93,13 +284,22 @@
   }
 }
 
+function refusalOf(code: string | undefined): string {
+  const status = {
+    [HEAD_TIMEOUT_CODE]: "408 Request Timeout",
+    [HEAD_TOO_LARGE_CODE]: "431 Request Header Fields Too Large",
+  }[code ?? ""];
+  const head = `HTTP/1.1 ${status ?? "400 Bad Request"}`;
+  return `${head}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
+}
+
 function describeUnanswered(exchange: callerExchange.CallerExchange): unknown {
-  const { identifier, incoming, response, startedAt } = exchange;
+  const { identifier, incoming, response, arrivedAt } = exchange;
   return {
     request: identifier,
     readWhole: incoming.complete,
     headSent: response.headersSent,
     ended: response.writableEnded,
-    milliseconds: Math.round(common.now() - startedAt),
+    milliseconds: Math.round(common.ageOf(arrivedAt)),
   };
 }
--- a/packages/daemon/src/caller_connections/caller_exchange.ts
+++ b/packages/daemon/src/caller_connections/caller_exchange.ts
@@ -3,21 +3,27 @@
 import * as connectionEnd from "./connection_end.ts";
 import type * as trackedConnection from "./tracked_connection.ts";
 
+/** Bytes of an answer that are handed to the connection at a time. */
+const PIECE_BYTES = 64 * 1024;
+
 /** One request of a caller and its answer, on the caller's connection. */
 export class CallerExchange {
-  readonly startedAt = common.now();
+  /** When the head of the request was read. */
+  readonly arrivedAt = common.instant();
   /** Identifier of the request in log lines; empty until it is known. */
   identifier = "";
   readonly #left = new AbortController();
+  /** Whether the request itself allows further ones on the connection. */
+  readonly #callerKeepsOpen: boolean;
 
   constructor(
     readonly connection: trackedConnection.TrackedConnection,
     readonly incoming: http.IncomingMessage,
     readonly response: http.ServerResponse,
   ) {
+    this.#callerKeepsOpen = response.shouldKeepAlive;
     response.once("close", () => {
       if (!response.writableFinished) this.#left.abort();
-      connection.unanswered.delete(this);
     });
   }
 
@@ -26,13 +32,57 @@
     return this.#left.signal;
   }
 
+  /** Whether the caller was told that this answer is the last one. */
+  get isLast(): boolean {
+    const { headersSent, shouldKeepAlive } = this.response;
+    return headersSent && !shouldKeepAlive;
+  }
+
+  /** Says in the answer whether the connection stays open after it. */
+  keepOpenAfter(keepsOpen: boolean): void {
+    if (this.response.headersSent) return;
+    this.response.shouldKeepAlive = keepsOpen && this.#callerKeepsOpen;
+  }
+
+  /** Hands over a piece of the answer; resolves when more can be taken. */
+  write(piece: string | Uint8Array): Promise<void> {
+    const { response } = this;
+    if (response.destroyed || response.write(piece)) return Promise.resolve();
+    return new Promise((resolve) => {
+      const done = () => {
+        response.off("drain", done);
+        response.off("close", done);
+        resolve();
+      };
+      response.once("drain", done);
+      response.once("close", done);
+    });
+  }
+
+  /**
+   * Ends the answer with its last piece. Resolves to whether the whole answer
+   * has left this process; it has not if the connection ends before.
+   */
+  async finish(last: Uint8Array = new Uint8Array()): Promise<boolean> {
+    const { response } = this;
+    let sent = 0;
+    for (; last.length - sent > PIECE_BYTES; sent += PIECE_BYTES) {
+      await this.write(last.subarray(sent, sent + PIECE_BYTES));
+    }
+    if (response.destroyed) return false;
+    return new Promise((resolve) => {
+      response.once("finish", () => resolve(true));
+      response.once("close", () => resolve(response.writableFinished));
+      response.end(last.subarray(sent));
+    });
+  }
+
   /**
    * Ends the connection without ending the answer, so that the caller cannot
    * take part of it for the whole.
    */
   breakOff(reason: string): void {
     const kind = connectionEnd.ConnectionEndKind.AnswerBrokenOff;
-    this.connection.noteEnd({ kind, reason });
-    this.response.destroy();
+    this.connection.destroy({ kind, reason });
   }
 }
--- a/packages/daemon/src/caller_connections/connection_end.ts
+++ b/packages/daemon/src/caller_connections/connection_end.ts
@@ -12,6 +12,8 @@
   MalformedRequest = "malformed-request",
   /** An answer that had begun could not be completed. */
   AnswerBrokenOff = "answer-broken-off",
+  /** The caller took nothing of an answer for too long. */
+  CallerStalled = "caller-stalled",
   /** The process stops as planned. */
   Stop = "stop",
   /** The process ended while the connection was open. */
@@ -40,6 +42,7 @@
     case ConnectionEndKind.HeaderTimeout:
     case ConnectionEndKind.MalformedRequest:
     case ConnectionEndKind.AnswerBrokenOff:
+    case ConnectionEndKind.CallerStalled:
     case ConnectionEndKind.Stop:
     case ConnectionEndKind.ProcessExit:
     case ConnectionEndKind.Unexplained:
--- a/packages/daemon/src/caller_connections/tracked_connection.ts
+++ b/packages/daemon/src/caller_connections/tracked_connection.ts
@@ -3,6 +3,13 @@
 import type * as callerExchange from "./caller_exchange.ts";
 import * as connectionEnd from "./connection_end.ts";
 
+/**
+ * How long a connection that this process has ended is kept, so that the caller
+ * can end its side. Closing it with bytes of the caller unread would reset it,
+ * and the caller could lose the end of its last answer.
+ */
+const LINGER_MILLISECONDS = 500;
+
 /** One connection of a caller, from its opening to its end. */
 export class TrackedConnection {
   readonly openedAt = common.now();
@@ -10,10 +17,19 @@
   requests = 0;
   /** Request that was read last; `undefined` before the first. */
   latest: callerExchange.CallerExchange | undefined;
-  /** Requests without a whole answer, in the order in which they were read. */
-  readonly unanswered = new Set<callerExchange.CallerExchange>();
+  /**
+   * Requests without a whole answer, in the order in which they were read. The
+   * first is being handled, the others wait for it.
+   */
+  readonly unanswered: callerExchange.CallerExchange[] = [];
+  /** How long the caller was told that the connection may be idle. */
+  promisedIdleMilliseconds = 0;
+  #idleSince = this.openedAt;
   #end: connectionEnd.ConnectionEnd | undefined;
+  #endedAt: number | undefined;
   #callerEnded = false;
+  #leftBytes = 0;
+  #progressAt = this.openedAt;
 
   constructor(
     /** Number of the connection, for log lines. */
@@ -22,6 +38,13 @@
   ) {
     socket.once("end", () => (this.#callerEnded = true));
     socket.once("error", () => (this.#callerEnded = true));
+    // The HTTP server closes a connection by this method after an answer that
+    // says `Connection: close`, at once and with bytes of the caller unread.
+    socket.destroySoon = () =>
+      this.endGracefully({
+        kind: connectionEnd.ConnectionEndKind.LastAnswer,
+        reason: "",
+      });
   }
 
   /** Why the connection ended, or is about to. */
@@ -38,6 +61,16 @@
     this.#end ??= end;
   }
 
+  /** Whether this process has ended its side of the connection. */
+  get isEnding(): boolean {
+    return this.#endedAt !== undefined;
+  }
+
+  /** Whether a request that is read now can still be answered. */
+  get takesRequests(): boolean {
+    return !this.isEnding && !this.unanswered.some(({ isLast }) => isLast);
+  }
+
   /** Bytes of answers that were handed to the connection. */
   get handedBytes(): number {
     return this.socket.bytesWritten;
@@ -47,4 +80,65 @@
   get heldBytes(): number {
     return this.socket.writableLength;
   }
+
+  /** Milliseconds since the last request was answered; 0 while one is not. */
+  idleMilliseconds(now: number): number {
+    return this.unanswered.length > 0 ? 0 : now - this.#idleSince;
+  }
+
+  /** Notes that a request was answered, or its connection closed. */
+  remove(exchange: callerExchange.CallerExchange): void {
+    const index = this.unanswered.indexOf(exchange);
+    if (index < 0) return;
+    this.unanswered.splice(index, 1);
+    this.#idleSince = common.now();
+  }
+
+  /**
+   * Says in the answers that are still to begin whether the connection closes
+   * after them. Only the last one may say so: requests that were read behind it
+   * would get no answer.
+   */
+  announceClosing(closes: boolean): void {
+    const last = this.unanswered.length - 1;
+    this.unanswered.forEach((exchange, index) =>
+      exchange.keepOpenAfter(!closes || index < last),
+    );
+  }
+
+  /**
+   * Ends the connection after all that was handed to it. Bytes of the caller are
+   * read and dropped until it ends its side, or for a while.
+   */
+  endGracefully(end: connectionEnd.ConnectionEnd): void {
+    this.noteEnd(end);
+    if (this.#endedAt !== undefined) return;
+    this.#endedAt = common.now();
+    this.socket.end();
+  }
+
+  /** Ends the connection at once; what it still holds is lost. */
+  destroy(end: connectionEnd.ConnectionEnd): void {
+    this.noteEnd(end);
+    this.socket.destroy();
+  }
+
+  /**
+   * Whether nothing is lost if the connection is closed now: it was ended, all
+   * that it held has left, and the caller has had time to end its side.
+   */
+  isSpent(now: number): boolean {
+    if (this.#endedAt === undefined || this.heldBytes > 0) return false;
+    return now - this.#endedAt >= LINGER_MILLISECONDS;
+  }
+
+  /** Milliseconds for which the caller has taken nothing of what is held. */
+  stalledMilliseconds(now: number): number {
+    const leftBytes = this.handedBytes - this.heldBytes;
+    if (this.heldBytes === 0 || leftBytes !== this.#leftBytes) {
+      this.#leftBytes = leftBytes;
+      this.#progressAt = now;
+    }
+    return now - this.#progressAt;
+  }
 }
--- a/packages/daemon/src/forwarding/answer_relay.ts
+++ b/packages/daemon/src/forwarding/answer_relay.ts
@@ -31,6 +31,7 @@
   #resumeAfter: string;
   /** Number of the last event relayed; `undefined` before the first. */
   #lastNumber: number | undefined;
+  #delivery: Promise<boolean> = Promise.resolve(false);
 
   constructor(
     readonly parameters: {
@@ -49,6 +50,14 @@
     return this.#begun;
   }
 
+  /**
+   * Resolves to whether the whole answer has left this process, once it was
+   * relayed to its end.
+   */
+  get delivery(): Promise<boolean> {
+    return this.#delivery;
+  }
+
   /**
    * Number of the event after which the next attempt continues; empty to start
    * from the beginning.
@@ -74,7 +83,7 @@
   ): Promise<neverthrow.Result<void, string>> {
     const completeBody = await readCompleteBody(answer.body);
     return completeBody.map((body) => {
-      this.parameters.sink.answer(answer.head, body);
+      this.#delivery = this.parameters.sink.answer(answer.head, body);
     });
   }
 
@@ -99,7 +108,7 @@
     if (splitter.pendingBytes > 0) return neverthrow.err("event not ended");
     if (!this.#begun) sink.begin(answer.head);
     this.#begun = true;
-    sink.end();
+    this.#delivery = sink.end();
     return neverthrow.ok(undefined);
   }
 
--- a/packages/daemon/src/forwarding/attempt_outcome.ts
+++ b/packages/daemon/src/forwarding/attempt_outcome.ts
@@ -47,6 +47,12 @@
   reason: "in quarantine: runners ended while they ran this request",
 };
 
+/** Outcome of a request whose caller does not wait for the answer. */
+export const CALLER_DISCONNECTED: AttemptOutcome = {
+  kind: AttemptOutcomeKind.CallerDisconnected,
+  reason: "caller left",
+};
+
 /**
  * Returns the outcome if this entry cancelled the attempt, else `undefined`. It
  * does so when the caller disconnects (`disconnected`), and when the request
@@ -56,11 +62,7 @@
   disconnected: AbortSignal,
   cancel: AbortSignal,
 ): AttemptOutcome | undefined {
-  if (disconnected.aborted)
-    return {
-      kind: AttemptOutcomeKind.CallerDisconnected,
-      reason: "caller left",
-    };
+  if (disconnected.aborted) return CALLER_DISCONNECTED;
   return cancel.aborted ? (cancel.reason as AttemptOutcome) : undefined;
 }
 
--- a/packages/daemon/src/forwarding/caller_request.ts
+++ b/packages/daemon/src/forwarding/caller_request.ts
@@ -66,19 +66,22 @@
 export interface AnswerSink {
   /** Aborts when the caller has disconnected. */
   readonly disconnected: AbortSignal;
-  /** Sends a complete answer. */
-  answer(head: AnswerHead, body: Buffer): void;
+  /**
+   * Sends a complete answer. Resolves to whether all of it has left this
+   * process, as do the other methods that end an answer.
+   */
+  answer(head: AnswerHead, body: Buffer): Promise<boolean>;
   /** Sends the head of an answer whose body follows in pieces. */
   begin(head: AnswerHead): void;
   /** Sends one piece of the body; resolves when the caller can receive more. */
   write(piece: Buffer): Promise<void>;
   /** Finishes an answer as complete. */
-  end(): void;
+  end(): Promise<boolean>;
   /**
    * Breaks the connection off, so that a partial answer cannot look complete;
    * the reason is for people.
    */
   abort(reason: string): void;
   /** Sends a refusal by this entry. */
-  refuse(refusal: Refusal): void;
+  refuse(refusal: Refusal): Promise<boolean>;
 }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -74,6 +74,8 @@
   service: string;
   /** Kind of the request's outcome. */
   end: string;
+  /** Whether all of the answer, or refusal, has left this process. */
+  delivered: boolean;
   milliseconds: number;
   attempts: attemptOutcome.AttemptSummary[];
   /**
@@ -183,7 +185,12 @@
       clearTimeout(timer);
       unwatch();
     }
-    this.#answerCaller(outcome);
+    const delivered = await this.#answerCaller(outcome);
+    if (
+      outcome.kind === attemptOutcome.AttemptOutcomeKind.Answered &&
+      !delivered
+    )
+      outcome = attemptOutcome.CALLER_DISCONNECTED;
     this.#recordMetrics(outcome);
     const isQuarantined =
       outcome.kind === attemptOutcome.AttemptOutcomeKind.Quarantined;
@@ -192,6 +199,7 @@
       account: account?.name ?? "",
       service,
       end: outcome.kind,
+      delivered,
       milliseconds: Math.round(this.#clock.elapsed),
       attempts: this.#attempts,
       fingerprint: isQuarantined ? this.fingerprint : undefined,
@@ -421,18 +429,26 @@
       this.#firstAnswerMilliseconds = this.#clock.elapsed;
   }
 
-  /** Gives the caller the final answer. */
-  #answerCaller(outcome: attemptOutcome.AttemptOutcome): void {
+  /**
+   * Gives the caller the final answer, and returns whether all of it has left
+   * this process.
+   */
+  async #answerCaller(
+    outcome: attemptOutcome.AttemptOutcome,
+  ): Promise<boolean> {
     const { sink, random, quarantine } = this.parameters;
     switch (outcome.kind) {
       case attemptOutcome.AttemptOutcomeKind.Answered:
+        return this.#relay.delivery;
       case attemptOutcome.AttemptOutcomeKind.CallerDisconnected:
-        return;
+        return false;
       default:
         break;
     }
-    if (this.#relay.begun)
-      return sink.abort(`${outcome.kind}: ${outcome.reason}`);
+    if (this.#relay.begun) {
+      sink.abort(`${outcome.kind}: ${outcome.reason}`);
+      return false;
+    }
     if (outcome.failure)
       return sink.answer(outcome.failure.head, outcome.failure.body);
     const kind = attemptOutcome.refusalKind(outcome, this.#runs);
@@ -442,6 +458,10 @@
       this.#rateLimitRetryMilliseconds ||
       this.#restRetryMilliseconds() ||
       retryDelay.retryDelayMilliseconds(this.#clock.millisecondsLeft, random);
-    sink.refuse({ kind, reason: outcome.reason, retryAfterMilliseconds });
+    return sink.refuse({
+      kind,
+      reason: outcome.reason,
+      retryAfterMilliseconds,
+    });
   }
 }
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -91,8 +91,9 @@
         const { kind, reason } = admitted.refusal;
         this.parameters.metrics.count(common.Metric.Refusals, { reason });
         const code = common.EventCode.ForwardRefused;
-        logger.event(code, { ...facts, kind, reason });
-        return sink.refuse(admitted.refusal);
+        const delivered = await sink.refuse(admitted.refusal);
+        logger.event(code, { ...facts, kind, reason, delivered });
+        return;
       }
       case "admitted": {
         const { route, account } = admitted;
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -174,20 +174,25 @@
 function recordingSink(seen: CallerView): callerRequest.AnswerSink {
   return {
     disconnected: new AbortController().signal,
-    answer: (head, body) => {
+    answer: async (head, body) => {
       seen.status = head.status;
       seen.text += body.toString();
       seen.ended = "whole";
+      return true;
     },
     begin: (head) => (seen.status = head.status),
     write: async (piece) => {
       seen.text += piece.toString();
     },
-    end: () => (seen.ended = "whole"),
+    end: async () => {
+      seen.ended = "whole";
+      return true;
+    },
     abort: () => (seen.ended = "broken"),
-    refuse: (refusal) => {
+    refuse: async (refusal) => {
       seen.refusal = refusal;
       seen.ended = "refused";
+      return true;
     },
   };
 }
--- a/packages/stand_ins/src/gateways/gateways.ts
+++ b/packages/stand_ins/src/gateways/gateways.ts
@@ -223,14 +223,21 @@
 function sinkInto(seen: Seen, left: AbortSignal): daemon.AnswerSink {
   return {
     disconnected: left,
-    answer: ({ status }) => (seen.status = status < 300 ? "whole" : "failed"),
+    answer: async ({ status }) => {
+      seen.status = status < 300 ? "whole" : "failed";
+      return true;
+    },
     begin: () => {},
     write: () => Promise.resolve(),
-    end: () => (seen.status = "whole"),
+    end: async () => {
+      seen.status = "whole";
+      return true;
+    },
     abort: () => (seen.status = "broken"),
-    refuse: (refusal) => {
+    refuse: async (refusal) => {
       seen.status = refusal.kind;
       seen.refusal = refusal;
+      return true;
     },
   };
 }
