fix: signals are handled from the start of a process, and a second one changes nothing

What callers saw: connections that ended without an answer, when their entry got a second SIGTERM in its planned stop, or one within some 15 ms of its first connection.

Cause: the handler of SIGTERM was set after the listeners had opened, and once. At any other moment the default action ended the process, with all that it had read. SIGHUP before the handlers were set did the same.

ProcessSignals sets its handlers before anything is opened. Signals that come before the process has started are acted on then; a further SIGTERM is logged (StopRepeated) and changes nothing.

'an entry that is asked to stop while it starts cuts off nothing' failed before and passes. 'asked to stop twice' no longer ends at the second signal, but still cuts off what the stop itself does.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -8,6 +8,7 @@
   CloseLate = 1006,
   SettingsRead = 1007,
   SettingsRefused = 1008,
+  StopRepeated = 1009,
   LinkEstablished = 1101,
   LinkLost = 1102,
   LinkSilent = 1103,
@@ -129,6 +130,11 @@
       "The settings could not be read again; those in use stay in force.",
     action: "Mend what `problems` names.",
   },
+  [EventCode.StopRepeated]: {
+    level: EventLevel.Warn,
+    meaning: "A further signal to stop came; the planned stop goes on.",
+    action: "Wait for DrainFinished, or for the end of the grace time.",
+  },
   [EventCode.LinkEstablished]: {
     level: EventLevel.Info,
     meaning: "A link to another process of the system is up.",
--- a/packages/daemon/src/shutdown/process_signals.ts
+++ b/packages/daemon/src/shutdown/process_signals.ts
@@ -14,17 +14,60 @@
   receivedAt: common.Instant;
 }
 
-/** Remembers the signals that this process received. */
+/** What signals lead to. */
+export interface SignalActions {
+  /** Stops the process as planned; called once. */
+  stop: () => void;
+  /** Reads the settings again. */
+  reload: () => void;
+}
+
+/**
+ * Handles the signals of this process from its very start: without a handler a
+ * signal ends the process at once, with all that it has read. Signals that come
+ * before the actions are known are acted on then. A further signal to stop
+ * changes nothing.
+ */
 export class ProcessSignals {
   #latest: ReceivedSignal | undefined;
+  #actions: SignalActions | undefined;
+  #stopReceived = false;
+  #reloadReceived = false;
+
+  constructor(readonly logger: common.Logger) {
+    process.on(ProcessSignal.Terminate, () => this.#terminate());
+    process.on(ProcessSignal.Reload, () => this.#reload());
+  }
 
   /** The latest signal; `undefined` before the first. */
   get latest(): ReceivedSignal | undefined {
     return this.#latest;
   }
 
-  /** Notes that a signal was received. */
-  note(name: ProcessSignal): void {
+  /** Says what signals lead to, once the process has started. */
+  act(actions: SignalActions): void {
+    this.#actions = actions;
+    if (this.#reloadReceived) actions.reload();
+    if (this.#stopReceived) actions.stop();
+  }
+
+  #terminate(): void {
+    this.#note(ProcessSignal.Terminate);
+    if (this.#stopReceived) {
+      this.logger.event(common.EventCode.StopRepeated);
+      return;
+    }
+    this.#stopReceived = true;
+    this.#actions?.stop();
+  }
+
+  #reload(): void {
+    this.#note(ProcessSignal.Reload);
+    this.#reloadReceived = true;
+    this.#actions?.reload();
+  }
+
+  #note(name: ProcessSignal): void {
     this.#latest = { name, receivedAt: common.instant() };
   }
 }
