fix: a stopping entry takes only what it can finish, and refuses the rest at once

What callers saw: answers cut off 8 s after their entry's SIGTERM, in the middle or before they began, though the requests had come seconds after the signal.

Cause: a stop had no plan of its time. The removal of the entry's row, which the store may not answer, came before all of this.

PlannedStop knows when the process is gone. Work is admitted if its own bound, the caller's timeout or the route's, ends before that; in the first 2.5 s also if answers of the route lately took no more than two thirds of what is left, as callers keep the list of entries for that long. The rest is refused as not run, with a Retry-After that is short where another entry is ready. A request that waits for a runner, a permit or a retry is refused when the stop begins, or as soon as it no longer fits. What is still under way 0.7 s before the kill gets its final answer. The row is removed beside all this.

Ruled out: giving up later (the kill comes at 8 s), and refusing all from the signal on (callers hold the address for some seconds; each would pay its one retry).

--- a/packages/daemon/src/forwarding/attempt_outcome.ts
+++ b/packages/daemon/src/forwarding/attempt_outcome.ts
@@ -22,6 +22,8 @@
   CallerDisconnected = "left",
   /** The request is quarantined, so no runner gets it. */
   Quarantined = "quarantined",
+  /** This process stops before the request could be answered. */
+  Stopped = "stopped",
 }
 
 /**
@@ -53,6 +55,12 @@
   reason: "caller left",
 };
 
+/** Outcome of a request that this process can't finish, as it stops. */
+export const STOPPED: AttemptOutcome = {
+  kind: AttemptOutcomeKind.Stopped,
+  reason: "this entry is stopping",
+};
+
 /**
  * Returns the outcome if this entry cancelled the attempt, else `undefined`. It
  * does so when the caller disconnects (`disconnected`), and when the request
@@ -99,6 +107,7 @@
     case AttemptOutcomeKind.TimedOut:
     case AttemptOutcomeKind.CallerDisconnected:
     case AttemptOutcomeKind.Quarantined:
+    case AttemptOutcomeKind.Stopped:
       return false;
   }
 }
@@ -138,6 +147,7 @@
     case AttemptOutcomeKind.Failed:
     case AttemptOutcomeKind.CallerDisconnected:
     case AttemptOutcomeKind.Quarantined:
+    case AttemptOutcomeKind.Stopped:
       return false;
   }
 }
@@ -152,6 +162,7 @@
     case AttemptOutcomeKind.NotRun:
     case AttemptOutcomeKind.CallerDisconnected:
     case AttemptOutcomeKind.Quarantined:
+    case AttemptOutcomeKind.Stopped:
       return runnerTracker.CallOutcome.Neutral;
     case AttemptOutcomeKind.Failed:
     case AttemptOutcomeKind.Unknown:
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -5,6 +5,8 @@
 import * as fingerprint from "../quarantine/fingerprint.ts";
 import type * as quarantine from "../quarantine/quarantine.ts";
 import type * as watchedRequests from "../quarantine/watched_requests.ts";
+import type * as plannedStop from "../shutdown/planned_stop.ts";
+import type * as answerDurations from "./answer_durations.ts";
 import * as answerRelay from "./answer_relay.ts";
 import * as attemptOutcome from "./attempt_outcome.ts";
 import * as callerRequest from "./caller_request.ts";
@@ -63,6 +65,13 @@
   rests: runnerRests.RunnerRests;
   /** Called when a runner first says in an answer that it is leaving. */
   onLeaving: (runner: traffic.RunnerEntry, request: string) => void;
+  stop: plannedStop.PlannedStop;
+  durations: answerDurations.AnswerDurations;
+  /**
+   * Milliseconds after which a caller is to come back that is refused because
+   * this entry stops.
+   */
+  retryElsewhereMilliseconds: () => number;
   random: common.Random;
   metrics: common.Metrics;
 }
@@ -173,6 +182,10 @@
    */
   async run(): Promise<ForwardOutcome> {
     const { route, account, service, quarantine } = this.parameters;
+    const stopDeadline = this.parameters.stop.deadline;
+    const onStopDeadline = () =>
+      this.#cancellation.abort(attemptOutcome.STOPPED);
+    stopDeadline.addEventListener("abort", onStopDeadline, { once: true });
     const timer = setTimeout(
       () => this.#cancellation.abort(attemptOutcome.TIMED_OUT),
       Math.max(0, this.#clock.millisecondsLeft),
@@ -184,13 +197,10 @@
     } finally {
       clearTimeout(timer);
       unwatch();
+      stopDeadline.removeEventListener("abort", onStopDeadline);
     }
     const delivered = await this.#answerCaller(outcome);
-    if (
-      outcome.kind === attemptOutcome.AttemptOutcomeKind.Answered &&
-      !delivered
-    )
-      outcome = attemptOutcome.CALLER_DISCONNECTED;
+    outcome = this.#outcomeFor(outcome, delivered);
     this.#recordMetrics(outcome);
     const isQuarantined =
       outcome.kind === attemptOutcome.AttemptOutcomeKind.Quarantined;
@@ -207,6 +217,18 @@
     };
   }
 
+  /** The outcome, once it is known whether the caller can have the answer. */
+  #outcomeFor(
+    outcome: attemptOutcome.AttemptOutcome,
+    delivered: boolean,
+  ): attemptOutcome.AttemptOutcome {
+    if (outcome.kind !== attemptOutcome.AttemptOutcomeKind.Answered)
+      return outcome;
+    const { durations, route } = this.parameters;
+    if (delivered) durations.note(route.name, this.#clock.elapsed);
+    return delivered ? outcome : attemptOutcome.CALLER_DISCONNECTED;
+  }
+
   #recordMetrics(finalOutcome: attemptOutcome.AttemptOutcome): void {
     const { metrics, service } = this.parameters;
     const outcome = finalOutcome.kind;
@@ -234,6 +256,7 @@
       // the milliseconds after which the caller is to send it again.
       if (quarantine.remainingMilliseconds(this) > 0)
         return attemptOutcome.QUARANTINED;
+      if (this.#stopsBeforeEnd()) return lastOutcome ?? attemptOutcome.STOPPED;
       if (lastOutcome && budget.balance < 1) return lastOutcome;
       const obtaining = this.#obtainRunner();
       const obtained =
@@ -266,6 +289,19 @@
     }
   }
 
+  /**
+   * Whether this process stops before the request can be finished, so that the
+   * request is better refused while it has not run.
+   */
+  #stopsBeforeEnd(): boolean {
+    const { stop, durations, route } = this.parameters;
+    if (this.#runs > 0) return false;
+    return !stop.admits({
+      longestMilliseconds: this.#clock.millisecondsLeft,
+      expectedMilliseconds: durations.expected(route.name),
+    });
+  }
+
   /**
    * Has the crash detector check whether an attempt failed because its runner
    * crashed. The detector passes a crash to the quarantine.
@@ -299,12 +335,16 @@
   async #awaitRunner(
     parameters: obtainRunner.ObtainRunnerParameters,
   ): Promise<obtainRunner.ObtainedRunner> {
-    const { sink } = this.parameters;
+    const { sink, stop } = this.parameters;
     if (await this.#waitForRunner()) return { kind: "retry" };
     return obtainRunner.awaitRateLimit({
       ...parameters,
       maxDelayMilliseconds: Math.max(0, this.#maxWait - this.#clock.elapsed),
-      signal: AbortSignal.any([sink.disconnected, this.#cancellation.signal]),
+      signal: AbortSignal.any([
+        sink.disconnected,
+        this.#cancellation.signal,
+        stop.started,
+      ]),
     });
   }
 
@@ -436,7 +476,7 @@
   async #answerCaller(
     outcome: attemptOutcome.AttemptOutcome,
   ): Promise<boolean> {
-    const { sink, random, quarantine } = this.parameters;
+    const { sink } = this.parameters;
     switch (outcome.kind) {
       case attemptOutcome.AttemptOutcomeKind.Answered:
         return this.#relay.delivery;
@@ -452,16 +492,24 @@
     if (outcome.failure)
       return sink.answer(outcome.failure.head, outcome.failure.body);
     const kind = attemptOutcome.refusalKind(outcome, this.#runs);
-    // The quarantine returns 0 if the request may be sent to a runner now.
-    const retryAfterMilliseconds =
-      quarantine.remainingMilliseconds(this) ||
-      this.#rateLimitRetryMilliseconds ||
-      this.#restRetryMilliseconds() ||
-      retryDelay.retryDelayMilliseconds(this.#clock.millisecondsLeft, random);
+    const retryAfterMilliseconds = this.#retryAfterMilliseconds(outcome);
     return sink.refuse({
       kind,
       reason: outcome.reason,
       retryAfterMilliseconds,
     });
   }
+
+  #retryAfterMilliseconds(outcome: attemptOutcome.AttemptOutcome): number {
+    const { random, quarantine } = this.parameters;
+    if (outcome.kind === attemptOutcome.AttemptOutcomeKind.Stopped)
+      return this.parameters.retryElsewhereMilliseconds();
+    // The quarantine returns 0 if the request may be sent to a runner now.
+    return (
+      quarantine.remainingMilliseconds(this) ||
+      this.#rateLimitRetryMilliseconds ||
+      this.#restRetryMilliseconds() ||
+      retryDelay.retryDelayMilliseconds(this.#clock.millisecondsLeft, random)
+    );
+  }
 }
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -3,6 +3,8 @@
 import * as traffic from "@geraniumkeel/traffic";
 import type * as crashDetector from "../quarantine/crash_detector.ts";
 import type * as quarantine from "../quarantine/quarantine.ts";
+import type * as plannedStop from "../shutdown/planned_stop.ts";
+import * as answerDurations from "./answer_durations.ts";
 import * as admitRequest from "./admit_request.ts";
 import * as callerRequest from "./caller_request.ts";
 import * as forwardedRequest from "./forwarded_request.ts";
@@ -34,6 +36,12 @@
   rests: runnerRests.RunnerRests;
   /** Called when a runner first says in an answer that it is leaving. */
   onLeaving: (runner: traffic.RunnerEntry, request: string) => void;
+  stop: plannedStop.PlannedStop;
+  /**
+   * Milliseconds after which a caller is to come back that is refused because
+   * this entry stops.
+   */
+  retryElsewhereMilliseconds: () => number;
   random: common.Random;
   logger: common.Logger;
   metrics: common.Metrics;
@@ -43,6 +51,7 @@
 export class Forwarder {
   #view: traffic.TrafficView | undefined;
   #underWay = 0;
+  readonly #durations = new answerDurations.AnswerDurations();
   readonly #timeoutHistory = new timeoutHistory.TimeoutHistory();
 
   constructor(readonly parameters: ForwarderParameters) {}
@@ -109,6 +118,7 @@
           route,
           account,
           spentBefore,
+          durations: this.#durations,
           service: this.#chooseService(route),
         });
         const outcome = await forwarded.run();
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -8,6 +8,8 @@
 import * as quarantineFixture from "../quarantine/quarantine_fixture.ts";
 import * as runnerRests from "../runner_rest/runner_rests.ts";
 import * as rateLimitsFixture from "../rate_limit/rate_limits_fixture.ts";
+import * as plannedStop from "../shutdown/planned_stop.ts";
+import * as plannedStopFixture from "../shutdown/planned_stop_fixture.ts";
 import * as callerRequest from "./caller_request.ts";
 import * as forwarderModule from "./forwarder.ts";
 import * as runnerTracker from "./runner_tracker.ts";
@@ -42,6 +44,9 @@
   key?: string;
   retries?: number;
   timeoutMilliseconds?: number;
+  /** Timeout that the caller states; 0 for none. */
+  requestMilliseconds?: number;
+  stop?: plannedStop.PlannedStop;
 }
 
 function routeOf(setup: Setup): traffic.Route {
@@ -136,6 +141,8 @@
       metrics: common.discardMetrics(),
     }),
     rateLimits: rateLimitsFixture.createRateLimits(),
+    stop: setup.stop ?? plannedStopFixture.createPlannedStop(),
+    retryElsewhereMilliseconds: () => 50,
     random: new common.Random(2),
     logger,
     metrics: common.discardMetrics(),
@@ -162,7 +169,7 @@
       headers: [],
       body: Buffer.alloc(0),
       key: setup.key ?? KEY,
-      timeoutMilliseconds: 4_000,
+      timeoutMilliseconds: setup.requestMilliseconds ?? 4_000,
       resumeAfter: "",
       arrivedAt: common.instant(),
     },
@@ -399,3 +406,58 @@
   const { seen } = await send(setup, scripts);
   t.is(seen.refusal?.kind, callerRequest.RefusalKind.NotRun);
 });
+
+// Guards against requests that a stopping entry takes and can't finish.
+test("a stopping entry refuses at once what may outlast it", async (t) => {
+  const stop = plannedStopFixture.createPlannedStop();
+  stop.start();
+  const setup = { stop, timeoutMilliseconds: 60_000, requestMilliseconds: 0 };
+  const { seen, calls } = await send(setup, []);
+  t.is(calls.length, 0);
+  t.is(seen.refusal?.kind, callerRequest.RefusalKind.NotRun);
+  t.is(seen.refusal?.retryAfterMilliseconds, 50);
+});
+
+test("a stopping entry serves what ends before it", async (t) => {
+  const stop = plannedStopFixture.createPlannedStop();
+  stop.start();
+  const { seen } = await send({ stop }, [answers(["whole"])]);
+  t.is(seen.text, "whole");
+});
+
+// Guards against requests that wait for a runner until their entry is gone.
+test("a waiting request is refused when its entry begins to stop", async (t) => {
+  const stop = plannedStopFixture.createPlannedStop();
+  const refused = answers([], { status: 503 });
+  const setup = { stop, timeoutMilliseconds: 60_000, requestMilliseconds: 0 };
+  const waiting = send(
+    { ...setup, retries: 50 },
+    Array<Script>(50).fill(refused),
+  );
+  stop.start();
+  const { seen, calls } = await waiting;
+  t.is(seen.refusal?.kind, callerRequest.RefusalKind.NotRun);
+  t.true(calls.length < 3);
+});
+
+// Guards against a kill that ends requests of which the caller learns nothing.
+test("a request that outlasts its entry is answered before the kill", async (t) => {
+  const lifeCycle = new common.LifeCycle("test");
+  const stop = new plannedStop.PlannedStop({
+    graceMilliseconds: 400,
+    lifeCycle,
+  });
+  let aborted = false;
+  const hanging: Script = (call) =>
+    new Promise((resolve) => {
+      call.signal.addEventListener("abort", () => {
+        aborted = true;
+        const kind = runnerClientModule.CallFailureKind.Unknown;
+        resolve(neverthrow.err({ kind, reason: "aborted" }));
+      });
+      stop.start();
+    });
+  const { seen } = await send({ stop }, [hanging]);
+  t.true(aborted);
+  t.is(seen.refusal?.kind, callerRequest.RefusalKind.MayHaveRun);
+});
--- a/packages/daemon/src/forwarding_mod.ts
+++ b/packages/daemon/src/forwarding_mod.ts
@@ -23,4 +23,5 @@
 export * from "./rank_group/rank_process.ts";
 export * from "./rank_group/recover_switch.ts";
 export * from "./rank_group/switch_group.ts";
+export * from "./shutdown/planned_stop.ts";
 export * from "./shutdown/process_signals.ts";
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import * as forwarderModule from "../forwarding/forwarder.ts";
 import * as runnerTracker from "../forwarding/runner_tracker.ts";
 import type * as runnerClientModule from "../forwarding/runner_client.ts";
+import type * as plannedStop from "../shutdown/planned_stop.ts";
 import * as entryMesh from "../mesh/entry_mesh.ts";
 import * as memberRows from "../mesh/member_rows.ts";
 import * as epochConfirmation from "./epoch_confirmation.ts";
@@ -51,8 +52,15 @@
  * leaving.
  */
 const MIN_DRAIN_MILLISECONDS = 3_300;
-/** A drain gives up this long before the process would be killed. */
-const STOP_MARGIN_MILLISECONDS = 700;
+/** Time for the last messages of a drain to leave, at most. */
+const LEAVE_MILLISECONDS = 200;
+/**
+ * Range of the delay after which callers that are refused by a stopping entry
+ * are to come back: soon if another entry takes them, else when entries that
+ * start anew are likely to be back.
+ */
+const RETRY_ELSEWHERE_MILLISECONDS = { least: 20, most: 100 };
+const RETRY_ALONE_MILLISECONDS = { least: 500, most: 1_500 };
 /** How often a draining process checks whether all requests are answered. */
 const DRAIN_CHECK_INTERVAL_MILLISECONDS = 50;
 
@@ -71,8 +79,7 @@
   seeds: { address: string; port: number }[];
   /** Maximum time for which a revoked key may still be served. */
   revocationMilliseconds: number;
-  /** Time from the request to stop until the process is killed. */
-  stopMilliseconds: number;
+  stop: plannedStop.PlannedStop;
   /**
    * Retries allowed for each service, at all entries together: `share` of the
    * requests, plus `allowance` in a window. The budgets know no window: they
@@ -117,7 +124,6 @@
   readonly #budgets = new Map<string, retryBudget.RetryBudget>();
   readonly #maxProofAgeMilliseconds: number;
   #storeReachable = true;
-  #stopping = false;
 
   constructor(readonly parameters: GatewayParameters) {
     const { self, random, logger, metrics, runnerClient } = parameters;
@@ -167,7 +173,7 @@
         })),
       entriesKnown: () => this.mesh.membersKnown,
       storeReachable: () => this.#storeReachable,
-      leaving: () => this.#stopping,
+      leaving: () => this.stopping,
       send: (host, message) => this.mesh.send(host, message),
       broadcast: (message) => this.mesh.broadcast(message),
       logger,
@@ -187,6 +193,8 @@
       onLeaving: ({ identifier: peer }, request) =>
         logger.event(common.EventCode.RunnerLeaving, { peer, request }),
       onAnswerStart: (runner) => this.crashReview.reviewAnswer(runner),
+      stop: parameters.stop,
+      retryElsewhereMilliseconds: () => this.#retryElsewhereMilliseconds(),
       random,
       logger,
       metrics,
@@ -235,7 +243,7 @@
 
   /** Whether callers may be sent to this entry. */
   get ready(): boolean {
-    if (this.#stopping || !this.runners.value) return false;
+    if (this.stopping || !this.runners.value) return false;
     return this.#proofAge <= this.#maxProofAgeMilliseconds;
   }
 
@@ -248,7 +256,7 @@
 
   /** Whether this process is about to stop. */
   get stopping(): boolean {
-    return this.#stopping;
+    return this.parameters.stop.started.aborted;
   }
 
   /** Starts to follow the store and to link with the other entries. */
@@ -288,26 +296,23 @@
 
   /**
    * Drains this entry. Resolves when all requests are answered and callers have
-   * had time to notice that this entry is leaving, or shortly before the
-   * process is killed. Callers that received a list with this entry use that
-   * list for some seconds more, so this entry still serves requests while it
-   * drains.
+   * had time to notice that this entry is leaving, or when the time for answers
+   * is over. Callers that received a list with this entry use that list for some
+   * seconds more, so this entry still serves what it can finish while it drains.
    */
   async drain(): Promise<void> {
-    const { logger, stopMilliseconds } = this.parameters;
-    const startedAt = common.now();
-    this.#stopping = true;
+    const { logger, stop } = this.parameters;
+    stop.start();
     const underWay = this.forwarder.underWay;
     logger.event(common.EventCode.DrainStarted, { underWay });
-    await this.mesh.leave();
-    const stopAfterMilliseconds = stopMilliseconds - STOP_MARGIN_MILLISECONDS;
-    for (;;) {
-      const elapsed = common.now() - startedAt;
-      const wasNoticed = elapsed >= MIN_DRAIN_MILLISECONDS;
-      if (elapsed >= stopAfterMilliseconds) break;
+    // The store may not answer for longer than the process has.
+    const left = this.mesh.leave();
+    while (stop.remainingMilliseconds > 0) {
+      const wasNoticed = stop.elapsedMilliseconds >= MIN_DRAIN_MILLISECONDS;
       if (wasNoticed && this.forwarder.underWay === 0) break;
       await common.sleep(DRAIN_CHECK_INTERVAL_MILLISECONDS);
     }
+    await common.withTimeout(left, LEAVE_MILLISECONDS);
     const stillUnderWay = this.forwarder.underWay;
     logger.event(common.EventCode.DrainFinished, { underWay: stillUnderWay });
   }
@@ -316,7 +321,7 @@
   describe(): unknown {
     return {
       ready: this.ready,
-      stopping: this.#stopping,
+      stopping: this.stopping,
       underWay: this.forwarder.underWay,
       configuration: {
         version: this.configuration.version,
@@ -444,6 +449,15 @@
     }
   }
 
+  #retryElsewhereMilliseconds(): number {
+    const { random } = this.parameters;
+    const hasOther = this.mesh.readyMembers().length > 0;
+    const { least, most } = hasOther
+      ? RETRY_ELSEWHERE_MILLISECONDS
+      : RETRY_ALONE_MILLISECONDS;
+    return random.between(least, most);
+  }
+
   /** Returns the retry budget of a service, and creates it on first use. */
   #budgetOf(service: string): retryBudget.RetryBudget {
     const existing = this.#budgets.get(service);
--- a/packages/stand_ins/src/gateways/gateways.ts
+++ b/packages/stand_ins/src/gateways/gateways.ts
@@ -113,7 +113,7 @@
       },
       seeds: [],
       revocationMilliseconds: 5_000,
-      stopMilliseconds: 8_000,
+      stop: new daemon.PlannedStop({ graceMilliseconds: 8_000, lifeCycle }),
       retries: { share: 1, allowance: 10_000 },
       table,
       configurationSource: this.#configurationSource(table),
