--- a/packages/daemon/src/shutdown/planned_stop.ts
+++ b/packages/daemon/src/shutdown/planned_stop.ts
@@ -13,6 +13,9 @@
  */
 const ESTIMATE_MILLISECONDS = 2_500;
 
+/** Time for the final answer of a request whose own time is up. */
+const FINAL_ANSWER_MILLISECONDS = 100;
+
 /** How long a request may take. */
 export interface WorkBounds {
   /** Time after which the request has its final answer in any case. */
@@ -81,7 +84,8 @@
   /** Whether a request can be finished before the process ends. */
   admits(work: WorkBounds): boolean {
     const { remainingMilliseconds } = this;
-    if (work.longestMilliseconds <= remainingMilliseconds) return true;
+    const certain = work.longestMilliseconds + FINAL_ANSWER_MILLISECONDS;
+    if (certain <= remainingMilliseconds) return true;
     if (this.elapsedMilliseconds > ESTIMATE_MILLISECONDS) return false;
     return work.expectedMilliseconds <= remainingMilliseconds;
   }
--- a/packages/daemon/src/shutdown/planned_stop_test.ts
+++ b/packages/daemon/src/shutdown/planned_stop_test.ts
@@ -27,7 +27,8 @@
   t.true(remaining > 8_000 * (5 / 6) && remaining < 8_000);
   const admits = (longestMilliseconds: number, expectedMilliseconds: number) =>
     stop.admits({ longestMilliseconds, expectedMilliseconds });
-  t.true(admits(remaining - 100, Infinity));
+  t.true(admits(remaining - 200, Infinity));
+  t.false(admits(remaining, Infinity));
   t.true(admits(20_000, remaining - 100));
   t.false(admits(20_000, remaining + 100));
   t.false(admits(20_000, Infinity));
