--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -457,8 +457,8 @@
       "A caller's connection ended because of this process, or before an answer " +
       "had left whole. `kind` and `reason` say why, `unanswered` which requests " +
       "got no whole answer, `handedBytes` what was written to the connection, " +
-      "`heldBytes` what of that had not left the process; `version` and `signal`, " +
-      "with their ages in milliseconds, what was in force.",
+      "`heldBytes` what of that had not left the process; `version`, its age in " +
+      "milliseconds and `signalAges` what was in force.",
     action:
       "With `unanswered` and a kind other than caller-left: see OPERATIONS.md.",
   },
--- a/packages/daemon/src/caller_connections/caller_connections.ts
+++ b/packages/daemon/src/caller_connections/caller_connections.ts
@@ -266,7 +266,7 @@
     metrics.count(common.Metric.CallerConnectionsEnded, { end: end.kind });
     const isWhole = unanswered.length === 0 && heldBytes === 0;
     if (isWhole && connectionEnd.isOrdinary(end.kind)) return;
-    const { version, versionAge, signal } = this.parameters.inForce();
+    const { version, versionAge, signalAges } = this.parameters.inForce();
     logger.event(common.EventCode.CallerConnectionEnded, {
       connection: connection.number,
       ...end,
@@ -278,8 +278,7 @@
       heldBytes,
       version,
       versionAge: Math.round(versionAge),
-      signal: signal?.name,
-      signalAge: signal && Math.round(common.ageOf(signal.receivedAt)),
+      signalAges,
     });
   }
 }
--- a/packages/daemon/src/shutdown/process_signals.ts
+++ b/packages/daemon/src/shutdown/process_signals.ts
@@ -8,12 +8,6 @@
   Reload = "SIGHUP",
 }
 
-/** A signal that this process received. */
-export interface ReceivedSignal {
-  name: ProcessSignal;
-  receivedAt: common.Instant;
-}
-
 /** What signals lead to. */
 export interface SignalActions {
   /** Stops the process as planned; called once. */
@@ -29,7 +23,7 @@
  * changes nothing.
  */
 export class ProcessSignals {
-  #latest: ReceivedSignal | undefined;
+  readonly #receivedAt = new Map<ProcessSignal, common.Instant>();
   #actions: SignalActions | undefined;
   #stopReceived = false;
   #reloadReceived = false;
@@ -39,9 +33,12 @@
     process.on(ProcessSignal.Reload, () => this.#reload());
   }
 
-  /** The latest signal; `undefined` before the first. */
-  get latest(): ReceivedSignal | undefined {
-    return this.#latest;
+  /** Milliseconds since each signal that was received came last, by its name. */
+  ages(): Record<string, number> {
+    const ages: Record<string, number> = {};
+    for (const [name, receivedAt] of this.#receivedAt)
+      ages[name] = Math.round(common.ageOf(receivedAt));
+    return ages;
   }
 
   /** Says what signals lead to, once the process has started. */
@@ -68,6 +65,6 @@
   }
 
   #note(name: ProcessSignal): void {
-    this.#latest = { name, receivedAt: common.instant() };
+    this.#receivedAt.set(name, common.instant());
   }
 }
