fix: what came while a stopping entry was held up is read before connections end

Seen by the harness of real processes: 20 requests sent 3 s after SIGTERM to a process that was held up for 0.6 s had their connections closed before they were read, as the timer of the drain runs before the sockets are read. Closing now waits for three turns of the event loop. A connection on which the rest of a refused body still comes is not idle.

--- a/packages/daemon/src/caller_connections/caller_connections.ts
+++ b/packages/daemon/src/caller_connections/caller_connections.ts
@@ -22,6 +22,11 @@
  * it is not closed just as a request comes.
  */
 const IDLE_SLACK_MILLISECONDS = 1_000;
+/**
+ * Turns of the event loop after which all is read that came while the process
+ * was held up: new connections are taken in one turn and read in the next.
+ */
+const READING_TURNS = 3;
 /** How often a closing process checks whether all connections are closed. */
 const CLOSE_CHECK_INTERVAL_MILLISECONDS = 20;
 
@@ -104,6 +109,7 @@
     const deadline = common.now() + timeoutMilliseconds;
     const { server } = this.parameters;
     this.closeAfterAnswers();
+    for (let turn = 0; turn < READING_TURNS; turn++) await nextTurn();
     this.#closing = true;
     // The HTTP server's own method also destroys connections with answers that
     // have ended and not left.
@@ -283,6 +289,10 @@
   }
 }
 
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 function refusalOf(code: string | undefined): string {
   const status = {
     [HEAD_TIMEOUT_CODE]: "408 Request Timeout",
--- a/packages/daemon/src/caller_connections/tracked_connection.ts
+++ b/packages/daemon/src/caller_connections/tracked_connection.ts
@@ -25,6 +25,7 @@
   /** How long the caller was told that the connection may be idle. */
   promisedIdleMilliseconds = 0;
   #idleSince = this.openedAt;
+  #readBytes = 0;
   #end: connectionEnd.ConnectionEnd | undefined;
   #endedAt: number | undefined;
   #callerEnded = false;
@@ -81,8 +82,15 @@
     return this.socket.writableLength;
   }
 
-  /** Milliseconds since the last request was answered; 0 while one is not. */
+  /**
+   * Milliseconds since the last request was answered and anything was read; 0
+   * while a request is not answered.
+   */
   idleMilliseconds(now: number): number {
+    const { bytesRead } = this.socket;
+    // The rest of a body that was refused may still be on its way.
+    if (bytesRead !== this.#readBytes) this.#idleSince = now;
+    this.#readBytes = bytesRead;
     return this.unanswered.length > 0 ? 0 : now - this.#idleSince;
   }
 
