test: an attempt is given up before another one is secured

What callers see: the beginning of an answer and a closed connection, or 502, although no process stopped and their runner was still at work. The runner sent nothing for 600 ms (whole answers: one and a half times the objective).

Runners' calls are answered step by step by a fixture.

--- /dev/null
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -0,0 +1,329 @@
+import * as neverthrow from "neverthrow";
+import * as common from "@geraniumkeel/common";
+import * as traffic from "@geraniumkeel/traffic";
+import * as runnerFixture from "@geraniumkeel/traffic/runner_fixture";
+import * as retryBudget from "../dispatch/retry_budget.ts";
+import * as crashDetector from "../quarantine/crash_detector.ts";
+import * as quarantineFixture from "../quarantine/quarantine_fixture.ts";
+import * as rateLimitsFixture from "../rate_limit/rate_limits_fixture.ts";
+import * as runnerRests from "../runner_rest/runner_rests.ts";
+import * as plannedStopFixture from "../shutdown/planned_stop_fixture.ts";
+import type * as callerRequest from "./caller_request.ts";
+import * as forwarderModule from "./forwarder.ts";
+import * as runnerClient from "./runner_client.ts";
+import * as runnerTracker from "./runner_tracker.ts";
+
+/** Longest time for which a test waits for a condition. */
+const CONDITION_TIMEOUT_MILLISECONDS = 5_000;
+const CONDITION_CHECK_MILLISECONDS = 5;
+
+/** Resolves once a condition holds; throws if it does not for long. */
+export async function until(condition: () => boolean): Promise<void> {
+  const latest = common.now() + CONDITION_TIMEOUT_MILLISECONDS;
+  while (!condition()) {
+    if (common.now() > latest) throw new Error("condition not met in time");
+    await common.sleep(CONDITION_CHECK_MILLISECONDS);
+  }
+}
+
+/** One server-sent event with its number. */
+export function eventText(number: number): string {
+  return `id: ${number}\ndata: x\n\n`;
+}
+
+type CallResult = neverthrow.Result<
+  runnerClient.RunnerAnswer,
+  runnerClient.CallFailure
+>;
+
+/** A call to a runner, which a test answers step by step. */
+export class SteppedCall {
+  readonly result: Promise<CallResult>;
+  readonly #pieces = new common.Channel<Buffer>();
+  #settle: (result: CallResult) => void = () => {};
+  #truncated = false;
+
+  constructor(readonly call: runnerClient.RunnerCall) {
+    this.result = new Promise((resolve) => (this.#settle = resolve));
+    call.signal.addEventListener("abort", () => {
+      this.breakOff();
+    });
+  }
+
+  /** Runner to which the request was sent. */
+  get runner(): string {
+    return this.call.runner.identifier;
+  }
+
+  /** Whether the entry has given up the call. */
+  get aborted(): boolean {
+    return this.call.signal.aborted;
+  }
+
+  /** Sends the head of an answer; pieces may follow. */
+  begin(change: Partial<runnerClient.RunnerAnswer> = {}): void {
+    this.#settle(
+      neverthrow.ok({
+        verdict: runnerClient.Verdict.Ran,
+        head: { status: 200, headers: [["Runner", this.runner]] },
+        signed: true,
+        rateLimit: undefined,
+        retryAfter: undefined,
+        leaving: false,
+        body: this.#body(),
+        ...change,
+      }),
+    );
+  }
+
+  /** Refuses the request as not run. */
+  refuse(): void {
+    const head = { status: 503, headers: [] };
+    this.begin({ verdict: runnerClient.Verdict.NotRun, head });
+    this.#pieces.close();
+  }
+
+  /** Answers that the request was run and failed. */
+  fail(text: string): void {
+    const head = { status: 500, headers: [] };
+    this.begin({ verdict: runnerClient.Verdict.Failed, head });
+    this.send(text);
+    this.end();
+  }
+
+  /** Sends a piece of the body. */
+  send(text: string): void {
+    this.#pieces.push(Buffer.from(text));
+  }
+
+  /** Ends the body as complete. */
+  end(): void {
+    this.#pieces.close();
+  }
+
+  /** Ends the connection before the body is complete. */
+  breakOff(): void {
+    this.#truncated = true;
+    this.#pieces.close();
+    const kind = runnerClient.CallFailureKind.Unknown;
+    this.#settle(neverthrow.err({ kind, reason: "reset" }));
+  }
+
+  async *#body(): AsyncGenerator<Buffer, void, void> {
+    for await (const piece of this.#pieces) yield piece;
+    if (this.#truncated) throw new runnerClient.TruncatedBody("reset");
+  }
+}
+
+/** A caller's request that a forwarder handles, and what its caller received. */
+export interface SentRequest {
+  text: string;
+  status: number;
+  headers: callerRequest.Header[];
+  ended: "whole" | "broken" | "refused" | "";
+  refusal: callerRequest.Refusal | undefined;
+  /** Calls to runners, in order. */
+  calls: SteppedCall[];
+  /** Resolves when the forwarder has finished with the request. */
+  finished: Promise<void>;
+  /** Disconnects the caller. */
+  leave(): void;
+  /** While set, the caller takes no more of its answer. */
+  blocked: boolean;
+}
+
+/** How a simulated entry and its route differ from the usual. */
+export interface EntrySetup {
+  route?: Partial<traffic.Route>;
+  runners?: string[];
+  /** Retries that the budget allows. */
+  retries?: number;
+  presence?: common.Presence;
+}
+
+/** A forwarder whose calls to runners a test answers. */
+export class SteppedEntry {
+  readonly logger = new common.RecordingLogger();
+  readonly budget: retryBudget.RetryBudget;
+  readonly tracker: runnerTracker.RunnerTracker;
+  readonly forwarder: forwarderModule.Forwarder;
+  /** Runners whose addresses the crash detector probed, in order. */
+  readonly probes: string[] = [];
+  readonly #requests = new Map<string, SentRequest>();
+
+  constructor(setup: EntrySetup) {
+    const { retries = 5, runners = ["i-1", "i-2"] } = setup;
+    this.budget = new retryBudget.RetryBudget({
+      earnedPerRequest: 0,
+      maxBalance: retries,
+      initialBalance: retries,
+    });
+    this.tracker = createTracker(runners);
+    const presenceOf = async ({ identifier }: traffic.RunnerEntry) => {
+      this.probes.push(identifier);
+      return setup.presence ?? common.Presence.Listening;
+    };
+    const { logger, budget, tracker } = this;
+    const metrics = common.discardMetrics();
+    this.forwarder = new forwarderModule.Forwarder({
+      configuration: createConfiguration(setup.route ?? {}),
+      proofAge: () => 0,
+      maxProofAgeMilliseconds: 4_000,
+      tracker,
+      runnerClient: {
+        presenceOf,
+        call: (call) => {
+          const stepped = new SteppedCall(call);
+          this.#requests.get(call.request.identifier)?.calls.push(stepped);
+          return stepped.result;
+        },
+      },
+      budgetOf: () => budget,
+      quarantine: quarantineFixture.createQuarantine(),
+      crashDetector: new crashDetector.CrashDetector({
+        presenceOf,
+        inUse: (runner) => tracker.inUse(runner),
+        crashTimeOf: () => undefined,
+        onCrash: () => {},
+      }),
+      onAnswerStart: () => {},
+      onLeaving: () => {},
+      rests: new runnerRests.RunnerRests({ logger, metrics }),
+      rateLimits: rateLimitsFixture.createRateLimits(),
+      stop: plannedStopFixture.createPlannedStop(),
+      retryElsewhereMilliseconds: () => 50,
+      random: new common.Random(2),
+      logger,
+      metrics,
+    });
+  }
+
+  /** Forwards a request of a caller. */
+  send(identifier: string): SentRequest {
+    const left = new AbortController();
+    const sent: SentRequest = {
+      text: "",
+      status: 0,
+      headers: [],
+      ended: "",
+      refusal: undefined,
+      calls: [],
+      finished: Promise.resolve(),
+      leave: () => left.abort(),
+      blocked: false,
+    };
+    this.#requests.set(identifier, sent);
+    const request = createRequest(identifier);
+    const sink = createSink(sent, left.signal);
+    sent.finished = this.forwarder.forward(request, sink);
+    return sent;
+  }
+
+  /** Outcome kinds of the attempts of a request, as logged. */
+  attemptEnds(identifier: string): string[] {
+    const line = this.logger.events.find(
+      ({ code, fields }) =>
+        code === common.EventCode.Forwarded && fields.request === identifier,
+    );
+    const attempts = line?.fields.attempts as { end: string }[] | undefined;
+    return (attempts ?? []).map(({ end }) => end);
+  }
+}
+
+function createTracker(identifiers: string[]): runnerTracker.RunnerTracker {
+  const tracker = new runnerTracker.RunnerTracker({
+    dataCentre: "d",
+    random: new common.Random(1),
+    rateLimitWaitOf: () => 0,
+    restOf: () => 0,
+    inLockStep: () => false,
+  });
+  const runners = identifiers.map((identifier, index) =>
+    runnerFixture.createRunner({ identifier, port: index + 1 }),
+  );
+  tracker.update({ version: 1, runners });
+  return tracker;
+}
+
+function createConfiguration(
+  route: Partial<traffic.Route>,
+): traffic.ProvenValue<traffic.TrafficConfiguration> {
+  const configuration = new traffic.ProvenValue<traffic.TrafficConfiguration>();
+  configuration.offer({
+    version: 1,
+    routes: [
+      {
+        name: "r",
+        host: "h",
+        prefix: "/a/",
+        repeatability: traffic.Repeatability.Idempotent,
+        answerForm: traffic.AnswerForm.Events,
+        open: true,
+        shares: [{ service: "s", weight: 1 }],
+        mostAttempts: 2,
+        timeoutMilliseconds: 5_000,
+        objectiveMilliseconds: 200,
+        gapMilliseconds: 120,
+        urgency: 1,
+        ...route,
+      },
+    ],
+    services: [{ name: "s", engine: undefined }],
+    accounts: [],
+    limits: {
+      mostHeaderBytes: 1,
+      mostBodyBytes: 1,
+      headerMilliseconds: 1,
+      idleMilliseconds: 1,
+    },
+  });
+  return configuration;
+}
+
+function createRequest(identifier: string): callerRequest.CallerRequest {
+  return {
+    identifier,
+    method: "POST",
+    target: "/a/b",
+    path: "/a/b",
+    host: "h",
+    headers: [],
+    body: Buffer.from(identifier),
+    key: undefined,
+    timeoutMilliseconds: 4_000,
+    resumeAfter: "",
+    arrivedAt: common.instant(),
+  };
+}
+
+function createSink(
+  sent: SentRequest,
+  disconnected: AbortSignal,
+): callerRequest.AnswerSink {
+  return {
+    disconnected,
+    answer: async (head, body) => {
+      Object.assign(sent, { ...head, ended: "whole" });
+      sent.text += body.toString();
+      return true;
+    },
+    begin: (head) => {
+      Object.assign(sent, head);
+    },
+    write: async (piece) => {
+      sent.text += piece.toString();
+      if (sent.blocked) await until(() => !sent.blocked);
+    },
+    end: async () => {
+      sent.ended = "whole";
+      return true;
+    },
+    abort: () => {
+      sent.ended = "broken";
+    },
+    refuse: async (refusal) => {
+      Object.assign(sent, { refusal, ended: "refused" });
+      return true;
+    },
+  };
+}
