fix: an attempt stays open until another one has got on

What callers see: an answer that breaks off, or 502, with no planned work beside it. Their runner sent nothing for 600 ms (whole answers: one and a half times the objective), and would have gone on.

Cause: the entry gave the attempt up when another one seemed possible, and looked only afterwards whether it is: crash check, budget, quarantine, runner, permit, and the answer of the other runner. Several requests saw one retry in the budget; one got it. Class: check, then act later, and break before make.

Now the silent attempt stays open. Another is made beside it once runner and permit are there; the check that all open attempts are still silent, the charge and the start are one step. What gets on first (next event, end of the stream, complete body) supersedes the others. Relaying checks that in the same step, so events of two attempts can't mix. A head decides nothing: a runner may send it before the request has its turn. Open attempts count as runs. Silent runs go to the crash detector before the next attempt, once a silence, and are withdrawn if they get on. An attempt that lost without having been silent ends `superseded` and says nothing about its runner; nor does a connection that this entry gives up (it suspended the runner).

No existing test was changed.

--- a/packages/daemon/src/forwarding/answer_relay.ts
+++ b/packages/daemon/src/forwarding/answer_relay.ts
@@ -20,11 +20,25 @@
   return neverthrow.ok(Buffer.concat(pieces));
 }
 
+/** An attempt whose answer is relayed, perhaps beside others. */
+export interface RelayedAttempt {
+  /** Aborts when another attempt got on; then this one relays nothing more. */
+  superseded: AbortSignal;
+  /**
+   * Called before anything goes to the caller: for each event, for the end of a
+   * stream and for a complete body. Supersedes the other attempts.
+   */
+  onGotOn: () => void;
+}
+
+/** Why an attempt relays nothing more after another one got on. */
+const SUPERSEDED = "another attempt got on";
+
 /**
  * Relays the answers of the attempts of one request to its caller. For a stream
  * of events the caller sees one answer: each later attempt continues after the
  * last complete event that was relayed, and the head of the first attempt
- * stays.
+ * stays. Attempts may be open at the same time; only one of them relays.
  */
 export class AnswerRelay {
   #begun = false;
@@ -38,8 +52,6 @@
       sink: callerRequest.AnswerSink;
       answerForm: traffic.AnswerForm;
       resumeAfter: string;
-      /** Called for each event that is relayed. */
-      onEvent: () => void;
     },
   ) {
     this.#resumeAfter = parameters.resumeAfter;
@@ -69,19 +81,24 @@
   /** Relays an answer to its end; the error says why it stopped before. */
   relay(
     answer: runnerClient.RunnerAnswer,
+    attempt: RelayedAttempt,
   ): Promise<neverthrow.Result<void, string>> {
     switch (this.parameters.answerForm) {
       case traffic.AnswerForm.Whole:
-        return this.#relayComplete(answer);
+        return this.#relayComplete(answer, attempt);
       case traffic.AnswerForm.Events:
-        return this.#relayEvents(answer);
+        return this.#relayEvents(answer, attempt);
     }
   }
 
   async #relayComplete(
     answer: runnerClient.RunnerAnswer,
+    attempt: RelayedAttempt,
   ): Promise<neverthrow.Result<void, string>> {
     const completeBody = await readCompleteBody(answer.body);
+    if (completeBody.isOk() && attempt.superseded.aborted)
+      return neverthrow.err(SUPERSEDED);
+    if (completeBody.isOk()) attempt.onGotOn();
     return completeBody.map((body) => {
       this.#delivery = this.parameters.sink.answer(answer.head, body);
     });
@@ -89,13 +106,14 @@
 
   async #relayEvents(
     answer: runnerClient.RunnerAnswer,
+    attempt: RelayedAttempt,
   ): Promise<neverthrow.Result<void, string>> {
     const { sink } = this.parameters;
     const splitter = new eventSplitter.EventSplitter();
     try {
       for await (const piece of answer.body) {
         for (const event of splitter.push(piece)) {
-          const problem = await this.#relayEvent(event, answer.head);
+          const problem = await this.#relayEvent(event, answer.head, attempt);
           if (problem) return neverthrow.err(problem);
         }
       }
@@ -106,6 +124,8 @@
       throw cause;
     }
     if (splitter.pendingBytes > 0) return neverthrow.err("event not ended");
+    if (attempt.superseded.aborted) return neverthrow.err(SUPERSEDED);
+    attempt.onGotOn();
     if (!this.#begun) sink.begin(answer.head);
     this.#begun = true;
     this.#delivery = sink.end();
@@ -120,7 +140,9 @@
   async #relayEvent(
     event: eventSplitter.StreamEvent,
     head: callerRequest.AnswerHead,
+    attempt: RelayedAttempt,
   ): Promise<string | undefined> {
+    if (attempt.superseded.aborted) return SUPERSEDED;
     const { sink } = this.parameters;
     const { number } = event;
     if (number !== undefined) {
@@ -133,7 +155,7 @@
     }
     if (!this.#begun) sink.begin(head);
     this.#begun = true;
-    this.parameters.onEvent();
+    attempt.onGotOn();
     await sink.write(event.bytes);
     return undefined;
   }
--- a/packages/daemon/src/forwarding/attempt_outcome.ts
+++ b/packages/daemon/src/forwarding/attempt_outcome.ts
@@ -16,8 +16,13 @@
   Truncated = "broken",
   /** The request ran out of time. */
   TimedOut = "timed-out",
-  /** The runner made no progress, and the entry abandoned the attempt. */
+  /** The runner made no progress, and another attempt got on instead. */
   Stalled = "stalled",
+  /**
+   * Another attempt got on before this one, whose runner was not silent for
+   * long.
+   */
+  Superseded = "superseded",
   /** The caller disconnected. */
   CallerDisconnected = "left",
   /** The request is quarantined, so no runner gets it. */
@@ -61,6 +66,18 @@
   reason: "this entry is stopping",
 };
 
+/** Outcome of an attempt without progress, when another one got on. */
+export const STALLED: AttemptOutcome = {
+  kind: AttemptOutcomeKind.Stalled,
+  reason: "did not get on",
+};
+
+/** Outcome of an attempt that was not silent, when another one got on. */
+export const SUPERSEDED: AttemptOutcome = {
+  kind: AttemptOutcomeKind.Superseded,
+  reason: "another attempt got on",
+};
+
 /**
  * Returns the outcome if this entry cancelled the attempt, else `undefined`. It
  * does so when the caller disconnects (`disconnected`), and when the request
@@ -102,6 +119,7 @@
     case AttemptOutcomeKind.Unknown:
     case AttemptOutcomeKind.Truncated:
     case AttemptOutcomeKind.Stalled:
+    case AttemptOutcomeKind.Superseded:
       return idempotent && runs < route.mostAttempts;
     case AttemptOutcomeKind.Answered:
     case AttemptOutcomeKind.TimedOut:
@@ -145,6 +163,7 @@
     case AttemptOutcomeKind.Answered:
     case AttemptOutcomeKind.NotRun:
     case AttemptOutcomeKind.Failed:
+    case AttemptOutcomeKind.Superseded:
     case AttemptOutcomeKind.CallerDisconnected:
     case AttemptOutcomeKind.Quarantined:
     case AttemptOutcomeKind.Stopped:
@@ -160,6 +179,7 @@
     case AttemptOutcomeKind.Answered:
       return runnerTracker.CallOutcome.Success;
     case AttemptOutcomeKind.NotRun:
+    case AttemptOutcomeKind.Superseded:
     case AttemptOutcomeKind.CallerDisconnected:
     case AttemptOutcomeKind.Quarantined:
     case AttemptOutcomeKind.Stopped:
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -10,12 +10,12 @@
 import * as answerRelay from "./answer_relay.ts";
 import * as attemptOutcome from "./attempt_outcome.ts";
 import * as callerRequest from "./caller_request.ts";
+import * as hedgedAttempts from "./hedged_attempts.ts";
 import * as obtainRunner from "./obtain_runner.ts";
 import * as retryDelay from "./retry_delay.ts";
 import type * as runnerTracker from "./runner_tracker.ts";
 import * as requestClock from "./request_clock.ts";
 import * as runnerAttempt from "./runner_attempt.ts";
-import type * as rateLimitPermit from "../rate_limit/rate_limit_permit.ts";
 import type * as rateLimits from "../rate_limit/rate_limits.ts";
 import type * as runnerRests from "../runner_rest/runner_rests.ts";
 import type * as runnerClientModule from "./runner_client.ts";
@@ -126,7 +126,13 @@
   /** Number of attempts that a runner ran or may have run. */
   #runs = 0;
   readonly #clock: requestClock.RequestClock;
-  #attempt: runnerAttempt.RunnerAttempt | undefined;
+  readonly #hedged: hedgedAttempts.HedgedAttempts;
+  /** Attempts in the order in which they were made. */
+  readonly #made: runnerAttempt.RunnerAttempt[] = [];
+  /** Checks for crashes that are under way. */
+  #crashChecks: Promise<void>[] = [];
+  /** Silent attempts whose runners were checked for a crash. */
+  readonly #checkedSilent = new Set<runnerAttempt.RunnerAttempt>();
   /**
    * Milliseconds from the request's arrival until the head of the first signed
    * successful answer arrived from a runner; -1 before that. Sent as the metric
@@ -149,7 +155,12 @@
       sink,
       answerForm: route.answerForm,
       resumeAfter: request.resumeAfter,
-      onEvent: () => this.#noteEvent(),
+    });
+    this.#hedged = new hedgedAttempts.HedgedAttempts({
+      createAttempt: (secured) => this.#createAttempt(secured),
+      onEnd: (attempt, outcome) => this.#noteEnd(attempt, outcome),
+      secureAnother: (silent) => this.#secureAnother(silent),
+      charge: () => this.#chargeAnother(),
     });
   }
 
@@ -278,14 +289,14 @@
       if (lastOutcome && !budget.spend()) return lastOutcome;
       const { runner } = obtained;
       this.#rateLimitTrace = obtained.trace ?? this.#rateLimitTrace;
-      this.#tried.add(runner.identifier);
-      lastOutcome = await this.#attemptAt(runner, obtained.permit);
-      // A retry waits for the check: if it finds a crash, the request may be
-      // quarantined. A final answer does not wait for it.
-      const crashCheck = this.#checkForCrash(lastOutcome, runner);
+      const { permit } = obtained;
+      lastOutcome = await this.#hedged.run({ runner, permit });
+      // A retry waits for the checks: if one finds a crash, the request may be
+      // quarantined. A final answer does not wait for them.
       if (!attemptOutcome.mayRetry(lastOutcome, route, this.#runs))
         return lastOutcome;
-      await crashCheck;
+      await Promise.all(this.#crashChecks);
+      this.#crashChecks = [];
     }
   }
 
@@ -307,16 +318,17 @@
    * crashed. The detector passes a crash to the quarantine.
    */
   async #checkForCrash(
-    outcome: attemptOutcome.AttemptOutcome,
-    runner: traffic.RunnerEntry,
+    kind: attemptOutcome.AttemptOutcomeKind,
+    attempt: runnerAttempt.RunnerAttempt,
   ): Promise<void> {
     const { request, crashDetector, tracker } = this.parameters;
+    const { runner } = attempt.parameters;
     const runnerIsUnresponsive = tracker.isUnresponsive(runner.identifier);
-    if (!attemptOutcome.mayBeCrash(outcome.kind, runnerIsUnresponsive)) return;
+    if (!attemptOutcome.mayBeCrash(kind, runnerIsUnresponsive)) return;
     await crashDetector.investigate(runner, {
       request: request.identifier,
       fingerprint: this.fingerprint,
-      startedAt: this.#attempt?.startedAt ?? common.now(),
+      startedAt: attempt.startedAt,
     });
   }
 
@@ -400,58 +412,109 @@
     return true;
   }
 
-  async #attemptAt(
-    runner: traffic.RunnerEntry,
-    permit: rateLimitPermit.RateLimitPermit,
-  ): Promise<attemptOutcome.AttemptOutcome> {
-    const attempt = new runnerAttempt.RunnerAttempt({
-      ...this.parameters,
-      runner,
-      permit,
-      clock: this.#clock,
-      relay: this.#relay,
-      cancel: this.#cancellation.signal,
-      mayTryAnother: () => this.#mayTryAnother(),
-      onAnswerStart: () => {
-        this.#noteFirstAnswer();
-        this.parameters.onAnswerStart(runner);
-      },
-    });
-    this.#attempt = attempt;
-    const sentAfter = Math.round(this.#clock.elapsed);
-    const outcome = await attempt.run();
+  #createAttempt({
+    runner,
+    permit,
+  }: hedgedAttempts.SecuredRunner): runnerAttempt.RunnerAttempt {
+    const attempt: runnerAttempt.RunnerAttempt =
+      new runnerAttempt.RunnerAttempt({
+        ...this.parameters,
+        runner,
+        permit,
+        clock: this.#clock,
+        relay: this.#relay,
+        cancel: this.#cancellation.signal,
+        onStalled: () => void this.#hedged.hedge(),
+        onGotOn: () => this.#noteGotOn(attempt),
+        onAnswerStart: () => {
+          this.#noteFirstAnswer();
+          this.parameters.onAnswerStart(runner);
+        },
+      });
+    this.#tried.add(runner.identifier);
+    this.#made.push(attempt);
+    return attempt;
+  }
+
+  /** Notes the outcome of an attempt that has ended. */
+  #noteEnd(
+    attempt: runnerAttempt.RunnerAttempt,
+    outcome: attemptOutcome.AttemptOutcome,
+  ): void {
     const { quarantine } = this.parameters;
+    const { runner } = attempt.parameters;
     if (outcome.kind === attemptOutcome.AttemptOutcomeKind.Answered) {
       quarantine.answered(this, runner.version);
     }
     if (outcome.kind !== attemptOutcome.AttemptOutcomeKind.NotRun) this.#runs++;
-    this.#attempts.push({
+    this.#attempts[this.#made.indexOf(attempt)] = {
       runner: runner.identifier,
       end: outcome.kind,
       reason: outcome.reason,
-      sentAfter,
+      sentAfter: attempt.sentAfter,
       milliseconds: Math.round(common.now() - attempt.startedAt),
-    });
-    return outcome;
+    };
+    const isChecked =
+      outcome.kind === attemptOutcome.AttemptOutcomeKind.Stalled &&
+      this.#checkedSilent.has(attempt);
+    if (!isChecked)
+      this.#crashChecks.push(this.#checkForCrash(outcome.kind, attempt));
   }
 
   /**
-   * Whether the attempt in progress may be abandoned for another runner. That
-   * requires an idempotent request that may run once more after this attempt,
-   * retry budget, and another runner that is not suspended. Otherwise waiting
-   * is better: the attempt may still succeed, and abandoning it would mean a
-   * refusal.
+   * Whether one more attempt may be made beside the open ones. That requires an
+   * idempotent request that may run once more than it may have by now, and
+   * retry budget.
    */
-  #mayTryAnother(): boolean {
-    const { route, tracker, service, budgetOf } = this.parameters;
+  #mayRunBesides(): boolean {
+    const { route, service, budgetOf } = this.parameters;
     if (route.repeatability !== traffic.Repeatability.Idempotent) return false;
-    // The attempt in progress is not in `#runs` yet, but may have run.
-    if (this.#runs + 1 >= route.mostAttempts) return false;
-    if (budgetOf(service).balance < 1) return false;
+    if (this.#runs + this.#hedged.openCount >= route.mostAttempts) return false;
+    return !this.#cancelledOutcome() && budgetOf(service).balance >= 1;
+  }
+
+  /** Whether a runner that was not tried may get the request and responds. */
+  #hasResponsiveRunner(): boolean {
+    const { tracker, service } = this.parameters;
     const others = tracker.candidates(service, this.#tried);
     return others.some(({ suspended }) => !suspended);
   }
 
+  /**
+   * Finds a runner for one more attempt beside the silent ones. It waits
+   * neither for a runner nor for a rate limit; the next check of the silent
+   * attempts tries again.
+   */
+  async #secureAnother(
+    silent: runnerAttempt.RunnerAttempt[],
+  ): Promise<hedgedAttempts.SecuredRunner | undefined> {
+    const isPossible = () =>
+      this.#mayRunBesides() && this.#hasResponsiveRunner();
+    if (!isPossible()) return undefined;
+    await Promise.all(silent.map((attempt) => this.#checkSilent(attempt)));
+    if (!isPossible()) return undefined;
+    const obtained = await obtainRunner.obtainRunner({
+      ...this.parameters,
+      tried: this.#tried,
+    });
+    return obtained.kind === "runner" ? obtained : undefined;
+  }
+
+  /** Checks the runner of a silent attempt for a crash, once a silence. */
+  async #checkSilent(attempt: runnerAttempt.RunnerAttempt): Promise<void> {
+    if (this.#checkedSilent.has(attempt)) return;
+    this.#checkedSilent.add(attempt);
+    const { Stalled } = attemptOutcome.AttemptOutcomeKind;
+    await this.#checkForCrash(Stalled, attempt);
+  }
+
+  /** Admits and charges one more attempt beside the open ones. */
+  #chargeAnother(): boolean {
+    const { quarantine, budgetOf, service } = this.parameters;
+    if (!this.#mayRunBesides() || quarantine.admit(this) > 0) return false;
+    return budgetOf(service).spend();
+  }
+
   #cancelledOutcome(): attemptOutcome.AttemptOutcome | undefined {
     return attemptOutcome.cancelledOutcome(
       this.parameters.sink.disconnected,
@@ -459,9 +522,14 @@
     );
   }
 
-  #noteEvent(): void {
+  /** Notes that a part of an attempt's answer goes to the caller. */
+  #noteGotOn(attempt: runnerAttempt.RunnerAttempt): void {
     this.#noteFirstAnswer();
-    this.#attempt?.noteProgress();
+    attempt.noteProgress();
+    this.#hedged.noteGotOn(attempt);
+    if (!this.#checkedSilent.delete(attempt)) return;
+    const { crashDetector, request } = this.parameters;
+    crashDetector.withdraw(attempt.parameters.runner, request.identifier);
   }
 
   #noteFirstAnswer(): void {
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -4,8 +4,11 @@
 import * as runnerFixture from "@geraniumkeel/traffic/runner_fixture";
 import * as retryBudget from "../dispatch/retry_budget.ts";
 import * as crashDetector from "../quarantine/crash_detector.ts";
+import * as fingerprint from "../quarantine/fingerprint.ts";
 import * as quarantineFixture from "../quarantine/quarantine_fixture.ts";
 import * as rateLimitsFixture from "../rate_limit/rate_limits_fixture.ts";
+import type * as rateLimitsModule from "../rate_limit/rate_limits.ts";
+import * as runnerCrash from "../quarantine/runner_crash.ts";
 import * as runnerRests from "../runner_rest/runner_rests.ts";
 import * as plannedStopFixture from "../shutdown/planned_stop_fixture.ts";
 import type * as callerRequest from "./caller_request.ts";
@@ -42,11 +45,20 @@
   readonly #pieces = new common.Channel<Buffer>();
   #settle: (result: CallResult) => void = () => {};
   #truncated = false;
+  /** Whether the runner has ended the call. */
+  finished = false;
+  /** Whether the runner refused the request as not run. */
+  refused = false;
+  /** Whether the call ends a turn of the event loop after its abort. */
+  endsLate = false;
+  /** Whether a connection to the runner was made. */
+  connected = true;
 
   constructor(readonly call: runnerClient.RunnerCall) {
     this.result = new Promise((resolve) => (this.#settle = resolve));
     call.signal.addEventListener("abort", () => {
-      this.breakOff();
+      if (this.endsLate) setImmediate(() => this.breakOff());
+      else this.breakOff();
     });
   }
 
@@ -80,7 +92,8 @@
   refuse(): void {
     const head = { status: 503, headers: [] };
     this.begin({ verdict: runnerClient.Verdict.NotRun, head });
-    this.#pieces.close();
+    this.refused = true;
+    this.end();
   }
 
   /** Answers that the request was run and failed. */
@@ -98,14 +111,17 @@
 
   /** Ends the body as complete. */
   end(): void {
+    this.finished = true;
     this.#pieces.close();
   }
 
   /** Ends the connection before the body is complete. */
   breakOff(): void {
+    if (this.finished) return;
     this.#truncated = true;
-    this.#pieces.close();
-    const kind = runnerClient.CallFailureKind.Unknown;
+    this.end();
+    const { Unknown, NotSent } = runnerClient.CallFailureKind;
+    const kind = this.connected ? Unknown : NotSent;
     this.#settle(neverthrow.err({ kind, reason: "reset" }));
   }
 
@@ -118,6 +134,8 @@
 /** A caller's request that a forwarder handles, and what its caller received. */
 export interface SentRequest {
   text: string;
+  /** Number of complete answers that were given. */
+  answers: number;
   status: number;
   headers: callerRequest.Header[];
   ended: "whole" | "broken" | "refused" | "";
@@ -138,7 +156,9 @@
   runners?: string[];
   /** Retries that the budget allows. */
   retries?: number;
-  presence?: common.Presence;
+  presence?: common.Presence | Promise<common.Presence>;
+  /** Called with each call to a runner. */
+  onCall?: (call: SteppedCall) => void;
 }
 
 /** A forwarder whose calls to runners a test answers. */
@@ -146,9 +166,13 @@
   readonly logger = new common.RecordingLogger();
   readonly budget: retryBudget.RetryBudget;
   readonly tracker: runnerTracker.RunnerTracker;
+  readonly rateLimits = rateLimitsFixture.createRateLimits();
   readonly forwarder: forwarderModule.Forwarder;
   /** Runners whose addresses the crash detector probed, in order. */
   readonly probes: string[] = [];
+  /** Crashes that the detector found, in order. */
+  readonly crashes: runnerCrash.RunnerCrash[] = [];
+  readonly quarantine = quarantineFixture.createQuarantine();
   readonly #requests = new Map<string, SentRequest>();
 
   constructor(setup: EntrySetup) {
@@ -158,7 +182,7 @@
       maxBalance: retries,
       initialBalance: retries,
     });
-    this.tracker = createTracker(runners);
+    this.tracker = createTracker(runners, this.rateLimits);
     const presenceOf = async ({ identifier }: traffic.RunnerEntry) => {
       this.probes.push(identifier);
       return setup.presence ?? common.Presence.Listening;
@@ -175,21 +199,25 @@
         call: (call) => {
           const stepped = new SteppedCall(call);
           this.#requests.get(call.request.identifier)?.calls.push(stepped);
+          setup.onCall?.(stepped);
           return stepped.result;
         },
       },
       budgetOf: () => budget,
-      quarantine: quarantineFixture.createQuarantine(),
+      quarantine: this.quarantine,
       crashDetector: new crashDetector.CrashDetector({
         presenceOf,
         inUse: (runner) => tracker.inUse(runner),
         crashTimeOf: () => undefined,
-        onCrash: () => {},
+        onCrash: (crash) => {
+          this.crashes.push(crash);
+          this.quarantine.recordCrash(crash);
+        },
       }),
       onAnswerStart: () => {},
       onLeaving: () => {},
       rests: new runnerRests.RunnerRests({ logger, metrics }),
-      rateLimits: rateLimitsFixture.createRateLimits(),
+      rateLimits: this.rateLimits,
       stop: plannedStopFixture.createPlannedStop(),
       retryElsewhereMilliseconds: () => 50,
       random: new common.Random(2),
@@ -203,6 +231,7 @@
     const left = new AbortController();
     const sent: SentRequest = {
       text: "",
+      answers: 0,
       status: 0,
       headers: [],
       ended: "",
@@ -219,32 +248,79 @@
     return sent;
   }
 
+  /** Notes that a runner takes so many requests a second. */
+  limitRunner(identifier: string, perSecond: number): void {
+    this.rateLimits.note({
+      runner: createRunner(identifier),
+      request: "earlier",
+      reading: { kind: "named", perSecond },
+      signed: true,
+      sentAt: common.instant(),
+    });
+    this.rateLimits.tick();
+  }
+
+  /** Puts the request of this name in quarantine. */
+  holdRequest(identifier: string): void {
+    const request = createRequest(identifier);
+    const identity = { ...request, account: "" };
+    const found = fingerprint.fingerprintOf(identity);
+    const now = common.now();
+    for (const [index, life] of ["x", "y", "z"].entries()) {
+      const startedAt = now - 30 + 10 * index;
+      this.quarantine.recordCrash({
+        life,
+        runner: life,
+        service: "s",
+        version: "1",
+        endedAt: startedAt + 5,
+        evidence: runnerCrash.CrashEvidence.Refused,
+        runs: [{ request: identifier, fingerprint: found, startedAt }],
+      });
+    }
+  }
+
+  /** Outcome kind of a request, as logged. */
+  endOf(identifier: string): string {
+    return String(this.#loggedOutcome(identifier).end);
+  }
+
   /** Outcome kinds of the attempts of a request, as logged. */
   attemptEnds(identifier: string): string[] {
+    const { attempts } = this.#loggedOutcome(identifier);
+    return (attempts as { end: string }[]).map(({ end }) => end);
+  }
+
+  #loggedOutcome(identifier: string): common.EventFields {
     const line = this.logger.events.find(
       ({ code, fields }) =>
         code === common.EventCode.Forwarded && fields.request === identifier,
     );
-    const attempts = line?.fields.attempts as { end: string }[] | undefined;
-    return (attempts ?? []).map(({ end }) => end);
+    if (!line) throw new Error(`no line about ${identifier}`);
+    return line.fields;
   }
 }
 
-function createTracker(identifiers: string[]): runnerTracker.RunnerTracker {
+function createTracker(
+  identifiers: string[],
+  rateLimits: rateLimitsModule.RateLimits,
+): runnerTracker.RunnerTracker {
   const tracker = new runnerTracker.RunnerTracker({
     dataCentre: "d",
     random: new common.Random(1),
-    rateLimitWaitOf: () => 0,
+    rateLimitWaitOf: (runner) => rateLimits.waitOf(runner),
     restOf: () => 0,
     inLockStep: () => false,
   });
-  const runners = identifiers.map((identifier, index) =>
-    runnerFixture.createRunner({ identifier, port: index + 1 }),
-  );
-  tracker.update({ version: 1, runners });
+  tracker.update({ version: 1, runners: identifiers.map(createRunner) });
   return tracker;
 }
 
+function createRunner(identifier: string): traffic.RunnerEntry {
+  const port = Number(identifier.replace(/\D/g, ""));
+  return runnerFixture.createRunner({ identifier, port });
+}
+
 function createConfiguration(
   route: Partial<traffic.Route>,
 ): traffic.ProvenValue<traffic.TrafficConfiguration> {
@@ -305,6 +381,7 @@
     answer: async (head, body) => {
       Object.assign(sent, { ...head, ended: "whole" });
       sent.text += body.toString();
+      sent.answers++;
       return true;
     },
     begin: (head) => {
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -39,8 +39,10 @@
   relay: answerRelay.AnswerRelay;
   /** Cancels the attempt; its reason is the attempt's outcome. */
   cancel: AbortSignal;
-  /** Whether the attempt may be abandoned for another runner. */
-  mayTryAnother: () => boolean;
+  /** Called at each check that finds the attempt without progress. */
+  onStalled: () => void;
+  /** Called when a part of the answer is about to go to the caller. */
+  onGotOn: () => void;
   rateLimits: rateLimits.RateLimits;
   rests: runnerRests.RunnerRests;
   /** Called when a runner first says in an answer that it is leaving. */
@@ -53,19 +55,24 @@
 export class RunnerAttempt {
   readonly startedAt = common.now();
   readonly #sentAt = common.instant();
-  readonly #stallCancel = new AbortController();
+  /** Aborts when another attempt got on; its reason is the outcome. */
+  readonly #superseded = new AbortController();
   /** When the last part of the answer arrived, or the attempt started. */
   #progressAt = this.startedAt;
 
-  constructor(readonly parameters: RunnerAttemptParameters) {}
+  /** Milliseconds from the request's arrival to the start of the attempt. */
+  readonly sentAfter: number;
+
+  constructor(readonly parameters: RunnerAttemptParameters) {
+    this.sentAfter = Math.round(parameters.clock.elapsed);
+  }
 
   /** Makes the attempt and returns its outcome. */
   async run(): Promise<attemptOutcome.AttemptOutcome> {
     const { tracker, runner } = this.parameters;
     const finishCall = tracker.startCall(runner.identifier);
     const stallCheck = setInterval(() => {
-      if (this.#hasStalled() && this.parameters.mayTryAnother())
-        this.#stallCancel.abort();
+      if (this.hasStalled()) this.parameters.onStalled();
     }, STALL_CHECK_INTERVAL_MILLISECONDS);
     const outcome = await this.#callRunner();
     clearInterval(stallCheck);
@@ -73,6 +80,18 @@
     return outcome;
   }
 
+  /** Whether another attempt of the request got on instead. */
+  get isSuperseded(): boolean {
+    return this.#superseded.signal.aborted;
+  }
+
+  /** Cancels the attempt because another one of the request got on. */
+  supersede(): void {
+    this.#superseded.abort(
+      this.hasStalled() ? attemptOutcome.STALLED : attemptOutcome.SUPERSEDED,
+    );
+  }
+
   /** Notes that a part of the answer has arrived. */
   noteProgress(): void {
     const { tracker, runner } = this.parameters;
@@ -87,7 +106,8 @@
     if (rests.noteTaken(runner)) tracker.availabilityChanged.announce();
   }
 
-  #hasStalled(): boolean {
+  /** Whether the runner has been silent for too long. */
+  hasStalled(): boolean {
     const { route, tracker, runner } = this.parameters;
     const waited = common.now() - this.#progressAt;
     switch (route.answerForm) {
@@ -136,7 +156,7 @@
       signal: AbortSignal.any([
         sink.disconnected,
         cancel,
-        this.#stallCancel.signal,
+        this.#superseded.signal,
       ]),
     });
     return answer.isErr()
@@ -226,8 +246,11 @@
   async #relayAnswer(
     answer: runnerClientModule.RunnerAnswer,
   ): Promise<attemptOutcome.AttemptOutcome> {
-    const { relay } = this.parameters;
-    const relayed = await relay.relay(answer);
+    const { relay, onGotOn } = this.parameters;
+    const relayed = await relay.relay(answer, {
+      superseded: this.#superseded.signal,
+      onGotOn,
+    });
     if (relayed.isOk()) {
       return { kind: attemptOutcome.AttemptOutcomeKind.Answered, reason: "" };
     }
@@ -246,7 +269,8 @@
     const { reason } = failure;
     switch (failure.kind) {
       case runnerClientModule.CallFailureKind.NotSent:
-        tracker.suspend(runner.identifier);
+        // A connection that this entry gave up says nothing about the runner.
+        if (!this.#cancelledOutcome()) tracker.suspend(runner.identifier);
         return { kind: attemptOutcome.AttemptOutcomeKind.NotRun, reason };
       case runnerClientModule.CallFailureKind.Unknown: {
         const kind = attemptOutcome.AttemptOutcomeKind.Unknown;
@@ -262,10 +286,7 @@
       sink.disconnected,
       cancel,
     );
-    if (cancelled || !this.#stallCancel.signal.aborted) return cancelled;
-    return {
-      kind: attemptOutcome.AttemptOutcomeKind.Stalled,
-      reason: "did not get on",
-    };
+    if (cancelled || !this.isSuperseded) return cancelled;
+    return this.#superseded.signal.reason as attemptOutcome.AttemptOutcome;
   }
 }
--- a/packages/daemon/src/quarantine/crash_detector.ts
+++ b/packages/daemon/src/quarantine/crash_detector.ts
@@ -85,6 +85,21 @@
     await common.withTimeout(investigation.probe, MAX_PROBE_WAIT_MILLISECONDS);
   }
 
+  /**
+   * Forgets a run that was investigated because its runner was silent, and that
+   * has got on.
+   */
+  withdraw(runner: traffic.RunnerEntry, request: string): void {
+    const incarnation = traffic.incarnationOf(runner);
+    const investigation = this.#investigations.get(incarnation);
+    if (!investigation) return;
+    const { runs } = investigation;
+    const others = runs.filter((run) => run.request !== request);
+    this.#runCount -= runs.length - others.length;
+    investigation.runs = others;
+    if (others.length === 0) this.#close(investigation);
+  }
+
   /**
    * Applies a crash that another entry has reported to the interrupted runs of
    * this incarnation.
--- a/packages/daemon/src/quarantine/crash_detector_test.ts
+++ b/packages/daemon/src/quarantine/crash_detector_test.ts
@@ -103,6 +103,24 @@
   t.is(fixture.crashes[0].evidence, runnerCrash.CrashEvidence.Replaced);
 });
 
+// A run is investigated while its runner is silent, and then gets on. A crash of
+// this runner half a minute later must not count against the answered request.
+test("a run that got on does not count for a later crash", async (t) => {
+  const fixture = createFixture(common.Presence.Silent);
+  const runner = runnerFixture.createRunner();
+  for (const run of [runOf("q"), runOf("r")])
+    await fixture.detector.investigate(runner, run);
+  fixture.detector.withdraw(runner, "q");
+  fixture.detector.withdraw(runner, "unknown");
+  fixture.detector.applyReportedCrash(INCARNATION, common.now());
+  t.deepEqual(
+    fixture.crashes[0].runs.map(({ request }) => request),
+    ["r"],
+  );
+  await fixture.detector.investigate(runner, runOf("s"));
+  t.is(fixture.crashes.length, 2);
+});
+
 // Runners that leave as planned may break off their remaining runs.
 test("the stop of a runner that is leaving does not count as a crash", async (t) => {
   const fixture = createFixture(common.Presence.Refused, false);
