fix: a runner is not silent while the entry's own event loop is held up

Cause: timers run before sockets are read. After a hold-up the check for stalled attempts sees a silence that is the entry's own; the runners' messages wait unread.

Now a clock that stands still during a hold-up measures silence. It ticks only while a runner is waited for.

--- a/packages/daemon/src/forwarding/hedged_attempt_test.ts
+++ b/packages/daemon/src/forwarding/hedged_attempt_test.ts
@@ -1,3 +1,4 @@
+import * as net from "node:net";
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
@@ -351,3 +352,56 @@
   await request.finished;
   t.is(entry.probes.length, 1);
 });
+
+/** A connection to a runner, over which pieces of an answer travel. */
+interface RunnerConnection {
+  runnerSide: net.Socket;
+  close(): void;
+}
+
+async function connectRunner(
+  onPiece: (text: string) => void,
+): Promise<RunnerConnection> {
+  const server = net.createServer();
+  const accepted = new Promise<net.Socket>((resolve) =>
+    server.once("connection", resolve),
+  );
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as net.AddressInfo;
+  const entrySide = net.connect(port, "127.0.0.1");
+  entrySide.on("data", (piece) => onPiece(piece.toString()));
+  const runnerSide = await accepted;
+  const close = () => {
+    runnerSide.destroy();
+    entrySide.destroy();
+    server.close();
+  };
+  return { runnerSide, close };
+}
+
+function holdUpEventLoop(milliseconds: number): void {
+  const end = common.now() + milliseconds;
+  while (common.now() < end);
+}
+
+// An entry is busy or suspended for most of a second while its runners send.
+// Its timers run before it reads what waits in its sockets, so it took all its
+// runners for silent and sent their requests elsewhere.
+test("a runner is not silent while the entry's own event loop is held up", async (t) => {
+  const entry = new forwardingFixture.SteppedEntry({});
+  const request = entry.send("q");
+  await until(() => request.calls.length === 1);
+  const [call] = request.calls;
+  const connection = await connectRunner((text) => call.send(text));
+  call.begin();
+  call.send(eventText(1));
+  await until(() => request.text === texts(1));
+  connection.runnerSide.write(eventText(2));
+  holdUpEventLoop(1_000);
+  await until(() => request.text === texts(1, 2));
+  connection.close();
+  call.end();
+  await request.finished;
+  t.is(request.calls.length, 1);
+  t.is(request.ended, "whole");
+});
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -57,14 +57,18 @@
   readonly #sentAt = common.instant();
   /** Aborts when another attempt got on; its reason is the outcome. */
   readonly #superseded = new AbortController();
-  /** When the last part of the answer arrived, or the attempt started. */
-  #progressAt = this.startedAt;
+  /**
+   * When the last part of the answer arrived, or the attempt started; by the
+   * silence clock.
+   */
+  #progressAt: number;
 
   /** Milliseconds from the request's arrival to the start of the attempt. */
   readonly sentAfter: number;
 
   constructor(readonly parameters: RunnerAttemptParameters) {
     this.sentAfter = Math.round(parameters.clock.elapsed);
+    this.#progressAt = parameters.tracker.silenceClock.now();
   }
 
   /** Makes the attempt and returns its outcome. */
@@ -96,7 +100,7 @@
   noteProgress(): void {
     const { tracker, runner } = this.parameters;
     this.#noteTaken();
-    this.#progressAt = common.now();
+    this.#progressAt = tracker.silenceClock.now();
     tracker.noteProgress(runner.identifier);
   }
 
@@ -109,7 +113,7 @@
   /** Whether the runner has been silent for too long. */
   hasStalled(): boolean {
     const { route, tracker, runner } = this.parameters;
-    const waited = common.now() - this.#progressAt;
+    const waited = tracker.silenceClock.now() - this.#progressAt;
     switch (route.answerForm) {
       case traffic.AnswerForm.Whole:
         return waited > route.objectiveMilliseconds * MAX_WAIT_OBJECTIVES;
--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -3,6 +3,7 @@
 import * as chooseRunner from "./choose_runner.ts";
 import * as departedIncarnations from "./departed_incarnations.ts";
 import * as outstandingFromOthers from "./outstanding_from_others.ts";
+import * as silenceClock from "./silence_clock.ts";
 
 /**
  * Outcome of a call, as far as it says something about the health of the
@@ -62,7 +63,8 @@
   own = 0;
   /**
    * When the last message for a request there arrived, or, if that is later,
-   * when a request was sent to the runner while it had none from this entry.
+   * when a request was sent to the runner while it had none from this entry; by
+   * the silence clock.
    */
   progressAt = 0;
   /** When the last message for a request there arrived. */
@@ -78,16 +80,20 @@
   /** Until when a refusing runner gets no probe. */
   avoidUntil = 0;
 
-  constructor(public entry: traffic.RunnerEntry) {}
+  constructor(
+    public entry: traffic.RunnerEntry,
+    readonly clock: silenceClock.SilenceClock,
+  ) {}
 
   /** Whether requests are in progress and none of them makes progress. */
-  isStalled(now: number): boolean {
-    return this.own > 0 && now - this.progressAt > STALL_TIMEOUT_MILLISECONDS;
+  get isStalled(): boolean {
+    const silence = this.clock.now() - this.progressAt;
+    return this.own > 0 && silence > STALL_TIMEOUT_MILLISECONDS;
   }
 
   /** Whether the runner should get no new requests for now. */
   isSuspended(now: number): boolean {
-    return this.suspendedUntil > now || this.isStalled(now);
+    return this.suspendedUntil > now || this.isStalled;
   }
 
   /** Whether the runner has sent nothing for the stall timeout. */
@@ -136,6 +142,10 @@
   readonly #nextProbeAt = new Map<string, number>();
   /** Announces that a runner may accept requests that did not before. */
   readonly availabilityChanged = new common.ChangeNotice();
+  /** Measures for how long runners have sent nothing. */
+  readonly silenceClock = new silenceClock.SilenceClock();
+  /** Calls in progress from this entry, to all runners. */
+  #ownCalls = 0;
 
   constructor(
     readonly parameters: {
@@ -170,7 +180,10 @@
       // A new incarnation starts without the failures and requests of the old
       // one.
       if (record?.entry.bornAt === entry.bornAt) record.entry = entry;
-      else this.#records.set(entry.identifier, new RunnerRecord(entry));
+      else {
+        const created = new RunnerRecord(entry, this.silenceClock);
+        this.#records.set(entry.identifier, created);
+      }
     }
     this.#replacedIncarnations = stillListed;
     this.availabilityChanged.announce();
@@ -202,7 +215,7 @@
     tried: ReadonlySet<string>,
   ): chooseRunner.RunnerView[] {
     const now = common.now();
-    const groupStalled = this.#isGroupStalled(service, now);
+    const groupStalled = this.#isGroupStalled(service);
     const views: chooseRunner.RunnerView[] = [];
     for (const [identifier, record] of this.#records) {
       const { entry } = record;
@@ -232,11 +245,10 @@
    * still for 0.9 s, entries abandoned the streams at all its runners and sent
    * them to the runner on the frozen host, which never answered them.
    */
-  #isGroupStalled(service: string, now: number): boolean {
+  #isGroupStalled(service: string): boolean {
     if (!this.parameters.inLockStep(service)) return false;
     for (const record of this.#records.values()) {
-      if (record.entry.service === service && record.isStalled(now))
-        return true;
+      if (record.entry.service === service && record.isStalled) return true;
     }
     return false;
   }
@@ -361,9 +373,13 @@
   startCall(identifier: string): (outcome: CallOutcome) => void {
     const record = this.#records.get(identifier);
     if (!record) return () => {};
-    if (record.own === 0) record.progressAt = common.now();
+    if (this.#ownCalls === 0) this.silenceClock.start();
+    this.#ownCalls++;
+    if (record.own === 0) record.progressAt = this.silenceClock.now();
     record.own++;
     return (outcome) => {
+      this.#ownCalls--;
+      if (this.#ownCalls === 0) this.silenceClock.stop();
       record.own--;
       this.#recordOutcome(record, outcome);
     };
@@ -373,8 +389,8 @@
   noteProgress(identifier: string): void {
     const record = this.#records.get(identifier);
     if (!record) return;
-    record.progressAt = common.now();
-    record.lastReceivedAt = record.progressAt;
+    record.progressAt = this.silenceClock.now();
+    record.lastReceivedAt = common.now();
     if (!record.refusing) return;
     this.#endRefusal(record);
     this.availabilityChanged.announce();
@@ -402,7 +418,7 @@
    * Whether a runner has requests in progress and none of them makes progress.
    */
   isStalled(identifier: string): boolean {
-    return this.#records.get(identifier)?.isStalled(common.now()) ?? false;
+    return this.#records.get(identifier)?.isStalled ?? false;
   }
 
   /**
