fix: a runner is not silent while its caller takes nothing

What callers see: a caller that reads slowly, for more than 600 ms, gets its stream from a second run, if budget and runners allow; the first is cut off in the middle of its work.

Cause: while a caller takes nothing the entry does not read from the runner. Its silence counted as the runner's, also for the runner's other requests.

Now a call counts as one that waits for its runner only while its answer is read. If there is none, silence begins anew with the next read.

--- a/packages/daemon/src/forwarding/answer_relay.ts
+++ b/packages/daemon/src/forwarding/answer_relay.ts
@@ -29,6 +29,11 @@
    * stream and for a complete body. Supersedes the other attempts.
    */
   onGotOn: () => void;
+  /**
+   * Called before a piece is written, which takes as long as the caller is
+   * slow; the returned function is called when it was written.
+   */
+  pause: () => () => void;
 }
 
 /** Why an attempt relays nothing more after another one got on. */
@@ -156,7 +161,9 @@
     if (!this.#begun) sink.begin(head);
     this.#begun = true;
     attempt.onGotOn();
+    const resume = attempt.pause();
     await sink.write(event.bytes);
+    resume();
     return undefined;
   }
 }
--- a/packages/daemon/src/forwarding/hedged_attempt_test.ts
+++ b/packages/daemon/src/forwarding/hedged_attempt_test.ts
@@ -405,3 +405,21 @@
   t.is(request.calls.length, 1);
   t.is(request.ended, "whole");
 });
+
+// A caller takes nothing for longer than the stall timeout, so the entry reads
+// nothing from the runner, which was taken for silent.
+test("a runner is not silent while its caller takes nothing", async (t) => {
+  const entry = new forwardingFixture.SteppedEntry({
+    route: { timeoutMilliseconds: 1_500 },
+  });
+  const request = entry.send("q");
+  await until(() => request.calls.length === 1);
+  const [call] = request.calls;
+  request.blocked = true;
+  call.begin();
+  call.send(eventText(1));
+  await until(() => call.aborted);
+  request.blocked = false;
+  await request.finished;
+  t.deepEqual(entry.attemptEnds("q"), ["timed-out"]);
+});
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -62,6 +62,8 @@
    * silence clock.
    */
   #progressAt: number;
+  /** Whether the caller takes nothing, so that the answer is not read. */
+  #paused = false;
 
   /** Milliseconds from the request's arrival to the start of the attempt. */
   readonly sentAfter: number;
@@ -113,6 +115,7 @@
   /** Whether the runner has been silent for too long. */
   hasStalled(): boolean {
     const { route, tracker, runner } = this.parameters;
+    if (this.#paused) return false;
     const waited = tracker.silenceClock.now() - this.#progressAt;
     switch (route.answerForm) {
       case traffic.AnswerForm.Whole:
@@ -214,6 +217,18 @@
     }
   }
 
+  /** Notes that the caller takes nothing until the returned function is called. */
+  #pause(): () => void {
+    const { tracker, runner } = this.parameters;
+    const resume = tracker.pauseCall(runner.identifier);
+    this.#paused = true;
+    return () => {
+      this.#paused = false;
+      this.#progressAt = tracker.silenceClock.now();
+      resume();
+    };
+  }
+
   /** Notes whether an answer of the runner says that it is leaving. */
   #noteLeaving(answer: runnerClientModule.RunnerAnswer): void {
     const { runner, request, tracker } = this.parameters;
@@ -254,6 +269,7 @@
     const relayed = await relay.relay(answer, {
       superseded: this.#superseded.signal,
       onGotOn,
+      pause: () => this.#pause(),
     });
     if (relayed.isOk()) {
       return { kind: attemptOutcome.AttemptOutcomeKind.Answered, reason: "" };
--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -61,10 +61,11 @@
 class RunnerRecord {
   /** Requests in progress from this entry. */
   own = 0;
+  /** Those of them whose answers are not read, as their callers are slow. */
+  unread = 0;
   /**
    * When the last message for a request there arrived, or, if that is later,
-   * when a request was sent to the runner while it had none from this entry; by
-   * the silence clock.
+   * when this entry began to wait for the runner; by the silence clock.
    */
   progressAt = 0;
   /** When the last message for a request there arrived. */
@@ -85,10 +86,15 @@
     readonly clock: silenceClock.SilenceClock,
   ) {}
 
-  /** Whether requests are in progress and none of them makes progress. */
+  /** Requests in progress for which this entry waits for the runner. */
+  get awaited(): number {
+    return this.own - this.unread;
+  }
+
+  /** Whether the runner is waited for and none of its requests gets on. */
   get isStalled(): boolean {
     const silence = this.clock.now() - this.progressAt;
-    return this.own > 0 && silence > STALL_TIMEOUT_MILLISECONDS;
+    return this.awaited > 0 && silence > STALL_TIMEOUT_MILLISECONDS;
   }
 
   /** Whether the runner should get no new requests for now. */
@@ -375,7 +381,7 @@
     if (!record) return () => {};
     if (this.#ownCalls === 0) this.silenceClock.start();
     this.#ownCalls++;
-    if (record.own === 0) record.progressAt = this.silenceClock.now();
+    if (record.awaited === 0) record.progressAt = this.silenceClock.now();
     record.own++;
     return (outcome) => {
       this.#ownCalls--;
@@ -385,6 +391,20 @@
     };
   }
 
+  /**
+   * Notes that the answer of a call is not read for now, since its caller takes
+   * nothing; the returned function notes that it is read again.
+   */
+  pauseCall(identifier: string): () => void {
+    const record = this.#records.get(identifier);
+    if (!record) return () => {};
+    record.unread++;
+    return () => {
+      if (record.awaited === 0) record.progressAt = this.silenceClock.now();
+      record.unread--;
+    };
+  }
+
   /** Notes that a message for a request arrived from a runner. */
   noteProgress(identifier: string): void {
     const record = this.#records.get(identifier);
