fix: a runner whose answer is still arriving is not silent

Cause: of a whole answer only the head counted as a sign of life. One and a half times the objective after it the attempt counted as stalled, however fast its body came. The body of a runner's own failure did not count either.

Now each piece counts.

--- a/packages/daemon/src/forwarding/answer_relay.ts
+++ b/packages/daemon/src/forwarding/answer_relay.ts
@@ -4,13 +4,20 @@
 import type * as callerRequest from "./caller_request.ts";
 import * as runnerClient from "./runner_client.ts";
 
-/** Reads a body to its end; the error says why the body was truncated. */
+/**
+ * Reads a body to its end and calls `onPiece` for each piece; the error says why
+ * the body was truncated.
+ */
 export async function readCompleteBody(
   body: AsyncIterable<Buffer>,
+  onPiece: () => void,
 ): Promise<neverthrow.Result<Buffer, string>> {
   const pieces: Buffer[] = [];
   try {
-    for await (const piece of body) pieces.push(piece);
+    for await (const piece of body) {
+      pieces.push(piece);
+      onPiece();
+    }
   } catch (cause) {
     if (cause instanceof runnerClient.TruncatedBody) {
       return neverthrow.err(cause.message);
@@ -29,6 +36,8 @@
    * stream and for a complete body. Supersedes the other attempts.
    */
   onGotOn: () => void;
+  /** Called for each piece of a body that is relayed once it is complete. */
+  onPiece: () => void;
   /**
    * Called before a piece is written, which takes as long as the caller is
    * slow; the returned function is called when it was written.
@@ -100,7 +109,7 @@
     answer: runnerClient.RunnerAnswer,
     attempt: RelayedAttempt,
   ): Promise<neverthrow.Result<void, string>> {
-    const completeBody = await readCompleteBody(answer.body);
+    const completeBody = await readCompleteBody(answer.body, attempt.onPiece);
     if (completeBody.isOk() && attempt.superseded.aborted)
       return neverthrow.err(SUPERSEDED);
     if (completeBody.isOk()) attempt.onGotOn();
--- a/packages/daemon/src/forwarding/hedged_attempt_test.ts
+++ b/packages/daemon/src/forwarding/hedged_attempt_test.ts
@@ -423,3 +423,22 @@
   await request.finished;
   t.deepEqual(entry.attemptEnds("q"), ["timed-out"]);
 });
+
+// A long body arrives piece by piece, for longer than an answer usually takes.
+// Only its head counted as a sign of life, so the request was sent elsewhere in
+// the middle of the body.
+test("a runner whose answer is still arriving is not silent", async (t) => {
+  const entry = new forwardingFixture.SteppedEntry({ route: WHOLE });
+  const request = entry.send("q");
+  await until(() => request.calls.length === 1);
+  const [call] = request.calls;
+  call.begin();
+  for (let piece = 0; piece < 12; piece++) {
+    call.send("x");
+    await common.sleep(50);
+  }
+  call.end();
+  await request.finished;
+  t.is(request.calls.length, 1);
+  t.is(request.text, "x".repeat(12));
+});
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -194,7 +194,9 @@
         return { kind: attemptOutcome.AttemptOutcomeKind.NotRun, reason };
       case runnerClientModule.Verdict.Failed: {
         this.#noteTaken();
-        const completeBody = await answerRelay.readCompleteBody(body);
+        const completeBody = await answerRelay.readCompleteBody(body, () =>
+          this.noteProgress(),
+        );
         if (completeBody.isErr())
           return { kind: attemptOutcome.AttemptOutcomeKind.Unknown, reason };
         const failure = { head, body: completeBody.value };
@@ -269,6 +271,7 @@
     const relayed = await relay.relay(answer, {
       superseded: this.#superseded.signal,
       onGotOn,
+      onPiece: () => this.noteProgress(),
       pause: () => this.#pause(),
     });
     if (relayed.isOk()) {
