test: over real connections the run of a stream that lost ends at its runner

The adapter's client, two runners on loopback: the run that goes on second is closed, the caller gets each event once, the other run asks for what follows the last event.

--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -159,6 +159,8 @@
   presence?: common.Presence | Promise<common.Presence>;
   /** Called with each call to a runner. */
   onCall?: (call: SteppedCall) => void;
+  /** Calls real runners; the port of one is the number in its identifier. */
+  runnerClient?: runnerClient.RunnerClient;
 }
 
 /** A forwarder whose calls to runners a test answers. */
@@ -194,7 +196,7 @@
       proofAge: () => 0,
       maxProofAgeMilliseconds: 4_000,
       tracker,
-      runnerClient: {
+      runnerClient: setup.runnerClient ?? {
         presenceOf,
         call: (call) => {
           const stepped = new SteppedCall(call);
