fix: a connection that was made while the event loop was held up is used

Cause: timers run before sockets are read. The time-out of the connection fired although the connection was there. Class: the entry's own pause taken for the silence of another, as in the silence clock.

Now what a time-out does waits until the sockets were read once. The probe of the crash detector had the same fault: it called a runner silent that listens, and kept the run for half a minute as perhaps ended by a crash.

--- a/packages/common/src/presence.ts
+++ b/packages/common/src/presence.ts
@@ -22,8 +22,10 @@
       socket.destroy();
       resolve(presence);
     };
+    // Timers run before sockets are read: after a pause of this process the
+    // answer may be there already.
     const timer = setTimeout(
-      () => settle(Presence.Silent),
+      () => setImmediate(() => settle(Presence.Silent)),
       timeoutMilliseconds,
     );
     socket.once("connect", () => settle(Presence.Listening));
