fix: open attempts outlast a pause of the entry while it has no link to a runner

What callers of the product's own interface see: an answer that had begun ends as incomplete, others as may-have-run, although the link to the runner came back.

Cause: attempts are given up `settleAfter` after the loss of a link, by wall time. After a pause of the entry that long its timers run before it reads that the next link is there. Class: the entry's own pause taken for the silence of another.

Now ticks are counted, as links do for silence; a pause is one tick.

--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -12,6 +12,8 @@
 /** Pauses between tries to open a link: the first and the longest. */
 const INITIAL_PAUSE_MILLISECONDS = 50;
 const MAX_PAUSE_MILLISECONDS = 1_000;
+/** Ticks without a link after which open attempts are given up. */
+const GIVE_UP_TICKS = 10;
 
 /** How long operators are shown a rate limit that a runner told. */
 const RATE_LIMIT_SHOWN_MILLISECONDS = 10_000;
@@ -232,7 +234,7 @@
       if (greeted) backOff.reset();
       else await common.sleep(backOff.pause(), signal);
     }
-    clearTimeout(this.#giveUpTimer);
+    clearInterval(this.#giveUpTimer);
     this.#giveUpAll({ kind: outgoingAttempt.AttemptEventKind.Unreachable });
   }
 
@@ -426,7 +428,7 @@
     this.#acceptHello(hello);
     this.#link = link;
     link.isBusy = () => this.attempts.size + this.#questions.count > 0;
-    clearTimeout(this.#giveUpTimer);
+    clearInterval(this.#giveUpTimer);
     link.onHeartbeat = (heartbeat) => (this.#upstreamClock = heartbeat.clock);
     for (const outgoing of this.attempts.values()) this.#resume(outgoing);
     logger.event(common.EventCode.LinkEstablished, { peer: this.host.name });
@@ -439,15 +441,27 @@
       this.#handle(message);
     }
     this.#link = undefined;
-    const unreachable = outgoingAttempt.AttemptEventKind.Unreachable;
-    this.#giveUpTimer = setTimeout(
-      () => this.#giveUpAll({ kind: unreachable }),
-      settings.timing.settleAfter,
-    );
+    this.#startGivingUp();
     if (!signal.aborted) this.#logLinkEnd(link);
     return true;
   }
 
+  /**
+   * Gives up the open attempts unless a link opens within `settleAfter`. Counts
+   * its ticks and not wall time: after a pause of this process its timers run
+   * before it reads that the next link is there.
+   */
+  #startGivingUp(): void {
+    const { settleAfter } = this.parameters.settings.timing;
+    let ticks = 0;
+    this.#giveUpTimer = setInterval(() => {
+      if (++ticks < GIVE_UP_TICKS) return;
+      clearInterval(this.#giveUpTimer);
+      const kind = outgoingAttempt.AttemptEventKind.Unreachable;
+      this.#giveUpAll({ kind });
+    }, settleAfter / GIVE_UP_TICKS);
+  }
+
   /**
    * Applies the hello of a new link. If it comes from another incarnation of
    * the upstream process, gives up the open attempts, which that one does not
