--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -10,6 +10,7 @@
 import type * as rateLimitsModule from "../rate_limit/rate_limits.ts";
 import * as runnerCrash from "../quarantine/runner_crash.ts";
 import * as runnerRests from "../runner_rest/runner_rests.ts";
+import type * as plannedStop from "../shutdown/planned_stop.ts";
 import * as plannedStopFixture from "../shutdown/planned_stop_fixture.ts";
 import type * as callerRequest from "./caller_request.ts";
 import * as forwarderModule from "./forwarder.ts";
@@ -159,6 +160,7 @@
   presence?: common.Presence | Promise<common.Presence>;
   /** Called with each call to a runner. */
   onCall?: (call: SteppedCall) => void;
+  stop?: plannedStop.PlannedStop;
   /** Calls real runners; the port of one is the number in its identifier. */
   runnerClient?: runnerClient.RunnerClient;
 }
@@ -220,7 +222,7 @@
       onLeaving: () => {},
       rests: new runnerRests.RunnerRests({ logger, metrics }),
       rateLimits: this.rateLimits,
-      stop: plannedStopFixture.createPlannedStop(),
+      stop: setup.stop ?? plannedStopFixture.createPlannedStop(),
       retryElsewhereMilliseconds: () => 50,
       random: new common.Random(2),
       logger,
--- a/packages/daemon/src/forwarding/hedged_attempt_test.ts
+++ b/packages/daemon/src/forwarding/hedged_attempt_test.ts
@@ -2,6 +2,7 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
+import * as plannedStop from "../shutdown/planned_stop.ts";
 import * as callerRequest from "./caller_request.ts";
 import * as forwardingFixture from "./forwarding_fixture.ts";
 
@@ -322,6 +323,21 @@
   }
 });
 
+// A process that is killed with two attempts open would leave both its runners
+// at work, and its caller without an answer.
+test("both attempts end before a stopping entry is killed", async (t) => {
+  const lifeCycle = new common.LifeCycle("test");
+  const graceMilliseconds = 400;
+  const stop = new plannedStop.PlannedStop({ graceMilliseconds, lifeCycle });
+  const entry = new forwardingFixture.SteppedEntry({ stop });
+  const request = await sendHedged(entry);
+  stop.start();
+  await request.finished;
+  t.true(request.calls.every(({ aborted }) => aborted));
+  t.deepEqual(entry.attemptEnds("q"), ["stopped", "stopped"]);
+  t.is(request.refusal?.kind, callerRequest.RefusalKind.MayHaveRun);
+});
+
 // A request that crashes its runners is quarantined while two of them have it.
 test("both attempts end when the request is quarantined", async (t) => {
   const entry = new forwardingFixture.SteppedEntry({});
