--- a/packages/daemon/src/forwarding/answer_relay.ts
+++ b/packages/daemon/src/forwarding/answer_relay.ts
@@ -4,13 +4,20 @@
 import type * as callerRequest from "./caller_request.ts";
 import * as runnerClient from "./runner_client.ts";
 
-/** Reads a body to its end; the error says why the body was truncated. */
+/**
+ * Reads a body to its end and calls `onPiece` for each piece; the error says why
+ * the body was truncated.
+ */
 export async function readCompleteBody(
   body: AsyncIterable<Buffer>,
+  onPiece: () => void,
 ): Promise<neverthrow.Result<Buffer, string>> {
   const pieces: Buffer[] = [];
   try {
-    for await (const piece of body) pieces.push(piece);
+    for await (const piece of body) {
+      pieces.push(piece);
+      onPiece();
+    }
   } catch (cause) {
     if (cause instanceof runnerClient.TruncatedBody) {
       return neverthrow.err(cause.message);
@@ -20,11 +27,32 @@
   return neverthrow.ok(Buffer.concat(pieces));
 }
 
+/** An attempt whose answer is relayed, perhaps beside others. */
+export interface RelayedAttempt {
+  /** Aborts when another attempt got on; then this one relays nothing more. */
+  superseded: AbortSignal;
+  /**
+   * Called before anything goes to the caller: for each event, for the end of a
+   * stream and for a complete body. Supersedes the other attempts.
+   */
+  onGotOn: () => void;
+  /** Called for each piece of a body that is relayed once it is complete. */
+  onPiece: () => void;
+  /**
+   * Called before a piece is written, which takes as long as the caller is
+   * slow; the returned function is called when it was written.
+   */
+  pause: () => () => void;
+}
+
+/** Why an attempt relays nothing more after another one got on. */
+const SUPERSEDED = "another attempt got on";
+
 /**
  * Relays the answers of the attempts of one request to its caller. For a stream
  * of events the caller sees one answer: each later attempt continues after the
  * last complete event that was relayed, and the head of the first attempt
- * stays.
+ * stays. Attempts may be open at the same time; only one of them relays.
  */
 export class AnswerRelay {
   #begun = false;
@@ -38,8 +66,6 @@
       sink: callerRequest.AnswerSink;
       answerForm: traffic.AnswerForm;
       resumeAfter: string;
-      /** Called for each event that is relayed. */
-      onEvent: () => void;
     },
   ) {
     this.#resumeAfter = parameters.resumeAfter;
@@ -69,19 +95,24 @@
   /** Relays an answer to its end; the error says why it stopped before. */
   relay(
     answer: runnerClient.RunnerAnswer,
+    attempt: RelayedAttempt,
   ): Promise<neverthrow.Result<void, string>> {
     switch (this.parameters.answerForm) {
       case traffic.AnswerForm.Whole:
-        return this.#relayComplete(answer);
+        return this.#relayComplete(answer, attempt);
       case traffic.AnswerForm.Events:
-        return this.#relayEvents(answer);
+        return this.#relayEvents(answer, attempt);
     }
   }
 
   async #relayComplete(
     answer: runnerClient.RunnerAnswer,
+    attempt: RelayedAttempt,
   ): Promise<neverthrow.Result<void, string>> {
-    const completeBody = await readCompleteBody(answer.body);
+    const completeBody = await readCompleteBody(answer.body, attempt.onPiece);
+    if (completeBody.isOk() && attempt.superseded.aborted)
+      return neverthrow.err(SUPERSEDED);
+    if (completeBody.isOk()) attempt.onGotOn();
     return completeBody.map((body) => {
       this.#delivery = this.parameters.sink.answer(answer.head, body);
     });
@@ -89,13 +120,14 @@
 
   async #relayEvents(
     answer: runnerClient.RunnerAnswer,
+    attempt: RelayedAttempt,
   ): Promise<neverthrow.Result<void, string>> {
     const { sink } = this.parameters;
     const splitter = new eventSplitter.EventSplitter();
     try {
       for await (const piece of answer.body) {
         for (const event of splitter.push(piece)) {
-          const problem = await this.#relayEvent(event, answer.head);
+          const problem = await this.#relayEvent(event, answer.head, attempt);
           if (problem) return neverthrow.err(problem);
         }
       }
@@ -106,6 +138,8 @@
       throw cause;
     }
     if (splitter.pendingBytes > 0) return neverthrow.err("event not ended");
+    if (attempt.superseded.aborted) return neverthrow.err(SUPERSEDED);
+    attempt.onGotOn();
     if (!this.#begun) sink.begin(answer.head);
     this.#begun = true;
     this.#delivery = sink.end();
@@ -120,7 +154,9 @@
   async #relayEvent(
     event: eventSplitter.StreamEvent,
     head: callerRequest.AnswerHead,
+    attempt: RelayedAttempt,
   ): Promise<string | undefined> {
+    if (attempt.superseded.aborted) return SUPERSEDED;
     const { sink } = this.parameters;
     const { number } = event;
     if (number !== undefined) {
@@ -133,8 +169,10 @@
     }
     if (!this.#begun) sink.begin(head);
     this.#begun = true;
-    this.parameters.onEvent();
+    attempt.onGotOn();
+    const resume = attempt.pause();
     await sink.write(event.bytes);
+    resume();
     return undefined;
   }
 }
--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -3,6 +3,7 @@
 import * as chooseRunner from "./choose_runner.ts";
 import * as departedIncarnations from "./departed_incarnations.ts";
 import * as outstandingFromOthers from "./outstanding_from_others.ts";
+import * as silenceClock from "./silence_clock.ts";
 
 /**
  * Outcome of a call, as far as it says something about the health of the
@@ -60,9 +61,11 @@
 class RunnerRecord {
   /** Requests in progress from this entry. */
   own = 0;
+  /** Those of them whose answers are not read, as their callers are slow. */
+  unread = 0;
   /**
    * When the last message for a request there arrived, or, if that is later,
-   * when a request was sent to the runner while it had none from this entry.
+   * when this entry began to wait for the runner; by the silence clock.
    */
   progressAt = 0;
   /** When the last message for a request there arrived. */
@@ -78,16 +81,25 @@
   /** Until when a refusing runner gets no probe. */
   avoidUntil = 0;
 
-  constructor(public entry: traffic.RunnerEntry) {}
+  constructor(
+    public entry: traffic.RunnerEntry,
+    readonly clock: silenceClock.SilenceClock,
+  ) {}
+
+  /** Requests in progress for which this entry waits for the runner. */
+  get awaited(): number {
+    return this.own - this.unread;
+  }
 
-  /** Whether requests are in progress and none of them makes progress. */
-  isStalled(now: number): boolean {
-    return this.own > 0 && now - this.progressAt > STALL_TIMEOUT_MILLISECONDS;
+  /** Whether the runner is waited for and none of its requests gets on. */
+  get isStalled(): boolean {
+    const silence = this.clock.now() - this.progressAt;
+    return this.awaited > 0 && silence > STALL_TIMEOUT_MILLISECONDS;
   }
 
   /** Whether the runner should get no new requests for now. */
   isSuspended(now: number): boolean {
-    return this.suspendedUntil > now || this.isStalled(now);
+    return this.suspendedUntil > now || this.isStalled;
   }
 
   /** Whether the runner has sent nothing for the stall timeout. */
@@ -136,6 +148,10 @@
   readonly #nextProbeAt = new Map<string, number>();
   /** Announces that a runner may accept requests that did not before. */
   readonly availabilityChanged = new common.ChangeNotice();
+  /** Measures for how long runners have sent nothing. */
+  readonly silenceClock = new silenceClock.SilenceClock();
+  /** Calls in progress from this entry, to all runners. */
+  #ownCalls = 0;
 
   constructor(
     readonly parameters: {
@@ -170,7 +186,10 @@
       // A new incarnation starts without the failures and requests of the old
       // one.
       if (record?.entry.bornAt === entry.bornAt) record.entry = entry;
-      else this.#records.set(entry.identifier, new RunnerRecord(entry));
+      else {
+        const created = new RunnerRecord(entry, this.silenceClock);
+        this.#records.set(entry.identifier, created);
+      }
     }
     this.#replacedIncarnations = stillListed;
     this.availabilityChanged.announce();
@@ -202,7 +221,7 @@
     tried: ReadonlySet<string>,
   ): chooseRunner.RunnerView[] {
     const now = common.now();
-    const groupStalled = this.#isGroupStalled(service, now);
+    const groupStalled = this.#isGroupStalled(service);
     const views: chooseRunner.RunnerView[] = [];
     for (const [identifier, record] of this.#records) {
       const { entry } = record;
@@ -232,11 +251,10 @@
    * still for 0.9 s, entries abandoned the streams at all its runners and sent
    * them to the runner on the frozen host, which never answered them.
    */
-  #isGroupStalled(service: string, now: number): boolean {
+  #isGroupStalled(service: string): boolean {
     if (!this.parameters.inLockStep(service)) return false;
     for (const record of this.#records.values()) {
-      if (record.entry.service === service && record.isStalled(now))
-        return true;
+      if (record.entry.service === service && record.isStalled) return true;
     }
     return false;
   }
@@ -361,20 +379,38 @@
   startCall(identifier: string): (outcome: CallOutcome) => void {
     const record = this.#records.get(identifier);
     if (!record) return () => {};
-    if (record.own === 0) record.progressAt = common.now();
+    if (this.#ownCalls === 0) this.silenceClock.start();
+    this.#ownCalls++;
+    if (record.awaited === 0) record.progressAt = this.silenceClock.now();
     record.own++;
     return (outcome) => {
+      this.#ownCalls--;
+      if (this.#ownCalls === 0) this.silenceClock.stop();
       record.own--;
       this.#recordOutcome(record, outcome);
     };
   }
 
+  /**
+   * Notes that the answer of a call is not read for now, since its caller takes
+   * nothing; the returned function notes that it is read again.
+   */
+  pauseCall(identifier: string): () => void {
+    const record = this.#records.get(identifier);
+    if (!record) return () => {};
+    record.unread++;
+    return () => {
+      if (record.awaited === 0) record.progressAt = this.silenceClock.now();
+      record.unread--;
+    };
+  }
+
   /** Notes that a message for a request arrived from a runner. */
   noteProgress(identifier: string): void {
     const record = this.#records.get(identifier);
     if (!record) return;
-    record.progressAt = common.now();
-    record.lastReceivedAt = record.progressAt;
+    record.progressAt = this.silenceClock.now();
+    record.lastReceivedAt = common.now();
     if (!record.refusing) return;
     this.#endRefusal(record);
     this.availabilityChanged.announce();
@@ -402,7 +438,7 @@
    * Whether a runner has requests in progress and none of them makes progress.
    */
   isStalled(identifier: string): boolean {
-    return this.#records.get(identifier)?.isStalled(common.now()) ?? false;
+    return this.#records.get(identifier)?.isStalled ?? false;
   }
 
   /**
