--- a/packages/daemon/src/shutdown/planned_stop.ts
+++ b/packages/daemon/src/shutdown/planned_stop.ts
@@ -1,3 +1,4 @@
+import * as events from "node:events";
 import * as common from "@geraniumkeel/common";
 
 /** Time before the kill by which all answers have to be handed over. */
@@ -39,7 +40,11 @@
       graceMilliseconds: number;
       lifeCycle: common.LifeCycle;
     },
-  ) {}
+  ) {
+    // Each request under way listens to them.
+    events.EventEmitter.setMaxListeners(0, this.#started.signal);
+    events.EventEmitter.setMaxListeners(0, this.#deadline.signal);
+  }
 
   /** Aborts when the stop starts. */
   get started(): AbortSignal {
