--- a/packages/daemon/src/forwarding/timeout_history_test.ts
+++ b/packages/daemon/src/forwarding/timeout_history_test.ts
@@ -1,4 +1,5 @@
 import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
 import * as timeoutHistory from "./timeout_history.ts";
 
 const test = ava.default;
@@ -40,3 +41,19 @@
   t.is(spentBefore(history, 8_000), 0);
   t.is(spentBefore(history, 5_000), 3_000);
 });
+
+// Where each caller has a timeout of its own, first tries counted as retries of
+// up to a quarter of the timeout, and requests in time ranked behind late ones.
+test("callers whose timeouts differ among themselves have spent no time", (t) => {
+  const history = new timeoutHistory.TimeoutHistory();
+  const random = new common.Random(1);
+  const variedTimeout = () => random.between(6_800, 9_200);
+  for (let count = 0; count < 50; count++)
+    spentBefore(history, variedTimeout());
+  const firstTries = Array.from({ length: 200 }, () =>
+    spentBefore(history, variedTimeout()),
+  );
+  const mistaken = firstTries.filter((spent) => spent > 0).length;
+  t.true(mistaken < firstTries.length / 10, String(mistaken));
+  t.true(spentBefore(history, 4_000) > 3_000);
+});
