fix(traffic): routes differ in urgency also for accounts of the same urgency

An account's urgency replaced the route's. Requests are now ordered by the account's urgency and then by the route's. Services whose routes have one urgency are served in the same order as before.

--- a/packages/daemon/src/forwarding/admit_request.ts
+++ b/packages/daemon/src/forwarding/admit_request.ts
@@ -13,6 +13,8 @@
   route: traffic.Route;
   /** `undefined` if the route needs no key. */
   account: traffic.Account | undefined;
+  /** 0 is most urgent. */
+  urgency: number;
 }
 
 /** A request that this entry refuses. */
@@ -44,14 +46,23 @@
     return refused(callerRequest.RefusalKind.NoRoute, "no such route");
   }
   if (!view.needsKey(route)) {
-    return { kind: "admitted", route, account: undefined };
+    return admitted(view, route, undefined);
   }
   if (stale) return notRun("keys may be old");
   const account = view.account(request.key ?? "");
-  if (account) return { kind: "admitted", route, account };
+  if (account) return admitted(view, route, account);
   return refused(callerRequest.RefusalKind.UnknownKey, "no such key");
 }
 
+function admitted(
+  view: traffic.TrafficView,
+  route: traffic.Route,
+  account: traffic.Account | undefined,
+): AdmittedRequest {
+  const urgency = view.urgency(route, account);
+  return { kind: "admitted", route, account, urgency };
+}
+
 function notRun(reason: string): RefusedRequest {
   const kind = callerRequest.RefusalKind.NotRun;
   const retryAfterMilliseconds = NOT_READY_RETRY_MILLISECONDS;
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -49,6 +49,8 @@
   sink: callerRequest.AnswerSink;
   route: traffic.Route;
   account: traffic.Account | undefined;
+  /** 0 is most urgent. */
+  urgency: number;
   /**
    * Estimated milliseconds that the caller spent on earlier tries of its own.
    */
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -105,7 +105,7 @@
         return;
       }
       case "admitted": {
-        const { route, account } = admitted;
+        const { route, account, urgency } = admitted;
         const spentBefore = this.#timeoutHistory.spentBefore({
           route: route.name,
           account: account?.name ?? "",
@@ -117,6 +117,7 @@
           sink,
           route,
           account,
+          urgency,
           spentBefore,
           durations: this.#durations,
           service: this.#chooseService(route),
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -29,6 +29,8 @@
   sink: callerRequest.AnswerSink;
   route: traffic.Route;
   account: traffic.Account | undefined;
+  /** 0 is most urgent. */
+  urgency: number;
   clock: requestClock.RequestClock;
   /**
    * Estimated milliseconds that the caller spent on earlier tries of its own.
@@ -140,7 +142,7 @@
 
   async #callRunner(): Promise<attemptOutcome.AttemptOutcome> {
     const { request, runner, permit, rests } = this.parameters;
-    const { sink, route, account } = this.parameters;
+    const { sink, route, account, urgency } = this.parameters;
     const { runnerClient, relay, clock, cancel, spentBefore } = this.parameters;
     const obstacle = this.#obstacle();
     if (obstacle !== undefined) {
@@ -155,7 +157,7 @@
       millisecondsLeft: clock.millisecondsLeft,
       account: account?.name ?? "",
       urgency: urgencyAtRunner.urgencyAtRunner({
-        urgency: account?.urgency ?? route.urgency,
+        urgency,
         elapsedMilliseconds: spentBefore + clock.elapsed,
         objectiveMilliseconds: route.objectiveMilliseconds,
       }),
--- a/packages/traffic/src/traffic_view.ts
+++ b/packages/traffic/src/traffic_view.ts
@@ -1,11 +1,13 @@
 import * as routeTable from "./route_table.ts";
 import type * as trafficConfiguration from "./traffic_configuration.ts";
+import * as urgencyOrder from "./urgency_order.ts";
 
 /** A configuration with the tables that each request looks things up in. */
 export class TrafficView {
   readonly #routes: routeTable.RouteTable;
   readonly #accountsByKey = new Map<string, trafficConfiguration.Account>();
   readonly #services = new Map<string, trafficConfiguration.Service>();
+  readonly #urgencies: urgencyOrder.UrgencyOrder;
 
   constructor(
     readonly configuration: trafficConfiguration.TrafficConfiguration,
@@ -17,6 +19,7 @@
     for (const service of configuration.services) {
       this.#services.set(service.name, service);
     }
+    this.#urgencies = new urgencyOrder.UrgencyOrder(configuration);
   }
 
   /** The route of a host and a path without its query. */
@@ -34,6 +37,14 @@
     return this.#accountsByKey.get(key);
   }
 
+  /** Urgency of an account's requests on a route; 0 is most urgent. */
+  urgency(
+    route: trafficConfiguration.Route,
+    account: trafficConfiguration.Account | undefined,
+  ): number {
+    return this.#urgencies.of(route, account);
+  }
+
   /** The service of a name. */
   service(name: string): trafficConfiguration.Service | undefined {
     return this.#services.get(name);
