feat(gateway): send nothing new to runners in evacuated data centres

Cause: nothing in the code handled evacuations. A data centre that the operator evacuated went on getting requests.

Change: the rows `evacuate/NAME` of the operator's table are a third document beside the configuration and the runner list. One watch of the table serves it and the configuration. Entries exchange it over the mesh, with a proof in the heartbeat (12 list items in place of 10). The runner tracker leaves out runners in evacuated data centres, and the last check before a request is sent refuses them. An entry that does not know the list yet is not ready and sends nothing. After a restore of the table a missing row ends an evacuation only after 2 s. Entries in evacuated data centres are not named to callers while another is ready. New: GET /admin/v1/evacuations, events 1911 to 1913, the metric evacuated_data_centres, a part of the state dump.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -58,6 +58,9 @@
   DocumentAvailable = 1902,
   DocumentInForce = 1903,
   RunnerUnreadable = 1904,
+  EvacuationStarted = 1911,
+  EvacuationEnded = 1912,
+  EvacuationUnknown = 1913,
   Forwarded = 2001,
   ForwardRefused = 2002,
   RunnerEnded = 2101,
@@ -389,6 +392,24 @@
     meaning: "A runner's registration cannot be read; it gets no work.",
     action: "Look at what the runner registers.",
   },
+  [EventCode.EvacuationStarted]: {
+    level: EventLevel.Info,
+    meaning:
+      "The evacuation of `dataCentre` is in force at this entry, which sends nothing new to runners there.",
+    action: NONE,
+  },
+  [EventCode.EvacuationEnded]: {
+    level: EventLevel.Info,
+    meaning:
+      "The evacuation of `dataCentre` has ended at this entry; runners there get requests again.",
+    action: NONE,
+  },
+  [EventCode.EvacuationUnknown]: {
+    level: EventLevel.Warn,
+    meaning:
+      "`dataCentre` is evacuated, but no runner and no entry is in a data centre of that name.",
+    action: "Check the name that the evacuation was set with.",
+  },
   [EventCode.Forwarded]: {
     level: EventLevel.Info,
     meaning:
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -18,6 +18,7 @@
   StaleFrames = "stale_frames",
   ConfigurationRevision = "configuration_revision",
   StepSkew = "step_skew",
+  EvacuatedDataCentres = "evacuated_data_centres",
 }
 
 /** Shape of a metric. */
@@ -84,6 +85,10 @@
   [Metric.StaleFrames]: counter("Frames of old attempts dropped."),
   [Metric.ConfigurationRevision]: gauge("1", "Revision in force."),
   [Metric.StepSkew]: gauge("1", "Slowest over mean rank time.", "group"),
+  [Metric.EvacuatedDataCentres]: gauge(
+    "1",
+    "Data centres whose evacuation is in force at this entry.",
+  ),
 };
 
 /** Destination of metrics. */
--- /dev/null
+++ b/packages/daemon/src/evacuation/evacuations.ts
@@ -0,0 +1,172 @@
+import * as common from "@geraniumkeel/common";
+import * as traffic from "@geraniumkeel/traffic";
+
+/**
+ * Time from the first list of a new epoch of the table for which a data centre
+ * stays evacuated although its row is missing. The table was restored from a
+ * copy then, and within this time the operators' rows are written again. After
+ * it, the first list that is proved to be newer than this time decides.
+ */
+const RETAINED_MILLISECONDS = 2_000;
+/** Time between checks in addition to those at each change. */
+const CHECK_INTERVAL_MILLISECONDS = 1_000;
+
+/** What `Evacuations` needs. */
+export interface EvacuationsParameters {
+  /** Whether this entry trusts the epoch of the table (`EpochConfirmation`). */
+  epochTrusted: () => boolean;
+  /** Highest version of the list that a reachable entry reports; 0 for none. */
+  newestReported: () => number;
+  /**
+   * Data centres with a runner or an entry; `undefined` while runners or
+   * entries are not known.
+   */
+  dataCentres: () => ReadonlySet<string> | undefined;
+  /** Called when an evacuation has ended. */
+  onEnd: () => void;
+  logger: common.Logger;
+  metrics: common.Metrics;
+}
+
+/**
+ * Which data centres are evacuated: runners there get nothing new. Every
+ * decision sees a new list at once, whether the list came from the store or
+ * from a peer.
+ */
+export class Evacuations {
+  readonly list = new traffic.ProvenValue<traffic.EvacuationList>();
+  /** Evacuated data centres, and since when they are at this entry. */
+  readonly #inForce = new Map<string, common.Instant>();
+  /** The list that `#inForce` follows. */
+  #applied: traffic.EvacuationList | undefined;
+  /** Data centres that are evacuated without a row, and until when at least. */
+  readonly #retained = new Set<string>();
+  #retainedUntil = 0;
+  /** Whether `known` holds for good. */
+  #known = false;
+  /** Evacuated data centres that were logged as unknown. */
+  readonly #loggedUnknown = new Set<string>();
+
+  constructor(readonly parameters: EvacuationsParameters) {}
+
+  /**
+   * Whether this entry knows the list. An entry that has just started may have
+   * read a restored table that lacks rows, which its peers retain. Until it
+   * trusts the table's epoch it needs every list that a peer reports.
+   */
+  get known(): boolean {
+    if (this.#known) return true;
+    const { newestReported, epochTrusted } = this.parameters;
+    const { value, version } = this.list;
+    if (!value || version < newestReported()) return false;
+    this.#known = epochTrusted();
+    return true;
+  }
+
+  /** Whether runners in a data centre get nothing new; all until known. */
+  isEvacuated(dataCentre: string): boolean {
+    if (!this.known) return true;
+    this.#update();
+    return this.#inForce.has(dataCentre);
+  }
+
+  /** Whether a data centre is evacuated whose row the restored table lacks. */
+  get retaining(): boolean {
+    this.#update();
+    return this.#retained.size > 0;
+  }
+
+  /** Evacuated data centres, and since when they are at this entry. */
+  inForce(): ReadonlyMap<string, common.Instant> {
+    this.#update();
+    return this.#inForce;
+  }
+
+  /** The part of the state dump. */
+  describe(): unknown {
+    const { version, age } = this.list;
+    const dataCentres = [...this.inForce().keys()];
+    return { version, age, known: this.known, dataCentres };
+  }
+
+  /** Logs and reports changes as they come, until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.#update();
+      this.#logUnknown();
+      this.parameters.metrics.gauge(
+        common.Metric.EvacuatedDataCentres,
+        this.#inForce.size,
+      );
+      await this.list.changes.next(CHECK_INTERVAL_MILLISECONDS, signal);
+    }
+  }
+
+  #update(): void {
+    const { value } = this.list;
+    if (value !== this.#applied && value) this.#apply(value);
+    if (this.#retained.size === 0) return;
+    // A row that was written in time is read up to a second later.
+    const sinceUntil = common.now() - this.#retainedUntil;
+    if (sinceUntil < 0 || this.list.age > sinceUntil) return;
+    this.#retained.clear();
+    this.#putInForce();
+  }
+
+  #apply(list: traffic.EvacuationList): void {
+    const epochBefore =
+      this.#applied && traffic.epochOfEvacuationList(this.#applied);
+    const now = common.now();
+    if (epochBefore !== traffic.epochOfEvacuationList(list)) {
+      this.#retainedUntil = now + RETAINED_MILLISECONDS;
+      for (const dataCentre of this.#inForce.keys())
+        this.#retained.add(dataCentre);
+    }
+    const { dataCentres, retained = [] } = list;
+    if (now < this.#retainedUntil) {
+      for (const dataCentre of retained) this.#retained.add(dataCentre);
+    }
+    for (const dataCentre of dataCentres) this.#retained.delete(dataCentre);
+    this.#applied = list;
+    this.#putInForce();
+    if (this.#retained.size === 0 || list.retained) return;
+    // Entries that start now read only the restored table.
+    const told = traffic.withRetained(list, [...this.#retained]);
+    this.#applied = told;
+    this.list.offer(told);
+  }
+
+  /** Brings `#inForce` in line with the list and what is retained. */
+  #putInForce(): void {
+    const { logger, onEnd } = this.parameters;
+    const { dataCentres = [], version = 0 } = this.#applied ?? {};
+    const wanted = new Set([...dataCentres, ...this.#retained]);
+    for (const dataCentre of wanted) {
+      if (this.#inForce.has(dataCentre)) continue;
+      this.#inForce.set(dataCentre, common.instant());
+      const code = common.EventCode.EvacuationStarted;
+      logger.event(code, { dataCentre, version });
+    }
+    const ended = [...this.#inForce.keys()].filter((name) => !wanted.has(name));
+    for (const dataCentre of ended) {
+      this.#inForce.delete(dataCentre);
+      this.#loggedUnknown.delete(dataCentre);
+      const code = common.EventCode.EvacuationEnded;
+      logger.event(code, { dataCentre, version });
+    }
+    if (ended.length > 0) onEnd();
+  }
+
+  /** Logs evacuated data centres that nothing is in, once each. */
+  #logUnknown(): void {
+    const known = this.parameters.dataCentres();
+    if (!known) return;
+    for (const dataCentre of this.#inForce.keys()) {
+      if (known.has(dataCentre) || this.#loggedUnknown.has(dataCentre))
+        continue;
+      this.#loggedUnknown.add(dataCentre);
+      const code = common.EventCode.EvacuationUnknown;
+      this.parameters.logger.event(code, { dataCentre });
+    }
+  }
+}
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -95,6 +95,7 @@
     random,
     rateLimitWaitOf: () => 0,
     restOf: () => 0,
+    isEvacuated: () => false,
     inLockStep: () => false,
   });
   const runners = ["i-1", "i-2"].map((identifier, index) =>
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -168,6 +168,8 @@
 /** A forwarder whose calls to runners a test answers. */
 export class SteppedEntry {
   readonly logger = new common.RecordingLogger();
+  /** Evacuated data centres; see `dataCentreOf`. */
+  readonly evacuated = new Set<string>();
   readonly budget: retryBudget.RetryBudget;
   readonly tracker: runnerTracker.RunnerTracker;
   readonly rateLimits = rateLimitsFixture.createRateLimits();
@@ -186,7 +188,7 @@
       maxBalance: retries,
       initialBalance: retries,
     });
-    this.tracker = createTracker(runners, this.rateLimits);
+    this.tracker = createTracker(runners, this.rateLimits, this.evacuated);
     const presenceOf = async ({ identifier }: traffic.RunnerEntry) => {
       this.probes.push(identifier);
       return setup.presence ?? common.Presence.Listening;
@@ -308,21 +310,30 @@
 function createTracker(
   identifiers: string[],
   rateLimits: rateLimitsModule.RateLimits,
+  evacuated: ReadonlySet<string>,
 ): runnerTracker.RunnerTracker {
   const tracker = new runnerTracker.RunnerTracker({
     dataCentre: "d",
     random: new common.Random(1),
     rateLimitWaitOf: (runner) => rateLimits.waitOf(runner),
     restOf: () => 0,
+    isEvacuated: (dataCentre) => evacuated.has(dataCentre),
     inLockStep: () => false,
   });
   tracker.update({ version: 1, runners: identifiers.map(createRunner) });
   return tracker;
 }
 
+/** Data centre of a runner: what precedes its name and "/", or "d". */
+function dataCentreOf(identifier: string): string {
+  const [dataCentre, name] = identifier.split("/");
+  return name === undefined ? "d" : dataCentre;
+}
+
 function createRunner(identifier: string): traffic.RunnerEntry {
   const port = Number(identifier.replace(/\D/g, ""));
-  return runnerFixture.createRunner({ identifier, port });
+  const dataCentre = dataCentreOf(identifier);
+  return runnerFixture.createRunner({ identifier, port, dataCentre });
 }
 
 function createConfiguration(
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -135,6 +135,7 @@
     const { permit, rests, runner, tracker } = this.parameters;
     if (permit.isExpired()) return "permit expired";
     if (!tracker.inUse(runner)) return "runner leaves";
+    if (tracker.isEvacuated(runner.dataCentre)) return "data centre evacuated";
     return rests.waitOf(runner) > 0 ? "runner wants rest" : undefined;
   }
 
--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -169,6 +169,8 @@
        * none.
        */
       restOf: (runner: traffic.RunnerEntry) => number;
+      /** Whether runners in a data centre get nothing new. */
+      isEvacuated: (dataCentre: string) => boolean;
     },
   ) {}
 
@@ -225,7 +227,7 @@
     const views: chooseRunner.RunnerView[] = [];
     for (const [identifier, record] of this.#records) {
       const { entry } = record;
-      if (entry.service !== service || entry.leaving) continue;
+      if (entry.service !== service || !this.#isOpen(entry)) continue;
       if (tried.has(identifier)) continue;
       if (record.refusing && now < record.avoidUntil) continue;
       if (this.parameters.rateLimitWaitOf(entry) > 0) continue;
@@ -285,7 +287,7 @@
     let next:
       { runner: traffic.RunnerEntry; waitMilliseconds: number } | undefined;
     for (const { entry } of this.#records.values()) {
-      if (entry.service !== service || entry.leaving) continue;
+      if (entry.service !== service || !this.#isOpen(entry)) continue;
       if (tried.has(entry.identifier)) continue;
       if (this.parameters.restOf(entry) > 0) continue;
       const waitMilliseconds = this.parameters.rateLimitWaitOf(entry);
@@ -303,7 +305,7 @@
   firstRestEnd(service: string): number | undefined {
     const waits: number[] = [];
     for (const { entry } of this.#records.values()) {
-      if (entry.service !== service || entry.leaving) continue;
+      if (entry.service !== service || !this.#isOpen(entry)) continue;
       const wait = this.parameters.restOf(entry);
       if (wait > 0) waits.push(wait);
     }
@@ -317,10 +319,26 @@
 
   /** Whether this entry may send a request to a runner now. */
   mayReceive(runner: traffic.RunnerEntry): boolean {
-    return this.inUse(runner) && this.parameters.restOf(runner) === 0;
+    if (!this.inUse(runner) || this.isEvacuated(runner.dataCentre))
+      return false;
+    return this.parameters.restOf(runner) === 0;
   }
 
-  /** Whether this incarnation of a runner is listed, and not as leaving. */
+  /** Whether runners in a data centre get nothing new. */
+  isEvacuated(dataCentre: string): boolean {
+    return this.parameters.isEvacuated(dataCentre);
+  }
+
+  /** Whether a runner is neither leaving nor in an evacuated data centre. */
+  #isOpen({ leaving, dataCentre }: traffic.RunnerEntry): boolean {
+    return !leaving && !this.isEvacuated(dataCentre);
+  }
+
+  /**
+   * Whether this incarnation of a runner is listed, and not as leaving. True
+   * also in an evacuated data centre: the runner goes on with its requests, and
+   * its crashes count.
+   */
   inUse(runner: traffic.RunnerEntry): boolean {
     const entry = this.#records.get(runner.identifier)?.entry;
     if (!entry || entry.leaving) return false;
@@ -341,7 +359,8 @@
   /** Whether a runner of a service refuses requests although it has room. */
   hasRefusing(service: string): boolean {
     for (const { entry, refusing } of this.#records.values()) {
-      if (refusing && entry.service === service && !entry.leaving) return true;
+      if (refusing && entry.service === service && this.#isOpen(entry))
+        return true;
     }
     return false;
   }
--- a/packages/daemon/src/forwarding/runner_tracker_test.ts
+++ b/packages/daemon/src/forwarding/runner_tracker_test.ts
@@ -9,6 +9,7 @@
 function trackerOf(
   runners: traffic.RunnerEntry[],
   lockStep = false,
+  isEvacuated: (dataCentre: string) => boolean = () => false,
 ): runnerTracker.RunnerTracker {
   const random = new common.Random(1);
   const inLockStep = () => lockStep;
@@ -20,6 +21,7 @@
     inLockStep,
     rateLimitWaitOf,
     restOf,
+    isEvacuated,
   };
   const tracker = new runnerTracker.RunnerTracker(parameters);
   tracker.update({ version: 1, runners });
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -8,6 +8,8 @@
 import * as runnerTracker from "../forwarding/runner_tracker.ts";
 import type * as runnerClientModule from "../forwarding/runner_client.ts";
 import type * as plannedStop from "../shutdown/planned_stop.ts";
+import * as evacuationsOfMesh from "../evacuation/evacuations_of_mesh.ts";
+import type * as evacuationsModule from "../evacuation/evacuations.ts";
 import * as entryMesh from "../mesh/entry_mesh.ts";
 import * as memberRows from "../mesh/member_rows.ts";
 import * as epochConfirmation from "./epoch_confirmation.ts";
@@ -89,6 +91,7 @@
   table: backingServices.TableService;
   configurationSource: traffic.DocumentSource<traffic.TrafficConfiguration>;
   runnerSource: traffic.DocumentSource<traffic.RunnerList>;
+  evacuationSource: traffic.DocumentSource<traffic.EvacuationList>;
   runnerClient: runnerClientModule.RunnerClient;
   logger: common.Logger;
   metrics: common.Metrics;
@@ -105,6 +108,8 @@
   readonly configuration =
     new traffic.ProvenValue<traffic.TrafficConfiguration>();
   readonly runners = new traffic.ProvenValue<traffic.RunnerList>();
+  /** Data centres whose runners get nothing new. */
+  readonly evacuations: evacuationsModule.Evacuations;
   readonly runnerTracker: runnerTracker.RunnerTracker;
   readonly forwarder: forwarderModule.Forwarder;
   readonly mesh: entryMesh.EntryMesh;
@@ -130,12 +135,21 @@
     this.#maxProofAgeMilliseconds =
       parameters.revocationMilliseconds * MAX_PROOF_AGE_FRACTION;
     const { dataCentre } = self;
+    this.evacuations = evacuationsOfMesh.evacuationsOfMesh({
+      mesh: () => this.mesh,
+      runners: this.runners,
+      epochTrusted: () => this.#confirmation.trusted,
+      onEnd: () => this.runnerTracker.availabilityChanged.announce(),
+      logger,
+      metrics,
+    });
     this.runnerTracker = new runnerTracker.RunnerTracker({
       dataCentre,
       random,
       inLockStep: (service) => this.#inLockStep(service),
       rateLimitWaitOf: (runner) => this.rateLimits.waitOf(runner),
       restOf: (runner) => this.rests.waitOf(runner),
+      isEvacuated: (name) => this.evacuations.isEvacuated(name),
     });
     this.#rows = new quarantineRows.QuarantineRows(parameters);
     this.quarantine = new quarantine.Quarantine({
@@ -207,6 +221,7 @@
       seeds: parameters.seeds,
       configuration: this.configuration,
       runners: this.runners,
+      evacuations: this.evacuations.list,
       ready: () => this.ready,
       storeReachable: () => this.#storeReachable,
       outstanding: () => this.runnerTracker.ownCounts(),
@@ -226,7 +241,9 @@
       currentVersion: () => this.configuration.version,
       latestReading: () => this.#latestReading,
       lowestServedVersion: () => this.#lowestServedVersion(),
-      isConfirmer: () => this.mesh.pollPosition() === 0,
+      // An entry that starts may trust a table whose epoch is confirmed.
+      isConfirmer: () =>
+        !this.evacuations.retaining && this.mesh.pollPosition() === 0,
       logger,
     });
   }
@@ -243,7 +260,8 @@
 
   /** Whether callers may be sent to this entry. */
   get ready(): boolean {
-    if (this.stopping || !this.runners.value) return false;
+    if (this.stopping || !this.runners.value || !this.evacuations.known)
+      return false;
     return this.#proofAge <= this.#maxProofAgeMilliseconds;
   }
 
@@ -274,6 +292,17 @@
     lifeCycle.run("runners", (signal) =>
       this.#followDocument("runners", runnerSource, this.runners, signal),
     );
+    lifeCycle.run("evacuations", (signal) =>
+      this.#followDocument(
+        "evacuations",
+        this.parameters.evacuationSource,
+        this.evacuations.list,
+        signal,
+      ),
+    );
+    lifeCycle.run("evacuations in force", (signal) =>
+      this.evacuations.run(signal),
+    );
     lifeCycle.run("quarantine", async (signal) => {
       const storedReports = await this.#rows.read(signal);
       if (storedReports) this.quarantine.applyStoredReports(storedReports);
@@ -286,12 +315,13 @@
   }
 
   /**
-   * Entries that a caller may use now; all known entries if none reports that
-   * it is ready.
+   * Entries that a caller may use now, outside evacuated data centres while any
+   * such entry is ready; all known entries if none reports that it is ready.
    */
   entriesForCallers(): wire.MeshMember[] {
     const ready = this.mesh.readyMembers();
-    return ready.length > 0 ? ready : this.mesh.knownMembers();
+    if (ready.length === 0) return this.mesh.knownMembers();
+    return evacuationsOfMesh.entriesOutside(ready, this.evacuations);
   }
 
   /**
@@ -328,6 +358,7 @@
         age: this.configuration.age,
       },
       runners: { version: this.runners.version, age: this.runners.age },
+      evacuations: this.evacuations.describe(),
       board: this.runnerTracker.runners(),
       quarantine: this.quarantine.describe(),
       rateLimits: this.rateLimits.describe(),
--- a/packages/daemon/src/gateway/operator_view.ts
+++ b/packages/daemon/src/gateway/operator_view.ts
@@ -1,4 +1,5 @@
 import type * as runnerTracker from "../forwarding/runner_tracker.ts";
+import * as evacuationView from "../evacuation/evacuation_view.ts";
 import * as problem from "../operator/problem.ts";
 import type * as gatewayModule from "./gateway.ts";
 
@@ -34,8 +35,8 @@
 /**
  * Answers the command-line tool's requests to a gateway, under the paths and in
  * the formats of the daemon's own interface for operators (folder `operator`),
- * so that `status`, `hosts`, `state`, `rate-limits` and `quarantine` show the
- * same columns for a gateway and for the daemon's entries. The configuration
+ * so that `status`, `hosts`, `state`, `rate-limits`, `evacuations` and
+ * `quarantine` show the same columns for a gateway and for the daemon's entries. The configuration
  * cannot be changed here, because a gateway only follows it. The only change
  * that a gateway accepts is to lift a quarantine; it answers every other request
  * but GET with "read only".
@@ -54,6 +55,12 @@
       return jsonAnswer(gateway.quarantine.cases());
     case "/admin/v1/rate-limits":
       return jsonAnswer(gateway.rateLimits.describe());
+    case "/admin/v1/evacuations": {
+      const { host, evacuations, mesh } = gateway;
+      return jsonAnswer(
+        evacuationView.evacuationViews(host, evacuations, mesh),
+      );
+    }
     case "/admin/v1/status":
       return jsonAnswer(statusOf(gateway));
     case "/admin/v1/hosts":
--- a/packages/daemon/src/mesh/document_exchange.ts
+++ b/packages/daemon/src/mesh/document_exchange.ts
@@ -24,6 +24,7 @@
 enum DocumentName {
   Configuration = "configuration",
   Runners = "runners",
+  Evacuations = "evacuations",
 }
 
 /** A document with the bytes that are sent for it. */
@@ -36,15 +37,16 @@
 export interface DocumentExchangeParameters {
   configuration: traffic.ProvenValue<traffic.TrafficConfiguration>;
   runners: traffic.ProvenValue<traffic.RunnerList>;
+  evacuations: traffic.ProvenValue<traffic.EvacuationList>;
   heartbeatClock: heartbeatClockModule.HeartbeatClock;
   logger: common.Logger;
 }
 
 /**
- * Exchanges the configuration and the list of runners with the other entries,
- * so that an entry that cannot reach the store still has the newest versions.
+ * Exchanges the configuration, the list of runners and the list of evacuated
+ * data centres with the other entries, so that an entry that cannot reach the store still has the newest versions.
  * An entry sends a document only to peers that have an older version. Each
- * heartbeat carries the proof of both documents: the last moment at which the
+ * heartbeat carries the proof of each document: the last moment at which the
  * sender's version was certain to be the newest.
  */
 export class DocumentExchange {
@@ -56,19 +58,24 @@
   constructor(readonly parameters: DocumentExchangeParameters) {}
 
   /** Version and age of the proof of each document, for the next heartbeat. */
-  proofs(): Pick<wire.MeshHeartbeat, "configuration" | "runners"> {
-    const { configuration, runners } = this.parameters;
+  proofs(): Pick<
+    wire.MeshHeartbeat,
+    "configuration" | "runners" | "evacuations"
+  > {
+    const { configuration, runners, evacuations } = this.parameters;
     return {
       configuration: proofOf(configuration),
       runners: proofOf(runners),
+      evacuations: proofOf(evacuations),
     };
   }
 
   /** Applies the proofs in a peer's heartbeat to the local documents. */
   receiveProofs(heartbeat: wire.MeshHeartbeat): void {
-    const { configuration, runners } = this.parameters;
+    const { configuration, runners, evacuations } = this.parameters;
     this.#receiveProof(configuration, heartbeat, heartbeat.configuration);
     this.#receiveProof(runners, heartbeat, heartbeat.runners);
+    this.#receiveProof(evacuations, heartbeat, heartbeat.evacuations);
   }
 
   /**
@@ -76,10 +83,10 @@
    * the link if the document is unreadable.
    */
   receive(
-    message: wire.MeshConfiguration | wire.MeshRunners,
+    message: wire.MeshConfiguration | wire.MeshRunners | wire.MeshEvacuations,
     peer: meshPeer.MeshPeer,
   ): void {
-    const { configuration, runners } = this.parameters;
+    const { configuration, runners, evacuations } = this.parameters;
     switch (message.kind) {
       case wire.MessageKind.MeshConfiguration:
         return this.#receiveDocument(
@@ -95,6 +102,13 @@
           message,
           peer,
         );
+      case wire.MessageKind.MeshEvacuations:
+        return this.#receiveDocument(
+          DocumentName.Evacuations,
+          evacuations,
+          message,
+          peer,
+        );
     }
   }
 
@@ -123,7 +137,7 @@
    * version.
    */
   pushNewer(peer: meshPeer.MeshPeer): void {
-    const { configuration, runners } = this.parameters;
+    const { configuration, runners, evacuations } = this.parameters;
     const heartbeat = peer.heartbeat;
     if (!heartbeat) return;
     this.#push(peer, {
@@ -138,13 +152,22 @@
       local: runners,
       peerVersion: heartbeat.runners.version,
     });
+    this.#push(peer, {
+      name: DocumentName.Evacuations,
+      kind: wire.MessageKind.MeshEvacuations,
+      local: evacuations,
+      peerVersion: heartbeat.evacuations.version,
+    });
   }
 
   #push<T extends traffic.Versioned>(
     peer: meshPeer.MeshPeer,
     document: {
       name: DocumentName;
-      kind: wire.MeshConfiguration["kind"] | wire.MeshRunners["kind"];
+      kind:
+        | wire.MeshConfiguration["kind"]
+        | wire.MeshRunners["kind"]
+        | wire.MeshEvacuations["kind"];
       local: traffic.ProvenValue<T>;
       peerVersion: number;
     },
--- a/packages/daemon/src/mesh/document_exchange_test.ts
+++ b/packages/daemon/src/mesh/document_exchange_test.ts
@@ -11,7 +11,10 @@
 type Sent = Extract<
   wire.Message,
   {
-    kind: wire.MessageKind.MeshConfiguration | wire.MessageKind.MeshRunners;
+    kind:
+      | wire.MessageKind.MeshConfiguration
+      | wire.MessageKind.MeshRunners
+      | wire.MessageKind.MeshEvacuations;
   }
 >;
 
@@ -23,15 +26,18 @@
 function createExchange(): {
   exchange: documentExchange.DocumentExchange;
   configuration: traffic.ProvenValue<traffic.TrafficConfiguration>;
+  evacuations: traffic.ProvenValue<traffic.EvacuationList>;
 } {
   const configuration = new traffic.ProvenValue<traffic.TrafficConfiguration>();
+  const evacuations = new traffic.ProvenValue<traffic.EvacuationList>();
   const exchange = new documentExchange.DocumentExchange({
     configuration,
     runners: new traffic.ProvenValue<traffic.RunnerList>(),
+    evacuations,
     heartbeatClock: new heartbeatClockModule.HeartbeatClock(),
     logger: { event: () => {} },
   });
-  return { exchange, configuration };
+  return { exchange, configuration, evacuations };
 }
 
 /**
@@ -54,6 +60,7 @@
   peer.receive({
     configuration: proof,
     runners: { version: 0, age: 0 },
+    evacuations: { version: 0, age: 0 },
   } as wire.MeshHeartbeat);
   return { peer, sent };
 }
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -68,6 +68,7 @@
   seeds: { address: string; port: number }[];
   configuration: traffic.ProvenValue<traffic.TrafficConfiguration>;
   runners: traffic.ProvenValue<traffic.RunnerList>;
+  evacuations: traffic.ProvenValue<traffic.EvacuationList>;
   /** Whether callers may be sent to this entry. */
   ready: () => boolean;
   /**
@@ -131,8 +132,8 @@
 /**
  * Links from this entry to all others. Over them, entries exchange whether they
  * are ready, their requests under way at runners, suspicions, and the
- * documents: the configuration and the list of runners (see
- * `DocumentExchange`). An entry sends a document to a peer that has an older
+ * documents: the configuration, the list of runners and the list of evacuated
+ * data centres (see `DocumentExchange`). An entry sends a document to a peer that has an older
  * version, and sends proofs that its own version is the newest. So an entry
  * that cannot reach the store, or that leaves reading it to others, still has
  * the newest documents.
@@ -167,7 +168,7 @@
 
   /** Accepts links, registers this entry, and finds and dials the others. */
   start(server: http.Server): void {
-    const { lifeCycle, configuration, runners } = this.parameters;
+    const { lifeCycle, configuration, runners, evacuations } = this.parameters;
     const accepting = wire.acceptLinks({
       server,
       path: listenModule.LINK_PATH,
@@ -190,6 +191,9 @@
     lifeCycle.run("push-runners", (signal) =>
       this.#pushChanges(runners.changes, signal),
     );
+    lifeCycle.run("push-evacuations", (signal) =>
+      this.#pushChanges(evacuations.changes, signal),
+    );
   }
 
   /** Entries that callers may be sent to, including this one if it is ready. */
@@ -511,6 +515,7 @@
       }
       case wire.MessageKind.MeshConfiguration:
       case wire.MessageKind.MeshRunners:
+      case wire.MessageKind.MeshEvacuations:
         return this.#documents.receive(message, peer);
       case wire.MessageKind.Suspicions:
         return this.parameters.suspicions.receive(message, peer.member.host);
--- a/packages/stand_ins/src/gateways/gateways.ts
+++ b/packages/stand_ins/src/gateways/gateways.ts
@@ -35,6 +35,12 @@
   lifeCycle: common.LifeCycle;
 }
 
+/** What an entry reads of what the operator writes. */
+interface OperatorSources {
+  configuration: traffic.DocumentSource<traffic.TrafficConfiguration>;
+  evacuations: traffic.DocumentSource<traffic.EvacuationList>;
+}
+
 /** What a caller saw of one request. */
 export interface Seen {
   status: "whole" | "broken" | daemon.RefusalKind | "failed";
@@ -50,6 +56,11 @@
   readonly table = tableService.createTable(this.data);
   /** What the operator has written, as the table tells it. */
   configuration: traffic.TrafficConfiguration;
+  /** Data centres that the operator evacuates, and the version of their rows. */
+  evacuations: string[] = [];
+  evacuationsVersion = 1;
+  /** Entries that read nothing of what the operator writes. */
+  readonly cutFromStore = new Set<string>();
   #requests = 0;
 
   private constructor(
@@ -103,6 +114,7 @@
     });
     const { port } = links.address() as net.AddressInfo;
     const table = tableService.createTable(this.data, logger);
+    const looks = this.#operatorSources(host, table);
     const gateway = new daemon.Gateway({
       self: {
         host,
@@ -116,8 +128,9 @@
       stop: new daemon.PlannedStop({ graceMilliseconds: 8_000, lifeCycle }),
       retries: { share: 1, allowance: 10_000 },
       table,
-      configurationSource: this.#configurationSource(table),
+      configurationSource: looks.configuration,
       runnerSource: this.pool.source(),
+      evacuationSource: looks.evacuations,
       runnerClient: this.pool.callerOf(host),
       logger,
       metrics: common.discardMetrics(),
@@ -133,27 +146,55 @@
     return started;
   }
 
-  /** The configuration as one entry reads it. */
-  #configurationSource(
+  /** What one entry reads of what the operator has written. */
+  #operatorSources(
+    host: string,
     table: tableService.MemoryTable,
-  ): traffic.DocumentSource<traffic.TrafficConfiguration> {
+  ): OperatorSources {
     let told: traffic.TrafficConfiguration | undefined;
+    let toldEvacuations: string[] | undefined;
+    let toldEpoch = -1;
+    const rows = new traffic.EvacuationRows();
+    const looks = new traffic.SharedLook(async (waitMilliseconds) => {
+      const isTold = () =>
+        told === this.configuration &&
+        toldEvacuations === this.evacuations &&
+        toldEpoch === this.data.epoch;
+      if (isTold())
+        await common.sleep(Math.min(waitMilliseconds, LONGEST_LOOK));
+      if (this.cutFromStore.has(host)) {
+        const kind = traffic.SourceFailureKind.Unavailable;
+        return neverthrow.err({ kind, reason: "cut off" });
+      }
+      const answer = await table.get("configuration");
+      if (answer.isErr()) {
+        const kind = traffic.SourceFailureKind.Unavailable;
+        return neverthrow.err({ kind, reason: answer.error.reason });
+      }
+      const changed = !isTold();
+      told = this.configuration;
+      toldEvacuations = this.evacuations;
+      toldEpoch = this.data.epoch;
+      rows.take({
+        epoch: toldEpoch,
+        version: this.evacuationsVersion,
+        dataCentres: toldEvacuations,
+        changed,
+      });
+      return neverthrow.ok(undefined);
+    });
     return {
-      next: async (waitMilliseconds) => {
-        if (told === this.configuration) {
-          await common.sleep(Math.min(waitMilliseconds, LONGEST_LOOK));
-        }
-        const answer = await table.get("configuration");
-        if (answer.isErr()) {
-          const kind = traffic.SourceFailureKind.Unavailable;
-          return neverthrow.err({ kind, reason: answer.error.reason });
-        }
-        told = this.configuration;
-        return neverthrow.ok({ value: told });
-      },
+      configuration: looks.source(() => neverthrow.ok(told)),
+      evacuations: looks.source(() => neverthrow.ok(rows.list)),
     };
   }
 
+  /** Evacuates exactly these data centres, as an operator does. */
+  evacuate(...dataCentres: string[]): void {
+    this.evacuations = dataCentres;
+    this.evacuationsVersion++;
+  }
+
   async #linkedAndReady({ gateway }: RunningGateway): Promise<void> {
     await until(() => gateway.ready && this.#linked(gateway));
   }
--- a/packages/stand_ins/src/gateways/runner_pool.ts
+++ b/packages/stand_ins/src/gateways/runner_pool.ts
@@ -20,6 +20,8 @@
   runMilliseconds: number;
   /** Milliseconds from a runner's end until it is back. */
   returnMilliseconds: number;
+  /** Data centre of the runner at a place; "d" for all if not set. */
+  dataCentreOf?: (place: number) => string;
 }
 
 /** Slots that a listed runner tells. */
@@ -119,7 +121,7 @@
       version: this.version,
       address: `runner-${runner.place}`,
       port: 1,
-      dataCentre: "d",
+      dataCentre: this.shape.dataCentreOf?.(runner.place) ?? "d",
       slots: SLOTS,
       leaving: runner.leaving,
     };
--- a/packages/stand_ins/src/measure/capacity_gateway.ts
+++ b/packages/stand_ins/src/measure/capacity_gateway.ts
@@ -100,6 +100,7 @@
     tableEpoch: 1,
     configuration: { version: 40_000, age: 812.5 },
     runners: { version: 40_000, age: 812.5 },
+    evacuations: { version: 40_000, age: 812.5 },
     outstanding,
   };
   return wire.encode(beat).byteLength + FRAME_BYTES;
--- a/packages/traffic/src/document_source.ts
+++ b/packages/traffic/src/document_source.ts
@@ -1,3 +1,4 @@
+import type * as common from "@geraniumkeel/common";
 import type * as neverthrow from "neverthrow";
 import type * as provenValue from "./proven_value.ts";
 
@@ -5,6 +6,8 @@
 export interface Reading<T extends provenValue.Versioned> {
   /** The newest document; `undefined` if there is none yet. */
   value: T | undefined;
+  /** When the look began, if that was before it was asked for. */
+  startedAt?: common.Instant;
 }
 
 /** Why a source gave no reading. */
--- a/packages/traffic/src/follow_document.ts
+++ b/packages/traffic/src/follow_document.ts
@@ -49,7 +49,7 @@
       await common.sleep(REST_MILLISECONDS, signal);
       continue;
     }
-    const startedAt = common.instant();
+    const askedAt = common.instant();
     const reading = await source.next(LOOK_MILLISECONDS);
     parameters.onReachable(reading.isOk());
     if (reading.isErr()) {
@@ -68,14 +68,14 @@
     }
     failing = false;
     backOff.reset();
-    const { value } = reading.value;
+    const { value, startedAt = askedAt } = reading.value;
     const isNew = value !== undefined && held.offer(value);
     if (isNew) {
       const code = common.EventCode.DocumentInForce;
       logger.event(code, { document: name, version: value.version });
     }
     if (value) held.prove(value.version, startedAt);
-    const quiet = QUIET_MILLISECONDS - common.ageOf(startedAt);
+    const quiet = QUIET_MILLISECONDS - common.ageOf(askedAt);
     if (!isNew && quiet > 0) await common.sleep(quiet, signal);
   }
 }
--- a/packages/wire/src/compact_mesh_heartbeat.ts
+++ b/packages/wire/src/compact_mesh_heartbeat.ts
@@ -10,7 +10,7 @@
 }
 
 /** Number of list items that precede the request counts by runner. */
-const HEAD_LENGTH = 10;
+const HEAD_LENGTH = 12;
 
 /**
  * Packs a heartbeat between entries into a plain list. Each link carries
@@ -19,7 +19,7 @@
  * a proof appear older than it is.
  */
 export function meshHeartbeatToList(heartbeat: mesh.MeshHeartbeat): unknown[] {
-  const { configuration, runners } = heartbeat;
+  const { configuration, runners, evacuations } = heartbeat;
   return [
     heartbeat.kind,
     heartbeat.stamp,
@@ -31,6 +31,8 @@
     Math.ceil(configuration.age),
     runners.version,
     Math.ceil(runners.age),
+    evacuations.version,
+    Math.ceil(evacuations.age),
     ...heartbeat.outstanding.flat(),
   ];
 }
@@ -55,6 +57,7 @@
     tableEpoch,
     configuration: { version: proofs[0], age: proofs[1] },
     runners: { version: proofs[2], age: proofs[3] },
+    evacuations: { version: proofs[4], age: proofs[5] },
     outstanding,
   };
 }
--- a/packages/wire/src/compact_test.ts
+++ b/packages/wire/src/compact_test.ts
@@ -21,6 +21,7 @@
     tableEpoch: 3,
     configuration: { version: 40_012, age: 310 },
     runners: { version: 51, age: -1 },
+    evacuations: { version: 18, age: 310 },
     outstanding: [
       ["i-7f3a91c2", 2],
       ["i-0b", 1],
@@ -73,11 +74,13 @@
     echoedAge: 12.9,
     configuration: { version: 1, age: 310.1 },
     runners: { version: 1, age: 0.2 },
+    evacuations: { version: 1, age: 7.3 },
   });
   const arrived = sent(beat) as mesh.MeshHeartbeat;
   t.true(arrived.echoedAge <= beat.echoedAge);
   t.true(arrived.configuration.age >= beat.configuration.age);
   t.true(arrived.runners.age >= beat.runners.age);
+  t.true(arrived.evacuations.age >= beat.evacuations.age);
 });
 
 test("an idle entry's beat takes under 50 bytes, a rank's state under 80", (t) => {
@@ -90,7 +93,20 @@
   for (const beat of beats) t.truthy(sent(beat));
   for (const frame of [
     [messageKind.MessageKind.MeshHeartbeat, 1, 2],
-    [messageKind.MessageKind.MeshHeartbeat, 1, 2, 3, 4, 5, 6, 7, 8, "i-1"],
+    [
+      messageKind.MessageKind.MeshHeartbeat,
+      1,
+      2,
+      3,
+      4,
+      5,
+      6,
+      7,
+      8,
+      9,
+      10,
+      "i-1",
+    ],
     [messageKind.MessageKind.RankHeartbeat, "g", 1, 2],
     [messageKind.MessageKind.RankHeartbeat, 1, 2, 3, 4, 5, 6, 7],
     [messageKind.MessageKind.Heartbeat, "1", 2],
--- a/packages/wire/src/mesh.ts
+++ b/packages/wire/src/mesh.ts
@@ -47,6 +47,7 @@
   tableEpoch: number;
   configuration: MeshProof;
   runners: MeshProof;
+  evacuations: MeshProof;
   /** Requests under way from the sender, by runner. */
   outstanding: [runner: string, count: number][];
 }
@@ -66,3 +67,11 @@
   /** A `RunnerList`. */
   packed: packedDocument.PackedDocument;
 }
+
+/** A newer list of evacuated data centres than the receiver has. */
+export interface MeshEvacuations {
+  kind: messageKind.MessageKind.MeshEvacuations;
+  version: number;
+  /** An `EvacuationList`. */
+  packed: packedDocument.PackedDocument;
+}
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -100,6 +100,7 @@
   | mesh.MeshHeartbeat
   | mesh.MeshConfiguration
   | mesh.MeshRunners
+  | mesh.MeshEvacuations
   | rankGroup.RankHello
   | rankGroup.LeaderHeartbeat
   | rankGroup.RankHeartbeat
