--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,5 +1,6 @@
 import * as commander from "commander";
 import * as configuration from "./commands/configuration.ts";
+import * as evacuations from "./commands/evacuations.ts";
 import * as explain from "./commands/explain.ts";
 import * as hosts from "./commands/hosts.ts";
 import * as preset from "./commands/preset.ts";
@@ -24,6 +25,7 @@
     .addCommand(hosts.hostsCommand())
     .addCommand(hosts.drainCommand())
     .addCommand(quarantine.quarantineCommand())
+    .addCommand(evacuations.evacuationsCommand())
     .addCommand(rateLimits.rateLimitsCommand())
     .addCommand(state.stateCommand())
     .addCommand(explain.explainCommand());
