feat(operator): evacuations in the configuration document

Cause: the product's own interface had no evacuations.

Change: `evacuations` is a list in the configuration document and a section of its own; a document without it evacuates nothing. The router leaves out runners in evacuated data centres, callers are given entries elsewhere while there are any, and GET /admin/v1/evacuations, the state dump, the events and the metric are those of the gateway. What both share moved to EvacuationsInForce.

--- a/packages/cli/src/commands/evacuations.ts
+++ b/packages/cli/src/commands/evacuations.ts
@@ -1,4 +1,5 @@
 import * as commander from "commander";
+import * as change from "../change.ts";
 import * as options from "../options.ts";
 import * as table from "../table.ts";
 
@@ -9,6 +10,11 @@
   entries: { host: string; inForce: boolean }[];
 }
 
+interface EvacuateOptions {
+  end?: boolean;
+  revision?: number;
+}
+
 /** `evacuations`: evacuated data centres, and how far each is in force. */
 export function evacuationsCommand(): commander.Command {
   return new commander.Command("evacuations")
@@ -23,6 +29,27 @@
     );
 }
 
+/** `evacuate`: starts or ends the evacuation of a data centre. */
+export function evacuateCommand(): commander.Command {
+  return new commander.Command("evacuate")
+    .description("send nothing new to runners in a data centre")
+    .argument("<data-centre>")
+    .option("--end", "end the evacuation")
+    .addOption(options.revisionOption())
+    .action(
+      options.withSession(async (session, dataCentre: string, given) => {
+        const { end, revision } = given as EvacuateOptions;
+        await change.makeChange({
+          session,
+          method: "PUT",
+          path: `/admin/v1/evacuations/${encodeURIComponent(dataCentre)}`,
+          body: { evacuated: end !== true },
+          revision,
+        });
+      }),
+    );
+}
+
 function renderEvacuations(evacuations: Evacuation[]): string {
   return table.renderTable(
     ["DATA CENTRE", "SINCE", "IN FORCE", "NOT CONFIRMED BY"],
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -25,6 +25,7 @@
     .addCommand(hosts.hostsCommand())
     .addCommand(hosts.drainCommand())
     .addCommand(quarantine.quarantineCommand())
+    .addCommand(evacuations.evacuateCommand())
     .addCommand(evacuations.evacuationsCommand())
     .addCommand(rateLimits.rateLimitsCommand())
     .addCommand(state.stateCommand())
--- a/packages/configuration/src/schema.ts
+++ b/packages/configuration/src/schema.ts
@@ -172,6 +172,12 @@
   placement: PLACEMENT.prefault({}),
 });
 
+/** A data centre, as `place` in the settings of its hosts names it. */
+export const DATA_CENTRE = zod
+  .string({ error: "give the name of a data centre" })
+  .min(1, { error: "give the name of a data centre" })
+  .max(253, { error: "give a name of at most 253 characters" });
+
 /** The whole configuration document. */
 export const DOCUMENT = zod
   .strictObject({
@@ -185,6 +191,12 @@
       .array(PRESET, { error: "give a list of presets" })
       .min(1, { error: "give at least one preset" }),
     presetInForce: NAME,
+    evacuations: zod
+      .array(DATA_CENTRE, { error: "give a list of data centres" })
+      .default([])
+      .meta({
+        description: "Data centres whose runners get nothing new.",
+      }),
   })
   .superRefine((document, context) => {
     checkUnique(document.operators, "operators", context);
--- a/packages/configuration/src/sections.ts
+++ b/packages/configuration/src/sections.ts
@@ -10,6 +10,7 @@
 const OPERATORS = "operators";
 const SERVICES = "services";
 const PRESETS = "presets";
+const EVACUATIONS = "evacuations";
 
 /** Text of every section by name. */
 export type Sections = Record<string, string>;
@@ -33,6 +34,7 @@
     [OPERATORS]: JSON.stringify(document.operators),
     [SERVICES]: JSON.stringify(document.services),
     [PRESETS]: JSON.stringify(document.presets),
+    [EVACUATIONS]: JSON.stringify(document.evacuations),
   };
   for (const [name, list] of accounts) sections[name] = JSON.stringify(list);
   return sections;
@@ -52,6 +54,8 @@
     operators: JSON.parse(sections[OPERATORS]) as schema.Operator[],
     services: JSON.parse(sections[SERVICES]) as schema.Service[],
     presets: JSON.parse(sections[PRESETS]) as schema.Preset[],
+    // Documents from before evacuations have no such section.
+    evacuations: JSON.parse(sections[EVACUATIONS] ?? "[]") as string[],
     accounts,
     presetInForce,
   };
--- a/packages/daemon/src/entry/caller_server.ts
+++ b/packages/daemon/src/entry/caller_server.ts
@@ -55,6 +55,7 @@
   const list = entryList.entryList({
     members: members.all,
     account: { name, share: view.shareOf(name) },
+    isEvacuated: (place) => context.evacuations.isEvacuated(place),
     isNear: (host) => hosts.hosts.get(host)?.region === settings.region,
     random,
   });
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -14,6 +14,7 @@
 import * as lostClaims from "../dispatch/lost_claims.ts";
 import * as retryBudget from "../dispatch/retry_budget.ts";
 import * as runnerDirectory from "../dispatch/runner_directory.ts";
+import * as configuredEvacuations from "../evacuation/configured_evacuations.ts";
 import * as coordinatorsModule from "../expert_map/coordinators.ts";
 import * as mapStore from "../expert_map/map_store.ts";
 import * as hostView from "../membership/host_view.ts";
@@ -133,7 +134,17 @@
     },
   });
   const position = { host, place, region };
-  const router = new routerModule.Router({ runners, position, random, logger });
+  const evacuations = new configuredEvacuations.ConfiguredEvacuations({
+    view: () => keeper.view,
+    logger,
+  });
+  const router = new routerModule.Router({
+    runners,
+    position,
+    isEvacuated: (name) => evacuations.isEvacuated(name),
+    random,
+    logger,
+  });
   const freshness = new freshnessModule.Freshness({
     isolatedAfterMilliseconds: timing.isolatedAfter,
     lastPeerAt: () => peers.lastReceivedAt,
@@ -227,6 +238,7 @@
     peers,
     runners,
     router,
+    evacuations,
     queues,
     queued,
     coordinators: new coordinatorsModule.Coordinators({
--- a/packages/daemon/src/entry/entry_context.ts
+++ b/packages/daemon/src/entry/entry_context.ts
@@ -10,6 +10,7 @@
 import type * as claimStore from "../dispatch/claim_store.ts";
 import type * as dispatcher from "../dispatch/dispatcher.ts";
 import type * as runnerDirectory from "../dispatch/runner_directory.ts";
+import type * as configuredEvacuations from "../evacuation/configured_evacuations.ts";
 import type * as coordinators from "../expert_map/coordinators.ts";
 import type * as hostView from "../membership/host_view.ts";
 import type * as memberTable from "../membership/member_table.ts";
@@ -41,6 +42,7 @@
   peers: peerLinks.PeerLinks;
   runners: runnerDirectory.RunnerDirectory;
   router: router.Router;
+  evacuations: configuredEvacuations.ConfiguredEvacuations;
   queues: Map<string, serviceQueue.ServiceQueue<runnerObtainer.ReservedRunner>>;
   /** Told whenever a request begins to wait in a queue. */
   queued: common.ChangeNotice;
--- a/packages/daemon/src/entry/entry_list.ts
+++ b/packages/daemon/src/entry/entry_list.ts
@@ -1,5 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
+import * as entriesOutside from "../evacuation/entries_outside.ts";
 
 /** Seconds for which a caller may keep the list. */
 const VALID_SECONDS = 5;
@@ -28,6 +29,8 @@
   members: wire.Member[];
   /** The account that asks, with its part of all accounts' limits. */
   account: { name: string; share: number };
+  /** Whether an entry is in an evacuated data centre. */
+  isEvacuated: (place: string) => boolean;
   /** Whether an entry is in the region of the one that is asked. */
   isNear: (host: string) => boolean;
   random: common.Random;
@@ -35,7 +38,8 @@
 
 /**
  * Entry hosts in an order made for one caller: the first to use, the next ones
- * if that fails. Hosts that drain, are suspected or gone are left out.
+ * if that fails. Hosts that drain, are suspected or gone are left out, and those
+ * in evacuated data centres while there are others.
  *
  * Among few entries any order will do, and each call gets its own, so that
  * callers that wake together spread by weight. Among hundreds, an account's
@@ -44,10 +48,13 @@
  * from every other, and have a link to each of them.
  */
 export function entryList(parameters: EntryListParameters): EntryList {
-  const { members, account, isNear, random } = parameters;
-  const open = members
-    .filter((member) => member.state === wire.MemberState.Alive)
-    .filter((member) => member.weight > 0);
+  const { members, account, isEvacuated, isNear, random } = parameters;
+  const open = entriesOutside.entriesOutside(
+    members
+      .filter((member) => member.state === wire.MemberState.Alive)
+      .filter((member) => member.weight > 0),
+    ({ place }) => isEvacuated(place),
+  );
   const ordered =
     open.length <= SPREAD_LIMIT
       ? inRandomOrder(open, random)
--- a/packages/daemon/src/entry/entry_list_test.ts
+++ b/packages/daemon/src/entry/entry_list_test.ts
@@ -27,12 +27,19 @@
 function firsts(
   all: wire.Member[],
   account: { name: string; share: number },
+  isEvacuated: (place: string) => boolean = () => false,
 ): Map<string, number> {
   const random = new common.Random(1);
   const isNear = (host: string) => Number(host.split("-")[1]) % 2 === 0;
   const counts = new Map<string, number>();
   for (let call = 0; call < 400; call++) {
-    const list = entryList.entryList({ members: all, account, isNear, random });
+    const list = entryList.entryList({
+      members: all,
+      account,
+      isEvacuated,
+      isNear,
+      random,
+    });
     const [{ url }] = list.entries;
     counts.set(url, (counts.get(url) ?? 0) + 1);
   }
@@ -68,3 +75,16 @@
   const [[next]] = firsts(open, account);
   t.not(next, home);
 });
+
+// Guards against callers that are sent to a data centre which is about to go.
+test("entries in evacuated data centres are left out while there are others", (t) => {
+  const all = members(7);
+  const account = { name: "a", share: 0.1 };
+  const far = firsts(all, account, (place) => place === "near");
+  const places = new Map(all.map((one) => [one.callerUrl, one.place]));
+  t.deepEqual(
+    [...far.keys()].map((url) => places.get(url)),
+    ["far", "far", "far"],
+  );
+  t.is(firsts(all, account, () => true).size, 7);
+});
--- a/packages/daemon/src/entry/report_gauges.ts
+++ b/packages/daemon/src/entry/report_gauges.ts
@@ -8,6 +8,8 @@
   const linked = runners.all.filter((runner) => runner.linked);
   const links = peers.linked.length + linked.length;
   metrics.gauge(common.Metric.LinksOpen, links);
+  const evacuated = context.evacuations.inForce().size;
+  metrics.gauge(common.Metric.EvacuatedDataCentres, evacuated);
   const groups = new Map<string, runnerLink.RunnerLink[]>();
   for (const runner of linked) {
     const tags = { runner: runner.host.name };
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -227,6 +227,16 @@
   });
 }
 
+function logUnknownEvacuations({
+  evacuations,
+  hosts,
+  members,
+}: entryContext.EntryContext): void {
+  if (hosts.lastReadAt === -Infinity) return;
+  const places = [...hosts.hosts.values(), ...members.all];
+  evacuations.logUnknown(new Set(places.map(({ place }) => place)));
+}
+
 /** Passes each newly adopted configuration on, and tells that it is in force. */
 async function followConfiguration(
   context: entryContext.EntryContext,
@@ -243,6 +253,7 @@
       peers.pushConfiguration();
       metrics.gauge(common.Metric.ConfigurationRevision, revision);
     }
+    logUnknownEvacuations(context);
     if (keeper.revision > known) continue;
     await keeper.changed.next(1_000, signal);
   }
--- a/packages/daemon/src/evacuation/evacuation_view.ts
+++ b/packages/daemon/src/evacuation/evacuation_view.ts
@@ -1,6 +1,10 @@
 import * as common from "@geraniumkeel/common";
-import type * as entryMesh from "../mesh/entry_mesh.ts";
-import type * as evacuationsModule from "./evacuations.ts";
+
+/** An entry, and whether it has the answering entry's list in force. */
+export interface EntryInForce {
+  host: string;
+  inForce: boolean;
+}
 
 /** An evacuated data centre, as operators see it. */
 export interface EvacuationView {
@@ -14,22 +18,15 @@
    * All known entries, and whether each has the answering entry's version of
    * the list, or a newer one, in force. False for an entry that is unreachable.
    */
-  entries: { host: string; inForce: boolean }[];
+  entries: EntryInForce[];
 }
 
-/** Describes the evacuations for operators. `host` is the answering entry. */
+/** Describes the evacuations in force at an entry for operators. */
 export function evacuationViews(
-  host: string,
-  evacuations: evacuationsModule.Evacuations,
-  mesh: entryMesh.EntryMesh,
+  inForce: ReadonlyMap<string, common.Instant>,
+  entries: EntryInForce[],
 ): EvacuationView[] {
-  const { version } = evacuations.list;
-  const others = mesh.known().map(({ member, beat }) => ({
-    host: member.host,
-    inForce: beat !== undefined && beat.evacuations.version >= version,
-  }));
-  const entries = [{ host, inForce: true }, ...others];
-  return [...evacuations.inForce()].map(([dataCentre, since]) => ({
+  return [...inForce].map(([dataCentre, since]) => ({
     dataCentre,
     since: new Date(Date.now() - common.ageOf(since)).toISOString(),
     entries,
--- a/packages/daemon/src/evacuation/evacuations.ts
+++ b/packages/daemon/src/evacuation/evacuations.ts
@@ -1,5 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
+import * as evacuationsInForce from "./evacuations_in_force.ts";
 
 /**
  * Time from the first list of a new epoch of the table for which a data centre
@@ -35,8 +36,7 @@
  */
 export class Evacuations {
   readonly list = new traffic.ProvenValue<traffic.EvacuationList>();
-  /** Evacuated data centres, and since when they are at this entry. */
-  readonly #inForce = new Map<string, common.Instant>();
+  readonly #inForce: evacuationsInForce.EvacuationsInForce;
   /** The list that `#inForce` follows. */
   #applied: traffic.EvacuationList | undefined;
   /** Data centres that are evacuated without a row, and until when at least. */
@@ -44,10 +44,11 @@
   #retainedUntil = 0;
   /** Whether `known` holds for good. */
   #known = false;
-  /** Evacuated data centres that were logged as unknown. */
-  readonly #loggedUnknown = new Set<string>();
 
-  constructor(readonly parameters: EvacuationsParameters) {}
+  constructor(readonly parameters: EvacuationsParameters) {
+    const { logger } = parameters;
+    this.#inForce = new evacuationsInForce.EvacuationsInForce(logger);
+  }
 
   /**
    * Whether this entry knows the list. An entry that has just started may have
@@ -67,7 +68,7 @@
   isEvacuated(dataCentre: string): boolean {
     if (!this.known) return true;
     this.#update();
-    return this.#inForce.has(dataCentre);
+    return this.#inForce.since.has(dataCentre);
   }
 
   /** Whether a data centre is evacuated whose row the restored table lacks. */
@@ -79,7 +80,7 @@
   /** Evacuated data centres, and since when they are at this entry. */
   inForce(): ReadonlyMap<string, common.Instant> {
     this.#update();
-    return this.#inForce;
+    return this.#inForce.since;
   }
 
   /** The part of the state dump. */
@@ -93,10 +94,11 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#update();
-      this.#logUnknown();
+      const known = this.parameters.dataCentres();
+      if (known) this.#inForce.logUnknown(known);
       this.parameters.metrics.gauge(
         common.Metric.EvacuatedDataCentres,
-        this.#inForce.size,
+        this.#inForce.since.size,
       );
       await this.list.changes.next(CHECK_INTERVAL_MILLISECONDS, signal);
     }
@@ -119,7 +121,7 @@
     const now = common.now();
     if (epochBefore !== traffic.epochOfEvacuationList(list)) {
       this.#retainedUntil = now + RETAINED_MILLISECONDS;
-      for (const dataCentre of this.#inForce.keys())
+      for (const dataCentre of this.#inForce.since.keys())
         this.#retained.add(dataCentre);
     }
     const { dataCentres, retained = [] } = list;
@@ -138,35 +140,8 @@
 
   /** Brings `#inForce` in line with the list and what is retained. */
   #putInForce(): void {
-    const { logger, onEnd } = this.parameters;
     const { dataCentres = [], version = 0 } = this.#applied ?? {};
     const wanted = new Set([...dataCentres, ...this.#retained]);
-    for (const dataCentre of wanted) {
-      if (this.#inForce.has(dataCentre)) continue;
-      this.#inForce.set(dataCentre, common.instant());
-      const code = common.EventCode.EvacuationStarted;
-      logger.event(code, { dataCentre, version });
-    }
-    const ended = [...this.#inForce.keys()].filter((name) => !wanted.has(name));
-    for (const dataCentre of ended) {
-      this.#inForce.delete(dataCentre);
-      this.#loggedUnknown.delete(dataCentre);
-      const code = common.EventCode.EvacuationEnded;
-      logger.event(code, { dataCentre, version });
-    }
-    if (ended.length > 0) onEnd();
-  }
-
-  /** Logs evacuated data centres that nothing is in, once each. */
-  #logUnknown(): void {
-    const known = this.parameters.dataCentres();
-    if (!known) return;
-    for (const dataCentre of this.#inForce.keys()) {
-      if (known.has(dataCentre) || this.#loggedUnknown.has(dataCentre))
-        continue;
-      this.#loggedUnknown.add(dataCentre);
-      const code = common.EventCode.EvacuationUnknown;
-      this.parameters.logger.event(code, { dataCentre });
-    }
+    if (this.#inForce.put(wanted, version)) this.parameters.onEnd();
   }
 }
--- a/packages/daemon/src/evacuation/evacuations_of_mesh.ts
+++ b/packages/daemon/src/evacuation/evacuations_of_mesh.ts
@@ -1,6 +1,5 @@
 import type * as common from "@geraniumkeel/common";
 import type * as traffic from "@geraniumkeel/traffic";
-import type * as wire from "@geraniumkeel/wire";
 import type * as entryMesh from "../mesh/entry_mesh.ts";
 import * as evacuations from "./evacuations.ts";
 
@@ -35,17 +34,3 @@
     },
   });
 }
-
-/**
- * Entries outside evacuated data centres among `entries`; all of these if none
- * is outside, as an entry in an evacuated data centre still serves callers.
- */
-export function entriesOutside(
-  entries: wire.MeshMember[],
-  evacuated: evacuations.Evacuations,
-): wire.MeshMember[] {
-  const outside = entries.filter(
-    ({ dataCentre }) => !evacuated.isEvacuated(dataCentre),
-  );
-  return outside.length > 0 ? outside : entries;
-}
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import * as runnerTracker from "../forwarding/runner_tracker.ts";
 import type * as runnerClientModule from "../forwarding/runner_client.ts";
 import type * as plannedStop from "../shutdown/planned_stop.ts";
+import * as entriesOutside from "../evacuation/entries_outside.ts";
 import * as evacuationsOfMesh from "../evacuation/evacuations_of_mesh.ts";
 import type * as evacuationsModule from "../evacuation/evacuations.ts";
 import * as entryMesh from "../mesh/entry_mesh.ts";
@@ -321,7 +322,9 @@
   entriesForCallers(): wire.MeshMember[] {
     const ready = this.mesh.readyMembers();
     if (ready.length === 0) return this.mesh.knownMembers();
-    return evacuationsOfMesh.entriesOutside(ready, this.evacuations);
+    return entriesOutside.entriesOutside(ready, ({ dataCentre }) =>
+      this.evacuations.isEvacuated(dataCentre),
+    );
   }
 
   /**
--- a/packages/daemon/src/gateway/operator_view.ts
+++ b/packages/daemon/src/gateway/operator_view.ts
@@ -55,12 +55,8 @@
       return jsonAnswer(gateway.quarantine.cases());
     case "/admin/v1/rate-limits":
       return jsonAnswer(gateway.rateLimits.describe());
-    case "/admin/v1/evacuations": {
-      const { host, evacuations, mesh } = gateway;
-      return jsonAnswer(
-        evacuationView.evacuationViews(host, evacuations, mesh),
-      );
-    }
+    case "/admin/v1/evacuations":
+      return jsonAnswer(evacuationsOf(gateway));
     case "/admin/v1/status":
       return jsonAnswer(statusOf(gateway));
     case "/admin/v1/hosts":
@@ -73,6 +69,20 @@
   }
 }
 
+function evacuationsOf({
+  host,
+  evacuations,
+  mesh,
+}: gatewayModule.Gateway): evacuationView.EvacuationView[] {
+  const { version } = evacuations.list;
+  const others = mesh.known().map(({ member, beat }) => ({
+    host: member.host,
+    inForce: beat !== undefined && beat.evacuations.version >= version,
+  }));
+  const entries = [{ host, inForce: true }, ...others];
+  return evacuationView.evacuationViews(evacuations.inForce(), entries);
+}
+
 function liftQuarantine(
   gateway: gatewayModule.Gateway,
   fingerprint: string,
--- a/packages/daemon/src/operator/change_configuration.ts
+++ b/packages/daemon/src/operator/change_configuration.ts
@@ -23,6 +23,7 @@
   services: [],
   presets: [],
   presetInForce: "",
+  evacuations: [],
 };
 
 /**
--- a/packages/daemon/src/operator/describe_entry.ts
+++ b/packages/daemon/src/operator/describe_entry.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
 import type * as entryContext from "../entry/entry_context.ts";
+import * as evacuationView from "../evacuation/evacuation_view.ts";
 
 /** What `geraniumkeel status` shows. */
 export function describeStatus(context: entryContext.EntryContext): unknown {
@@ -90,6 +91,7 @@
     ),
     limits: limits.describe(),
     quarantine: context.quarantine.describe(),
+    evacuations: [...context.evacuations.inForce().keys()],
     groups: context.coordinators.describe(),
     routing: router.describe(),
     answerLengths: lengths.describe(),
@@ -97,6 +99,21 @@
   };
 }
 
+/** Evacuations in force here, and the entries that have them in force. */
+export function describeEvacuations({
+  evacuations,
+  keeper,
+  members,
+}: entryContext.EntryContext): evacuationView.EvacuationView[] {
+  const entries = members.all
+    .filter(({ state }) => state !== wire.MemberState.Departed)
+    .map(({ host, revision }) => ({
+      host,
+      inForce: revision >= keeper.revision,
+    }));
+  return evacuationView.evacuationViews(evacuations.inForce(), entries);
+}
+
 /**
  * Request rate limits that runners told this entry in the last seconds. The
  * process beside a runner allocates the whole limit; its state dump shows how
--- a/packages/daemon/src/operator/operator_server.ts
+++ b/packages/daemon/src/operator/operator_server.ts
@@ -21,6 +21,7 @@
   ...BASE,
   change: zod.record(zod.string(), zod.unknown()),
 });
+const EVACUATION_BODY = zod.strictObject({ ...BASE, evacuated: zod.boolean() });
 const DRAIN_BODY = zod.strictObject({ host: zod.string() });
 
 /** Handler of the operators' listener of an entry process. */
@@ -57,6 +58,9 @@
     const report = inForceReport.reportInForce(context, revision);
     return Response.json(report);
   });
+  application.get("/admin/v1/evacuations", () =>
+    Response.json(describeEntry.describeEvacuations(context)),
+  );
   application.get("/admin/v1/rate-limits", () =>
     Response.json(describeEntry.describeRateLimits(context)),
   );
@@ -109,6 +113,15 @@
       neverthrow.ok({ ...document, presets: [...document.presets, preset] });
     return change(context, request, baseRevision, edit);
   });
+  application.put("/admin/v1/evacuations/:dataCentre", async (request) => {
+    const body = await readJson(request, EVACUATION_BODY);
+    if (body.isErr()) return problem.problemResponse(body.error);
+    const { baseRevision, evacuated } = body.value;
+    const dataCentre = request.req.param("dataCentre");
+    const edit = (document: configuration.Document) =>
+      setEvacuated(document, dataCentre, evacuated);
+    return change(context, request, baseRevision, edit);
+  });
   application.patch("/admin/v1/presets/:name", async (request) => {
     const body = await readJson(request, ADJUST_BODY);
     if (body.isErr()) return problem.problemResponse(body.error);
@@ -152,6 +165,16 @@
   return neverthrow.err(noPreset(preset, names));
 }
 
+function setEvacuated(
+  document: configuration.Document,
+  dataCentre: string,
+  evacuated: boolean,
+): neverthrow.Result<configuration.Document, problem.Problem> {
+  const others = document.evacuations.filter((name) => name !== dataCentre);
+  const evacuations = evacuated ? [...others, dataCentre] : others;
+  return neverthrow.ok({ ...document, evacuations });
+}
+
 /** Changes some fields of a preset; those of `placement` one by one too. */
 function adjustPreset(
   document: configuration.Document,
--- a/packages/daemon/src/routing/router.ts
+++ b/packages/daemon/src/routing/router.ts
@@ -73,6 +73,8 @@
     readonly parameters: {
       runners: runnerDirectory.RunnerDirectory;
       position: subscription.Position;
+      /** Whether runners in a data centre get nothing new. */
+      isEvacuated: (dataCentre: string) => boolean;
       random: common.Random;
       logger: common.Logger;
     },
@@ -105,11 +107,14 @@
     this.#latencyMilliseconds.set(runner, next);
   }
 
-  /** Whether the service has a linked runner that is not leaving. */
+  /**
+   * Whether the service has a linked runner that is neither leaving nor in an
+   * evacuated data centre.
+   */
   hasAvailableRunner(service: string): boolean {
     return this.parameters.runners
       .ofService(service)
-      .some((runner) => runner.available);
+      .some((runner) => this.#isOpen(runner));
   }
 
   /**
@@ -234,9 +239,14 @@
     };
   }
 
+  /** Whether a runner may get new requests, as far as operators decide it. */
+  #isOpen({ available, host }: runnerLink.RunnerLink): boolean {
+    return available && !this.parameters.isEvacuated(host.place);
+  }
+
   #isEligible(runner: runnerLink.RunnerLink, request: RoutingRequest): boolean {
     const { name } = runner.host;
-    if (!runner.available || request.excluded.has(name)) return false;
+    if (!this.#isOpen(runner) || request.excluded.has(name)) return false;
     if (runner.isFull || runner.isAtRateLimit || runner.isResting) return false;
     if (this.#updateSuspension(runner)) return false;
     const limit = request.runnerConcurrency * this.#concurrencyShare(name);
--- a/packages/stand_ins/src/measure/capacity_credit.ts
+++ b/packages/stand_ins/src/measure/capacity_credit.ts
@@ -102,7 +102,13 @@
   const byUrl = new Map(members.map((one) => [one.callerUrl, one.host]));
   const homes = new Set<string>();
   for (let sample = 0; sample < HOME_SAMPLES; sample++) {
-    const list = entryList.entryList({ members, account, isNear, random });
+    const list = entryList.entryList({
+      members,
+      account,
+      isEvacuated: () => false,
+      isNear,
+      random,
+    });
     homes.add(byUrl.get(list.entries[0].url) ?? "");
     // A small account has one home; asking again would tell the same.
     if (sample === 2 && homes.size === 1) break;
