fix(dispatch): check for an evacuation after a claim was written

Cause: a request with an idempotency key chooses its runner before its claim is written. If the store is slow, the runner's data centre may be evacuated meanwhile, and the request was sent there all the same.

Change: KeyedRequests checks once more before it dispatches, and chooses again as after a refusal by a full runner.

--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -8,6 +8,7 @@
 import * as notYetReason from "./not_yet_reason.ts";
 import * as request from "./request.ts";
 import type * as retryBudget from "./retry_budget.ts";
+import type * as runnerLink from "./runner_link.ts";
 import type * as runnerObtainer from "./runner_obtainer.ts";
 
 /** Failed attempts after which a request is not tried again. */
@@ -179,6 +180,11 @@
     return true;
   }
 
+  /** Whether a runner is in an evacuated data centre. */
+  isEvacuated(runner: runnerLink.RunnerLink): boolean {
+    return this.parameters.router.isEvacuated(runner);
+  }
+
   /**
    * Result of a request that was not run. The caller should try again after the
    * jittered time or `waitMilliseconds`, whichever is longer.
--- a/packages/daemon/src/dispatch/keyed_requests.ts
+++ b/packages/daemon/src/dispatch/keyed_requests.ts
@@ -179,6 +179,9 @@
       }
       lost.remember(key, written.stored.claim);
       base = written.stored;
+      // Writing the claim may have taken seconds. The attempt that the claim names
+      // was not sent and never will be, as after a refusal by a full runner.
+      if (obtainer.isEvacuated(runner)) continue;
       const recording = new recordingSink.RecordingSink(sink);
       // What the runner is sent of the claim.
       const claim = { key, digest };
--- a/packages/daemon/src/dispatch/runner_obtainer.ts
+++ b/packages/daemon/src/dispatch/runner_obtainer.ts
@@ -29,6 +29,8 @@
     excluded: ReadonlySet<string>,
     wasAdmitted: boolean,
   ): Promise<ObtainedRunner>;
+  /** Whether a runner, obtained before, may get nothing new meanwhile. */
+  isEvacuated(runner: runnerLink.RunnerLink): boolean;
   notRun(
     reason: request.NotRunReason,
     waitMilliseconds?: number,
--- a/packages/daemon/src/routing/router.ts
+++ b/packages/daemon/src/routing/router.ts
@@ -107,6 +107,11 @@
     this.#latencyMilliseconds.set(runner, next);
   }
 
+  /** Whether a runner is in an evacuated data centre. */
+  isEvacuated({ host }: runnerLink.RunnerLink): boolean {
+    return this.parameters.isEvacuated(host.place);
+  }
+
   /**
    * Whether the service has a linked runner that is neither leaving nor in an
    * evacuated data centre.
@@ -240,8 +245,8 @@
   }
 
   /** Whether a runner may get new requests, as far as operators decide it. */
-  #isOpen({ available, host }: runnerLink.RunnerLink): boolean {
-    return available && !this.parameters.isEvacuated(host.place);
+  #isOpen(runner: runnerLink.RunnerLink): boolean {
+    return runner.available && !this.isEvacuated(runner);
   }
 
   #isEligible(runner: runnerLink.RunnerLink, request: RoutingRequest): boolean {
