feat(traffic): runners that warm up, and the rate they take meanwhile

Cause: a runner that has started, or turned cold again, crashes above its cold rate, and entries treated it as warm. Change: the runner list has `warmingUp`, true while the time of the runner's row, counted from its reading, is not over, so that the list changes twice for each warm-up and not with each row. A service has `warmUpRequestsPerSecond`; a value that is no rate is none and leaves the rest of the document in use.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -68,6 +68,9 @@
   RunnerRateLimit = 2201,
   RunnerRateLimitUnreadable = 2202,
   RunnerAsksForRest = 2203,
+  RunnerWarmUpStarted = 2204,
+  RunnerWarmUpEnded = 2205,
+  WarmUpRateUnreadable = 2206,
   CallerConnectionEnded = 2301,
 }
 
@@ -451,6 +454,24 @@
       "A runner turned `request` away and wants nothing from this entry for `milliseconds`; logged if that ends later than what it asked for before.",
     action: NONE,
   },
+  [EventCode.RunnerWarmUpStarted]: {
+    level: EventLevel.Info,
+    meaning:
+      "A runner is listed as warming up and takes `perSecond` requests a second from all entries together until RunnerWarmUpEnded.",
+    action: NONE,
+  },
+  [EventCode.RunnerWarmUpEnded]: {
+    level: EventLevel.Info,
+    meaning:
+      "A runner is no longer bounded by its warm-up, which this entry enforced for `milliseconds`.",
+    action: NONE,
+  },
+  [EventCode.WarmUpRateUnreadable]: {
+    level: EventLevel.Warn,
+    meaning:
+      "A runner of `service` warms up, and the service's rate for that in the configuration is no number of 0 or more; its runners have no bound. Logged once until the rate can be read.",
+    action: "Mend the rate in the configuration.",
+  },
   [EventCode.CallerConnectionEnded]: {
     level: EventLevel.Info,
     meaning:
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -73,7 +73,7 @@
   configuration.offer({
     version: 1,
     routes: [routeOf(setup)],
-    services: [{ name: "s", engine: undefined }],
+    services: [{ name: "s", engine: undefined, warmUpRequestsPerSecond: 0 }],
     accounts: [{ name: "a", keys: [KEY], urgency: undefined }],
     limits: {
       mostHeaderBytes: 1,
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -348,7 +348,7 @@
         ...route,
       },
     ],
-    services: [{ name: "s", engine: undefined }],
+    services: [{ name: "s", engine: undefined, warmUpRequestsPerSecond: 0 }],
     accounts: [],
     limits: {
       mostHeaderBytes: 1,
--- a/packages/daemon/src/upstream/back_end_rest.ts
+++ b/packages/daemon/src/upstream/back_end_rest.ts
@@ -30,6 +30,7 @@
       dataCentre: "",
       slots: 0,
       leaving: false,
+      warmingUp: false,
     };
   }
 
--- a/packages/stand_ins/src/gateways/gateways.ts
+++ b/packages/stand_ins/src/gateways/gateways.ts
@@ -270,6 +270,7 @@
       {
         name: service,
         engine: inLockStep ? ({ layers: 1 } as never) : undefined,
+        warmUpRequestsPerSecond: 0,
       },
     ],
     accounts: accounts.map((name) => ({
--- a/packages/stand_ins/src/gateways/runner_pool.ts
+++ b/packages/stand_ins/src/gateways/runner_pool.ts
@@ -122,6 +122,7 @@
       dataCentre: "d",
       slots: SLOTS,
       leaving: runner.leaving,
+      warmingUp: false,
     };
   }
 
--- a/packages/stand_ins/src/testing/rank_processes.ts
+++ b/packages/stand_ins/src/testing/rank_processes.ts
@@ -49,6 +49,7 @@
     dataCentre: "a",
     slots: SHAPE.slots,
     leaving: false,
+    warmingUp: false,
   }));
 }
 
@@ -100,7 +101,7 @@
   return {
     version: 1,
     routes: [],
-    services: [{ name: SERVICE, engine: SHAPE }],
+    services: [{ name: SERVICE, engine: SHAPE, warmUpRequestsPerSecond: 0 }],
     accounts: undefined,
     limits: {
       mostHeaderBytes: 16_384,
--- a/packages/traffic/src/mod.ts
+++ b/packages/traffic/src/mod.ts
@@ -6,3 +6,4 @@
 export * from "./runner_entry.ts";
 export * from "./traffic_configuration.ts";
 export * from "./traffic_view.ts";
+export * from "./warm_up_rate.ts";
--- a/packages/traffic/src/registered_runners.ts
+++ b/packages/traffic/src/registered_runners.ts
@@ -15,6 +15,8 @@
   sequence: number;
   /** Number of the write within the table's epoch. */
   writtenAt: number;
+  /** Time that the runner still needed to warm up as it wrote; 0 if it was warm. */
+  warmUpMilliseconds: number;
 }
 
 /** A life of a runner that is listed. */
@@ -22,6 +24,8 @@
   registration: Registration;
   /** When it was first missing after a gap; `undefined` while it is in the table. */
   missingSince: number | undefined;
+  /** When its time to warm up is over, counted from when the row was read. */
+  warmUpEndsAt: number;
 }
 
 /** A life of a runner that is gone. */
@@ -52,14 +56,23 @@
       this.remove(identifier, { now, afterGap });
     }
     for (const [identifier, registration] of registrations) {
-      if (!this.#isOfPast(registration)) this.write(identifier, registration);
+      if (!this.#isOfPast(registration))
+        this.write(identifier, registration, now);
     }
     this.#forget(now);
   }
 
   /** Takes a row that was written. */
-  write(identifier: string, registration: Registration): void {
-    this.#listed.set(identifier, { registration, missingSince: undefined });
+  write(identifier: string, registration: Registration, now: number): void {
+    const { warmUpMilliseconds } = registration;
+    const known = this.#listed.get(identifier);
+    // A row that is read again does not begin its time to warm up anew.
+    const warmUpEndsAt =
+      known && isSameWrite(known.registration, registration)
+        ? known.warmUpEndsAt
+        : now + warmUpMilliseconds;
+    const missingSince = undefined;
+    this.#listed.set(identifier, { registration, missingSince, warmUpEndsAt });
   }
 
   /** Takes that a row is gone. */
@@ -89,7 +102,10 @@
       const other = byPlace.get(place);
       if (!other || isLater(listed, other)) byPlace.set(place, listed);
     }
-    return [...byPlace.values()].map(({ registration }) => registration.runner);
+    return [...byPlace.values()].map(({ registration, warmUpEndsAt }) => ({
+      ...registration.runner,
+      warmingUp: now < warmUpEndsAt,
+    }));
   }
 
   #end(identifier: string, listed: ListedLife, now: number): void {
@@ -131,3 +147,13 @@
   if (isHere !== (right.missingSince === undefined)) return isHere;
   return writtenAt > other.writtenAt;
 }
+
+/** Whether two readings of a row stem from one write of one life of a runner. */
+function isSameWrite(left: Registration, right: Registration): boolean {
+  return (
+    left.sequence === right.sequence &&
+    left.writtenAt === right.writtenAt &&
+    runnerEntry.incarnationOf(left.runner) ===
+      runnerEntry.incarnationOf(right.runner)
+  );
+}
--- a/packages/traffic/src/registered_runners_test.ts
+++ b/packages/traffic/src/registered_runners_test.ts
@@ -20,7 +20,7 @@
   others: Partial<runnerEntry.RunnerEntry> = {},
 ): registeredRunners.Registration {
   const runner = runnerAt(place, others);
-  return { runner, sequence, writtenAt: sequence };
+  return { runner, sequence, writtenAt: sequence, warmUpMilliseconds: 0 };
 }
 
 function allOf(
@@ -55,7 +55,7 @@
   const only = allOf([registrationOf(1, 6)]);
   registered.replaceAll(only, { now: 1_000, afterGap: true });
   t.deepEqual(placesOf(registered, 2_900), [ONE, TWO]);
-  registered.write(TWO, registrationOf(2, 6));
+  registered.write(TWO, registrationOf(2, 6), 2_900);
   t.deepEqual(placesOf(registered, 9_000), [ONE, TWO]);
 });
 
@@ -100,3 +100,18 @@
   const third = successor.runner.identifier;
   t.deepEqual(placesOf(registered, 1_100).sort(), [ONE, third].sort());
 });
+
+// Guards against a warm-up that begins anew with each reading of the table.
+test("a row that is read again does not prolong a warm-up, and a new one does", (t) => {
+  const registered = new registeredRunners.RegisteredRunners();
+  const isCold = (now: number) => registered.current(now)[0].warmingUp;
+  const row = registrationOf(1, 5);
+  registered.write(ONE, { ...row, warmUpMilliseconds: 1_000 }, 0);
+  registered.write(ONE, { ...row, warmUpMilliseconds: 1_000 }, 900);
+  t.true(isCold(999));
+  t.false(isCold(1_000));
+  const newer = registrationOf(1, 6);
+  registered.write(ONE, { ...newer, warmUpMilliseconds: 3_000 }, 2_000);
+  t.true(isCold(4_999));
+  t.false(isCold(5_000));
+});
--- a/packages/traffic/src/runner_entry.ts
+++ b/packages/traffic/src/runner_entry.ts
@@ -17,6 +17,8 @@
   slots: number;
   /** Finishes what it has and takes nothing new. */
   leaving: boolean;
+  /** It has started, or turned cold again, and takes few requests a second. */
+  warmingUp: boolean;
 }
 
 /** All runners that the platform lists, as of one version of the list. */
--- a/packages/traffic/src/runner_fixture.ts
+++ b/packages/traffic/src/runner_fixture.ts
@@ -14,6 +14,7 @@
     dataCentre: "d",
     slots: 8,
     leaving: false,
+    warmingUp: false,
     ...change,
   };
 }
--- a/packages/traffic/src/traffic_configuration.ts
+++ b/packages/traffic/src/traffic_configuration.ts
@@ -75,6 +75,11 @@
 export interface Service {
   name: string;
   engine: EngineShape | undefined;
+  /**
+   * Requests a second that a runner takes from all entries together while it
+   * warms up; 0 for no bound, `UNREADABLE_RATE` if the configured value is no rate.
+   */
+  warmUpRequestsPerSecond: number;
 }
 
 /** A client account as the holder of keys. */
