feat(rate-limit): permits for runners that warm up

Cause: no bound held for cold runners. Change: warm-up is a second source of a limit, beside the one that a runner names; the lower applies. One allocator, to which the majority of entries delegates, grants at the rate, with a burst of two, promises turns 100 ms ahead at most, and its permits hold 250 ms.

--- a/packages/cli/src/commands/rate_limits.ts
+++ b/packages/cli/src/commands/rate_limits.ts
@@ -5,8 +5,10 @@
 interface RateLimit {
   runner: string;
   service: string;
+  /** What sets the limit; not told by entries of an older version. */
+  source?: string;
   perSecond: number;
-  /** Milliseconds since the runner said so. */
+  /** Milliseconds since what sets the limit was heard. */
   age: number;
   allocator: string;
   share: number;
@@ -14,10 +16,12 @@
   grantedPerSecond?: number;
 }
 
-/** `rate-limits`: what runners say that they take, and who hands it out. */
+/** `rate-limits`: what runners take, by their word or as they warm up, and who hands it out. */
 export function rateLimitsCommand(): commander.Command {
   return new commander.Command("rate-limits")
-    .description("request rate limits that runners name, and their use")
+    .description(
+      "request rate limits that runners name or that hold while they warm up, and their use",
+    )
     .action(
       options.withSession(async (session) => {
         const read = await session.call("GET", "/admin/v1/rate-limits");
@@ -30,10 +34,20 @@
 
 function renderLimits(limits: RateLimit[]): string {
   return table.renderTable(
-    ["RUNNER", "SERVICE", "A SECOND", "AGE MS", "ALLOCATOR", "SHARE", "USED"],
+    [
+      "RUNNER",
+      "SERVICE",
+      "SOURCE",
+      "A SECOND",
+      "AGE MS",
+      "ALLOCATOR",
+      "SHARE",
+      "USED",
+    ],
     limits.map((limit) => [
       limit.runner,
       limit.service,
+      limit.source ?? "named",
       limit.perSecond,
       limit.age,
       limit.allocator,
--- a/packages/cli/src/explain_request.ts
+++ b/packages/cli/src/explain_request.ts
@@ -17,6 +17,8 @@
 /** What decided about a request at a runner with a request rate limit. */
 interface RateLimitTrace {
   runner: string;
+  /** What sets the limit; not told by entries of an older version. */
+  source?: string;
   perSecond: number;
   share: number;
   allocator: string;
@@ -158,7 +160,8 @@
 function rateLimitFacts(limit: RateLimitTrace): string {
   const { runner, perSecond, share, allocator, age, wait } = limit;
   const part = `this entry allocates ${share.toFixed(2)} of it, ${allocator || "nobody"} its share`;
-  return `turn after ${wait} ms within the rate limit of ${runner}, ${perSecond} a second (${part}, as of ${age} ms before)`;
+  const kind = limit.source === "warm-up" ? "warm-up limit" : "rate limit";
+  return `turn after ${wait} ms within the ${kind} of ${runner}, ${perSecond} a second (${part}, as of ${age} ms before)`;
 }
 
 function attemptsOf(line: LogLine): Attempt[] {
--- a/packages/cli/src/explain_request_test.ts
+++ b/packages/cli/src/explain_request_test.ts
@@ -80,4 +80,7 @@
   const cause = causeOf({ ...forwarded, end: "not-run" });
   t.regex(cause, /^Refused at a rate limit: turn after 1900 ms/);
   t.regex(cause, /rate limit of i-1, 0.5 a second .*e2 its share, as of 40 ms/);
+  const warmUp = { ...rateLimit, source: "warm-up" };
+  const cold = causeOf({ ...forwarded, end: "not-run", rateLimit: warmUp });
+  t.regex(cold, /within the warm-up limit of i-1, 0.5 a second/);
 });
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -109,7 +109,7 @@
   readonly forwarder: forwarderModule.Forwarder;
   readonly mesh: entryMesh.EntryMesh;
   readonly quarantine: quarantine.Quarantine;
-  /** Request rate limits that runners name. */
+  /** Request rate limits that runners name, or that hold as they warm up. */
   readonly rateLimits: rateLimits.RateLimits;
   /** Rests that runners ask this entry for. */
   readonly rests: runnerRests.RunnerRests;
@@ -174,6 +174,8 @@
       entriesKnown: () => this.mesh.membersKnown,
       storeReachable: () => this.#storeReachable,
       leaving: () => this.stopping,
+      warmUpRateOf: (service) =>
+        this.#serviceOf(service)?.warmUpRequestsPerSecond ?? 0,
       send: (host, message) => this.mesh.send(host, message),
       broadcast: (message) => this.mesh.broadcast(message),
       logger,
@@ -341,9 +343,13 @@
    * model of its engines has layers with experts.
    */
   #inLockStep(service: string): boolean {
+    return (this.#serviceOf(service)?.engine?.layers ?? 0) > 0;
+  }
+
+  /** What the configuration in force says of a service. */
+  #serviceOf(service: string): traffic.Service | undefined {
     const services = this.configuration.value?.services ?? [];
-    const engine = services.find(({ name }) => name === service)?.engine;
-    return (engine?.layers ?? 0) > 0;
+    return services.find(({ name }) => name === service);
   }
 
   async #followDocument<T extends traffic.Versioned>(
--- a/packages/daemon/src/operator/describe_entry.ts
+++ b/packages/daemon/src/operator/describe_entry.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
 import type * as entryContext from "../entry/entry_context.ts";
+import * as limitSource from "../rate_limit/limit_source.ts";
 
 /** What `geraniumkeel status` shows. */
 export function describeStatus(context: entryContext.EntryContext): unknown {
@@ -110,6 +111,8 @@
     const { perSecond, at } = rateLimit;
     const age = Math.round(common.now() - at);
     const { name: runner, service } = host;
-    return [{ runner, service, perSecond, age, allocator: runner, share: 1 }];
+    const source = limitSource.LimitSource.Named;
+    const allocator = runner;
+    return [{ runner, service, source, perSecond, age, allocator, share: 1 }];
   });
 }
--- a/packages/daemon/src/rate_limit/rate_limit_fact.ts
+++ b/packages/daemon/src/rate_limit/rate_limit_fact.ts
@@ -10,6 +10,16 @@
   receivedAt: common.Instant;
 }
 
+/** Longer ago than any other moment. */
+const NEVER: common.Instant = { monotonic: -Infinity, wall: -Infinity };
+
+/** The fact about a runner of which no answer is known; all others replace it. */
+export const NO_STATEMENT: RateLimitFact = {
+  perSecond: undefined,
+  sentAt: NEVER,
+  receivedAt: NEVER,
+};
+
 /**
  * Whether a fact replaces the one that is known. Answers on different
  * connections may overtake each other, so a fact is certainly newer only if its
--- a/packages/daemon/src/rate_limit/rate_limit_permit.ts
+++ b/packages/daemon/src/rate_limit/rate_limit_permit.ts
@@ -4,7 +4,7 @@
  * Time within which a request must be sent once its permit is due. A process
  * that was suspended meanwhile asks again.
  */
-const VALIDITY_MILLISECONDS = 500;
+export const VALIDITY_MILLISECONDS = 500;
 
 /** Permission to send one request to one runner. */
 export class RateLimitPermit {
@@ -15,6 +15,10 @@
     readonly delayMilliseconds: number | undefined,
     /** When it was asked for. */
     readonly askedAt = common.instant(),
+    /** Time after it is due for which it holds. */
+    readonly validityMilliseconds = VALIDITY_MILLISECONDS,
+    /** Whether it holds no more, as the runner began to warm up since. */
+    readonly isRevoked: () => boolean = () => false,
   ) {}
 
   /** Milliseconds until the request may be sent. */
@@ -25,8 +29,9 @@
 
   /** Whether the request may no longer be sent with this permit. */
   isExpired(now = common.instant()): boolean {
+    if (this.isRevoked()) return true;
     if (this.delayMilliseconds === undefined) return false;
-    const latest = this.delayMilliseconds + VALIDITY_MILLISECONDS;
+    const latest = this.delayMilliseconds + this.validityMilliseconds;
     return common.ageOf(this.askedAt, now) > latest;
   }
 }
--- a/packages/daemon/src/rate_limit/rate_limit_report.ts
+++ b/packages/daemon/src/rate_limit/rate_limit_report.ts
@@ -11,6 +11,13 @@
  */
 const MAX_TRANSIT_MILLISECONDS = 1_500;
 
+/**
+ * Age of the answer of a runner of which no answer is known, on the wire: beyond
+ * that of any answer, so that it replaces nothing also at an entry whose version
+ * does not know of it. Such a runner is reported while it warms up.
+ */
+const NO_STATEMENT_AGE_MILLISECONDS = 1e12;
+
 /** What other entries are told of a runner's limit. */
 export function toReport(
   { incarnation, runner, service, fact }: limitedRunner.LimitedRunner,
@@ -22,8 +29,8 @@
     runner,
     service,
     perSecond: fact.perSecond ?? NO_LIMIT,
-    sentAge: common.ageOf(fact.sentAt, now),
-    receivedAge: common.ageOf(fact.receivedAt, now),
+    sentAge: ageOnWire(fact.sentAt, now),
+    receivedAge: ageOnWire(fact.receivedAt, now),
     allocator,
   };
 }
@@ -33,6 +40,8 @@
   { perSecond, sentAge, receivedAge }: wire.ReportedRateLimit,
   now: common.Instant,
 ): rateLimitFact.RateLimitFact {
+  if (receivedAge >= NO_STATEMENT_AGE_MILLISECONDS)
+    return rateLimitFact.NO_STATEMENT;
   const sentBefore = sentAge + MAX_TRANSIT_MILLISECONDS;
   return {
     perSecond: perSecond === NO_LIMIT ? undefined : perSecond,
@@ -40,3 +49,7 @@
     receivedAt: rateLimitFact.instantBefore(receivedAge, now),
   };
 }
+
+function ageOnWire(moment: common.Instant, now: common.Instant): number {
+  return Math.min(common.ageOf(moment, now), NO_STATEMENT_AGE_MILLISECONDS);
+}
--- a/packages/daemon/src/rate_limit/rate_limits.ts
+++ b/packages/daemon/src/rate_limit/rate_limits.ts
@@ -2,9 +2,11 @@
 import * as traffic from "@geraniumkeel/traffic";
 import * as wire from "@geraniumkeel/wire";
 import * as openQuestions from "../dispatch/open_questions.ts";
-import * as entryCensus from "./entry_census.ts";
+import * as limitShares from "./limit_shares.ts";
+import type * as limitSource from "./limit_source.ts";
 import * as limitedRunner from "./limited_runner.ts";
-import type * as rateLimitFact from "./rate_limit_fact.ts";
+import * as limitedRunners from "./limited_runners.ts";
+import * as rateLimitFact from "./rate_limit_fact.ts";
 import type * as rateLimitHeader from "./rate_limit_header.ts";
 import * as rateLimitPermit from "./rate_limit_permit.ts";
 import * as rateLimitReport from "./rate_limit_report.ts";
@@ -18,9 +20,6 @@
 const REPORT_INTERVAL_MILLISECONDS = 3_000;
 /** Time between two counts of the entries while no limit is in force. */
 const IDLE_CENSUS_MILLISECONDS = 1_000;
-/** How long the limit of a runner that is no longer listed is remembered. */
-const RETENTION_MILLISECONDS = 60_000;
-
 /** What an answer of a runner says about its request rate limit. */
 export interface RateLimitStatement {
   runner: traffic.RunnerEntry;
@@ -42,27 +41,23 @@
 /** What decided about a request at a limited runner, for the log. */
 export interface RateLimitTrace {
   runner: string;
+  /** What sets the limit. */
+  source: limitSource.LimitSource;
   perSecond: number;
   /** Part of the limit that this entry allocates, from 0 to 1. */
   share: number;
   allocator: string;
-  /** Milliseconds since the runner's statement arrived. */
+  /** Milliseconds since what sets the limit was heard. */
   age: number;
   /** Milliseconds that the request waited, or would have had to wait. */
   wait: number;
 }
 
 /** What the rate limits need of their entry. */
-export interface RateLimitsParameters {
-  /** Host of this entry. */
-  host: string;
-  /** The other entries that this one knows. */
-  entries: () => entryCensus.SeenEntry[];
-  /** Whether the other entries are known, so that shares can be counted. */
-  entriesKnown: () => boolean;
-  storeReachable: () => boolean;
-  /** Whether this entry leaves, and so allocates nothing more. */
-  leaving: () => boolean;
+export interface RateLimitsParameters
+  extends limitShares.LimitSharesParameters {
+  /** Requests a second to a runner that warms up, by service; 0 for no bound. */
+  warmUpRateOf: (service: string) => number;
   /** Sends a message to one entry; returns false without a link to it. */
   send: (host: string, message: wire.Message) => boolean;
   /** Sends a message to all linked entries. */
@@ -74,8 +69,9 @@
 }
 
 /**
- * Enforces the request rate limits that runners name in their answers: the
- * requests a second that a runner takes from all entries together.
+ * Enforces the request rate limits that runners name in their answers, and those
+ * of runners that warm up: the requests a second that a runner takes from all
+ * entries together.
  *
  * Every entry has an equal share of each limit and delegates it to the entry
  * that all of them prefer for that runner, the allocator. A request for a
@@ -84,17 +80,21 @@
  * An entry that hears no other keeps its own share, if that is large enough.
  */
 export class RateLimits {
-  readonly #runners = new Map<string, limitedRunner.LimitedRunner>();
-  readonly #census = new entryCensus.EntryCensus();
+  readonly #runners: limitedRunners.LimitedRunners;
+  readonly #shares: limitShares.LimitShares;
   readonly #questions = new openQuestions.OpenQuestions();
-  /** Incarnations whose limit the other entries are to be told. */
-  readonly #unreported = new Set<string>();
-  /** Incarnations that named a value that cannot be read; logged once each. */
-  readonly #unreadable = new Set<string>();
   #censusAt = -Infinity;
   #reportedAt = -Infinity;
 
-  constructor(readonly parameters: RateLimitsParameters) {}
+  constructor(readonly parameters: RateLimitsParameters) {
+    const { warmUpRateOf, logger } = parameters;
+    this.#shares = new limitShares.LimitShares(parameters);
+    this.#runners = new limitedRunners.LimitedRunners({
+      instant: () => this.#instant(),
+      warmUpRateOf,
+      logger,
+    });
+  }
 
   /** Notes what an answer says. */
   note(statement: RateLimitStatement): void {
@@ -105,12 +105,14 @@
     }
     // A broken answer without the header does not show that a limit is over.
     if (reading.kind === "absent" && !signed) return;
-    if (reading.kind === "absent" && !this.#runners.has(incarnation)) return;
+    const known = this.#runners.get(incarnation);
+    const namedBefore = known && known.fact !== rateLimitFact.NO_STATEMENT;
+    if (reading.kind === "absent" && !namedBefore) return;
     const perSecond = reading.kind === "named" ? reading.perSecond : undefined;
     const fact = { perSecond, sentAt, receivedAt: this.#instant() };
     const { identifier, service } = runner;
     const named = { incarnation, runner: identifier, service, fact };
-    this.#apply(named, { request });
+    this.#runners.apply(named, { request });
   }
 
   /**
@@ -118,7 +120,7 @@
    * runner has no limit or may have room within it.
    */
   waitOf(runner: traffic.RunnerEntry): number {
-    const limited = this.#limitedOf(runner);
+    const limited = this.#runners.limitedOf(runner);
     if (!limited) return 0;
     return Math.max(0, limited.nextAskAt - this.#now());
   }
@@ -131,7 +133,7 @@
     runner: traffic.RunnerEntry,
     maxDelayMilliseconds: number,
   ): RateLimitAdmission | Promise<RateLimitAdmission> {
-    const limited = this.#limitedOf(runner);
+    const limited = this.#runners.limitedOf(runner);
     if (limited) return this.#admitLimited(limited, maxDelayMilliseconds);
     const incarnation = traffic.incarnationOf(runner);
     const { RateLimitPermit } = rateLimitPermit;
@@ -143,14 +145,15 @@
 
   /** What a decision about a runner was based on; `undefined` without a limit. */
   trace(runner: traffic.RunnerEntry, wait: number): RateLimitTrace | undefined {
-    const limited = this.#limitedOf(runner);
+    const limited = this.#runners.limitedOf(runner);
     if (!limited) return undefined;
     return {
       runner: limited.runner,
+      source: limited.source,
       perSecond: limited.perSecond,
       share: this.#shareOf(limited),
-      allocator: this.#allocatorOf(limited),
-      age: Math.round(this.#ageOf(limited.fact.receivedAt)),
+      allocator: this.#shares.allocatorOf(limited),
+      age: Math.round(limited.ageMilliseconds(this.#instant())),
       wait: Math.round(wait),
     };
   }
@@ -164,7 +167,7 @@
     runner: traffic.RunnerEntry,
     waitMilliseconds: number,
   ): number {
-    const limited = this.#limitedOf(runner);
+    const limited = this.#runners.limitedOf(runner);
     if (!limited) return waitMilliseconds;
     return limited.retryPacing.nextDelayMilliseconds({
       queueMilliseconds: waitMilliseconds,
@@ -188,57 +191,63 @@
 
   /** The message for an entry that was just linked; `undefined` if empty. */
   initialMessage(): wire.Message | undefined {
-    return this.#reportsOf([...this.#runners.values()]);
+    const known = this.#runners
+      .all()
+      .filter(
+        ({ isLimited, fact }) =>
+          isLimited || fact !== rateLimitFact.NO_STATEMENT,
+      );
+    return this.#reportsOf(known);
   }
 
   /** Forgets what an entry delegated when the link to it is lost. */
   onDisconnected(host: string): void {
-    for (const limited of this.#runners.values())
-      limited.delegations.remove(host);
+    for (const limited of this.#runners.all()) limited.delegations.remove(host);
   }
 
-  /** Applies the list of runners: limits of runners that are gone end. */
+  /**
+   * Applies the list of runners: which of them warm up, and that limits of
+   * runners that are gone end.
+   */
   retain(list: traffic.RunnerList): void {
-    const now = this.#now();
-    for (const runner of list.runners) {
-      const limited = this.#runners.get(traffic.incarnationOf(runner));
-      if (limited) limited.listedAt = now;
-    }
-    for (const [incarnation, limited] of this.#runners) {
-      if (now - limited.listedAt <= RETENTION_MILLISECONDS) continue;
-      this.#runners.delete(incarnation);
-      this.#unreadable.delete(incarnation);
-    }
+    const began = this.#runners.retain(list);
+    // The others are told at once to whom this entry delegates: its share counts
+    // a second after they heard of it.
+    if (began) this.tick();
   }
 
   /** Counts the entries, delegates shares and sends reports; called often. */
   tick(): void {
     const now = this.#now();
-    const limited = [...this.#runners.values()].filter((one) => one.isLimited);
-    const isIdle = limited.length === 0 && this.#unreported.size === 0;
+    this.#runners.noteWarmUps();
+    const limited = this.#runners.limited();
+    const { unreported } = this.#runners;
+    const isIdle = limited.length === 0 && unreported.size === 0;
     if (isIdle && now - this.#censusAt < IDLE_CENSUS_MILLISECONDS) return;
     this.#censusAt = now;
-    const { entries, storeReachable } = this.parameters;
-    this.#census.update(entries(), storeReachable(), now);
-    for (const one of limited) this.#delegate(one, now);
+    this.#shares.update(now);
+    for (const one of limited) {
+      if (!this.#shares.delegate(one, now)) continue;
+      one.nextAskAt = -Infinity;
+      unreported.add(one.incarnation);
+    }
     this.#report(limited, now);
   }
 
   /** What operators see of the limits in force. */
   describe(): unknown[] {
     const now = this.#now();
-    return [...this.#runners.values()]
-      .filter(({ isLimited }) => isLimited)
-      .map((limited) => ({
-        runner: limited.runner,
-        service: limited.service,
-        perSecond: limited.perSecond,
-        age: Math.round(this.#ageOf(limited.fact.receivedAt)),
-        allocator: this.#allocatorOf(limited),
-        share: this.#shareOf(limited),
-        grantedPerSecond: limited.grantedPerSecond(now),
-        entries: this.#census.size(now),
-      }));
+    return this.#runners.limited().map((limited) => ({
+      runner: limited.runner,
+      service: limited.service,
+      source: limited.source,
+      perSecond: limited.perSecond,
+      age: Math.round(limited.ageMilliseconds(this.#instant())),
+      allocator: this.#shares.allocatorOf(limited),
+      share: this.#shareOf(limited),
+      grantedPerSecond: limited.grantedPerSecond(now),
+      entries: this.#shares.size(now),
+    }));
   }
 
   #instant(): common.Instant {
@@ -249,22 +258,6 @@
     return this.#instant().monotonic;
   }
 
-  #ageOf(moment: common.Instant): number {
-    return common.ageOf(moment, this.#instant());
-  }
-
-  #limitedOf(
-    runner: traffic.RunnerEntry,
-  ): limitedRunner.LimitedRunner | undefined {
-    if (this.#runners.size === 0) return undefined;
-    const limited = this.#runners.get(traffic.incarnationOf(runner));
-    return limited?.isLimited ? limited : undefined;
-  }
-
-  #allocatorOf(limited: limitedRunner.LimitedRunner): string {
-    return limited.delegations.allocatorOf(this.parameters.host) ?? "";
-  }
-
   async #admitLimited(
     limited: limitedRunner.LimitedRunner,
     maxDelayMilliseconds: number,
@@ -273,6 +266,7 @@
     if (waitMilliseconds > maxDelayMilliseconds)
       return this.#denied(limited, waitMilliseconds);
     const askedAt = this.#instant();
+    const wasWarmingUp = limited.isWarmingUp;
     const answer = await this.#ask(limited, maxDelayMilliseconds);
     if (answer.kind === "denied")
       return this.#denied(limited, answer.waitMilliseconds);
@@ -282,6 +276,10 @@
       limited.incarnation,
       delayMilliseconds,
       askedAt,
+      wasWarmingUp
+        ? limitedRunner.WARM_UP_VALIDITY_MILLISECONDS
+        : rateLimitPermit.VALIDITY_MILLISECONDS,
+      () => limited.isWarmingUp && !wasWarmingUp,
     );
     return { kind: "granted", permit };
   }
@@ -290,7 +288,7 @@
     limited: limitedRunner.LimitedRunner,
     maxDelay: number,
   ): Promise<requestPacer.PacerAnswer> {
-    const allocator = this.#allocatorOf(limited);
+    const allocator = this.#shares.allocatorOf(limited);
     if (allocator === "" || allocator === this.parameters.host) {
       return this.#schedule(limited, maxDelay);
     }
@@ -324,22 +322,8 @@
     });
   }
 
-  /** Part of a limit, from 0 to 1, that this entry allocates now. */
   #shareOf(limited: limitedRunner.LimitedRunner): number {
-    const { host, entries, entriesKnown } = this.parameters;
-    if (!entriesKnown()) return 0;
-    const now = this.#now();
-    const reachable = new Set(
-      entries().flatMap((entry) => (entry.reachable ? [entry.host] : [])),
-    );
-    const shares = limited.delegations
-      .delegatorsOf(host, now)
-      .filter(
-        (entry) =>
-          entry === host ||
-          (reachable.has(entry) && this.#census.includes(entry)),
-      );
-    return Math.min(1, shares.length / this.#census.size(now));
+    return this.#shares.shareOf(limited, this.#now());
   }
 
   #answer(message: wire.RateLimitRequest, host: string): void {
@@ -372,77 +356,31 @@
     this.parameters.metrics.count(metric, { service, outcome });
   }
 
-  /** Delegates this entry's share to the entry that all of them prefer. */
-  #delegate(limited: limitedRunner.LimitedRunner, now: number): void {
-    const { host, entries, leaving } = this.parameters;
-    const candidates = entries()
-      .filter(({ reachable }) => reachable)
-      .map((entry) => entry.host);
-    if (!leaving()) candidates.push(host);
-    const allocator = common.rendezvous(limited.incarnation, candidates);
-    if (allocator === undefined) return;
-    if (!limited.delegations.set(host, allocator, now)) return;
-    limited.nextAskAt = -Infinity;
-    this.#unreported.add(limited.incarnation);
-  }
-
   #receiveReports(message: wire.RateLimitReports, host: string): void {
     const now = this.#instant();
     for (const report of message.limits) {
       const { life, runner, service, allocator } = report;
       const fact = rateLimitReport.factOf(report, now);
       const named = { incarnation: life, runner, service, fact };
-      const known = this.#apply(named, { from: host });
+      const known = this.#runners.apply(named, { from: host });
+      known.warmUpToldAt = this.#now();
       // The sender believes something else than what holds here.
-      if (known.fact.perSecond !== fact.perSecond) this.#unreported.add(life);
+      if (known.fact.perSecond !== fact.perSecond)
+        this.#runners.unreported.add(life);
       if (allocator !== "") known.delegations.set(host, allocator, this.#now());
     }
   }
 
-  /** Applies a fact about a runner; logs and reports it if the limit changes. */
-  #apply(
-    named: {
-      incarnation: string;
-      runner: string;
-      service: string;
-      fact: rateLimitFact.RateLimitFact;
-    },
-    source: { request: string } | { from: string },
-  ): limitedRunner.LimitedRunner {
-    const { incarnation, runner, service, fact } = named;
-    const known = this.#runners.get(incarnation);
-    const before = known?.fact.perSecond;
-    const limited =
-      known ??
-      new limitedRunner.LimitedRunner(incarnation, runner, service, fact, () =>
-        this.#now(),
-      );
-    this.#runners.set(incarnation, limited);
-    const isReplaced = known ? known.apply(fact, this.#instant()) : true;
-    const { perSecond } = limited.fact;
-    if (!isReplaced || before === perSecond) return limited;
-    limited.nextAskAt = -Infinity;
-    this.#unreported.add(incarnation);
-    const code = common.EventCode.RunnerRateLimit;
-    this.parameters.logger.event(code, {
-      runner,
-      service,
-      perSecond,
-      before,
-      ...source,
-    });
-    return limited;
-  }
-
   #report(limited: limitedRunner.LimitedRunner[], now: number): void {
+    const { unreported } = this.#runners;
     if (now - this.#reportedAt >= REPORT_INTERVAL_MILLISECONDS) {
       this.#reportedAt = now;
-      for (const { incarnation } of limited) this.#unreported.add(incarnation);
+      for (const { incarnation } of limited) unreported.add(incarnation);
     }
-    const changed = [...this.#unreported].flatMap(
+    const changed = [...unreported].flatMap(
       (incarnation) => this.#runners.get(incarnation) ?? [],
     );
-    this.#unreported.clear();
+    unreported.clear();
     const message = this.#reportsOf(changed);
     if (message) this.parameters.broadcast(message);
   }
@@ -453,7 +391,7 @@
     if (runners.length === 0) return undefined;
     const now = this.#instant();
     const limits = runners.map((limited) =>
-      rateLimitReport.toReport(limited, this.#allocatorOf(limited), now),
+      rateLimitReport.toReport(limited, this.#shares.allocatorOf(limited), now),
     );
     return { kind: wire.MessageKind.RateLimitReports, limits };
   }
@@ -463,8 +401,9 @@
     { runner, request }: RateLimitStatement,
     value: string,
   ): void {
-    if (this.#unreadable.has(incarnation)) return;
-    this.#unreadable.add(incarnation);
+    const { unreadable } = this.#runners;
+    if (unreadable.has(incarnation)) return;
+    unreadable.add(incarnation);
     const { identifier, service } = runner;
     const code = common.EventCode.RunnerRateLimitUnreadable;
     const facts = { runner: identifier, service, request, value };
--- a/packages/daemon/src/rate_limit/rate_limits_fixture.ts
+++ b/packages/daemon/src/rate_limit/rate_limits_fixture.ts
@@ -1,6 +1,8 @@
 import * as common from "@geraniumkeel/common";
 import type * as traffic from "@geraniumkeel/traffic";
+import * as wire from "@geraniumkeel/wire";
 import * as rateLimitHeader from "./rate_limit_header.ts";
+import type * as rateLimitPermit from "./rate_limit_permit.ts";
 import * as rateLimits from "./rate_limits.ts";
 
 /** Creates the rate limits of an entry that is alone, or is told otherwise. */
@@ -13,6 +15,7 @@
     entriesKnown: () => true,
     storeReachable: () => true,
     leaving: () => false,
+    warmUpRateOf: () => 0,
     send: () => false,
     broadcast: () => {},
     logger: new common.RecordingLogger(),
@@ -27,6 +30,17 @@
 const STEP_MILLISECONDS = 20;
 const TICK_MILLISECONDS = 100;
 
+/** Wait after a question that nobody answers, as the rate limits have it. */
+const UNANSWERED_WAIT_MILLISECONDS = 300;
+
+/** A request that is sent later than its permit was given. */
+interface LateRequest {
+  entry: SimulatedEntry;
+  runner: traffic.RunnerEntry;
+  permit: rateLimitPermit.RateLimitPermit;
+  sendAt: number;
+}
+
 /** One simulated entry. */
 interface SimulatedEntry {
   host: string;
@@ -41,6 +55,8 @@
   demand: number;
   /** Fraction of a request that is due. */
   due: number;
+  /** Number of requests that were due. */
+  turn: number;
   /** When it last heard each other entry, by the simulated clock. */
   heardAt: Map<string, number>;
 }
@@ -56,6 +72,15 @@
   /** Pairs of entries without a working link, as "a b" in this order. */
   readonly #cuts = new Set<string>();
   now = 1_000_000;
+  /** By how much the time of day was set forward, or back if it is negative. */
+  wallOffset = 0;
+  /** Requests a second to a runner that warms up; 0 for no bound. */
+  warmUpRate = 0;
+  /** Longest time that requests wait for their turn. */
+  maxDelayMilliseconds = 0;
+  /** Time from when a request may be sent until it reaches the runner. */
+  lateness: () => number = () => 0;
+  #late: LateRequest[] = [];
 
   /** Adds entries that are linked with all others. */
   add(hosts: string[], demand = 0): void {
@@ -76,6 +101,15 @@
     for (const { limits } of this.entries.values()) limits.onDisconnected(host);
   }
 
+  /** Gives entries, all of them if none are named, a list of runners. */
+  list(
+    runners: traffic.RunnerEntry[],
+    hosts: string[] = [...this.entries.keys()],
+  ): void {
+    for (const host of hosts)
+      this.at(host).limits.retain({ version: 1, runners });
+  }
+
   /** Cuts the links between two sets of entries. */
   cut(some: string[], others: string[]): void {
     for (const one of some) {
@@ -112,10 +146,13 @@
     });
   }
 
-  /** Lets time pass; the callers of each entry send what they want. */
+  /**
+   * Lets time pass; the callers of each entry send what they want, to the runners
+   * by turns, or to the next one if a runner has no room.
+   */
   async run(
     milliseconds: number,
-    runner: traffic.RunnerEntry,
+    runners: traffic.RunnerEntry | traffic.RunnerEntry[],
     value: string | undefined,
   ): Promise<void> {
     const until = this.now + milliseconds;
@@ -129,8 +166,9 @@
           continue;
         }
         if (ticks) entry.limits.tick();
-        await this.#sendDue(entry, runner, value);
+        await this.#sendDue(entry, [runners].flat(), value);
       }
+      this.#sendLate(value);
     }
   }
 
@@ -159,22 +197,63 @@
 
   async #sendDue(
     entry: SimulatedEntry,
-    runner: traffic.RunnerEntry,
+    runners: traffic.RunnerEntry[],
     value: string | undefined,
   ): Promise<void> {
     entry.due += (entry.demand * STEP_MILLISECONDS) / 1_000;
     while (entry.due >= 1) {
       entry.due -= 1;
-      if (entry.limits.waitOf(runner) > 0) continue;
-      const admission = await entry.limits.admit(runner, 0);
-      if (admission.kind === "denied") continue;
-      const times = this.arrivals.get(runner.identifier) ?? [];
-      times.push(this.now);
-      this.arrivals.set(runner.identifier, times);
-      this.name(entry.host, runner, value);
+      entry.turn++;
+      for (const place of runners.keys()) {
+        const runner = runners[(entry.turn + place) % runners.length];
+        if (await this.#sendOne(entry, runner, value)) break;
+      }
+    }
+  }
+
+  /** Sends a request if its runner has room; returns whether it has. */
+  async #sendOne(
+    entry: SimulatedEntry,
+    runner: traffic.RunnerEntry,
+    value: string | undefined,
+  ): Promise<boolean> {
+    const { limits, host } = entry;
+    if (limits.waitOf(runner) > this.maxDelayMilliseconds) return false;
+    const admission = await limits.admit(runner, this.maxDelayMilliseconds);
+    if (admission.kind === "denied") return false;
+    const { permit } = admission;
+    const remaining = permit.remainingMilliseconds(this.#instantOf(host));
+    const delay = remaining + this.lateness();
+    if (delay === 0) this.#arrive(entry, runner, value);
+    else this.#late.push({ entry, runner, permit, sendAt: this.now + delay });
+    return true;
+  }
+
+  /** Sends what is due and was late, unless its permit has expired. */
+  #sendLate(value: string | undefined): void {
+    const isDue = ({ entry, sendAt }: LateRequest) =>
+      !entry.frozen && sendAt <= this.now;
+    const due = this.#late.filter(isDue);
+    if (due.length === 0) return;
+    this.#late = this.#late.filter((one) => !isDue(one));
+    for (const { entry, runner, permit } of due) {
+      if (this.entries.get(entry.host) !== entry) continue;
+      if (permit.isExpired(this.#instantOf(entry.host))) continue;
+      this.#arrive(entry, runner, value);
     }
   }
 
+  #arrive(
+    { host }: SimulatedEntry,
+    runner: traffic.RunnerEntry,
+    value: string | undefined,
+  ): void {
+    const times = this.arrivals.get(runner.identifier) ?? [];
+    times.push(this.now);
+    this.arrivals.set(runner.identifier, times);
+    this.name(host, runner, value);
+  }
+
   #addOne(host: string, demand: number): void {
     const logger = new common.RecordingLogger();
     const limits = createRateLimits({
@@ -183,7 +262,10 @@
       storeReachable: () => this.at(host).storeReachable,
       leaving: () => this.at(host).leaving,
       send: (to, message) => {
-        if (!this.#isLinked(host, to)) return false;
+        if (!this.#isLinked(host, to)) {
+          this.#leaveUnanswered(host, message);
+          return false;
+        }
         this.at(to).limits.receive(message, host);
         return true;
       },
@@ -195,6 +277,7 @@
       },
       logger,
       instant: () => this.#instantOf(host),
+      warmUpRateOf: () => this.warmUpRate,
     });
     this.entries.set(host, {
       host,
@@ -206,10 +289,26 @@
       leaving: false,
       demand,
       due: 0,
+      turn: 0,
       heardAt: new Map(),
     });
   }
 
+  /** Has a question end as after its time-out, without a wait in real time. */
+  #leaveUnanswered(host: string, message: wire.Message): void {
+    if (message.kind !== wire.MessageKind.RateLimitRequest) return;
+    const { question } = message;
+    this.at(host).limits.receive(
+      {
+        kind: wire.MessageKind.RateLimitAnswer,
+        question,
+        delay: -1,
+        wait: UNANSWERED_WAIT_MILLISECONDS,
+      },
+      host,
+    );
+  }
+
   /** Exchanges the first messages of new links. */
   #greet(host: string): void {
     this.#hear();
@@ -248,6 +347,6 @@
 
   #instantOf(host: string): common.Instant {
     const frozen = this.entries.get(host)?.frozenMilliseconds ?? 0;
-    return { monotonic: this.now - frozen, wall: this.now };
+    return { monotonic: this.now - frozen, wall: this.now + this.wallOffset };
   }
 }
--- a/packages/daemon/src/upstream/back_end_rate_limit.ts
+++ b/packages/daemon/src/upstream/back_end_rate_limit.ts
@@ -38,7 +38,13 @@
     else {
       const clock = () => this.#now();
       const { LimitedRunner } = limitedRunner;
-      this.#limited = new LimitedRunner(host, host, service, fact, clock);
+      this.#limited = new LimitedRunner({
+        incarnation: host,
+        runner: host,
+        service,
+        fact,
+        clock,
+      });
     }
     const after = this.#limited.fact.perSecond;
     if (after === before) return;
