fix(common): setting the time of day changes no age

Cause: ages are the larger of two clocks' so that a suspension counts, and one of them was the time of day: set forward by five seconds, all peers counted as unreachable, proofs as old, and permits as expired or early. Change: the second clock goes on with the monotonic one and with suspensions, which the machine's uptime tells from a clock that was set; it is read only after a move of more than 50 ms. Tests of rate limits, proofs, heartbeats and membership set the time of day forward and back.

--- a/packages/daemon/src/rate_limit/rate_limits_fixture.ts
+++ b/packages/daemon/src/rate_limit/rate_limits_fixture.ts
@@ -49,6 +49,9 @@
   /** While frozen, its monotonic clock stands still and it does nothing. */
   frozen: boolean;
   frozenMilliseconds: number;
+  /** By how much its time of day was set forward, or back if it is negative. */
+  setForwardBy: number;
+  instants: common.InstantSource;
   storeReachable: boolean;
   leaving: boolean;
   /** Requests a second that its callers send. */
@@ -72,8 +75,6 @@
   /** Pairs of entries without a working link, as "a b" in this order. */
   readonly #cuts = new Set<string>();
   now = 1_000_000;
-  /** By how much the time of day was set forward, or back if it is negative. */
-  wallOffset = 0;
   /** Requests a second to a runner that warms up; 0 for no bound. */
   warmUpRate = 0;
   /** Longest time that requests wait for their turn. */
@@ -285,6 +286,8 @@
       logger,
       frozen: false,
       frozenMilliseconds: 0,
+      setForwardBy: 0,
+      instants: this.#instantsOf(host),
       storeReachable: true,
       leaving: false,
       demand,
@@ -345,8 +348,18 @@
       }));
   }
 
+  /** The clocks of an entry; freezing is a suspension of its machine. */
+  #instantsOf(host: string): common.InstantSource {
+    const frozen = () => this.entries.get(host)?.frozenMilliseconds ?? 0;
+    const setForwardBy = () => this.entries.get(host)?.setForwardBy ?? 0;
+    return new common.InstantSource({
+      monotonic: () => this.now - frozen(),
+      timeOfDay: () => this.now + setForwardBy(),
+      uptime: () => this.now,
+    });
+  }
+
   #instantOf(host: string): common.Instant {
-    const frozen = this.entries.get(host)?.frozenMilliseconds ?? 0;
-    return { monotonic: this.now - frozen, wall: this.now + this.wallOffset };
+    return this.at(host).instants.now();
   }
 }
