--- a/packages/stand_ins/src/gateways/runner_pool.ts
+++ b/packages/stand_ins/src/gateways/runner_pool.ts
@@ -124,6 +124,7 @@
       dataCentre: this.shape.dataCentreOf?.(runner.place) ?? "d",
       slots: SLOTS,
       leaving: runner.leaving,
+      warmingUp: false,
     };
   }
 
--- a/packages/traffic/src/mod.ts
+++ b/packages/traffic/src/mod.ts
@@ -9,3 +9,4 @@
 export * from "./shared_look.ts";
 export * from "./traffic_configuration.ts";
 export * from "./traffic_view.ts";
+export * from "./warm_up_rate.ts";
