perf(mesh): answer heartbeats at once, close double links, wake only concerned tasks

Cause: each peer's heartbeat arrived at its own moment and each own one was sent at another. Two entries that dialled each other at once kept both links, and the second one carried link heartbeats for good (up to 73 links to 52 peers were seen after a start). Every task that looks after a link woke each second and at each change of any link.

Change: HeartbeatSender: the end that dialled sends in each interval, the other answers at once, or sends by itself if there is nothing to answer. The common part of a heartbeat is collected once for all peers; the age of an echo is that of the same moment as the ages of the proofs. keepsEarlierLink decides the same at both ends. The numbers of answers are those of the last 20 ms, and 1,024 are remembered in place of 64, so the test of a forgotten number counts further. Messages are unchanged; a process of the version before sends and understands them. If it dialled at the same moment, its second link is closed and it dials again until 1.5 s after the first one.

Tests of mesh and wire.

--- /dev/null
+++ b/packages/daemon/src/mesh/duplicate_link_test.ts
@@ -0,0 +1,59 @@
+import * as ava from "ava";
+import * as wire from "@geraniumkeel/wire";
+import * as duplicateLink from "./duplicate_link.ts";
+import * as meshPeer from "./mesh_peer.ts";
+
+const test = ava.default;
+
+function createPeer(
+  host: string,
+  side: wire.LinkSide,
+  incarnation = "i",
+): meshPeer.MeshPeer {
+  const member = {
+    host,
+    dataCentre: "z",
+    address: "127.0.0.1",
+    linkPort: 1,
+    callerPort: 2,
+  };
+  const link = { side, end: undefined } as unknown as wire.Link;
+  return new meshPeer.MeshPeer(member, incarnation, link);
+}
+
+const { Dialled, Accepted } = wire.LinkSide;
+
+// Two entries that dial each other at the same moment may see the two links in
+// different orders. If each kept the one that it saw last, each would send on a
+// link whose messages the other does not look at, and both links would stay.
+test("both ends keep the same one of two links, in whatever order they open", (t) => {
+  // The link dialled by "a" is dialled at "a" and accepted at "b".
+  const keptAt = (self: string, other: string, sides: wire.LinkSide[]) => {
+    const [earlier, later] = sides.map((side) => createPeer(other, side));
+    const keeps = duplicateLink.keepsEarlierLink({ self, earlier, later });
+    return (keeps ? earlier : later).link.side;
+  };
+  for (const order of [
+    [Dialled, Accepted],
+    [Accepted, Dialled],
+  ]) {
+    t.is(keptAt("a", "b", order), Dialled);
+    t.is(keptAt("b", "a", order), Accepted);
+  }
+});
+
+// The other end has restarted, or lost the earlier link without this end
+// noticing. It must not have to wait until this end notices.
+test("a later link is used if the earlier one is lost or of another process", (t) => {
+  const later = createPeer("b", Accepted);
+  const keeps = (earlier: meshPeer.MeshPeer) =>
+    duplicateLink.keepsEarlierLink({ self: "a", earlier, later });
+  t.true(keeps(createPeer("b", Dialled)));
+  t.false(keeps(createPeer("b", Dialled, "before")));
+  const old = createPeer("b", Dialled);
+  Object.assign(old, { openedAt: old.openedAt - 2_000 });
+  t.false(keeps(old));
+  const closed = createPeer("b", Dialled);
+  Object.assign(closed.link, { end: wire.LinkEnd.Closed });
+  t.false(keeps(closed));
+});
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -4,16 +4,13 @@
 import type * as traffic from "@geraniumkeel/traffic";
 import * as wire from "@geraniumkeel/wire";
 import * as listenModule from "../settings/listen.ts";
+import * as duplicateLink from "./duplicate_link.ts";
 import * as documentExchange from "./document_exchange.ts";
 import type * as memberRows from "./member_rows.ts";
 import * as meshPeer from "./mesh_peer.ts";
 import * as heartbeatClockModule from "./heartbeat_clock.ts";
+import * as heartbeatSender from "./heartbeat_sender.ts";
 
-/**
- * Time between two mesh heartbeats. This entry's counts of the requests under
- * way from its peers lag by this much.
- */
-const HEARTBEAT_INTERVAL_MILLISECONDS = 300;
 /** Age of the last mesh heartbeat from which on an entry is unreachable. */
 const MAX_HEARTBEAT_AGE_MILLISECONDS = 1_000;
 /**
@@ -25,10 +22,16 @@
   heartbeat: 500,
   silentAfter: 1_500,
   connectTimeout: 500,
+  heartbeatsOnlyInSilence: true,
 };
 /** Shortest and longest pause between attempts to open a link. */
 const MIN_PAUSE_MILLISECONDS = 100;
 const MAX_PAUSE_MILLISECONDS = 1_000;
+/**
+ * Time between checks that an open link is still open, in addition to the check
+ * when it closes.
+ */
+const LINK_CHECK_MILLISECONDS = 30_000;
 /**
  * Delay before an entry dials another one that has normally linked to it by
  * then. Of two entries, the one with the later name waits; without the delay
@@ -126,6 +129,8 @@
   revision: backingServices.Revision | undefined;
   /** Stops the task that dials the entry. */
   dialling: AbortController;
+  /** Announces that a link to the entry opened or closed. */
+  linkChanged: common.ChangeNotice;
 }
 
 /**
@@ -147,8 +152,7 @@
   readonly #linked = new Map<string, meshPeer.MeshPeer>();
   readonly #heartbeatClock = new heartbeatClockModule.HeartbeatClock();
   readonly #documents: documentExchange.DocumentExchange;
-  /** Announces that a link opened or closed. */
-  readonly #linksChanged = new common.ChangeNotice();
+  readonly #heartbeats: heartbeatSender.HeartbeatSender;
   #leaving = false;
   #membersKnown = false;
   /**
@@ -163,6 +167,9 @@
       ...parameters,
       heartbeatClock,
     });
+    this.#heartbeats = new heartbeatSender.HeartbeatSender(heartbeatClock, () =>
+      this.#heartbeatState(),
+    );
   }
 
   /** Accepts links, registers this entry, and finds and dials the others. */
@@ -179,8 +186,8 @@
       },
     });
     lifeCycle.own({ name: "links", close: () => accepting.close() });
-    lifeCycle.every(HEARTBEAT_INTERVAL_MILLISECONDS, () =>
-      this.#sendHeartbeats(),
+    lifeCycle.every(heartbeatSender.HEARTBEAT_INTERVAL_MILLISECONDS, () =>
+      this.#heartbeats.tick(this.#linked.values()),
     );
     lifeCycle.run("register", (signal) => this.#register(signal));
     lifeCycle.run("seeds", (signal) => this.#dialSeeds(signal));
@@ -279,7 +286,7 @@
   async leave(): Promise<void> {
     const { rows, self } = this.parameters;
     this.#leaving = true;
-    this.#sendHeartbeats();
+    this.#heartbeats.sendToAll(this.#linked.values());
     if (this.#ownRevision) await rows.remove(self.host, this.#ownRevision);
   }
 
@@ -379,12 +386,12 @@
       return;
     }
     const dialling = new AbortController();
-    const lastReceivedAt = common.now();
     this.#known.set(member.host, {
       member,
-      lastReceivedAt,
+      lastReceivedAt: common.now(),
       revision,
       dialling,
+      linkChanged: new common.ChangeNotice(),
     });
     logger.event(common.EventCode.HostAppeared, { peer: member.host });
     lifeCycle.run(`dial ${member.host}`, (signal) =>
@@ -425,7 +432,7 @@
       if (!known) return;
       if (this.#linked.get(host)?.open) {
         backOff.reset();
-        await this.#linksChanged.next(MAX_PAUSE_MILLISECONDS, signal);
+        await known.linkChanged.next(LINK_CHECK_MILLISECONDS, signal);
         continue;
       }
       if (common.now() - known.lastReceivedAt > DEPARTED_AFTER_MILLISECONDS) {
@@ -474,25 +481,33 @@
     const { host } = hello.member;
     if (host === self.host) return link.close();
     const peer = new meshPeer.MeshPeer(hello.member, hello.incarnation, link);
+    const earlier = this.#linked.get(host);
+    if (
+      earlier &&
+      duplicateLink.keepsEarlierLink({ self: self.host, earlier, later: peer })
+    ) {
+      return link.close(wire.LinkEnd.Replaced);
+    }
     this.#linked.set(host, peer);
+    earlier?.link.close(wire.LinkEnd.Replaced);
     this.#noteEntry(hello.member, undefined);
     for (const other of hello.others) this.#noteEntry(other, undefined);
     this.#membersKnown = true;
-    this.#linksChanged.announce();
+    this.#known.get(host)?.linkChanged.announce();
     logger.event(common.EventCode.LinkEstablished, { peer: host });
-    this.#sendHeartbeat(peer, this.#heartbeatClock.nextStamp());
+    this.#heartbeats.sendFirst(peer);
     const suspicions = this.parameters.suspicions.initialMessage();
     if (suspicions) link.send(suspicions);
     const rateLimits = this.parameters.rateLimits.initialMessage();
     if (rateLimits) link.send(rateLimits);
-    for await (const message of link.messages()) this.#receive(peer, message);
+    await link.handleMessages((message) => this.#receive(peer, message));
     logger.event(common.EventCode.LinkLost, { peer: host, end: link.end });
     if (this.#linked.get(host) === peer) {
       this.#linked.delete(host);
       this.parameters.onOutstanding(host, undefined);
       this.parameters.rateLimits.onDisconnected(host);
     }
-    this.#linksChanged.announce();
+    this.#known.get(host)?.linkChanged.announce();
   }
 
   #receive(peer: meshPeer.MeshPeer, message: wire.Message): void {
@@ -506,6 +521,7 @@
         onOutstanding(peer.member.host, new Map(message.outstanding));
         this.#documents.receiveProofs(message);
         this.#documents.pushNewer(peer);
+        this.#heartbeats.answer(peer);
         if (message.leaving) this.#removeDeparted(peer.member.host);
         return;
       }
@@ -549,24 +565,16 @@
     }
   }
 
-  #sendHeartbeats(): void {
-    const stamp = this.#heartbeatClock.nextStamp();
-    for (const peer of this.#linked.values()) this.#sendHeartbeat(peer, stamp);
-  }
-
-  #sendHeartbeat(peer: meshPeer.MeshPeer, stamp: number): void {
-    const { ready } = this.parameters;
-    peer.link.send({
-      kind: wire.MessageKind.MeshHeartbeat,
-      stamp,
-      ...peer.echo(),
+  #heartbeatState(): heartbeatSender.HeartbeatState {
+    const { ready, storeReachable, rows, outstanding } = this.parameters;
+    return {
       ready: ready() && !this.#leaving,
       leaving: this.#leaving,
-      storeReachable: this.parameters.storeReachable(),
-      tableEpoch: this.parameters.rows.epoch.number,
+      storeReachable: storeReachable(),
+      tableEpoch: rows.epoch.number,
       ...this.#documents.proofs(),
-      outstanding: this.parameters.outstanding(),
-    });
+      outstanding: outstanding(),
+    };
   }
 }
 
--- a/packages/daemon/src/mesh/heartbeat_clock.ts
+++ b/packages/daemon/src/mesh/heartbeat_clock.ts
@@ -1,10 +1,16 @@
 import * as common from "@geraniumkeel/common";
 
 /**
- * Number of heartbeats whose sending time this process remembers: those of
- * several seconds.
+ * Time for which a number is used again. Heartbeats that are sent one by one, as
+ * answers, then use at most 50 numbers a second. A proof that echoes such a
+ * number appears at most this much older than it is.
  */
-const MAX_REMEMBERED_HEARTBEATS = 64;
+const STAMP_MILLISECONDS = 20;
+/**
+ * Number of heartbeats whose sending time this process remembers: those of at
+ * least 20 s.
+ */
+const MAX_REMEMBERED_HEARTBEATS = 1_024;
 
 /**
  * Numbers the heartbeats of this process and remembers when each was sent, in
@@ -16,7 +22,7 @@
  * the message echoes, a late proof never appears more recent than it is.
  */
 export class HeartbeatClock {
-  readonly #sentAt: { stamp: number; at: common.Instant }[] = [];
+  readonly #sentAt: ({ stamp: number; at: common.Instant } | undefined)[] = [];
   #stamp = 0;
 
   /** Returns the number for a heartbeat that is sent now. */
@@ -29,6 +35,17 @@
     return this.#stamp;
   }
 
+  /**
+   * Returns the number for a heartbeat that is sent now. It is the number of the
+   * last heartbeat if that was sent a moment ago.
+   */
+  recentStamp(): number {
+    const last = this.#sentAt[this.#stamp % MAX_REMEMBERED_HEARTBEATS];
+    const isRecent =
+      last !== undefined && common.ageOf(last.at) < STAMP_MILLISECONDS;
+    return isRecent ? this.#stamp : this.nextStamp();
+  }
+
   /**
    * The latest moment, by this process's clocks, at which a peer's statement
    * was certainly true. `undefined` if the peer has no proof, or if it echoes
--- a/packages/daemon/src/mesh/heartbeat_clock_test.ts
+++ b/packages/daemon/src/mesh/heartbeat_clock_test.ts
@@ -32,8 +32,8 @@
 test("an echo of a heartbeat never sent, or sent long ago, proves nothing", (t) => {
   const clock = new heartbeatClock.HeartbeatClock();
   const first = clock.nextStamp();
-  for (let count = 0; count < 100; count++) clock.nextStamp();
-  for (const echoedStamp of [-1, first, 5_000]) {
+  for (let count = 0; count < 1_024; count++) clock.nextStamp();
+  for (const echoedStamp of [-1, first, 50_000]) {
     const at = clock.provenAt({ echoedStamp, echoedAge: 0, factAge: 0 });
     t.is(at, undefined);
   }
@@ -45,3 +45,16 @@
   const at = clock.provenAt({ echoedStamp, echoedAge: 0, factAge: -1 });
   t.is(at, undefined);
 });
+
+// Answers to heartbeats are sent one by one, each with a number. If each took a
+// new one, those of a second ago would be forgotten, and late proofs be lost.
+test("heartbeats of the same moment have the same number", async (t) => {
+  const clock = new heartbeatClock.HeartbeatClock();
+  const first = clock.recentStamp();
+  t.is(clock.recentStamp(), first);
+  await common.sleep(25);
+  const later = clock.recentStamp();
+  t.is(later, first + 1);
+  const at = clock.provenAt({ echoedStamp: first, echoedAge: 0, factAge: 0 });
+  t.true((at?.monotonic ?? Infinity) <= common.now() - 25);
+});
--- a/packages/daemon/src/mesh/mesh_peer.ts
+++ b/packages/daemon/src/mesh/mesh_peer.ts
@@ -10,6 +10,10 @@
 /** Another entry that this one has a link to, with its last heartbeat. */
 export class MeshPeer {
   #received: ReceivedHeartbeat | undefined;
+  /** When the last heartbeat was sent to the peer, by the monotonic clock. */
+  heartbeatSentAt = -Infinity;
+  /** When the peer's first message arrived, by the monotonic clock. */
+  readonly openedAt = common.now();
   /** When this process last pushed a document to the peer, by document name. */
   readonly #pushedAt = new Map<string, number>();
 
@@ -40,15 +44,16 @@
   }
 
   /**
-   * Number of the last heartbeat received, and the milliseconds since then, for
-   * the next heartbeat to the peer. The number is -1 before the first.
+   * Number of the last heartbeat received, and the milliseconds from then to a
+   * moment of the monotonic clock, for the next heartbeat to the peer. The
+   * number is -1 before the first.
    */
-  echo(): { echoedStamp: number; echoedAge: number } {
+  echo(now: number): { echoedStamp: number; echoedAge: number } {
     const received = this.#received;
     if (!received) return { echoedStamp: -1, echoedAge: 0 };
     // Uses the monotonic clock alone, which may run slow. An age that is too
     // small is safe: the peer then treats a proof as older than it is.
-    const echoedAge = common.now() - received.at.monotonic;
+    const echoedAge = now - received.at.monotonic;
     return { echoedStamp: received.heartbeat.stamp, echoedAge };
   }
 
