perf(mesh): send heartbeats without news in every second interval

Cause: an entry at rest spends two thirds of its processor time on heartbeats that repeat the last one: writing one to 52 sockets and waking up for 52.

Change: without requests under way, and while readiness, epoch, reach of the store and versions are as last sent, a heartbeat goes out every 600 ms. Any change goes out within 300 ms as before. The end that answers sends by itself if it has a change and its peer is not certain to send within an interval. An entry still counts as unreachable after 1,000 ms; the longest gap without a heartbeat is 800 ms. Proofs may appear up to 300 ms older, never newer. Messages are unchanged.

--- a/packages/daemon/src/mesh/mesh_peer.ts
+++ b/packages/daemon/src/mesh/mesh_peer.ts
@@ -12,6 +12,8 @@
   #received: ReceivedHeartbeat | undefined;
   /** When the last heartbeat was sent to the peer, by the monotonic clock. */
   heartbeatSentAt = -Infinity;
+  /** What that heartbeat reported, in short; see `HeartbeatSender`. */
+  sentSummary = "";
   /** When the peer's first message arrived, by the monotonic clock. */
   readonly openedAt = common.now();
   /** When this process last pushed a document to the peer, by document name. */
