perf(mesh): compute the position in the order of polling without sorting

Cause: each of two documents asks for the position 10 times a second, at moments of its own, and each time the names of all reachable entries were hashed and sorted.

Change: the preference for a peer is computed when it is linked, and the peers before this entry are counted. The pauses of the tasks that follow documents end at the same moments. The order is the same.

Tests of mesh, traffic, common.

--- a/packages/common/src/hash.ts
+++ b/packages/common/src/hash.ts
@@ -27,10 +27,22 @@
 }
 
 /** How much `key` prefers a candidate; equal ones go by name. */
-function preference(key: string, candidate: string): number {
+export function preference(key: string, candidate: string): number {
   return hash32(`${candidate} ${key}`);
 }
 
+/** A candidate with the preference of a key for it. */
+export interface Preferred {
+  candidate: string;
+  score: number;
+}
+
+/** Whether the first of two candidates is preferred to the second. */
+export function isPreferred(left: Preferred, right: Preferred): boolean {
+  if (left.score !== right.score) return left.score > right.score;
+  return left.candidate < right.candidate;
+}
+
 /** Candidates for `key` by preference; the first is its `rendezvous`. */
 export function rendezvousOrder(
   key: string,
@@ -38,10 +50,7 @@
 ): string[] {
   return [...candidates]
     .map((candidate) => ({ candidate, score: preference(key, candidate) }))
-    .sort(
-      (left, right) =>
-        right.score - left.score || (left.candidate < right.candidate ? -1 : 1),
-    )
+    .sort((left, right) => (isPreferred(left, right) ? -1 : 1))
     .map(({ candidate }) => candidate);
 }
 
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -152,6 +152,7 @@
   readonly #linked = new Map<string, meshPeer.MeshPeer>();
   readonly #heartbeatClock = new heartbeatClockModule.HeartbeatClock();
   readonly #documents: documentExchange.DocumentExchange;
+  readonly #pollPreference: common.Preferred;
   readonly #heartbeats: heartbeatSender.HeartbeatSender;
   #leaving = false;
   #membersKnown = false;
@@ -163,6 +164,7 @@
 
   constructor(readonly parameters: EntryMeshParameters) {
     const heartbeatClock = this.#heartbeatClock;
+    this.#pollPreference = meshPeer.pollPreference(parameters.self.host);
     this.#documents = new documentExchange.DocumentExchange({
       ...parameters,
       heartbeatClock,
@@ -255,14 +257,17 @@
    * the order; its position is the number of the entries that are.
    */
   pollPosition(): number {
-    const { self, storeReachable } = this.parameters;
-    const hosts = storeReachable() ? [self.host] : [];
+    const own = this.#pollPreference;
+    const reachesStore = this.parameters.storeReachable();
+    let position = 0;
     for (const peer of this.#linked.values()) {
-      if (!this.#isReachable(peer) || !peer.heartbeat?.storeReachable) continue;
-      if (!peer.heartbeat.leaving) hosts.push(peer.member.host);
+      const { heartbeat } = peer;
+      if (!heartbeat?.storeReachable || heartbeat.leaving) continue;
+      if (!this.#isReachable(peer)) continue;
+      const isBefore = common.isPreferred(peer.pollPreference, own);
+      if (isBefore || !reachesStore) position++;
     }
-    const position = common.rendezvousOrder("follow", hosts).indexOf(self.host);
-    return position < 0 ? hosts.length : position;
+    return position;
   }
 
   /** Sends a message to one peer; returns false if there is no link to it. */
--- a/packages/daemon/src/mesh/mesh_peer.ts
+++ b/packages/daemon/src/mesh/mesh_peer.ts
@@ -7,6 +7,14 @@
   at: common.Instant;
 }
 
+/** Key by which entries are ordered for polling the store. */
+const POLL_KEY = "follow";
+
+/** Place of an entry in the order of polling, to be compared with others'. */
+export function pollPreference(host: string): common.Preferred {
+  return { candidate: host, score: common.preference(POLL_KEY, host) };
+}
+
 /** Another entry that this one has a link to, with its last heartbeat. */
 export class MeshPeer {
   #received: ReceivedHeartbeat | undefined;
@@ -14,6 +22,8 @@
   heartbeatSentAt = -Infinity;
   /** What that heartbeat reported, in short; see `HeartbeatSender`. */
   sentSummary = "";
+  /** Computed once: the position in the order is asked for 20 times a second. */
+  readonly pollPreference: common.Preferred;
   /** When the peer's first message arrived, by the monotonic clock. */
   readonly openedAt = common.now();
   /** When this process last pushed a document to the peer, by document name. */
@@ -23,7 +33,9 @@
     readonly member: wire.MeshMember,
     readonly incarnation: string,
     readonly link: wire.Link,
-  ) {}
+  ) {
+    this.pollPreference = pollPreference(member.host);
+  }
 
   /** Whether the link is open. */
   get open(): boolean {
--- a/packages/traffic/src/follow_document.ts
+++ b/packages/traffic/src/follow_document.ts
@@ -46,7 +46,7 @@
   let failing = false;
   while (!signal.aborted) {
     if (held.age < parameters.restBelowAge()) {
-      await common.sleep(REST_MILLISECONDS, signal);
+      await common.sleep(pauseUntilNextRest(), signal);
       continue;
     }
     const startedAt = common.instant();
@@ -79,3 +79,12 @@
     if (!isNew && quiet > 0) await common.sleep(quiet, signal);
   }
 }
+
+/**
+ * Milliseconds until a multiple of the pause, at least half a pause from now. So
+ * the tasks that follow several documents wake the process at the same moments.
+ */
+function pauseUntilNextRest(): number {
+  const left = REST_MILLISECONDS - (common.now() % REST_MILLISECONDS);
+  return left < REST_MILLISECONDS / 2 ? left + REST_MILLISECONDS : left;
+}
