fix(mesh): close a link that works but brings no heartbeats

Cause: of 12 entries, every second one of the version before, two pairs did not know each other as ready 20 s after a common start. The end of that version used one of two links, which the other end had closed, and did not dial again while the unused one was open. Two ends of that version that see two links in different orders never meet in the same way.

Change: after ten ticks of 300 ms without a mesh heartbeat the link is closed, and both ends dial again. Ticks are counted, so a paused process keeps its links.

Tests of mesh.

--- a/packages/daemon/src/mesh/duplicate_link_test.ts
+++ b/packages/daemon/src/mesh/duplicate_link_test.ts
@@ -57,3 +57,31 @@
   Object.assign(closed.link, { end: wire.LinkEnd.Closed });
   t.false(keeps(closed));
 });
+
+// A process of an earlier version may use one of two links that this end has
+// closed, and go on with the other one without sending on it: it never dials
+// again while that link is open, and the two entries would never meet.
+test("a link that works but brings no heartbeats is closed after 3 s", (t) => {
+  const peer = createPeer("b", Accepted);
+  const ends: (wire.LinkEnd | undefined)[] = [];
+  peer.link.close = (end) => ends.push(end);
+  for (let tick = 0; tick < 10; tick++) peer.tick();
+  t.deepEqual(ends, []);
+  peer.receive({
+    kind: wire.MessageKind.MeshHeartbeat,
+    stamp: 1,
+    echoedStamp: -1,
+    echoedAge: 0,
+    ready: true,
+    leaving: false,
+    storeReachable: true,
+    tableEpoch: 1,
+    configuration: { version: 1, age: 0 },
+    runners: { version: 1, age: 0 },
+    outstanding: [],
+  });
+  for (let tick = 0; tick < 10; tick++) peer.tick();
+  t.deepEqual(ends, []);
+  peer.tick();
+  t.deepEqual(ends, [wire.LinkEnd.Silent]);
+});
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -189,7 +189,7 @@
     });
     lifeCycle.own({ name: "links", close: () => accepting.close() });
     lifeCycle.every(heartbeatSender.HEARTBEAT_INTERVAL_MILLISECONDS, () =>
-      this.#heartbeats.tick(this.#linked.values()),
+      this.#tick(),
     );
     lifeCycle.run("register", (signal) => this.#register(signal));
     lifeCycle.run("seeds", (signal) => this.#dialSeeds(signal));
@@ -570,6 +570,11 @@
     }
   }
 
+  #tick(): void {
+    this.#heartbeats.tick(this.#linked.values());
+    for (const peer of this.#linked.values()) peer.tick();
+  }
+
   #heartbeatState(): heartbeatSender.HeartbeatState {
     const { ready, storeReachable, rows, outstanding } = this.parameters;
     return {
--- a/packages/daemon/src/mesh/mesh_peer.ts
+++ b/packages/daemon/src/mesh/mesh_peer.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import type * as wire from "@geraniumkeel/wire";
+import * as wire from "@geraniumkeel/wire";
 
 /** A heartbeat of another entry, and when this process received it. */
 interface ReceivedHeartbeat {
@@ -15,8 +15,15 @@
   return { candidate: host, score: common.preference(POLL_KEY, host) };
 }
 
+/**
+ * Ticks without a heartbeat after which a link is closed although it works: 3 s.
+ * The other end then uses another link, or has none that it knows of.
+ */
+const MAX_SILENT_TICKS = 10;
+
 /** Another entry that this one has a link to, with its last heartbeat. */
 export class MeshPeer {
+  #silentTicks = 0;
   #received: ReceivedHeartbeat | undefined;
   /** When the last heartbeat was sent to the peer, by the monotonic clock. */
   heartbeatSentAt = -Infinity;
@@ -52,8 +59,20 @@
     return this.#received?.heartbeat;
   }
 
+  /**
+   * Counts an interval of heartbeats, and closes the link if none came for many.
+   * Ticks are counted and not time, so that a process that was paused does not
+   * close its links when it continues.
+   */
+  tick(): void {
+    this.#silentTicks++;
+    if (this.#silentTicks > MAX_SILENT_TICKS)
+      this.link.close(wire.LinkEnd.Silent);
+  }
+
   /** Stores a heartbeat that was just received. */
   receive(heartbeat: wire.MeshHeartbeat): void {
+    this.#silentTicks = 0;
     this.#received = { heartbeat, at: common.instant() };
   }
 
