--- a/packages/daemon/src/mesh/mesh_peer.ts
+++ b/packages/daemon/src/mesh/mesh_peer.ts
@@ -1,5 +1,5 @@
 import * as common from "@geraniumkeel/common";
-import type * as wire from "@geraniumkeel/wire";
+import * as wire from "@geraniumkeel/wire";
 
 /** A heartbeat of another entry, and when this process received it. */
 interface ReceivedHeartbeat {
@@ -7,9 +7,32 @@
   at: common.Instant;
 }
 
+/** Key by which entries are ordered for polling the store. */
+const POLL_KEY = "follow";
+
+/** Place of an entry in the order of polling, to be compared with others'. */
+export function pollPreference(host: string): common.Preferred {
+  return { candidate: host, score: common.preference(POLL_KEY, host) };
+}
+
+/**
+ * Ticks without a heartbeat after which a link is closed although it works: 3 s.
+ * The other end then uses another link, or has none that it knows of.
+ */
+const MAX_SILENT_TICKS = 10;
+
 /** Another entry that this one has a link to, with its last heartbeat. */
 export class MeshPeer {
+  #silentTicks = 0;
   #received: ReceivedHeartbeat | undefined;
+  /** When the last heartbeat was sent to the peer, by the monotonic clock. */
+  heartbeatSentAt = -Infinity;
+  /** What that heartbeat reported, in short; see `HeartbeatSender`. */
+  sentSummary = "";
+  /** Computed once: the position in the order is asked for 20 times a second. */
+  readonly pollPreference: common.Preferred;
+  /** When the peer's first message arrived, by the monotonic clock. */
+  readonly openedAt = common.now();
   /** When this process last pushed a document to the peer, by document name. */
   readonly #pushedAt = new Map<string, number>();
 
@@ -17,7 +40,9 @@
     readonly member: wire.MeshMember,
     readonly incarnation: string,
     readonly link: wire.Link,
-  ) {}
+  ) {
+    this.pollPreference = pollPreference(member.host);
+  }
 
   /** Whether the link is open. */
   get open(): boolean {
@@ -34,21 +59,34 @@
     return this.#received?.heartbeat;
   }
 
+  /**
+   * Counts an interval of heartbeats, and closes the link if none came for many.
+   * Ticks are counted and not time, so that a process that was paused does not
+   * close its links when it continues.
+   */
+  tick(): void {
+    this.#silentTicks++;
+    if (this.#silentTicks > MAX_SILENT_TICKS)
+      this.link.close(wire.LinkEnd.Silent);
+  }
+
   /** Stores a heartbeat that was just received. */
   receive(heartbeat: wire.MeshHeartbeat): void {
+    this.#silentTicks = 0;
     this.#received = { heartbeat, at: common.instant() };
   }
 
   /**
-   * Number of the last heartbeat received, and the milliseconds since then, for
-   * the next heartbeat to the peer. The number is -1 before the first.
+   * Number of the last heartbeat received, and the milliseconds from then to a
+   * moment of the monotonic clock, for the next heartbeat to the peer. The
+   * number is -1 before the first.
    */
-  echo(): { echoedStamp: number; echoedAge: number } {
+  echo(now: number): { echoedStamp: number; echoedAge: number } {
     const received = this.#received;
     if (!received) return { echoedStamp: -1, echoedAge: 0 };
     // Uses the monotonic clock alone, which may run slow. An age that is too
     // small is safe: the peer then treats a proof as older than it is.
-    const echoedAge = common.now() - received.at.monotonic;
+    const echoedAge = now - received.at.monotonic;
     return { echoedStamp: received.heartbeat.stamp, echoedAge };
   }
 
