feat(forwarding): avoid runners that are much slower than others

Cause: with one rank at a twelfth of its speed, entries kept sending half of the requests to its group, and nearly all of these were late.

Change: an entry times the answers that it relays. In a service without lock-step it compares a runner's first events, event times and answer times with the median of the other runners. In lock-step it compares event times only, and only with events that other ranks sent in the same period, so that nothing changes in a service with one group. A runner that exceeds the others by more than half of the route's gap or objective gets requests only when all others are full. It gets probes, at most every tenth request. The record of one runner moves into a module of its own, and runner_tracker.ts shrinks.

--- a/packages/daemon/src/forwarding/choose_runner.ts
+++ b/packages/daemon/src/forwarding/choose_runner.ts
@@ -16,6 +16,8 @@
    * service has stalled and this one has sent nothing either.
    */
   suspended: boolean;
+  /** The runner is, or may be, much slower than the others of its service. */
+  slow: boolean;
 }
 
 /**
@@ -68,15 +70,18 @@
 /**
  * Chooses the runner with the lowest score, or `undefined` if there is none.
  * Suspended runners are chosen only if there are no others: they may answer
- * late, and a late answer is better than none.
+ * late, and a late answer is better than none. Slow runners are compared only
+ * if all others are full.
  */
 export function chooseRunner(
   views: RunnerView[],
   random: common.Random,
 ): RunnerView | undefined {
   const available = views.filter((view) => !view.suspended);
+  const fast = available.filter((view) => !view.slow);
+  const hasFreeSlot = fast.some((view) => view.outstanding < view.slots);
   const candidates = sampleCandidates(
-    available.length > 0 ? available : views,
+    hasFreeSlot ? fast : available.length > 0 ? available : views,
     random,
   );
   let best: RunnerView | undefined;
--- a/packages/daemon/src/forwarding/choose_runner_test.ts
+++ b/packages/daemon/src/forwarding/choose_runner_test.ts
@@ -17,6 +17,7 @@
     sameDataCentre: true,
     failureShare: 0,
     suspended: false,
+    slow: false,
     ...others,
   };
 }
@@ -78,3 +79,46 @@
   const allSuspended = views.map((view) => ({ ...view, suspended: true }));
   t.truthy(chooseRunner.chooseRunner(allSuspended, random));
 });
+
+// A group of one slow rank would go on getting half of the requests, and each
+// of these would be late although the other group has room.
+test("slow runners are chosen only if all others are full", (t) => {
+  const random = new common.Random(1);
+  const chosenWith = (outstanding: number) =>
+    Array.from({ length: 200 }, () => {
+      const views = Array.from({ length: 16 }, (_, index) =>
+        viewOf(index, index < 8 ? { slow: true } : { outstanding }),
+      );
+      return chooseRunner.chooseRunner(views, random)?.slow;
+    });
+  t.false(chosenWith(SLOTS - 1).includes(true));
+  t.true(chosenWith(SLOTS).includes(true));
+});
+
+test("a slow runner is preferred to a suspended one", (t) => {
+  const random = new common.Random(1);
+  const views = [viewOf(0, { suspended: true }), viewOf(1, { slow: true })];
+  t.is(chooseRunner.chooseRunner(views, random)?.identifier, "i-1");
+});
+
+// The choices that were made before runners could be slow. A change to them in a
+// service without slow runners would change the load of every deployment.
+test("without slow runners the choices are those made before", (t) => {
+  const random = new common.Random(3);
+  const views = Array.from({ length: 16 }, (_, index) =>
+    viewOf(index, {
+      outstanding: index % 4,
+      sameDataCentre: index % 3 === 0,
+      failureShare: index === 5 ? 0.5 : 0,
+      suspended: index === 7,
+    }),
+  );
+  const chosen = Array.from({ length: 20 }, () => {
+    const view = chooseRunner.chooseRunner(views, random);
+    return view ? views.indexOf(view) : -1;
+  });
+  t.deepEqual(
+    chosen,
+    [4, 14, 0, 9, 4, 4, 13, 13, 12, 15, 13, 8, 4, 10, 2, 6, 0, 12, 4, 12],
+  );
+});
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -2,6 +2,7 @@
 import * as traffic from "@geraniumkeel/traffic";
 import * as answerRelay from "./answer_relay.ts";
 import * as attemptOutcome from "./attempt_outcome.ts";
+import type * as answerTimer from "./answer_timer.ts";
 import type * as callerRequest from "./caller_request.ts";
 import type * as requestClock from "./request_clock.ts";
 import * as rateLimitHeader from "../rate_limit/rate_limit_header.ts";
@@ -64,6 +65,8 @@
   #progressAt: number;
   /** Whether the caller takes nothing, so that the answer is not read. */
   #paused = false;
+  /** Times the answer; `undefined` until the request is sent. */
+  #timer: answerTimer.AnswerTimer | undefined;
 
   /** Milliseconds from the request's arrival to the start of the attempt. */
   readonly sentAfter: number;
@@ -81,6 +84,7 @@
       if (this.hasStalled()) this.parameters.onStalled();
     }, STALL_CHECK_INTERVAL_MILLISECONDS);
     const outcome = await this.#callRunner();
+    this.#timer?.end();
     clearInterval(stallCheck);
     finishCall(attemptOutcome.callOutcomeOf(outcome.kind));
     return outcome;
@@ -142,12 +146,14 @@
     const { request, runner, permit, rests } = this.parameters;
     const { sink, route, account } = this.parameters;
     const { runnerClient, relay, clock, cancel, spentBefore } = this.parameters;
+    const { tracker } = this.parameters;
     const obstacle = this.#obstacle();
     if (obstacle !== undefined) {
       const kind = attemptOutcome.AttemptOutcomeKind.NotRun;
       return { kind, reason: obstacle };
     }
     rests.noteSent(runner);
+    this.#timer = tracker.timeAnswer(runner, route);
     const answer = await runnerClient.call({
       request,
       runner,
@@ -219,13 +225,18 @@
     }
   }
 
-  /** Notes that the caller takes nothing until the returned function is called. */
+  /**
+   * Notes that an event arrived, and that the caller takes nothing until the
+   * returned function is called.
+   */
   #pause(): () => void {
     const { tracker, runner } = this.parameters;
     const resume = tracker.pauseCall(runner.identifier);
     this.#paused = true;
+    this.#timer?.noteEvent();
     return () => {
       this.#paused = false;
+      this.#timer?.noteRead();
       this.#progressAt = tracker.silenceClock.now();
       resume();
     };
@@ -275,6 +286,7 @@
       pause: () => this.#pause(),
     });
     if (relayed.isOk()) {
+      this.#timer?.noteWhole();
       return { kind: attemptOutcome.AttemptOutcomeKind.Answered, reason: "" };
     }
     const cancelled = this.#cancelledOutcome();
--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -1,9 +1,12 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
+import type * as answerTimer from "./answer_timer.ts";
 import * as chooseRunner from "./choose_runner.ts";
 import * as departedIncarnations from "./departed_incarnations.ts";
 import * as outstandingFromOthers from "./outstanding_from_others.ts";
+import * as runnerRecord from "./runner_record.ts";
 import * as silenceClock from "./silence_clock.ts";
+import * as slowRunners from "./slow_runners.ts";
 
 /**
  * Outcome of a call, as far as it says something about the health of the
@@ -30,18 +33,6 @@
 const NEWEST_ANSWER_WEIGHT = 0.2;
 /** How long a runner that could not be connected to is suspended. */
 const SUSPENSION_MILLISECONDS = 700;
-/** Time in which the failure share halves if no answers arrive. */
-const FAILURE_HALF_LIFE_MILLISECONDS = 2_000;
-
-/**
- * Time without a message after which a runner with requests in progress counts
- * as stalled. All ranks of a group run each iteration together, in 25 to 100
- * ms, and with every iteration some request there gets its next event. When one
- * rank is lost, all ranks of the group stop and send nothing for one to two
- * seconds.
- */
-const STALL_TIMEOUT_MILLISECONDS = 600;
-
 /**
  * How long a runner that refused a request although it had room gets no further
  * requests. Its group has lost a rank and is being re-formed. That takes half a
@@ -57,64 +48,6 @@
 
 const NONE_TRIED: ReadonlySet<string> = new Set();
 
-/** What this entry knows about one runner. */
-class RunnerRecord {
-  /** Requests in progress from this entry. */
-  own = 0;
-  /** Those of them whose answers are not read, as their callers are slow. */
-  unread = 0;
-  /**
-   * When the last message for a request there arrived, or, if that is later,
-   * when this entry began to wait for the runner; by the silence clock.
-   */
-  progressAt = 0;
-  /** When the last message for a request there arrived. */
-  lastReceivedAt = -Infinity;
-  failureShare = 0;
-  failureShareUpdatedAt = 0;
-  suspendedUntil = 0;
-  /**
-   * The runner refused a request although it had room, and has accepted none
-   * since.
-   */
-  refusing = false;
-  /** Until when a refusing runner gets no probe. */
-  avoidUntil = 0;
-
-  constructor(
-    public entry: traffic.RunnerEntry,
-    readonly clock: silenceClock.SilenceClock,
-  ) {}
-
-  /** Requests in progress for which this entry waits for the runner. */
-  get awaited(): number {
-    return this.own - this.unread;
-  }
-
-  /** Whether the runner is waited for and none of its requests gets on. */
-  get isStalled(): boolean {
-    const silence = this.clock.now() - this.progressAt;
-    return this.awaited > 0 && silence > STALL_TIMEOUT_MILLISECONDS;
-  }
-
-  /** Whether the runner should get no new requests for now. */
-  isSuspended(now: number): boolean {
-    return this.suspendedUntil > now || this.isStalled;
-  }
-
-  /** Whether the runner has sent nothing for the stall timeout. */
-  isUnresponsive(now: number): boolean {
-    return now - this.lastReceivedAt > STALL_TIMEOUT_MILLISECONDS;
-  }
-
-  /** Share of the runner's answers that failed; decays over time. */
-  currentFailureShare(now: number): number {
-    const halvings =
-      (now - this.failureShareUpdatedAt) / FAILURE_HALF_LIFE_MILLISECONDS;
-    return this.failureShare * 0.5 ** halvings;
-  }
-}
-
 /** State of one runner, as operators see it. */
 export interface TrackedRunner {
   identifier: string;
@@ -129,6 +62,8 @@
   failureShare: number;
   /** The runner is suspended: it gets no new requests for now. */
   spared: boolean;
+  /** The runner is much slower than the others of its service. */
+  slow: boolean;
 }
 
 /**
@@ -136,7 +71,7 @@
  * Chooses the runner for each request.
  */
 export class RunnerTracker {
-  readonly #records = new Map<string, RunnerRecord>();
+  readonly #records = new Map<string, runnerRecord.RunnerRecord>();
   /** Incarnations still listed although another runner has their address. */
   #replacedIncarnations = new Set<string>();
   readonly #departed = new departedIncarnations.DepartedIncarnations();
@@ -150,6 +85,7 @@
   readonly availabilityChanged = new common.ChangeNotice();
   /** Measures for how long runners have sent nothing. */
   readonly silenceClock = new silenceClock.SilenceClock();
+  readonly #slowRunners: slowRunners.SlowRunners;
   /** Calls in progress from this entry, to all runners. */
   #ownCalls = 0;
 
@@ -170,7 +106,11 @@
        */
       restOf: (runner: traffic.RunnerEntry) => number;
     },
-  ) {}
+  ) {
+    const { inLockStep } = parameters;
+    const now = () => this.silenceClock.now();
+    this.#slowRunners = new slowRunners.SlowRunners({ now, inLockStep });
+  }
 
   /** Applies a new list; runners that are not in it get no further requests. */
   update(list: traffic.RunnerList): void {
@@ -187,14 +127,17 @@
       // one.
       if (record?.entry.bornAt === entry.bornAt) record.entry = entry;
       else {
-        const created = new RunnerRecord(entry, this.silenceClock);
+        const created = new runnerRecord.RunnerRecord(entry, this.silenceClock);
         this.#records.set(entry.identifier, created);
+        this.#slowRunners.forget(entry.identifier);
       }
     }
     this.#replacedIncarnations = stillListed;
     this.availabilityChanged.announce();
     for (const identifier of this.#records.keys()) {
-      if (!listed.has(identifier)) this.#records.delete(identifier);
+      if (listed.has(identifier)) continue;
+      this.#records.delete(identifier);
+      this.#slowRunners.forget(identifier);
     }
   }
 
@@ -222,6 +165,7 @@
   ): chooseRunner.RunnerView[] {
     const now = common.now();
     const groupStalled = this.#isGroupStalled(service);
+    const isAvoided = this.#slowRunners.avoidance(service);
     const views: chooseRunner.RunnerView[] = [];
     for (const [identifier, record] of this.#records) {
       const { entry } = record;
@@ -239,6 +183,7 @@
         suspended:
           record.isSuspended(now) ||
           (groupStalled && record.isUnresponsive(now)),
+        slow: isAvoided(identifier),
       });
     }
     return views;
@@ -267,13 +212,41 @@
     tried: ReadonlySet<string>,
   ): traffic.RunnerEntry | undefined {
     const views = this.candidates(service, tried);
-    const chosen = chooseRunner.chooseRunner(views, this.parameters.random);
+    const probed = tried.size > 0 ? [] : this.#probeTargets(service, views);
+    const chosen = chooseRunner.chooseRunner(
+      probed.length > 0 ? probed : views,
+      this.parameters.random,
+    );
     const record = chosen && this.#records.get(chosen.identifier);
     if (!record) return undefined;
     if (record.refusing && !this.#startProbe(record)) return undefined;
     return record.entry;
   }
 
+  /** Slow runners one of which gets the next request of a service as a probe. */
+  #probeTargets(
+    service: string,
+    views: chooseRunner.RunnerView[],
+  ): chooseRunner.RunnerView[] {
+    const slow = views.filter((view) => view.slow && !view.suspended);
+    const targets = this.#slowRunners.probeTargets(
+      service,
+      slow.map(({ identifier }) => identifier),
+    );
+    return slow.filter(({ identifier }) => targets.includes(identifier));
+  }
+
+  /** Starts to time the answer to a request that is about to be sent. */
+  timeAnswer(
+    runner: traffic.RunnerEntry,
+    route: traffic.Route,
+  ): answerTimer.AnswerTimer {
+    const { identifier, slots } = runner;
+    const own = this.#records.get(identifier)?.own ?? 0;
+    const hadFreeSlot = own + this.#otherEntries.countAt(identifier) <= slots;
+    return this.#slowRunners.time({ runner, route, hadFreeSlot });
+  }
+
   /**
    * Runner of a service that could get a request soonest if its request rate
    * limit is waited for, and the wait; `undefined` if no limit is in the way.
@@ -363,7 +336,7 @@
    * Whether a request may be sent to find out if a refusing runner accepts
    * requests again. If so, reserves this probe.
    */
-  #startProbe(record: RunnerRecord): boolean {
+  #startProbe(record: runnerRecord.RunnerRecord): boolean {
     const now = common.now();
     const { service } = record.entry;
     if (now < (this.#nextProbeAt.get(service) ?? 0)) return false;
@@ -425,7 +398,7 @@
    * of another group that is not re-formed yet refuses the next request, and is
    * avoided again.
    */
-  #endRefusal(accepting: RunnerRecord): void {
+  #endRefusal(accepting: runnerRecord.RunnerRecord): void {
     const { service } = accepting.entry;
     accepting.refusing = false;
     if (!this.parameters.inLockStep(service)) return;
@@ -495,10 +468,14 @@
       outstanding: record.own + this.#otherEntries.countAt(identifier),
       failureShare: record.currentFailureShare(now),
       spared: record.isSuspended(now),
+      slow: this.#slowRunners.isSlow(identifier),
     }));
   }
 
-  #recordOutcome(record: RunnerRecord, outcome: CallOutcome): void {
+  #recordOutcome(
+    record: runnerRecord.RunnerRecord,
+    outcome: CallOutcome,
+  ): void {
     if (outcome === CallOutcome.Neutral) return;
     const now = common.now();
     const failed = outcome === CallOutcome.Failure ? 1 : 0;
--- /dev/null
+++ b/packages/daemon/src/forwarding/slow_runners.ts
@@ -0,0 +1,305 @@
+import * as answerTimer from "./answer_timer.ts";
+
+/**
+ * Share of a route's gap, and of its objective, by which the times of a runner
+ * may exceed those of other runners. The rest is left for the network and for
+ * variation between requests.
+ */
+const ALLOWED_SHARE = 0.5;
+/**
+ * Weight of the newest part in the averages of a runner. A part that comes
+ * later by less than three times the allowed excess, as after one lost packet,
+ * does not make a runner slow.
+ */
+const NEWEST_PART_WEIGHT = 0.3;
+/**
+ * Upper bound of the excess of one part, in multiples of the allowed excess.
+ * One part at this bound makes a runner slow, and after any number of them four
+ * parts in time show that it has recovered.
+ */
+const MAX_EXCESS = 4;
+/**
+ * At most one in this number of requests of a service is sent as a probe to
+ * its slow runners. The answer to a probe is mostly late. Together these may
+ * cost a tenth of the value at most.
+ */
+const REQUESTS_PER_PROBE = 10;
+
+/** What the answers of one runner say about its speed. */
+class RunnerPace {
+  /** Decaying averages of the time that each part of an answer takes. */
+  readonly averages = new Map<answerTimer.AnswerPart, number>();
+  /**
+   * Decaying average of the time by which parts exceeded those of other
+   * runners, in multiples of the allowed excess.
+   */
+  excess = 0;
+  /** When the last event arrived that was not slow. */
+  onTimeAt = -Infinity;
+  /** Timers of the answers in progress. */
+  readonly timers = new Set<answerTimer.AnswerTimer>();
+
+  constructor(readonly service: string) {}
+
+  /** The excess, if the next part had the given one. */
+  excessWith(excess: number): number {
+    return this.excess + NEWEST_PART_WEIGHT * (excess - this.excess);
+  }
+
+  noteTime(part: answerTimer.AnswerPart, milliseconds: number): void {
+    const average = this.averages.get(part) ?? milliseconds;
+    this.averages.set(
+      part,
+      average + NEWEST_PART_WEIGHT * (milliseconds - average),
+    );
+  }
+}
+
+/** What timing an answer needs to know of its request and runner. */
+export interface TimedRequest {
+  runner: { identifier: string; service: string };
+  route: answerTimer.AnswerTimer["parameters"]["route"];
+  hadFreeSlot: boolean;
+}
+
+/**
+ * Finds out from this entry's own answers which runners are much slower than
+ * the others of their service, and when they have recovered.
+ */
+export class SlowRunners {
+  readonly #paces = new Map<string, RunnerPace>();
+  /**
+   * Requests of each service since the last probe, or since it has slow runners.
+   */
+  readonly #sinceProbe = new Map<string, number>();
+  /**
+   * Services in lock-step some of whose ranks are slow, and when this entry
+   * noticed the first of them.
+   */
+  readonly #slowSince = new Map<string, number>();
+
+  constructor(
+    readonly parameters: {
+      /** Monotonic milliseconds in which this process read answers. */
+      now: () => number;
+      /** Whether the runners of a service run in lock-step, in groups. */
+      inLockStep: (service: string) => boolean;
+    },
+  ) {}
+
+  /** Starts to time the answer to a request that is about to be sent. */
+  time({ runner, route, hadFreeSlot }: TimedRequest): answerTimer.AnswerTimer {
+    const { identifier, service } = runner;
+    const pace = this.#paces.get(identifier) ?? new RunnerPace(service);
+    this.#paces.set(identifier, pace);
+    const timer = new answerTimer.AnswerTimer({
+      route,
+      hadFreeSlot,
+      now: this.parameters.now,
+      onPart: (time) => this.#notePart(pace, timer, time),
+      onEnd: (awaited) => {
+        if (awaited) this.#noteGivenUp(pace, timer, awaited);
+        pace.timers.delete(timer);
+      },
+    });
+    pace.timers.add(timer);
+    return timer;
+  }
+
+  /** Forgets a runner that is gone or has restarted. */
+  forget(identifier: string): void {
+    this.#paces.delete(identifier);
+  }
+
+  /** Whether a runner is much slower than the others of its service. */
+  isSlow(identifier: string): boolean {
+    const pace = this.#paces.get(identifier);
+    return pace !== undefined && this.#currentExcess(pace) > 1;
+  }
+
+  /**
+   * Returns a function that tells whether a runner of a service is to get
+   * requests only if the others are full.
+   */
+  avoidance(service: string): (identifier: string) => boolean {
+    const slow = new Set<string>();
+    for (const [identifier, pace] of this.#paces) {
+      if (pace.service !== service) continue;
+      if (this.#currentExcess(pace) > 1) slow.add(identifier);
+    }
+    if (slow.size === 0) this.#slowSince.delete(service);
+    if (slow.size === 0 || !this.parameters.inLockStep(service))
+      return (identifier) => slow.has(identifier);
+    const since = this.#slowSince.get(service) ?? this.parameters.now();
+    this.#slowSince.set(service, since);
+    const fast = new Set<string>();
+    for (const [identifier, pace] of this.#paces) {
+      if (pace.service !== service || slow.has(identifier)) continue;
+      if (pace.onTimeAt > since) fast.add(identifier);
+    }
+    // A rank not heard from since then may be in the slow group. If requests
+    // had to find that out, each entry would lose one for each rank of it.
+    return (identifier) =>
+      fast.size > 0 ? !fast.has(identifier) : slow.has(identifier);
+  }
+
+  /**
+   * Returns the avoided runners of a service one of which is to get the next
+   * request as a probe; none if no probe is due. A runner with a request in
+   * progress from this entry needs no probe: the answer will show whether it is
+   * slow. In lock-step, one rank shows it for its group.
+   */
+  probeTargets(service: string, avoided: readonly string[]): string[] {
+    if (avoided.length === 0) {
+      this.#sinceProbe.delete(service);
+      return [];
+    }
+    const sinceProbe = (this.#sinceProbe.get(service) ?? 0) + 1;
+    this.#sinceProbe.set(service, sinceProbe);
+    const idle = avoided.filter(
+      (identifier) => (this.#paces.get(identifier)?.timers.size ?? 0) === 0,
+    );
+    const observesGroup =
+      this.parameters.inLockStep(service) && idle.length < avoided.length;
+    if (observesGroup || idle.length === 0) return [];
+    if (sinceProbe < REQUESTS_PER_PROBE) return [];
+    this.#sinceProbe.set(service, 0);
+    return idle;
+  }
+
+  #notePart(
+    pace: RunnerPace,
+    timer: answerTimer.AnswerTimer,
+    time: answerTimer.PartTime,
+  ): void {
+    const wasSlow = pace.excess > 1;
+    const excess = this.#excessOf(pace, timer, time);
+    if (excess !== undefined) pace.excess = pace.excessWith(excess);
+    const isEvent = time.part === answerTimer.AnswerPart.Event;
+    if (isEvent && excess !== undefined && excess <= 1) pace.onTimeAt = time.to;
+    if (isComparable(timer, time)) {
+      pace.noteTime(time.part, time.to - time.from);
+    }
+    if (wasSlow && pace.excess <= 1) this.#noteRecovery(pace);
+  }
+
+  /** Notes a part that did not arrive; it would have taken longer still. */
+  #noteGivenUp(
+    pace: RunnerPace,
+    timer: answerTimer.AnswerTimer,
+    time: answerTimer.PartTime,
+  ): void {
+    const excess = this.#excessOf(pace, timer, time) ?? 0;
+    pace.excess = Math.max(pace.excess, pace.excessWith(excess));
+  }
+
+  /**
+   * Lets the ranks of a service in lock-step that this entry does not observe
+   * recover together with one that has. All ranks of its group recover at the
+   * same time. A rank of another group that is still slow shows it in its next
+   * answer.
+   */
+  #noteRecovery({ service }: RunnerPace): void {
+    if (!this.parameters.inLockStep(service)) return;
+    for (const pace of this.#paces.values()) {
+      if (pace.service === service && pace.timers.size === 0) pace.excess = 0;
+    }
+  }
+
+  /** Excess of a runner, with the parts that it has not sent yet. */
+  #currentExcess(pace: RunnerPace): number {
+    let highest = pace.excess;
+    for (const timer of pace.timers) {
+      const { awaited } = timer;
+      const excess = awaited && this.#excessOf(pace, timer, awaited);
+      if (excess === undefined) continue;
+      highest = Math.max(highest, pace.excessWith(excess));
+    }
+    return highest;
+  }
+
+  /**
+   * By how much a part took longer than at other runners, in multiples of the
+   * allowed excess; `undefined` if nothing can be compared.
+   */
+  #excessOf(
+    pace: RunnerPace,
+    timer: answerTimer.AnswerTimer,
+    time: answerTimer.PartTime,
+  ): number | undefined {
+    const allowed = allowedExcess(timer, time.part);
+    if (allowed <= 0 || !isComparable(timer, time)) return undefined;
+    const inLockStep = this.parameters.inLockStep(pace.service);
+    if (inLockStep && time.part !== answerTimer.AnswerPart.Event)
+      return undefined;
+    const milliseconds = time.to - time.from;
+    if (milliseconds <= allowed) return 0;
+    const usual = inLockStep
+      ? this.#fastestMeanwhile(pace, time)
+      : this.#medianOfOthers(pace, time.part);
+    if (usual === undefined) return undefined;
+    const excess = (milliseconds - usual) / allowed;
+    return Math.min(MAX_EXCESS, Math.max(0, excess));
+  }
+
+  /**
+   * Shortest mean time between events of streams at other runners of a service
+   * in lock-step, in the same period. All ranks of a group are as fast as the
+   * slowest one, and a group may stand still for a second. So only events that
+   * other runners sent in the meantime show that there is a faster group; events
+   * from before, which averages contain, do not.
+   */
+  #fastestMeanwhile(
+    pace: RunnerPace,
+    { from, to }: answerTimer.PartTime,
+  ): number | undefined {
+    let fastest: number | undefined;
+    for (const other of this.#paces.values()) {
+      if (other === pace || other.service !== pace.service) continue;
+      for (const timer of other.timers) {
+        const mean = timer.meanEventTime(from, to);
+        if (mean === undefined) continue;
+        fastest = Math.min(fastest ?? Infinity, mean);
+      }
+    }
+    return fastest;
+  }
+
+  /** Median of the average times of a part at the other runners. */
+  #medianOfOthers(
+    pace: RunnerPace,
+    part: answerTimer.AnswerPart,
+  ): number | undefined {
+    const averages: number[] = [];
+    for (const other of this.#paces.values()) {
+      if (other === pace || other.service !== pace.service) continue;
+      const average = other.averages.get(part);
+      if (average !== undefined) averages.push(average);
+    }
+    averages.sort((left, right) => left - right);
+    return averages[Math.floor((averages.length - 1) / 2)];
+  }
+}
+
+/** Time by which a part may take longer than at other runners. */
+function allowedExcess(
+  timer: answerTimer.AnswerTimer,
+  part: answerTimer.AnswerPart,
+): number {
+  const { gapMilliseconds, objectiveMilliseconds } = timer.parameters.route;
+  switch (part) {
+    case answerTimer.AnswerPart.Event:
+      return gapMilliseconds * ALLOWED_SHARE;
+    case answerTimer.AnswerPart.FirstEvent:
+    case answerTimer.AnswerPart.Whole:
+      return objectiveMilliseconds * ALLOWED_SHARE;
+  }
+}
+
+/** Whether the time of a part says something about the speed of the runner. */
+function isComparable(
+  timer: answerTimer.AnswerTimer,
+  { part }: answerTimer.PartTime,
+): boolean {
+  return part === answerTimer.AnswerPart.Event || timer.parameters.hadFreeSlot;
+}
