feat(forwarding): events when a runner becomes slow and when it recovers

Cause: operators could not see which runners an entry avoids, nor find the engines that report a pace that cannot be read.

The record of a runner's answers is told when its verdict changes.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -52,8 +52,11 @@
   PlacementPlanned = 1701,
   PlacementSkipped = 1702,
   PlacementHeldBack = 1703,
+  PaceUnreadable = 1704,
   RunnerSpared = 1801,
   RunnerRestored = 1802,
+  RunnerSlow = 1803,
+  RunnerRecovered = 1804,
   DocumentUnavailable = 1901,
   DocumentAvailable = 1902,
   DocumentInForce = 1903,
@@ -358,6 +361,12 @@
       "A new expert map is put off: a surge is on or near, and the gain does not repay the cost several times.",
     action: NONE,
   },
+  [EventCode.PaceUnreadable]: {
+    level: EventLevel.Warn,
+    meaning:
+      "An engine reported a `pace` that is no number or is below 0; it counts as 1. Logged once by each process.",
+    action: "Look at what the engine reports.",
+  },
   [EventCode.RunnerSpared]: {
     level: EventLevel.Warn,
     meaning: "A runner makes no progress and gets no new work for now.",
@@ -368,6 +377,19 @@
     meaning: "A spared runner makes progress again.",
     action: NONE,
   },
+  [EventCode.RunnerSlow]: {
+    level: EventLevel.Warn,
+    meaning:
+      "The answers of a runner come much later than those of the other runners of its service; this entry sends it requests only when all others are full.",
+    action:
+      "Look at its engine, and at the host of the slowest rank of its group.",
+  },
+  [EventCode.RunnerRecovered]: {
+    level: EventLevel.Info,
+    meaning:
+      "A slow runner answers in time again, or this entry knows no other that is faster.",
+    action: NONE,
+  },
   [EventCode.DocumentUnavailable]: {
     level: EventLevel.Warn,
     meaning:
--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -105,11 +105,17 @@
        * none.
        */
       restOf: (runner: traffic.RunnerEntry) => number;
+      /** Called when a runner has become slow, or has recovered. */
+      onSlowChange?: (identifier: string, isSlow: boolean) => void;
     },
   ) {
-    const { inLockStep } = parameters;
+    const { inLockStep, onSlowChange: onChange = () => {} } = parameters;
     const now = () => this.silenceClock.now();
-    this.#slowRunners = new slowRunners.SlowRunners({ now, inLockStep });
+    this.#slowRunners = new slowRunners.SlowRunners({
+      now,
+      inLockStep,
+      onChange,
+    });
   }
 
   /** Applies a new list; runners that are not in it get no further requests. */
--- a/packages/daemon/src/forwarding/slow_runners.ts
+++ b/packages/daemon/src/forwarding/slow_runners.ts
@@ -34,6 +34,8 @@
    * runners, in multiples of the allowed excess.
    */
   excess = 0;
+  /** Whether the last choice found the runner slow. */
+  wasSlow = false;
   /** When the last event arrived that was not slow. */
   onTimeAt = -Infinity;
   /** Timers of the answers in progress. */
@@ -84,6 +86,8 @@
       now: () => number;
       /** Whether the runners of a service run in lock-step, in groups. */
       inLockStep: (service: string) => boolean;
+      /** Called when a choice first finds a runner slow, or no longer so. */
+      onChange: (identifier: string, isSlow: boolean) => void;
     },
   ) {}
 
@@ -125,7 +129,10 @@
     const slow = new Set<string>();
     for (const [identifier, pace] of this.#paces) {
       if (pace.service !== service) continue;
-      if (this.#currentExcess(pace) > 1) slow.add(identifier);
+      const isSlow = this.#currentExcess(pace) > 1;
+      if (isSlow) slow.add(identifier);
+      if (isSlow !== pace.wasSlow) this.parameters.onChange(identifier, isSlow);
+      pace.wasSlow = isSlow;
     }
     if (slow.size === 0) this.#slowSince.delete(service);
     if (slow.size === 0 || !this.parameters.inLockStep(service))
--- a/packages/daemon/src/forwarding/slow_runners_test.ts
+++ b/packages/daemon/src/forwarding/slow_runners_test.ts
@@ -17,6 +17,7 @@
 /** Runners whose answers arrive in virtual time. */
 class World {
   time = 0;
+  readonly changes: string[] = [];
   readonly slow: slowRunners.SlowRunners;
 
   constructor(
@@ -26,6 +27,8 @@
     this.slow = new slowRunners.SlowRunners({
       now: () => this.time,
       inLockStep: () => lockStep,
+      onChange: (identifier, isSlow) =>
+        this.changes.push(`${identifier} ${isSlow ? "slow" : "recovered"}`),
     });
   }
 
@@ -212,6 +215,7 @@
   t.deepEqual(world.slow.probeTargets("s", ["p-0"]), []);
   for (let request = 0; request < 4; request++) world.answer("p-0", ANSWER);
   t.deepEqual(all.filter(world.slow.avoidance("s")), []);
+  t.deepEqual(world.changes, ["p-0 slow", "p-0 recovered"]);
 });
 
 // The caller of a slow plain runner may give up before the answer comes. If
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -136,6 +136,13 @@
       inLockStep: (service) => this.#inLockStep(service),
       rateLimitWaitOf: (runner) => this.rateLimits.waitOf(runner),
       restOf: (runner) => this.rests.waitOf(runner),
+      onSlowChange: (peer, isSlow) =>
+        logger.event(
+          isSlow
+            ? common.EventCode.RunnerSlow
+            : common.EventCode.RunnerRecovered,
+          { peer },
+        ),
     });
     this.#rows = new quarantineRows.QuarantineRows(parameters);
     this.quarantine = new quarantine.Quarantine({
