feat(rank_group): weight the load of a rank by the pace of its engine

Cause: all ranks of a group run at the pace of the slowest. A rank at a twelfth of its speed kept as many activations as the others.

The heartbeat of a slow rank has field names, as a list has no room for the pace that the build before would not take for a count; those of other ranks are unchanged. The planner multiplies a rank's load by its pace, lets a slow rank give up replicas that others have, and measures what a copy must save at the usual pace.

--- a/packages/daemon/src/forwarding_mod.ts
+++ b/packages/daemon/src/forwarding_mod.ts
@@ -19,6 +19,7 @@
 export * from "./rank_group/execute_order.ts";
 export * from "./rank_group/rank_handle.ts";
 export * from "./rank_group/order_until_final.ts";
+export * from "./rank_group/pace_reader.ts";
 export * from "./rank_group/rank_engine.ts";
 export * from "./rank_group/rank_process.ts";
 export * from "./rank_group/recover_switch.ts";
--- a/packages/daemon/src/placement/improve_layer.ts
+++ b/packages/daemon/src/placement/improve_layer.ts
@@ -10,15 +10,27 @@
   Swap = "swap",
   /** One more replica of an expert replaces a replica of another expert. */
   Displace = "displace",
+  /** A slow rank gives up its replica of an expert that others have too. */
+  Remove = "remove",
 }
 
+/** Number of copies that a change of each kind needs. */
+const COPIES: Record<ChangeKind, number> = {
+  [ChangeKind.Replicate]: 1,
+  [ChangeKind.Move]: 1,
+  // Each of the two experts must be copied to its new rank.
+  [ChangeKind.Swap]: 2,
+  [ChangeKind.Displace]: 1,
+  [ChangeKind.Remove]: 0,
+};
+
 /** One change to the placement of a layer's experts. */
 export interface Change {
   kind: ChangeKind;
   expert: number;
   /** Rank with the highest load, which the change relieves. */
   from: number;
-  /** Rank that gets a replica of the expert. */
+  /** Rank that gets a replica of the expert; -1 if there is none. */
   to: number;
   /** The second expert of a swap, or the displaced one; -1 if there is none. */
   other: number;
@@ -26,7 +38,7 @@
   copies: number;
   /**
    * Decrease of the highest load among the ranks concerned, divided by
-   * `copies`, in the unit of load.
+   * `copies` if there are any, in the unit of load.
    */
   gainPerCopy: number;
 }
@@ -67,19 +79,34 @@
     .leastLoadedRanks(MAX_TARGET_RANKS)
     .filter(mayReceiveCopy);
   const maySwap = mayReceiveCopy(from);
+  const fromPace = plan.paces[from];
   for (const expert of plan.expertsOn[from]) {
     const ranks = plan.ranksOf[expert];
     const share = plan.load[expert] / ranks.length;
     const shareAfter = plan.load[expert] / (ranks.length + 1);
+    if (fromPace > 1 && ranks.length > 1) {
+      const gain = peak - peakWithout(plan, ranks, from, expert);
+      if (gain > bestGain) {
+        bestGain = gain;
+        bestKind = ChangeKind.Remove;
+        bestExpert = expert;
+        bestTo = -1;
+        bestOther = -1;
+      }
+    }
     for (const to of targets) {
       if (to === from || ranks.includes(to)) continue;
       const toLoad = plan.rankLoad[to];
+      const toPace = plan.paces[to];
       if (plan.expertsOn[to].length < slots) {
         const replicated = Math.max(
-          peak - share + shareAfter,
-          toLoad + shareAfter,
+          peak - fromPace * share + fromPace * shareAfter,
+          toLoad + toPace * shareAfter,
+        );
+        const moved = Math.max(
+          peak - fromPace * share,
+          toLoad + toPace * share,
         );
-        const moved = Math.max(peak - share, toLoad + share);
         const gain = peak - Math.min(replicated, moved);
         if (gain <= bestGain) continue;
         bestGain = gain;
@@ -95,8 +122,8 @@
         const shared = otherRanks.includes(from);
         if (!shared && maySwap) {
           const swapped = Math.max(
-            peak - share + otherShare,
-            toLoad + share - otherShare,
+            peak - fromPace * share + fromPace * otherShare,
+            toLoad + toPace * share - toPace * otherShare,
           );
           // A swap takes two copies: each expert must be copied to its new
           // rank.
@@ -113,8 +140,11 @@
         const addedLoad =
           plan.load[other] / (otherRanks.length - 1) - otherShare;
         const displaced = Math.max(
-          peak - share + shareAfter + (shared ? addedLoad : 0),
-          toLoad - otherShare + shareAfter,
+          peak -
+            fromPace * share +
+            fromPace * shareAfter +
+            (shared ? fromPace * addedLoad : 0),
+          toLoad - toPace * otherShare + toPace * shareAfter,
         );
         const gain = peak - displaced;
         if (gain <= bestGain) continue;
@@ -134,7 +164,7 @@
     from,
     to: bestTo,
     other: bestOther,
-    copies: bestKind === ChangeKind.Swap ? 2 : 1,
+    copies: COPIES[bestKind],
     gainPerCopy: bestGain,
   };
 }
@@ -152,11 +182,33 @@
 ): boolean {
   for (const rank of ranks) {
     if (rank === removed) continue;
-    if (plan.rankLoad[rank] + addedLoad >= peak) return false;
+    const added = plan.paces[rank] * addedLoad;
+    if (plan.rankLoad[rank] + added >= peak) return false;
   }
   return true;
 }
 
+/**
+ * Highest load among the ranks of an expert after one of them gave up its
+ * replica.
+ */
+function peakWithout(
+  plan: layerPlan.LayerPlan,
+  ranks: number[],
+  removed: number,
+  expert: number,
+): number {
+  const share = plan.load[expert] / ranks.length;
+  const addedLoad = plan.load[expert] / (ranks.length - 1) - share;
+  let peak = plan.rankLoad[removed] - plan.paces[removed] * share;
+  for (const rank of ranks) {
+    if (rank === removed) continue;
+    const load = plan.rankLoad[rank] + plan.paces[rank] * addedLoad;
+    peak = Math.max(peak, load);
+  }
+  return peak;
+}
+
 /** Applies a change to a layer's plan. */
 export function applyChange(plan: layerPlan.LayerPlan, change: Change): void {
   const { kind, expert, from, to, other } = change;
@@ -171,5 +223,7 @@
     case ChangeKind.Displace:
       plan.remove(other, to);
       return plan.add(expert, to);
+    case ChangeKind.Remove:
+      return plan.remove(expert, from);
   }
 }
--- a/packages/daemon/src/placement/layer_plan.ts
+++ b/packages/daemon/src/placement/layer_plan.ts
@@ -4,13 +4,16 @@
  */
 export class LayerPlan {
   /**
-   * Load of each rank. An expert's load is divided equally among its replicas.
+   * Load of each rank, multiplied by its pace. An expert's load is divided
+   * equally among its replicas.
    */
   readonly rankLoad: Float64Array;
   /** Experts on each rank. */
   readonly expertsOn: number[][];
   /** Ranks of each expert. */
   readonly ranksOf: number[][];
+  /** How many times as long as usual each rank takes for its load. */
+  readonly paces: ArrayLike<number>;
 
   constructor(
     /** Load of each expert, in any unit. */
@@ -18,14 +21,18 @@
     places: number[][],
     /** Number of ranks. */
     readonly ranks: number,
+    /** Paces of the ranks; without them all ranks are equally fast. */
+    paces?: ArrayLike<number>,
   ) {
+    this.paces = paces ?? new Float64Array(ranks).fill(1);
     this.ranksOf = places.map((ranksOfExpert) => [...ranksOfExpert]);
     this.expertsOn = Array.from({ length: ranks }, () => []);
     this.rankLoad = new Float64Array(ranks);
     this.ranksOf.forEach((ranksOfExpert, expert) => {
       for (const rank of ranksOfExpert) {
         this.expertsOn[rank].push(expert);
-        this.rankLoad[rank] += load[expert] / ranksOfExpert.length;
+        this.rankLoad[rank] +=
+          this.paces[rank] * (load[expert] / ranksOfExpert.length);
       }
     });
   }
@@ -42,6 +49,15 @@
     return highest;
   }
 
+  /** Highest load of a rank if all ranks were as fast as usual. */
+  get usualPeak(): number {
+    let highest = 0;
+    for (let rank = 0; rank < this.ranks; rank++) {
+      highest = Math.max(highest, this.rankLoad[rank] / this.paces[rank]);
+    }
+    return highest;
+  }
+
   /** Rank with the highest load. */
   get mostLoadedRank(): number {
     let mostLoaded = 0;
@@ -69,15 +85,27 @@
     return chosen;
   }
 
+  /**
+   * Load of the mean rank if all ranks were as fast as usual. Where some are
+   * slow, it doesn't depend on which ranks have the load.
+   */
+  get meanRankLoad(): number {
+    let sum = 0;
+    for (let rank = 0; rank < this.ranks; rank++) {
+      sum += this.rankLoad[rank] / this.paces[rank];
+    }
+    return sum / this.ranks;
+  }
+
   /** Adds a replica, which lowers the load of the expert's other replicas. */
   add(expert: number, rank: number): void {
     const ranks = this.ranksOf[expert];
     const before = this.share(expert);
     const after = this.load[expert] / (ranks.length + 1);
-    for (const other of ranks) this.rankLoad[other] += after - before;
+    this.#addLoad(ranks, after - before);
     ranks.push(rank);
     this.expertsOn[rank].push(expert);
-    this.rankLoad[rank] += after;
+    this.#addLoad([rank], after);
   }
 
   /**
@@ -90,9 +118,9 @@
     ranks.splice(ranks.indexOf(rank), 1);
     const experts = this.expertsOn[rank];
     experts.splice(experts.indexOf(expert), 1);
-    this.rankLoad[rank] -= before;
+    this.#addLoad([rank], -before);
     const after = this.load[expert] / Math.max(1, ranks.length);
-    for (const other of ranks) this.rankLoad[other] += after - before;
+    this.#addLoad(ranks, after - before);
   }
 
   /** Moves a replica from one rank to another. */
@@ -103,7 +131,11 @@
     const experts = this.expertsOn[from];
     experts.splice(experts.indexOf(expert), 1);
     this.expertsOn[to].push(expert);
-    this.rankLoad[from] -= share;
-    this.rankLoad[to] += share;
+    this.#addLoad([from], -share);
+    this.#addLoad([to], share);
+  }
+
+  #addLoad(ranks: readonly number[], load: number): void {
+    for (const rank of ranks) this.rankLoad[rank] += this.paces[rank] * load;
   }
 }
--- a/packages/daemon/src/placement/plan_placement.ts
+++ b/packages/daemon/src/placement/plan_placement.ts
@@ -234,30 +234,33 @@
 
 /**
  * Skew of layer plans: the sum of the layers' highest rank loads divided by the
- * sum of their mean rank loads. A layer thus counts by its load. Returns 1 if
- * there is no load.
+ * sum of their mean rank loads. A layer thus counts by its load. A slow rank's
+ * load counts as many times as long as it takes. Returns 1 if there is no load.
  */
 export function skewOfPlans(plans: layerPlan.LayerPlan[]): number {
   let maxLoadSum = 0;
   let meanLoadSum = 0;
   for (const plan of plans) {
     maxLoadSum += plan.maxRankLoad;
-    meanLoadSum +=
-      plan.rankLoad.reduce((sum, load) => sum + load, 0) / plan.ranks;
+    meanLoadSum += plan.meanRankLoad;
   }
   return meanLoadSum > 0 ? maxLoadSum / meanLoadSum : 1;
 }
 
-/** Skew of a placement under a load by layer and expert. */
+/**
+ * Skew of a placement under a load by layer and expert. `paces` as in
+ * `LayerPlan`.
+ */
 export function skewOf(
   load: ArrayLike<number>[],
   places: number[][][],
   ranks: number,
+  paces?: ArrayLike<number>,
 ): number {
   return skewOfPlans(
     load.map(
       (layerLoad, layer) =>
-        new layerPlan.LayerPlan(layerLoad, places[layer], ranks),
+        new layerPlan.LayerPlan(layerLoad, places[layer], ranks, paces),
     ),
   );
 }
--- a/packages/daemon/src/placement/plan_quick.ts
+++ b/packages/daemon/src/placement/plan_quick.ts
@@ -12,9 +12,15 @@
   load: readonly (readonly number[])[];
   /** Ranks of each expert by layer, as in force. */
   places: number[][][];
+  /**
+   * How many times as long as usual each rank takes for its load, at least 1;
+   * without this, all ranks are equally fast.
+   */
+  paces?: readonly number[];
   /**
    * Least gain of each copy, as a share of the sum of all layers' highest rank
-   * loads. It stands for the cost of the copy.
+   * loads at the usual pace. It stands for the cost of the copy, which a slow
+   * rank does not raise.
    */
   minGainSharePerCopy: number;
   /** Copies that one rank may receive at most, over all layers. */
@@ -27,6 +33,8 @@
 export interface QuickPlan {
   /** Ranks of each expert by layer. */
   places: number[][][];
+  /** Number of changes; those that only remove a replica need no copy. */
+  changes: number;
   /** Number of copies that all ranks together must receive. */
   copies: number;
   /**
@@ -56,21 +64,28 @@
 export function planQuick(input: QuickPlanInput): QuickPlan {
   const plans = input.load.map(
     (load, layer) =>
-      new layerPlan.LayerPlan(load, input.places[layer], input.ranks),
+      new layerPlan.LayerPlan(
+        load,
+        input.places[layer],
+        input.ranks,
+        input.paces,
+      ),
   );
   const copyCounts = new CopyCounts(input);
   const skewBefore = planPlacement.skewOfPlans(plans);
-  const maxRankLoadSum = plans.reduce((sum, plan) => sum + plan.maxRankLoad, 0);
-  const minGain = maxRankLoadSum * input.minGainSharePerCopy;
+  const usualPeakSum = plans.reduce((sum, plan) => sum + plan.usualPeak, 0);
+  const minGain = usualPeakSum * input.minGainSharePerCopy;
   const findChange = (layer: number) =>
     improveLayer.bestChange(plans[layer], input.slots, minGain, (rank) =>
       copyCounts.allowsRank(layer, rank),
     );
   const candidates = plans.map((_, layer) => findChange(layer));
+  let changes = 0;
   for (;;) {
     const layer = layerWithBestCandidate(candidates);
     if (layer < 0) break;
     const change = candidates[layer] as improveLayer.Change;
+    changes++;
     copyCounts.add(layer, change);
     improveLayer.applyChange(plans[layer], change);
     for (let other = 0; other < plans.length; other++) {
@@ -84,6 +99,7 @@
   }
   return {
     places: plans.map((plan) => plan.ranksOf),
+    changes,
     copies: copyCounts.total,
     mostCopiesOfRank: copyCounts.maxPerRank,
     skewBefore,
@@ -147,7 +163,14 @@
 
 /** Ranks that must receive a copy of an expert for a change. */
 function ranksReceivingCopy(change: improveLayer.Change): number[] {
-  return change.kind === improveLayer.ChangeKind.Swap
-    ? [change.from, change.to]
-    : [change.to];
+  switch (change.kind) {
+    case improveLayer.ChangeKind.Swap:
+      return [change.from, change.to];
+    case improveLayer.ChangeKind.Remove:
+      return [];
+    case improveLayer.ChangeKind.Replicate:
+    case improveLayer.ChangeKind.Move:
+    case improveLayer.ChangeKind.Displace:
+      return [change.to];
+  }
 }
--- a/packages/daemon/src/rank_group/heartbeat_record.ts
+++ b/packages/daemon/src/rank_group/heartbeat_record.ts
@@ -20,13 +20,13 @@
 
   /**
    * Whether to send a state now: if it differs from the last one in more than
-   * the load and the number of the iteration, or if the last heartbeat is too
-   * long ago. Records the state as sent in that case.
+   * the load, the number of the iteration and the pace, or if the last heartbeat
+   * is too long ago. Records the state as sent in that case.
    */
   recordIfDue(status: wire.RankStatus, now: number): boolean {
     const sent = this.#sent;
     const late = now - this.#sentAt >= MAX_PAUSE_MILLISECONDS;
-    if (!late && sent && isSameExceptLoadAndStep(sent, status)) return false;
+    if (!late && sent && isSameStage(sent, status)) return false;
     this.#sent = status;
     this.#sentAt = now;
     return true;
@@ -42,13 +42,11 @@
 }
 
 /**
- * Whether two states differ at most in the load (`active` and `waiting`) and in
- * the number of the iteration (`step`).
+ * Whether two states differ at most in the load (`active` and `waiting`), in the
+ * number of the iteration (`step`) and in the pace, which an engine may measure
+ * anew for each report.
  */
-function isSameExceptLoadAndStep(
-  left: wire.RankStatus,
-  right: wire.RankStatus,
-): boolean {
+function isSameStage(left: wire.RankStatus, right: wire.RankStatus): boolean {
   return (
     left.epoch === right.epoch &&
     left.open === right.open &&
--- a/packages/daemon/src/rank_group/heartbeat_record_test.ts
+++ b/packages/daemon/src/rank_group/heartbeat_record_test.ts
@@ -19,6 +19,18 @@
   t.true(sent >= 7 && sent <= 9);
 });
 
+// An engine may measure its pace anew for each of its 25 reports a second. If
+// each were sent, the leader of a large group would receive all of them.
+test("a pace that differs in each reading is sent four times a second", (t) => {
+  const record = new heartbeatRecord.HeartbeatRecord();
+  let sent = 0;
+  for (let now = 0; now < 2_000; now += 40) {
+    const status = rankFixture.createStatus({ pace: 12 + now / 1_000 });
+    if (record.recordIfDue(status, now)) sent++;
+  }
+  t.true(sent >= 7 && sent <= 9);
+});
+
 // The leader waits for each stage of a switch, such as a loaded map or a held
 // iteration.
 test("a new stage of a switch is sent at once", (t) => {
--- a/packages/daemon/src/rank_group/map_planner.ts
+++ b/packages/daemon/src/rank_group/map_planner.ts
@@ -1,5 +1,6 @@
 import type * as traffic from "@geraniumkeel/traffic";
 import type * as wire from "@geraniumkeel/wire";
+import * as planPlacement from "../placement/plan_placement.ts";
 import * as planQuick from "../placement/plan_quick.ts";
 import type * as demandModule from "./demand.ts";
 import * as copyCost from "./copy_cost.ts";
@@ -79,8 +80,9 @@
   }
 
   /**
-   * Plans the next map. Returns `undefined` if none saves enough. `places`
-   * lists the ranks of each expert under the map in force.
+   * Plans the next map. Returns `undefined` if none saves enough. `statuses`
+   * are in order of rank; `places` lists the ranks of each expert under the map
+   * in force.
    */
   plan(
     now: number,
@@ -89,10 +91,16 @@
   ): PlannedMap | undefined {
     const { ranks, shape, gapMilliseconds, demand } = this.parameters;
     this.#plannedAt = now;
+    const paces = pacesOf(statuses, ranks);
+    const skewNow = (weights?: number[]) =>
+      planPlacement.skewOf([...demand.load], places, ranks, weights);
+    const skewAfterShift = this.#skewAfterShift(now);
     const strain = copyCost.strainOf({
       shape,
       statuses,
-      skewAfterShift: this.#skewAfterShift(now),
+      skewAfterShift: paces
+        ? Math.max(skewAfterShift, skewNow(paces))
+        : skewAfterShift,
       gapMilliseconds,
     });
     const cost = copyCost.costOfCopy(shape, ranks);
@@ -105,17 +113,19 @@
       slots: shape.expertSlots,
       load: demand.load,
       places,
+      paces,
       minGainSharePerCopy: minSavingOfCopy,
       maxCopiesPerRank: copyCost.maxCopiesPerRank(shape),
       maxCopiesPerRankAndLayer: shape.spareSlots,
     });
-    this.#noteSkew(plan.skewBefore, now);
+    // A slow rank says nothing about the skew after the next shift of demand.
+    this.#noteSkew(paces ? skewNow() : plan.skewBefore, now);
     const saving = 1 - plan.skewAfter / plan.skewBefore;
     const minSaving = Math.max(
       MIN_SWITCH_SAVING,
       SWITCH_COST_IN_COPIES * minSavingOfCopy,
     );
-    if (plan.copies === 0 || saving < minSaving) return undefined;
+    if (plan.changes === 0 || saving < minSaving) return undefined;
     return { plan, strain };
   }
 
@@ -133,3 +143,18 @@
     this.#worstSkew = { skew, at: now };
   }
 }
+
+/**
+ * Paces of all ranks; `undefined` if none is slow. A rank that is faster than
+ * usual counts as usual: its share of the load would make the others wait as
+ * soon as it is no longer.
+ */
+function pacesOf(
+  statuses: readonly wire.RankStatus[],
+  ranks: number,
+): number[] | undefined {
+  const paces = Array.from({ length: ranks }, (_, rank) =>
+    Math.max(1, statuses[rank]?.pace ?? 1),
+  );
+  return paces.some((pace) => pace > 1) ? paces : undefined;
+}
--- a/packages/daemon/src/rank_group/map_planner_test.ts
+++ b/packages/daemon/src/rank_group/map_planner_test.ts
@@ -116,3 +116,131 @@
   demand.add(0, new Array<number>(SHAPE.layers * EXPERTS).fill(2_000), 0);
   t.is(planner.plan(0, statusesOf(8), initialPlaces()), undefined);
 });
+
+const SLOW_RANK = 3;
+const SLOW_PACE = 12;
+
+function evenCounts(): number[] {
+  return new Array<number>(SHAPE.layers * EXPERTS).fill(2_000);
+}
+
+/** Share of the activations that the slow rank has under a demand. */
+function shareOfSlowRank(
+  demand: demandModule.Demand,
+  places: number[][][],
+): number {
+  let share = 0;
+  let total = 0;
+  demand.load.forEach((load, layer) => {
+    load.forEach((count, expert) => {
+      const ranks = places[layer][expert];
+      total += count;
+      if (ranks.includes(SLOW_RANK)) share += count / ranks.length;
+    });
+  });
+  return share / total;
+}
+
+/** Plans one map after another for a time, with a pace of one rank. */
+function planFor(
+  planner: mapPlanner.MapPlanner,
+  setup: {
+    from: number;
+    milliseconds?: number;
+    places: number[][][];
+    pace: number | undefined;
+  },
+): { places: number[][][]; switches: number } {
+  let { places } = setup;
+  let switches = 0;
+  const statuses = statusesOf(6);
+  statuses[SLOW_RANK] = { ...statuses[SLOW_RANK], pace: setup.pace };
+  const end = setup.from + (setup.milliseconds ?? 10_000);
+  for (let now = setup.from; now < end; now += 200) {
+    const planned = planner.plan(now, statuses, places);
+    if (!planned) continue;
+    switches++;
+    ({ places } = planned.plan);
+    for (const layer of places) {
+      assertMap(layer.every((ranks) => ranks.length > 0));
+      for (let rank = 0; rank < RANKS; rank++) {
+        const held = layer.filter((ranks) => ranks.includes(rank)).length;
+        assertMap(held <= SHAPE.expertSlots);
+      }
+    }
+  }
+  return { places, switches };
+}
+
+/** Throws if a condition does not hold that every map must meet. */
+function assertMap(condition: boolean): void {
+  if (!condition) throw new Error("a map without a replica or with too many");
+}
+
+// One rank at a twelfth of its speed makes each iteration of its group twelve
+// times as long while it has as many activations as the others.
+test("activations move away from a slow rank", (t) => {
+  const { planner, demand } = createPlanner();
+  demand.add(0, evenCounts(), 0);
+  const places = initialPlaces();
+  const before = shareOfSlowRank(demand, places);
+  const slow = planFor(planner, { from: 0, places, pace: SLOW_PACE });
+  t.true(slow.switches > 0);
+  t.true(shareOfSlowRank(demand, slow.places) < before / 6);
+});
+
+// A rank that has recovered and still has no experts makes the others wait for
+// each other when demand shifts, and the group would have one rank less for good.
+test("after the next shift of demand a rank that has recovered has activations again", (t) => {
+  const { planner, demand } = createPlanner();
+  const random = new common.Random(5);
+  addCounts(demand, random, 4, 0);
+  const places = initialPlaces();
+  const slow = planFor(planner, { from: 0, places, pace: SLOW_PACE });
+  const whenSlow = shareOfSlowRank(demand, slow.places);
+  for (let now = 10_000; now < 11_000; now += 100) {
+    addCounts(demand, random, 30, now);
+    planner.isDue(now);
+  }
+  const setup = { from: 11_000, places: slow.places, pace: 1 };
+  const recovered = planFor(planner, setup);
+  const afterwards = shareOfSlowRank(demand, recovered.places);
+  t.log(whenSlow, afterwards);
+  t.true(whenSlow < 0.25 / RANKS);
+  t.true(afterwards > 0.5 / RANKS);
+});
+
+// A rank that is slow every other second. If the map followed each change
+// whatever it costs, the group would load experts all the time.
+test("a rank that alternates between slow and usual causes at most two switches each time it becomes slow", (t) => {
+  const { planner, demand } = createPlanner();
+  demand.add(0, evenCounts(), 0);
+  let places = initialPlaces();
+  for (let round = 0; round < 10; round++) {
+    const pace = round % 2 === 0 ? SLOW_PACE : 1;
+    const setup = { from: round * 1_000, places, pace, milliseconds: 1_000 };
+    const planned = planFor(planner, setup);
+    t.true(planned.switches <= (pace > 1 ? 2 : 1));
+    ({ places } = planned);
+  }
+});
+
+test("without a slow rank the maps are those of ranks that report no pace", (t) => {
+  const mapsWith = (pace: number | undefined) => {
+    const { planner, demand } = createPlanner();
+    addCounts(demand, new common.Random(5), 4, 0);
+    return planFor(planner, { from: 0, places: initialPlaces(), pace });
+  };
+  const usual = mapsWith(undefined);
+  t.true(usual.switches > 0);
+  // A rank that says it is faster than usual counts as usual.
+  for (const pace of [1, 0.5, 0]) t.deepEqual(mapsWith(pace), usual);
+});
+
+// A rank that is slow by a few percent costs less than the switch.
+test("a rank that is slightly slow gets no new map", (t) => {
+  const { planner, demand } = createPlanner();
+  demand.add(0, evenCounts(), 0);
+  const setup = { from: 0, places: initialPlaces(), pace: 1.05 };
+  t.is(planFor(planner, setup).switches, 0);
+});
--- a/packages/wire/src/compact_rank_heartbeat.ts
+++ b/packages/wire/src/compact_rank_heartbeat.ts
@@ -18,7 +18,7 @@
   "heldStep",
 ] as const satisfies readonly (keyof rankGroup.RankStatus)[];
 
-type StatusNumbers = Omit<rankGroup.RankStatus, "open">;
+type StatusNumbers = Omit<rankGroup.RankStatus, "open" | "pace">;
 
 /**
  * Number of list items before the state's numbers: kind, group, fencing token,
@@ -27,15 +27,19 @@
 const HEAD_LENGTH = 7;
 
 /**
- * Writes a rank's heartbeat as a plain list. The leader of a large group
+ * Writes a rank's heartbeat as a plain list; `undefined` if the rank is slow. A
+ * list has no room for the pace: a process of a build that doesn't know it would
+ * take it for a count. So a slow rank's heartbeats have field names, which such a
+ * process reads as well. The leader of a large group
  * receives hundreds of heartbeats a second. With field names a state takes five
  * times the bytes, and reading the names takes more processor time of a small
  * host than the values.
  */
 export function rankHeartbeatToList(
   heartbeat: rankGroup.RankHeartbeat,
-): unknown[] {
+): unknown[] | undefined {
   const { token, identity, status, chosen } = heartbeat;
+  if (status.pace !== undefined && status.pace !== 1) return undefined;
   const { group, epoch, rank, size } = identity;
   return [
     heartbeat.kind,
--- a/packages/wire/src/compact_test.ts
+++ b/packages/wire/src/compact_test.ts
@@ -29,7 +29,10 @@
   };
 }
 
-function createRankBeat(chosen: number[]): rankGroup.RankHeartbeat {
+function createRankBeat(
+  chosen: number[],
+  pace?: number,
+): rankGroup.RankHeartbeat {
   return {
     kind: messageKind.MessageKind.RankHeartbeat,
     token: 114_353_838_688_768,
@@ -45,6 +48,7 @@
       armedVersion: 0,
       armedStep: 0,
       heldStep: -1,
+      ...(pace !== undefined && { pace }),
     },
     chosen,
   };
@@ -61,6 +65,8 @@
     createMeshBeat({ ready: false, leaving: true, outstanding: [] }),
     createRankBeat([0, 5, 300]),
     createRankBeat([]),
+    createRankBeat([0, 5, 300], 12),
+    createRankBeat([], 1.5),
   ]) {
     t.deepEqual(sent(beat), beat);
   }
@@ -98,3 +104,17 @@
     t.true(codec.decode(codec.encode(frame as never)).isErr());
   }
 });
+
+// A leader of the build before takes every number after the state for a count.
+// One more would stand for an expert of a layer that its model lacks.
+test("a slow rank's heartbeat has the fields that the build before reads", (t) => {
+  const slow = createRankBeat([0, 5, 300], 12);
+  const arrived = sent(slow) as rankGroup.RankHeartbeat;
+  t.deepEqual(arrived.chosen, slow.chosen);
+  t.like(arrived, createRankBeat([0, 5, 300]));
+});
+
+test("the heartbeat of a rank at its usual pace is that of the build before", (t) => {
+  const before = codec.encode(createRankBeat([0, 5, 300]));
+  t.deepEqual(codec.encode(createRankBeat([0, 5, 300], 1)), before);
+});
--- a/packages/wire/src/rank_group.ts
+++ b/packages/wire/src/rank_group.ts
@@ -48,6 +48,11 @@
   armedStep: number;
   /** Iteration that does not begin before a release; -1 for none. */
   heldStep: number;
+  /**
+   * How many times as long as usual the engine takes for its work. 1 if absent,
+   * as in messages of processes that don't know it.
+   */
+  pace?: number;
 }
 
 /**
