test(stand_ins): a rank that reports that it is slow loses its experts

Cause: the way of the pace from an engine over the rank's heartbeats to the leader and into a map was tested by parts only.

Change: the stand-in of a group reports a pace.

--- a/packages/stand_ins/src/rank_group_stand_in.ts
+++ b/packages/stand_ins/src/rank_group_stand_in.ts
@@ -28,6 +28,8 @@
   copyMilliseconds?: number;
   /** Requests that run and wait at a rank. */
   loadOf?: (rank: number) => { active: number; waiting: number };
+  /** Pace that the engine of a rank reports; it reports none without this. */
+  paceOf?: (rank: number) => number;
   /** Choices of a rank's requests since the start, layer after layer. */
   chosenBy?: (rank: number) => number[];
   /** A rank has been given another map, as of the pass that begins. */
@@ -160,6 +162,7 @@
         armedVersion: armed?.version ?? 0,
         armedStep: armed?.step ?? 0,
         heldStep: rank.heldStep,
+        ...(this.options.paceOf && { pace: this.options.paceOf(index) }),
       },
       sequence: rank.sequence,
       loading: prepared !== undefined && !ready,
