--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -234,7 +234,11 @@
     service: string,
     views: chooseRunner.RunnerView[],
   ): chooseRunner.RunnerView[] {
-    const slow = views.filter((view) => view.slow && !view.suspended);
+    // A refusing runner has probes of its own.
+    const slow = views.filter(
+      ({ identifier, slow, suspended }) =>
+        slow && !suspended && !this.#records.get(identifier)?.refusing,
+    );
     const targets = this.#slowRunners.probeTargets(
       service,
       slow.map(({ identifier }) => identifier),
--- a/packages/daemon/src/forwarding/slow_group_test.ts
+++ b/packages/daemon/src/forwarding/slow_group_test.ts
@@ -220,6 +220,7 @@
     // Streams that began up to a second before are late as well.
     const late = room.lateShare(SLOW_FROM - 1_000, SLOW_TO);
     t.log(late, "before", before.lateShare(SLOW_FROM - 1_000, SLOW_TO));
+    t.log("of those that arrived later", room.lateShare(SLOW_FROM, SLOW_TO));
     t.true(late < 0.1);
     const shareAfter = room.shareOfGroup(0, SLOW_TO + 2_000, END);
     t.log("share of the group that has recovered", shareAfter);
