test(forwarding): probes of a slow runner through the forwarder

Cause: that a slow runner gets probes was tested at the module only.

Change: every tenth request goes to a slow plain runner until its answers are in time.

--- a/packages/daemon/src/forwarding/slow_answers_test.ts
+++ b/packages/daemon/src/forwarding/slow_answers_test.ts
@@ -61,6 +61,42 @@
   await Promise.all([first.finished, second.finished]);
 });
 
+// A slow runner that gets no requests sends no answers. Without probes it would
+// stay without requests for good after it has recovered.
+test("a slow runner gets the tenth request when none of its answers is awaited, and is used again after answers in time", async (t) => {
+  const entry = new forwardingFixture.SteppedEntry({
+    route: {
+      answerForm: traffic.AnswerForm.Whole,
+      objectiveMilliseconds: 40,
+      mostAttempts: 1,
+    },
+  });
+  const [first, second] = ["a", "b"].map((name) => entry.send(name));
+  await forwardingFixture.until(
+    () => first.calls.length > 0 && second.calls.length > 0,
+  );
+  const [slow, quick] = [first.calls[0], second.calls[0]];
+  quick.begin();
+  quick.end();
+  await second.finished;
+  await forwardingFixture.until(() => isSlow(entry, slow.runner));
+  slow.begin();
+  slow.end();
+  await first.finished;
+  const order: number[] = [];
+  for (let request = 1; isSlow(entry, slow.runner); request++) {
+    const sent = entry.send(`later-${request}`);
+    await forwardingFixture.until(() => sent.calls.length > 0);
+    const [call] = sent.calls;
+    if (call.runner === slow.runner) order.push(request);
+    call.begin();
+    call.end();
+    await sent.finished;
+  }
+  t.is(order[0], 10);
+  t.true(order.every((request) => request % 10 === 0));
+});
+
 test("a plain runner whose answers take much longer than those of another one is slow", async (t) => {
   const entry = new forwardingFixture.SteppedEntry({
     route: {
