--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -151,6 +151,13 @@
       rateLimitWaitOf: (runner) => this.rateLimits.waitOf(runner),
       restOf: (runner) => this.rests.waitOf(runner),
       isEvacuated: (name) => this.evacuations.isEvacuated(name),
+      onSlowChange: (peer, isSlow) =>
+        logger.event(
+          isSlow
+            ? common.EventCode.RunnerSlow
+            : common.EventCode.RunnerRecovered,
+          { peer },
+        ),
     });
     this.#rows = new quarantineRows.QuarantineRows(parameters);
     this.quarantine = new quarantine.Quarantine({
