feat(wire): message MeshLoad between entries

Cause: entries know each other's requests in progress by runner, not by urgency, nor what waits and arrives elsewhere.

--- a/packages/wire/src/compact.ts
+++ b/packages/wire/src/compact.ts
@@ -1,4 +1,5 @@
 import * as compactMeshHeartbeat from "./compact_mesh_heartbeat.ts";
+import * as compactMeshLoad from "./compact_mesh_load.ts";
 import * as compactRankHeartbeat from "./compact_rank_heartbeat.ts";
 import * as isNumbers from "./is_numbers.ts";
 import type * as load from "./load.ts";
@@ -53,6 +54,8 @@
       ];
     case messageKind.MessageKind.MeshHeartbeat:
       return compactMeshHeartbeat.meshHeartbeatToList(value);
+    case messageKind.MessageKind.MeshLoad:
+      return compactMeshLoad.meshLoadToList(value);
     case messageKind.MessageKind.RankHeartbeat:
       return compactRankHeartbeat.rankHeartbeatToList(value);
     default:
@@ -65,6 +68,8 @@
   switch (list[0] as messageKind.MessageKind) {
     case messageKind.MessageKind.MeshHeartbeat:
       return compactMeshHeartbeat.meshHeartbeatFromList(list);
+    case messageKind.MessageKind.MeshLoad:
+      return compactMeshLoad.meshLoadFromList(list);
     case messageKind.MessageKind.RankHeartbeat:
       return compactRankHeartbeat.rankHeartbeatFromList(list);
     default:
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -2,6 +2,7 @@
 import type * as load from "./load.ts";
 import type * as member from "./member.ts";
 import type * as mesh from "./mesh.ts";
+import type * as meshLoad from "./mesh_load.ts";
 import type * as messageKind from "./message_kind.ts";
 import type * as order from "./order.ts";
 import type * as rankGroup from "./rank_group.ts";
@@ -100,6 +101,7 @@
   | mesh.MeshHeartbeat
   | mesh.MeshConfiguration
   | mesh.MeshRunners
+  | meshLoad.MeshLoad
   | rankGroup.RankHello
   | rankGroup.LeaderHeartbeat
   | rankGroup.RankHeartbeat
--- a/packages/wire/src/message_kind.ts
+++ b/packages/wire/src/message_kind.ts
@@ -37,6 +37,7 @@
   MeshHeartbeat = 71,
   MeshConfiguration = 72,
   MeshRunners = 73,
+  MeshLoad = 75,
   RankHello = 80,
   LeaderHeartbeat = 81,
   RankHeartbeat = 82,
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./map_changes.ts";
 export * from "./member.ts";
 export * from "./mesh.ts";
+export * from "./mesh_load.ts";
 export * from "./message.ts";
 export * from "./message_kind.ts";
 export * from "./order.ts";
