feat(daemon): admission by urgency on the forwarding path

Cause: an entry sent every request to a runner at once, so that under overload less urgent requests, and requests that were late in any case, took the capacity of those that could still be in time. Change: for services that routes of several urgencies share, a request asks for a place before its first attempt. urgency_rule.ts decides by the rule of docs/design/hard-load.md from capacity, requests in progress, demand by urgency and durations; urgency_queue.ts keeps what waits, in order, and the part of free capacity that the entry may use until the next report; peer_loads.ts keeps the reports of others with their ages. The reserve also holds back the requests that wait elsewhere and one standard deviation of the number in progress: without it, urgent requests of a burst were refused while bulk requests started. The retry budgets of the gateway moved into a module of their own. Run: tsc -b, eslint, prettier; ava of daemon forwarding, admission and mesh.

--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -8,6 +8,9 @@
   Quarantined = "quarantined",
   RateLimitDecisions = "rate_limit_decisions",
   RunnerRests = "runner_rests",
+  AdmissionDecisions = "admission_decisions",
+  AdmissionCapacity = "admission_capacity",
+  AdmissionWaiting = "admission_waiting",
   CallerConnectionsEnded = "caller_connections_ended",
   FirstToken = "first_token",
   BetweenTokens = "between_tokens",
@@ -71,6 +74,23 @@
     "Rests that runners asked this entry for.",
     "service",
   ),
+  [Metric.AdmissionDecisions]: counter(
+    "Requests for services that routes of several urgencies share: start, refuse, left.",
+    "service",
+    "urgency",
+    "outcome",
+  ),
+  [Metric.AdmissionCapacity]: gauge(
+    "1",
+    "Slots of the runners that may receive requests.",
+    "service",
+  ),
+  [Metric.AdmissionWaiting]: gauge(
+    "1",
+    "Requests that wait for capacity at this entry.",
+    "service",
+    "urgency",
+  ),
   [Metric.CallerConnectionsEnded]: counter(
     "Connections of callers that ended, by why.",
     "end",
--- /dev/null
+++ b/packages/daemon/src/admission/urgency_admission.ts
@@ -0,0 +1,191 @@
+import * as common from "@geraniumkeel/common";
+import type * as traffic from "@geraniumkeel/traffic";
+import * as wire from "@geraniumkeel/wire";
+import type * as runnerTracker from "../forwarding/runner_tracker.ts";
+import * as peerLoads from "./peer_loads.ts";
+import * as urgencyQueue from "./urgency_queue.ts";
+
+/**
+ * How often waiting requests are checked if no runner's state changes. Refusals
+ * are to be sent within 50 ms.
+ */
+const CHECK_INTERVAL_MILLISECONDS = 25;
+
+const NONE_TRIED: ReadonlySet<string> = new Set();
+
+/** The parts of the runner tracker that admission uses. */
+export type AdmissionTracker = Pick<
+  runnerTracker.RunnerTracker,
+  | "availabilityChanged"
+  | "candidates"
+  | "firstRestEnd"
+  | "hasRefusing"
+  | "isRefusing"
+  | "nextWithinRateLimit"
+>;
+
+/** What admission by urgency is created with. */
+export interface UrgencyAdmissionParameters {
+  configuration: traffic.ProvenValue<traffic.TrafficConfiguration>;
+  tracker: AdmissionTracker;
+  /** Number of known entries, including this one. */
+  entryCount: () => number;
+  metrics: common.Metrics;
+  clock?: () => number;
+}
+
+/**
+ * Admission of requests at this entry for the services that routes of several
+ * urgencies share in the configuration. Requests for other services are not
+ * subject to it.
+ */
+export class UrgencyAdmission {
+  readonly #queues = new Map<string, urgencyQueue.UrgencyQueue>();
+  readonly #peers: peerLoads.PeerLoads;
+  /** Queues whose waiting requests are being checked. */
+  readonly #checked = new Set<urgencyQueue.UrgencyQueue>();
+  #configuration: traffic.TrafficConfiguration | undefined;
+  #services: ReadonlySet<string> = new Set();
+
+  constructor(readonly parameters: UrgencyAdmissionParameters) {
+    const { entryCount } = parameters;
+    this.#peers = new peerLoads.PeerLoads({ clock: this.#clock, entryCount });
+  }
+
+  /** Queue of a service; `undefined` if admission does not apply to it. */
+  queueOf(service: string): urgencyQueue.UrgencyQueue | undefined {
+    if (!this.#managedServices().has(service)) return undefined;
+    const existing = this.#queues.get(service);
+    if (existing) return existing;
+    const created = new urgencyQueue.UrgencyQueue({
+      service,
+      clock: this.#clock,
+      capacity: () => this.#capacityOf(service),
+      peers: this.#peers,
+    });
+    this.#queues.set(service, created);
+    return created;
+  }
+
+  /**
+   * Asks for a place for a request. While requests wait, their queue is checked
+   * whenever a runner's state changes.
+   */
+  enter(
+    queue: urgencyQueue.UrgencyQueue,
+    request: urgencyQueue.EnteringRequest,
+  ): urgencyQueue.AdmissionOutcome | Promise<urgencyQueue.AdmissionOutcome> {
+    const entered = queue.enter(request);
+    if (entered instanceof Promise) void this.#checkWhileWaiting(queue);
+    return entered;
+  }
+
+  /** Counts the outcome of a request that asked for a place. */
+  countOutcome(service: string, urgency: number, outcome: string): void {
+    this.parameters.metrics.count(common.Metric.AdmissionDecisions, {
+      service,
+      urgency: String(urgency),
+      outcome,
+    });
+  }
+
+  /** Applies the report of another entry. */
+  receive(message: wire.MeshLoad, host: string): void {
+    this.#peers.receive(message, host);
+  }
+
+  /**
+   * Begins a new report interval and returns the message for the other entries;
+   * `undefined` if admission applies to no service.
+   */
+  report(): wire.MeshLoad | undefined {
+    const managed = this.#managedServices();
+    for (const [service, queue] of this.#queues) {
+      if (!managed.has(service) && queue.length === 0)
+        this.#queues.delete(service);
+    }
+    if (managed.size === 0) return undefined;
+    const services = [...managed]
+      .slice(0, wire.MAX_REPORTED_SERVICES)
+      .flatMap((service) => this.queueOf(service)?.report() ?? []);
+    for (const queue of this.#queues.values()) this.#recordGauges(queue);
+    return { kind: wire.MessageKind.MeshLoad, services };
+  }
+
+  /** Admission's part of the state dump. */
+  describe(): unknown {
+    return {
+      services: [...this.#queues.values()].map((queue) => queue.describe()),
+      knownShare: this.#peers.knownShare,
+      reportAges: this.#peers.describe(),
+    };
+  }
+
+  get #clock(): () => number {
+    return this.parameters.clock ?? common.now;
+  }
+
+  #recordGauges(queue: urgencyQueue.UrgencyQueue): void {
+    const { metrics } = this.parameters;
+    const { service, capacity, urgencies } = queue.describe();
+    metrics.gauge(common.Metric.AdmissionCapacity, capacity, { service });
+    for (const { urgency, waiting } of urgencies) {
+      const tags = { service, urgency: String(urgency) };
+      metrics.gauge(common.Metric.AdmissionWaiting, waiting, tags);
+    }
+  }
+
+  async #checkWhileWaiting(queue: urgencyQueue.UrgencyQueue): Promise<void> {
+    if (this.#checked.has(queue)) return;
+    this.#checked.add(queue);
+    const { availabilityChanged } = this.parameters.tracker;
+    while (queue.length > 0) {
+      await availabilityChanged.next(CHECK_INTERVAL_MILLISECONDS);
+      queue.letIn();
+    }
+    this.#checked.delete(queue);
+  }
+
+  /** Services that routes of several urgencies share. */
+  #managedServices(): ReadonlySet<string> {
+    const { value } = this.parameters.configuration;
+    if (value && value !== this.#configuration) {
+      this.#configuration = value;
+      this.#services = sharedServices(value.routes);
+    }
+    return this.#services;
+  }
+
+  #capacityOf(service: string): urgencyQueue.ServiceCapacity {
+    const { tracker } = this.parameters;
+    const views = tracker.candidates(service, NONE_TRIED);
+    const responsive = views.filter(({ suspended }) => !suspended);
+    const runners = responsive.filter(
+      ({ identifier }) => !tracker.isRefusing(identifier),
+    );
+    const mayReturn = () =>
+      views.length > 0 ||
+      tracker.hasRefusing(service) ||
+      tracker.firstRestEnd(service) !== undefined ||
+      tracker.nextWithinRateLimit(service, NONE_TRIED) !== undefined;
+    return {
+      runners,
+      mayReturn: runners.length > 0 || mayReturn(),
+      mayProbe: responsive.length > runners.length,
+    };
+  }
+}
+
+/** Services that routes with different urgencies send requests to. */
+function sharedServices(routes: traffic.Route[]): Set<string> {
+  const urgencies = new Map<string, Set<number>>();
+  for (const { urgency, shares } of routes) {
+    for (const { service, weight } of shares) {
+      if (weight <= 0) continue;
+      const known = urgencies.get(service) ?? new Set();
+      urgencies.set(service, known.add(urgency));
+    }
+  }
+  const shared = [...urgencies].filter(([, values]) => values.size > 1);
+  return new Set(shared.map(([service]) => service));
+}
--- /dev/null
+++ b/packages/daemon/src/admission/urgency_load_test.ts
@@ -0,0 +1,160 @@
+import * as ava from "ava";
+import * as urgencyLoadFixture from "./urgency_load_fixture.ts";
+
+const test = ava.default;
+
+const { runLoad, shareInTime } = urgencyLoadFixture;
+
+/**
+ * Requests per second that the usual service of these tests answers: 4 runners
+ * with 8 slots, 400 ms for each answer.
+ */
+const SATURATING = 80;
+const OBJECTIVE_MILLISECONDS = 500;
+
+function route(
+  urgency: number,
+  perSecond: (at: number) => number,
+): urgencyLoadFixture.RouteLoad {
+  return { urgency, objectiveMilliseconds: OBJECTIVE_MILLISECONDS, perSecond };
+}
+
+function inTime(
+  records: urgencyLoadFixture.LoadRecord[],
+  from = 4_000,
+): number {
+  return records.filter((item) => item.inTime && item.arrivedAt >= from).length;
+}
+
+// Without admission, bulk requests that arrive first fill the runners, and
+// urgent requests wait behind them until they are late.
+test("a bulk burst of 2.5 times during an urgent burst of 1.8 times takes nothing from urgent requests", async (t) => {
+  const isBurst = (at: number) => at >= 6_000 && at < 12_000;
+  const records = await runLoad({
+    durationMilliseconds: 14_000,
+    routes: [
+      route(0, (at) => 0.4 * SATURATING * (isBurst(at) ? 1.8 : 1)),
+      route(2, (at) => 0.4 * SATURATING * (isBurst(at) ? 2.5 : 1)),
+    ],
+  });
+  const urgent = shareInTime(records, 0, [6_000, 12_000]);
+  t.log({ urgent, bulk: shareInTime(records, 2, [6_000, 12_000]) });
+  t.true(urgent >= 0.95);
+  t.true(shareInTime(records, 2, [3_000, 6_000]) >= 0.95);
+});
+
+// Above saturation, requests that wait in line until they are late take the
+// capacity of those that could still be in time, and hardly any is.
+for (const factor of [2, 4]) {
+  test(`at a steady ${factor} times the saturating load the value in time stays at 0.9 of capacity`, async (t) => {
+    const records = await runLoad({
+      durationMilliseconds: 16_000,
+      callersReturn: true,
+      routes: [0, 1, 2].map((urgency) =>
+        route(urgency, () => (factor * SATURATING) / 3),
+      ),
+    });
+    const value = inTime(records) / (SATURATING * 12);
+    const shares = [0, 1, 2].map((urgency) =>
+      shareInTime(records, urgency, [4_000, 15_000]),
+    );
+    t.log({ value, shares });
+    t.true(value >= 0.9);
+    t.true(shares[0] >= shares[1] && shares[1] >= shares[2]);
+  });
+}
+
+test("requests that are hopeless are refused within 50 ms at 4 times the saturating load", async (t) => {
+  const records = await runLoad({
+    durationMilliseconds: 12_000,
+    routes: [0, 2].map((urgency) => route(urgency, () => 2 * SATURATING)),
+  });
+  const delays = records
+    .filter(({ refusedAt, arrivedAt }) => refusedAt && arrivedAt > 4_000)
+    .map(({ refusedAt = 0, arrivedAt }) => refusedAt - arrivedAt);
+  const quick = delays.filter((delay) => delay <= 50).length / delays.length;
+  t.log({ refused: delays.length, quick });
+  t.true(delays.length > 500);
+  t.true(quick >= 0.85);
+});
+
+// A group that lost a rank refuses everything for 1.5 s. In order of arrival,
+// the backlog made requests late for seconds after the group was back.
+test("after a stall of 1.5 s the requests that can still be in time go first", async (t) => {
+  const standsStill = (at: number) => at >= 6_000 && at < 7_500;
+  const records = await runLoad({
+    durationMilliseconds: 10_000,
+    standsStill,
+    routes: [0, 2].map((urgency) => route(urgency, () => 0.4 * SATURATING)),
+  });
+  const shares = [
+    shareInTime(records, 0, [7_200, 7_500]),
+    shareInTime(records, 0, [7_500, 9_500]),
+  ];
+  t.log({ shares, bulk: shareInTime(records, 2, [7_500, 9_500]) });
+  t.true(shares[0] >= 0.9);
+  t.true(shares[1] >= 0.95);
+});
+
+// The runners of the other entries' requests are known 300 ms late. If each
+// entry took all that was free at the return, the runners' queues overflowed.
+test("the entries do not flood the runners after a stall", async (t) => {
+  const records = await runLoad({
+    durationMilliseconds: 9_000,
+    entries: 6,
+    standsStill: (at) => at >= 6_000 && at < 7_500,
+    routes: [0, 2].map((urgency) => route(urgency, () => 0.8 * SATURATING)),
+  });
+  const atReturn = records.filter(
+    ({ startedAt = 0 }) => startedAt >= 7_500 && startedAt < 7_550,
+  );
+  t.log({ atReturn: atReturn.length });
+  t.true(atReturn.length <= 50);
+  t.true(atReturn.length >= 16);
+});
+
+test("a third of the runners cold: urgent requests keep their share", async (t) => {
+  const records = await runLoad({
+    durationMilliseconds: 12_000,
+    runners: 6,
+    usableRunners: (at) => (at >= 6_000 && at < 9_000 ? 4 : 6),
+    routes: [
+      route(0, () => 0.6 * SATURATING),
+      route(2, () => 0.6 * SATURATING),
+    ],
+  });
+  const urgent = shareInTime(records, 0, [6_000, 9_000]);
+  t.log({ urgent, bulk: shareInTime(records, 2, [6_000, 9_000]) });
+  t.true(urgent >= 0.95);
+  t.true(shareInTime(records, 2, [9_500, 11_500]) >= 0.9);
+});
+
+// Reports that stop are not used for longer than a second; an entry alone then
+// uses its own part of the capacity and still serves urgent requests first.
+test("entries without reports of the others go on by their part of the capacity", async (t) => {
+  const records = await runLoad({
+    durationMilliseconds: 14_000,
+    linked: (at) => at < 5_000,
+    routes: [0, 2].map((urgency) => route(urgency, () => SATURATING)),
+  });
+  const urgent = shareInTime(records, 0, [7_000, 13_000]);
+  const bulk = shareInTime(records, 2, [7_000, 13_000]);
+  t.log({ urgent, bulk });
+  t.true(urgent >= 0.7);
+  t.true(urgent > bulk);
+});
+
+test("uneven waves at the entries leave no capacity unused", async (t) => {
+  const records = await runLoad({
+    durationMilliseconds: 16_000,
+    entryOf: (random, at) =>
+      random.fraction() < 0.7 ? Math.floor(at / 2_000) % 3 : random.below(3),
+    routes: [0, 2].map((urgency) => route(urgency, () => 0.45 * SATURATING)),
+  });
+  const shares = [0, 2].map((urgency) =>
+    shareInTime(records, urgency, [4_000, 15_000]),
+  );
+  t.log({ shares });
+  t.true(shares[0] >= 0.95);
+  t.true(shares[1] >= 0.85);
+});
--- a/packages/daemon/src/forwarding/attempt_outcome.ts
+++ b/packages/daemon/src/forwarding/attempt_outcome.ts
@@ -48,6 +48,18 @@
   reason: "time ran out",
 };
 
+/** Outcome of a request that no runner may get. */
+export const NO_RUNNER: AttemptOutcome = {
+  kind: AttemptOutcomeKind.NotRun,
+  reason: "no runner",
+};
+
+/** Outcome of a request that would wait too long for a rate limit. */
+export const AT_RATE_LIMIT: AttemptOutcome = {
+  kind: AttemptOutcomeKind.NotRun,
+  reason: "runners are at their rate limits",
+};
+
 /** Outcome of an attempt whose request was quarantined. */
 export const QUARANTINED: AttemptOutcome = {
   kind: AttemptOutcomeKind.Quarantined,
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -1,5 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
+import type * as urgencyAdmission from "../admission/urgency_admission.ts";
 import type * as retryBudget from "../dispatch/retry_budget.ts";
 import type * as crashDetector from "../quarantine/crash_detector.ts";
 import * as fingerprint from "../quarantine/fingerprint.ts";
@@ -7,6 +8,7 @@
 import type * as watchedRequests from "../quarantine/watched_requests.ts";
 import type * as plannedStop from "../shutdown/planned_stop.ts";
 import type * as answerDurations from "./answer_durations.ts";
+import * as admissionPlace from "./admission_place.ts";
 import * as answerRelay from "./answer_relay.ts";
 import * as attemptOutcome from "./attempt_outcome.ts";
 import * as callerRequest from "./caller_request.ts";
@@ -35,11 +37,6 @@
  * not wait.
  */
 const MAX_WAIT_TIMEOUT_FRACTION = 0.25;
-/**
- * Random part of the retry delay of a request that a rate limit refused, as a
- * fraction: in a surge the paced delays of all reach their upper bound.
- */
-const RETRY_JITTER = 0.25;
 /** How often a waiting request checks for a runner. */
 const WAIT_CHECK_INTERVAL_MILLISECONDS = 50;
 
@@ -54,6 +51,7 @@
    */
   spentBefore: number;
   service: string;
+  admission: urgencyAdmission.UrgencyAdmission;
   tracker: runnerTracker.RunnerTracker;
   runnerClient: runnerClientModule.RunnerClient;
   budgetOf: (service: string) => retryBudget.RetryBudget;
@@ -94,19 +92,10 @@
   fingerprint: string | undefined;
   /** Set if the request waited for, or was refused by, a rate limit. */
   rateLimit: rateLimits.RateLimitTrace | undefined;
+  /** Set if the request waited for, or was refused by, admission. */
+  admission: admissionPlace.AdmissionTrace | undefined;
 }
 
-/** Outcome of a request that no runner may get. */
-const NO_RUNNER: attemptOutcome.AttemptOutcome = {
-  kind: attemptOutcome.AttemptOutcomeKind.NotRun,
-  reason: "no runner",
-};
-/** Outcome of a request that would wait too long for a rate limit. */
-const AT_RATE_LIMIT: attemptOutcome.AttemptOutcome = {
-  kind: attemptOutcome.AttemptOutcomeKind.NotRun,
-  reason: "runners are at their rate limits",
-};
-
 /**
  * Forwards one admitted request: chooses runners, makes one attempt after
  * another as far as the route and the retry budget allow, and gives the caller
@@ -126,6 +115,7 @@
   /** Number of attempts that a runner ran or may have run. */
   #runs = 0;
   readonly #clock: requestClock.RequestClock;
+  readonly #place: admissionPlace.AdmissionPlace;
   readonly #hedged: hedgedAttempts.HedgedAttempts;
   /** Attempts in the order in which they were made. */
   readonly #made: runnerAttempt.RunnerAttempt[] = [];
@@ -147,6 +137,12 @@
   constructor(readonly parameters: ForwardedRequestParameters) {
     const { route, request, account, sink } = parameters;
     this.#clock = new requestClock.RequestClock(request, route);
+    this.#place = new admissionPlace.AdmissionPlace({
+      ...parameters,
+      clock: this.#clock,
+      cancel: this.#cancellation.signal,
+      maxWaitMilliseconds: this.#maxWait,
+    });
     this.#fingerprint = new fingerprint.LazyFingerprint({
       ...request,
       account: account?.name ?? "",
@@ -202,11 +198,12 @@
       Math.max(0, this.#clock.millisecondsLeft),
     );
     const unwatch = quarantine.watch(this);
-    let outcome: attemptOutcome.AttemptOutcome;
+    let outcome: attemptOutcome.AttemptOutcome | undefined;
     try {
       outcome = await this.#attemptUntilFinal();
     } finally {
       clearTimeout(timer);
+      this.#place.release(outcome);
       unwatch();
       stopDeadline.removeEventListener("abort", onStopDeadline);
     }
@@ -225,6 +222,7 @@
       attempts: this.#attempts,
       fingerprint: isQuarantined ? this.fingerprint : undefined,
       rateLimit: this.#rateLimitTrace,
+      admission: this.#place.trace,
     };
   }
 
@@ -269,6 +267,12 @@
         return attemptOutcome.QUARANTINED;
       if (this.#stopsBeforeEnd()) return lastOutcome ?? attemptOutcome.STOPPED;
       if (lastOutcome && budget.balance < 1) return lastOutcome;
+      const entered = this.#place.enter();
+      if (entered instanceof Promise) {
+        await entered;
+        continue;
+      }
+      if (entered) return entered;
       const obtaining = this.#obtainRunner();
       const obtained =
         obtaining instanceof Promise ? await obtaining : obtaining;
@@ -278,10 +282,10 @@
         case "retry":
           continue;
         case "none":
-          return lastOutcome ?? NO_RUNNER;
+          return lastOutcome ?? attemptOutcome.NO_RUNNER;
         case "at-limit":
           this.#noteRateLimit(obtained);
-          return lastOutcome ?? AT_RATE_LIMIT;
+          return lastOutcome ?? attemptOutcome.AT_RATE_LIMIT;
         case "runner":
           break;
       }
@@ -338,7 +342,8 @@
    */
   #obtainRunner():
     obtainRunner.ObtainedRunner | Promise<obtainRunner.ObtainedRunner> {
-    const parameters = { ...this.parameters, tried: this.#tried };
+    const tried = this.#place.excluding(this.#tried);
+    const parameters = { ...this.parameters, tried };
     const obtained = obtainRunner.obtainRunner(parameters);
     if (obtained instanceof Promise) return obtained;
     return obtained.kind === "none" ? this.#awaitRunner(parameters) : obtained;
@@ -369,19 +374,7 @@
     const { rateLimits, random } = this.parameters;
     this.#rateLimitTrace = trace;
     const paced = rateLimits.nextRetryDelay(runner, waitMilliseconds);
-    this.#rateLimitRetryMilliseconds =
-      paced * random.between(1 - RETRY_JITTER, 1 + RETRY_JITTER);
-  }
-
-  /**
-   * Retry delay if runners of the service want rest; 0 otherwise. A little
-   * longer than the first rest, so that callers do not all return at its end.
-   */
-  #restRetryMilliseconds(): number {
-    const { tracker, service, random } = this.parameters;
-    const restEnd = tracker.firstRestEnd(service);
-    if (restEnd === undefined || tracker.hasCandidates(service)) return 0;
-    return restEnd * random.between(1, 1 + RETRY_JITTER);
+    this.#rateLimitRetryMilliseconds = retryDelay.jittered(paced, random);
   }
 
   /** Longest time from its arrival for which the request waits for a runner. */
@@ -431,6 +424,7 @@
           this.parameters.onAnswerStart(runner);
         },
       });
+    this.#place.noteAttempt(runner);
     this.#tried.add(runner.identifier);
     this.#made.push(attempt);
     return attempt;
@@ -533,6 +527,7 @@
   }
 
   #noteFirstAnswer(): void {
+    this.#place.noteFirstEvent();
     if (this.#firstAnswerMilliseconds < 0)
       this.#firstAnswerMilliseconds = this.#clock.elapsed;
   }
@@ -576,7 +571,8 @@
     return (
       quarantine.remainingMilliseconds(this) ||
       this.#rateLimitRetryMilliseconds ||
-      this.#restRetryMilliseconds() ||
+      this.#place.retryAfterMilliseconds ||
+      retryDelay.restRetryMilliseconds(this.parameters) ||
       retryDelay.retryDelayMilliseconds(this.#clock.millisecondsLeft, random)
     );
   }
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -1,4 +1,5 @@
 import * as common from "@geraniumkeel/common";
+import type * as urgencyAdmission from "../admission/urgency_admission.ts";
 import type * as retryBudget from "../dispatch/retry_budget.ts";
 import * as traffic from "@geraniumkeel/traffic";
 import type * as crashDetector from "../quarantine/crash_detector.ts";
@@ -25,6 +26,7 @@
    * Age of the configuration's proof up to which requests that need a key run.
    */
   maxProofAgeMilliseconds: number;
+  admission: urgencyAdmission.UrgencyAdmission;
   tracker: runnerTracker.RunnerTracker;
   runnerClient: runnerClientModule.RunnerClient;
   budgetOf: (service: string) => retryBudget.RetryBudget;
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -3,6 +3,7 @@
 import * as traffic from "@geraniumkeel/traffic";
 import * as runnerFixture from "@geraniumkeel/traffic/runner_fixture";
 import * as neverthrow from "neverthrow";
+import * as urgencyAdmission from "../admission/urgency_admission.ts";
 import * as retryBudget from "../dispatch/retry_budget.ts";
 import * as crashDetector from "../quarantine/crash_detector.ts";
 import * as quarantineFixture from "../quarantine/quarantine_fixture.ts";
@@ -114,8 +115,15 @@
   const presenceOf = async () => common.Presence.Listening;
   const logger = new common.RecordingLogger();
   const configuration = configurationOf(setup);
+  const metrics = common.discardMetrics();
   const forwarder = new forwarderModule.Forwarder({
     configuration,
+    admission: new urgencyAdmission.UrgencyAdmission({
+      configuration,
+      tracker,
+      entryCount: () => 1,
+      metrics,
+    }),
     proofAge: () => configuration.age,
     maxProofAgeMilliseconds: 4_000,
     tracker,
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -2,6 +2,7 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
 import * as runnerFixture from "@geraniumkeel/traffic/runner_fixture";
+import * as urgencyAdmission from "../admission/urgency_admission.ts";
 import * as retryBudget from "../dispatch/retry_budget.ts";
 import * as crashDetector from "../quarantine/crash_detector.ts";
 import * as fingerprint from "../quarantine/fingerprint.ts";
@@ -154,7 +155,13 @@
 /** How a simulated entry and its route differ from the usual. */
 export interface EntrySetup {
   route?: Partial<traffic.Route>;
+  /**
+   * Urgencies of further routes of the same service, each with its number as
+   * the first part of its path.
+   */
+  otherUrgencies?: number[];
   runners?: string[];
+  slots?: number;
   /** Retries that the budget allows. */
   retries?: number;
   presence?: common.Presence | Promise<common.Presence>;
@@ -171,6 +178,7 @@
   readonly budget: retryBudget.RetryBudget;
   readonly tracker: runnerTracker.RunnerTracker;
   readonly rateLimits = rateLimitsFixture.createRateLimits();
+  readonly admission: urgencyAdmission.UrgencyAdmission;
   readonly forwarder: forwarderModule.Forwarder;
   /** Runners whose addresses the crash detector probed, in order. */
   readonly probes: string[] = [];
@@ -186,15 +194,27 @@
       maxBalance: retries,
       initialBalance: retries,
     });
-    this.tracker = createTracker(runners, this.rateLimits);
+    const { slots = 8 } = setup;
+    this.tracker = createTracker(runners, slots, this.rateLimits);
     const presenceOf = async ({ identifier }: traffic.RunnerEntry) => {
       this.probes.push(identifier);
       return setup.presence ?? common.Presence.Listening;
     };
     const { logger, budget, tracker } = this;
     const metrics = common.discardMetrics();
+    const configuration = createConfiguration(
+      setup.route ?? {},
+      setup.otherUrgencies ?? [],
+    );
+    this.admission = new urgencyAdmission.UrgencyAdmission({
+      configuration,
+      tracker,
+      entryCount: () => 1,
+      metrics,
+    });
     this.forwarder = new forwarderModule.Forwarder({
-      configuration: createConfiguration(setup.route ?? {}),
+      configuration,
+      admission: this.admission,
       proofAge: () => 0,
       maxProofAgeMilliseconds: 4_000,
       tracker,
@@ -231,7 +251,10 @@
   }
 
   /** Forwards a request of a caller. */
-  send(identifier: string): SentRequest {
+  send(
+    identifier: string,
+    change: Partial<callerRequest.CallerRequest> = {},
+  ): SentRequest {
     const left = new AbortController();
     const sent: SentRequest = {
       text: "",
@@ -246,7 +269,7 @@
       blocked: false,
     };
     this.#requests.set(identifier, sent);
-    const request = createRequest(identifier);
+    const request = { ...createRequest(identifier), ...change };
     const sink = createSink(sent, left.signal);
     sent.finished = this.forwarder.forward(request, sink);
     return sent;
@@ -307,6 +330,7 @@
 
 function createTracker(
   identifiers: string[],
+  slots: number,
   rateLimits: rateLimitsModule.RateLimits,
 ): runnerTracker.RunnerTracker {
   const tracker = new runnerTracker.RunnerTracker({
@@ -316,7 +340,13 @@
     restOf: () => 0,
     inLockStep: () => false,
   });
-  tracker.update({ version: 1, runners: identifiers.map(createRunner) });
+  tracker.update({
+    version: 1,
+    runners: identifiers.map((identifier) => ({
+      ...createRunner(identifier),
+      slots,
+    })),
+  });
   return tracker;
 }
 
@@ -327,27 +357,31 @@
 
 function createConfiguration(
   route: Partial<traffic.Route>,
+  otherUrgencies: number[],
 ): traffic.ProvenValue<traffic.TrafficConfiguration> {
   const configuration = new traffic.ProvenValue<traffic.TrafficConfiguration>();
+  const routeOf = (change: Partial<traffic.Route>): traffic.Route => ({
+    name: "r",
+    host: "h",
+    prefix: "/a/",
+    repeatability: traffic.Repeatability.Idempotent,
+    answerForm: traffic.AnswerForm.Events,
+    open: true,
+    shares: [{ service: "s", weight: 1 }],
+    mostAttempts: 2,
+    timeoutMilliseconds: 5_000,
+    objectiveMilliseconds: 200,
+    gapMilliseconds: 120,
+    urgency: 1,
+    ...route,
+    ...change,
+  });
+  const others = otherUrgencies.map((urgency) =>
+    routeOf({ name: `r${urgency}`, prefix: `/${urgency}/`, urgency }),
+  );
   configuration.offer({
     version: 1,
-    routes: [
-      {
-        name: "r",
-        host: "h",
-        prefix: "/a/",
-        repeatability: traffic.Repeatability.Idempotent,
-        answerForm: traffic.AnswerForm.Events,
-        open: true,
-        shares: [{ service: "s", weight: 1 }],
-        mostAttempts: 2,
-        timeoutMilliseconds: 5_000,
-        objectiveMilliseconds: 200,
-        gapMilliseconds: 120,
-        urgency: 1,
-        ...route,
-      },
-    ],
+    routes: [routeOf({}), ...others],
     services: [{ name: "s", engine: undefined }],
     accounts: [],
     limits: {
--- a/packages/daemon/src/forwarding/retry_delay.ts
+++ b/packages/daemon/src/forwarding/retry_delay.ts
@@ -1,4 +1,5 @@
 import type * as common from "@geraniumkeel/common";
+import type * as runnerTracker from "./runner_tracker.ts";
 
 /**
  * Range of the retry delay, as fractions of the caller's remaining time. When a
@@ -14,6 +15,32 @@
 /** Lower bound of the retry delay. */
 const MIN_DELAY_MILLISECONDS = 250;
 
+/**
+ * Random part of the retry delay of a request that a rate limit refused, as a
+ * fraction: in a surge the paced delays of all reach their upper bound.
+ */
+const RETRY_JITTER = 0.25;
+
+/** A paced retry delay with its random part. */
+export function jittered(paced: number, random: common.Random): number {
+  return paced * random.between(1 - RETRY_JITTER, 1 + RETRY_JITTER);
+}
+
+/**
+ * Retry delay if runners of the service want rest; 0 otherwise. A little
+ * longer than the first rest, so that callers do not all return at its end.
+ */
+export function restRetryMilliseconds(parameters: {
+  tracker: runnerTracker.RunnerTracker;
+  service: string;
+  random: common.Random;
+}): number {
+  const { tracker, service, random } = parameters;
+  const restEnd = tracker.firstRestEnd(service);
+  if (restEnd === undefined || tracker.hasCandidates(service)) return 0;
+  return restEnd * random.between(1, 1 + RETRY_JITTER);
+}
+
 /** Delay after which a caller that found no runner should retry. */
 export function retryDelayMilliseconds(
   millisecondsLeft: number,
--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -346,6 +346,17 @@
     return false;
   }
 
+  /** Whether a runner refuses requests although it has room. */
+  isRefusing(identifier: string): boolean {
+    return this.#records.get(identifier)?.refusing ?? false;
+  }
+
+  /** Requests in progress at a runner, from all entries. */
+  outstandingAt(identifier: string): number {
+    const own = this.#records.get(identifier)?.own ?? 0;
+    return own + this.#otherEntries.countAt(identifier);
+  }
+
   /**
    * Notes that a runner refused a request. Ignored if its slots are full: a
    * refusal is normal then.
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -3,7 +3,8 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
 import type * as wire from "@geraniumkeel/wire";
-import * as retryBudget from "../dispatch/retry_budget.ts";
+import * as urgencyAdmission from "../admission/urgency_admission.ts";
+import * as urgencyQueue from "../admission/urgency_queue.ts";
 import * as forwarderModule from "../forwarding/forwarder.ts";
 import * as runnerTracker from "../forwarding/runner_tracker.ts";
 import type * as runnerClientModule from "../forwarding/runner_client.ts";
@@ -11,6 +12,7 @@
 import * as entryMesh from "../mesh/entry_mesh.ts";
 import * as memberRows from "../mesh/member_rows.ts";
 import * as epochConfirmation from "./epoch_confirmation.ts";
+import * as retryBudgets from "./retry_budgets.ts";
 import * as crashReview from "../quarantine/crash_review.ts";
 import * as crashDetector from "../quarantine/crash_detector.ts";
 import * as quarantine from "../quarantine/quarantine.ts";
@@ -37,16 +39,6 @@
  */
 const FALLBACK_AGE_MILLISECONDS = 1_400;
 const FALLBACK_STAGGER_MILLISECONDS = 250;
-/**
- * Fraction of the allowed retries that entries use; the rest covers unequal
- * load.
- */
-const USED_RETRY_FRACTION = 0.7;
-/**
- * The retry allowance is divided by the number of known entries, or by this
- * number if fewer are known.
- */
-const MIN_ENTRIES = 6;
 /**
  * Minimum duration of a drain. In this time callers notice that the entry is
  * leaving.
@@ -121,7 +113,8 @@
   readonly #confirmation: epochConfirmation.EpochConfirmation;
   /** The latest reading of the configuration from the store, with its epoch. */
   #latestReading: epochConfirmation.ConfigurationReading | undefined;
-  readonly #budgets = new Map<string, retryBudget.RetryBudget>();
+  readonly #budgets: retryBudgets.RetryBudgets;
+  readonly admission: urgencyAdmission.UrgencyAdmission;
   readonly #maxProofAgeMilliseconds: number;
   #storeReachable = true;
 
@@ -179,13 +172,23 @@
       logger,
       metrics,
     });
+    const entryCount = () => this.mesh.size;
+    const { retries } = parameters;
+    this.#budgets = new retryBudgets.RetryBudgets({ ...retries, entryCount });
+    this.admission = new urgencyAdmission.UrgencyAdmission({
+      configuration: this.configuration,
+      tracker: this.runnerTracker,
+      entryCount,
+      metrics,
+    });
     this.forwarder = new forwarderModule.Forwarder({
       configuration: this.configuration,
       proofAge: () => this.#proofAge,
       maxProofAgeMilliseconds: this.#maxProofAgeMilliseconds,
       tracker: this.runnerTracker,
+      admission: this.admission,
       runnerClient,
-      budgetOf: (service) => this.#budgetOf(service),
+      budgetOf: (service) => this.#budgets.of(service),
       quarantine: this.quarantine,
       crashDetector: this.crashDetector,
       rateLimits: this.rateLimits,
@@ -217,6 +220,7 @@
         initialMessage: () => this.quarantine.initialMessage(),
       },
       rateLimits: this.rateLimits,
+      onLoad: (message, host) => this.admission.receive(message, host),
       random,
       logger,
       lifeCycle: parameters.lifeCycle,
@@ -279,6 +283,10 @@
       if (storedReports) this.quarantine.applyStoredReports(storedReports);
     });
     lifeCycle.every(RATE_LIMIT_TICK_MILLISECONDS, () => this.rateLimits.tick());
+    lifeCycle.every(urgencyQueue.REPORT_INTERVAL_MILLISECONDS, () => {
+      const report = this.admission.report();
+      if (report) this.mesh.broadcast(report);
+    });
     // The name "board" stands for the runner tracker, also in the state dump.
     lifeCycle.run("board", (signal) => this.#updateTracker(signal));
     lifeCycle.run("confirm", (signal) => this.#confirmation.run(signal));
@@ -332,6 +340,7 @@
       quarantine: this.quarantine.describe(),
       rateLimits: this.rateLimits.describe(),
       rests: this.rests.describe(),
+      admission: this.admission.describe(),
       mesh: this.mesh.describe(),
     };
   }
@@ -457,21 +466,4 @@
       : RETRY_ALONE_MILLISECONDS;
     return random.between(least, most);
   }
-
-  /** Returns the retry budget of a service, and creates it on first use. */
-  #budgetOf(service: string): retryBudget.RetryBudget {
-    const existing = this.#budgets.get(service);
-    if (existing) return existing;
-    const { share, allowance } = this.parameters.retries;
-    const entries = Math.max(MIN_ENTRIES, this.mesh.size);
-    const maxBalance = (allowance * USED_RETRY_FRACTION) / entries;
-    const created = new retryBudget.RetryBudget({
-      earnedPerRequest: share * USED_RETRY_FRACTION,
-      maxBalance,
-      // A process that restarts may have spent its balance just before.
-      initialBalance: maxBalance / 2,
-    });
-    this.#budgets.set(service, created);
-    return created;
-  }
 }
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -103,6 +103,8 @@
     initialMessage: () => wire.Message | undefined;
     onDisconnected: (host: string) => void;
   };
+  /** Receives what another entry reports about its load. */
+  onLoad: (message: wire.MeshLoad, host: string) => void;
   random: common.Random;
   logger: common.Logger;
   lifeCycle: common.LifeCycle;
@@ -512,6 +514,8 @@
       case wire.MessageKind.MeshConfiguration:
       case wire.MessageKind.MeshRunners:
         return this.#documents.receive(message, peer);
+      case wire.MessageKind.MeshLoad:
+        return this.parameters.onLoad(message, peer.member.host);
       case wire.MessageKind.Suspicions:
         return this.parameters.suspicions.receive(message, peer.member.host);
       case wire.MessageKind.RateLimitReports:
