--- a/packages/daemon/src/admission/urgency_admission.ts
+++ b/packages/daemon/src/admission/urgency_admission.ts
@@ -45,7 +45,8 @@
   /** Queues whose waiting requests are being checked. */
   readonly #checked = new Set<urgencyQueue.UrgencyQueue>();
   #configuration: traffic.TrafficConfiguration | undefined;
-  #services: ReadonlySet<string> = new Set();
+  /** Shortest objective of each managed service, in milliseconds. */
+  #services: ReadonlyMap<string, number> = new Map();
 
   constructor(readonly parameters: UrgencyAdmissionParameters) {
     const { entryCount } = parameters;
@@ -61,6 +62,8 @@
       service,
       clock: this.#clock,
       capacity: () => this.#capacityOf(service),
+      shortestObjectiveMilliseconds: () =>
+        this.#managedServices().get(service) ?? 0,
       peers: this.#peers,
     });
     this.#queues.set(service, created);
@@ -105,7 +108,7 @@
         this.#queues.delete(service);
     }
     if (managed.size === 0) return undefined;
-    const services = [...managed]
+    const services = [...managed.keys()]
       .slice(0, wire.MAX_REPORTED_SERVICES)
       .flatMap((service) => this.queueOf(service)?.report() ?? []);
     for (const queue of this.#queues.values()) this.#recordGauges(queue);
@@ -146,8 +149,8 @@
     this.#checked.delete(queue);
   }
 
-  /** Services that routes of several urgencies share. */
-  #managedServices(): ReadonlySet<string> {
+  /** Services that routes of several urgencies share, with the shortest objective. */
+  #managedServices(): ReadonlyMap<string, number> {
     const { value } = this.parameters.configuration;
     if (value && value !== this.#configuration) {
       this.#configuration = value;
@@ -176,16 +179,24 @@
   }
 }
 
-/** Services that routes with different urgencies send requests to. */
-function sharedServices(routes: traffic.Route[]): Set<string> {
+/**
+ * Services that routes with different urgencies send requests to, with the
+ * shortest objective of these routes.
+ */
+function sharedServices(routes: traffic.Route[]): Map<string, number> {
   const urgencies = new Map<string, Set<number>>();
-  for (const { urgency, shares } of routes) {
+  const objectives = new Map<string, number>();
+  for (const { urgency, objectiveMilliseconds, shares } of routes) {
     for (const { service, weight } of shares) {
       if (weight <= 0) continue;
       const known = urgencies.get(service) ?? new Set();
       urgencies.set(service, known.add(urgency));
+      const shortest = objectives.get(service) ?? Infinity;
+      objectives.set(service, Math.min(shortest, objectiveMilliseconds));
     }
   }
-  const shared = [...urgencies].filter(([, values]) => values.size > 1);
-  return new Set(shared.map(([service]) => service));
+  for (const [service, values] of urgencies) {
+    if (values.size === 1) objectives.delete(service);
+  }
+  return objectives;
 }
--- a/packages/daemon/src/admission/urgency_load_fixture.ts
+++ b/packages/daemon/src/admission/urgency_load_fixture.ts
@@ -99,7 +99,9 @@
         service: "s",
         clock,
         peers: peers[entry],
-        capacity: () => ({
+        shortestObjectiveMilliseconds: () =>
+        Math.min(...setup.routes.map((route) => route.objectiveMilliseconds)),
+      capacity: () => ({
           runners: standsStill()
             ? []
             : Array.from({ length: usable() }, (__, runner) => ({
--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -117,6 +117,8 @@
       service: string;
       clock: () => number;
       capacity: () => ServiceCapacity;
+      /** Shortest objective of the routes to the service. */
+      shortestObjectiveMilliseconds: () => number;
       peers: peerLoads.PeerLoads;
     },
   ) {}
@@ -328,6 +330,8 @@
     return {
       runners: capacity.runners,
       mayReturn: capacity.mayReturn,
+      shortestObjectiveMilliseconds:
+        this.parameters.shortestObjectiveMilliseconds(),
       starting: this.#starting,
       knownShare: peers.knownShare,
       demand,
--- a/packages/daemon/src/admission/urgency_rule.ts
+++ b/packages/daemon/src/admission/urgency_rule.ts
@@ -21,6 +21,12 @@
   runners: readonly RunnerCapacity[];
   /** Whether there are runners that may receive requests again soon. */
   mayReturn: boolean;
+  /**
+   * Shortest objective of the routes to the service. It bounds the queues at
+   * runners for all requests: a request with a longer objective must not queue
+   * where a more urgent one would be late behind it.
+   */
+  shortestObjectiveMilliseconds: number;
   /** Requests that this entry let start and that are at no runner yet. */
   starting: number;
   /**
@@ -112,9 +118,9 @@
 
 /**
  * Fraction of the objective within which a request has to start, less the time
- * to a first event. The other half covers the variation of that time.
+ * to a first event. The rest covers the variation of that time.
  */
-const START_OBJECTIVE_FRACTION = 0.5;
+const START_OBJECTIVE_FRACTION = 0.8;
 
 const NONE_FULL: ReadonlySet<string> = new Set();
 
@@ -143,9 +149,16 @@
   if (answer === undefined || answer <= 0)
     return { kind: "start", full: NONE_FULL };
   const late = isLate(request);
-  const longestWait = longestWaitMilliseconds(snapshot, request);
+  const longestWait = longestWaitMilliseconds(
+    snapshot,
+    request.objectiveMilliseconds,
+  );
+  const longestQueueing = longestWaitMilliseconds(
+    snapshot,
+    snapshot.shortestObjectiveMilliseconds,
+  );
   const queueOf = (slots: number) =>
-    late ? 0 : Math.floor((slots * longestWait) / answer);
+    late ? 0 : Math.floor((slots * longestQueueing) / answer);
   const isFull = ({ slots, outstanding }: RunnerCapacity) =>
     outstanding >= slots + queueOf(slots);
   const inputs = inputsOf(snapshot, request, queueOf);
@@ -230,7 +243,7 @@
 /** Longest time from its arrival after which a request still starts in time. */
 function longestWaitMilliseconds(
   snapshot: ServiceSnapshot,
-  { objectiveMilliseconds }: AdmissionRequest,
+  objectiveMilliseconds: number,
 ): number {
   const latestStart = objectiveMilliseconds * START_OBJECTIVE_FRACTION;
   return Math.max(0, latestStart - (snapshot.firstEventMilliseconds ?? 0));
