--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -107,7 +107,7 @@
         return;
       }
       case "admitted": {
-        const { route, account } = admitted;
+        const { route, account, urgency } = admitted;
         const spentBefore = this.#timeoutHistory.spentBefore({
           route: route.name,
           account: account?.name ?? "",
@@ -119,6 +119,7 @@
           sink,
           route,
           account,
+          urgency,
           spentBefore,
           durations: this.#durations,
           service: this.#chooseService(route),
