--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -18,6 +18,12 @@
  * the return and of what the others started.
  */
 const RETURN_GRACE_MILLISECONDS = REPORT_INTERVAL_MILLISECONDS;
+/**
+ * Starts of earlier report intervals that an entry may make up for. Requests of
+ * one entry do not arrive evenly: without this, the second one within an
+ * interval would be refused although capacity is free.
+ */
+const MAX_CARRIED_STARTS = 2;
 /** Fraction of its remaining time after which a caller comes back at the latest. */
 const MAX_RETRY_FRACTION = 1 / 3;
 
@@ -279,6 +285,7 @@
       this.#probe = undefined;
       // What was free before says nothing about what is free now.
       this.#beginInterval(capacity);
+      this.#startedSinceReport = 0;
     }
     this.#standsStill = standsStill;
     return capacity;
@@ -286,7 +293,9 @@
 
   #beginInterval({ runners }: ServiceCapacity): void {
     this.#inProgressAtReport = inProgressAt(runners);
-    this.#startedSinceReport = 0;
+    // Each entry may start at least one request in an interval.
+    const unused = Math.max(0, 1 - this.#startedSinceReport);
+    this.#startedSinceReport = -Math.min(MAX_CARRIED_STARTS, unused);
     this.#startsSinceReport = 0;
   }
 
--- a/packages/daemon/src/forwarding/admission_place.ts
+++ b/packages/daemon/src/forwarding/admission_place.ts
@@ -16,6 +16,8 @@
   sink: callerRequest.AnswerSink;
   route: traffic.Route;
   account: traffic.Account | undefined;
+  /** 0 is most urgent. */
+  urgency: number;
   spentBefore: number;
   clock: requestClock.RequestClock;
   tracker: runnerTracker.RunnerTracker;
@@ -119,7 +121,7 @@
     outcome: urgencyQueue.AdmissionOutcome,
   ): attemptOutcome.AttemptOutcome | undefined {
     const { admission, service } = this.parameters;
-    admission.countOutcome(service, this.#urgency, outcome.kind);
+    admission.countOutcome(service, this.parameters.urgency, outcome.kind);
     switch (outcome.kind) {
       case "start":
         this.#place = outcome.place;
@@ -132,11 +134,6 @@
     }
   }
 
-  get #urgency(): number {
-    const { account, route } = this.parameters;
-    return account?.urgency ?? route.urgency;
-  }
-
   #enteringRequest(): urgencyQueue.EnteringRequest {
     const { request, route, account, spentBefore, clock } = this.parameters;
     const { sink, cancel, stop } = this.parameters;
@@ -145,7 +142,7 @@
     // asks again if it can still be finished.
     if (!stop.started.aborted) signals.push(stop.started);
     return {
-      urgency: this.#urgency,
+      urgency: this.parameters.urgency,
       account: account?.name ?? "",
       objectiveMilliseconds: route.objectiveMilliseconds,
       arrivedAt: request.arrivedAt.monotonic,
