feat(daemon): max-min fair shares of accounts under shortage

Change: entries report what accounts ask for while there is shortage, 24 accounts at most, and each entry starts the same fraction of an account's requests. Callers that come back before the time that they were told are charged to their account. Requests that arrive late are no demand. The time to a first event is a running median and the duration of an answer is taken from its first event on, as both contained time in runners' queues.

--- a/packages/daemon/src/admission/peer_loads.ts
+++ b/packages/daemon/src/admission/peer_loads.ts
@@ -108,6 +108,19 @@
     };
   }
 
+  /** What accounts ask for in one urgency, in requests per millisecond. */
+  accountsFor(service: string, urgency: number): Map<string, number> {
+    const demand = new Map<string, number>();
+    for (const { services } of this.#current()) {
+      for (const item of services.get(service)?.accounts ?? []) {
+        if (item.urgency !== urgency) continue;
+        const sum = demand.get(item.account) ?? 0;
+        demand.set(item.account, sum + item.arrivalsPerSecond / 1_000);
+      }
+    }
+    return demand;
+  }
+
   /** The reports' part of the state dump: age of each report by entry. */
   describe(): unknown {
     const now = this.parameters.clock();
--- a/packages/daemon/src/admission/urgency_load_test.ts
+++ b/packages/daemon/src/admission/urgency_load_test.ts
@@ -1,4 +1,5 @@
 import * as ava from "ava";
+import type * as common from "@geraniumkeel/common";
 import * as urgencyLoadFixture from "./urgency_load_fixture.ts";
 
 const test = ava.default;
@@ -158,3 +159,63 @@
   t.true(shares[0] >= 0.95);
   t.true(shares[1] >= 0.85);
 });
+
+// One account sends half of all requests. Shared in order of arrival, it gets half
+// of the capacity, and the small accounts are refused as often as it is.
+for (const perEntry of [false, true]) {
+  const where = perEntry ? "at one entry" : "at all entries";
+  test(`one account with half of the traffic ${where} leaves the others their shares`, async (t) => {
+    const small = Array.from({ length: 11 }, (_, index) => `small-${index}`);
+    const routeOf = (accounts: string[], urgency: number) => ({
+      ...route(urgency, () => SATURATING),
+      account: (random: common.Random) => random.pick(accounts),
+    });
+    const records = await runLoad({
+      durationMilliseconds: 20_000,
+      routes: [
+        routeOf(["large"], 0),
+        routeOf(small, 0),
+        route(2, () => 0.1 * SATURATING),
+      ],
+      entryOf: (random, _, account) =>
+        perEntry && account === "large" ? 0 : random.below(3),
+    });
+    const served = [...small, "large"].map(
+      (name) =>
+        records.filter(
+          ({ account, inTime, arrivedAt }) =>
+            account === name && inTime && arrivedAt > 5_000,
+        ).length,
+    );
+    const mean = served.reduce((sum, value) => sum + value, 0) / 12;
+    t.log({ served, mean });
+    t.true(Math.min(...served) >= mean / 2);
+    t.true(served[11] <= 3 * mean);
+  });
+}
+
+test("callers that retry three times as often take nothing from the others", async (t) => {
+  const account = (name: string) => () => name;
+  const load = (impatient: number) =>
+    runLoad({
+      durationMilliseconds: 14_000,
+      callersReturn: true,
+      impatientAccount: "impatient",
+      earlyReturns: impatient,
+      routes: [
+        { ...route(0, () => 0.8 * SATURATING), account: account("impatient") },
+        { ...route(0, () => 0.8 * SATURATING), account: account("patient") },
+        route(2, () => 0.2 * SATURATING),
+      ],
+    });
+  const shareOf = (records: urgencyLoadFixture.LoadRecord[]) => {
+    const offered = records.filter(
+      (item) =>
+        item.account === "patient" && !item.isReturn && item.arrivedAt > 4_000,
+    );
+    return offered.filter((item) => item.inTime).length / offered.length;
+  };
+  const [usual, impatient] = [shareOf(await load(1)), shareOf(await load(3))];
+  t.log({ usual, impatient });
+  t.true(impatient >= 0.9 * usual);
+});
--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -1,8 +1,10 @@
 import * as wire from "@geraniumkeel/wire";
+import * as accountShares from "./account_shares.ts";
 import * as decayingMean from "./decaying_mean.ts";
 import type * as peerLoads from "./peer_loads.ts";
 import * as rateWindow from "./rate_window.ts";
 import * as retryPacing from "./retry_pacing.ts";
+import * as runningMedian from "./running_median.ts";
 import * as urgencyRule from "./urgency_rule.ts";
 
 /** Window over which arrivals are measured. */
@@ -18,6 +20,11 @@
  * the return and of what the others started.
  */
 const RETURN_GRACE_MILLISECONDS = REPORT_INTERVAL_MILLISECONDS;
+/**
+ * How much more than the capacity the accounts' shares add up to. The rest fills
+ * gaps in the arrivals: with exactly the capacity, runners are idle at times.
+ */
+const SHARED_CAPACITY_FACTOR = 1.15;
 /** Fraction of its remaining time after which a caller comes back at the latest. */
 const MAX_RETRY_FRACTION = 1 / 3;
 
@@ -100,8 +107,15 @@
   /** Waiting requests in the order in which they are let in. */
   #waiting: QueuedRequest[] = [];
   readonly #urgencies = new Map<number, UrgencyState>();
-  readonly #answers = new decayingMean.DecayingMean();
-  readonly #firstEvents = new decayingMean.DecayingMean();
+  readonly #shares: accountShares.AccountShares;
+  /** Durations of answers from their first event on. */
+  readonly #streams = new decayingMean.DecayingMean();
+  /**
+   * Times to the first event at runners that seemed to have a free slot. Some had
+   * none, as entries know each other's requests 300 ms late, so that the mean
+   * would contain time in queues.
+   */
+  readonly #firstEvents = new runningMedian.RunningMedian();
   #starting = 0;
   #startedSinceReport = 0;
   #startsSinceReport = 0;
@@ -119,7 +133,9 @@
       capacity: () => ServiceCapacity;
       peers: peerLoads.PeerLoads;
     },
-  ) {}
+  ) {
+    this.#shares = new accountShares.AccountShares(parameters);
+  }
 
   /** Number of waiting requests. */
   get length(): number {
@@ -131,15 +147,23 @@
    * once, without a promise.
    */
   enter(
-    request: EnteringRequest,
+    entering: EnteringRequest,
   ): AdmissionOutcome | Promise<AdmissionOutcome> {
+    const request = this.#noteArrival(entering);
     const state = this.#stateOf(request.urgency);
-    state.arrivals.count();
     if (request.signal.aborted) return { kind: "left" };
     const capacity = this.#currentCapacity();
     const snapshot = this.#snapshot(capacity);
-    const decision = decide(snapshot, this.#factsOf(request, false, 0));
+    const facts = this.#factsOf(request, false, 0);
+    const decision = decide(snapshot, facts);
+    if (decision.kind !== "start") this.#shares.noteShortage();
+    const isWithinShare = this.#isWithinShare(request, snapshot, facts);
     if (decision.kind === "refuse") return this.#refuse(request, decision);
+    if (!isWithinShare && !urgencyRule.isPlenty(snapshot, facts)) {
+      const refusal = urgencyRule.refuseForShare(snapshot, facts);
+      return this.#refuse(request, refusal);
+    }
+    this.#shares.charge(request.account, request.urgency);
     if (decision.kind === "start" && this.#waiting.length === 0)
       return { kind: "start", place: this.#grant(request, decision.full) };
     let outcome: AdmissionOutcome | undefined;
@@ -209,9 +233,12 @@
     this.#firstEvents.note(milliseconds);
   }
 
-  /** Notes the duration of an answer. */
-  noteAnswer(milliseconds: number): void {
-    this.#answers.note(milliseconds);
+  /**
+   * Notes how long an answer took from its first event on. The time before may
+   * have been spent in the queue of a runner, and does not occupy a slot.
+   */
+  noteStream(milliseconds: number): void {
+    this.#streams.note(milliseconds);
   }
 
   /** Frees a place and lets in waiting requests; further calls do nothing. */
@@ -240,8 +267,9 @@
     }));
     return {
       service: this.parameters.service,
-      answerMilliseconds: this.#answers.value ?? -1,
+      answerMilliseconds: this.#ownAnswerMilliseconds ?? -1,
       firstEventMilliseconds: this.#firstEvents.value ?? -1,
+      accounts: this.#shares.report(),
       urgencies,
     };
   }
@@ -288,12 +316,19 @@
     this.#startsSinceReport = 0;
   }
 
+  get #ownAnswerMilliseconds(): number | undefined {
+    const stream = this.#streams.value;
+    const firstEvent = this.#firstEvents.value;
+    if (stream === undefined || firstEvent === undefined) return undefined;
+    return stream + firstEvent;
+  }
+
   /** Own measurements, or those of the others before there are any. */
   #durations(): Pick<
     urgencyRule.ServiceSnapshot,
     "answerMilliseconds" | "firstEventMilliseconds"
   > {
-    const answer = this.#answers.value;
+    const answer = this.#ownAnswerMilliseconds;
     const firstEvent = this.#firstEvents.value;
     const reported =
       answer === undefined || firstEvent === undefined
@@ -372,6 +407,36 @@
     return left.stoodStill ? -arrival : arrival;
   }
 
+  /**
+   * Whether a request may ask for capacity by its account's share. Requests that
+   * are late get only what others leave, whatever their account.
+   */
+  #isWithinShare(
+    { account, urgency }: EnteringRequest,
+    snapshot: urgencyRule.ServiceSnapshot,
+    facts: urgencyRule.AdmissionRequest,
+  ): boolean {
+    if (urgencyRule.isLate(facts)) return true;
+    const rate = urgencyRule.freeRate(snapshot, facts, SHARED_CAPACITY_FACTOR);
+    return rate <= 0 || this.#shares.mayStart(account, urgency, rate);
+  }
+
+  /**
+   * Notes the arrival of a request. One that is late already is no demand for
+   * which capacity is reserved. A caller that comes back before its time is
+   * charged to its account, and taken as one that is new.
+   */
+  #noteArrival(request: EnteringRequest): EnteringRequest {
+    const { account, urgency } = request;
+    if (!isLateAt(request, this.parameters.clock())) {
+      this.#stateOf(urgency).arrivals.count();
+      this.#shares.noteArrival(account, urgency);
+    }
+    if (!request.isReturning || this.#shares.noteReturn(account, urgency))
+      return request;
+    return { ...request, isReturning: false };
+  }
+
   #grant(request: EnteringRequest, full: ReadonlySet<string>): Place {
     const { urgency } = request;
     this.#stateOf(urgency).running++;
@@ -398,6 +463,12 @@
         : 0;
     const latest = request.millisecondsLeft() * MAX_RETRY_FRACTION;
     const retryAfterMilliseconds = Math.max(0, Math.min(paced, latest));
+    if (retryAfterMilliseconds > 0)
+      this.#shares.noteTold(
+        request.account,
+        request.urgency,
+        retryAfterMilliseconds,
+      );
     const reportAge = Math.round(this.parameters.peers.oldestAge);
     const refusal = { reason, retryAfterMilliseconds, inputs, reportAge };
     return { kind: "refuse", refusal };
@@ -443,7 +514,7 @@
 
 const decide = urgencyRule.decideAdmission;
 
-function isLateAt(request: QueuedRequest, now: number): boolean {
+function isLateAt(request: EnteringRequest, now: number): boolean {
   const elapsedMilliseconds = now - request.arrivedAt;
   return urgencyRule.isLate({ ...request, elapsedMilliseconds });
 }
--- a/packages/daemon/src/admission/urgency_rule.ts
+++ b/packages/daemon/src/admission/urgency_rule.ts
@@ -71,6 +71,8 @@
   Reserved = "capacity reserved for more urgent requests",
   /** The request is late, and what is free is needed by requests in time. */
   Late = "late, and capacity is needed by requests in time",
+  /** The account asks for more than its share. */
+  AccountShare = "account used its share",
   /** This entry started its part of the free capacity since the last report. */
   EntryShare = "entry used its part of the free capacity",
 }
@@ -163,7 +165,7 @@
     const identifiers = full.map(({ identifier }) => identifier);
     return { kind: "start", full: new Set(identifiers) };
   }
-  const rate = freeRate(snapshot, request, late);
+  const rate = freeRate(snapshot, request);
   const waitMilliseconds =
     rate > 0 ? (waitingAhead(snapshot, request, late) + 1) / rate : Infinity;
   const remaining = Math.max(
@@ -184,6 +186,38 @@
   return { kind: "wait", reason, milliseconds: remaining, inputs };
 }
 
+/**
+ * Whether more slots are free than the requests that wait, and those that are
+ * about to arrive at other entries, need. Their number varies by its square
+ * root.
+ */
+export function isPlenty(
+  snapshot: ServiceSnapshot,
+  request: AdmissionRequest,
+): boolean {
+  const inputs = inputsOf(snapshot, request, () => 0);
+  const { capacity, inProgress, reserved } = inputs;
+  let waiting = 0;
+  for (const item of snapshot.demand.values()) waiting += item.waiting;
+  const needed = inProgress + reserved + waiting + Math.sqrt(capacity);
+  return needed < capacity;
+}
+
+/** Refuses a request whose account asks for more than its share. */
+export function refuseForShare(
+  snapshot: ServiceSnapshot,
+  request: AdmissionRequest,
+): Extract<AdmissionDecision, { kind: "refuse" }> {
+  const rate = freeRate(snapshot, request);
+  return {
+    kind: "refuse",
+    reason: AdmissionReason.AccountShare,
+    waitMilliseconds: rate > 0 ? 1 / rate : Infinity,
+    requestsPerMillisecond: rate * snapshot.entryShare,
+    inputs: inputsOf(snapshot, request, () => 0),
+  };
+}
+
 /** Why a request may not start now; `undefined` if it may. */
 function obstacleOf(
   snapshot: ServiceSnapshot,
@@ -299,17 +333,19 @@
 
 /**
  * Requests per millisecond, at all entries, for which capacity becomes free
- * that those before the request do not take.
+ * that those before the request do not take; 0 if none does, or if no answer
+ * was measured.
  */
-function freeRate(
+export function freeRate(
   snapshot: ServiceSnapshot,
   request: AdmissionRequest,
-  late: boolean,
+  capacityFactor = 1,
 ): number {
   const { runners, knownShare, demand, answerMilliseconds = 0 } = snapshot;
   if (answerMilliseconds <= 0) return 0;
+  const late = isLate(request);
   const slots = runners.reduce((sum, runner) => sum + runner.slots, 0);
-  let rate = (slots * knownShare) / answerMilliseconds;
+  let rate = (slots * knownShare * capacityFactor) / answerMilliseconds;
   for (const [urgency, item] of demand) {
     if (comesBefore(urgency, request, late))
       rate -= item.arrivalsPerMillisecond;
--- a/packages/daemon/src/forwarding/admission_place.ts
+++ b/packages/daemon/src/forwarding/admission_place.ts
@@ -43,7 +43,7 @@
   #waitedMilliseconds = 0;
   /** When the first attempt was made, if its runner had a free slot. */
   #startedAt: number | undefined;
-  #hasFirstEvent = false;
+  #firstEventAt: number | undefined;
 
   constructor(readonly parameters: AdmissionPlaceParameters) {
     const { admission, service } = parameters;
@@ -100,9 +100,10 @@
 
   /** Notes that the first part of an answer has arrived. */
   noteFirstEvent(): void {
-    if (this.#startedAt === undefined || this.#hasFirstEvent) return;
-    this.#hasFirstEvent = true;
-    this.#queue?.noteFirstEvent(common.now() - this.#startedAt);
+    if (!this.#place || this.#firstEventAt !== undefined) return;
+    this.#firstEventAt = common.now();
+    if (this.#startedAt !== undefined)
+      this.#queue?.noteFirstEvent(this.#firstEventAt - this.#startedAt);
   }
 
   /** Frees the place because all attempts have ended; does nothing if none. */
@@ -110,8 +111,8 @@
     if (!this.#queue || !this.#place) return;
     const wasAnswered =
       outcome?.kind === attemptOutcome.AttemptOutcomeKind.Answered;
-    if (wasAnswered && this.#startedAt !== undefined)
-      this.#queue.noteAnswer(common.now() - this.#startedAt);
+    if (wasAnswered && this.#firstEventAt !== undefined)
+      this.#queue.noteStream(common.now() - this.#firstEventAt);
     this.#queue.release(this.#place);
   }
 
--- a/packages/wire/src/compact_mesh_load.ts
+++ b/packages/wire/src/compact_mesh_load.ts
@@ -1,6 +1,8 @@
 import * as meshLoad from "./mesh_load.ts";
 import * as messageKind from "./message_kind.ts";
 
+/** Items that describe one account. */
+const ACCOUNT_LENGTH = 3;
 /** Items that describe one urgency. */
 const URGENCY_LENGTH = 4;
 /** Fractions of a request per second that are sent: hundredths. */
@@ -18,11 +20,18 @@
       report.service,
       Math.round(report.answerMilliseconds),
       Math.round(report.firstEventMilliseconds),
+      report.accounts
+        .slice(0, meshLoad.MAX_REPORTED_ACCOUNTS)
+        .flatMap(({ account, urgency, arrivalsPerSecond }) => [
+          account,
+          urgency,
+          scaled(arrivalsPerSecond),
+        ]),
       ...report.urgencies.flatMap((item) => [
         item.urgency,
         item.running,
         item.waiting,
-        Math.round(item.arrivalsPerSecond * RATE_SCALE),
+        scaled(item.arrivalsPerSecond),
       ]),
     ]),
   ];
@@ -44,12 +53,14 @@
 }
 
 function reportOf(list: unknown[]): meshLoad.ServiceLoadReport | undefined {
-  const [service, ...rest] = list;
+  const [service, answer, firstEvent, accountList, ...values] = list;
   if (typeof service !== "string") return undefined;
-  if (!rest.every((item) => Number.isFinite(item))) return undefined;
-  const [answerMilliseconds, firstEventMilliseconds, ...values] =
-    rest as number[];
-  if (firstEventMilliseconds === undefined) return undefined;
+  const accounts = Array.isArray(accountList)
+    ? accountsOf(accountList)
+    : undefined;
+  const head = [answer, firstEvent];
+  if (!accounts || !areFinite(head) || !areFinite(values)) return undefined;
+  const [answerMilliseconds, firstEventMilliseconds] = head;
   if (values.length % URGENCY_LENGTH !== 0) return undefined;
   if (values.some((value) => value < 0)) return undefined;
   const urgencies: meshLoad.UrgencyLoad[] = [];
@@ -60,5 +71,34 @@
     urgencies.push({ urgency, running, waiting, arrivalsPerSecond });
   }
   if (urgencies.length > meshLoad.LEAST_REPORTED_URGENCY + 1) return undefined;
-  return { service, answerMilliseconds, firstEventMilliseconds, urgencies };
+  return {
+    service,
+    answerMilliseconds,
+    firstEventMilliseconds,
+    accounts,
+    urgencies,
+  };
+}
+
+/** Demands from a flat list of account, urgency and rate in turn. */
+function accountsOf(list: unknown[]): meshLoad.AccountDemand[] | undefined {
+  const accounts: meshLoad.AccountDemand[] = [];
+  for (let index = 0; index < list.length; index += ACCOUNT_LENGTH) {
+    const [account, ...numbers] = list.slice(index, index + ACCOUNT_LENGTH);
+    if (typeof account !== "string" || !areFinite(numbers)) return undefined;
+    const [urgency, rate] = numbers;
+    if (rate === undefined || rate < 0) return undefined;
+    const arrivalsPerSecond = rate / RATE_SCALE;
+    accounts.push({ account, urgency, arrivalsPerSecond });
+  }
+  const isBounded = accounts.length <= meshLoad.MAX_REPORTED_ACCOUNTS;
+  return isBounded ? accounts : undefined;
+}
+
+function areFinite(items: unknown[]): items is number[] {
+  return items.every((item) => Number.isFinite(item));
+}
+
+function scaled(perSecond: number): number {
+  return Math.round(perSecond * RATE_SCALE);
 }
--- a/packages/wire/src/mesh_load.ts
+++ b/packages/wire/src/mesh_load.ts
@@ -4,10 +4,25 @@
 export const LEAST_REPORTED_URGENCY = 9;
 /**
  * Services that one `MeshLoad` describes at most. With ten urgencies each, a
- * message then takes less than 6 KB, whatever the configuration contains.
+ * message then takes less than 14 KB, whatever the configuration contains.
  */
 export const MAX_REPORTED_SERVICES = 16;
 
+/**
+ * Accounts of a service that one `MeshLoad` names at most, those that ask for
+ * most. Shares of small accounts are met in full, so that they need not be known
+ * everywhere.
+ */
+export const MAX_REPORTED_ACCOUNTS = 24;
+
+/** What an account asks for at the sender, in one urgency. */
+export interface AccountDemand {
+  account: string;
+  urgency: number;
+  /** Requests that arrived in the last seconds, per second. */
+  arrivalsPerSecond: number;
+}
+
 /** Load of one urgency of a service at the sender. */
 export interface UrgencyLoad {
   urgency: number;
@@ -29,6 +44,8 @@
    * -1 if none was measured.
    */
   firstEventMilliseconds: number;
+  /** Accounts that ask for most; empty while there is no shortage. */
+  accounts: AccountDemand[];
   urgencies: UrgencyLoad[];
 }
 
