test(daemon): every exit of a request frees its place or leaves the queue

Cause: quarantine, timeout, a stopping entry, failed and broken answers, and hedged attempts had no test.

--- a/packages/daemon/src/admission/peer_loads.ts
+++ b/packages/daemon/src/admission/peer_loads.ts
@@ -18,6 +18,12 @@
  */
 const MIN_REPORTING_FRACTION = 0.5;
 
+/**
+ * Time for which the sums over all reports are kept if no report arrives. Adding
+ * up fifty reports for each request takes more time than the decision.
+ */
+const SUM_MILLISECONDS = 25;
+
 interface ReceivedReport {
   services: ReadonlyMap<string, wire.ServiceLoadReport>;
   receivedAt: number;
@@ -34,6 +40,9 @@
 /** The load reports of the other entries, with their ages. */
 export class PeerLoads {
   readonly #reports = new Map<string, ReceivedReport>();
+  /** Sums by service, until the next report or `#sumsUntil`. */
+  readonly #sums = new Map<string, PeerDemand>();
+  #sumsUntil = -Infinity;
   readonly #startedAt: number;
 
   constructor(
@@ -53,6 +62,7 @@
       report.services.map((item) => [item.service, item]),
     );
     this.#reports.set(host, { services, receivedAt });
+    this.#sumsUntil = -Infinity;
   }
 
   /** Age of the oldest report in use in milliseconds; -1 if none is in use. */
@@ -82,6 +92,19 @@
 
   /** Sums up the reports about a service. */
   demandFor(service: string): PeerDemand {
+    const now = this.parameters.clock();
+    if (now >= this.#sumsUntil) {
+      this.#sums.clear();
+      this.#sumsUntil = now + SUM_MILLISECONDS;
+    }
+    const existing = this.#sums.get(service);
+    if (existing) return existing;
+    const sum = this.#sumUp(service);
+    this.#sums.set(service, sum);
+    return sum;
+  }
+
+  #sumUp(service: string): PeerDemand {
     const demand = new Map<number, urgencyRule.UrgencyDemand>();
     const answers: number[] = [];
     const firstEvents: number[] = [];
--- a/packages/daemon/src/forwarding/admission_place_test.ts
+++ b/packages/daemon/src/forwarding/admission_place_test.ts
@@ -1,6 +1,7 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
 import type * as urgencyQueue from "../admission/urgency_queue.ts";
+import * as plannedStop from "../shutdown/planned_stop.ts";
 import * as callerRequest from "./caller_request.ts";
 import * as forwardingFixture from "./forwarding_fixture.ts";
 
@@ -150,6 +151,87 @@
   t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
 });
 
+test("a waiting request leaves the queue when it is quarantined", async (t) => {
+  const entry = createSmallEntry();
+  const sent = fill(entry);
+  const waiting = entry.send("q");
+  entry.holdRequest("q");
+  await waiting.finished;
+  t.is(entry.endOf("q"), "quarantined");
+  t.deepEqual(countsOf(entry), { running: 4, waiting: 0 });
+  for (const request of sent) answer(request);
+  await Promise.all(sent.map(({ finished }) => finished));
+});
+
+// A request whose caller waits for less than its turn takes ends when its time
+// runs out, and not when its turn comes.
+test("a waiting request leaves the queue when its time runs out", async (t) => {
+  const entry = createSmallEntry();
+  const sent = fill(entry);
+  const waiting = entry.send("q", {
+    path: "/0/b",
+    timeoutMilliseconds: 40,
+  });
+  await waiting.finished;
+  t.is(entry.endOf("q"), "timed-out");
+  t.is(waiting.refusal?.kind, callerRequest.RefusalKind.NotRun);
+  t.deepEqual(countsOf(entry), { running: 4, waiting: 0 });
+  for (const request of sent) answer(request);
+  await Promise.all(sent.map(({ finished }) => finished));
+});
+
+// While an entry stops it takes only what it can finish. A request that waits
+// for a place and would end after the process is refused at once.
+test("a waiting request that cannot be finished leaves the queue when the entry stops", async (t) => {
+  const lifeCycle = new common.LifeCycle("test");
+  t.teardown(() => lifeCycle.close());
+  const stop = new plannedStop.PlannedStop({
+    graceMilliseconds: 1_000,
+    lifeCycle,
+  });
+  const entry = createSmallEntry({ stop });
+  const sent = fill(entry);
+  const waiting = entry.send("q");
+  stop.start();
+  await waiting.finished;
+  t.is(entry.endOf("q"), "stopped");
+  t.deepEqual(countsOf(entry), { running: 4, waiting: 0 });
+  for (const request of sent) answer(request);
+  await Promise.all(sent.map(({ finished }) => finished));
+  t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
+});
+
+// The attempt of a request ends in any of several ways; a place that stays taken
+// is lost until the process ends.
+test("a place is freed if the runner fails, the connection breaks or the caller leaves", async (t) => {
+  const entry = createSmallEntry({ retries: 0 });
+  const [failed, broken, left, answered] = fill(entry);
+  failed.calls[0].fail("error");
+  broken.calls[0].begin();
+  broken.calls[0].breakOff();
+  left.leave();
+  answer(answered);
+  const all = [failed, broken, left, answered];
+  await Promise.all(all.map(({ finished }) => finished));
+  t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
+});
+
+test("a hedged attempt takes no second place", async (t) => {
+  const entry = createSmallEntry();
+  const sent = entry.send("q");
+  sent.calls[0].begin();
+  sent.calls[0].send(eventText(1));
+  await until(() => sent.calls.length === 2);
+  t.deepEqual(countsOf(entry), { running: 1, waiting: 0 });
+  sent.calls[1].begin();
+  sent.calls[1].send(eventText(2));
+  await until(() => sent.calls[0].aborted);
+  sent.calls[1].end();
+  await sent.finished;
+  t.is(sent.ended, "whole");
+  t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
+});
+
 test("the more urgent of two waiting requests is sent first", async (t) => {
   const entry = createSmallEntry();
   const [first, ...rest] = fill(entry);
