fix(daemon): admission counts runners whose group only seems to stall

Cause: if one runner of a lock-step group seems to stall, all that sent nothing lately are suspended, and capacity was counted too small while the group runs. Each request made a signal of several, which a long-lived source keeps. Change: if any runner is responsive, only those that have stalled themselves are left out; the queue listens to the signals of waiting requests alone.

--- a/packages/daemon/src/admission/urgency_admission.ts
+++ b/packages/daemon/src/admission/urgency_admission.ts
@@ -21,6 +21,7 @@
   | "firstRestEnd"
   | "hasRefusing"
   | "isRefusing"
+  | "isStalled"
   | "nextWithinRateLimit"
 >;
 
@@ -160,8 +161,15 @@
     const { tracker } = this.parameters;
     const views = tracker.candidates(service, NONE_TRIED);
     const responsive = views.filter(({ suspended }) => !suspended);
-    const runners = responsive.filter(
-      ({ identifier }) => !tracker.isRefusing(identifier),
+    // A lock-step group in which one runner seems to stall has all runners
+    // suspended that sent nothing lately. If any is responsive, the group runs,
+    // and only those that have stalled themselves are no capacity.
+    const isStanding = responsive.length === 0;
+    const runners = views.filter(
+      ({ identifier }) =>
+        !isStanding &&
+        !tracker.isRefusing(identifier) &&
+        !tracker.isStalled(identifier),
     );
     const mayReturn = () =>
       views.length > 0 ||
@@ -171,7 +179,9 @@
     return {
       runners,
       mayReturn: runners.length > 0 || mayReturn(),
-      mayProbe: responsive.length > runners.length,
+      mayProbe: responsive.some(({ identifier }) =>
+        tracker.isRefusing(identifier),
+      ),
     };
   }
 }
--- a/packages/daemon/src/admission/urgency_load_fixture.ts
+++ b/packages/daemon/src/admission/urgency_load_fixture.ts
@@ -192,7 +192,7 @@
       isReturning: isReturn,
       maxStandstillMilliseconds: 1_500,
       millisecondsLeft: () => 8_000 - (now - firstAt),
-      signal: new AbortController().signal,
+      signals: [],
     });
     if (entered instanceof Promise) void entered.then(apply);
     else apply(entered);
--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -47,8 +47,8 @@
   maxStandstillMilliseconds: number;
   /** Milliseconds that the caller has left. */
   millisecondsLeft: () => number;
-  /** Aborts when the request is to leave the queue. */
-  signal: AbortSignal;
+  /** The request leaves the queue when one of them is aborted. */
+  signals: readonly AbortSignal[];
 }
 
 /** Permission of one request to be in progress, until it is released. */
@@ -75,7 +75,7 @@
 export type AdmissionOutcome =
   | { kind: "start"; place: Place }
   | { kind: "refuse"; refusal: AdmissionRefusal }
-  /** The request's signal aborted while it waited. */
+  /** One of the request's signals was aborted. */
   | { kind: "left" };
 
 /** The runners of a service, as the runner tracker knows them. */
@@ -157,7 +157,7 @@
   ): AdmissionOutcome | Promise<AdmissionOutcome> {
     const request = this.#noteArrival(entering);
     const state = this.#stateOf(request.urgency);
-    if (request.signal.aborted) return { kind: "left" };
+    if (request.signals.some(({ aborted }) => aborted)) return { kind: "left" };
     const capacity = this.#currentCapacity();
     const snapshot = this.#snapshot(capacity);
     const facts = this.#factsOf(request, false, 0);
@@ -180,12 +180,14 @@
       number: this.#nextNumber++,
       stoodStill: false,
       finish: (found) => {
-        request.signal.removeEventListener("abort", leave);
+        for (const signal of request.signals)
+          signal.removeEventListener("abort", leave);
         outcome = found;
         resolvePromise?.(found);
       },
     };
-    request.signal.addEventListener("abort", leave, { once: true });
+    for (const signal of request.signals)
+      signal.addEventListener("abort", leave, { once: true });
     this.#waiting.push(queued);
     state.waiting++;
     this.letIn();
--- a/packages/daemon/src/forwarding/admission_place.ts
+++ b/packages/daemon/src/forwarding/admission_place.ts
@@ -154,7 +154,7 @@
       isReturning: spentBefore > 0 || request.resumeAfter !== "",
       maxStandstillMilliseconds: this.parameters.maxWaitMilliseconds,
       millisecondsLeft: () => clock.millisecondsLeft,
-      signal: AbortSignal.any(signals),
+      signals,
     };
   }
 }
