feat(daemon): a group that refused stands still until one of its runners takes a request

Cause: a refusal closes only the runner that gave it, so that each entry tried one runner of the group after another with every request that arrived. Change: in services in lock-step, a refusal by a runner with room after which no runner has sent anything is taken for the whole service; requests wait and one at a time probes.

--- a/packages/daemon/src/admission/urgency_admission.ts
+++ b/packages/daemon/src/admission/urgency_admission.ts
@@ -19,6 +19,7 @@
   | "availabilityChanged"
   | "candidates"
   | "firstRestEnd"
+  | "hasGroupRefused"
   | "hasRefusing"
   | "isRefusing"
   | "isStalled"
@@ -164,7 +165,8 @@
     // A lock-step group in which one runner seems to stall has all runners
     // suspended that sent nothing lately. If any is responsive, the group runs,
     // and only those that have stalled themselves are no capacity.
-    const isStanding = responsive.length === 0;
+    const hasGroupRefused = tracker.hasGroupRefused(service);
+    const isStanding = responsive.length === 0 || hasGroupRefused;
     const runners = views.filter(
       ({ identifier }) =>
         !isStanding &&
@@ -179,8 +181,8 @@
     return {
       runners,
       mayReturn: runners.length > 0 || mayReturn(),
-      mayProbe: responsive.some(({ identifier }) =>
-        tracker.isRefusing(identifier),
+      mayProbe: responsive.some(
+        ({ identifier }) => hasGroupRefused || tracker.isRefusing(identifier),
       ),
     };
   }
--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -84,7 +84,7 @@
   runners: urgencyRule.RunnerCapacity[];
   /** Whether there are runners that may receive requests again soon. */
   mayReturn: boolean;
-  /** Whether a runner that refuses requests may be sent a probe. */
+  /** Whether a runner may be sent a probe while the service stands still. */
   mayProbe: boolean;
 }
 
--- a/packages/daemon/src/forwarding/admission_place_test.ts
+++ b/packages/daemon/src/forwarding/admission_place_test.ts
@@ -267,3 +267,25 @@
   t.true(all.every(({ ended }) => ended === "whole"));
   t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
 });
+
+// A group that lost a rank refuses all requests for about a second. Each entry
+// tried one runner after another, with every request that arrived.
+test("once a runner of a group refuses, requests wait until one of the group takes a request", async (t) => {
+  const runners = Array.from({ length: 12 }, (_, index) => `i-${index + 1}`);
+  const setup = { slots: 8, runners, retries: 20, inLockStep: true };
+  const entry = createSmallEntry(setup);
+  const first = entry.send("q-1");
+  first.calls[0].refuse();
+  await until(() => entry.tracker.hasGroupRefused("s"));
+  const others = [2, 3, 4, 5].map((number) => entry.send(`q-${number}`));
+  await until(() => first.calls.length > 1);
+  const sent = () => [first, ...others].flatMap(({ calls }) => calls);
+  // The first request goes on by its retries, and one other probes.
+  t.true(sent().length <= 3);
+  t.true(countsOf(entry).waiting >= 3);
+  answer(first);
+  await until(() => others.every(({ calls }) => calls.length === 1));
+  for (const other of others) answer(other);
+  await Promise.all([first, ...others].map(({ finished }) => finished));
+  t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
+});
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -162,6 +162,7 @@
   otherUrgencies?: number[];
   runners?: string[];
   slots?: number;
+  inLockStep?: boolean;
   /** Retries that the budget allows. */
   retries?: number;
   presence?: common.Presence | Promise<common.Presence>;
@@ -194,8 +195,7 @@
       maxBalance: retries,
       initialBalance: retries,
     });
-    const { slots = 8 } = setup;
-    this.tracker = createTracker(runners, slots, this.rateLimits);
+    this.tracker = createTracker(setup, runners, this.rateLimits);
     const presenceOf = async ({ identifier }: traffic.RunnerEntry) => {
       this.probes.push(identifier);
       return setup.presence ?? common.Presence.Listening;
@@ -329,8 +329,8 @@
 }
 
 function createTracker(
+  { slots = 8, inLockStep = false }: EntrySetup,
   identifiers: string[],
-  slots: number,
   rateLimits: rateLimitsModule.RateLimits,
 ): runnerTracker.RunnerTracker {
   const tracker = new runnerTracker.RunnerTracker({
@@ -338,7 +338,7 @@
     random: new common.Random(1),
     rateLimitWaitOf: (runner) => rateLimits.waitOf(runner),
     restOf: () => 0,
-    inLockStep: () => false,
+    inLockStep: () => inLockStep,
   });
   tracker.update({
     version: 1,
--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -78,6 +78,8 @@
    * since.
    */
   refusing = false;
+  /** When the runner last refused a request although it had room. */
+  refusedAt = -Infinity;
   /** Until when a refusing runner gets no probe. */
   avoidUntil = 0;
 
@@ -346,6 +348,23 @@
     return false;
   }
 
+  /**
+   * Whether a runner of a service in lock-step refuses requests although it has
+   * room, and no runner of the service has sent anything since. Then its group
+   * is being re-formed, and the other runners refuse requests as well.
+   */
+  hasGroupRefused(service: string): boolean {
+    if (!this.parameters.inLockStep(service)) return false;
+    let refusedAt = -Infinity;
+    let receivedAt = -Infinity;
+    for (const record of this.#records.values()) {
+      if (record.entry.service !== service) continue;
+      receivedAt = Math.max(receivedAt, record.lastReceivedAt);
+      if (record.refusing) refusedAt = Math.max(refusedAt, record.refusedAt);
+    }
+    return refusedAt > receivedAt;
+  }
+
   /** Whether a runner refuses requests although it has room. */
   isRefusing(identifier: string): boolean {
     return this.#records.get(identifier)?.refusing ?? false;
@@ -367,7 +386,8 @@
     const load = record.own + this.#otherEntries.countAt(identifier);
     if (load > record.entry.slots) return;
     record.refusing = true;
-    record.avoidUntil = common.now() + REFUSAL_PAUSE_MILLISECONDS;
+    record.refusedAt = common.now();
+    record.avoidUntil = record.refusedAt + REFUSAL_PAUSE_MILLISECONDS;
   }
 
   /**
