--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -1,8 +1,10 @@
 import * as wire from "@geraniumkeel/wire";
+import * as accountShares from "./account_shares.ts";
 import * as decayingMean from "./decaying_mean.ts";
 import type * as peerLoads from "./peer_loads.ts";
 import * as rateWindow from "./rate_window.ts";
 import * as retryPacing from "./retry_pacing.ts";
+import * as runningMedian from "./running_median.ts";
 import * as urgencyRule from "./urgency_rule.ts";
 
 /** Window over which arrivals are measured. */
@@ -24,6 +26,16 @@
  * interval would be refused although capacity is free.
  */
 const MAX_CARRIED_STARTS = 2;
+/**
+ * How much more than the capacity the accounts' shares add up to. The rest fills
+ * gaps in the arrivals: with exactly the capacity, runners are idle at times.
+ */
+const SHARED_CAPACITY_FACTOR = 1.15;
+/**
+ * Lower bound of the retry delay, as for requests that find no runner. Callers
+ * retry once.
+ */
+const MIN_RETRY_MILLISECONDS = 250;
 /** Fraction of its remaining time after which a caller comes back at the latest. */
 const MAX_RETRY_FRACTION = 1 / 3;
 
@@ -41,8 +53,8 @@
   maxStandstillMilliseconds: number;
   /** Milliseconds that the caller has left. */
   millisecondsLeft: () => number;
-  /** Aborts when the request is to leave the queue. */
-  signal: AbortSignal;
+  /** The request leaves the queue when one of them is aborted. */
+  signals: readonly AbortSignal[];
 }
 
 /** Permission of one request to be in progress, until it is released. */
@@ -69,7 +81,7 @@
 export type AdmissionOutcome =
   | { kind: "start"; place: Place }
   | { kind: "refuse"; refusal: AdmissionRefusal }
-  /** The request's signal aborted while it waited. */
+  /** One of the request's signals was aborted. */
   | { kind: "left" };
 
 /** The runners of a service, as the runner tracker knows them. */
@@ -78,7 +90,7 @@
   runners: urgencyRule.RunnerCapacity[];
   /** Whether there are runners that may receive requests again soon. */
   mayReturn: boolean;
-  /** Whether a runner that refuses requests may be sent a probe. */
+  /** Whether a runner may be sent a probe while the service stands still. */
   mayProbe: boolean;
 }
 
@@ -93,6 +105,7 @@
   running: number;
   waiting: number;
   readonly arrivals: rateWindow.RateWindow;
+  readonly createdAt: number;
   readonly pacing: retryPacing.RetryPacing;
   refused: number;
 }
@@ -106,8 +119,15 @@
   /** Waiting requests in the order in which they are let in. */
   #waiting: QueuedRequest[] = [];
   readonly #urgencies = new Map<number, UrgencyState>();
-  readonly #answers = new decayingMean.DecayingMean();
-  readonly #firstEvents = new decayingMean.DecayingMean();
+  readonly #shares: accountShares.AccountShares;
+  /** Durations of answers from their first event on. */
+  readonly #streams = new decayingMean.DecayingMean();
+  /**
+   * Times to the first event at runners that seemed to have a free slot. Some had
+   * none, as entries know each other's requests 300 ms late, so that the mean
+   * would contain time in queues.
+   */
+  readonly #firstEvents = new runningMedian.RunningMedian();
   #starting = 0;
   #startedSinceReport = 0;
   #startsSinceReport = 0;
@@ -127,7 +147,9 @@
       shortestObjectiveMilliseconds: () => number;
       peers: peerLoads.PeerLoads;
     },
-  ) {}
+  ) {
+    this.#shares = new accountShares.AccountShares(parameters);
+  }
 
   /** Number of waiting requests. */
   get length(): number {
@@ -139,15 +161,23 @@
    * once, without a promise.
    */
   enter(
-    request: EnteringRequest,
+    entering: EnteringRequest,
   ): AdmissionOutcome | Promise<AdmissionOutcome> {
+    const request = this.#noteArrival(entering);
     const state = this.#stateOf(request.urgency);
-    state.arrivals.count();
-    if (request.signal.aborted) return { kind: "left" };
+    if (request.signals.some(({ aborted }) => aborted)) return { kind: "left" };
     const capacity = this.#currentCapacity();
     const snapshot = this.#snapshot(capacity);
-    const decision = decide(snapshot, this.#factsOf(request, false, 0));
+    const facts = this.#factsOf(request, false, 0);
+    const decision = decide(snapshot, facts);
+    if (decision.kind !== "start") this.#shares.noteShortage();
+    const isWithinShare = this.#isWithinShare(request, snapshot, facts);
     if (decision.kind === "refuse") return this.#refuse(request, decision);
+    if (!isWithinShare && !urgencyRule.isPlenty(snapshot, facts)) {
+      const refusal = urgencyRule.refuseForShare(snapshot, facts);
+      return this.#refuse(request, refusal);
+    }
+    this.#shares.charge(request.account, request.urgency);
     if (decision.kind === "start" && this.#waiting.length === 0)
       return { kind: "start", place: this.#grant(request, decision.full) };
     let outcome: AdmissionOutcome | undefined;
@@ -158,12 +188,14 @@
       number: this.#nextNumber++,
       stoodStill: false,
       finish: (found) => {
-        request.signal.removeEventListener("abort", leave);
+        for (const signal of request.signals)
+          signal.removeEventListener("abort", leave);
         outcome = found;
         resolvePromise?.(found);
       },
     };
-    request.signal.addEventListener("abort", leave, { once: true });
+    for (const signal of request.signals)
+      signal.addEventListener("abort", leave, { once: true });
     this.#waiting.push(queued);
     state.waiting++;
     this.letIn();
@@ -217,9 +249,12 @@
     this.#firstEvents.note(milliseconds);
   }
 
-  /** Notes the duration of an answer. */
-  noteAnswer(milliseconds: number): void {
-    this.#answers.note(milliseconds);
+  /**
+   * Notes how long an answer took from its first event on. The time before may
+   * have been spent in the queue of a runner, and does not occupy a slot.
+   */
+  noteStream(milliseconds: number): void {
+    this.#streams.note(milliseconds);
   }
 
   /** Frees a place and lets in waiting requests; further calls do nothing. */
@@ -244,12 +279,13 @@
       urgency,
       running: state.running,
       waiting: state.waiting,
-      arrivalsPerSecond: state.arrivals.perMillisecond * 1_000,
+      arrivalsPerSecond: this.#arrivalRate(state) * 1_000,
     }));
     return {
       service: this.parameters.service,
-      answerMilliseconds: this.#answers.value ?? -1,
+      answerMilliseconds: this.#ownAnswerMilliseconds ?? -1,
       firstEventMilliseconds: this.#firstEvents.value ?? -1,
+      accounts: this.#shares.report(),
       urgencies,
     };
   }
@@ -263,7 +299,7 @@
       running: state.running,
       waiting: state.waiting,
       refused: state.refused,
-      arrivalsPerSecond: state.arrivals.perMillisecond * 1_000,
+      arrivalsPerSecond: this.#arrivalRate(state) * 1_000,
     }));
     return {
       service: this.parameters.service,
@@ -299,12 +335,19 @@
     this.#startsSinceReport = 0;
   }
 
+  get #ownAnswerMilliseconds(): number | undefined {
+    const stream = this.#streams.value;
+    const firstEvent = this.#firstEvents.value;
+    if (stream === undefined || firstEvent === undefined) return undefined;
+    return stream + firstEvent;
+  }
+
   /** Own measurements, or those of the others before there are any. */
   #durations(): Pick<
     urgencyRule.ServiceSnapshot,
     "answerMilliseconds" | "firstEventMilliseconds"
   > {
-    const answer = this.#answers.value;
+    const answer = this.#ownAnswerMilliseconds;
     const firstEvent = this.#firstEvents.value;
     const reported =
       answer === undefined || firstEvent === undefined
@@ -328,7 +371,7 @@
     }
     for (const [urgency, state] of this.#urgencies) {
       const sum = demand.get(urgency);
-      const arrivals = state.arrivals.perMillisecond;
+      const arrivals = this.#arrivalRate(state);
       ownDemand += state.waiting;
       demand.set(urgency, {
         running: (sum?.running ?? 0) + state.running,
@@ -385,6 +428,36 @@
     return left.stoodStill ? -arrival : arrival;
   }
 
+  /**
+   * Whether a request may ask for capacity by its account's share. Requests that
+   * are late get only what others leave, whatever their account.
+   */
+  #isWithinShare(
+    { account, urgency }: EnteringRequest,
+    snapshot: urgencyRule.ServiceSnapshot,
+    facts: urgencyRule.AdmissionRequest,
+  ): boolean {
+    if (urgencyRule.isLate(facts)) return true;
+    const rate = urgencyRule.freeRate(snapshot, facts, SHARED_CAPACITY_FACTOR);
+    return rate <= 0 || this.#shares.mayStart(account, urgency, rate);
+  }
+
+  /**
+   * Notes the arrival of a request. One that is late already is no demand for
+   * which capacity is reserved. A caller that comes back before its time is
+   * charged to its account, and taken as one that is new.
+   */
+  #noteArrival(request: EnteringRequest): EnteringRequest {
+    const { account, urgency } = request;
+    if (!isLateAt(request, this.parameters.clock())) {
+      this.#stateOf(urgency).arrivals.count();
+      this.#shares.noteArrival(account, urgency);
+    }
+    if (!request.isReturning || this.#shares.noteReturn(account, urgency))
+      return request;
+    return { ...request, isReturning: false };
+  }
+
   #grant(request: EnteringRequest, full: ReadonlySet<string>): Place {
     const { urgency } = request;
     this.#stateOf(urgency).running++;
@@ -410,7 +483,14 @@
           })
         : 0;
     const latest = request.millisecondsLeft() * MAX_RETRY_FRACTION;
-    const retryAfterMilliseconds = Math.max(0, Math.min(paced, latest));
+    const retryAfterMilliseconds =
+      paced > 0 ? Math.min(Math.max(paced, MIN_RETRY_MILLISECONDS), latest) : 0;
+    if (retryAfterMilliseconds > 0)
+      this.#shares.noteTold(
+        request.account,
+        request.urgency,
+        retryAfterMilliseconds,
+      );
     const reportAge = Math.round(this.parameters.peers.oldestAge);
     const refusal = { reason, retryAfterMilliseconds, inputs, reportAge };
     return { kind: "refuse", refusal };
@@ -424,6 +504,18 @@
     request.finish(outcome);
   }
 
+  /**
+   * Arrivals per millisecond. Within the first window after the first request,
+   * the window counts the time before it as time without arrivals, so that the
+   * reserve would be too small after a restart.
+   */
+  #arrivalRate({ arrivals, createdAt }: UrgencyState): number {
+    const age = this.parameters.clock() - createdAt;
+    const counted = Math.max(age, REPORT_INTERVAL_MILLISECONDS);
+    const factor = Math.max(1, ARRIVAL_WINDOW_MILLISECONDS / counted);
+    return arrivals.perMillisecond * factor;
+  }
+
   #stateOf(urgency: number): UrgencyState {
     const reported = Math.min(urgency, wire.LEAST_REPORTED_URGENCY);
     const existing = this.#urgencies.get(reported);
@@ -433,6 +525,7 @@
       running: 0,
       waiting: 0,
       arrivals: new rateWindow.RateWindow(ARRIVAL_WINDOW_MILLISECONDS, clock),
+      createdAt: clock(),
       pacing: new retryPacing.RetryPacing(clock),
       refused: 0,
     };
@@ -456,7 +549,7 @@
 
 const decide = urgencyRule.decideAdmission;
 
-function isLateAt(request: QueuedRequest, now: number): boolean {
+function isLateAt(request: EnteringRequest, now: number): boolean {
   const elapsedMilliseconds = now - request.arrivedAt;
   return urgencyRule.isLate({ ...request, elapsedMilliseconds });
 }
--- a/packages/daemon/src/admission/urgency_rule.ts
+++ b/packages/daemon/src/admission/urgency_rule.ts
@@ -77,6 +77,8 @@
   Reserved = "capacity reserved for more urgent requests",
   /** The request is late, and what is free is needed by requests in time. */
   Late = "late, and capacity is needed by requests in time",
+  /** The account asks for more than its share. */
+  AccountShare = "account used its share",
   /** This entry started its part of the free capacity since the last report. */
   EntryShare = "entry used its part of the free capacity",
 }
@@ -109,9 +111,12 @@
   | {
       kind: "refuse";
       reason: AdmissionReason;
-      /** Time after which capacity for the request is expected. */
+      /** Time after which capacity for the request is expected, if it returns. */
       waitMilliseconds: number;
-      /** Rate at which capacity for its urgency becomes free; 0 for none. */
+      /**
+       * Rate at which capacity that requests in time leave becomes free for this
+       * entry; 0 for none.
+       */
       requestsPerMillisecond: number;
       inputs: AdmissionInputs;
     };
@@ -176,7 +181,7 @@
     const identifiers = full.map(({ identifier }) => identifier);
     return { kind: "start", full: new Set(identifiers) };
   }
-  const rate = freeRate(snapshot, request, late);
+  const rate = freeRate(snapshot, request);
   const waitMilliseconds =
     rate > 0 ? (waitingAhead(snapshot, request, late) + 1) / rate : Infinity;
   const remaining = Math.max(
@@ -185,18 +190,63 @@
   );
   const isHopeless = !request.isWaiting && waitMilliseconds > remaining;
   if (remaining <= 0 || isHopeless) {
-    const requestsPerMillisecond = rate * snapshot.entryShare;
     return {
       kind: "refuse",
       reason,
-      waitMilliseconds,
-      requestsPerMillisecond,
+      ...returnOf(snapshot, request),
       inputs,
     };
   }
   return { kind: "wait", reason, milliseconds: remaining, inputs };
 }
 
+/**
+ * Whether more slots are free than the requests that wait, and those that are
+ * about to arrive at other entries, need. Their number varies by its square
+ * root.
+ */
+export function isPlenty(
+  snapshot: ServiceSnapshot,
+  request: AdmissionRequest,
+): boolean {
+  const inputs = inputsOf(snapshot, request, () => 0);
+  const { capacity, inProgress, reserved } = inputs;
+  let waiting = 0;
+  for (const item of snapshot.demand.values()) waiting += item.waiting;
+  const needed = inProgress + reserved + waiting + Math.sqrt(capacity);
+  return needed < capacity;
+}
+
+/**
+ * When capacity is expected for a refused request on its return. It is late
+ * then, and gets what requests in time leave.
+ */
+function returnOf(
+  snapshot: ServiceSnapshot,
+  request: AdmissionRequest,
+): { waitMilliseconds: number; requestsPerMillisecond: number } {
+  const returning = { ...request, spentBefore: Infinity };
+  const rate = freeRate(snapshot, returning);
+  const ahead = waitingAhead(snapshot, returning, true) + 1;
+  return {
+    waitMilliseconds: rate > 0 ? ahead / rate : Infinity,
+    requestsPerMillisecond: rate * snapshot.entryShare,
+  };
+}
+
+/** Refuses a request whose account asks for more than its share. */
+export function refuseForShare(
+  snapshot: ServiceSnapshot,
+  request: AdmissionRequest,
+): Extract<AdmissionDecision, { kind: "refuse" }> {
+  return {
+    kind: "refuse",
+    reason: AdmissionReason.AccountShare,
+    ...returnOf(snapshot, request),
+    inputs: inputsOf(snapshot, request, () => 0),
+  };
+}
+
 /** Why a request may not start now; `undefined` if it may. */
 function obstacleOf(
   snapshot: ServiceSnapshot,
@@ -312,17 +362,19 @@
 
 /**
  * Requests per millisecond, at all entries, for which capacity becomes free
- * that those before the request do not take.
+ * that those before the request do not take; 0 if none does, or if no answer
+ * was measured.
  */
-function freeRate(
+export function freeRate(
   snapshot: ServiceSnapshot,
   request: AdmissionRequest,
-  late: boolean,
+  capacityFactor = 1,
 ): number {
   const { runners, knownShare, demand, answerMilliseconds = 0 } = snapshot;
   if (answerMilliseconds <= 0) return 0;
+  const late = isLate(request);
   const slots = runners.reduce((sum, runner) => sum + runner.slots, 0);
-  let rate = (slots * knownShare) / answerMilliseconds;
+  let rate = (slots * knownShare * capacityFactor) / answerMilliseconds;
   for (const [urgency, item] of demand) {
     if (comesBefore(urgency, request, late))
       rate -= item.arrivalsPerMillisecond;
--- a/packages/daemon/src/forwarding/admission_place_test.ts
+++ b/packages/daemon/src/forwarding/admission_place_test.ts
@@ -1,6 +1,7 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
 import type * as urgencyQueue from "../admission/urgency_queue.ts";
+import * as plannedStop from "../shutdown/planned_stop.ts";
 import * as callerRequest from "./caller_request.ts";
 import * as forwardingFixture from "./forwarding_fixture.ts";
 
@@ -31,7 +32,7 @@
     otherUrgencies: [0, 2],
     ...setup,
   });
-  queueOf(entry).noteAnswer(200);
+  queueOf(entry).noteStream(150);
   queueOf(entry).noteFirstEvent(50);
   return entry;
 }
@@ -150,18 +151,99 @@
   t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
 });
 
+test("a waiting request leaves the queue when it is quarantined", async (t) => {
+  const entry = createSmallEntry();
+  const sent = fill(entry);
+  const waiting = entry.send("q");
+  entry.holdRequest("q");
+  await waiting.finished;
+  t.is(entry.endOf("q"), "quarantined");
+  t.deepEqual(countsOf(entry), { running: 4, waiting: 0 });
+  for (const request of sent) answer(request);
+  await Promise.all(sent.map(({ finished }) => finished));
+});
+
+// A request whose caller waits for less than its turn takes ends when its time
+// runs out, and not when its turn comes.
+test("a waiting request leaves the queue when its time runs out", async (t) => {
+  const entry = createSmallEntry();
+  const sent = fill(entry);
+  const waiting = entry.send("q", {
+    path: "/0/b",
+    timeoutMilliseconds: 40,
+  });
+  await waiting.finished;
+  t.is(entry.endOf("q"), "timed-out");
+  t.is(waiting.refusal?.kind, callerRequest.RefusalKind.NotRun);
+  t.deepEqual(countsOf(entry), { running: 4, waiting: 0 });
+  for (const request of sent) answer(request);
+  await Promise.all(sent.map(({ finished }) => finished));
+});
+
+// While an entry stops it takes only what it can finish. A request that waits
+// for a place and would end after the process is refused at once.
+test("a waiting request that cannot be finished leaves the queue when the entry stops", async (t) => {
+  const lifeCycle = new common.LifeCycle("test");
+  t.teardown(() => lifeCycle.close());
+  const stop = new plannedStop.PlannedStop({
+    graceMilliseconds: 1_000,
+    lifeCycle,
+  });
+  const entry = createSmallEntry({ stop });
+  const sent = fill(entry);
+  const waiting = entry.send("q");
+  stop.start();
+  await waiting.finished;
+  t.is(entry.endOf("q"), "stopped");
+  t.deepEqual(countsOf(entry), { running: 4, waiting: 0 });
+  for (const request of sent) answer(request);
+  await Promise.all(sent.map(({ finished }) => finished));
+  t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
+});
+
+// The attempt of a request ends in any of several ways; a place that stays taken
+// is lost until the process ends.
+test("a place is freed if the runner fails, the connection breaks or the caller leaves", async (t) => {
+  const entry = createSmallEntry({ retries: 0 });
+  const [failed, broken, left, answered] = fill(entry);
+  failed.calls[0].fail("error");
+  broken.calls[0].begin();
+  broken.calls[0].breakOff();
+  left.leave();
+  answer(answered);
+  const all = [failed, broken, left, answered];
+  await Promise.all(all.map(({ finished }) => finished));
+  t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
+});
+
+test("a hedged attempt takes no second place", async (t) => {
+  const entry = createSmallEntry();
+  const sent = entry.send("q");
+  sent.calls[0].begin();
+  sent.calls[0].send(eventText(1));
+  await until(() => sent.calls.length === 2);
+  t.deepEqual(countsOf(entry), { running: 1, waiting: 0 });
+  sent.calls[1].begin();
+  sent.calls[1].send(eventText(2));
+  await until(() => sent.calls[0].aborted);
+  sent.calls[1].end();
+  await sent.finished;
+  t.is(sent.ended, "whole");
+  t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
+});
+
 test("the more urgent of two waiting requests is sent first", async (t) => {
   const entry = createSmallEntry();
   const [first, ...rest] = fill(entry);
-  const bulk = entry.send("q-2", { path: "/2/b" });
+  const usual = entry.send("q-2");
   const urgent = entry.send("q-3", { path: "/0/b" });
   answer(first);
   await until(() => urgent.calls.length === 1);
-  t.is(bulk.calls.length, 0);
-  answer(urgent);
-  await until(() => bulk.calls.length === 1);
-  for (const sent of [bulk, ...rest]) answer(sent);
-  const all = [first, urgent, bulk, ...rest];
+  t.is(usual.calls.length, 0);
+  for (const sent of [urgent, ...rest]) answer(sent);
+  await until(() => usual.calls.length === 1);
+  answer(usual);
+  const all = [first, urgent, usual, ...rest];
   await Promise.all(all.map((sent) => sent.finished));
   t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
 });
@@ -185,3 +267,25 @@
   t.true(all.every(({ ended }) => ended === "whole"));
   t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
 });
+
+// A group that lost a rank refuses all requests for about a second. Each entry
+// tried one runner after another, with every request that arrived.
+test("once a runner of a group refuses, requests wait until one of the group takes a request", async (t) => {
+  const runners = Array.from({ length: 12 }, (_, index) => `i-${index + 1}`);
+  const setup = { slots: 8, runners, retries: 20, inLockStep: true };
+  const entry = createSmallEntry(setup);
+  const first = entry.send("q-1");
+  first.calls[0].refuse();
+  await until(() => entry.tracker.hasGroupRefused("s"));
+  const others = [2, 3, 4, 5].map((number) => entry.send(`q-${number}`));
+  await until(() => first.calls.length > 1);
+  const sent = () => [first, ...others].flatMap(({ calls }) => calls);
+  // The first request goes on by its retries, and one other probes.
+  t.true(sent().length <= 3);
+  t.true(countsOf(entry).waiting >= 3);
+  answer(first);
+  await until(() => others.every(({ calls }) => calls.length === 1));
+  for (const other of others) answer(other);
+  await Promise.all([first, ...others].map(({ finished }) => finished));
+  t.deepEqual(countsOf(entry), { running: 0, waiting: 0 });
+});
