--- a/packages/daemon/src/forwarding/runner_record.ts
+++ b/packages/daemon/src/forwarding/runner_record.ts
@@ -34,6 +34,8 @@
    * since.
    */
   refusing = false;
+  /** When the runner last refused a request although it had room. */
+  refusedAt = -Infinity;
   /** Until when a refusing runner gets no probe. */
   avoidUntil = 0;
 
--- a/packages/daemon/src/mesh/duplicate_link_test.ts
+++ b/packages/daemon/src/mesh/duplicate_link_test.ts
@@ -78,6 +78,7 @@
     tableEpoch: 1,
     configuration: { version: 1, age: 0 },
     runners: { version: 1, age: 0 },
+    evacuations: { version: 1, age: 0 },
     outstanding: [],
   });
   for (let tick = 0; tick < 10; tick++) peer.tick();
--- a/packages/daemon/src/mesh/heartbeat_sender.ts
+++ b/packages/daemon/src/mesh/heartbeat_sender.ts
@@ -143,6 +143,7 @@
     tableEpoch,
     state.configuration.version,
     state.runners.version,
+    state.evacuations.version,
     outstanding.length,
   ].join();
 }
--- a/packages/daemon/src/mesh/heartbeat_sender_test.ts
+++ b/packages/daemon/src/mesh/heartbeat_sender_test.ts
@@ -14,6 +14,7 @@
   tableEpoch: 1,
   configuration: { version: 1, age: 0 },
   runners: { version: 1, age: 0 },
+  evacuations: { version: 1, age: 0 },
   outstanding: [],
 };
 
--- a/packages/daemon/src/mesh/time_of_day_test.ts
+++ b/packages/daemon/src/mesh/time_of_day_test.ts
@@ -54,7 +54,7 @@
     setForwardBy(change);
     t.true(peer.heartbeatAge >= 0);
     t.true(peer.heartbeatAge < TOLERANCE_MILLISECONDS);
-    t.true(peer.echo().echoedAge < TOLERANCE_MILLISECONDS);
+    t.true(peer.echo(common.now()).echoedAge < TOLERANCE_MILLISECONDS);
   }
 });
 
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -2,6 +2,7 @@
 import type * as load from "./load.ts";
 import type * as member from "./member.ts";
 import type * as mesh from "./mesh.ts";
+import type * as meshLoad from "./mesh_load.ts";
 import type * as messageKind from "./message_kind.ts";
 import type * as order from "./order.ts";
 import type * as rankGroup from "./rank_group.ts";
@@ -101,6 +102,7 @@
   | mesh.MeshConfiguration
   | mesh.MeshRunners
   | mesh.MeshEvacuations
+  | meshLoad.MeshLoad
   | rankGroup.RankHello
   | rankGroup.LeaderHeartbeat
   | rankGroup.RankHeartbeat
--- a/packages/wire/src/message_kind.ts
+++ b/packages/wire/src/message_kind.ts
@@ -38,6 +38,7 @@
   MeshConfiguration = 72,
   MeshRunners = 73,
   MeshEvacuations = 74,
+  MeshLoad = 75,
   RankHello = 80,
   LeaderHeartbeat = 81,
   RankHeartbeat = 82,
