--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -25,7 +25,7 @@
  * one entry do not arrive evenly: without this, the second one within an
  * interval would be refused although capacity is free.
  */
-const MAX_CARRIED_STARTS = 2;
+const MAX_CARRIED_STARTS = 1;
 /**
  * How much more than the capacity the accounts' shares add up to. The rest fills
  * gaps in the arrivals: with exactly the capacity, runners are idle at times.
--- a/packages/daemon/src/admission/urgency_rule.ts
+++ b/packages/daemon/src/admission/urgency_rule.ts
@@ -123,9 +123,9 @@
 
 /**
  * Fraction of the objective within which a request has to start, less the time
- * to a first event. The rest covers the variation of that time.
+ * to a first event. The other half covers the variation of that time.
  */
-const START_OBJECTIVE_FRACTION = 0.8;
+const START_OBJECTIVE_FRACTION = 0.5;
 
 const NONE_FULL: ReadonlySet<string> = new Set();
 
