--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -20,12 +20,6 @@
  * the return and of what the others started.
  */
 const RETURN_GRACE_MILLISECONDS = REPORT_INTERVAL_MILLISECONDS;
-/**
- * Starts of earlier report intervals that an entry may make up for. Requests of
- * one entry do not arrive evenly: without this, the second one within an
- * interval would be refused although capacity is free.
- */
-const MAX_CARRIED_STARTS = 1;
 /**
  * How much more than the capacity the accounts' shares add up to. The rest fills
  * gaps in the arrivals: with exactly the capacity, runners are idle at times.
@@ -321,7 +315,6 @@
       this.#probe = undefined;
       // What was free before says nothing about what is free now.
       this.#beginInterval(capacity);
-      this.#startedSinceReport = 0;
     }
     this.#standsStill = standsStill;
     return capacity;
@@ -329,9 +322,7 @@
 
   #beginInterval({ runners }: ServiceCapacity): void {
     this.#inProgressAtReport = inProgressAt(runners);
-    // Each entry may start at least one request in an interval.
-    const unused = Math.max(0, 1 - this.#startedSinceReport);
-    this.#startedSinceReport = -Math.min(MAX_CARRIED_STARTS, unused);
+    this.#startedSinceReport = 0;
     this.#startsSinceReport = 0;
   }
 
