feat(admission): capacity follows the pace of streams, and durations are expected before they are measured

Capacity now shrinks while pauses near the longest one in time, and grows back. After all entries lost power the durations were unknown, so that all callers of the outage were let in at once; until some are measured they now follow from the engine's figures in the configuration.

--- a/packages/daemon/src/admission/urgency_admission.ts
+++ b/packages/daemon/src/admission/urgency_admission.ts
@@ -2,6 +2,7 @@
 import type * as traffic from "@geraniumkeel/traffic";
 import * as wire from "@geraniumkeel/wire";
 import type * as runnerTracker from "../forwarding/runner_tracker.ts";
+import * as expectedDurations from "./expected_durations.ts";
 import * as peerLoads from "./peer_loads.ts";
 import * as urgencyQueue from "./urgency_queue.ts";
 
@@ -66,6 +67,7 @@
       capacity: () => this.#capacityOf(service),
       shortestObjectiveMilliseconds: () =>
         this.#managedServices().get(service) ?? 0,
+      expectedDurations: () => this.#expectedDurationsOf(service),
       peers: this.#peers,
     });
     this.#queues.set(service, created);
@@ -161,6 +163,14 @@
     return this.#services;
   }
 
+  #expectedDurationsOf(
+    service: string,
+  ): expectedDurations.Durations | undefined {
+    const services = this.#configuration?.services ?? [];
+    const found = services.find(({ name }) => name === service);
+    return expectedDurations.expectedDurations(found?.engine);
+  }
+
   #capacityOf(service: string): urgencyQueue.ServiceCapacity {
     const { tracker } = this.parameters;
     const views = tracker.candidates(service, NONE_TRIED);
--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -1,6 +1,8 @@
 import * as wire from "@geraniumkeel/wire";
 import * as accountShares from "./account_shares.ts";
 import * as decayingMean from "./decaying_mean.ts";
+import * as eventPace from "./event_pace.ts";
+import type * as expectedDurations from "./expected_durations.ts";
 import type * as peerLoads from "./peer_loads.ts";
 import * as rateWindow from "./rate_window.ts";
 import * as retryPacing from "./retry_pacing.ts";
@@ -122,6 +124,7 @@
    * would contain time in queues.
    */
   readonly #firstEvents = new runningMedian.RunningMedian();
+  readonly #eventPace = new eventPace.EventPace();
   #starting = 0;
   #startedSinceReport = 0;
   #startsSinceReport = 0;
@@ -139,6 +142,8 @@
       capacity: () => ServiceCapacity;
       /** Shortest objective of the routes to the service. */
       shortestObjectiveMilliseconds: () => number;
+      /** What the configuration lets expect before anything is measured. */
+      expectedDurations?: () => expectedDurations.Durations | undefined;
       peers: peerLoads.PeerLoads;
     },
   ) {
@@ -251,6 +256,11 @@
     this.#streams.note(milliseconds);
   }
 
+  /** Notes a pause between two events and the longest one that is in time. */
+  notePause(milliseconds: number, longestMilliseconds: number): void {
+    this.#eventPace.note(milliseconds, longestMilliseconds);
+  }
+
   /** Frees a place and lets in waiting requests; further calls do nothing. */
   release(place: Place): void {
     if (place.isReleased) return;
@@ -267,6 +277,7 @@
    * have exchanged their requests in progress.
    */
   report(): wire.ServiceLoadReport {
+    this.#eventPace.adjust();
     this.#beginInterval(this.#currentCapacity());
     this.letIn();
     const urgencies = [...this.#urgencies].map(([urgency, state]) => ({
@@ -299,6 +310,7 @@
       service: this.parameters.service,
       standsStill: this.#standsStill,
       capacity: runners.reduce((sum, { slots }) => sum + slots, 0),
+      capacityFactor: this.#eventPace.capacityFactor,
       inProgress: inProgressAt(runners),
       answerMilliseconds: answerMilliseconds ?? -1,
       firstEventMilliseconds: firstEventMilliseconds ?? -1,
@@ -333,7 +345,10 @@
     return stream + firstEvent;
   }
 
-  /** Own measurements, or those of the others before there are any. */
+  /**
+   * Own measurements; before there are any those of the others, or what the
+   * configuration lets expect.
+   */
   #durations(): Pick<
     urgencyRule.ServiceSnapshot,
     "answerMilliseconds" | "firstEventMilliseconds"
@@ -344,14 +359,20 @@
       answer === undefined || firstEvent === undefined
         ? this.parameters.peers.demandFor(this.parameters.service)
         : undefined;
+    const expected = this.parameters.expectedDurations?.();
     return {
-      answerMilliseconds: answer ?? reported?.answerMilliseconds,
-      firstEventMilliseconds: firstEvent ?? reported?.firstEventMilliseconds,
+      answerMilliseconds:
+        answer ?? reported?.answerMilliseconds ?? expected?.answerMilliseconds,
+      firstEventMilliseconds:
+        firstEvent ??
+        reported?.firstEventMilliseconds ??
+        expected?.firstEventMilliseconds,
     };
   }
 
   #snapshot(capacity: ServiceCapacity): urgencyRule.ServiceSnapshot {
     const { peers, service } = this.parameters;
+    const { capacityFactor } = this.#eventPace;
     const others = peers.demandFor(service);
     const demand = new Map(others.demand);
     let ownDemand = this.#startsSinceReport + 1;
@@ -371,7 +392,10 @@
       });
     }
     return {
-      runners: capacity.runners,
+      runners: capacity.runners.map((runner) => ({
+        ...runner,
+        slots: runner.slots * capacityFactor,
+      })),
       mayReturn: capacity.mayReturn,
       shortestObjectiveMilliseconds:
         this.parameters.shortestObjectiveMilliseconds(),
@@ -531,6 +555,8 @@
   standsStill: boolean;
   /** Slots of the runners that may receive requests. */
   capacity: number;
+  /** Part of these slots that may be taken at the present pace of streams. */
+  capacityFactor: number;
   /** Requests in progress at these runners, from all entries. */
   inProgress: number;
   answerMilliseconds: number;
--- a/packages/daemon/src/admission/urgency_rule.ts
+++ b/packages/daemon/src/admission/urgency_rule.ts
@@ -10,6 +10,7 @@
 /** A runner that may receive requests. */
 export interface RunnerCapacity {
   identifier: string;
+  /** Requests that it may process at once; need not be whole. */
   slots: number;
   /** Requests in progress there, from all entries. */
   outstanding: number;
--- a/packages/daemon/src/forwarding/admission_place.ts
+++ b/packages/daemon/src/forwarding/admission_place.ts
@@ -46,6 +46,7 @@
   /** When the first attempt was made, if its runner had a free slot. */
   #startedAt: number | undefined;
   #firstEventAt: number | undefined;
+  #lastEventAt: number | undefined;
 
   constructor(readonly parameters: AdmissionPlaceParameters) {
     const { admission, service } = parameters;
@@ -108,6 +109,15 @@
       this.#queue?.noteFirstEvent(this.#firstEventAt - this.#startedAt);
   }
 
+  /** Notes that a part of the answer goes to the caller. */
+  noteEvent(): void {
+    const now = common.now();
+    const { gapMilliseconds } = this.parameters.route;
+    if (this.#place && this.#lastEventAt !== undefined)
+      this.#queue?.notePause(now - this.#lastEventAt, gapMilliseconds);
+    this.#lastEventAt = now;
+  }
+
   /** Frees the place because all attempts have ended; does nothing if none. */
   release(outcome: attemptOutcome.AttemptOutcome | undefined): void {
     if (!this.#queue || !this.#place) return;
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -521,6 +521,7 @@
   /** Notes that a part of an attempt's answer goes to the caller. */
   #noteGotOn(attempt: runnerAttempt.RunnerAttempt): void {
     this.#noteFirstAnswer();
+    this.#place.noteEvent();
     attempt.noteProgress();
     this.#hedged.noteGotOn(attempt);
     if (!this.#checkedSilent.delete(attempt)) return;
