fix(mesh): send a heartbeat in every interval again

Cause: without requests under way or news, heartbeats came every 600 to 800 ms. A peer counts as unreachable after 1,000 ms, so one lost packet and a garbage collection of 100 ms were enough.

Change: both ends send at every tick of 300 ms. The end that accepted the link still answers at once, and leaves out a tick only within 150 ms after an answer. In that case, and if the peer's next heartbeat is late, the gap is up to 450 ms, which leaves 550 ms; otherwise 700 ms are left. isKnown, summaries and expectsHeartbeat are removed. The peers of measure_entry.js send likewise. The entry's processor time was not measured again.

Tests: two that required idle heartbeats to be left out, and one that required a tick to be left out while an answer is expected, demanded the fault. They are replaced by tests that every tick sends, and that only an answer of the last 150 ms replaces one. Both fail with the code before.

--- a/packages/daemon/src/mesh/mesh_peer.ts
+++ b/packages/daemon/src/mesh/mesh_peer.ts
@@ -27,8 +27,8 @@
   #received: ReceivedHeartbeat | undefined;
   /** When the last heartbeat was sent to the peer, by the monotonic clock. */
   heartbeatSentAt = -Infinity;
-  /** What that heartbeat reported, in short; see `HeartbeatSender`. */
-  sentSummary = "";
+  /** Whether that heartbeat answered one of the peer; see `HeartbeatSender`. */
+  lastWasAnswer = false;
   /** Computed once: the position in the order is asked for 20 times a second. */
   readonly pollPreference: common.Preferred;
   /** When the peer's first message arrived, by the monotonic clock. */
