fix(mesh): take the age of an echo before the ages of the proofs

Cause: the ages of the proofs were read first. A pause of the process between the two readings made the age of the echo too large, so that the peer dated the proofs too late by the pause.

Change: the moment for the echoes is read first, in the one place that sends. A pause now makes a proof appear older, which is safe. The test fails with the code before.

--- a/packages/daemon/src/mesh/heartbeat_sender.ts
+++ b/packages/daemon/src/mesh/heartbeat_sender.ts
@@ -39,21 +39,18 @@
 
   /** Sends to all peers; for a change that they must learn of at once. */
   sendToAll(peers: Iterable<meshPeer.MeshPeer>): void {
-    this.#sendTo([...peers], this.state());
+    this.#sendTo([...peers]);
   }
 
   /** Sends to all peers but those just answered; called in each interval. */
   tick(peers: Iterable<meshPeer.MeshPeer>): void {
     const now = common.now();
-    this.#sendTo(
-      [...peers].filter((peer) => isDue(peer, now)),
-      this.state(),
-    );
+    this.#sendTo([...peers].filter((peer) => isDue(peer, now)));
   }
 
   /** Sends to a peer that was just linked. */
   sendFirst(peer: meshPeer.MeshPeer): void {
-    this.#sendTo([peer], this.state());
+    this.#sendTo([peer]);
   }
 
   /** Answers a heartbeat that a peer just sent, if this end is to answer. */
@@ -61,16 +58,18 @@
     if (peer.link.side === wire.LinkSide.Dialled) return;
     const sinceLast = common.now() - peer.heartbeatSentAt;
     if (sinceLast < MIN_ANSWER_INTERVAL_MILLISECONDS) return;
-    this.#sendTo([peer], this.state());
+    this.#sendTo([peer]);
     peer.lastWasAnswer = true;
   }
 
-  #sendTo(peers: meshPeer.MeshPeer[], state: HeartbeatState): void {
+  #sendTo(peers: meshPeer.MeshPeer[]): void {
     if (peers.length === 0) return;
     const stamp = this.clock.recentStamp();
-    // The ages of proofs are those of this moment, so the ages of the echoes
-    // must be too, or a proof would appear more recent than it is.
+    // Read before the ages of the proofs: if the process is paused in between,
+    // the ages of the echoes are too small, and a proof appears older than it
+    // is. In the other order it would appear more recent.
     const now = common.now();
+    const state = this.state();
     for (const peer of peers) {
       peer.heartbeatSentAt = now;
       peer.lastWasAnswer = false;
--- a/packages/daemon/src/mesh/heartbeat_sender_test.ts
+++ b/packages/daemon/src/mesh/heartbeat_sender_test.ts
@@ -107,6 +107,31 @@
   }
 });
 
+// The process may be paused just after the ages of the proofs were read. If the
+// age of the echo contained the pause, a peer would date the proofs too late by
+// it, and an entry cut off from the store would serve a document for too long.
+test("the age of the echo is not later than the ages of the proofs", (t) => {
+  let readAt = 0;
+  const clock = new heartbeatClock.HeartbeatClock();
+  const sender = new heartbeatSender.HeartbeatSender(clock, () => {
+    readAt = common.now();
+    while (common.now() < readAt + 5);
+    return STATE;
+  });
+  for (const send of [
+    (peer: meshPeer.MeshPeer) => sender.tick([peer]),
+    (peer: meshPeer.MeshPeer) => sender.sendToAll([peer]),
+    (peer: meshPeer.MeshPeer) => sender.sendFirst(peer),
+    (peer: meshPeer.MeshPeer) => sender.answer(peer),
+  ]) {
+    const { peer, sent } = createPeer(wire.LinkSide.Accepted);
+    peer.receive(heartbeat(1));
+    send(peer);
+    t.is(sent.length, 1);
+    t.true(sent[0].echoedAge <= peer.echo(readAt).echoedAge);
+  }
+});
+
 // A tick soon after each answer would double the messages. A tick that is left
 // out for an older answer would leave a gap of more than 450 ms if the peer's
 // next heartbeat is late.
