fix(mesh): hold back news for at most one interval between heartbeats

Cause: an end that had just sent neither answered the peer's heartbeat nor sent at a tick in the same 150 ms. News then waited for the next tick, up to 450 ms.

Change: after an answer is held back the next tick sends, and after a tick is left out the next heartbeat is answered. A peer that sends too often gets at most one more answer for each tick. If a tick is left out and the peer's next heartbeat is late, news still waits until the next tick. The test of the two orders fails with the code before.

--- a/packages/daemon/src/mesh/heartbeat_sender.ts
+++ b/packages/daemon/src/mesh/heartbeat_sender.ts
@@ -45,7 +45,12 @@
   /** Sends to all peers but those just answered; called in each interval. */
   tick(peers: Iterable<meshPeer.MeshPeer>): void {
     const now = common.now();
-    this.#sendTo([...peers].filter((peer) => isDue(peer, now)));
+    const due: meshPeer.MeshPeer[] = [];
+    for (const peer of peers) {
+      if (isDue(peer, now)) due.push(peer);
+      else peer.tickSkipped = true;
+    }
+    this.#sendTo(due);
   }
 
   /** Sends to a peer that was just linked. */
@@ -53,13 +58,20 @@
     this.#sendTo([peer]);
   }
 
-  /** Answers a heartbeat that a peer just sent, if this end is to answer. */
+  /**
+   * Answers a heartbeat that a peer just sent, if this end is to answer. News
+   * would wait up to 450 ms if the shortest interval held back both an answer
+   * and a tick. So after either, the other one is not held back.
+   */
   answer(peer: meshPeer.MeshPeer): void {
     if (peer.link.side === wire.LinkSide.Dialled) return;
     const sinceLast = common.now() - peer.heartbeatSentAt;
-    if (sinceLast < MIN_ANSWER_INTERVAL_MILLISECONDS) return;
+    if (sinceLast < MIN_ANSWER_INTERVAL_MILLISECONDS && !peer.tickSkipped) {
+      peer.maySkipTick = false;
+      return;
+    }
     this.#sendTo([peer]);
-    peer.lastWasAnswer = true;
+    peer.maySkipTick = true;
   }
 
   #sendTo(peers: meshPeer.MeshPeer[]): void {
@@ -72,7 +84,8 @@
     const state = this.state();
     for (const peer of peers) {
       peer.heartbeatSentAt = now;
-      peer.lastWasAnswer = false;
+      peer.maySkipTick = false;
+      peer.tickSkipped = false;
       peer.link.send({
         kind: wire.MessageKind.MeshHeartbeat,
         stamp,
@@ -84,6 +97,6 @@
 }
 
 function isDue(peer: meshPeer.MeshPeer, now: number): boolean {
-  if (!peer.lastWasAnswer) return true;
+  if (!peer.maySkipTick) return true;
   return now - peer.heartbeatSentAt >= MIN_ANSWER_INTERVAL_MILLISECONDS;
 }
--- a/packages/daemon/src/mesh/heartbeat_sender_test.ts
+++ b/packages/daemon/src/mesh/heartbeat_sender_test.ts
@@ -150,6 +150,38 @@
   t.is(sent.length, 3);
 });
 
+// An answer that was held back because a heartbeat had just been sent, together
+// with a tick that was left out for the same reason, delayed news by 450 ms.
+test("the shortest interval holds back an answer or a tick, not both", (t) => {
+  const sender = createSender();
+  for (const [first, second] of [
+    ["tick", "answer"],
+    ["answer", "tick"],
+  ] as const) {
+    const { peer, sent } = createPeer(wire.LinkSide.Accepted);
+    const send = {
+      tick: () => sender.tick([peer]),
+      answer: () => sender.answer(peer),
+    };
+    sender.answer(peer);
+    send[first]();
+    t.is(sent.length, 1);
+    send[second]();
+    t.is(sent.length, 2);
+  }
+});
+
+// A peer that sends far too often must not be answered as often, although a tick
+// that was left out lets one answer through.
+test("many heartbeats of a peer within a moment get at most two answers", (t) => {
+  const sender = createSender();
+  const { peer, sent } = createPeer(wire.LinkSide.Accepted);
+  sender.answer(peer);
+  sender.tick([peer]);
+  for (let count = 0; count < 50; count++) sender.answer(peer);
+  t.is(sent.length, 2);
+});
+
 test("a change that peers must know at once goes to all of them", (t) => {
   const sender = createSender();
   const peers = [wire.LinkSide.Dialled, wire.LinkSide.Accepted].map(createPeer);
--- a/packages/daemon/src/mesh/mesh_peer.ts
+++ b/packages/daemon/src/mesh/mesh_peer.ts
@@ -27,8 +27,13 @@
   #received: ReceivedHeartbeat | undefined;
   /** When the last heartbeat was sent to the peer, by the monotonic clock. */
   heartbeatSentAt = -Infinity;
-  /** Whether that heartbeat answered one of the peer; see `HeartbeatSender`. */
-  lastWasAnswer = false;
+  /**
+   * Whether that heartbeat was an answer and none was held back since, so that
+   * the next tick may send nothing; see `HeartbeatSender`.
+   */
+  maySkipTick = false;
+  /** Whether a tick since that heartbeat sent nothing. */
+  tickSkipped = false;
   /** Computed once: the position in the order is asked for 20 times a second. */
   readonly pollPreference: common.Preferred;
   /** When the peer's first message arrived, by the monotonic clock. */
