fix(mesh): let the dialling end alone close one of its two links

Cause: an entry may dial another one twice, as a seed and as a known entry. Each end closed the link that it saw first. The ends may see the two in different orders, and then closed both.

Change: of two links dialled by the same end, the dialling end closes the earlier one. The other end uses the later one without closing the earlier one, and goes back to it if the later one is closed. The later link is never refused, so an end that lost its link and dials again gets one at once.

What remains: an end that lost a link which the other end dialled, with the later name, can't be told from one that dials at the same moment.

Tests: the rule is tested by itself; the function and its outcomes are new, so the test can't run on the code before, which chose to close the earlier link at both ends. The way back to a spare link has no test of its own.

--- a/packages/daemon/src/mesh/duplicate_link_test.ts
+++ b/packages/daemon/src/mesh/duplicate_link_test.ts
@@ -22,6 +22,7 @@
 }
 
 const { Dialled, Accepted } = wire.LinkSide;
+const { CloseLater, CloseEarlier, LeaveOpen } = duplicateLink.DuplicateChoice;
 
 // Two entries that dial each other at the same moment may see the two links in
 // different orders. If each kept the one that it saw last, each would send on a
@@ -30,8 +31,9 @@
   // The link dialled by "a" is dialled at "a" and accepted at "b".
   const keptAt = (self: string, other: string, sides: wire.LinkSide[]) => {
     const [earlier, later] = sides.map((side) => createPeer(other, side));
-    const keeps = duplicateLink.keepsEarlierLink({ self, earlier, later });
-    return (keeps ? earlier : later).link.side;
+    const choice = duplicateLink.chooseLink({ self, earlier, later });
+    t.not(choice, LeaveOpen);
+    return (choice === CloseLater ? earlier : later).link.side;
   };
   for (const order of [
     [Dialled, Accepted],
@@ -46,16 +48,36 @@
 // noticing. It must not have to wait until this end notices.
 test("a later link is used if the earlier one is lost or of another process", (t) => {
   const later = createPeer("b", Accepted);
-  const keeps = (earlier: meshPeer.MeshPeer) =>
-    duplicateLink.keepsEarlierLink({ self: "a", earlier, later });
-  t.true(keeps(createPeer("b", Dialled)));
-  t.false(keeps(createPeer("b", Dialled, "before")));
+  const choice = (earlier: meshPeer.MeshPeer) =>
+    duplicateLink.chooseLink({ self: "a", earlier, later });
+  t.is(choice(createPeer("b", Dialled)), CloseLater);
+  t.is(choice(createPeer("b", Dialled, "before")), CloseEarlier);
   const old = createPeer("b", Dialled);
   Object.assign(old, { openedAt: old.openedAt - 2_000 });
-  t.false(keeps(old));
+  t.is(choice(old), CloseEarlier);
   const closed = createPeer("b", Dialled);
   Object.assign(closed.link, { end: wire.LinkEnd.Closed });
-  t.false(keeps(closed));
+  t.is(choice(closed), CloseEarlier);
+});
+
+// An entry may dial the same one twice, as a seed and as a known entry. The two
+// ends may see the links in different orders: if each closed the one that it saw
+// first, both links would be lost. If the dialling end has lost the first link
+// without the other one noticing, the second link must not be refused.
+test("of two links dialled by the same end, that end alone closes one", (t) => {
+  for (const [self, other] of [
+    ["a", "b"],
+    ["b", "a"],
+  ]) {
+    const choice = (side: wire.LinkSide) =>
+      duplicateLink.chooseLink({
+        self,
+        earlier: createPeer(other, side),
+        later: createPeer(other, side),
+      });
+    t.is(choice(Dialled), CloseEarlier);
+    t.is(choice(Accepted), LeaveOpen);
+  }
 });
 
 // A process of an earlier version may use one of two links that this end has
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -153,6 +153,11 @@
 export class EntryMesh {
   readonly #known = new Map<string, KnownEntry>();
   readonly #linked = new Map<string, meshPeer.MeshPeer>();
+  /**
+   * Links that are open but not used, until the other end, which dialled two,
+   * closes one (see `duplicateLink.chooseLink`).
+   */
+  readonly #spare = new Set<meshPeer.MeshPeer>();
   readonly #heartbeatClock = new heartbeatClockModule.HeartbeatClock();
   readonly #documents: documentExchange.DocumentExchange;
   readonly #pollPreference: common.Preferred;
@@ -493,34 +498,65 @@
     if (host === self.host) return link.close();
     const peer = new meshPeer.MeshPeer(hello.member, hello.incarnation, link);
     const earlier = this.#linked.get(host);
-    if (
+    const choice =
       earlier &&
-      duplicateLink.keepsEarlierLink({ self: self.host, earlier, later: peer })
-    ) {
-      return link.close(wire.LinkEnd.Replaced);
+      duplicateLink.chooseLink({ self: self.host, earlier, later: peer });
+    switch (choice) {
+      case duplicateLink.DuplicateChoice.CloseLater:
+        return link.close(wire.LinkEnd.Replaced);
+      case duplicateLink.DuplicateChoice.CloseEarlier:
+        earlier?.link.close(wire.LinkEnd.Replaced);
+        break;
+      case duplicateLink.DuplicateChoice.LeaveOpen:
+        if (earlier) this.#spare.add(earlier);
+        break;
+      case undefined:
+        break;
     }
     this.#linked.set(host, peer);
-    earlier?.link.close(wire.LinkEnd.Replaced);
     this.#noteEntry(hello.member, undefined);
     for (const other of hello.others) this.#noteEntry(other, undefined);
     this.#membersKnown = true;
     this.#known.get(host)?.linkChanged.announce();
     logger.event(common.EventCode.LinkEstablished, { peer: host });
-    this.#heartbeats.sendFirst(peer);
-    const suspicions = this.parameters.suspicions.initialMessage();
-    if (suspicions) link.send(suspicions);
-    const rateLimits = this.parameters.rateLimits.initialMessage();
-    if (rateLimits) link.send(rateLimits);
+    this.#sendInitial(peer);
     await link.handleMessages((message) => this.#receive(peer, message));
     logger.event(common.EventCode.LinkLost, { peer: host, end: link.end });
-    if (this.#linked.get(host) === peer) {
-      this.#linked.delete(host);
-      this.parameters.onOutstanding(host, undefined);
-      this.parameters.rateLimits.onDisconnected(host);
-    }
+    this.#spare.delete(peer);
+    if (this.#linked.get(host) === peer) this.#replaceLost(peer);
     this.#known.get(host)?.linkChanged.announce();
   }
 
+  /** Uses another open link to an entry whose link was lost, if there is one. */
+  #replaceLost(lost: meshPeer.MeshPeer): void {
+    const { host } = lost.member;
+    const spare = [...this.#spare].findLast(
+      (peer) =>
+        peer.open &&
+        peer.member.host === host &&
+        peer.incarnation === lost.incarnation,
+    );
+    if (spare) {
+      this.#spare.delete(spare);
+      this.#linked.set(host, spare);
+      // What was sent on the lost link may not have arrived.
+      this.#sendInitial(spare);
+      return;
+    }
+    this.#linked.delete(host);
+    this.parameters.onOutstanding(host, undefined);
+    this.parameters.rateLimits.onDisconnected(host);
+  }
+
+  /** Sends the state of this entry on a link that comes into use. */
+  #sendInitial(peer: meshPeer.MeshPeer): void {
+    this.#heartbeats.sendFirst(peer);
+    const suspicions = this.parameters.suspicions.initialMessage();
+    if (suspicions) peer.link.send(suspicions);
+    const rateLimits = this.parameters.rateLimits.initialMessage();
+    if (rateLimits) peer.link.send(rateLimits);
+  }
+
   #receive(peer: meshPeer.MeshPeer, message: wire.Message): void {
     const { onOutstanding } = this.parameters;
     const known = this.#known.get(peer.member.host);
@@ -582,6 +618,8 @@
   #tick(): void {
     this.#heartbeats.tick(this.#linked.values());
     for (const peer of this.#linked.values()) peer.tick();
+    // Closes a spare link that the other end has neither closed nor used.
+    for (const peer of this.#spare) peer.tick();
   }
 
   #heartbeatState(): heartbeatSender.HeartbeatState {
