fix(wire): close the link on malformed content, name the task of other failures

Cause: an exception of a message handler was thrown inside the socket's `message` event, and stopped the process without the name of the task. It can come from malformed content: the codec checked only the kind of a message with field names, so one between entries without its lists or objects threw in its reader.

Change: the codec checks the lists and objects of messages between entries; without them the link ends as unreadable. All other exceptions of a handler reject handleMessages and so reach the owner of the task. They are not caught as unreadable, which would hide broken invariants. Types of plain fields and the content of packed documents are not checked.

Tests: both new ones fail with the code before.

--- a/packages/wire/src/codec.ts
+++ b/packages/wire/src/codec.ts
@@ -1,6 +1,7 @@
 import * as msgpackr from "msgpackr";
 import * as neverthrow from "neverthrow";
 import * as compact from "./compact.ts";
+import * as meshContent from "./mesh_content.ts";
 import type * as message from "./message.ts";
 import * as messageKind from "./message_kind.ts";
 
@@ -34,10 +35,15 @@
     const value = (
       Array.isArray(unpacked) ? compact.fromCompact(unpacked) : unpacked
     ) as { kind?: unknown } | undefined;
-    if (KINDS.has(value?.kind)) {
-      return neverthrow.ok(value as message.Message);
+    if (!KINDS.has(value?.kind)) {
+      return unreadable(`kind ${String(value?.kind)}`);
     }
-    return unreadable(`kind ${String(value?.kind)}`);
+    const decoded = value as message.Message;
+    // Compact lists are checked when they are read.
+    if (!Array.isArray(unpacked) && !meshContent.hasMeshContent(decoded)) {
+      return unreadable(`content of kind ${decoded.kind}`);
+    }
+    return neverthrow.ok(decoded);
   } catch (cause) {
     return unreadable((cause as Error).message);
   }
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -80,6 +80,8 @@
   #handler: ((message: message.Message) => void) | undefined;
   /** Resolves `handleMessages`. */
   #onHandled: (() => void) | undefined;
+  /** Rejects `handleMessages`. */
+  #onHandlerFailed: ((cause: unknown) => void) | undefined;
   readonly #stopTicking: () => void;
   #quietTicks = 0;
   #sentAtLastTick = 0;
@@ -135,7 +137,9 @@
   /**
    * Passes all messages until the link ends to a handler, as soon as they are
    * received. This takes less processor time than `messages`, which resumes a
-   * task for each message; a link must use one or the other.
+   * task for each message; a link must use one or the other. If the handler
+   * throws, the link ends and the exception goes to the caller's task, as with
+   * `messages`, and not to the socket.
    */
   async handleMessages(
     handler: (message: message.Message) => void,
@@ -143,7 +147,10 @@
     for (const waiting of this.#inbox.takeAll()) handler(waiting);
     if (this.#end !== undefined) return;
     this.#handler = handler;
-    await new Promise<void>((resolve) => (this.#onHandled = resolve));
+    await new Promise<void>((resolve, reject) => {
+      this.#onHandled = resolve;
+      this.#onHandlerFailed = reject;
+    });
   }
 
   /** Ends the link when the signal aborts, so that its task can return. */
@@ -172,10 +179,22 @@
       return;
     }
     this.lastUsedAt = common.now();
-    if (this.#handler) this.#handler(decoded.value);
+    if (this.#handler) this.#handle(this.#handler, decoded.value);
     else this.#inbox.push(decoded.value);
   }
 
+  #handle(
+    handler: (message: message.Message) => void,
+    value: message.Message,
+  ): void {
+    try {
+      handler(value);
+    } catch (cause) {
+      this.#onHandlerFailed?.(cause);
+      this.#finish(LinkEnd.Closed);
+    }
+  }
+
   get #answersHeartbeats(): boolean {
     if (this.timing.heartbeatsOnlyInSilence) return false;
     return this.side === LinkSide.Accepted;
--- a/packages/wire/src/link_test.ts
+++ b/packages/wire/src/link_test.ts
@@ -1,6 +1,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import * as ava from "ava";
+import * as msgpackr from "msgpackr";
 import * as common from "@geraniumkeel/common";
 import * as codec from "./codec.ts";
 import * as link from "./link.ts";
@@ -126,3 +127,54 @@
   t.deepEqual(questions, [0, 1, 2]);
   t.is(opened.end, link.LinkEnd.Closed);
 });
+
+// The exception was thrown inside an event of the socket, and so ended the
+// process without the name of the task that had failed.
+test("an exception of a handler fails the task that handles messages", async (t) => {
+  const question = { kind: messageKind.MessageKind.StateRequest, question: 1 };
+  const { url } = await startServer(t, (far) => {
+    far.send(question as message.Message);
+    // The handler is in place when this message arrives: it answers another one.
+    void far.receive().then(() => far.send(question as message.Message));
+  });
+  const dialled = await link.dial({ url, key: KEY, timing: TIMING, heartbeat });
+  const opened = dialled._unsafeUnwrap();
+  await opened.receive();
+  const handling = opened.handleMessages(() => {
+    throw new Error("broken invariant");
+  });
+  opened.send(question as message.Message);
+  await t.throwsAsync(handling, { message: "broken invariant" });
+  t.is(opened.end, link.LinkEnd.Closed);
+});
+
+// A reader of such a message throws, and a faulty peer would stop the process.
+test("a message between entries without its lists or objects is an error", (t) => {
+  const kinds = messageKind.MessageKind;
+  const member = { host: "a" };
+  const crash = { seenBy: [], suspicions: [{}] };
+  const isReadable = (value: object) =>
+    codec.decode(new msgpackr.Packr({ useRecords: false }).pack(value)).isOk();
+  for (const value of [
+    { kind: kinds.MeshHello },
+    { kind: kinds.MeshHello, member, others: [undefined] },
+    { kind: kinds.MeshHeartbeat },
+    { kind: kinds.MeshLoad },
+    { kind: kinds.MeshConfiguration, version: 1 },
+    { kind: kinds.MeshRunners, packed: new Uint8Array(1) },
+    { kind: kinds.MeshEvacuations },
+    { kind: kinds.Suspicions, ends: [] },
+    { kind: kinds.Suspicions, ends: [{ ...crash, suspicions: 1 }], held: [] },
+    { kind: kinds.RateLimitReports, limits: [null] },
+  ]) {
+    t.false(isReadable(value), JSON.stringify(value));
+  }
+  for (const value of [
+    { kind: kinds.MeshHello, member, others: [member] },
+    { kind: kinds.MeshRunners, version: 1, packed: Buffer.from([1]) },
+    { kind: kinds.Suspicions, ends: [crash], held: ["f"] },
+    { kind: kinds.RateLimitReports, limits: [{}] },
+  ]) {
+    t.true(isReadable(value), JSON.stringify(value));
+  }
+});
