fix(wire): read heartbeats between entries of the build before

Cause: the proof of the evacuations added two leading numbers.

Change: a list whose item after ten numbers is a runner's name or missing is of the old form, as the new form always has a number there.

Tests: the one of the old form fails with the code before; the one of other lengths guards the distinction and passes with both.

--- a/packages/wire/src/compact_mesh_heartbeat.ts
+++ b/packages/wire/src/compact_mesh_heartbeat.ts
@@ -11,6 +11,10 @@
 
 /** Number of list items that precede the request counts by runner. */
 const HEAD_LENGTH = 12;
+/** The same in the build before, which has no proof of the evacuations. */
+const HEAD_LENGTH_WITHOUT_EVACUATIONS = 10;
+/** Stands for the proof of the evacuations in a heartbeat of that build. */
+const NO_PROOF: mesh.MeshProof = { version: 0, age: -1 };
 
 /**
  * Packs a heartbeat between entries into a plain list. Each link carries
@@ -37,13 +41,17 @@
   ];
 }
 
-/** Unpacks a list; `undefined` if it is no valid heartbeat. */
+/**
+ * Unpacks a list; `undefined` if it is no valid heartbeat. Heartbeats of the
+ * build before are read as well.
+ */
 export function meshHeartbeatFromList(
   list: unknown[],
 ): mesh.MeshHeartbeat | undefined {
-  const head = list.slice(0, HEAD_LENGTH);
-  const outstanding = countsOf(list.slice(HEAD_LENGTH));
-  if (!isNumbers.isNumbers(head) || head.length < HEAD_LENGTH) return undefined;
+  const headLength = headLengthOf(list);
+  const head = list.slice(0, headLength);
+  const outstanding = countsOf(list.slice(headLength));
+  if (!isNumbers.isNumbers(head) || head.length < headLength) return undefined;
   if (!outstanding) return undefined;
   const [, stamp, echoedStamp, echoedAge, flags, tableEpoch, ...proofs] = head;
   return {
@@ -57,11 +65,25 @@
     tableEpoch,
     configuration: { version: proofs[0], age: proofs[1] },
     runners: { version: proofs[2], age: proofs[3] },
-    evacuations: { version: proofs[4], age: proofs[5] },
+    evacuations:
+      headLength === HEAD_LENGTH
+        ? { version: proofs[4], age: proofs[5] }
+        : NO_PROOF,
     outstanding,
   };
 }
 
+/**
+ * The two forms differ in the item after the head of the shorter one: there it
+ * is the name of a runner or missing, and in the longer one always a number.
+ */
+function headLengthOf(list: unknown[]): number {
+  const next = list[HEAD_LENGTH_WITHOUT_EVACUATIONS];
+  const isShort =
+    typeof next === "string" || list.length === HEAD_LENGTH_WITHOUT_EVACUATIONS;
+  return isShort ? HEAD_LENGTH_WITHOUT_EVACUATIONS : HEAD_LENGTH;
+}
+
 function flagsOf(heartbeat: mesh.MeshHeartbeat): number {
   const { ready, leaving, storeReachable } = heartbeat;
   return (
--- a/packages/wire/src/compact_test.ts
+++ b/packages/wire/src/compact_test.ts
@@ -1,5 +1,6 @@
 import * as ava from "ava";
 import * as codec from "./codec.ts";
+import * as compact from "./compact.ts";
 import type * as mesh from "./mesh.ts";
 import type * as message from "./message.ts";
 import * as messageKind from "./message_kind.ts";
@@ -134,3 +135,34 @@
   const before = codec.encode(createRankBeat([0, 5, 300]));
   t.deepEqual(codec.encode(createRankBeat([0, 5, 300], 1)), before);
 });
+
+// During a rolling update, heartbeats of the build before closed the link: they
+// lack the proof of the evacuations, and so have two numbers less.
+test("a heartbeat of the build before is read, without proof of evacuations", (t) => {
+  for (const outstanding of [
+    [],
+    [["i-0b", 1]],
+    [
+      ["i-7f3a91c2", 2],
+      ["i-0b", 1],
+    ],
+  ] as [string, number][][]) {
+    const beat = createMeshBeat({ outstanding });
+    const list = compact.toCompact(beat) ?? [];
+    const before = [...list.slice(0, 10), ...list.slice(12)];
+    const decoded = codec.decode(codec.encode(before as never));
+    const evacuations = { version: 0, age: -1 };
+    t.deepEqual(decoded._unsafeUnwrap(), { ...beat, evacuations });
+  }
+});
+
+test("a heartbeat with any other number of leading numbers is unreadable", (t) => {
+  const list = compact.toCompact(createMeshBeat()) ?? [];
+  const counts = list.slice(12);
+  for (const length of [8, 9, 11, 13, 14]) {
+    const head = [...list.slice(0, 12), 1, 1].slice(0, length);
+    for (const frame of [head, [...head, ...counts]]) {
+      t.true(codec.decode(codec.encode(frame as never)).isErr());
+    }
+  }
+});
