fix(forwarding): slow marks of runners without requests decay

Cause: only probes, one in ten requests, could end a slow mark.

Change: the excess of a runner halves each second while it has no request from this entry. The time is that of the monotonic clock, as the clock of answers stands still without calls. From the upper bound the mark ends after 2 s; the next answer of a runner that is still slow sets it again.

Run: ava packages/daemon/dist/forwarding/slow*_test.js, passed; the new test of the decay fails with the decay taken out.

--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -115,6 +115,7 @@
     const now = () => this.silenceClock.now();
     this.#slowRunners = new slowRunners.SlowRunners({
       now,
+      monotonicNow: common.now,
       inLockStep,
       onChange,
     });
--- a/packages/daemon/src/forwarding/slow_group_test.ts
+++ b/packages/daemon/src/forwarding/slow_group_test.ts
@@ -78,6 +78,7 @@
       slow: setup.avoids
         ? new slowRunners.SlowRunners({
             now: () => this.time,
+            monotonicNow: () => this.time,
             inLockStep: () => true,
             onChange: () => {},
           })
--- a/packages/daemon/src/forwarding/slow_runners.ts
+++ b/packages/daemon/src/forwarding/slow_runners.ts
@@ -24,6 +24,13 @@
  * cost a tenth of the value at most.
  */
 const REQUESTS_PER_PROBE = 10;
+/**
+ * Time in which the excess of a runner halves while no answer of it is awaited.
+ * From its upper bound the excess falls to the allowed one in two half-lives.
+ * Probes alone took about 53 s at 0.75 requests a second, and never ended
+ * without traffic.
+ */
+const EXCESS_HALF_LIFE_MILLISECONDS = 1_000;
 
 /** What the answers of one runner say about its speed. */
 class RunnerPace {
@@ -34,6 +41,8 @@
    * runners, in multiples of the allowed excess.
    */
   excess = 0;
+  /** Up to when the excess has decayed, by the monotonic clock. */
+  decayedAt = -Infinity;
   /** Whether the last choice found the runner slow. */
   wasSlow = false;
   /** When the last event arrived that was not slow. */
@@ -43,6 +52,15 @@
 
   constructor(readonly service: string) {}
 
+  /** Lets the excess decay up to a time, unless an answer is awaited. */
+  decay(now: number): void {
+    if (this.timers.size === 0) {
+      const halvings = (now - this.decayedAt) / EXCESS_HALF_LIFE_MILLISECONDS;
+      this.excess *= 0.5 ** halvings;
+    }
+    this.decayedAt = now;
+  }
+
   /** The excess, if the next part had the given one. */
   excessWith(excess: number): number {
     return this.excess + NEWEST_PART_WEIGHT * (excess - this.excess);
@@ -84,6 +102,11 @@
     readonly parameters: {
       /** Monotonic milliseconds in which this process read answers. */
       now: () => number;
+      /**
+       * Monotonic milliseconds that also count while no answer is read. `now`
+       * stands still without traffic.
+       */
+      monotonicNow: () => number;
       /** Whether the runners of a service run in lock-step, in groups. */
       inLockStep: (service: string) => boolean;
       /** Called when a choice first finds a runner slow, or no longer so. */
@@ -103,9 +126,11 @@
       onPart: (time) => this.#notePart(pace, timer, time),
       onEnd: (awaited) => {
         if (awaited) this.#noteGivenUp(pace, timer, awaited);
+        pace.decay(this.parameters.monotonicNow());
         pace.timers.delete(timer);
       },
     });
+    pace.decay(this.parameters.monotonicNow());
     pace.timers.add(timer);
     return timer;
   }
@@ -215,6 +240,7 @@
 
   /** Excess of a runner, with the parts that it has not sent yet. */
   #currentExcess(pace: RunnerPace): number {
+    pace.decay(this.parameters.monotonicNow());
     let highest = pace.excess;
     for (const timer of pace.timers) {
       const { awaited } = timer;
--- a/packages/daemon/src/forwarding/slow_runners_test.ts
+++ b/packages/daemon/src/forwarding/slow_runners_test.ts
@@ -17,6 +17,8 @@
 /** Runners whose answers arrive in virtual time. */
 class World {
   time = 0;
+  /** Time in which no answer was read. */
+  idleTime = 0;
   readonly changes: string[] = [];
   readonly slow: slowRunners.SlowRunners;
 
@@ -26,6 +28,7 @@
   ) {
     this.slow = new slowRunners.SlowRunners({
       now: () => this.time,
+      monotonicNow: () => this.time + this.idleTime,
       inLockStep: () => lockStep,
       onChange: (identifier, isSlow) =>
         this.changes.push(`${identifier} ${isSlow ? "slow" : "recovered"}`),
@@ -266,3 +269,30 @@
   old.noteWhole();
   t.false(world.slow.isSlow("p-0"));
 });
+
+// A mark that only probes could end lasted 53 s at 0.75 requests a second, and
+// for ever without traffic, when the clock of answers stands still as well.
+test("without requests a runner stays slow for 2 s at most, and its next slow answer is enough to find it again", (t) => {
+  const world = new World(false, traffic.AnswerForm.Whole);
+  for (const runner of ["p-0", "p-1", "p-2"]) world.answer(runner, ANSWER);
+  for (let request = 0; request < 20; request++)
+    world.answer("p-0", ANSWER * SLOWDOWN);
+  t.true(world.slow.isSlow("p-0"));
+  world.idleTime += 1_000;
+  t.true(world.slow.isSlow("p-0"));
+  world.idleTime += 1_000;
+  t.false(world.slow.isSlow("p-0"));
+  world.idleTime += 60_000;
+  world.answer("p-0", ANSWER * SLOWDOWN);
+  t.true(world.slow.isSlow("p-0"));
+});
+
+// Time in which a slow runner keeps a request waiting is no sign of recovery.
+test("a slow runner stays slow while an answer of it is awaited", (t) => {
+  const world = new World(false, traffic.AnswerForm.Whole);
+  for (const runner of ["p-0", "p-1", "p-2"]) world.answer(runner, ANSWER);
+  world.answer("p-0", ANSWER * SLOWDOWN);
+  world.send("p-0", false);
+  world.idleTime += 10_000;
+  t.true(world.slow.isSlow("p-0"));
+});
