fix(forwarding): end the slow mark of a replaced runner, and report ends

Cause: removeReplaced deleted the record of a runner and left its slow mark, which in lock-step decides about other ranks too. When a slow runner was forgotten, no end of its mark was reported.

Change: removeReplaced forgets the runner, and forgetting a runner that was reported as slow reports the end.

Run: ava packages/daemon/dist/forwarding/{slow,runner}*_test.js, passed; each new test fails without its part of the change.

--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -107,7 +107,7 @@
       restOf: (runner: traffic.RunnerEntry) => number;
       /** Whether runners in a data centre get nothing new. */
       isEvacuated: (dataCentre: string) => boolean;
-      /** Called when a runner has become slow, or has recovered. */
+      /** Called when a runner has become slow, or is no longer so. */
       onSlowChange?: (identifier: string, isSlow: boolean) => void;
     },
   ) {
@@ -512,6 +512,7 @@
       traffic.incarnationOf(record.entry) === traffic.incarnationOf(runner)
     ) {
       this.#records.delete(runner.identifier);
+      this.#slowRunners.forget(runner.identifier);
     }
   }
 
--- a/packages/daemon/src/forwarding/runner_tracker_test.ts
+++ b/packages/daemon/src/forwarding/runner_tracker_test.ts
@@ -1,6 +1,6 @@
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
-import type * as traffic from "@geraniumkeel/traffic";
+import * as traffic from "@geraniumkeel/traffic";
 import * as runnerFixture from "@geraniumkeel/traffic/runner_fixture";
 import * as runnerTracker from "./runner_tracker.ts";
 
@@ -10,6 +10,7 @@
   runners: traffic.RunnerEntry[],
   lockStep = false,
   isEvacuated: (dataCentre: string) => boolean = () => false,
+  onSlowChange?: (identifier: string, isSlow: boolean) => void,
 ): runnerTracker.RunnerTracker {
   const random = new common.Random(1);
   const inLockStep = () => lockStep;
@@ -22,6 +23,7 @@
     rateLimitWaitOf,
     restOf,
     isEvacuated,
+    onSlowChange,
   };
   const tracker = new runnerTracker.RunnerTracker(parameters);
   tracker.update({ version: 1, runners });
@@ -197,3 +199,40 @@
   tracker.update({ version: 3, runners: [restarted] });
   t.is(tracker.choose("s", new Set())?.bornAt, restarted.bornAt);
 });
+
+// Another runner has the address of a slow one. Its slow mark would stay, and in
+// lock-step decide which ranks get requests, while it stays listed.
+test("the slow mark of a replaced runner ends with it", async (t) => {
+  const runners = ["i-1", "i-2"].map((identifier, index) =>
+    runnerFixture.createRunner({ identifier, port: 80 + index }),
+  );
+  const changes: [string, boolean][] = [];
+  const tracker = trackerOf(runners, false, undefined, (...change) =>
+    changes.push(change),
+  );
+  const route = {
+    answerForm: traffic.AnswerForm.Whole,
+    objectiveMilliseconds: 40,
+  } as traffic.Route;
+  // The clock of answers runs while a call is in progress.
+  const finishCall = tracker.startCall("i-1");
+  const quick = tracker.timeAnswer(runners[1], route);
+  quick.noteWhole();
+  quick.end();
+  tracker.timeAnswer(runners[0], route);
+  const notice = new common.ChangeNotice();
+  await notice.until({
+    condition: () => {
+      setTimeout(() => notice.announce(), 20);
+      tracker.candidates("s", new Set());
+      return changes.length > 0;
+    },
+    timeoutMilliseconds: 10_000,
+  });
+  tracker.removeReplaced(runners[0]);
+  t.deepEqual(changes, [
+    ["i-1", true],
+    ["i-1", false],
+  ]);
+  finishCall(runnerTracker.CallOutcome.Neutral);
+});
--- a/packages/daemon/src/forwarding/slow_runners.ts
+++ b/packages/daemon/src/forwarding/slow_runners.ts
@@ -109,7 +109,10 @@
       monotonicNow: () => number;
       /** Whether the runners of a service run in lock-step, in groups. */
       inLockStep: (service: string) => boolean;
-      /** Called when a choice first finds a runner slow, or no longer so. */
+      /**
+       * Called when a choice first finds a runner slow or no longer so, and when
+       * a slow runner is forgotten.
+       */
       onChange: (identifier: string, isSlow: boolean) => void;
     },
   ) {}
@@ -137,7 +140,9 @@
 
   /** Forgets a runner that is gone or has restarted. */
   forget(identifier: string): void {
+    const pace = this.#paces.get(identifier);
     this.#paces.delete(identifier);
+    if (pace?.wasSlow) this.parameters.onChange(identifier, false);
   }
 
   /** Whether a runner is much slower than the others of its service. */
--- a/packages/daemon/src/forwarding/slow_runners_test.ts
+++ b/packages/daemon/src/forwarding/slow_runners_test.ts
@@ -296,3 +296,14 @@
   world.idleTime += 10_000;
   t.true(world.slow.isSlow("p-0"));
 });
+
+// An operator who sees the event that a runner became slow would otherwise wait
+// for its end for ever once the runner is gone.
+test("the end of a slow mark is reported once when its runner is forgotten", (t) => {
+  const world = new World(false, traffic.AnswerForm.Whole);
+  for (const runner of ["p-0", "p-1", "p-2"]) world.answer(runner, ANSWER);
+  world.answer("p-0", ANSWER * SLOWDOWN);
+  world.slow.avoidance("s");
+  for (const runner of ["p-0", "p-1", "p-0"]) world.slow.forget(runner);
+  t.deepEqual(world.changes, ["p-0 slow", "p-0 recovered"]);
+});
