fix(forwarding): only candidates decide which ranks count as fast

Cause: in lock-step, a slow rank that may not get requests (evacuated, leaving, at its rate limit, resting or refusing) still made all ranks avoided that had sent nothing in time since. Its mark says nothing about the ranks to choose from.

Change: the tracker tells which runners may get requests now, and others count neither as slow nor as fast ones in this decision. Runners that the request has tried still count, as a retry must not go to the slow group again.

Run: ava packages/daemon/dist/forwarding/{slow,runner}*_test.js, passed; the new test fails without the check of the slow ranks.

--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -174,15 +174,24 @@
   ): chooseRunner.RunnerView[] {
     const now = common.now();
     const groupStalled = this.#isGroupStalled(service);
-    const isAvoided = this.#slowRunners.avoidance(service);
-    const views: chooseRunner.RunnerView[] = [];
+    const available = new Map<string, runnerRecord.RunnerRecord>();
     for (const [identifier, record] of this.#records) {
       const { entry } = record;
       if (entry.service !== service || !this.#isOpen(entry)) continue;
-      if (tried.has(identifier)) continue;
       if (record.refusing && now < record.avoidUntil) continue;
       if (this.parameters.rateLimitWaitOf(entry) > 0) continue;
       if (this.parameters.restOf(entry) > 0) continue;
+      available.set(identifier, record);
+    }
+    // Includes runners that this request has tried: a slow one among them shows
+    // that its group is slow.
+    const isAvoided = this.#slowRunners.avoidance(service, (identifier) =>
+      available.has(identifier),
+    );
+    const views: chooseRunner.RunnerView[] = [];
+    for (const [identifier, record] of available) {
+      if (tried.has(identifier)) continue;
+      const { entry } = record;
       views.push({
         identifier,
         outstanding: record.own + this.#otherEntries.countAt(identifier),
--- a/packages/daemon/src/forwarding/slow_group_test.ts
+++ b/packages/daemon/src/forwarding/slow_group_test.ts
@@ -128,7 +128,7 @@
 
   #send(entry: Entry): void {
     const index = this.#entries.indexOf(entry);
-    const isAvoided = entry.slow?.avoidance(SERVICE);
+    const isAvoided = entry.slow?.avoidance(SERVICE, () => true);
     const views = entry.own.map((own, rank): chooseRunner.RunnerView => ({
       identifier: String(rank),
       outstanding: own + this.#told[rank] - this.#toldOwn[index][rank],
--- a/packages/daemon/src/forwarding/slow_runners.ts
+++ b/packages/daemon/src/forwarding/slow_runners.ts
@@ -153,9 +153,13 @@
 
   /**
    * Returns a function that tells whether a runner of a service is to get
-   * requests only if the others are full.
+   * requests only if the others are full. `isCandidate` tells which runners may
+   * get requests now.
    */
-  avoidance(service: string): (identifier: string) => boolean {
+  avoidance(
+    service: string,
+    isCandidate: (identifier: string) => boolean,
+  ): (identifier: string) => boolean {
     const slow = new Set<string>();
     for (const [identifier, pace] of this.#paces) {
       if (pace.service !== service) continue;
@@ -167,17 +171,23 @@
     if (slow.size === 0) this.#slowSince.delete(service);
     if (slow.size === 0 || !this.parameters.inLockStep(service))
       return (identifier) => slow.has(identifier);
+    // A slow rank that gets no requests anyway, such as one in an evacuated data
+    // centre, must not keep them from other groups.
+    const hasSlowCandidate = [...slow].some(isCandidate);
     const since = this.#slowSince.get(service) ?? this.parameters.now();
     this.#slowSince.set(service, since);
     const fast = new Set<string>();
     for (const [identifier, pace] of this.#paces) {
       if (pace.service !== service || slow.has(identifier)) continue;
-      if (pace.onTimeAt > since) fast.add(identifier);
+      if (pace.onTimeAt > since && isCandidate(identifier))
+        fast.add(identifier);
     }
     // A rank not heard from since then may be in the slow group. If requests
     // had to find that out, each entry would lose one for each rank of it.
     return (identifier) =>
-      fast.size > 0 ? !fast.has(identifier) : slow.has(identifier);
+      hasSlowCandidate && fast.size > 0
+        ? !fast.has(identifier)
+        : slow.has(identifier);
   }
 
   /**
--- a/packages/daemon/src/forwarding/slow_runners_test.ts
+++ b/packages/daemon/src/forwarding/slow_runners_test.ts
@@ -14,6 +14,9 @@
 /** Factor by which a slow runner's times are longer. */
 const SLOWDOWN = 12;
 
+/** Every runner may get requests. */
+const ALL = () => true;
+
 /** Runners whose answers arrive in virtual time. */
 class World {
   time = 0;
@@ -104,9 +107,9 @@
     { timer: second, period: EVENT },
   ];
   world.run(400, streams);
-  world.slow.avoidance("s");
+  world.slow.avoidance("s", ALL);
   world.run(100, streams);
-  const isAvoided = world.slow.avoidance("s");
+  const isAvoided = world.slow.avoidance("s", ALL);
   t.deepEqual(["a-0", "a-1", "b-0", "b-1"].map(isAvoided), [
     true,
     true,
@@ -115,6 +118,31 @@
   ]);
 });
 
+// The data centre of a slow rank is evacuated. Its mark would keep the ranks of
+// a sound group without requests until each of them had sent something.
+test("a slow rank that may not get requests makes no other rank avoided", (t) => {
+  const { world, first, second } = worldOfTwoGroups();
+  const streams = [
+    { timer: first, period: EVENT * SLOWDOWN },
+    { timer: second, period: EVENT },
+  ];
+  const avoidedIf = (isCandidate: (identifier: string) => boolean) =>
+    ["a-0", "a-1", "b-0", "b-1"].filter(world.slow.avoidance("s", isCandidate));
+  world.run(400, streams);
+  avoidedIf(ALL);
+  world.run(100, streams);
+  t.deepEqual(avoidedIf(ALL), ["a-0", "a-1", "b-1"]);
+  t.deepEqual(
+    avoidedIf((identifier) => identifier !== "a-0"),
+    ["a-0"],
+  );
+  // No candidate is known to be fast, so only the slow one is avoided.
+  t.deepEqual(
+    avoidedIf((identifier) => identifier !== "b-0"),
+    ["a-0"],
+  );
+});
+
 test("a rank that has recovered is found with four events, and with it the ranks without requests", (t) => {
   const { world, first, second } = worldOfTwoGroups();
   const third = world.send("a-1");
@@ -129,7 +157,7 @@
     { timer: first, period: EVENT },
     { timer: second, period: EVENT },
   ]);
-  const isAvoided = world.slow.avoidance("s");
+  const isAvoided = world.slow.avoidance("s", ALL);
   t.deepEqual(["a-0", "a-1", "b-0", "b-1"].filter(isAvoided), []);
 });
 
@@ -154,7 +182,7 @@
       const paced = streams.map((timer) => ({ timer, period: each }));
       for (let elapsed = 0; elapsed < milliseconds; elapsed += 50) {
         world.run(50, paced);
-        const isAvoided = world.slow.avoidance("s");
+        const isAvoided = world.slow.avoidance("s", ALL);
         t.deepEqual(identifiers.filter(isAvoided), []);
       }
     };
@@ -214,10 +242,10 @@
     for (const runner of all) world.answer(runner, ANSWER);
   }
   world.answer("p-0", ANSWER * SLOWDOWN);
-  t.deepEqual(all.filter(world.slow.avoidance("s")), ["p-0"]);
+  t.deepEqual(all.filter(world.slow.avoidance("s", ALL)), ["p-0"]);
   t.deepEqual(world.slow.probeTargets("s", ["p-0"]), []);
   for (let request = 0; request < 4; request++) world.answer("p-0", ANSWER);
-  t.deepEqual(all.filter(world.slow.avoidance("s")), []);
+  t.deepEqual(all.filter(world.slow.avoidance("s", ALL)), []);
   t.deepEqual(world.changes, ["p-0 slow", "p-0 recovered"]);
 });
 
@@ -303,7 +331,7 @@
   const world = new World(false, traffic.AnswerForm.Whole);
   for (const runner of ["p-0", "p-1", "p-2"]) world.answer(runner, ANSWER);
   world.answer("p-0", ANSWER * SLOWDOWN);
-  world.slow.avoidance("s");
+  world.slow.avoidance("s", ALL);
   for (const runner of ["p-0", "p-1", "p-0"]) world.slow.forget(runner);
   t.deepEqual(world.changes, ["p-0 slow", "p-0 recovered"]);
 });
