fix(forwarding): determine slow runners once per 25 ms

Cause: each choice compared every awaited answer of a service with all its other open streams and their remembered events. With 400 open streams, that is millions of steps for each request while a group stands still.

Change: the slow runners of a service are determined at most once per 25 ms; a forgotten runner is taken out at once. The comparison skips remembered events from before the period by searching from the newest one; its result is the same.

No time was measured.

--- a/packages/daemon/src/forwarding/answer_timer.ts
+++ b/packages/daemon/src/forwarding/answer_timer.ts
@@ -118,8 +118,9 @@
   meanEventTime(from: number, to: number): number | undefined {
     let covered = 0;
     let count = 0;
-    for (const event of this.#events) {
-      if (event.from < from || event.to > to) continue;
+    const before = this.#events.findLastIndex((event) => event.from < from);
+    for (const event of this.#events.slice(before + 1)) {
+      if (event.to > to) break;
       covered += event.to - event.from;
       count++;
     }
--- a/packages/daemon/src/forwarding/slow_runners.ts
+++ b/packages/daemon/src/forwarding/slow_runners.ts
@@ -31,6 +31,12 @@
  * without traffic.
  */
 const EXCESS_HALF_LIFE_MILLISECONDS = 1_000;
+/**
+ * For how long the slow runners of a service are not determined again. Each time
+ * compares every awaited answer with all others: with 400 streams open at a
+ * group that stands still, millions of steps.
+ */
+const SLOW_SET_LIFETIME_MILLISECONDS = 25;
 
 /** What the answers of one runner say about its speed. */
 class RunnerPace {
@@ -97,6 +103,8 @@
    * noticed the first of them.
    */
   readonly #slowSince = new Map<string, number>();
+  /** Slow runners of each service, and when they were determined. */
+  readonly #slowSets = new Map<string, { slow: Set<string>; at: number }>();
 
   constructor(
     readonly parameters: {
@@ -142,6 +150,7 @@
   forget(identifier: string): void {
     const pace = this.#paces.get(identifier);
     this.#paces.delete(identifier);
+    if (pace) this.#slowSets.get(pace.service)?.slow.delete(identifier);
     if (pace?.wasSlow) this.parameters.onChange(identifier, false);
   }
 
@@ -160,14 +169,7 @@
     service: string,
     isCandidate: (identifier: string) => boolean,
   ): (identifier: string) => boolean {
-    const slow = new Set<string>();
-    for (const [identifier, pace] of this.#paces) {
-      if (pace.service !== service) continue;
-      const isSlow = this.#currentExcess(pace) > 1;
-      if (isSlow) slow.add(identifier);
-      if (isSlow !== pace.wasSlow) this.parameters.onChange(identifier, isSlow);
-      pace.wasSlow = isSlow;
-    }
+    const slow = this.#slowRunnersOf(service);
     if (slow.size === 0) this.#slowSince.delete(service);
     if (slow.size === 0 || !this.parameters.inLockStep(service))
       return (identifier) => slow.has(identifier);
@@ -214,6 +216,23 @@
     return idle;
   }
 
+  #slowRunnersOf(service: string): ReadonlySet<string> {
+    const now = this.parameters.monotonicNow();
+    const known = this.#slowSets.get(service);
+    if (known && now - known.at < SLOW_SET_LIFETIME_MILLISECONDS)
+      return known.slow;
+    const slow = new Set<string>();
+    this.#slowSets.set(service, { slow, at: now });
+    for (const [identifier, pace] of this.#paces) {
+      if (pace.service !== service) continue;
+      const isSlow = this.#currentExcess(pace) > 1;
+      if (isSlow) slow.add(identifier);
+      if (isSlow !== pace.wasSlow) this.parameters.onChange(identifier, isSlow);
+      pace.wasSlow = isSlow;
+    }
+    return slow;
+  }
+
   #notePart(
     pace: RunnerPace,
     timer: answerTimer.AnswerTimer,
--- a/packages/daemon/src/forwarding/slow_runners_test.ts
+++ b/packages/daemon/src/forwarding/slow_runners_test.ts
@@ -335,3 +335,28 @@
   for (const runner of ["p-0", "p-1", "p-0"]) world.slow.forget(runner);
   t.deepEqual(world.changes, ["p-0 slow", "p-0 recovered"]);
 });
+
+// With 400 streams open at a group that stands still, each choice compared up to
+// 160000 pairs of streams, and a backlog of requests has many choices at once.
+test("choices within 25 ms do not compare the streams again, and a forgotten runner is not avoided", (t) => {
+  const { world, first, second } = worldOfTwoGroups();
+  const streams = [
+    { timer: first, period: EVENT * SLOWDOWN },
+    { timer: second, period: EVENT },
+  ];
+  world.run(400, streams);
+  let comparisons = 0;
+  const meanEventTime = second.meanEventTime.bind(second);
+  second.meanEventTime = (from, to) => {
+    comparisons++;
+    return meanEventTime(from, to);
+  };
+  for (let choice = 0; choice < 100; choice++)
+    t.true(world.slow.avoidance("s", ALL)("a-0"));
+  t.is(comparisons, 1);
+  world.run(25, streams);
+  world.slow.avoidance("s", ALL);
+  t.is(comparisons, 2);
+  world.slow.forget("a-0");
+  t.false(world.slow.avoidance("s", () => false)("a-0"));
+});
