fix(rank-group): plan no map while the status of a rank is missing

Cause: the leader left out ranks without a status, while the planner takes paces by rank; the paces of the ranks after it would count for the wrong ranks. By reading, this is not reached today: a rank without a status is not fresh, and its map version differs from that of the others. Nothing at the call said so.

Change: a plan needs the status of every rank. No test: the state cannot be brought about through the leader.

--- a/packages/daemon/src/rank_group/group_leader.ts
+++ b/packages/daemon/src/rank_group/group_leader.ts
@@ -164,11 +164,14 @@
     const armed = handles.some(({ status }) => (status?.armedVersion ?? 0) > 0);
     if (armed || !this.#planner.isDue(common.now())) return;
     const map = await this.#currentMap();
-    if (!map) return;
+    const statuses = handles.flatMap(({ status }) => (status ? [status] : []));
+    // The planner takes paces by rank. Without the status of one rank, the paces
+    // of those after it would count for the wrong ranks.
+    if (!map || statuses.length < handles.length) return;
     const startedAt = common.now();
     const planned = this.#planner.plan(
       startedAt,
-      handles.flatMap(({ status }) => (status ? [status] : [])),
+      statuses,
       mapDifference.ranksOfExperts(map, shape.expertsPerLayer),
     );
     if (!planned) return;
