fix(rank-group): plan by the highest pace of the last 3 s

Cause: a pace that alternates every second made maps go back and forth, each time with copies.

Change: the planner remembers the paces of each rank for 3 s and takes the highest. Where no rank was slow for 3 s, nothing changes. A rank that has recovered gets experts back 3 s later than before.

--- a/packages/daemon/src/rank_group/map_planner.ts
+++ b/packages/daemon/src/rank_group/map_planner.ts
@@ -31,6 +31,12 @@
  * order longer, and every rank would wait for the rank that loads most.
  */
 const MIN_COPY_SAVING = 0.01;
+/**
+ * For how long a pace of a rank counts after it was seen. If only the latest one
+ * did, a pace that alternates every second would move experts away and back each
+ * time, with copies.
+ */
+const PACE_MEMORY_MILLISECONDS = 3_000;
 /** Half-life of the worst skew that was seen. */
 const SKEW_HALF_LIFE_MILLISECONDS = 10_000;
 
@@ -64,8 +70,15 @@
 export class MapPlanner {
   #worstSkew = { skew: 1, at: 0 };
   #plannedAt = -Infinity;
+  /**
+   * Recent paces of each rank, oldest first, without those that a later one has
+   * reached. So the first is the highest.
+   */
+  readonly #recentPaces: { pace: number; at: number }[][];
 
-  constructor(readonly parameters: MapPlannerParameters) {}
+  constructor(readonly parameters: MapPlannerParameters) {
+    this.#recentPaces = Array.from({ length: parameters.ranks }, () => []);
+  }
 
   /**
    * Whether it is time to consider a new map. Also checks for shifts of demand,
@@ -80,8 +93,8 @@
   }
 
   /**
-   * Plans the next map. Returns `undefined` if none saves enough. `statuses`
-   * are in order of rank; `places` lists the ranks of each expert under the map
+   * Plans the next map. Returns `undefined` if none saves enough. `now` is
+   * monotonic; `statuses` are in order of rank; `places` lists the ranks of each expert under the map
    * in force.
    */
   plan(
@@ -91,7 +104,7 @@
   ): PlannedMap | undefined {
     const { ranks, shape, gapMilliseconds, demand } = this.parameters;
     this.#plannedAt = now;
-    const paces = pacesOf(statuses, ranks);
+    const paces = this.#highestPaces(now, statuses);
     const skewNow = (weights?: number[]) =>
       planPlacement.skewOf([...demand.load], places, ranks, weights);
     const skewAfterShift = this.#skewAfterShift(now);
@@ -129,6 +142,25 @@
     return { plan, strain };
   }
 
+  /**
+   * Highest recent paces of all ranks; `undefined` if none was slow. A rank that
+   * is faster than usual counts as usual: its share of the load would make the
+   * others wait as soon as it is no longer.
+   */
+  #highestPaces(
+    now: number,
+    statuses: readonly wire.RankStatus[],
+  ): number[] | undefined {
+    const paces = this.#recentPaces.map((recent, rank) => {
+      const pace = Math.max(1, statuses[rank]?.pace ?? 1);
+      while ((recent.at(-1)?.pace ?? Infinity) <= pace) recent.pop();
+      recent.push({ pace, at: now });
+      while (now - recent[0].at > PACE_MEMORY_MILLISECONDS) recent.shift();
+      return recent[0].pace;
+    });
+    return paces.some((pace) => pace > 1) ? paces : undefined;
+  }
+
   /**
    * The worst skew seen recently, which is the skew to expect after the next
    * shift of demand.
@@ -143,18 +175,3 @@
     this.#worstSkew = { skew, at: now };
   }
 }
-
-/**
- * Paces of all ranks; `undefined` if none is slow. A rank that is faster than
- * usual counts as usual: its share of the load would make the others wait as
- * soon as it is no longer.
- */
-function pacesOf(
-  statuses: readonly wire.RankStatus[],
-  ranks: number,
-): number[] | undefined {
-  const paces = Array.from({ length: ranks }, (_, rank) =>
-    Math.max(1, statuses[rank]?.pace ?? 1),
-  );
-  return paces.some((pace) => pace > 1) ? paces : undefined;
-}
--- a/packages/daemon/src/rank_group/map_planner_test.ts
+++ b/packages/daemon/src/rank_group/map_planner_test.ts
@@ -225,6 +225,32 @@
   }
 });
 
+// The map followed a pace that alternates every second, and the group loaded
+// experts with each change.
+test("a rank that alternates every second causes no switch after its first slow second", (t) => {
+  const { planner, demand } = createPlanner();
+  addCounts(demand, new common.Random(5), 4, 0);
+  const setup = { milliseconds: 1_000, pace: SLOW_PACE };
+  let { places } = planFor(planner, {
+    ...setup,
+    from: 0,
+    places: initialPlaces(),
+  });
+  for (let round = 1; round < 10; round++) {
+    const pace = round % 2 === 0 ? SLOW_PACE : 1;
+    const planned = planFor(planner, {
+      ...setup,
+      from: round * 1_000,
+      places,
+      pace,
+    });
+    t.is(planned.switches, 0);
+    ({ places } = planned);
+  }
+  const recovered = planFor(planner, { from: 10_000, places, pace: 1 });
+  t.true(recovered.switches > 0);
+});
+
 test("without a slow rank the maps are those of ranks that report no pace", (t) => {
   const mapsWith = (pace: number | undefined) => {
     const { planner, demand } = createPlanner();
