fix(rank-group): count a reported pace above 100 as 100

Cause: any finite pace was accepted. With 1e308 the planner's loads are not finite, and the group gets no map any more.

Change: the reader of reports limits the pace to 100. The planner's test also covers a pace of 100.

--- a/packages/daemon/src/rank_group/map_planner_test.ts
+++ b/packages/daemon/src/rank_group/map_planner_test.ts
@@ -180,13 +180,16 @@
 // One rank at a twelfth of its speed makes each iteration of its group twelve
 // times as long while it has as many activations as the others.
 test("activations move away from a slow rank", (t) => {
-  const { planner, demand } = createPlanner();
-  demand.add(0, evenCounts(), 0);
-  const places = initialPlaces();
-  const before = shareOfSlowRank(demand, places);
-  const slow = planFor(planner, { from: 0, places, pace: SLOW_PACE });
-  t.true(slow.switches > 0);
-  t.true(shareOfSlowRank(demand, slow.places) < before / 6);
+  // A pace of 100 is the highest that the reader of reports lets through.
+  for (const pace of [SLOW_PACE, 100]) {
+    const { planner, demand } = createPlanner();
+    demand.add(0, evenCounts(), 0);
+    const places = initialPlaces();
+    const before = shareOfSlowRank(demand, places);
+    const slow = planFor(planner, { from: 0, places, pace });
+    t.true(slow.switches > 0);
+    t.true(shareOfSlowRank(demand, slow.places) < before / 6);
+  }
 });
 
 // A rank that has recovered and still has no experts makes the others wait for
--- a/packages/daemon/src/rank_group/pace_reader.ts
+++ b/packages/daemon/src/rank_group/pace_reader.ts
@@ -2,6 +2,11 @@
 
 /** Pace of an engine that reports none. */
 const USUAL_PACE = 1;
+/**
+ * Highest pace that counts. The planner multiplies loads by it; with 1e308 they
+ * are no longer finite, and no map is planned any more.
+ */
+const MAX_PACE = 100;
 /** Characters of an unreadable pace that are logged. */
 const MAX_LOGGED_LENGTH = 100;
 
@@ -20,7 +25,7 @@
     if (field === undefined || field === null) return USUAL_PACE;
     const isReadable =
       typeof field === "number" && Number.isFinite(field) && field >= 0;
-    if (isReadable) return field;
+    if (isReadable) return Math.min(field, MAX_PACE);
     if (this.#logged.has(peer)) return USUAL_PACE;
     this.#logged.add(peer);
     const pace = JSON.stringify(field).slice(0, MAX_LOGGED_LENGTH);
