fix(wire): send the short heartbeat for a pace below 1

Cause: a rank's heartbeat had field names with any pace other than 1, also with one just below, although the planner takes these for 1.

Change: only a pace above 1 makes the heartbeat long.

Run: ava packages/wire/dist/*_test.js, passed; the extended test fails with the condition of before.

--- a/packages/wire/src/compact_rank_heartbeat.ts
+++ b/packages/wire/src/compact_rank_heartbeat.ts
@@ -39,7 +39,8 @@
   heartbeat: rankGroup.RankHeartbeat,
 ): unknown[] | undefined {
   const { token, identity, status, chosen } = heartbeat;
-  if (status.pace !== undefined && status.pace !== 1) return undefined;
+  // The planner takes a pace below 1 for 1.
+  if ((status.pace ?? 1) > 1) return undefined;
   const { group, epoch, rank, size } = identity;
   return [
     heartbeat.kind,
--- a/packages/wire/src/compact_test.ts
+++ b/packages/wire/src/compact_test.ts
@@ -130,7 +130,10 @@
   t.like(arrived, createRankBeat([0, 5, 300]));
 });
 
-test("the heartbeat of a rank at its usual pace is that of the build before", (t) => {
+// With field names a state takes five times the bytes. A pace that varies a
+// little around 0.98 would make each heartbeat that long, with no use to planning.
+test("the heartbeat of a rank that is not slow is that of the build before", (t) => {
   const before = codec.encode(createRankBeat([0, 5, 300]));
-  t.deepEqual(codec.encode(createRankBeat([0, 5, 300], 1)), before);
+  for (const pace of [1, 0.98, 0])
+    t.deepEqual(codec.encode(createRankBeat([0, 5, 300], pace)), before);
 });
