--- a/packages/cli/src/commands/rate_limits.ts
+++ b/packages/cli/src/commands/rate_limits.ts
@@ -16,7 +16,7 @@
   grantedPerSecond?: number;
 }
 
-/** `rate-limits`: what runners take, by their word or as they warm up, and who hands it out. */
+/** `rate-limits`: limits that runners name or that hold while they warm up. */
 export function rateLimitsCommand(): commander.Command {
   return new commander.Command("rate-limits")
     .description(
--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -370,7 +370,7 @@
   [EventCode.PaceUnreadable]: {
     level: EventLevel.Warn,
     meaning:
-      "An engine reported a `pace` that is no number or is below 0; it counts as 1. Logged once by each process.",
+      "An engine reported a `pace` that is not a finite number of 0 or more; 1 is used in its place. Logged once for each engine by each process.",
     action: "Look at what the engine reports.",
   },
   [EventCode.RunnerSpared]: {
--- a/packages/daemon/src/admission/account_shares.ts
+++ b/packages/daemon/src/admission/account_shares.ts
@@ -3,8 +3,8 @@
 import * as rateWindow from "./rate_window.ts";
 
 /**
- * Window over which the arrivals of an account are counted. An account with one
- * in 24 of 80 requests a second has a dozen in it.
+ * Window over which the arrivals of an account are counted. At 80 requests a
+ * second from 24 equal accounts it has 13 of each, enough for a stable rate.
  */
 const DEMAND_WINDOW_MILLISECONDS = 4_000;
 /** Requests that an account may send at once after it sent fewer than its share. */
@@ -14,12 +14,12 @@
  * accounts is reported. Without shortage, reports need not contain it.
  */
 const SHORTAGE_MILLISECONDS = 2_000;
-/** How long times told to refused callers are kept after they have passed. */
-const RETURN_TOLERANCE_MILLISECONDS = 1_000;
+/** How long an expected return is kept after its time has passed. */
+const RETURN_RETENTION_MILLISECONDS = 1_000;
 /** How much before the time that it was told a caller may come back. */
 const EARLY_TOLERANCE_MILLISECONDS = 50;
-/** Times told to callers of one account that are kept at most. */
-const MAX_TOLD_TIMES = 64;
+/** Expected returns kept for each account and urgency; bounds memory. */
+const MAX_EXPECTED_RETURNS = 64;
 
 interface AccountState {
   readonly account: string;
@@ -28,7 +28,7 @@
   /** Requests that may start although the account asks for more than its share. */
   credit: number;
   /** Times at which refused callers are to come back. */
-  toldTimes: number[];
+  expectedReturns: number[];
 }
 
 /** The shares of one urgency in force until the next report. */
@@ -94,10 +94,14 @@
   }
 
   /** Notes when a refused caller of an account is to come back. */
-  noteTold(account: string, urgency: number, delayMilliseconds: number): void {
-    const { toldTimes } = this.#stateOf(account, urgency);
-    if (toldTimes.length >= MAX_TOLD_TIMES) toldTimes.shift();
-    toldTimes.push(this.parameters.clock() + delayMilliseconds);
+  noteExpectedReturn(
+    account: string,
+    urgency: number,
+    delayMilliseconds: number,
+  ): void {
+    const { expectedReturns } = this.#stateOf(account, urgency);
+    if (expectedReturns.length >= MAX_EXPECTED_RETURNS) expectedReturns.shift();
+    expectedReturns.push(this.parameters.clock() + delayMilliseconds);
   }
 
   /**
@@ -109,11 +113,13 @@
   noteReturn(account: string, urgency: number): boolean {
     const state = this.#stateOf(account, urgency);
     const now = this.parameters.clock();
-    const oldest = now - RETURN_TOLERANCE_MILLISECONDS;
-    state.toldTimes = state.toldTimes.filter((told) => told >= oldest);
-    if (state.toldTimes.length === 0) return true;
-    const first = Math.min(...state.toldTimes);
-    state.toldTimes.splice(state.toldTimes.indexOf(first), 1);
+    const oldest = now - RETURN_RETENTION_MILLISECONDS;
+    state.expectedReturns = state.expectedReturns.filter(
+      (told) => told >= oldest,
+    );
+    if (state.expectedReturns.length === 0) return true;
+    const first = Math.min(...state.expectedReturns);
+    state.expectedReturns.splice(state.expectedReturns.indexOf(first), 1);
     const isOnTime = first <= now + EARLY_TOLERANCE_MILLISECONDS;
     if (!isOnTime) this.charge(account, urgency);
     return isOnTime;
@@ -126,14 +132,14 @@
   report(): wire.AccountDemand[] {
     this.#inForce.clear();
     const now = this.parameters.clock();
-    const oldest = now - RETURN_TOLERANCE_MILLISECONDS;
+    const oldest = now - RETURN_RETENTION_MILLISECONDS;
     const demands: wire.AccountDemand[] = [];
-    for (const [key, { account, urgency, arrivals, toldTimes }] of this
+    for (const [key, { account, urgency, arrivals, expectedReturns }] of this
       .#states) {
       const arrivalsPerSecond = arrivals.perMillisecond * 1_000;
       if (arrivalsPerSecond > 0)
         demands.push({ account, urgency, arrivalsPerSecond });
-      else if (toldTimes.every((told) => told < oldest))
+      else if (expectedReturns.every((told) => told < oldest))
         this.#states.delete(key);
     }
     if (now - this.#shortageAt > SHORTAGE_MILLISECONDS) return [];
@@ -173,7 +179,7 @@
       urgency,
       arrivals: new rateWindow.RateWindow(DEMAND_WINDOW_MILLISECONDS, clock),
       credit: 1,
-      toldTimes: [],
+      expectedReturns: [],
     };
     this.#states.set(key, created);
     return created;
--- a/packages/daemon/src/admission/account_shares_test.ts
+++ b/packages/daemon/src/admission/account_shares_test.ts
@@ -48,10 +48,10 @@
 // as they were told.
 test("a caller that comes back early is told apart from one on time", (t) => {
   const { shares, advance } = createShares();
-  shares.noteTold("a", 0, 1_000);
+  shares.noteExpectedReturn("a", 0, 1_000);
   advance(400);
   t.false(shares.noteReturn("a", 0));
-  shares.noteTold("a", 0, 600);
+  shares.noteExpectedReturn("a", 0, 600);
   advance(600);
   t.true(shares.noteReturn("a", 0));
   t.true(shares.noteReturn("other", 0));
--- a/packages/daemon/src/admission/event_pace.ts
+++ b/packages/daemon/src/admission/event_pace.ts
@@ -1,12 +1,12 @@
 import * as decayingMean from "./decaying_mean.ts";
 
 /**
- * Part of the longest pause that is in time. Above the upper bound, single
- * pauses are late already, as they vary around their mean; between the bounds
- * the capacity stays as it is.
+ * Mean pause between events, as a part of the longest one allowed, above which
+ * capacity is reduced. Pauses vary, so that some exceed the allowed one then.
  */
-const SLOW_PACE = 0.8;
-const FAST_PACE = 0.65;
+const REDUCE_ABOVE = 0.8;
+/** Part below which capacity is raised. Between the two it stays as it is. */
+const RAISE_BELOW = 0.65;
 /**
  * Pauses of more than this many times the longest one in time are those of a
  * service that stands still, which fewer requests would not shorten.
@@ -47,12 +47,12 @@
   /** Adjusts the capacity; called once in each report interval. */
   adjust(): void {
     const pace = this.#mean.value ?? 0;
-    const isSlow = this.#wasMeasured && pace > SLOW_PACE;
+    const isSlow = this.#wasMeasured && pace > REDUCE_ABOVE;
     this.#wasMeasured = false;
     if (isSlow) {
       const decreased = this.#capacityFactor * DECREASE_FACTOR;
       this.#capacityFactor = Math.max(MIN_CAPACITY_FACTOR, decreased);
-    } else if (pace < FAST_PACE) {
+    } else if (pace < RAISE_BELOW) {
       this.#capacityFactor = Math.min(1, this.#capacityFactor + INCREASE);
     }
   }
--- a/packages/daemon/src/admission/expected_durations.ts
+++ b/packages/daemon/src/admission/expected_durations.ts
@@ -1,15 +1,18 @@
 import type * as traffic from "@geraniumkeel/traffic";
 
-/** Durations of a request at a runner with a free slot, in milliseconds. */
+/**
+ * Expected durations of a request from the time at which its runner begins to
+ * process it, in milliseconds.
+ */
 export interface Durations {
   answerMilliseconds: number;
   firstEventMilliseconds: number;
 }
 
 /**
- * Durations of a usual request at a runner whose slots are all taken, by what
- * the configuration states of the engines; `undefined` if it does not state
- * enough. They are used until an entry has measured some: after a restart of
+ * Durations of a usual request while all slots of its runner are in use,
+ * computed from the engine's figures in the configuration; `undefined` if these
+ * are not stated. They are used until an entry has measured some: after a restart of
  * all entries nothing is measured, and a backlog waits.
  */
 export function expectedDurations(
--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -23,10 +23,10 @@
  */
 const RETURN_GRACE_MILLISECONDS = REPORT_INTERVAL_MILLISECONDS;
 /**
- * How much more than the capacity the accounts' shares add up to. The rest fills
- * gaps in the arrivals: with exactly the capacity, runners are idle at times.
+ * Sum of the accounts' shares as a multiple of the capacity. With 1, runners are
+ * idle whenever an account sends less than its share for a moment.
  */
-const SHARED_CAPACITY_FACTOR = 1.15;
+const SHARE_OVERSUBSCRIPTION = 1.15;
 /**
  * Lower bound of the retry delay, as for requests that find no runner. Callers
  * retry once.
@@ -453,7 +453,7 @@
     facts: urgencyRule.AdmissionRequest,
   ): boolean {
     if (urgencyRule.isLate(facts)) return true;
-    const rate = urgencyRule.freeRate(snapshot, facts, SHARED_CAPACITY_FACTOR);
+    const rate = urgencyRule.freeRate(snapshot, facts, SHARE_OVERSUBSCRIPTION);
     return rate <= 0 || this.#shares.mayStart(account, urgency, rate);
   }
 
@@ -501,7 +501,7 @@
     const retryAfterMilliseconds =
       paced > 0 ? Math.min(Math.max(paced, MIN_RETRY_MILLISECONDS), latest) : 0;
     if (retryAfterMilliseconds > 0)
-      this.#shares.noteTold(
+      this.#shares.noteExpectedReturn(
         request.account,
         request.urgency,
         retryAfterMilliseconds,
--- a/packages/daemon/src/admission/urgency_rule.ts
+++ b/packages/daemon/src/admission/urgency_rule.ts
@@ -36,9 +36,12 @@
    */
   knownShare: number;
   demand: ReadonlyMap<number, UrgencyDemand>;
-  /** Mean duration of an answer; `undefined` if none was measured. */
+  /**
+   * Expected duration of an answer, its time to the first event included;
+   * `undefined` if none was measured or configured.
+   */
   answerMilliseconds: number | undefined;
-  /** Mean time to a first event at a runner with a free slot. */
+  /** Estimated median time to a first event at a runner with a free slot. */
   firstEventMilliseconds: number | undefined;
   /** Requests in progress from all entries at the last report. */
   inProgressAtReport: number;
@@ -123,8 +126,8 @@
     };
 
 /**
- * Fraction of the objective within which a request has to start, less the time
- * to a first event. The other half covers the variation of that time.
+ * Part of the objective that waiting and the usual time to the first event may
+ * take together. The rest is kept for first events that take longer than usual.
  */
 const START_OBJECTIVE_FRACTION = 0.5;
 
@@ -369,13 +372,13 @@
 export function freeRate(
   snapshot: ServiceSnapshot,
   request: AdmissionRequest,
-  capacityFactor = 1,
+  oversubscription = 1,
 ): number {
   const { runners, knownShare, demand, answerMilliseconds = 0 } = snapshot;
   if (answerMilliseconds <= 0) return 0;
   const late = isLate(request);
   const slots = runners.reduce((sum, runner) => sum + runner.slots, 0);
-  let rate = (slots * knownShare * capacityFactor) / answerMilliseconds;
+  let rate = (slots * knownShare * oversubscription) / answerMilliseconds;
   for (const [urgency, item] of demand) {
     if (comesBefore(urgency, request, late))
       rate -= item.arrivalsPerMillisecond;
--- a/packages/daemon/src/entry/entry_list.ts
+++ b/packages/daemon/src/entry/entry_list.ts
@@ -29,7 +29,7 @@
   members: wire.Member[];
   /** The account that asks, with its part of all accounts' limits. */
   account: { name: string; share: number };
-  /** Whether an entry is in an evacuated data centre. */
+  /** Whether a place is an evacuated data centre. */
   isEvacuated: (place: string) => boolean;
   /** Whether an entry is in the region of the one that is asked. */
   isNear: (host: string) => boolean;
--- a/packages/daemon/src/evacuation/evacuations.ts
+++ b/packages/daemon/src/evacuation/evacuations.ts
@@ -39,10 +39,11 @@
   readonly #inForce: evacuationsInForce.EvacuationsInForce;
   /** The list that `#inForce` follows. */
   #applied: traffic.EvacuationList | undefined;
-  /** Data centres that are evacuated without a row, and until when at least. */
+  /** Data centres that stay evacuated although a restored table lacks their rows. */
   readonly #retained = new Set<string>();
+  /** Monotonic time before which `#retained` is not cleared. */
   #retainedUntil = 0;
-  /** Whether `known` holds for good. */
+  /** Set once the list was known and the table's epoch trusted; never reset. */
   #known = false;
 
   constructor(readonly parameters: EvacuationsParameters) {
@@ -94,8 +95,8 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#update();
-      const known = this.parameters.dataCentres();
-      if (known) this.#inForce.logUnknown(known);
+      const dataCentres = this.parameters.dataCentres();
+      if (dataCentres) this.#inForce.logUnknown(dataCentres);
       this.parameters.metrics.gauge(
         common.Metric.EvacuatedDataCentres,
         this.#inForce.since.size,
@@ -108,7 +109,8 @@
     const { value } = this.list;
     if (value !== this.#applied && value) this.#apply(value);
     if (this.#retained.size === 0) return;
-    // A row that was written in time is read up to a second later.
+    // Rows that were written before that time may not have been read yet, so a
+    // list is needed that is proved to be newer.
     const sinceUntil = common.now() - this.#retainedUntil;
     if (sinceUntil < 0 || this.list.age > sinceUntil) return;
     this.#retained.clear();
--- a/packages/daemon/src/forwarding/retry_delay.ts
+++ b/packages/daemon/src/forwarding/retry_delay.ts
@@ -16,8 +16,8 @@
 const MIN_DELAY_MILLISECONDS = 250;
 
 /**
- * Random part of the retry delay of a request that a rate limit refused, as a
- * fraction: in a surge the paced delays of all reach their upper bound.
+ * Random part of the retry delay after a rate limit or a rest, as a fraction of
+ * the delay. Without it, callers that got the same delay would return together.
  */
 const RETRY_JITTER = 0.25;
 
--- a/packages/daemon/src/forwarding/slow_runners.ts
+++ b/packages/daemon/src/forwarding/slow_runners.ts
@@ -20,15 +20,15 @@
 const MAX_EXCESS = 4;
 /**
  * At most one in this number of requests of a service is sent as a probe to
- * its slow runners. The answer to a probe is mostly late. Together these may
- * cost a tenth of the value at most.
+ * its slow runners. Answers to probes are mostly late, so that at
+ * most a tenth of the requests are late for this reason.
  */
 const REQUESTS_PER_PROBE = 10;
 /**
  * Time in which the excess of a runner halves while no answer of it is awaited.
  * From its upper bound the excess falls to the allowed one in two half-lives.
- * Probes alone took about 53 s at 0.75 requests a second, and never ended
- * without traffic.
+ * With probes alone a recovery would take 53 s at 0.75 requests a second, and
+ * would never happen without traffic.
  */
 const EXCESS_HALF_LIFE_MILLISECONDS = 1_000;
 /**
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -255,7 +255,8 @@
       currentVersion: () => this.configuration.version,
       latestReading: () => this.#latestReading,
       lowestServedVersion: () => this.#lowestServedVersion(),
-      // An entry that starts may trust a table whose epoch is confirmed.
+      // An entry that starts trusts a table whose epoch is confirmed. While this
+      // one retains evacuations that the table lacks, it must not confirm it.
       isConfirmer: () =>
         !this.evacuations.retaining && this.mesh.pollPosition() === 0,
       logger,
--- a/packages/daemon/src/mesh/heartbeat_sender.ts
+++ b/packages/daemon/src/mesh/heartbeat_sender.ts
@@ -22,9 +22,9 @@
 
 /**
  * Sends mesh heartbeats to each peer in each interval, whether or not anything
- * has changed. Heartbeats without news may not be left out: with gaps of 600 to
- * 800 ms, a lost packet and a pause of the process were enough for a peer to
- * take this entry for unreachable, which it does after 1,000 ms.
+ * has changed. Heartbeats without news must not be left out: peers take an entry
+ * for unreachable after 1,000 ms, and with gaps of 600 to 800 ms one lost packet
+ * together with a pause of the process would exceed that.
  *
  * Of the two ends of a link, the one that dialled sends to all such peers at
  * the same moment, and the other one answers at once. The answers of many peers
--- a/packages/daemon/src/rank_group/pace_reader.ts
+++ b/packages/daemon/src/rank_group/pace_reader.ts
@@ -3,8 +3,8 @@
 /** Pace of an engine that reports none. */
 const USUAL_PACE = 1;
 /**
- * Highest pace that counts. The planner multiplies loads by it; with 1e308 they
- * are no longer finite, and no map is planned any more.
+ * Upper bound of a reported pace. Much larger values, such as 1e308, would make
+ * the planner's loads infinite, and no map could be planned.
  */
 const MAX_PACE = 100;
 /** Characters of an unreadable pace that are logged. */
--- a/packages/daemon/src/rate_limit/limited_runner.ts
+++ b/packages/daemon/src/rate_limit/limited_runner.ts
@@ -26,13 +26,13 @@
 const NO_SHARE_WAIT_MILLISECONDS = 300;
 
 /**
- * While a runner warms up it may get 1.5 requests for each one of its rate, and
- * five more, in any second. Permits are granted at the rate itself by one
- * allocator; the constants below keep what it sends in any second under that
- * bound, see docs/design/warm-up.md.
+ * Requests that may be saved up for a runner that warms up. In any second it may
+ * get 1.5 times its rate and five more. Permits are granted at the rate; this
+ * burst, the requests that are sent late and the hold-off below stay within the
+ * rest (derivation: docs/design/warm-up.md).
  */
 const WARM_UP_BURST = 2;
-/** Longest time that a request is promised a turn ahead, while a runner warms up. */
+/** How far ahead of its turn a request may get a permit while a runner warms up. */
 const WARM_UP_MAX_DELAY_MILLISECONDS = 100;
 /**
  * Time within which a request must be sent once its permit is due, while the
--- a/packages/daemon/src/rate_limit/limited_runners.ts
+++ b/packages/daemon/src/rate_limit/limited_runners.ts
@@ -41,7 +41,7 @@
   /** Incarnations that named a value that cannot be read; logged once each. */
   readonly unreadable = new Set<string>();
 
-  /** Services whose rate for warm-ups is none; logged once each. */
+  /** Services whose configured warm-up rate cannot be read; logged once each. */
   readonly #unreadableRates = new Set<string>();
 
   constructor(readonly parameters: LimitedRunnersParameters) {}
--- a/packages/traffic/src/evacuation_list.ts
+++ b/packages/traffic/src/evacuation_list.ts
@@ -1,7 +1,7 @@
 /** Room for the store's versions of one epoch: hundreds a second, for years. */
 const VERSIONS_PER_EPOCH = 2 ** 36;
 /** Lists for each of the store's versions: as read, and with `retained`. */
-const LISTS_PER_VERSION = 2;
+export const LISTS_PER_VERSION = 2;
 
 /** The data centres that operators evacuate, as of one version of the list. */
 export interface EvacuationList {
@@ -39,5 +39,6 @@
   list: EvacuationList,
   retained: string[],
 ): EvacuationList {
+  // The odd version after that of the list as read, see `LISTS_PER_VERSION`.
   return { ...list, version: list.version + 1, retained };
 }
--- a/packages/traffic/src/evacuation_rows.ts
+++ b/packages/traffic/src/evacuation_rows.ts
@@ -20,6 +20,33 @@
     return this.#list;
   }
 
+  constructor(
+    /** What the keys of evacuations begin with; the data centre's name follows. */
+    readonly prefix = "",
+  ) {}
+
+  /**
+   * Takes the keys of all rows of a table, and of those that changed since the
+   * last look; `undefined` if any may have changed.
+   */
+  takeKeys(look: {
+    epoch: number;
+    version: number;
+    keys: string[];
+    changedKeys: string[] | undefined;
+  }): void {
+    const { epoch, version, keys, changedKeys } = look;
+    const isEvacuation = (key: string) => key.startsWith(this.prefix);
+    this.take({
+      epoch,
+      version,
+      dataCentres: keys
+        .filter(isEvacuation)
+        .map((key) => key.slice(this.prefix.length)),
+      changed: changedKeys?.some(isEvacuation) ?? true,
+    });
+  }
+
   /**
    * Takes a look. Each change of a row makes a new version, also if the list is
    * the same after it. An entry that reads the table between the end of an
@@ -31,8 +58,10 @@
     const numbered = evacuationList.evacuationListVersion(epoch, version);
     const last = this.#list?.version ?? 0;
     if (numbered === last) return;
-    // A table that tells no epochs may be restored with lower versions.
-    const next = numbered > last ? numbered : last + 2;
+    // A table that tells no epochs may return to lower versions after a restore.
+    // Peers would ignore a list with a version below the last one.
+    const next =
+      numbered > last ? numbered : last + evacuationList.LISTS_PER_VERSION;
     this.#list = { version: next, dataCentres: [...dataCentres].sort() };
   }
 }
--- a/packages/traffic/src/warm_up_rate.ts
+++ b/packages/traffic/src/warm_up_rate.ts
@@ -1,4 +1,7 @@
-/** Rate of a service whose configured value is no rate; its runners have no bound. */
+/**
+ * Stands for a configured warm-up rate that is not a finite number of 0 or more.
+ * Runners of the service then have no warm-up limit.
+ */
 export const UNREADABLE_RATE = -1;
 
 /**
--- a/packages/wire/src/mesh_load.ts
+++ b/packages/wire/src/mesh_load.ts
@@ -40,8 +40,8 @@
   /** Mean duration of an answer, in milliseconds; -1 if none was measured. */
   answerMilliseconds: number;
   /**
-   * Mean time to the first event at a runner with a free slot, in milliseconds;
-   * -1 if none was measured.
+   * Estimated median time to the first event at a runner with a free slot, in
+   * milliseconds; -1 if none was measured.
    */
   firstEventMilliseconds: number;
   /** Accounts that ask for most; empty while there is no shortage. */
