fix(admission): expect durations with half of the slots in use

With all slots in use the expected duration is over twice the usual one, and as much capacity was reserved after a restart for arrivals that need less.

--- a/packages/daemon/src/admission/expected_durations.ts
+++ b/packages/daemon/src/admission/expected_durations.ts
@@ -10,7 +10,13 @@
 }
 
 /**
- * Durations of a usual request while all slots of its runner are in use,
+ * Part of the slots that are assumed to be in use. Durations that are too long
+ * keep requests from runners that are idle.
+ */
+const USUAL_FULLNESS = 0.5;
+
+/**
+ * Durations of a usual request while half of the slots of its runner are in use,
  * computed from the engine's figures in the configuration; `undefined` if these
  * are not stated. They are used until an entry has measured some: after a restart of
  * all entries nothing is measured, and a backlog waits.
@@ -22,8 +28,9 @@
   const { usualPromptTokens, usualAnswerTokens } = engine;
   const { promptTokensPerMillisecond: readingRate } = engine;
   if (usualAnswerTokens <= 0 || readingRate <= 0) return undefined;
+  const usualSequences = engine.slots * USUAL_FULLNESS;
   const step =
-    engine.stepMilliseconds + engine.sequenceMilliseconds * engine.slots;
+    engine.stepMilliseconds + engine.sequenceMilliseconds * usualSequences;
   const firstEventMilliseconds =
     usualPromptTokens / readingRate + step * engine.stepsPerPass;
   return {
