fix(daemon): requests leave a service that stands still at their own limit

Cause: while a service stood still, the latest waiting request came first and blocked the older ones, also when their time to wait was up. Change: at a standstill each request goes by its own limit. The test has a stall of 5 s; before the change some requests never started, now the longest wait is 1,571 ms. Run: ava urgency_load_test, admission_place_test (28 passed).

--- a/packages/daemon/src/admission/urgency_load_test.ts
+++ b/packages/daemon/src/admission/urgency_load_test.ts
@@ -97,6 +97,22 @@
   t.true(shares[1] >= 0.95);
 });
 
+// The latest of the waiting requests comes first, and does not start yet. Those
+// before it must not wait on behind it when their own time is up.
+test("no request waits for longer than its limit while the service stands still", async (t) => {
+  const standsStill = (at: number) => at >= 4_000 && at < 9_000;
+  const records = await runLoad({
+    durationMilliseconds: 9_000,
+    standsStill,
+    routes: [0, 2].map((urgency) => route(urgency, () => 0.3 * SATURATING)),
+  });
+  const waits = records
+    .filter(({ arrivedAt }) => arrivedAt > 4_000 && arrivedAt < 7_000)
+    .map(({ arrivedAt, startedAt = Infinity }) => startedAt - arrivedAt);
+  t.log({ longest: Math.max(...waits) });
+  t.true(Math.max(...waits) <= 1_700);
+});
+
 // The runners of the other entries' requests are known 300 ms late. If each
 // entry took all that was free at the return, the runners' queues overflowed.
 test("the entries do not flood the runners after a stall", async (t) => {
--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -216,7 +216,10 @@
       const decision = decide(snapshot, this.#factsOf(request, true, grace));
       if (decision.kind === "refuse") {
         this.#finish(request, this.#refuse(request, decision));
-      } else if (decision.kind === "start" && !isBlocked) {
+      } else if (
+        decision.kind === "start" &&
+        (!isBlocked || this.#standsStill)
+      ) {
         const place = this.#grant(request, decision.full);
         this.#finish(request, { kind: "start", place });
         snapshot = this.#snapshot(capacity);
