refactor(forwarding): names of slowness at entries

Cause: RunnerPace, the slowness that an entry observes, stood beside pace, the factor that an engine reports. RunnerView.slow meant that a runner is avoided, which in lock-step is also one that may be slow.

Change: RunnerSlowness, and RunnerView.avoided. The field slow of TrackedRunner, which operators see, is unchanged.

Run: ava on daemon/dist/{forwarding,rank_group,placement} and wire/dist, 208 passed; tsc -b, prettier and eslint on changed files, clean.

--- a/packages/daemon/src/forwarding/choose_runner.ts
+++ b/packages/daemon/src/forwarding/choose_runner.ts
@@ -16,8 +16,11 @@
    * service has stalled and this one has sent nothing either.
    */
   suspended: boolean;
-  /** The runner is, or may be, much slower than the others of its service. */
-  slow: boolean;
+  /**
+   * The runner gets requests only if the others are full, as it is, or may be,
+   * much slower than the others of its service.
+   */
+  avoided: boolean;
 }
 
 /**
@@ -70,7 +73,7 @@
 /**
  * Chooses the runner with the lowest score, or `undefined` if there is none.
  * Suspended runners are chosen only if there are no others: they may answer
- * late, and a late answer is better than none. Slow runners are compared only
+ * late, and a late answer is better than none. Avoided runners are compared only
  * if all others are full.
  */
 export function chooseRunner(
@@ -78,10 +81,10 @@
   random: common.Random,
 ): RunnerView | undefined {
   const available = views.filter((view) => !view.suspended);
-  const fast = available.filter((view) => !view.slow);
-  const hasFreeSlot = fast.some((view) => view.outstanding < view.slots);
+  const preferred = available.filter((view) => !view.avoided);
+  const hasFreeSlot = preferred.some((view) => view.outstanding < view.slots);
   const candidates = sampleCandidates(
-    hasFreeSlot ? fast : available.length > 0 ? available : views,
+    hasFreeSlot ? preferred : available.length > 0 ? available : views,
     random,
   );
   let best: RunnerView | undefined;
--- a/packages/daemon/src/forwarding/choose_runner_test.ts
+++ b/packages/daemon/src/forwarding/choose_runner_test.ts
@@ -17,7 +17,7 @@
     sameDataCentre: true,
     failureShare: 0,
     suspended: false,
-    slow: false,
+    avoided: false,
     ...others,
   };
 }
@@ -87,9 +87,9 @@
   const chosenWith = (outstanding: number) =>
     Array.from({ length: 200 }, () => {
       const views = Array.from({ length: 16 }, (_, index) =>
-        viewOf(index, index < 8 ? { slow: true } : { outstanding }),
+        viewOf(index, index < 8 ? { avoided: true } : { outstanding }),
       );
-      return chooseRunner.chooseRunner(views, random)?.slow;
+      return chooseRunner.chooseRunner(views, random)?.avoided;
     });
   t.false(chosenWith(SLOTS - 1).includes(true));
   t.true(chosenWith(SLOTS).includes(true));
@@ -97,7 +97,7 @@
 
 test("a slow runner is preferred to a suspended one", (t) => {
   const random = new common.Random(1);
-  const views = [viewOf(0, { suspended: true }), viewOf(1, { slow: true })];
+  const views = [viewOf(0, { suspended: true }), viewOf(1, { avoided: true })];
   t.is(chooseRunner.chooseRunner(views, random)?.identifier, "i-1");
 });
 
--- a/packages/daemon/src/forwarding/runner_tracker.ts
+++ b/packages/daemon/src/forwarding/runner_tracker.ts
@@ -201,7 +201,7 @@
         suspended:
           record.isSuspended(now) ||
           (groupStalled && record.isUnresponsive(now)),
-        slow: isAvoided(identifier),
+        avoided: isAvoided(identifier),
       });
     }
     return views;
@@ -241,21 +241,21 @@
     return record.entry;
   }
 
-  /** Slow runners one of which gets the next request of a service as a probe. */
+  /** Avoided runners one of which gets the next request of a service as a probe. */
   #probeTargets(
     service: string,
     views: chooseRunner.RunnerView[],
   ): chooseRunner.RunnerView[] {
     // A refusing runner has probes of its own.
-    const slow = views.filter(
-      ({ identifier, slow, suspended }) =>
-        slow && !suspended && !this.#records.get(identifier)?.refusing,
+    const avoided = views.filter(
+      ({ identifier, avoided, suspended }) =>
+        avoided && !suspended && !this.#records.get(identifier)?.refusing,
     );
     const targets = this.#slowRunners.probeTargets(
       service,
-      slow.map(({ identifier }) => identifier),
+      avoided.map(({ identifier }) => identifier),
     );
-    return slow.filter(({ identifier }) => targets.includes(identifier));
+    return avoided.filter(({ identifier }) => targets.includes(identifier));
   }
 
   /** Starts to time the answer to a request that is about to be sent. */
--- a/packages/daemon/src/forwarding/slow_group_test.ts
+++ b/packages/daemon/src/forwarding/slow_group_test.ts
@@ -136,9 +136,9 @@
       sameDataCentre: true,
       failureShare: 0,
       suspended: false,
-      slow: isAvoided?.(String(rank)) ?? false,
+      avoided: isAvoided?.(String(rank)) ?? false,
     }));
-    const avoided = views.filter(({ slow }) => slow);
+    const avoided = views.filter((view) => view.avoided);
     const targets = entry.slow?.probeTargets(
       SERVICE,
       avoided.map(({ identifier }) => identifier),
--- a/packages/daemon/src/forwarding/slow_runners.ts
+++ b/packages/daemon/src/forwarding/slow_runners.ts
@@ -39,7 +39,7 @@
 const SLOW_SET_LIFETIME_MILLISECONDS = 25;
 
 /** What the answers of one runner say about its speed. */
-class RunnerPace {
+class RunnerSlowness {
   /** Decaying averages of the time that each part of an answer takes. */
   readonly averages = new Map<answerTimer.AnswerPart, number>();
   /**
@@ -93,7 +93,7 @@
  * the others of their service, and when they have recovered.
  */
 export class SlowRunners {
-  readonly #paces = new Map<string, RunnerPace>();
+  readonly #runners = new Map<string, RunnerSlowness>();
   /**
    * Requests of each service since the last probe, or since it has slow runners.
    */
@@ -128,36 +128,37 @@
   /** Starts to time the answer to a request that is about to be sent. */
   time({ runner, route, hadFreeSlot }: TimedRequest): answerTimer.AnswerTimer {
     const { identifier, service } = runner;
-    const pace = this.#paces.get(identifier) ?? new RunnerPace(service);
-    this.#paces.set(identifier, pace);
+    const slowness =
+      this.#runners.get(identifier) ?? new RunnerSlowness(service);
+    this.#runners.set(identifier, slowness);
     const timer = new answerTimer.AnswerTimer({
       route,
       hadFreeSlot,
       now: this.parameters.now,
-      onPart: (time) => this.#notePart(pace, timer, time),
+      onPart: (time) => this.#notePart(slowness, timer, time),
       onEnd: (awaited) => {
-        if (awaited) this.#noteGivenUp(pace, timer, awaited);
-        pace.decay(this.parameters.monotonicNow());
-        pace.timers.delete(timer);
+        if (awaited) this.#noteGivenUp(slowness, timer, awaited);
+        slowness.decay(this.parameters.monotonicNow());
+        slowness.timers.delete(timer);
       },
     });
-    pace.decay(this.parameters.monotonicNow());
-    pace.timers.add(timer);
+    slowness.decay(this.parameters.monotonicNow());
+    slowness.timers.add(timer);
     return timer;
   }
 
   /** Forgets a runner that is gone or has restarted. */
   forget(identifier: string): void {
-    const pace = this.#paces.get(identifier);
-    this.#paces.delete(identifier);
-    if (pace) this.#slowSets.get(pace.service)?.slow.delete(identifier);
-    if (pace?.wasSlow) this.parameters.onChange(identifier, false);
+    const slowness = this.#runners.get(identifier);
+    this.#runners.delete(identifier);
+    if (slowness) this.#slowSets.get(slowness.service)?.slow.delete(identifier);
+    if (slowness?.wasSlow) this.parameters.onChange(identifier, false);
   }
 
   /** Whether a runner is much slower than the others of its service. */
   isSlow(identifier: string): boolean {
-    const pace = this.#paces.get(identifier);
-    return pace !== undefined && this.#currentExcess(pace) > 1;
+    const slowness = this.#runners.get(identifier);
+    return slowness !== undefined && this.#currentExcess(slowness) > 1;
   }
 
   /**
@@ -179,9 +180,9 @@
     const since = this.#slowSince.get(service) ?? this.parameters.now();
     this.#slowSince.set(service, since);
     const fast = new Set<string>();
-    for (const [identifier, pace] of this.#paces) {
-      if (pace.service !== service || slow.has(identifier)) continue;
-      if (pace.onTimeAt > since && isCandidate(identifier))
+    for (const [identifier, slowness] of this.#runners) {
+      if (slowness.service !== service || slow.has(identifier)) continue;
+      if (slowness.onTimeAt > since && isCandidate(identifier))
         fast.add(identifier);
     }
     // A rank not heard from since then may be in the slow group. If requests
@@ -206,7 +207,7 @@
     const sinceProbe = (this.#sinceProbe.get(service) ?? 0) + 1;
     this.#sinceProbe.set(service, sinceProbe);
     const idle = avoided.filter(
-      (identifier) => (this.#paces.get(identifier)?.timers.size ?? 0) === 0,
+      (identifier) => (this.#runners.get(identifier)?.timers.size ?? 0) === 0,
     );
     const observesGroup =
       this.parameters.inLockStep(service) && idle.length < avoided.length;
@@ -223,40 +224,42 @@
       return known.slow;
     const slow = new Set<string>();
     this.#slowSets.set(service, { slow, at: now });
-    for (const [identifier, pace] of this.#paces) {
-      if (pace.service !== service) continue;
-      const isSlow = this.#currentExcess(pace) > 1;
+    for (const [identifier, slowness] of this.#runners) {
+      if (slowness.service !== service) continue;
+      const isSlow = this.#currentExcess(slowness) > 1;
       if (isSlow) slow.add(identifier);
-      if (isSlow !== pace.wasSlow) this.parameters.onChange(identifier, isSlow);
-      pace.wasSlow = isSlow;
+      if (isSlow !== slowness.wasSlow)
+        this.parameters.onChange(identifier, isSlow);
+      slowness.wasSlow = isSlow;
     }
     return slow;
   }
 
   #notePart(
-    pace: RunnerPace,
+    slowness: RunnerSlowness,
     timer: answerTimer.AnswerTimer,
     time: answerTimer.PartTime,
   ): void {
-    const wasSlow = pace.excess > 1;
-    const excess = this.#excessOf(pace, timer, time);
-    if (excess !== undefined) pace.excess = pace.excessWith(excess);
+    const wasSlow = slowness.excess > 1;
+    const excess = this.#excessOf(slowness, timer, time);
+    if (excess !== undefined) slowness.excess = slowness.excessWith(excess);
     const isEvent = time.part === answerTimer.AnswerPart.Event;
-    if (isEvent && excess !== undefined && excess <= 1) pace.onTimeAt = time.to;
+    if (isEvent && excess !== undefined && excess <= 1)
+      slowness.onTimeAt = time.to;
     if (isComparable(timer, time)) {
-      pace.noteTime(time.part, time.to - time.from);
+      slowness.noteTime(time.part, time.to - time.from);
     }
-    if (wasSlow && pace.excess <= 1) this.#noteRecovery(pace);
+    if (wasSlow && slowness.excess <= 1) this.#noteRecovery(slowness);
   }
 
   /** Notes a part that did not arrive; it would have taken longer still. */
   #noteGivenUp(
-    pace: RunnerPace,
+    slowness: RunnerSlowness,
     timer: answerTimer.AnswerTimer,
     time: answerTimer.PartTime,
   ): void {
-    const excess = this.#excessOf(pace, timer, time) ?? 0;
-    pace.excess = Math.max(pace.excess, pace.excessWith(excess));
+    const excess = this.#excessOf(slowness, timer, time) ?? 0;
+    slowness.excess = Math.max(slowness.excess, slowness.excessWith(excess));
   }
 
   /**
@@ -265,22 +268,23 @@
    * same time. A rank of another group that is still slow shows it in its next
    * answer.
    */
-  #noteRecovery({ service }: RunnerPace): void {
+  #noteRecovery({ service }: RunnerSlowness): void {
     if (!this.parameters.inLockStep(service)) return;
-    for (const pace of this.#paces.values()) {
-      if (pace.service === service && pace.timers.size === 0) pace.excess = 0;
+    for (const slowness of this.#runners.values()) {
+      if (slowness.service === service && slowness.timers.size === 0)
+        slowness.excess = 0;
     }
   }
 
   /** Excess of a runner, with the parts that it has not sent yet. */
-  #currentExcess(pace: RunnerPace): number {
-    pace.decay(this.parameters.monotonicNow());
-    let highest = pace.excess;
-    for (const timer of pace.timers) {
+  #currentExcess(slowness: RunnerSlowness): number {
+    slowness.decay(this.parameters.monotonicNow());
+    let highest = slowness.excess;
+    for (const timer of slowness.timers) {
       const { awaited } = timer;
-      const excess = awaited && this.#excessOf(pace, timer, awaited);
+      const excess = awaited && this.#excessOf(slowness, timer, awaited);
       if (excess === undefined) continue;
-      highest = Math.max(highest, pace.excessWith(excess));
+      highest = Math.max(highest, slowness.excessWith(excess));
     }
     return highest;
   }
@@ -290,20 +294,20 @@
    * allowed excess; `undefined` if nothing can be compared.
    */
   #excessOf(
-    pace: RunnerPace,
+    slowness: RunnerSlowness,
     timer: answerTimer.AnswerTimer,
     time: answerTimer.PartTime,
   ): number | undefined {
     const allowed = allowedExcess(timer, time.part);
     if (allowed <= 0 || !isComparable(timer, time)) return undefined;
-    const inLockStep = this.parameters.inLockStep(pace.service);
+    const inLockStep = this.parameters.inLockStep(slowness.service);
     if (inLockStep && time.part !== answerTimer.AnswerPart.Event)
       return undefined;
     const milliseconds = time.to - time.from;
     if (milliseconds <= allowed) return 0;
     const usual = inLockStep
-      ? this.#fastestMeanwhile(pace, time)
-      : this.#medianOfOthers(pace, time.part);
+      ? this.#fastestMeanwhile(slowness, time)
+      : this.#medianOfOthers(slowness, time.part);
     if (usual === undefined) return undefined;
     const excess = (milliseconds - usual) / allowed;
     return Math.min(MAX_EXCESS, Math.max(0, excess));
@@ -317,12 +321,12 @@
    * from before, which averages contain, do not.
    */
   #fastestMeanwhile(
-    pace: RunnerPace,
+    slowness: RunnerSlowness,
     { from, to }: answerTimer.PartTime,
   ): number | undefined {
     let fastest: number | undefined;
-    for (const other of this.#paces.values()) {
-      if (other === pace || other.service !== pace.service) continue;
+    for (const other of this.#runners.values()) {
+      if (other === slowness || other.service !== slowness.service) continue;
       for (const timer of other.timers) {
         const mean = timer.meanEventTime(from, to);
         if (mean === undefined) continue;
@@ -334,12 +338,12 @@
 
   /** Median of the average times of a part at the other runners. */
   #medianOfOthers(
-    pace: RunnerPace,
+    slowness: RunnerSlowness,
     part: answerTimer.AnswerPart,
   ): number | undefined {
     const averages: number[] = [];
-    for (const other of this.#paces.values()) {
-      if (other === pace || other.service !== pace.service) continue;
+    for (const other of this.#runners.values()) {
+      if (other === slowness || other.service !== slowness.service) continue;
       const average = other.averages.get(part);
       if (average !== undefined) averages.push(average);
     }
--- a/packages/stand_ins/src/measure/group_world/entries_room.ts
+++ b/packages/stand_ins/src/measure/group_world/entries_room.ts
@@ -108,7 +108,7 @@
       sameDataCentre: true,
       failureShare: 0,
       suspended: false,
-      slow: false,
+      avoided: false,
     }));
     const chosen = chooseRunner.chooseRunner(views, this.run.random);
     return Number(chosen?.identifier);
