fix(traffic): begin a new look after one that rejects

Cause: SharedLook cleared the look under way only when it resolved. After one that rejected, every later reader was given the rejected look.

Change: the look under way is cleared in a finally handler of its promise. The new test fails on the code before.

--- a/packages/traffic/src/shared_look.ts
+++ b/packages/traffic/src/shared_look.ts
@@ -56,7 +56,10 @@
     const isUnseen = last && last.number > seen;
     if (isUnseen && common.now() - last.endedAt < MAX_LOOK_AGE_MILLISECONDS)
       return last;
-    this.#underWay ??= this.#begin(waitMilliseconds);
+    // Also cleared after a look that rejects; no look would begin after it otherwise.
+    this.#underWay ??= this.#begin(waitMilliseconds).finally(() => {
+      this.#underWay = undefined;
+    });
     return this.#underWay;
   }
 
@@ -66,7 +69,6 @@
     const endedAt = common.now();
     const number = ++this.#count;
     this.#last = { number, startedAt, endedAt, outcome };
-    this.#underWay = undefined;
     return this.#last;
   }
 }
--- a/packages/traffic/src/shared_look_test.ts
+++ b/packages/traffic/src/shared_look_test.ts
@@ -49,6 +49,21 @@
   t.is((await joined)._unsafeUnwrap().startedAt, startedAt);
 });
 
+// Guards against a source that stays broken: a look rejects once, and every later
+// reader is given that look.
+test("a look that rejects is followed by a new one", async (t) => {
+  let looks = 0;
+  const shared = new sharedLook.SharedLook(async () => {
+    looks++;
+    if (looks === 1) throw new Error("broken");
+    return neverthrow.ok(undefined);
+  });
+  const source = shared.source(() => neverthrow.ok({ version: looks }));
+  await t.throwsAsync(source.next(0), { message: "broken" });
+  const second = await source.next(0);
+  t.is(second._unsafeUnwrap().value?.version, 2);
+});
+
 test("one unreadable document does not hide the other", async (t) => {
   const shared = new sharedLook.SharedLook(async () =>
     neverthrow.ok(undefined),
