fix(common): count no pause of the process as a suspension

Cause: a pause of more than 50 ms between the reads of the clocks made the uptime run ahead of the monotonic clock as a suspension does, and was added to all ages for good.

--- a/packages/common/src/instant_test.ts
+++ b/packages/common/src/instant_test.ts
@@ -8,9 +8,14 @@
   monotonic = 5_000;
   timeOfDay = 1_700_000_000_000;
   uptime = 90_000;
+  /** Pauses of the process before the next reads of the time of day. */
+  pauses: number[] = [];
   readonly source = new instantModule.InstantSource({
     monotonic: () => this.monotonic,
-    timeOfDay: () => this.timeOfDay,
+    timeOfDay: () => {
+      this.run(this.pauses.shift() ?? 0);
+      return this.timeOfDay;
+    },
     // The system gives it in hundredths of a second.
     uptime: () => Math.floor(this.uptime / 10) * 10,
   });
@@ -70,3 +75,26 @@
   }
   t.is(machine.ageOf(since), 600_000);
 });
+
+// Guards against ages that are too high for good: the process is paused between the
+// reads of two clocks, which then differ as after a suspension.
+test("a pause of the process between two reads is no suspension", (t) => {
+  for (const pauses of [[200], [200, 200], [200, 200, 200, 200, 200]]) {
+    const machine = new Machine();
+    const since = machine.source.now();
+    machine.pauses = pauses;
+    const before = machine.monotonic;
+    while (machine.pauses.length > 0) machine.source.now();
+    machine.run(100);
+    t.is(machine.ageOf(since), machine.monotonic - before);
+  }
+});
+
+test("a suspension is seen although the process is paused after it", (t) => {
+  const machine = new Machine();
+  const since = machine.source.now();
+  machine.suspend(4_000);
+  machine.pauses = [0, 200, 200, 200];
+  machine.source.now();
+  t.true(Math.abs(machine.ageOf(since) - 4_600) <= 20);
+});
