fix(gateway): confirm an epoch only with an evacuation list read in it

Cause: the configuration may be read in a new epoch of the table before the evacuation list is. Nothing was retained then, the epoch was confirmed, and an entry that started took an evacuated data centre for open.

Change: Evacuations.mayConfirm also requires that the held list is of the epoch; the confirmer asks it. The new test covers the rule; the rule had no method of its own before, so the test has no run on the old code.

--- a/packages/daemon/src/evacuation/evacuations.ts
+++ b/packages/daemon/src/evacuation/evacuations.ts
@@ -77,6 +77,17 @@
     return this.#retained.size > 0;
   }
 
+  /**
+   * Whether an epoch of the table may be confirmed: the held list was read in it,
+   * and no data centre is retained whose row it lacks. The configuration may be
+   * read in a new epoch before the list is.
+   */
+  mayConfirm(epoch: number): boolean {
+    const { value } = this.list;
+    if (!value || traffic.epochOfEvacuationList(value) !== epoch) return false;
+    return !this.retaining;
+  }
+
   /** Evacuated data centres, and since when they are at this entry. */
   inForce(): ReadonlyMap<string, common.Instant> {
     this.#update();
--- a/packages/daemon/src/evacuation/evacuations_test.ts
+++ b/packages/daemon/src/evacuation/evacuations_test.ts
@@ -97,6 +97,21 @@
   t.deepEqual(codesOf(scene), [EvacuationStarted, EvacuationEnded]);
 });
 
+// Guards against a confirmed epoch whose table lacks an evacuation: the configuration
+// was read in the new epoch, and the list of evacuations not yet.
+test("an epoch is confirmed only with a list that was read in it", (t) => {
+  const { evacuations } = createScene();
+  t.false(evacuations.mayConfirm(1));
+  evacuations.list.offer(listOf(1, 90, "x"));
+  t.true(evacuations.mayConfirm(1));
+  t.false(evacuations.retaining);
+  t.false(evacuations.mayConfirm(2));
+  evacuations.list.offer(listOf(2, 60));
+  t.false(evacuations.mayConfirm(2));
+  evacuations.list.offer(listOf(2, 61, "x"));
+  t.true(evacuations.mayConfirm(2));
+});
+
 test("a row that is written again after a restore decides at once", (t) => {
   const { evacuations } = createScene();
   evacuations.list.offer(listOf(1, 90, "x"));
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -257,7 +257,8 @@
       lowestServedVersion: () => this.#lowestServedVersion(),
       // An entry that starts may trust a table whose epoch is confirmed.
       isConfirmer: () =>
-        !this.evacuations.retaining && this.mesh.pollPosition() === 0,
+        this.evacuations.mayConfirm(rows.epoch.number) &&
+        this.mesh.pollPosition() === 0,
       logger,
     });
   }
