fix(gateway): record readings with the epoch of their rows

Cause: a completed look may be given to the second reader up to 600 ms later. If the table's epoch had changed meanwhile, a reading of the old epoch was recorded as one of the new epoch, which it could confirm.

Change: SharedLook puts the epoch in which the rows were read into each reading, and the gateway records that one. The new test uses a parameter that the code before lacks, so it has no run on the old code.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -430,10 +430,11 @@
     return {
       next: async (waitMilliseconds) => {
         const read = await source.next(waitMilliseconds);
-        const version = read.isOk() ? read.value.value?.version : undefined;
-        if (version !== undefined) {
-          this.#latestReading = { epoch: epoch.number, version };
-        }
+        if (read.isErr() || !read.value.value) return read;
+        const { version } = read.value.value;
+        // A shared look may be older than the table's epoch that is known now.
+        const readIn = read.value.epoch ?? epoch.number;
+        this.#latestReading = { epoch: readIn, version };
         return read;
       },
     };
--- a/packages/stand_ins/src/gateways/gateways.ts
+++ b/packages/stand_ins/src/gateways/gateways.ts
@@ -155,34 +155,37 @@
     let toldEvacuations: string[] | undefined;
     let toldEpoch = -1;
     const rows = new traffic.EvacuationRows();
-    const looks = new traffic.SharedLook(async (waitMilliseconds) => {
-      const isTold = () =>
-        told === this.configuration &&
-        toldEvacuations === this.evacuations &&
-        toldEpoch === this.data.epoch;
-      if (isTold())
-        await common.sleep(Math.min(waitMilliseconds, LONGEST_LOOK));
-      if (this.cutFromStore.has(host)) {
-        const kind = traffic.SourceFailureKind.Unavailable;
-        return neverthrow.err({ kind, reason: "cut off" });
-      }
-      const answer = await table.get("configuration");
-      if (answer.isErr()) {
-        const kind = traffic.SourceFailureKind.Unavailable;
-        return neverthrow.err({ kind, reason: answer.error.reason });
-      }
-      const changed = !isTold();
-      told = this.configuration;
-      toldEvacuations = this.evacuations;
-      toldEpoch = this.data.epoch;
-      rows.take({
-        epoch: toldEpoch,
-        version: this.evacuationsVersion,
-        dataCentres: toldEvacuations,
-        changed,
-      });
-      return neverthrow.ok(undefined);
-    });
+    const looks = new traffic.SharedLook(
+      async (waitMilliseconds) => {
+        const isTold = () =>
+          told === this.configuration &&
+          toldEvacuations === this.evacuations &&
+          toldEpoch === this.data.epoch;
+        if (isTold())
+          await common.sleep(Math.min(waitMilliseconds, LONGEST_LOOK));
+        if (this.cutFromStore.has(host)) {
+          const kind = traffic.SourceFailureKind.Unavailable;
+          return neverthrow.err({ kind, reason: "cut off" });
+        }
+        const answer = await table.get("configuration");
+        if (answer.isErr()) {
+          const kind = traffic.SourceFailureKind.Unavailable;
+          return neverthrow.err({ kind, reason: answer.error.reason });
+        }
+        const changed = !isTold();
+        told = this.configuration;
+        toldEvacuations = this.evacuations;
+        toldEpoch = this.data.epoch;
+        rows.take({
+          epoch: toldEpoch,
+          version: this.evacuationsVersion,
+          dataCentres: toldEvacuations,
+          changed,
+        });
+        return neverthrow.ok(undefined);
+      },
+      () => toldEpoch,
+    );
     return {
       configuration: looks.source(() => neverthrow.ok(told)),
       evacuations: looks.source(() => neverthrow.ok(rows.list)),
--- a/packages/traffic/src/document_source.ts
+++ b/packages/traffic/src/document_source.ts
@@ -8,6 +8,8 @@
   value: T | undefined;
   /** When the look began, if that was before it was asked for. */
   startedAt?: common.Instant;
+  /** Epoch of the table in which the rows were read, if the source tells it. */
+  epoch?: number;
 }
 
 /** Why a source gave no reading. */
--- a/packages/traffic/src/shared_look.ts
+++ b/packages/traffic/src/shared_look.ts
@@ -31,7 +31,11 @@
   #last: CompletedLook | undefined;
 
   /** `look` brings the rows up to date, waiting for a change at most that long. */
-  constructor(readonly look: (waitMilliseconds: number) => Promise<Outcome>) {}
+  constructor(
+    readonly look: (waitMilliseconds: number) => Promise<Outcome>,
+    /** Epoch of the table in which the rows were read. */
+    readonly epoch: () => number,
+  ) {}
 
   /** A document that `read` takes from the rows as they are after a look. */
   source<T extends provenValue.Versioned>(
@@ -46,7 +50,8 @@
         );
         seen = number;
         if (outcome.isErr()) return neverthrow.err(outcome.error);
-        return read().map((value) => ({ value, startedAt }));
+        const epoch = this.epoch();
+        return read().map((value) => ({ value, startedAt, epoch }));
       },
     };
   }
--- a/packages/traffic/src/shared_look_test.ts
+++ b/packages/traffic/src/shared_look_test.ts
@@ -14,10 +14,13 @@
 // store refuses and both readers pause for times of their own.
 test("each look serves every reader once", async (t) => {
   let looks = 0;
-  const shared = new sharedLook.SharedLook(async () => {
-    looks++;
-    return neverthrow.ok(undefined);
-  });
+  const shared = new sharedLook.SharedLook(
+    async () => {
+      looks++;
+      return neverthrow.ok(undefined);
+    },
+    () => 1,
+  );
   const sources = [1, 2].map(() =>
     shared.source(() => neverthrow.ok({ version: looks })),
   );
@@ -37,6 +40,7 @@
   const shared = new sharedLook.SharedLook(
     () =>
       new Promise((resolve) => (end = () => resolve(neverthrow.ok(undefined)))),
+    () => 1,
   );
   const [first, second] = [1, 2].map(() =>
     shared.source(() => neverthrow.ok({ version: 1 })),
@@ -53,11 +57,14 @@
 // reader is given that look.
 test("a look that rejects is followed by a new one", async (t) => {
   let looks = 0;
-  const shared = new sharedLook.SharedLook(async () => {
-    looks++;
-    if (looks === 1) throw new Error("broken");
-    return neverthrow.ok(undefined);
-  });
+  const shared = new sharedLook.SharedLook(
+    async () => {
+      looks++;
+      if (looks === 1) throw new Error("broken");
+      return neverthrow.ok(undefined);
+    },
+    () => 1,
+  );
   const source = shared.source(() => neverthrow.ok({ version: looks }));
   await t.throwsAsync(source.next(0), { message: "broken" });
   const second = await source.next(0);
@@ -65,8 +72,9 @@
 });
 
 test("one unreadable document does not hide the other", async (t) => {
-  const shared = new sharedLook.SharedLook(async () =>
-    neverthrow.ok(undefined),
+  const shared = new sharedLook.SharedLook(
+    async () => neverthrow.ok(undefined),
+    () => 1,
   );
   const broken = shared.source(() => neverthrow.err(UNREADABLE));
   const sound = shared.source(() => neverthrow.ok({ version: 3 }));
@@ -74,3 +82,24 @@
   t.true(left.isErr());
   t.is(right._unsafeUnwrap().value?.version, 3);
 });
+
+// Guards against a reading that is recorded in a later epoch of the table than the
+// one in which its rows were read: that epoch would be confirmed by it.
+test("a reading tells the epoch in which the rows were read", async (t) => {
+  const table = { epoch: 1 };
+  let rowsEpoch = 0;
+  const shared = new sharedLook.SharedLook(
+    async () => {
+      rowsEpoch = table.epoch;
+      return neverthrow.ok(undefined);
+    },
+    () => rowsEpoch,
+  );
+  const [first, second] = [1, 2].map(() =>
+    shared.source(() => neverthrow.ok({ version: 1 })),
+  );
+  t.is((await first.next(0))._unsafeUnwrap().epoch, 1);
+  table.epoch = 2;
+  t.is((await second.next(0))._unsafeUnwrap().epoch, 1);
+  t.is((await second.next(0))._unsafeUnwrap().epoch, 2);
+});
