--- a/packages/daemon/src/admission/urgency_rule_test.ts
+++ b/packages/daemon/src/admission/urgency_rule_test.ts
@@ -15,6 +15,7 @@
       outstanding,
     })),
     mayReturn: true,
+    shortestObjectiveMilliseconds: 500,
     starting: 0,
     knownShare: 1,
     demand: new Map(),
--- a/packages/traffic/src/evacuation_rows.ts
+++ b/packages/traffic/src/evacuation_rows.ts
@@ -26,21 +26,21 @@
   ) {}
 
   /**
-   * Takes the keys of all rows of a table, and of those that changed since the
-   * last look; `undefined` if any may have changed.
+   * Takes the rows of a table, by key, and the keys of those that changed since
+   * the last look; `undefined` if any may have changed.
    */
   takeKeys(look: {
     epoch: number;
     version: number;
-    keys: string[];
+    rows: ReadonlyMap<string, unknown>;
     changedKeys: string[] | undefined;
   }): void {
-    const { epoch, version, keys, changedKeys } = look;
+    const { epoch, version, rows, changedKeys } = look;
     const isEvacuation = (key: string) => key.startsWith(this.prefix);
     this.take({
       epoch,
       version,
-      dataCentres: keys
+      dataCentres: [...rows.keys()]
         .filter(isEvacuation)
         .map((key) => key.slice(this.prefix.length)),
       changed: changedKeys?.some(isEvacuation) ?? true,
