fix(rate-limit): an entry that hears of a warm-up asks for no permit in its hold-off

A runner that named a limit and then turned cold could get requests at the named limit: the entry that asked knew of the warm-up and took the permit for one of the warm-up, and the allocator that granted it had not heard yet. The hold-off of one second now holds for asking as well as for granting. The new test failed before (granted in place of denied).

--- a/packages/daemon/src/rate_limit/limited_runner.ts
+++ b/packages/daemon/src/rate_limit/limited_runner.ts
@@ -40,8 +40,10 @@
  */
 export const WARM_UP_VALIDITY_MILLISECONDS = 250;
 /**
- * Time after an allocator hears of a warm-up in which it grants nothing: what
- * was sent before, without permits, falls into one second with what it grants.
+ * Time after an entry hears of a warm-up in which it neither grants permits nor
+ * asks for any. What was sent before, without permits, falls into one second
+ * with what is granted, and an allocator that has not heard of the warm-up yet
+ * grants by the limit that the runner named.
  */
 const WARM_UP_HOLD_OFF_MILLISECONDS = 1_000;
 
@@ -147,6 +149,13 @@
     return { kind: "ended", milliseconds: now - since };
   }
 
+  /** Milliseconds left of the hold-off after its warm-up began; 0 for none. */
+  holdOffMilliseconds(now: number): number {
+    if (!this.isWarmingUp) return 0;
+    const elapsed = now - (this.#warmingUpSince ?? now);
+    return Math.max(0, WARM_UP_HOLD_OFF_MILLISECONDS - elapsed);
+  }
+
   /** Milliseconds since what sets the limit was heard. */
   ageMilliseconds(now: common.Instant): number {
     switch (this.source) {
@@ -212,8 +221,7 @@
     now: number,
     maxDelayMilliseconds: number,
   ): requestPacer.PacerAnswer {
-    const elapsed = now - (this.#warmingUpSince ?? now);
-    const holdOff = WARM_UP_HOLD_OFF_MILLISECONDS - elapsed;
+    const holdOff = this.holdOffMilliseconds(now);
     if (holdOff > 0) return { kind: "denied", waitMilliseconds: holdOff };
     const answer = this.#pacer.schedule({
       perSecond: this.perSecond,
--- a/packages/daemon/src/rate_limit/rate_limits.ts
+++ b/packages/daemon/src/rate_limit/rate_limits.ts
@@ -262,6 +262,8 @@
     limited: limitedRunner.LimitedRunner,
     maxDelayMilliseconds: number,
   ): Promise<RateLimitAdmission> {
+    const holdOff = limited.holdOffMilliseconds(this.#now());
+    if (holdOff > 0) return this.#denied(limited, holdOff);
     const waitMilliseconds = limited.nextAskAt - this.#now();
     if (waitMilliseconds > maxDelayMilliseconds)
       return this.#denied(limited, waitMilliseconds);
--- a/packages/daemon/src/rate_limit/warm_up_test.ts
+++ b/packages/daemon/src/rate_limit/warm_up_test.ts
@@ -303,6 +303,20 @@
   t.true(admission.permit.isExpired(admission.permit.askedAt));
 });
 
+// Guards against permits at a higher named limit from an allocator that has not
+// heard of the warm-up yet.
+test("an entry that has just heard of a warm-up asks for no permit in its hold-off", async (t) => {
+  const simulated = await startEntries(6, []);
+  simulated.name("e0", WARM, "100");
+  await simulated.run(2_000, [], undefined);
+  const allocator = allocatorOf(simulated);
+  const asker = hostsOf(6).find((host) => host !== allocator) ?? "";
+  const { limits } = simulated.at(asker);
+  t.is((await limits.admit(WARM, 1_500)).kind, "granted");
+  simulated.list([COLD], [asker]);
+  t.is((await limits.admit(COLD, 1_500)).kind, "denied");
+});
+
 // Guards against permits that a suspended process uses after the next second.
 test("a permit for a runner that warms up is void a quarter of a second after it is due", async (t) => {
   const simulated = await startCold(6);
