--- a/packages/daemon/src/admission/expected_durations.ts
+++ b/packages/daemon/src/admission/expected_durations.ts
@@ -18,8 +18,8 @@
 /**
  * Durations of a usual request while half of the slots of its runner are in use,
  * computed from the engine's figures in the configuration; `undefined` if these
- * are not stated. They are used until an entry has measured some: after a restart of
- * all entries nothing is measured, and a backlog waits.
+ * are not stated. They are used until an entry has measured some: after a
+ * restart of all entries nothing is measured, and a backlog waits.
  */
 export function expectedDurations(
   engine: traffic.EngineShape | undefined,
--- a/packages/daemon/src/admission/peer_loads.ts
+++ b/packages/daemon/src/admission/peer_loads.ts
@@ -1,5 +1,5 @@
 import type * as wire from "@geraniumkeel/wire";
-import type * as urgencyRule from "./urgency_rule.ts";
+import * as urgencyRule from "./urgency_rule.ts";
 
 /**
  * Age from which on a report is not used, as of the last mesh heartbeat from
@@ -115,13 +115,9 @@
       if (answerMilliseconds > 0) answers.push(answerMilliseconds);
       if (firstEventMilliseconds >= 0) firstEvents.push(firstEventMilliseconds);
       for (const { urgency, running, waiting, ...rest } of report.urgencies) {
-        const sum = demand.get(urgency);
-        const arrivals = rest.arrivalsPerSecond / 1_000;
-        demand.set(urgency, {
-          running: (sum?.running ?? 0) + running,
-          waiting: (sum?.waiting ?? 0) + waiting,
-          arrivalsPerMillisecond: (sum?.arrivalsPerMillisecond ?? 0) + arrivals,
-        });
+        const arrivalsPerMillisecond = rest.arrivalsPerSecond / 1_000;
+        const added = { running, waiting, arrivalsPerMillisecond };
+        urgencyRule.addDemand(demand, urgency, added);
       }
     }
     return {
--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -1,4 +1,5 @@
 import * as wire from "@geraniumkeel/wire";
+import * as heartbeatSender from "../mesh/heartbeat_sender.ts";
 import * as accountShares from "./account_shares.ts";
 import * as decayingMean from "./decaying_mean.ts";
 import * as eventPace from "./event_pace.ts";
@@ -12,10 +13,11 @@
 /** Window over which arrivals are measured. */
 const ARRIVAL_WINDOW_MILLISECONDS = 2_000;
 /**
- * Interval of the reports between entries, that of the mesh heartbeats, which
- * carry the requests in progress.
+ * Interval of the reports between entries. It equals that of the mesh
+ * heartbeats, which carry the requests in progress that a report is compared with.
  */
-export const REPORT_INTERVAL_MILLISECONDS = 300;
+export const REPORT_INTERVAL_MILLISECONDS =
+  heartbeatSender.HEARTBEAT_INTERVAL_MILLISECONDS;
 /**
  * Time after the return of a service that stood still in which a request that
  * waited for it may still start. In one report interval every entry learns of
@@ -385,14 +387,11 @@
       otherDemand += item.arrivalsPerMillisecond * REPORT_INTERVAL_MILLISECONDS;
     }
     for (const [urgency, state] of this.#urgencies) {
-      const sum = demand.get(urgency);
-      const arrivals = this.#arrivalRate(state);
-      ownDemand += state.waiting;
-      demand.set(urgency, {
-        running: (sum?.running ?? 0) + state.running,
-        waiting: (sum?.waiting ?? 0) + state.waiting,
-        arrivalsPerMillisecond: (sum?.arrivalsPerMillisecond ?? 0) + arrivals,
-      });
+      const { running, waiting } = state;
+      const arrivalsPerMillisecond = this.#arrivalRate(state);
+      ownDemand += waiting;
+      const added = { running, waiting, arrivalsPerMillisecond };
+      urgencyRule.addDemand(demand, urgency, added);
     }
     return {
       runners: capacity.runners.map((runner) => ({
--- a/packages/daemon/src/admission/urgency_rule.ts
+++ b/packages/daemon/src/admission/urgency_rule.ts
@@ -7,6 +7,21 @@
   arrivalsPerMillisecond: number;
 }
 
+/** Adds to the demand of one urgency. */
+export function addDemand(
+  sums: Map<number, UrgencyDemand>,
+  urgency: number,
+  added: UrgencyDemand,
+): void {
+  const sum = sums.get(urgency);
+  sums.set(urgency, {
+    running: (sum?.running ?? 0) + added.running,
+    waiting: (sum?.waiting ?? 0) + added.waiting,
+    arrivalsPerMillisecond:
+      (sum?.arrivalsPerMillisecond ?? 0) + added.arrivalsPerMillisecond,
+  });
+}
+
 /** A runner that may receive requests. */
 export interface RunnerCapacity {
   identifier: string;
--- a/packages/daemon/src/gateway/operator_view.ts
+++ b/packages/daemon/src/gateway/operator_view.ts
@@ -36,8 +36,8 @@
  * Answers the command-line tool's requests to a gateway, under the paths and in
  * the formats of the daemon's own interface for operators (folder `operator`),
  * so that `status`, `hosts`, `state`, `rate-limits`, `evacuations` and
- * `quarantine` show the same columns for a gateway and for the daemon's entries. The configuration
- * cannot be changed here, because a gateway only follows it. The only change
+ * `quarantine` show the same columns for a gateway and for the daemon's entries.
+ * The configuration cannot be changed here, because a gateway only follows it. The only change
  * that a gateway accepts is to lift a quarantine; it answers every other request
  * but GET with "read only".
  */
--- a/packages/daemon/src/mesh/document_exchange.ts
+++ b/packages/daemon/src/mesh/document_exchange.ts
@@ -44,7 +44,8 @@
 
 /**
  * Exchanges the configuration, the list of runners and the list of evacuated
- * data centres with the other entries, so that an entry that cannot reach the store still has the newest versions.
+ * data centres with the other entries, so that an entry that cannot reach the
+ * store still has the newest versions.
  * An entry sends a document only to peers that have an older version. Each
  * heartbeat carries the proof of each document: the last moment at which the
  * sender's version was certain to be the newest.
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -140,10 +140,10 @@
  * Links from this entry to all others. Over them, entries exchange whether they
  * are ready, their requests under way at runners, suspicions, and the
  * documents: the configuration, the list of runners and the list of evacuated
- * data centres (see `DocumentExchange`). An entry sends a document to a peer that has an older
- * version, and sends proofs that its own version is the newest. So an entry
- * that cannot reach the store, or that leaves reading it to others, still has
- * the newest documents.
+ * data centres (see `DocumentExchange`). An entry sends a document to a peer that
+ * has an older version, and sends proofs that its own version is the newest. So
+ * an entry that cannot reach the store, or that leaves reading it to others,
+ * still has the newest documents.
  *
  * A known entry is one whose row this entry has read from the store, that has
  * linked to this entry, or that a peer has named. A peer is a known entry that
