--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -12,6 +12,7 @@
 import * as answerRelay from "./answer_relay.ts";
 import * as attemptOutcome from "./attempt_outcome.ts";
 import * as callerRequest from "./caller_request.ts";
+import * as crashChecks from "./crash_checks.ts";
 import * as hedgedAttempts from "./hedged_attempts.ts";
 import * as obtainRunner from "./obtain_runner.ts";
 import * as retryDelay from "./retry_delay.ts";
@@ -121,10 +122,7 @@
   readonly #hedged: hedgedAttempts.HedgedAttempts;
   /** Attempts in the order in which they were made. */
   readonly #made: runnerAttempt.RunnerAttempt[] = [];
-  /** Checks for crashes that are under way. */
-  #crashChecks: Promise<void>[] = [];
-  /** Silent attempts whose runners were checked for a crash. */
-  readonly #checkedSilent = new Set<runnerAttempt.RunnerAttempt>();
+  readonly #crashChecks: crashChecks.CrashChecks;
   /**
    * Milliseconds from the request's arrival until the head of the first signed
    * successful answer arrived from a runner; -1 before that. Sent as the metric
@@ -154,6 +152,10 @@
       answerForm: route.answerForm,
       resumeAfter: request.resumeAfter,
     });
+    this.#crashChecks = new crashChecks.CrashChecks({
+      ...parameters,
+      fingerprint: () => this.fingerprint,
+    });
     this.#hedged = new hedgedAttempts.HedgedAttempts({
       createAttempt: (secured) => this.#createAttempt(secured),
       onEnd: (attempt, outcome) => this.#noteEnd(attempt, outcome),
@@ -301,8 +303,7 @@
       // quarantined. A final answer does not wait for them.
       if (!attemptOutcome.mayRetry(lastOutcome, route, this.#runs))
         return lastOutcome;
-      await Promise.all(this.#crashChecks);
-      this.#crashChecks = [];
+      await this.#crashChecks.settled();
     }
   }
 
@@ -319,25 +320,6 @@
     });
   }
 
-  /**
-   * Has the crash detector check whether an attempt failed because its runner
-   * crashed. The detector passes a crash to the quarantine.
-   */
-  async #checkForCrash(
-    kind: attemptOutcome.AttemptOutcomeKind,
-    attempt: runnerAttempt.RunnerAttempt,
-  ): Promise<void> {
-    const { request, crashDetector, tracker } = this.parameters;
-    const { runner } = attempt.parameters;
-    const runnerIsUnresponsive = tracker.isUnresponsive(runner.identifier);
-    if (!attemptOutcome.mayBeCrash(kind, runnerIsUnresponsive)) return;
-    await crashDetector.investigate(runner, {
-      request: request.identifier,
-      fingerprint: this.fingerprint,
-      startedAt: attempt.startedAt,
-    });
-  }
-
   /**
    * Finds a runner that may get the request now. If there is none, the request
    * waits a moment for one that refuses requests, or for the rate limit of one.
@@ -450,11 +432,7 @@
       sentAfter: attempt.sentAfter,
       milliseconds: Math.round(common.now() - attempt.startedAt),
     };
-    const isChecked =
-      outcome.kind === attemptOutcome.AttemptOutcomeKind.Stalled &&
-      this.#checkedSilent.has(attempt);
-    if (!isChecked)
-      this.#crashChecks.push(this.#checkForCrash(outcome.kind, attempt));
+    this.#crashChecks.noteEnd(attempt, outcome.kind);
   }
 
   /**
@@ -487,7 +465,9 @@
     const isPossible = () =>
       this.#mayRunBesides() && this.#hasResponsiveRunner();
     if (!isPossible()) return undefined;
-    await Promise.all(silent.map((attempt) => this.#checkSilent(attempt)));
+    await Promise.all(
+      silent.map((attempt) => this.#crashChecks.checkSilent(attempt)),
+    );
     if (!isPossible()) return undefined;
     const obtained = await obtainRunner.obtainRunner({
       ...this.parameters,
@@ -496,14 +476,6 @@
     return obtained.kind === "runner" ? obtained : undefined;
   }
 
-  /** Checks the runner of a silent attempt for a crash, once a silence. */
-  async #checkSilent(attempt: runnerAttempt.RunnerAttempt): Promise<void> {
-    if (this.#checkedSilent.has(attempt)) return;
-    this.#checkedSilent.add(attempt);
-    const { Stalled } = attemptOutcome.AttemptOutcomeKind;
-    await this.#checkForCrash(Stalled, attempt);
-  }
-
   /** Admits and charges one more attempt beside the open ones. */
   #chargeAnother(): boolean {
     const { quarantine, budgetOf, service } = this.parameters;
@@ -524,9 +496,7 @@
     this.#place.noteEvent();
     attempt.noteProgress();
     this.#hedged.noteGotOn(attempt);
-    if (!this.#checkedSilent.delete(attempt)) return;
-    const { crashDetector, request } = this.parameters;
-    crashDetector.withdraw(attempt.parameters.runner, request.identifier);
+    this.#crashChecks.noteGotOn(attempt);
   }
 
   #noteFirstAnswer(): void {
