feat(quarantine): a crash line tells the parts of the prompts, and how far runs had come

RunnerEnded (2101) now gives each run's prompt parts and whether it was waiting, had begun or was writing.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -450,9 +450,9 @@
   [EventCode.RunnerEnded]: {
     level: EventLevel.Warn,
     meaning:
-      "A runner ended while requests of this entry were under way there; `evidence` tells how it was seen, `runs` which requests by id and fingerprint.",
+      "A runner ended while requests of this entry were under way there; `evidence` tells how it was seen, `runs` which requests by id and fingerprint, the parts of their prompts, and how far each had come.",
     action:
-      "If one fingerprint is in each, look at what that request asks for.",
+      "If one fingerprint is in each, look at what that request asks for; if one part is in each that was not writing, look at that part.",
   },
   [EventCode.RunnerEndDisproved]: {
     level: EventLevel.Info,
--- a/packages/daemon/src/dispatch/follow_attempt.ts
+++ b/packages/daemon/src/dispatch/follow_attempt.ts
@@ -94,7 +94,15 @@
         version: UNKNOWN_VERSION,
         endedAt: common.now(),
         evidence: runnerCrash.CrashEvidence.Reported,
-        runs: [{ request: identifier, fingerprint, startedAt }],
+        runs: [
+          {
+            request: identifier,
+            fingerprint,
+            startedAt,
+            progress: runnerCrash.RunProgress.Unknown,
+            promptParts: [],
+          },
+        ],
       });
     }
     case request.AttemptOutcomeKind.NeverStarted:
--- a/packages/daemon/src/forwarding/caller_request.ts
+++ b/packages/daemon/src/forwarding/caller_request.ts
@@ -28,6 +28,11 @@
    * empty to start from the beginning.
    */
   resumeAfter: string;
+  /**
+   * Identifiers of the parts of the prompt that other requests may share, each
+   * once; empty if the caller names none.
+   */
+  promptParts: readonly string[];
   arrivedAt: common.Instant;
 }
 
--- a/packages/daemon/src/forwarding/crash_checks.ts
+++ b/packages/daemon/src/forwarding/crash_checks.ts
@@ -69,6 +69,8 @@
       request: request.identifier,
       fingerprint: fingerprint(),
       startedAt: attempt.startedAt,
+      progress: attempt.progress,
+      promptParts: request.promptParts,
     });
   }
 }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -494,7 +494,7 @@
   #noteGotOn(attempt: runnerAttempt.RunnerAttempt): void {
     this.#noteFirstAnswer();
     this.#place.noteEvent();
-    attempt.noteProgress();
+    attempt.noteContent();
     this.#hedged.noteGotOn(attempt);
     this.#crashChecks.noteGotOn(attempt);
   }
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -180,6 +180,7 @@
       key: setup.key ?? KEY,
       timeoutMilliseconds: setup.requestMilliseconds ?? 4_000,
       resumeAfter: "",
+      promptParts: [],
       arrivedAt: common.instant(),
     },
     recordingSink(seen),
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -309,7 +309,15 @@
         version: "1",
         endedAt: startedAt + 5,
         evidence: runnerCrash.CrashEvidence.Refused,
-        runs: [{ request: identifier, fingerprint: found, startedAt }],
+        runs: [
+          {
+            request: identifier,
+            fingerprint: found,
+            startedAt,
+            progress: runnerCrash.RunProgress.Waiting,
+            promptParts: [],
+          },
+        ],
       });
     }
   }
@@ -422,6 +430,7 @@
     key: undefined,
     timeoutMilliseconds: 4_000,
     resumeAfter: "",
+    promptParts: [],
     arrivedAt: common.instant(),
   };
 }
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -4,6 +4,7 @@
 import * as attemptOutcome from "./attempt_outcome.ts";
 import type * as answerTimer from "./answer_timer.ts";
 import type * as callerRequest from "./caller_request.ts";
+import * as runnerCrash from "../quarantine/runner_crash.ts";
 import type * as requestClock from "./request_clock.ts";
 import * as rateLimitHeader from "../rate_limit/rate_limit_header.ts";
 import type * as rateLimitPermit from "../rate_limit/rate_limit_permit.ts";
@@ -67,6 +68,10 @@
   #progressAt: number;
   /** Whether the caller takes nothing, so that the answer is not read. */
   #paused = false;
+  /** Whether the head of an answer has arrived from the runner. */
+  #begun = false;
+  /** When the first content of the answer arrived; `undefined` before. */
+  #writingSince: number | undefined;
   /** Times the answer; `undefined` until the request is sent. */
   #timer: answerTimer.AnswerTimer | undefined;
 
@@ -92,6 +97,15 @@
     return outcome;
   }
 
+  /** How far the attempt has come. */
+  get progress(): runnerCrash.RunProgress {
+    if (this.#writingSince !== undefined)
+      return runnerCrash.RunProgress.Writing;
+    return this.#begun
+      ? runnerCrash.RunProgress.Begun
+      : runnerCrash.RunProgress.Waiting;
+  }
+
   /** Whether another attempt of the request got on instead. */
   get isSuperseded(): boolean {
     return this.#superseded.signal.aborted;
@@ -104,8 +118,14 @@
     );
   }
 
+  /** Notes that content of the answer has arrived. */
+  noteContent(): void {
+    this.#writingSince ??= common.now();
+    this.#noteProgress();
+  }
+
   /** Notes that a part of the answer has arrived. */
-  noteProgress(): void {
+  #noteProgress(): void {
     const { tracker, runner } = this.parameters;
     this.#noteTaken();
     this.#progressAt = tracker.silenceClock.now();
@@ -204,7 +224,7 @@
       case runnerClientModule.Verdict.Failed: {
         this.#noteTaken();
         const completeBody = await answerRelay.readCompleteBody(body, () =>
-          this.noteProgress(),
+          this.noteContent(),
         );
         if (completeBody.isErr())
           return { kind: attemptOutcome.AttemptOutcomeKind.Unknown, reason };
@@ -222,7 +242,8 @@
             reason: "answer not signed",
           };
         }
-        this.noteProgress();
+        this.#begun = true;
+        this.#noteProgress();
         onAnswerStart(runner);
         return this.#relayAnswer(answer);
     }
@@ -285,7 +306,7 @@
     const relayed = await relay.relay(answer, {
       superseded: this.#superseded.signal,
       onGotOn,
-      onPiece: () => this.noteProgress(),
+      onPiece: () => this.noteContent(),
       pause: () => this.#pause(),
     });
     if (relayed.isOk()) {
--- a/packages/daemon/src/quarantine/crash_detector_test.ts
+++ b/packages/daemon/src/quarantine/crash_detector_test.ts
@@ -3,6 +3,7 @@
 import * as traffic from "@geraniumkeel/traffic";
 import * as runnerFixture from "@geraniumkeel/traffic/runner_fixture";
 import * as runnerCrash from "./runner_crash.ts";
+import * as runnerCrashFixture from "./runner_crash_fixture.ts";
 import * as crashDetector from "./crash_detector.ts";
 
 const test = ava.default;
@@ -10,7 +11,7 @@
 const INCARNATION = traffic.incarnationOf(runnerFixture.createRunner());
 
 function runOf(request = "q"): runnerCrash.InterruptedRun {
-  return { request, fingerprint: "f", startedAt: common.now() };
+  return runnerCrashFixture.interruptedRun({ request });
 }
 
 interface Fixture {
--- a/packages/daemon/src/quarantine/quarantine.ts
+++ b/packages/daemon/src/quarantine/quarantine.ts
@@ -10,6 +10,8 @@
 
 /** Largest number of runs that one log line lists. */
 const MAX_LOGGED_RUNS = 16;
+/** Largest number of prompt parts that a log line lists for a run. */
+const MAX_LOGGED_PARTS = 16;
 /**
  * Time after which a caller is to send a quarantined request again if a trial
  * of it is allowed, but not here and now: its trial is under way, its last
@@ -447,6 +449,8 @@
         request: run.request,
         fingerprint: run.fingerprint,
         milliseconds: Math.round(endedAt - run.startedAt),
+        progress: run.progress,
+        parts: run.promptParts.slice(0, MAX_LOGGED_PARTS),
       })),
       more: Math.max(0, runs.length - MAX_LOGGED_RUNS),
     });
--- a/packages/daemon/src/quarantine/quarantine_test.ts
+++ b/packages/daemon/src/quarantine/quarantine_test.ts
@@ -4,6 +4,7 @@
 import * as runnerCrash from "./runner_crash.ts";
 import type * as quarantine from "./quarantine.ts";
 import * as quarantineFixture from "./quarantine_fixture.ts";
+import * as runnerCrashFixture from "./runner_crash_fixture.ts";
 import type * as watchedRequests from "./watched_requests.ts";
 
 const test = ava.default;
@@ -97,11 +98,13 @@
     version: "1",
     endedAt: clock,
     evidence: runnerCrash.CrashEvidence.Refused,
-    runs: fingerprints.map((fingerprint) => ({
-      request: `of ${fingerprint}`,
-      fingerprint,
-      startedAt,
-    })),
+    runs: fingerprints.map((fingerprint) =>
+      runnerCrashFixture.interruptedRun({
+        request: `of ${fingerprint}`,
+        fingerprint,
+        startedAt,
+      }),
+    ),
   };
 }
 
--- a/packages/daemon/src/quarantine/runner_crash.ts
+++ b/packages/daemon/src/quarantine/runner_crash.ts
@@ -1,3 +1,15 @@
+/** How far a run had come when it broke off. */
+export enum RunProgress {
+  /** Nothing of an answer had arrived. */
+  Waiting = "waiting",
+  /** The head of an answer had arrived, but nothing of its content. */
+  Begun = "begun",
+  /** Some of the content had arrived. */
+  Writing = "writing",
+  /** The data path does not follow it. */
+  Unknown = "unknown",
+}
+
 /**
  * A run of a request that broke off without a complete answer, and not because
  * its caller disconnected.
@@ -10,6 +22,9 @@
    * When the request was sent to the runner, by this process's monotonic clock.
    */
   startedAt: number;
+  progress: RunProgress;
+  /** Parts of the prompt that other requests may share. */
+  promptParts: readonly string[];
 }
 
 /** How an entry found out that a runner crashed. */
--- a/packages/stand_ins/src/gateways/gateways.ts
+++ b/packages/stand_ins/src/gateways/gateways.ts
@@ -215,7 +215,12 @@
   async send(
     entry: number,
     body: string,
-    change: { account?: AccountName; path?: string; left?: AbortSignal } = {},
+    change: {
+      account?: AccountName;
+      path?: string;
+      left?: AbortSignal;
+      parts?: readonly string[];
+    } = {},
   ): Promise<Seen> {
     const { account = AccountName.One, path = `${PATH}x`, left } = change;
     const identifier = `q-${++this.#requests}`;
@@ -233,6 +238,7 @@
         key: `key-${account}`,
         timeoutMilliseconds: PATIENCE_MILLISECONDS,
         resumeAfter: "",
+        promptParts: change.parts ?? [],
         arrivedAt: common.instant(),
       },
       sinkInto(seen, left ?? new AbortController().signal),
--- a/packages/stand_ins/src/measure/quarantine_world/quarantine_cost.ts
+++ b/packages/stand_ins/src/measure/quarantine_world/quarantine_cost.ts
@@ -49,6 +49,8 @@
       request: one,
       fingerprint: one,
       startedAt: endedAt - 100,
+      progress: runnerCrash.RunProgress.Waiting,
+      promptParts: [],
     })),
   };
 }
