--- a/packages/stand_ins/src/gateways/gateways.ts
+++ b/packages/stand_ins/src/gateways/gateways.ts
@@ -47,8 +47,16 @@
   refusal: daemon.Refusal | undefined;
 }
 
+/** Runners that entries can follow and call. */
+export interface CallablePool {
+  readonly shape: { service: string };
+  source(): traffic.DocumentSource<traffic.RunnerList>;
+  callerOf(entry: string): daemon.RunnerClient;
+  close(): void;
+}
+
 /** A few entries with links between them, before one pool of runners. */
-export class Gateways {
+export class Gateways<Pool extends CallablePool = runnerPool.RunnerPool> {
   readonly running: RunningGateway[] = [];
   /** Rows that all entries share. */
   readonly data = new tableData.TableData();
@@ -65,16 +73,16 @@
 
   private constructor(
     readonly shape: GatewaysShape,
-    readonly pool: runnerPool.RunnerPool,
+    readonly pool: Pool,
   ) {
     this.configuration = configurationOf(shape, pool);
   }
 
   /** Starts the entries; they are linked and ready when this resolves. */
-  static async start(
-    pool: runnerPool.RunnerPool,
+  static async start<Pool extends CallablePool>(
+    pool: Pool,
     change: Partial<GatewaysShape> = {},
-  ): Promise<Gateways> {
+  ): Promise<Gateways<Pool>> {
     const shape: GatewaysShape = {
       entries: 3,
       repeatability: traffic.Repeatability.Idempotent,
@@ -294,7 +302,7 @@
 
 function configurationOf(
   { repeatability, inLockStep }: GatewaysShape,
-  pool: runnerPool.RunnerPool,
+  pool: CallablePool,
 ): traffic.TrafficConfiguration {
   const { service } = pool.shape;
   const accounts = Object.values(AccountName);
--- a/packages/stand_ins/src/gateways/pool_runner.ts
+++ b/packages/stand_ins/src/gateways/pool_runner.ts
@@ -170,19 +170,6 @@
   yield Buffer.from("id: 2\ndata: b\n\n");
 }
 
-/** The answer of a runner that was not meant. */
-export function wrongRunner(): daemon.RunnerAnswer {
-  return {
-    verdict: daemon.Verdict.WrongRunner,
-    head: { status: 421, headers: [] },
-    signed: false,
-    rateLimit: undefined,
-    retryAfter: undefined,
-    leaving: false,
-    body: (async function* () {})(),
-  };
-}
-
 /** The answer of a runner that turns a request away and wants rest. */
 export function turnedAway(retryAfter: string): daemon.RunnerAnswer {
   return {
--- a/packages/stand_ins/src/gateways/runner_pool.ts
+++ b/packages/stand_ins/src/gateways/runner_pool.ts
@@ -3,6 +3,7 @@
 import type * as traffic from "@geraniumkeel/traffic";
 import * as neverthrow from "neverthrow";
 import * as poolRunner from "./pool_runner.ts";
+import * as runnerList from "./runner_list.ts";
 
 /** What an entry finds in place of a runner that its link to is cut. */
 export enum Cut {
@@ -82,9 +83,10 @@
   readonly cuts = new Map<string, Cut>();
   /** Version of the runners' software. */
   version = "1";
-  readonly #changed = new common.ChangeNotice();
+  readonly #list = new runnerList.RunnerListSource(() =>
+    this.runners.map((runner) => this.entryOf(runner)),
+  );
   readonly #timers = new Set<NodeJS.Timeout>();
-  #version = 1;
 
   constructor(readonly shape: PoolShape) {
     this.runners = Array.from({ length: shape.runners }, (_, place) => {
@@ -96,42 +98,31 @@
 
   /** The list of runners, as one entry follows it. */
   source(): traffic.DocumentSource<traffic.RunnerList> {
-    let seen = 0;
-    return {
-      next: async (waitMilliseconds) => {
-        if (seen === this.#version) await this.#changed.next(waitMilliseconds);
-        seen = this.#version;
-        return neverthrow.ok({ value: this.list() });
-      },
-    };
+    return this.#list.source();
   }
 
   /** The list as it is now. A runner that ended stays listed until it is back. */
   list(): traffic.RunnerList {
-    const runners = this.runners.map((runner) => this.entryOf(runner));
-    return { version: this.#version, runners };
+    return this.#list.list();
   }
 
   /** A runner as it is listed. */
   entryOf(runner: poolRunner.PoolRunner): traffic.RunnerEntry {
-    return {
+    return runnerList.entryOf({
       identifier: runner.identifier,
       bornAt: runner.bornAt,
       service: this.shape.service,
       version: this.version,
       address: `runner-${runner.place}`,
-      port: 1,
       dataCentre: this.shape.dataCentreOf?.(runner.place) ?? "d",
       slots: SLOTS,
       leaving: runner.leaving,
-      warmingUp: false,
-    };
+    });
   }
 
   /** Tells that what is listed has changed. */
   announce(): void {
-    this.#version++;
-    this.#changed.announce();
+    this.#list.announce();
   }
 
   /** Ends the runner at a place; it is back, as another one, after a while. */
@@ -208,7 +199,7 @@
       at: common.now(),
     });
     if (identifier !== call.runner.identifier) {
-      return neverthrow.ok(poolRunner.wrongRunner());
+      return neverthrow.ok(runnerList.wrongRunner());
     }
     if (runner.rateLimit !== undefined) {
       this.namings.push({ entry, runner: identifier, at: common.now() });
