fix(forwarding): a request whose answer had begun when its runner crashed is not sent on

Of all runs at a crash, one whose answer had begun without content is the likeliest cause; its caller is told that it may have run. Runs that had no head, or content, are repeated as before.

A part all of whose crashes, and more, are those of a proven part is no longer proven with it: of a retried request it takes its other parts along.

--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -311,6 +311,7 @@
       if (!attemptOutcome.mayRetry(lastOutcome, route, this.#runs))
         return lastOutcome;
       await this.#crashChecks.settled();
+      if (this.#mayHaveCrashedRunner()) return lastOutcome;
     }
   }
 
@@ -444,6 +445,19 @@
     this.#crashChecks.noteEnd(attempt, outcome.kind);
   }
 
+  /**
+   * Whether an answer to the request had begun, without content, when its runner
+   * crashed. Of all that ran there such a request is the likeliest cause, and a
+   * retry would cost the next runner.
+   */
+  #mayHaveCrashedRunner(): boolean {
+    return this.#made.some((attempt) => {
+      if (!attempt.isBegunWithoutContent) return false;
+      const incarnation = traffic.incarnationOf(attempt.parameters.runner);
+      return this.parameters.quarantine.crashTimeOf(incarnation) !== undefined;
+    });
+  }
+
   /** Tells the quarantine of an attempt whose runner stands the request. */
   #noteWriting(attempt: runnerAttempt.RunnerAttempt): void {
     const { writingSince } = attempt;
--- a/packages/daemon/src/quarantine/part_proof.ts
+++ b/packages/daemon/src/quarantine/part_proof.ts
@@ -58,7 +58,8 @@
 /**
  * Returns the keys of the parts that crash runners, by the evidence. Crashes at
  * which a proven part was there are not held against more frequent parts, which
- * are carried by the same requests by chance.
+ * are carried by the same requests by chance. Nor is a part proven if all its
+ * crashes, and more, are those of a proven part.
  *
  * `quarantined` parts stay so while at least as many crashes as can prove a part
  * are held against them, so that entries whose clocks differ treat a part alike.
@@ -68,15 +69,27 @@
   quarantined: ReadonlySet<string>,
   threshold = PART_THRESHOLD,
 ): Set<string> {
-  const proven = new Map<string, SuspectedPart>();
+  const proven: SuspectedPart[] = [];
   for (const part of [...parts].sort(byFrequency)) {
-    const crashes = unexplainedCrashes(part, proven.values());
+    const crashes = unexplainedCrashes(part, proven);
     const isProven = quarantined.has(part.key)
       ? crashes.length >= threshold.narrowCrashes
       : reachesThreshold({ ...part, crashes }, threshold);
-    if (isProven) proven.set(part.key, part);
+    if (isProven) proven.push(part);
   }
-  return new Set(proven.keys());
+  const culprits = proven.filter(
+    (part) => !proven.some((other) => covers(other, part)),
+  );
+  return new Set(culprits.map(({ key }) => key));
+}
+
+/** Whether a part was at all crashes of another one that is as rare, and more. */
+function covers(other: SuspectedPart, part: SuspectedPart): boolean {
+  if (other.crashes.length <= part.crashes.length) return false;
+  if (other.frequency > part.frequency * EXPLAINED_FREQUENCY_RATIO)
+    return false;
+  const lives = new Set(other.crashes.map(({ life }) => life));
+  return part.crashes.every(({ life }) => lives.has(life));
 }
 
 function byFrequency(left: SuspectedPart, right: SuspectedPart): number {
@@ -85,7 +98,7 @@
 
 function unexplainedCrashes(
   { frequency, crashes }: SuspectedPart,
-  proven: Iterable<SuspectedPart>,
+  proven: SuspectedPart[],
 ): PartCrash[] {
   const explained = new Set<string>();
   for (const other of proven) {
