fix(forwarding): an answer that ends with its connection is complete only if its runner lives

A process that crashes ends its connections in order, so that a body without length and chunks that was cut off between two events passed for a whole one, to the caller and as proof that the request is sound. Before such a body is passed on as complete, the runner's address is looked at; if nothing listens there and the runner was not leaving, the answer is broken off, resumed where it may be, and the crash is recorded. Answers with a length or chunks cost nothing more.

--- /dev/null
+++ b/packages/daemon/src/forwarding/answer_end_test.ts
@@ -0,0 +1,88 @@
+import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
+import * as traffic from "@geraniumkeel/traffic";
+import * as callerRequest from "./caller_request.ts";
+import * as forwardingFixture from "./forwarding_fixture.ts";
+
+const test = ava.default;
+
+const { eventText, until } = forwardingFixture;
+
+/** Sends a request whose first answer ends with its connection after one event. */
+async function sendUnframed(
+  setup: forwardingFixture.EntrySetup,
+): Promise<[forwardingFixture.SteppedEntry, forwardingFixture.SentRequest]> {
+  const entry = new forwardingFixture.SteppedEntry(setup);
+  const request = entry.send("q", { promptParts: ["p"] });
+  await until(() => request.calls.length === 1);
+  request.calls[0].begin({ endsWithConnection: true });
+  request.calls[0].send(eventText(1));
+  request.calls[0].end();
+  return [entry, request];
+}
+
+// Guards against half an answer that passes for a whole one: the process of a runner
+// that crashes between two events ends its connections as one that is done.
+test("a stream that ends with its connection as its runner crashes is resumed", async (t) => {
+  const [entry, request] = await sendUnframed({
+    presence: common.Presence.Refused,
+  });
+  await until(() => request.calls.length === 2);
+  t.is(request.calls[1].call.resumeAfter, "1");
+  request.calls[1].begin();
+  request.calls[1].send(eventText(2));
+  request.calls[1].end();
+  await request.finished;
+  t.is(request.text, eventText(1) + eventText(2));
+  t.is(request.ended, "whole");
+  t.is(entry.crashes.length, 1);
+});
+
+test("a stream that ends with its connection at a sound runner is complete", async (t) => {
+  for (const presence of [common.Presence.Listening, common.Presence.Silent]) {
+    const [entry, request] = await sendUnframed({ presence });
+    await request.finished;
+    t.is(request.ended, "whole");
+    t.is(request.calls.length, 1);
+    t.deepEqual(entry.probes, [request.calls[0].runner]);
+  }
+});
+
+// Guards against a whole answer that is refused since its runner, which leaves as
+// planned, is gone right after it.
+test("the end of an answer is not doubted once its runner leaves", async (t) => {
+  const entry = new forwardingFixture.SteppedEntry({
+    presence: common.Presence.Refused,
+  });
+  const request = entry.send("q");
+  await until(() => request.calls.length === 1);
+  request.calls[0].begin({ endsWithConnection: true, leaving: true });
+  request.calls[0].send(eventText(1));
+  request.calls[0].end();
+  await request.finished;
+  t.is(request.ended, "whole");
+  t.deepEqual(entry.probes, []);
+});
+
+test("an answer with a length needs no look at its runner", async (t) => {
+  const entry = new forwardingFixture.SteppedEntry({});
+  const request = entry.send("q");
+  await until(() => request.calls.length === 1);
+  request.calls[0].begin();
+  request.calls[0].end();
+  await request.finished;
+  t.deepEqual(entry.probes, []);
+});
+
+test("a whole answer that ends as its runner crashes is not passed on", async (t) => {
+  const [, request] = await sendUnframed({
+    presence: common.Presence.Refused,
+    route: {
+      answerForm: traffic.AnswerForm.Whole,
+      repeatability: traffic.Repeatability.AtMostOnce,
+    },
+  });
+  await request.finished;
+  t.is(request.ended, "refused");
+  t.is(request.refusal?.kind, callerRequest.RefusalKind.MayHaveRun);
+});
--- a/packages/daemon/src/forwarding/answer_relay.ts
+++ b/packages/daemon/src/forwarding/answer_relay.ts
@@ -43,6 +43,11 @@
    * slow; the returned function is called when it was written.
    */
   pause: () => () => void;
+  /**
+   * Called when a body came to its end, before it is passed on as complete;
+   * resolves to why it is not complete after all, if so.
+   */
+  confirmEnd: () => Promise<string | undefined>;
 }
 
 /** Why an attempt relays nothing more after another one got on. */
@@ -110,6 +115,10 @@
     attempt: RelayedAttempt,
   ): Promise<neverthrow.Result<void, string>> {
     const completeBody = await readCompleteBody(answer.body, attempt.onPiece);
+    const problem = completeBody.isOk()
+      ? await attempt.confirmEnd()
+      : undefined;
+    if (problem !== undefined) return neverthrow.err(problem);
     if (completeBody.isOk() && attempt.superseded.aborted)
       return neverthrow.err(SUPERSEDED);
     if (completeBody.isOk()) attempt.onGotOn();
@@ -138,6 +147,8 @@
       throw cause;
     }
     if (splitter.pendingBytes > 0) return neverthrow.err("event not ended");
+    const problem = await attempt.confirmEnd();
+    if (problem !== undefined) return neverthrow.err(problem);
     if (attempt.superseded.aborted) return neverthrow.err(SUPERSEDED);
     attempt.onGotOn();
     if (!this.#begun) sink.begin(answer.head);
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -236,6 +236,7 @@
       signed: options.signed ?? true,
       rateLimit: undefined,
       retryAfter: undefined,
+      endsWithConnection: false,
       leaving: false,
       body: body(),
     });
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -83,6 +83,7 @@
         signed: true,
         rateLimit: undefined,
         retryAfter: undefined,
+        endsWithConnection: false,
         leaving: false,
         body: this.#body(),
         ...change,
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -29,6 +29,9 @@
  */
 const MIN_WRITING_MILLISECONDS = 100;
 
+/** Longest time that a complete body waits for a look at its runner. */
+const MAX_PRESENCE_WAIT_MILLISECONDS = 60;
+
 /** What an attempt at a runner needs. */
 export interface RunnerAttemptParameters {
   runner: traffic.RunnerEntry;
@@ -248,6 +251,11 @@
         );
         if (completeBody.isErr())
           return { kind: attemptOutcome.AttemptOutcomeKind.Unknown, reason };
+        const problem = await this.#confirmEnd(answer);
+        if (problem !== undefined) {
+          const kind = attemptOutcome.AttemptOutcomeKind.Unknown;
+          return { kind, reason: problem };
+        }
         const failure = { head, body: completeBody.value };
         return {
           kind: attemptOutcome.AttemptOutcomeKind.Failed,
@@ -269,6 +277,25 @@
     }
   }
 
+  /**
+   * Tells why a body that came to its end is not complete. The process of a
+   * runner that crashes ends its connections in order, so a body that ends with
+   * its connection may be cut off: then nothing listens at the runner any more.
+   */
+  async #confirmEnd({
+    endsWithConnection,
+  }: runnerClientModule.RunnerAnswer): Promise<string | undefined> {
+    const { runner, runnerClient, tracker } = this.parameters;
+    if (!endsWithConnection || !tracker.inUse(runner)) return undefined;
+    const presence = await common.withTimeout(
+      runnerClient.presenceOf(runner),
+      MAX_PRESENCE_WAIT_MILLISECONDS,
+    );
+    return presence === common.Presence.Refused
+      ? "runner crashed at the end of its answer"
+      : undefined;
+  }
+
   /**
    * Notes that an event arrived, and that the caller takes nothing until the
    * returned function is called.
@@ -328,6 +355,7 @@
       onGotOn,
       onPiece: () => this.noteContent(),
       pause: () => this.#pause(),
+      confirmEnd: () => this.#confirmEnd(answer),
     });
     if (relayed.isOk()) {
       this.#timer?.noteWhole();
--- a/packages/daemon/src/forwarding/runner_client.ts
+++ b/packages/daemon/src/forwarding/runner_client.ts
@@ -65,6 +65,11 @@
   leaving: boolean;
   /** Value of the `Retry-After` header; `undefined` without one. */
   retryAfter: string | undefined;
+  /**
+   * Whether nothing but the end of the connection tells where the body ends. A
+   * runner that crashes may end it in the same way as one that is done.
+   */
+  endsWithConnection: boolean;
   /**
    * The body as it arrives. Throws a `TruncatedBody` if the connection ends
    * before the body does.
--- a/packages/stand_ins/src/gateways/lock_step_run.ts
+++ b/packages/stand_ins/src/gateways/lock_step_run.ts
@@ -89,6 +89,7 @@
     signed: verdict === daemon.Verdict.Ran,
     rateLimit: undefined,
     retryAfter: undefined,
+    endsWithConnection: false,
     leaving: false,
     body,
   };
--- a/packages/stand_ins/src/gateways/pool_runner.ts
+++ b/packages/stand_ins/src/gateways/pool_runner.ts
@@ -147,6 +147,7 @@
     signed: true,
     rateLimit,
     retryAfter: undefined,
+    endsWithConnection: false,
     leaving,
     body: eventsOf(ending, Number(resumeAfter)),
   });
@@ -178,6 +179,7 @@
     signed: false,
     rateLimit: undefined,
     retryAfter,
+    endsWithConnection: false,
     leaving: false,
     body: (async function* () {})(),
   };
--- a/packages/stand_ins/src/gateways/runner_list.ts
+++ b/packages/stand_ins/src/gateways/runner_list.ts
@@ -60,6 +60,7 @@
     signed: false,
     rateLimit: undefined,
     retryAfter: undefined,
+    endsWithConnection: false,
     leaving: false,
     body: (async function* () {})(),
   };
