feat(quarantine): a common part is tried after five seconds; the model gets parts

Its first trial now starts after 5 s; one that fails delays the next as before. A trial that fails after a proof by two crashes counts as one.

--- a/packages/daemon/src/quarantine/part_proof.ts
+++ b/packages/daemon/src/quarantine/part_proof.ts
@@ -125,12 +125,17 @@
   );
 }
 
+/** Whether a part with this frequency is common. */
+export function isCommon(frequency: number): boolean {
+  return frequency >= COMMON_FREQUENCY;
+}
+
 function crashesNeeded(
   frequency: number,
   crashes: PartCrash[],
   threshold: PartThreshold,
 ): number {
-  if (frequency >= COMMON_FREQUENCY) return threshold.crashesOfCommon;
+  if (isCommon(frequency)) return threshold.crashesOfCommon;
   const narrow = crashes.filter(({ isNarrow }) => isNarrow);
   return narrow.length >= threshold.narrowCrashes
     ? threshold.narrowCrashes
--- a/packages/daemon/src/quarantine/quarantine.ts
+++ b/packages/daemon/src/quarantine/quarantine.ts
@@ -347,6 +347,7 @@
     return trialStatus.trialStatusOf({
       crashes: this.#ledger.crashesUnder(fingerprint),
       provedAt: this.#ledger.provedAt(fingerprint),
+      isCommon: this.#ledger.isCommonPart(fingerprint),
       versionsInUse: this.parameters.versionsOf(
         this.#ledger.serviceOf(fingerprint),
       ),
--- a/packages/daemon/src/quarantine/suspect_ledger.ts
+++ b/packages/daemon/src/quarantine/suspect_ledger.ts
@@ -135,6 +135,14 @@
     return this.#provedAt.get(fingerprint) ?? -Infinity;
   }
 
+  /** Whether a key is that of a part which many requests carry. */
+  isCommonPart(key: string): boolean {
+    return (
+      partKey.isPartKey(key) &&
+      partProof.isCommon(this.#suspectOf(key).frequency)
+    );
+  }
+
   /** Whether the ledger has no suspicion of any request. */
   get isEmpty(): boolean {
     return this.#crashesByFingerprint.size === 0;
@@ -428,11 +436,7 @@
    */
   #quarantine(fingerprint: string, change: LedgerChange): void {
     this.#quarantined.add(fingerprint);
-    // Later crashes may be those of trials, if another entry told of it.
-    const crashes = this.crashesUnder(fingerprint);
-    const proving = crashes.slice(0, crashCounts.QUARANTINE_THRESHOLD.crashes);
-    const provedAt = proving.at(-1)?.endedAt ?? -Infinity;
-    this.#provedAt.set(fingerprint, provedAt);
+    this.#provedAt.set(fingerprint, this.#timeOfProof(fingerprint));
     const evicted = this.#requestToEvict();
     if (evicted !== undefined) this.#release(evicted);
     if (evicted === fingerprint) return;
@@ -440,6 +444,19 @@
     if (evicted !== undefined) change.released.push(evicted);
   }
 
+  /**
+   * Time of the crash that completes the proof against a request or part. All
+   * crashes may be known at once, from another entry or a row; those that come
+   * after the proof are of trials.
+   */
+  #timeOfProof(fingerprint: string): number {
+    const needed = this.isCommonPart(fingerprint)
+      ? partProof.PART_THRESHOLD.crashesOfCommon
+      : crashCounts.QUARANTINE_THRESHOLD.crashes;
+    const proving = this.crashesUnder(fingerprint).slice(0, needed);
+    return proving.at(-1)?.endedAt ?? -Infinity;
+  }
+
   #release(fingerprint: string): void {
     this.#quarantined.delete(fingerprint);
     this.#provedAt.delete(fingerprint);
--- a/packages/daemon/src/quarantine/trial_status.ts
+++ b/packages/daemon/src/quarantine/trial_status.ts
@@ -6,6 +6,11 @@
  * time; one that crashes its runners crashes a fourth.
  */
 const FIRST_QUARANTINE_MILLISECONDS = 30_000;
+/**
+ * The same time for a prompt part that many requests carry: if it is sound, all
+ * of them are refused for it.
+ */
+const FIRST_QUARANTINE_OF_COMMON_MILLISECONDS = 5_000;
 /**
  * Shortest time from the last crash until the next trial once a trial has
  * failed: two hours.
@@ -41,6 +46,8 @@
   crashes: suspectLedger.CrashUnderRequest[];
   /** Time of the crash that put the request in quarantine. */
   provedAt: number;
+  /** Whether it is a prompt part that many requests carry. */
+  isCommon: boolean;
   /**
    * Versions of the runners that the service has now; empty if it has no
    * runners or if the entry does not know their versions. A runner that does
@@ -50,30 +57,37 @@
   /** Current time in milliseconds, by the clock of `crashes`. */
   now: number;
 }): TrialStatus {
-  const { crashes, provedAt, versionsInUse, now } = parameters;
+  const { crashes, versionsInUse, now } = parameters;
   if (areVersionsReplaced(crashes, versionsInUse)) return { kind: "on-trial" };
   const lastCrashAt = crashes.at(-1)?.endedAt ?? now;
   const millisecondsLeft =
-    lastCrashAt + quarantineMillisecondsOf(crashes, provedAt) - now;
+    lastCrashAt + quarantineMillisecondsOf(parameters) - now;
   if (millisecondsLeft <= 0) return { kind: "on-trial" };
   return { kind: "held", millisecondsLeft };
 }
 
 /**
- * Time from the last crash to the next trial. A crash at least
- * `FIRST_QUARANTINE_MILLISECONDS` after the one that put the request in
- * quarantine counts as a failed trial.
+ * Time from the last crash to the next trial. A crash that comes later after the
+ * one that put the request in quarantine than the first trial may start counts
+ * as a failed trial.
  */
-function quarantineMillisecondsOf(
-  crashes: suspectLedger.CrashUnderRequest[],
-  provedAt: number,
-): number {
+function quarantineMillisecondsOf({
+  crashes,
+  provedAt,
+  isCommon,
+}: {
+  crashes: suspectLedger.CrashUnderRequest[];
+  provedAt: number;
+  isCommon: boolean;
+}): number {
+  const firstQuarantine = isCommon
+    ? FIRST_QUARANTINE_OF_COMMON_MILLISECONDS
+    : FIRST_QUARANTINE_MILLISECONDS;
   const [firstCrash] = crashes;
   const lastCrash = crashes.at(-1);
-  if (!lastCrash) return FIRST_QUARANTINE_MILLISECONDS;
-  const trialFailed =
-    lastCrash.endedAt - provedAt >= FIRST_QUARANTINE_MILLISECONDS;
-  if (!trialFailed) return FIRST_QUARANTINE_MILLISECONDS;
+  if (!lastCrash) return firstQuarantine;
+  const trialFailed = lastCrash.endedAt - provedAt >= firstQuarantine;
+  if (!trialFailed) return firstQuarantine;
   const span = lastCrash.endedAt - firstCrash.endedAt;
   return Math.max(
     MIN_LATER_QUARANTINE_MILLISECONDS,
--- a/packages/daemon/src/quarantine/trial_status_test.ts
+++ b/packages/daemon/src/quarantine/trial_status_test.ts
@@ -29,6 +29,7 @@
   return trialStatus.trialStatusOf({
     crashes: crashesAt(times, version),
     provedAt: times[2],
+    isCommon: false,
     versionsInUse,
     now,
   }).kind;
@@ -70,3 +71,32 @@
   t.is(statusAt(5_000, times, []), "held");
   t.is(statusAt(5_000, times, [""], ""), "held");
 });
+
+// Guards against most requests being refused for long for a sound part: it may have
+// been at crashes in turn while hardly any request was answered.
+test("a common part is tried soon, and once", (t) => {
+  const statusOf = (now: number, times: number[]) =>
+    trialStatus.trialStatusOf({
+      crashes: crashesAt(times),
+      provedAt: 4_000,
+      isCommon: true,
+      versionsInUse: new Set(["1"]),
+      now,
+    }).kind;
+  const times = [0, 1_000, 2_000, 3_000, 4_000];
+  t.is(statusOf(8_999, times), "held");
+  t.is(statusOf(9_000, times), "on-trial");
+  t.is(statusOf(HOUR, [...times, 9_100]), "held");
+});
+
+// A part may be in quarantine after two crashes. The third is that of its trial.
+test("a trial that failed after two crashes delays the next one", (t) => {
+  const status = trialStatus.trialStatusOf({
+    crashes: crashesAt([0, 1_000, 31_100]),
+    provedAt: 1_000,
+    isCommon: false,
+    versionsInUse: new Set(["1"]),
+    now: HOUR,
+  });
+  t.is(status.kind, "held");
+});
--- a/packages/stand_ins/src/measure/measure_quarantine.ts
+++ b/packages/stand_ins/src/measure/measure_quarantine.ts
@@ -1,14 +1,13 @@
-import type * as common from "@geraniumkeel/common";
 import type * as crashCounts from "@geraniumkeel/daemon/quarantine/crash_counts";
 import * as quarantineCost from "./quarantine_world/quarantine_cost.ts";
+import * as measureParts from "./quarantine_world/measure_parts.ts";
+import * as unrelatedEnds from "./quarantine_world/unrelated_ends.ts";
 import * as world from "./quarantine_world/world.ts";
 import * as statistics from "./statistics.ts";
 
 const SEEDS = 40;
-const DURATION = 60_000;
 const REQUESTS_PER_SECOND = 40;
 const POPULAR_SHARE = 0.3;
-const RUNNERS = 16;
 
 /** Rules of evidence that are compared. */
 const PROOFS: crashCounts.CrashCounts[] = [
@@ -21,29 +20,6 @@
   { crashes: 4, sequential: 4 },
 ];
 
-type OtherEnds = world.WorldShape["otherEnds"];
-
-function every(pause: number, runners: number): OtherEnds {
-  return (random: common.Random) => {
-    const ends: { at: number; runners: number }[] = [];
-    for (let at = random.between(0, pause); at < DURATION; at += pause) {
-      ends.push({ at, runners });
-    }
-    return ends;
-  };
-}
-
-const NO_ENDS: OtherEnds = () => [];
-
-/** Ends that have nothing to do with any request. */
-const UNRELATED: Record<string, OtherEnds> = {
-  "one each 10 s": every(10_000, 1),
-  "one each second": every(1_000, 1),
-  "three at once each 5 s": every(5_000, 3),
-  "half at once each 6 s": every(6_000, RUNNERS / 2),
-  "all at once each 6 s": every(6_000, RUNNERS),
-};
-
 /** How the ending request comes. */
 const ENDINGS: Record<string, { copies: number; pause: number }> = {
   "one each 4.4 s": { copies: 1, pause: 4_400 },
@@ -52,11 +28,7 @@
   "one each 0.2 s": { copies: 1, pause: 200 },
 };
 
-const GROUPINGS: Record<string, { groups: number; ranks: number }> = {
-  "on their own": { groups: RUNNERS, ranks: 1 },
-  "two groups": { groups: 2, ranks: RUNNERS / 2 },
-  "one group": { groups: 1, ranks: RUNNERS },
-};
+const { DURATION, NO_ENDS, UNRELATED, GROUPINGS } = unrelatedEnds;
 
 async function playAll(
   change: Omit<world.WorldShape, "seed" | "duration" | "requestsPerSecond">,
@@ -142,6 +114,7 @@
       endings: await judgeEndings(proof),
     };
   }
+  const parts = await measureParts.measureParts();
   const cost = quarantineCost.measureCost();
-  return { seeds: SEEDS, seconds: DURATION / 1_000, rules, cost };
+  return { seeds: SEEDS, seconds: DURATION / 1_000, rules, parts, cost };
 }
