--- a/packages/daemon/src/forwarding/attempt_outcome.ts
+++ b/packages/daemon/src/forwarding/attempt_outcome.ts
@@ -25,7 +25,7 @@
   Superseded = "superseded",
   /** The caller disconnected. */
   CallerDisconnected = "left",
-  /** The request is quarantined, so no runner gets it. */
+  /** The request, or a part of its prompt, is quarantined: no runner gets it. */
   Quarantined = "quarantined",
   /** This process stops before the request could be answered. */
   Stopped = "stopped",
@@ -60,10 +60,11 @@
   reason: "runners are at their rate limits",
 };
 
-/** Outcome of an attempt whose request was quarantined. */
+/** Outcome of an attempt whose request, or a part of its prompt, is quarantined. */
 export const QUARANTINED: AttemptOutcome = {
   kind: AttemptOutcomeKind.Quarantined,
-  reason: "in quarantine: runners ended while they ran this request",
+  reason:
+    "in quarantine: runners ended while they ran this request, or others with a part of its prompt",
 };
 
 /** Outcome of a request whose caller does not wait for the answer. */
--- a/packages/stand_ins/src/gateways/lock_step_pool.ts
+++ b/packages/stand_ins/src/gateways/lock_step_pool.ts
@@ -46,6 +46,8 @@
   readonly ranks: lockStepRank.LockStepRank[];
   readonly arrivals: LockStepArrival[] = [];
   readonly crashes: LockStepCrash[] = [];
+  /** Identifiers of the requests that began to run, once for each run. */
+  readonly begun: string[] = [];
   /** Parts that crash each rank which begins to write an answer on them. */
   readonly crashingParts = new Set<string>();
   /** Bodies that do the same. */
@@ -65,6 +67,7 @@
           isCrashing: ({ request }) =>
             this.crashingBodies.has(request.body.toString()) ||
             request.promptParts.some((part) => this.crashingParts.has(part)),
+          onBegin: ({ call }) => this.begun.push(call.request.identifier),
           onCrash: (rank, run) =>
             this.crash(rank, run.call.request.promptParts),
         }),
--- a/packages/stand_ins/src/gateways/lock_step_rank.ts
+++ b/packages/stand_ins/src/gateways/lock_step_rank.ts
@@ -21,6 +21,8 @@
   random: common.Random;
   /** Whether a request crashes the rank that begins to write its answer. */
   isCrashing: (call: daemon.RunnerCall) => boolean;
+  /** Called when a request begins to run. */
+  onBegin: (run: lockStepRun.LockStepRun) => void;
   /** Called when a request crashes the rank. */
   onCrash: (rank: LockStepRank, run: lockStepRun.LockStepRun) => void;
 }
@@ -109,6 +111,7 @@
     const time = random.between(pace.read.least, pace.read.most);
     this.#after(time, run, () => {
       run.begin();
+      this.parameters.onBegin(run);
       this.#after(pace.first, run, () => this.#write(run));
     });
   }
--- a/packages/stand_ins/src/gateways/part_scene.ts
+++ b/packages/stand_ins/src/gateways/part_scene.ts
@@ -124,3 +124,61 @@
     sent.filter(({ seen }) => seen.status === "whole").length / sent.length
   );
 }
+
+/** Callers whose requests are sound, each with a shared part. */
+export const SOUND_LOAD: PartLoad = {
+  requestsPerSecond: 40,
+  partsOf: (_, random) => [sharedPart(random)],
+  retries: 0,
+  seed: 1,
+};
+
+/** Callers whose requests carry these parts besides a shared one. */
+export function crashingLoad(
+  parts: string[] = [BAD_PART],
+  change: Partial<PartLoad> = {},
+): PartLoad {
+  return {
+    requestsPerSecond: 3,
+    partsOf: (_, random) => [sharedPart(random), ...parts],
+    retries: 1,
+    seed: 2,
+    ...change,
+  };
+}
+
+/** Parts that any entry has in quarantine. */
+export function quarantinedParts(scene: PartScene): Set<string> {
+  const cases = scene.running.flatMap(({ gateway }) =>
+    gateway.quarantine.cases(),
+  );
+  return new Set(cases.flatMap(({ part }) => part ?? []));
+}
+
+/** Whether each entry has a part in quarantine. */
+export function isQuarantinedEverywhere(
+  scene: PartScene,
+  part = BAD_PART,
+): boolean {
+  return scene.running.every(({ gateway }) =>
+    gateway.quarantine.cases().some((one) => one.part === part),
+  );
+}
+
+/** Requests that were refused for a part in quarantine. */
+export function refusedForParts(sent: SentPart[]): SentPart[] {
+  return sent.filter(({ seen }) => seen.refusal?.reason.includes("quarantine"));
+}
+
+/** Sends requests until each entry has the part in quarantine. */
+export async function provoke(
+  t: ava.ExecutionContext,
+  scene: PartScene,
+): Promise<void> {
+  scene.pool.crashingParts.add(BAD_PART);
+  const stopSound = sendParts(t, scene, SOUND_LOAD);
+  const stopCrashing = sendParts(t, scene, crashingLoad());
+  await gateways.until(() => isQuarantinedEverywhere(scene));
+  await stopCrashing();
+  await stopSound();
+}
