--- a/packages/stand_ins/src/measure/quarantine_world/quarantine_cost.ts
+++ b/packages/stand_ins/src/measure/quarantine_world/quarantine_cost.ts
@@ -9,6 +9,8 @@
 const REQUESTS = 200_000;
 const HASHES = 20_000;
 const BODY_BYTES = [4_096, 65_536];
+/** Parts of a prompt, as many as an ordinary request has and as may be. */
+const PARTS = [4, 100];
 const SUSPECTS_OF_AN_END = 8;
 const ENDS = 2_500;
 const MICROSECONDS = 1_000;
@@ -74,19 +76,20 @@
 /** What the quarantine takes of an entry's time, memory and links. */
 export function measureCost(): object {
   const body = Buffer.alloc(BODY_BYTES[0], "x");
-  const pass = (entry: quarantine.Quarantine) => () => {
+  const pass = (entry: quarantine.Quarantine, parts: string[]) => () => {
     const name = new fingerprint.LazyFingerprint(identityOf(body));
     const request = {
       service: "model",
       get fingerprint() {
         return name.value;
       },
-      promptParts: [],
+      promptParts: parts,
       stop: () => {},
     };
     const unwatch = entry.watch(request);
     entry.admit(request);
     entry.answered(request, "1");
+    entry.wrote(request, "1", 0);
     unwatch();
   };
   const calm = createQuarantine();
@@ -95,8 +98,13 @@
     holding.entry.recordCrash(endOf(number, [nameOf("held")]));
   }
   const requestMicroseconds = {
-    calm: timeOf(REQUESTS, pass(calm.entry)),
-    whileOneIsHeld: timeOf(HASHES, pass(holding.entry)),
+    calm: timeOf(REQUESTS, pass(calm.entry, [])),
+    whileOneIsHeld: timeOf(HASHES, pass(holding.entry, [])),
+    withParts: PARTS.map((count) => ({
+      parts: count,
+      calm: timeOf(REQUESTS, pass(calm.entry, partsOf(count))),
+      whileOneIsHeld: timeOf(HASHES, pass(holding.entry, partsOf(count))),
+    })),
   };
   const fingerprintMicroseconds = BODY_BYTES.map((bytes) => ({
     bytes,
@@ -108,9 +116,40 @@
     requestMicroseconds,
     fingerprintMicroseconds,
     ...measureLedger(),
+    partBytes: measurePartBytes(),
   };
 }
 
+function partsOf(count: number): string[] {
+  return Array.from({ length: count }, (_, part) => `part-${part}`);
+}
+
+/** Bytes of a remembered suspicion of a part, with the request that carried it. */
+function measurePartBytes(): number {
+  const { entry, told } = createQuarantine();
+  entry.recordCrash(endOf(0, ["f"]));
+  const before = usedHeap.usedHeap();
+  for (let number = 1; number <= ENDS; number++) {
+    const suspicions = partsOf(SUSPECTS_OF_AN_END).map((part) => {
+      const request = nameOf(`${number} ${part}`).slice(0, 8);
+      return {
+        fingerprint: `part:model:${number}-${part}`,
+        startedAge: 100,
+        cleared: false,
+        part: {
+          requests: [request],
+          begun: [request],
+          frequency: { count: 1, of: 64 },
+        },
+      };
+    });
+    const ends = [{ ...told[0].ends[0], life: `runner-${number}`, suspicions }];
+    entry.receive({ ...told[0], ends }, "entry-2");
+  }
+  const bytes = usedHeap.usedHeap() - before;
+  return Math.round(bytes / (ENDS * SUSPECTS_OF_AN_END));
+}
+
 /** Memory and bytes when each request of a long time is under suspicion. */
 function measureLedger(): object {
   const { entry, told } = createQuarantine();
