--- a/packages/cli/src/commands/quarantine.ts
+++ b/packages/cli/src/commands/quarantine.ts
@@ -17,7 +17,7 @@
 export function quarantineCommand(): commander.Command {
   return new commander.Command("quarantine")
     .description(
-      "requests that are sent to no runner, as runners ended under them",
+      "requests, and parts of prompts, that are sent to no runner, as runners ended under them",
     )
     .addCommand(listCommand())
     .addCommand(liftCommand());
@@ -26,7 +26,7 @@
 function listCommand(): commander.Command {
   return new commander.Command("list")
     .description(
-      "requests in quarantine, the runners that ended and who saw it",
+      "requests and parts of prompts in quarantine, the runners that ended and who saw it",
     )
     .action(
       options.withSession(async (session) => {
@@ -40,8 +40,13 @@
 
 function liftCommand(): commander.Command {
   return new commander.Command("lift")
-    .description("let a request be sent to runners again, at all entries")
-    .argument("<fingerprint>", "as listed, and as logged with the request")
+    .description(
+      "let a request, or requests with a part, be sent to runners again, at all entries",
+    )
+    .argument(
+      "<fingerprint>",
+      "of the request, or key of the part, as listed and as logged",
+    )
     .action(
       options.withSession(async (session, fingerprint: string) => {
         const path = `${PATH}/${encodeURIComponent(fingerprint)}`;
--- a/packages/cli/src/explain_request.ts
+++ b/packages/cli/src/explain_request.ts
@@ -123,6 +123,9 @@
   }
 }
 
+/** How the key of a prompt part begins; a request's is its fingerprint. */
+const PART_KEY_PREFIX = "part:";
+
 /** Since when, for which runners' ends and seen by whom a request is held. */
 function quarantineCause(line: LogLine, lines: LogLine[]): string {
   const { fingerprint } = line;
@@ -136,7 +139,10 @@
   const ends = (held.ends as { runner: string; seenBy: string[] }[])
     .map(({ runner, seenBy }) => `${runner} (seen by ${seenBy.join(", ")})`)
     .join(", ");
-  return `${subject} since ${held.time}: these runners ended while they ran it: ${ends}.`;
+  const ran = text(fingerprint).startsWith(PART_KEY_PREFIX)
+    ? "requests with this part of a prompt"
+    : "it";
+  return `${subject} since ${held.time}: these runners ended while they ran ${ran}: ${ends}.`;
 }
 
 function refusalCause(line: LogLine, lines: LogLine[]): string {
--- a/packages/cli/src/explain_request_test.ts
+++ b/packages/cli/src/explain_request_test.ts
@@ -52,6 +52,19 @@
   t.regex(causeOf({ msg: "Forwarded", request: "other" }), /No process/);
 });
 
+// Guards against a search for one request where many different ones are refused.
+test("a request with a part in quarantine names the part", (t) => {
+  const time = "2026-01-01T00:00:00Z";
+  const ends = [{ runner: "i-1", version: "1", seenBy: ["entry-1"] }];
+  const fingerprint = "part:s:5c1e07a2";
+  const cause = causeOf(
+    { msg: "RequestQuarantined", fingerprint, time, ends },
+    { msg: "Forwarded", request: "q", end: "quarantined", fingerprint },
+  );
+  t.regex(cause, /part:s:5c1e07a2 since .* while they ran requests with this/);
+  t.regex(cause, /i-1 \(seen by entry-1\)/);
+});
+
 test("a request in quarantine names the runners that ended, and who saw it", (t) => {
   const ends = [
     { runner: "i-1", version: "1", seenBy: ["entry-1"] },
