fix(engine): a plain service's body without a length that is reset is not complete

undici takes such a body for complete when its connection is reset, so that on the product's own data path half an answer passed for a whole one. Connections of a plain service are watched to their ends; a body that ends with its connection is broken off if any of them was reset meanwhile, and the upstream process looks whether the service still listens before it records such an answer as complete.

--- a/packages/daemon/src/upstream/run_attempt.ts
+++ b/packages/daemon/src/upstream/run_attempt.ts
@@ -132,6 +132,14 @@
     }
     return breakOff(record, lives, (cause as Error).message);
   }
+  // The process of a service that crashes ends its connections in order.
+  const endedLife = answer.value.endsWithConnection
+    ? await lives.endedUnder(record.startedAt)
+    : "";
+  if (endedLife !== "") {
+    const reason = "service crashed at the end of its answer";
+    return record.finish({ kind: wire.EndKind.Broken, reason, endedLife });
+  }
   record.finish({
     kind: wire.EndKind.Complete,
     finishReason: wire.FinishReason.Stop,
--- a/packages/engine/src/new_agent.ts
+++ b/packages/engine/src/new_agent.ts
@@ -1,3 +1,4 @@
+import type * as net from "node:net";
 import * as undici from "undici";
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
@@ -6,10 +7,20 @@
 export function newAgent(parameters: {
   progressTimeoutMilliseconds: number;
   connections: number;
+  /** Called with each connection that is made. */
+  onConnection?: (socket: net.Socket) => void;
 }): undici.Agent {
-  const { progressTimeoutMilliseconds, connections } = parameters;
+  const { progressTimeoutMilliseconds, connections, onConnection } = parameters;
+  const connect = undici.buildConnector({
+    timeout: CONNECT_TIMEOUT_MILLISECONDS,
+  });
   return new undici.Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+    connect: (options, callback) =>
+      connect(options, (...made) => {
+        const [, socket] = made;
+        if (socket) onConnection?.(socket);
+        callback(...made);
+      }),
     headersTimeout: progressTimeoutMilliseconds,
     bodyTimeout: progressTimeoutMilliseconds,
     connections,
--- a/packages/engine/src/plain_service.ts
+++ b/packages/engine/src/plain_service.ts
@@ -2,6 +2,7 @@
 import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
+import * as connectionEndings from "./connection_endings.ts";
 import * as newAgent from "./new_agent.ts";
 import * as httpFailure from "./http_failure.ts";
 import * as answerNotice from "./answer_notice.ts";
@@ -19,6 +20,12 @@
 export interface PlainAnswer {
   status: number;
   headers: [string, string][];
+  /**
+   * Whether nothing but the end of the connection tells where the body ends. A
+   * service that crashes may end it in the same way as one that is done.
+   */
+  endsWithConnection: boolean;
+  /** Throws if the connection ends before the body does. */
   body: AsyncIterable<Uint8Array>;
 }
 
@@ -29,6 +36,7 @@
   reason: string;
 }
 
+const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 /** Calls at once; each takes a connection. */
 const MOST_CONNECTIONS = 256;
 /** Hop-by-hop headers (RFC 9110, 7.6.1) and those the client sets itself. */
@@ -58,6 +66,7 @@
 /** Client of one plain service over HTTP. */
 export class HttpPlainService {
   readonly #agent: undici.Agent;
+  readonly #endings = new connectionEndings.ConnectionEndings();
 
   constructor(
     readonly origin: string,
@@ -68,7 +77,11 @@
     },
   ) {
     const connections = MOST_CONNECTIONS;
-    this.#agent = newAgent.newAgent({ ...parameters, connections });
+    this.#agent = newAgent.newAgent({
+      ...parameters,
+      connections,
+      onConnection: (socket) => this.#endings.watch(socket),
+    });
   }
 
   /** Calls the service once; never repeats by itself. */
@@ -77,6 +90,7 @@
     signal: AbortSignal,
   ): Promise<neverthrow.Result<PlainAnswer, PlainFailure>> {
     const sentAt = common.instant();
+    const resetsBefore = this.#endings.resets;
     try {
       const answer = await undici.request(`${this.origin}${call.path}`, {
         method: call.method,
@@ -90,10 +104,13 @@
         ([name, value]): [string, string][] =>
           [value ?? []].flat().map((one) => [name, one]),
       );
+      const endsWithConnection = !isFramed(call, answer);
+      const body = answer.body as AsyncIterable<Uint8Array>;
       return neverthrow.ok({
         status: answer.statusCode,
         headers: endToEndHeaders(headers),
-        body: answer.body as AsyncIterable<Uint8Array>,
+        endsWithConnection,
+        body: endsWithConnection ? this.#unreset(body, resetsBefore) : body,
       });
     } catch (cause) {
       const sent = !httpFailure.wasNotSent(cause);
@@ -102,12 +119,39 @@
     }
   }
 
+  /**
+   * Passes on a body that ends with its connection. Throws if any connection was
+   * reset meanwhile, as that may have been the body's own.
+   */
+  async *#unreset(
+    body: AsyncIterable<Uint8Array>,
+    resetsBefore: number,
+  ): AsyncGenerator<Uint8Array, void, void> {
+    yield* body;
+    await this.#endings.settled();
+    if (this.#endings.resets > resetsBefore)
+      throw new Error("connection reset");
+  }
+
   /** Closes all connections. */
   async close(): Promise<void> {
     await this.#agent.destroy();
   }
 }
 
+/** Whether the length of a body is known, so that a short one is seen. */
+function isFramed(
+  { method }: PlainCall,
+  { statusCode, headers }: undici.Dispatcher.ResponseData,
+): boolean {
+  return (
+    method === "HEAD" ||
+    STATUSES_WITHOUT_BODY.has(statusCode) ||
+    headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined
+  );
+}
+
 function bodyOf(body: PlainCall["body"]): Buffer | stream.Readable | undefined {
   if (!(body instanceof Uint8Array)) return stream.Readable.from(body);
   return body.byteLength > 0 ? Buffer.from(body) : undefined;
