refactor(common): one filter of hop-by-hop headers for both data paths

It stood in the engine package and in the adapter. Both now drop the headers that Connection names as well, which the engine's did not.

--- a/packages/daemon/src/entry/plain_handler.ts
+++ b/packages/daemon/src/entry/plain_handler.ts
@@ -137,7 +137,7 @@
     const name = raw[index].toLowerCase();
     if (!OWN_HEADERS.has(name)) headers.push([name, raw[index + 1]]);
   }
-  return engine.endToEndHeaders(headers);
+  return engine.forwardedHeaders(headers);
 }
 
 function toAccepted(parameters: {
--- a/packages/daemon/src/forwarding_mod.ts
+++ b/packages/daemon/src/forwarding_mod.ts
@@ -9,7 +9,6 @@
 export * from "./caller_connections/in_force.ts";
 export * from "./dispatch/retry_budget.ts";
 export * from "./forwarding/caller_request.ts";
-export * from "./forwarding/end_to_end_headers.ts";
 export * from "./forwarding/forwarder.ts";
 export * from "./forwarding/runner_tracker.ts";
 export * from "./forwarding/runner_client.ts";
--- a/packages/engine/src/plain_service.ts
+++ b/packages/engine/src/plain_service.ts
@@ -39,28 +39,16 @@
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 /** Calls at once; each takes a connection. */
 const MOST_CONNECTIONS = 256;
-/** Hop-by-hop headers (RFC 9110, 7.6.1) and those the client sets itself. */
-const DROPPED_HEADERS = new Set([
-  "connection",
-  "content-length",
-  "expect",
-  "host",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
+/** Headers that the client sets itself, in lower case. */
+const SET_BY_CLIENT = new Set(["content-length", "expect", "host"]);
 
-/** Headers that may be passed on to the next hop. */
-export function endToEndHeaders(
+/** Headers that are passed on to the next hop as they are. */
+export function forwardedHeaders(
   headers: Iterable<[string, string]>,
 ): [string, string][] {
-  return [...headers].filter(
-    ([name]) => !DROPPED_HEADERS.has(name.toLowerCase()),
-  );
+  return common
+    .endToEndHeaders(headers)
+    .filter(([name]) => !SET_BY_CLIENT.has(name.toLowerCase()));
 }
 
 /** Client of one plain service over HTTP. */
@@ -95,7 +83,7 @@
       const answer = await undici.request(`${this.origin}${call.path}`, {
         method: call.method,
         dispatcher: this.#agent,
-        headers: endToEndHeaders(call.headers).flat(),
+        headers: forwardedHeaders(call.headers).flat(),
         body: bodyOf(call.body),
         signal,
       });
@@ -108,7 +96,7 @@
       const body = answer.body as AsyncIterable<Uint8Array>;
       return neverthrow.ok({
         status: answer.statusCode,
-        headers: endToEndHeaders(headers),
+        headers: forwardedHeaders(headers),
         endsWithConnection,
         body: endsWithConnection ? this.#unreset(body, resetsBefore) : body,
       });
