--- a/packages/stand_ins/src/system/crashing_part_test.ts
+++ b/packages/stand_ins/src/system/crashing_part_test.ts
@@ -42,6 +42,12 @@
   t.true(late.length <= SENDS_ALLOWED, `${late.length} sends of ${part}`);
 }
 
+/** Number of rows of requests and parts in quarantine. */
+async function rowsOf(scene: partScene.PartScene): Promise<number> {
+  const rows = await scene.table.range(ROWS);
+  return rows._unsafeUnwrap().length;
+}
+
 /** Checks that sound requests are served once the last crash is over. */
 function checkServed(
   t: ava.ExecutionContext,
@@ -186,11 +192,7 @@
 test("a part stays in quarantine when all entries start anew", async (t) => {
   const scene = await partScene.startPartScene(t);
   await partScene.provoke(t, scene);
-  const rowsOf = async () => {
-    const rows = await scene.table.range(ROWS);
-    return rows._unsafeUnwrap().length;
-  };
-  while ((await rowsOf()) === 0) await common.sleep(10);
+  while ((await rowsOf(scene)) === 0) await common.sleep(10);
   const hosts = scene.running.map(({ gateway }) => gateway.host);
   for (const host of hosts) await scene.stopOne(host);
   for (const host of hosts) await scene.startOne(host);
@@ -203,6 +205,28 @@
   t.is(scene.pool.crashes.length, before);
 });
 
+// Guards against entries that take requests before they know what is in quarantine: all
+// start anew while requests with the part go on coming.
+test("entries that start send no request with a part that is in quarantine", async (t) => {
+  const scene = await partScene.startPartScene(t);
+  await partScene.provoke(t, scene);
+  while ((await rowsOf(scene)) === 0) await common.sleep(10);
+  const hosts = scene.running.map(({ gateway }) => gateway.host);
+  for (const host of hosts) await scene.stopOne(host);
+  const before = scene.pool.arrivals.length;
+  const started = Promise.all(hosts.map((host) => scene.startOne(host)));
+  let isStarted = false;
+  void started.then(() => (isStarted = true));
+  let sent = 0;
+  while (!isStarted) {
+    for (let entry = 0; entry < scene.running.length; entry++)
+      void scene.send(entry, `${sent++}`, { parts: [partScene.BAD_PART] });
+    await common.sleep(1);
+  }
+  t.true(sent > 0);
+  t.is(scene.pool.arrivals.length, before);
+});
+
 // Guards against a quarantine that nobody can end.
 test("a part that an operator lifts is sent to ranks again", async (t) => {
   const scene = await partScene.startPartScene(t);
