perf(quarantine): parts are counted once a crash, and an answer clears once

Counts are made once a crash; the quarantine is told of an attempt once as it writes and once at its end; crashes that are cleared build no reports. Identifiers of parts have letters, digits, _, . and - only, so that a key can be taken apart.

--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -123,6 +123,8 @@
   /** Attempts in the order in which they were made. */
   readonly #made: runnerAttempt.RunnerAttempt[] = [];
   readonly #crashChecks: crashChecks.CrashChecks;
+  /** Attempts of which the quarantine was told that their runners write. */
+  readonly #notedWriting = new Set<runnerAttempt.RunnerAttempt>();
   /**
    * Milliseconds from the request's arrival until the head of the first signed
    * successful answer arrived from a runner; -1 before that. Sent as the metric
@@ -462,6 +464,7 @@
   #noteWriting(attempt: runnerAttempt.RunnerAttempt): void {
     const { writingSince } = attempt;
     if (writingSince === undefined) return;
+    this.#notedWriting.add(attempt);
     const { version } = attempt.parameters.runner;
     this.parameters.quarantine.wrote(this, version, writingSince);
   }
@@ -526,7 +529,7 @@
     this.#noteFirstAnswer();
     this.#place.noteEvent();
     attempt.noteContent();
-    this.#noteWriting(attempt);
+    if (!this.#notedWriting.has(attempt)) this.#noteWriting(attempt);
     this.#hedged.noteGotOn(attempt);
     this.#crashChecks.noteGotOn(attempt);
   }
--- a/packages/daemon/src/quarantine/crash_suspicions.ts
+++ b/packages/daemon/src/quarantine/crash_suspicions.ts
@@ -14,16 +14,19 @@
  */
 export function suspicionsOf(
   { service, runs }: runnerCrash.RunnerCrash,
-  recent: recentParts.RecentParts,
+  recent: recentParts.PartCounts,
 ): suspectLedger.Suspicion[] {
   const parts = new Map<string, suspectLedger.Suspicion>();
   for (const run of runs) {
     if (!mayBeCulprit(run.progress)) continue;
     for (const part of run.promptParts) {
       const key = partKey.partKey(service, part);
+      const count = recent.counts.get(part) ?? 0;
+      const frequency = { count, of: recent.of };
+      const sighting = { ...namesOf(run), frequency };
       const known = parts.get(key);
-      if (known) addRun(known, run);
-      else parts.set(key, partSuspicion(key, part, service, run, recent));
+      if (known) addSighting(known, sighting, run.startedAt);
+      else parts.set(key, partSuspicion(key, sighting, run.startedAt));
     }
   }
   return [...runs.map(requestSuspicion), ...parts.values()];
@@ -49,32 +52,20 @@
 
 function partSuspicion(
   key: string,
-  part: string,
-  service: string,
-  run: runnerCrash.InterruptedRun,
-  recent: recentParts.RecentParts,
+  part: partSighting.PartSighting,
+  startedAt: number,
 ): suspectLedger.Suspicion {
-  const frequency = recent.frequencyOf(service, part);
-  return {
-    fingerprint: key,
-    startedAt: run.startedAt,
-    cleared: false,
-    part: { ...namesOf(run), frequency },
-  };
+  return { fingerprint: key, startedAt, cleared: false, part };
 }
 
-function addRun(
+function addSighting(
   suspicion: suspectLedger.Suspicion,
-  run: runnerCrash.InterruptedRun,
+  sighting: partSighting.PartSighting,
+  startedAt: number,
 ): void {
-  const { part } = suspicion;
-  if (!part) return;
-  suspicion.startedAt = Math.max(suspicion.startedAt, run.startedAt);
-  const { frequency } = part;
-  suspicion.part = partSighting.joinSightings(part, {
-    ...namesOf(run),
-    frequency,
-  });
+  if (!suspicion.part) return;
+  suspicion.startedAt = Math.max(suspicion.startedAt, startedAt);
+  suspicion.part = partSighting.joinSightings(suspicion.part, sighting);
 }
 
 function namesOf({
--- a/packages/daemon/src/quarantine/prompt_parts.ts
+++ b/packages/daemon/src/quarantine/prompt_parts.ts
@@ -1,7 +1,7 @@
 /** Largest number of parts of a prompt that are taken from one request. */
 const MAX_PROMPT_PARTS = 256;
-/** Longest identifier of a part that is taken. */
-const MAX_IDENTIFIER_LENGTH = 64;
+/** Identifiers that can stand in a key, a log line and a command. */
+const USABLE_IDENTIFIER = /^[\w.-]{1,64}$/;
 
 /**
  * Returns the identifiers of prompt parts that a caller named, each once and
@@ -11,6 +11,6 @@
 export function usableParts(identifiers: string[]): string[] {
   const usable = identifiers
     .map((identifier) => identifier.trim())
-    .filter(({ length }) => length > 0 && length <= MAX_IDENTIFIER_LENGTH);
+    .filter((identifier) => USABLE_IDENTIFIER.test(identifier));
   return [...new Set(usable)].slice(0, MAX_PROMPT_PARTS);
 }
--- a/packages/daemon/src/quarantine/quarantine.ts
+++ b/packages/daemon/src/quarantine/quarantine.ts
@@ -236,7 +236,7 @@
     this.#logCrash(crash);
     const { life, runner, service, version, endedAt } = crash;
     const suspicions = this.#limit.select(
-      crashSuspicions.suspicionsOf(crash, this.#recent),
+      crashSuspicions.suspicionsOf(crash, this.#recent.countsOf(service)),
       (fingerprint) => this.#ledger.crashesUnder(fingerprint).length,
     );
     const report: suspectLedger.CrashReport = {
@@ -397,17 +397,16 @@
 
   /**
    * Clears a request of all crashes for which `appliesTo` returns true. The
-   * reports from `reportsOn` have suspicions of this request only, so no other
-   * request is cleared.
+   * reports from `unclearedReportsOn` have suspicions of this request only, so
+   * no other request is cleared.
    */
   #clear(
     fingerprint: string,
     appliesTo: (report: suspectLedger.CrashReport) => boolean,
   ): void {
     const reports = this.#ledger
-      .reportsOn(fingerprint)
+      .unclearedReportsOn(fingerprint)
       .filter(appliesTo)
-      .filter(({ suspicions }) => suspicions.some(({ cleared }) => !cleared))
       .map((report) => ({
         ...report,
         suspicions: report.suspicions.map((suspicion) => ({
--- a/packages/daemon/src/quarantine/recent_parts.ts
+++ b/packages/daemon/src/quarantine/recent_parts.ts
@@ -3,10 +3,10 @@
 /** Largest number of services that are remembered. */
 const MAX_SERVICES = 256;
 
-/** How often a part was there among a service's last requests. */
-export interface PartFrequency {
-  /** Requests that carried the part. */
-  count: number;
+/** How often parts were there among a service's last requests. */
+export interface PartCounts {
+  /** By part, the number of requests that carried it. */
+  counts: ReadonlyMap<string, number>;
   /** Requests that were looked at. */
   of: number;
 }
@@ -32,11 +32,13 @@
     requests.next = (requests.next + 1) % REMEMBERED_REQUESTS;
   }
 
-  /** How frequent a part is among the last requests that carried parts. */
-  frequencyOf(service: string, part: string): PartFrequency {
+  /** Counts the parts among the last requests that carried parts. */
+  countsOf(service: string): PartCounts {
     const remembered = this.#services.get(service)?.parts ?? [];
-    const count = remembered.filter((parts) => parts.includes(part)).length;
-    return { count, of: remembered.length };
+    const counts = new Map<string, number>();
+    for (const part of remembered.flat())
+      counts.set(part, (counts.get(part) ?? 0) + 1);
+    return { counts, of: remembered.length };
   }
 
   #requestsOf(service: string): ServiceRequests {
--- a/packages/daemon/src/quarantine/suspect_ledger.ts
+++ b/packages/daemon/src/quarantine/suspect_ledger.ts
@@ -226,6 +226,14 @@
     return [...crashes].map((crash) => reportOf(crash, fingerprint));
   }
 
+  /** The same for those crashes of which the request is not cleared. */
+  unclearedReportsOn(fingerprint: string): CrashReport[] {
+    const crashes = this.#crashesByFingerprint.get(fingerprint) ?? [];
+    return [...crashes]
+      .filter(({ suspicions }) => !suspicions.get(fingerprint)?.cleared)
+      .map((crash) => reportOf(crash, fingerprint));
+  }
+
   /**
    * Returns reports with at most `maxSuspicions` suspicions. Suspicions of
    * requests with many crashes take precedence over those of requests with few;
--- a/packages/daemon/src/quarantine/watched_requests.ts
+++ b/packages/daemon/src/quarantine/watched_requests.ts
@@ -27,9 +27,9 @@
 
 /** Whether a request has a key. */
 function hasKey(request: WatchedRequest, key: string): boolean {
-  const part = partKey.partOf(key);
-  if (part === undefined) return request.fingerprint === key;
-  return request.promptParts.includes(part);
+  if (!partKey.isPartKey(key)) return request.fingerprint === key;
+  const { service, promptParts } = request;
+  return promptParts.some((part) => partKey.partKey(service, part) === key);
 }
 
 /**
