--- a/packages/daemon/src/quarantine/suspect_ledger.ts
+++ b/packages/daemon/src/quarantine/suspect_ledger.ts
@@ -1,7 +1,9 @@
 import * as crashCounts from "./crash_counts.ts";
 import * as partKey from "./part_key.ts";
 import * as partProof from "./part_proof.ts";
-import * as partSighting from "./part_sighting.ts";
+import type * as partSighting from "./part_sighting.ts";
+import * as recordedCrash from "./recorded_crash.ts";
+import * as suspectedPart from "./suspected_part.ts";
 
 /**
  * Number of crashes above which the ledger removes some. Crashes for which a
@@ -15,11 +17,6 @@
 const MAX_SUSPICIONS = 20_000;
 /** Largest number of requests and prompt parts in quarantine at once. */
 const MAX_QUARANTINED = 1_000;
-/**
- * Largest number of requests whose answers had begun, without content, at a
- * crash that counts as narrow.
- */
-const MAX_BEGUN_OF_NARROW = 3;
 /**
  * Time for which the ledger retains a crash: a day. Crashes for which a request
  * is in quarantine are retained longer.
@@ -88,15 +85,6 @@
   released: string[];
 }
 
-type RecordedSuspicion = Omit<Suspicion, "fingerprint">;
-
-interface RecordedCrash extends Omit<CrashReport, "seenBy" | "suspicions"> {
-  seenBy: Set<string>;
-  suspicions: Map<string, RecordedSuspicion>;
-  /** Requests whose answers had begun, without content, by short names. */
-  begun: Set<string>;
-}
-
 /** A crash of a runner during a run of one request. */
 export interface CrashUnderRequest extends crashCounts.CrashedRun {
   runner: string;
@@ -114,8 +102,11 @@
  */
 export class SuspectLedger {
   /** By incarnation, in order of arrival. */
-  readonly #crashes = new Map<string, RecordedCrash>();
-  readonly #crashesByFingerprint = new Map<string, Set<RecordedCrash>>();
+  readonly #crashes = new Map<string, recordedCrash.RecordedCrash>();
+  readonly #crashesByFingerprint = new Map<
+    string,
+    Set<recordedCrash.RecordedCrash>
+  >();
   /** Keys of the parts that were seen at two crashes or more. */
   readonly #repeatedParts = new Set<string>();
   /** Keys of the requests and parts in quarantine. */
@@ -139,7 +130,7 @@
   isCommonPart(key: string): boolean {
     return (
       partKey.isPartKey(key) &&
-      partProof.isCommon(this.#suspectOf(key).frequency)
+      partProof.isCommon(this.#suspectedPart(key).frequency)
     );
   }
 
@@ -253,7 +244,7 @@
         right.crashCount - left.crashCount ||
         right.crash.endedAt - left.crash.endedAt,
     );
-    const reports = new Map<RecordedCrash, CrashReport>();
+    const reports = new Map<recordedCrash.RecordedCrash, CrashReport>();
     for (const { fingerprint, crash } of pairs.slice(0, maxSuspicions)) {
       const report = reportOf(crash, fingerprint);
       const known = reports.get(crash);
@@ -322,8 +313,8 @@
     return touched;
   }
 
-  #record(report: CrashReport): RecordedCrash {
-    const crash: RecordedCrash = {
+  #record(report: CrashReport): recordedCrash.RecordedCrash {
+    const crash: recordedCrash.RecordedCrash = {
       ...report,
       disproved: false,
       seenBy: new Set(),
@@ -338,7 +329,10 @@
    * Records that a request was under way at a crash; returns whether that was
    * new.
    */
-  #addSuspicion(crash: RecordedCrash, suspicion: Suspicion): boolean {
+  #addSuspicion(
+    crash: recordedCrash.RecordedCrash,
+    suspicion: Suspicion,
+  ): boolean {
     const { fingerprint, ...facts } = suspicion;
     const known = crash.suspicions.get(fingerprint);
     for (const request of facts.part?.begun ?? []) crash.begun.add(request);
@@ -351,7 +345,7 @@
       this.#suspicions++;
       return true;
     }
-    const hasNewRequests = joinParts(known, facts);
+    const hasNewRequests = recordedCrash.joinSuspicions(known, facts);
     if (known.cleared || !facts.cleared) return hasNewRequests;
     known.cleared = true;
     return true;
@@ -368,7 +362,9 @@
   ): void {
     const changed = [...touched, ...atSource].filter(partKey.isPartKey);
     if (changed.length === 0) return;
-    const parts = [...this.#repeatedParts].map((key) => this.#suspectOf(key));
+    const parts = [...this.#repeatedParts].map((key) =>
+      this.#suspectedPart(key),
+    );
     const before = [...this.#quarantined].filter(partKey.isPartKey);
     const proven = partProof.provenParts(
       parts,
@@ -385,28 +381,9 @@
     }
   }
 
-  /** What is held against a part. */
-  #suspectOf(key: string): partProof.SuspectedPart {
-    let frequency = 0;
-    const crashes: partProof.PartCrash[] = [];
-    for (const crash of this.#crashesByFingerprint.get(key) ?? []) {
-      const suspicion = crash.suspicions.get(key);
-      if (!suspicion?.part || suspicion.cleared || crash.disproved) continue;
-      const { begun, requests, frequency: seen } = suspicion.part;
-      if (crash.begun.size > 0 && begun.length === 0) continue;
-      const { life, endedAt } = crash;
-      const { startedAt } = suspicion;
-      crashes.push({
-        life,
-        startedAt,
-        endedAt,
-        requests: begun.length > 0 ? begun : requests,
-        isNarrow: begun.length > 0 && crash.begun.size <= MAX_BEGUN_OF_NARROW,
-      });
-      frequency += seen.of > 0 ? seen.count / seen.of : 1;
-    }
-    const count = Math.max(1, crashes.length);
-    return { key, frequency: frequency / count, crashes };
+  #suspectedPart(key: string): partProof.SuspectedPart {
+    const crashes = this.#crashesByFingerprint.get(key) ?? [];
+    return suspectedPart.suspectedPart(key, crashes);
   }
 
   /** Quarantines or releases a request after its crashes have changed. */
@@ -514,7 +491,7 @@
   }
 
   #removeSuspicions(
-    crash: RecordedCrash,
+    crash: recordedCrash.RecordedCrash,
     mayRemove: (fingerprint: string) => boolean,
   ): void {
     for (const fingerprint of crash.suspicions.keys()) {
@@ -529,28 +506,6 @@
   }
 }
 
-/**
- * Joins what another report says of a suspicion, but for whether it is cleared;
- * returns whether it names further requests with a part.
- */
-function joinParts(
-  known: RecordedSuspicion,
-  { startedAt, part }: RecordedSuspicion,
-): boolean {
-  if (!part || !known.part) {
-    known.startedAt = Math.min(known.startedAt, startedAt);
-    return false;
-  }
-  // Any of the requests with a part may be the one that crashed the runner.
-  known.startedAt = Math.max(known.startedAt, startedAt);
-  const { requests, begun } = known.part;
-  known.part = partSighting.joinSightings(known.part, part);
-  return (
-    known.part.requests.length > requests.length ||
-    known.part.begun.length > begun.length
-  );
-}
-
 /**
  * Whether a crash is recent enough to be recorded, or concerns a request that
  * the source of the report has in quarantine.
@@ -565,7 +520,10 @@
 }
 
 /** Returns a crash with the suspicion of one request only. */
-function reportOf(crash: RecordedCrash, fingerprint: string): CrashReport {
+function reportOf(
+  crash: recordedCrash.RecordedCrash,
+  fingerprint: string,
+): CrashReport {
   const known = crash.suspicions.get(fingerprint);
   const suspicions = known ? [{ fingerprint, ...known }] : [];
   return { ...crash, seenBy: [...crash.seenBy], suspicions };
