--- a/packages/stand_ins/src/system/crashing_part_test.ts
+++ b/packages/stand_ins/src/system/crashing_part_test.ts
@@ -90,14 +90,21 @@
     partScene.crashingLoad(["three"], { seed: 5 }),
     { ...partScene.SOUND_LOAD, seed: 6 },
   ].map((load) => partScene.sendParts(t, scene, load));
+  const loadsAtFirst = stops.length;
   const random = new common.Random(7);
   const unrelated = setInterval(
     () => pool.crash(random.pick(pool.ranks)),
     2_500,
   );
   t.teardown(() => clearInterval(unrelated));
+  // At first the second part comes with the third alone, which may be found first.
+  const aloneFrom = common.now() + LOAD_MILLISECONDS / 3;
   const until = common.now() + LOAD_MILLISECONDS;
   while (common.now() < until) {
+    if (stops.length === loadsAtFirst && common.now() > aloneFrom) {
+      const alone = partScene.crashingLoad(["two"], { seed: 9 });
+      stops.push(partScene.sendParts(t, scene, alone));
+    }
     const entry = random.below(3);
     await scene.send(entry, "crashing body", { parts: ["shared-1"] });
     await common.sleep(300);
