test(review): a request whose runner answers 101 is never answered

Cause: Node's client ends the connection of an answer that switches protocols and reports neither an answer nor an error, so the call never settles, not even when its time is over.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
