feat(forwarding): log requests without a final answer, and handlers that throw

An entry that ends by an exception left a stack without the request; a request that is never answered left nothing.

Change: ForwardOverdue (2003) names the attempts of a request that is still open half a second after its time, with runner and progress. RequestHandlerFailed (2302) names the request and the exception before the process ends as before.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -66,6 +66,7 @@
   EvacuationUnknown = 1913,
   Forwarded = 2001,
   ForwardRefused = 2002,
+  ForwardOverdue = 2003,
   RunnerEnded = 2101,
   RunnerEndDisproved = 2102,
   RequestQuarantined = 2103,
@@ -78,6 +79,7 @@
   RunnerWarmUpEnded = 2205,
   WarmUpRateUnreadable = 2206,
   CallerConnectionEnded = 2301,
+  RequestHandlerFailed = 2302,
 }
 
 /** How much attention an event asks for. */
@@ -447,6 +449,12 @@
       "A request was answered without a runner; `reason` says why, `version` and `age` by which configuration.",
     action: NONE,
   },
+  [EventCode.ForwardOverdue]: {
+    level: EventLevel.Warn,
+    meaning:
+      "A request has no final answer although its time is over; `open` tells the runner of each attempt that has not ended, whether its answer had begun, and when it was sent.",
+    action: "Report it with the state dump.",
+  },
   [EventCode.RunnerEnded]: {
     level: EventLevel.Warn,
     meaning:
@@ -526,4 +534,10 @@
     action:
       "With `unanswered` and a kind other than caller-left: see OPERATIONS.md.",
   },
+  [EventCode.RequestHandlerFailed]: {
+    level: EventLevel.Error,
+    meaning:
+      "Handling `request` failed with an exception, which `cause` tells. No part of the program may throw there, whatever callers and runners send.",
+    action: "Report it with the state dump.",
+  },
 };
--- a/packages/daemon/src/caller_connections/caller_connections.ts
+++ b/packages/daemon/src/caller_connections/caller_connections.ts
@@ -48,7 +48,7 @@
   /** A server created with `CALLER_SERVER_OPTIONS`. */
   server: http.Server;
   /** Handles one request. */
-  handle: (exchange: callerExchange.CallerExchange) => void;
+  handle: (exchange: callerExchange.CallerExchange) => Promise<void>;
   limits: () => ConnectionLimits;
   inForce: () => inForceModule.InForce;
   lifeCycle: common.LifeCycle;
@@ -148,7 +148,19 @@
     connection.unanswered.push(exchange);
     connection.announceClosing(this.#closesAfterAnswers);
     response.once("finish", () => this.#noteAnswered(exchange));
-    if (connection.unanswered.length === 1) this.parameters.handle(exchange);
+    if (connection.unanswered.length === 1) void this.#handle(exchange);
+  }
+
+  async #handle(exchange: callerExchange.CallerExchange): Promise<void> {
+    const { handle, logger } = this.parameters;
+    try {
+      await handle(exchange);
+    } catch (cause) {
+      const request = exchange.identifier;
+      const fields = { request, cause: String(cause) };
+      logger.event(common.EventCode.RequestHandlerFailed, fields);
+      throw cause;
+    }
   }
 
   #noteAnswered(exchange: callerExchange.CallerExchange): void {
@@ -158,7 +170,7 @@
       this.parameters.limits().idleMilliseconds;
     const [next] = connection.unanswered;
     // The server gives the connection to the next answer after this event.
-    if (next) setImmediate(() => this.parameters.handle(next));
+    if (next) setImmediate(() => void this.#handle(next));
     else if (this.#closing) this.#endIfAnswered(connection);
   }
 
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -38,6 +38,8 @@
  * not wait.
  */
 const MAX_WAIT_TIMEOUT_FRACTION = 0.25;
+/** Time after its timeout by which a request must have its final answer. */
+const OVERDUE_MILLISECONDS = 500;
 /** How often a waiting request checks for a runner. */
 const WAIT_CHECK_INTERVAL_MILLISECONDS = 50;
 
@@ -74,6 +76,7 @@
    */
   retryElsewhereMilliseconds: () => number;
   random: common.Random;
+  logger: common.Logger;
   metrics: common.Metrics;
 }
 
@@ -204,9 +207,14 @@
     const onStopDeadline = () =>
       this.#cancellation.abort(attemptOutcome.STOPPED);
     stopDeadline.addEventListener("abort", onStopDeadline, { once: true });
+    const left = Math.max(0, this.#clock.millisecondsLeft);
     const timer = setTimeout(
       () => this.#cancellation.abort(attemptOutcome.TIMED_OUT),
-      Math.max(0, this.#clock.millisecondsLeft),
+      left,
+    );
+    const overdueTimer = setTimeout(
+      () => this.#logOverdue(),
+      left + OVERDUE_MILLISECONDS,
     );
     const unwatch = quarantine.watch(this);
     let outcome: attemptOutcome.AttemptOutcome | undefined;
@@ -214,6 +222,7 @@
       outcome = await this.#attemptUntilFinal();
     } finally {
       clearTimeout(timer);
+      clearTimeout(overdueTimer);
       this.#place.release(outcome);
       unwatch();
       stopDeadline.removeEventListener("abort", onStopDeadline);
@@ -239,6 +248,17 @@
     };
   }
 
+  #logOverdue(): void {
+    const { logger, request } = this.parameters;
+    const open = this.#hedged.open.map((attempt) => ({
+      runner: attempt.parameters.runner.identifier,
+      progress: attempt.progress,
+      sentAfter: attempt.sentAfter,
+    }));
+    const fields = { request: request.identifier, open };
+    logger.event(common.EventCode.ForwardOverdue, fields);
+  }
+
   /** The outcome, once it is known whether the caller can have the answer. */
   #outcomeFor(
     outcome: attemptOutcome.AttemptOutcome,
@@ -477,7 +497,8 @@
   #mayRunBesides(): boolean {
     const { route, service, budgetOf } = this.parameters;
     if (route.repeatability !== traffic.Repeatability.Idempotent) return false;
-    if (this.#runs + this.#hedged.openCount >= route.mostAttempts) return false;
+    if (this.#runs + this.#hedged.open.length >= route.mostAttempts)
+      return false;
     return !this.#cancelledOutcome() && budgetOf(service).balance >= 1;
   }
 
--- a/packages/daemon/src/forwarding/hedged_attempts.ts
+++ b/packages/daemon/src/forwarding/hedged_attempts.ts
@@ -46,9 +46,9 @@
 
   constructor(readonly parameters: HedgedAttemptsParameters) {}
 
-  /** Number of attempts that have not ended; each may run at a runner. */
-  get openCount(): number {
-    return this.#open.size;
+  /** Attempts that have not ended; each may run at a runner. */
+  get open(): runnerAttempt.RunnerAttempt[] {
+    return [...this.#open.keys()];
   }
 
   /**
@@ -75,7 +75,7 @@
   async hedge(): Promise<void> {
     if (this.#securing || !this.#areAllSilent()) return;
     this.#securing = true;
-    const silent = [...this.#open.keys()];
+    const silent = this.open;
     const secured = await this.parameters.secureAnother(silent);
     this.#securing = false;
     // Nothing may come between the check, the charge and the start.
@@ -84,7 +84,7 @@
   }
 
   #areAllSilent(): boolean {
-    const open = [...this.#open.keys()];
+    const { open } = this;
     return open.length > 0 && open.every((attempt) => attempt.hasStalled());
   }
 
