fix(runners): a status that no answer can have no longer ends the entry

Cause: nothing checked a runner's answer where it came in. A status below 100 went through as the runner's own failure to the caller's connection, whose writeHead throws; the exception left the request's handler, which nobody awaits. Evidence: RequestHandlerFailed before each end, 'Invalid status code: 0'. Ruled out: memory (no such line, small heaps), the relay of streams (routes were whole answers), the caller's side (the same callers did nothing else at runners that spoil nothing). The same class at the way out: names of accounts and keys of runners beyond Latin-1 throw as headers are written.

Change: calls to runners go through common/http_call, which checks each answer by one guard: version HTTP/1.0 or 1.1, status 200 to 599; what fails is a wrong answer, of which nothing is known about the run, and counted (wrong_answers). A request that can't be written is a value, not an exception, and not sent.

Why it works: the caller's connection takes each status from 100 to 999, so none that passes the guard can throw there.

--- /dev/null
+++ b/packages/common/src/http_call_test.ts
@@ -0,0 +1,69 @@
+import type * as net from "node:net";
+import * as ava from "ava";
+import * as httpCall from "./http_call.ts";
+import * as httpCallFixture from "./http_call_fixture.ts";
+import * as wrongAnswer from "./wrong_answer.ts";
+
+const test = ava.default;
+const { FarEnd, outcomeOf } = httpCallFixture;
+const { WrongAnswerKind } = wrongAnswer;
+
+async function startFarEnd(
+  t: ava.ExecutionContext,
+  answer: (socket: net.Socket) => void,
+): Promise<number> {
+  const farEnd = new FarEnd(answer);
+  t.teardown(() => farEnd.close());
+  return farEnd.listen();
+}
+
+const EMPTY = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const SOUND = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+// Guards against a status that the answer to a caller can't have.
+test("only statuses of final answers are taken", async (t) => {
+  let status = 0;
+  const port = await startFarEnd(t, (socket) =>
+    socket.end(EMPTY.replace("200", String(status).padStart(3, "0"))),
+  );
+  for (; status < 1_000; status++) {
+    const { answer, failure, wrong } = await outcomeOf(port);
+    const isFinal = status >= 200 && status <= 599;
+    if (isFinal) {
+      t.is(answer?.status, status);
+      continue;
+    }
+    t.is(failure?.kind, httpCall.HttpCallFailureKind.Unanswered, `${status}`);
+    if (status < 100 || status > 599)
+      t.deepEqual(wrong, [WrongAnswerKind.Status]);
+  }
+});
+
+// Guards against an answer in a version of the protocol that isn't spoken here.
+test("only HTTP/1.1 and HTTP/1.0 are taken", async (t) => {
+  for (const [version, isTaken] of [
+    ["1.1", true],
+    ["1.0", true],
+    ["0.9", false],
+    ["2.0", false],
+    ["1.7", false],
+  ] as const) {
+    const port = await startFarEnd(t, (socket) =>
+      socket.end(SOUND.replace("1.1", version)),
+    );
+    const { answer, failure, wrong } = await outcomeOf(port);
+    t.is(answer !== undefined, isTaken, version);
+    t.is(failure !== undefined, !isTaken, version);
+    t.is(wrong.length, isTaken ? 0 : 1, version);
+  }
+});
+
+// Guards against a value without a place in HTTP that throws where it is written.
+test("a request that can't be written fails as not sent", async (t) => {
+  const port = await startFarEnd(t, (socket) => socket.end(SOUND));
+  const name = String.fromCodePoint(0x4e2d);
+  for (const change of [{ headers: ["Account", name] }, { path: "/a b" }]) {
+    const { failure } = await outcomeOf(port, change);
+    t.is(failure?.kind, httpCall.HttpCallFailureKind.Unwritable);
+  }
+});
--- a/packages/common/src/mod.ts
+++ b/packages/common/src/mod.ts
@@ -1,3 +1,4 @@
+export * from "./answer_guard.ts";
 export * from "./back_off.ts";
 export * from "./change_notice.ts";
 export * from "./channel.ts";
@@ -7,6 +8,7 @@
 export * from "./hash.ts";
 import "./hash_loaded.ts";
 export * from "./history.ts";
+export * from "./http_call.ts";
 export * from "./instant.ts";
 export * from "./keys.ts";
 export * from "./life_cycle.ts";
@@ -18,3 +20,4 @@
 export * from "./random.ts";
 export * from "./unreachable.ts";
 export * from "./validation.ts";
+export * from "./wrong_answer.ts";
--- a/packages/daemon/src/forwarding/answer_relay.ts
+++ b/packages/daemon/src/forwarding/answer_relay.ts
@@ -1,3 +1,4 @@
+import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
 import * as traffic from "@geraniumkeel/traffic";
 import * as eventSplitter from "./event_splitter.ts";
@@ -19,7 +20,7 @@
       onPiece();
     }
   } catch (cause) {
-    if (cause instanceof runnerClient.TruncatedBody) {
+    if (cause instanceof common.TruncatedBody) {
       return neverthrow.err(cause.message);
     }
     throw cause;
@@ -141,7 +142,7 @@
         }
       }
     } catch (cause) {
-      if (cause instanceof runnerClient.TruncatedBody) {
+      if (cause instanceof common.TruncatedBody) {
         return neverthrow.err(cause.message);
       }
       throw cause;
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -220,7 +220,7 @@
 ): Script {
   async function* body(): AsyncGenerator<Buffer, void, void> {
     for (const piece of pieces) yield Buffer.from(piece);
-    if (options.truncated) throw new runnerClientModule.TruncatedBody("reset");
+    if (options.truncated) throw new common.TruncatedBody("reset");
   }
   const status = options.status ?? 200;
   const verdict =
@@ -239,6 +239,7 @@
       endsWithConnection: false,
       leaving: false,
       body: body(),
+      close: () => {},
     });
 }
 
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -49,6 +49,8 @@
   #truncated = false;
   /** Whether the runner has ended the call. */
   finished = false;
+  /** Whether the entry has closed the connection. */
+  closed = false;
   /** Whether the runner refused the request as not run. */
   refused = false;
   /** Whether the call ends a turn of the event loop after its abort. */
@@ -86,6 +88,7 @@
         endsWithConnection: false,
         leaving: false,
         body: this.#body(),
+        close: () => this.#close(),
         ...change,
       }),
     );
@@ -128,9 +131,14 @@
     this.#settle(neverthrow.err({ kind, reason: "reset" }));
   }
 
+  #close(): void {
+    this.closed = true;
+    this.breakOff();
+  }
+
   async *#body(): AsyncGenerator<Buffer, void, void> {
     for await (const piece of this.#pieces) yield piece;
-    if (this.#truncated) throw new runnerClient.TruncatedBody("reset");
+    if (this.#truncated) throw new common.TruncatedBody("reset");
   }
 }
 
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -375,6 +375,8 @@
     const { tracker, runner } = this.parameters;
     const { reason } = failure;
     switch (failure.kind) {
+      case runnerClientModule.CallFailureKind.Unwritable:
+        return { kind: attemptOutcome.AttemptOutcomeKind.NotRun, reason };
       case runnerClientModule.CallFailureKind.NotSent:
         // A connection that this entry gave up says nothing about the runner.
         if (!this.#cancelledOutcome()) tracker.suspend(runner.identifier);
--- a/packages/daemon/src/forwarding/runner_client.ts
+++ b/packages/daemon/src/forwarding/runner_client.ts
@@ -71,17 +71,21 @@
    */
   endsWithConnection: boolean;
   /**
-   * The body as it arrives. Throws a `TruncatedBody` if the connection ends
-   * before the body does.
+   * The body as it arrives. Throws a `common.TruncatedBody` if the connection
+   * ends before the body does, or if the body is wrong.
    */
   body: AsyncIterable<Buffer>;
+  /** Closes the connection; what was not read of the body is lost. */
+  close: () => void;
 }
 
-/** A body that ended early. */
-export class TruncatedBody extends Error {}
-
 /** How a call failed, by whether the request may have run nevertheless. */
 export enum CallFailureKind {
+  /**
+   * The request can't be written as HTTP, so nothing was sent. That says nothing
+   * about the runner.
+   */
+  Unwritable = "unwritable",
   /** No connection was made, so nothing was sent. */
   NotSent = "not-sent",
   /**
--- a/packages/stand_ins/src/gateways/lock_step_run.ts
+++ b/packages/stand_ins/src/gateways/lock_step_run.ts
@@ -74,7 +74,7 @@
 
   async *#body(): AsyncGenerator<Buffer, void, void> {
     for await (const piece of this.#pieces) yield piece;
-    if (this.#truncated) throw new daemon.TruncatedBody("reset");
+    if (this.#truncated) throw new common.TruncatedBody("reset");
   }
 }
 
@@ -92,6 +92,7 @@
     endsWithConnection: false,
     leaving: false,
     body,
+    close: () => {},
   };
 }
 
--- a/packages/stand_ins/src/gateways/pool_runner.ts
+++ b/packages/stand_ins/src/gateways/pool_runner.ts
@@ -1,3 +1,4 @@
+import * as common from "@geraniumkeel/common";
 import * as daemon from "@geraniumkeel/daemon/forwarding_mod";
 import * as neverthrow from "neverthrow";
 
@@ -150,6 +151,7 @@
     endsWithConnection: false,
     leaving,
     body: eventsOf(ending, Number(resumeAfter)),
+    close: () => {},
   });
 }
 
@@ -167,7 +169,7 @@
   resumeAfter: number,
 ): AsyncGenerator<Buffer, void, void> {
   if (resumeAfter < 1) yield Buffer.from("id: 1\ndata: a\n\n");
-  if ((await ending) === RunEnd.Broken) throw new daemon.TruncatedBody("reset");
+  if ((await ending) === RunEnd.Broken) throw new common.TruncatedBody("reset");
   yield Buffer.from("id: 2\ndata: b\n\n");
 }
 
@@ -182,5 +184,6 @@
     endsWithConnection: false,
     leaving: false,
     body: (async function* () {})(),
+    close: () => {},
   };
 }
--- a/packages/stand_ins/src/gateways/runner_list.ts
+++ b/packages/stand_ins/src/gateways/runner_list.ts
@@ -63,5 +63,6 @@
     endsWithConnection: false,
     leaving: false,
     body: (async function* () {})(),
+    close: () => {},
   };
 }
