fix(callers): a request whose handling throws ends alone

Cause: the handler of a request was started and not awaited, so that an exception was an unhandled rejection. An attempt that threw also kept its place at the runner, its timers and its hedged neighbour.

Change: CallerConnections, from which each request is handled, catches it: an event with the request and the stack (2302), a counter (handler_failures), and 502 without a promise, or a break where the answer had begun. An attempt gives back its place whatever happens; a failing attempt, or search for another one, ends the others and then fails the request.

Why it works: no call of a handler is left that nobody awaits; what counts per request is given back in finally blocks on the way out. It hides no fault: the event is an error, and the process tests of wrong answers fail on it.

Tests failed before: the two of caller_server_test (the first never ended, as the process's handler was gone), contained_failure_test (i-1 still had a request).

--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -13,6 +13,7 @@
   AdmissionWaiting = "admission_waiting",
   CallerConnectionsEnded = "caller_connections_ended",
   WrongAnswers = "wrong_answers",
+  HandlerFailures = "handler_failures",
   FirstToken = "first_token",
   BetweenTokens = "between_tokens",
   QueueWait = "queue_wait",
@@ -102,6 +103,9 @@
     "kind",
     "from",
   ),
+  [Metric.HandlerFailures]: counter(
+    "Requests whose handling failed with an exception.",
+  ),
   [Metric.FirstToken]: timing("From arrival to first token.", "service"),
   [Metric.BetweenTokens]: timing("Between tokens of one answer.", "service"),
   [Metric.QueueWait]: timing("Time queued before dispatch.", "service"),
--- a/packages/daemon/src/caller_connections/caller_connections.ts
+++ b/packages/daemon/src/caller_connections/caller_connections.ts
@@ -151,15 +151,18 @@
     if (connection.unanswered.length === 1) void this.#handle(exchange);
   }
 
+  /** Handles a request; one whose handling throws ends alone, not the process. */
   async #handle(exchange: callerExchange.CallerExchange): Promise<void> {
-    const { handle, logger } = this.parameters;
+    const { handle, logger, metrics } = this.parameters;
     try {
       await handle(exchange);
     } catch (cause) {
       const request = exchange.identifier;
-      const fields = { request, cause: String(cause) };
+      const { stack = String(cause) } = cause as Error;
+      const fields = { request, cause: stack };
       logger.event(common.EventCode.RequestHandlerFailed, fields);
-      throw cause;
+      metrics.count(common.Metric.HandlerFailures);
+      exchange.fail();
     }
   }
 
--- a/packages/daemon/src/caller_connections/caller_exchange.ts
+++ b/packages/daemon/src/caller_connections/caller_exchange.ts
@@ -5,6 +5,7 @@
 
 /** Bytes of an answer that are handed to the connection at a time. */
 const PIECE_BYTES = 64 * 1024;
+const STATUS_MAY_HAVE_RUN = 502;
 
 /** One request of a caller and its answer, on the caller's connection. */
 export class CallerExchange {
@@ -77,6 +78,18 @@
     });
   }
 
+  /**
+   * Ends the exchange when its handling has failed. The request may have run, so
+   * the answer promises nothing.
+   */
+  fail(): void {
+    const { response } = this;
+    if (response.writableEnded || response.destroyed) return;
+    if (response.headersSent) return this.breakOff("handler failed");
+    this.keepOpenAfter(false);
+    response.writeHead(STATUS_MAY_HAVE_RUN, { "Content-Length": "0" }).end();
+  }
+
   /**
    * Ends the connection without ending the answer, so that the caller cannot
    * take part of it for the whole.
--- a/packages/daemon/src/forwarding/attempt_outcome.ts
+++ b/packages/daemon/src/forwarding/attempt_outcome.ts
@@ -79,6 +79,12 @@
   reason: "this entry is stopping",
 };
 
+/** Outcome of an attempt that failed with an exception. */
+export const INTERRUPTED: AttemptOutcome = {
+  kind: AttemptOutcomeKind.Unknown,
+  reason: "internal error",
+};
+
 /** Outcome of an attempt without progress, when another one got on. */
 export const STALLED: AttemptOutcome = {
   kind: AttemptOutcomeKind.Stalled,
--- a/packages/daemon/src/forwarding/hedged_attempts.ts
+++ b/packages/daemon/src/forwarding/hedged_attempts.ts
@@ -43,6 +43,8 @@
   /** Outcome of the attempt that ended last, without superseded ones. */
   #outcome: attemptOutcome.AttemptOutcome | undefined;
   #securing = false;
+  /** Exception of an attempt, which fails the request once all have ended. */
+  #failure: Error | undefined;
 
   constructor(readonly parameters: HedgedAttemptsParameters) {}
 
@@ -60,6 +62,7 @@
     this.#outcome = undefined;
     this.#start(first);
     while (this.#open.size > 0) await Promise.race(this.#open.values());
+    if (this.#failure) throw this.#failure;
     if (!this.#outcome) throw new Error("all attempts were superseded");
     return this.#outcome;
   }
@@ -75,9 +78,17 @@
   async hedge(): Promise<void> {
     if (this.#securing || !this.#areAllSilent()) return;
     this.#securing = true;
-    const silent = this.open;
-    const secured = await this.parameters.secureAnother(silent);
-    this.#securing = false;
+    try {
+      await this.#startAnother();
+    } catch (cause) {
+      this.#fail(cause);
+    } finally {
+      this.#securing = false;
+    }
+  }
+
+  async #startAnother(): Promise<void> {
+    const secured = await this.parameters.secureAnother(this.open);
     // Nothing may come between the check, the charge and the start.
     if (!secured || !this.#areAllSilent() || !this.parameters.charge()) return;
     this.#start(secured);
@@ -94,9 +105,20 @@
   }
 
   async #follow(attempt: runnerAttempt.RunnerAttempt): Promise<void> {
-    const outcome = await attempt.run();
-    this.#open.delete(attempt);
-    if (!attempt.isSuperseded) this.#outcome = outcome;
-    this.parameters.onEnd(attempt, outcome);
+    try {
+      const outcome = await attempt.run();
+      if (!attempt.isSuperseded) this.#outcome = outcome;
+      this.parameters.onEnd(attempt, outcome);
+    } catch (cause) {
+      this.#fail(cause);
+    } finally {
+      this.#open.delete(attempt);
+    }
+  }
+
+  /** Ends all attempts, as the handling of the request failed. */
+  #fail(cause: unknown): void {
+    this.#failure ??= cause as Error;
+    for (const attempt of this.open) attempt.supersede();
   }
 }
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -99,10 +99,15 @@
     const stallCheck = setInterval(() => {
       if (this.hasStalled()) this.parameters.onStalled();
     }, STALL_CHECK_INTERVAL_MILLISECONDS);
-    const outcome = await this.#callRunner();
-    this.#timer?.end();
-    clearInterval(stallCheck);
-    finishCall(attemptOutcome.callOutcomeOf(outcome.kind));
+    // Given back also if the attempt fails with an exception.
+    let outcome = attemptOutcome.INTERRUPTED;
+    try {
+      outcome = await this.#callRunner();
+    } finally {
+      this.#timer?.end();
+      clearInterval(stallCheck);
+      finishCall(attemptOutcome.callOutcomeOf(outcome.kind));
+    }
     return outcome;
   }
 
