fix(runners): a request whose runner switches protocols is answered at once

The runner got fewer and fewer requests, as each such one counted as running there for good.

Cause: Node's client destroys the connection of an answer 101 to which nobody listens, and emits 'close' alone; the call waited for 'response' or 'error'. Evidence: ForwardOverdue names one attempt of each such request, in progress 'waiting', so the call itself had not settled. A play of the client alone shows 'close' alone for a 101 with Connection: Upgrade, and a final answer for one without. Ruled out: the relay (never reached) and the caller's side (no answer was due).

Change: the call listens for 'upgrade', a wrong answer that ends it at once, and for 'close', which comes last whatever came before. Behind it, for what nobody thought of: an attempt that has not ended 200 ms after it was cancelled is given up, with what was counted for it, and its reason says so.

--- a/packages/common/src/http_call.ts
+++ b/packages/common/src/http_call.ts
@@ -106,6 +106,13 @@
       return;
     }
     this.#watchConnection(request);
+    // Without a listener the client closes the connection and emits neither an
+    // answer nor an error.
+    request.once("upgrade", (_response, socket) => {
+      socket.destroy();
+      const kind = wrongAnswer.WrongAnswerKind.Upgrade;
+      this.#refuse(request, { kind, detail: "not asked for" });
+    });
     request.once("response", (response) => this.#receive(request, response));
     request.end(this.options.body);
   }
@@ -149,7 +156,11 @@
       }
       this.#fail(cause.message);
     });
-    request.once("close", () => clearTimeout(timer));
+    // Comes last, whatever came before, and even alone.
+    request.once("close", () => {
+      clearTimeout(timer);
+      this.#fail("connection closed without an answer");
+    });
   }
 
   #receive(request: http.ClientRequest, response: http.IncomingMessage): void {
--- a/packages/common/src/http_call_test.ts
+++ b/packages/common/src/http_call_test.ts
@@ -8,6 +8,9 @@
 const { FarEnd, outcomeOf } = httpCallFixture;
 const { WrongAnswerKind } = wrongAnswer;
 
+/** Longest time for what needs no wait. */
+const AT_ONCE_MILLISECONDS = 500;
+
 async function startFarEnd(
   t: ava.ExecutionContext,
   answer: (socket: net.Socket) => void,
@@ -67,3 +70,35 @@
     t.is(failure?.kind, httpCall.HttpCallFailureKind.Unwritable);
   }
 });
+
+const UPGRADE =
+  "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n";
+
+// Guards against a call that never settles: the client emits no answer and no error.
+test("a switch of protocols that nobody asked for fails the call at once", async (t) => {
+  const port = await startFarEnd(t, (socket) => socket.write(UPGRADE));
+  const { failure, wrong, milliseconds } = await outcomeOf(port);
+  t.is(failure?.kind, httpCall.HttpCallFailureKind.Unanswered);
+  t.deepEqual(wrong, [WrongAnswerKind.Upgrade]);
+  t.true(milliseconds < AT_ONCE_MILLISECONDS, `${milliseconds} ms`);
+});
+
+// Guards against a call that waits for an event which its connection leaves out.
+test("a call settles however its connection ends", async (t) => {
+  const endings: ((socket: net.Socket) => unknown)[] = [
+    (socket) => socket.destroy(),
+    (socket) => socket.end(),
+    (socket) => socket.resetAndDestroy(),
+    (socket) => socket.end("HTTP/1.1 103 Early Hints\r\n\r\n"),
+    (socket) => socket.end("HTTP/1.1 100 Continue\r\n\r\n"),
+    (socket) => socket.end(SOUND.slice(0, 20)),
+    (socket) => socket.end(UPGRADE + SOUND),
+    (socket) => socket.end("no answer"),
+  ];
+  for (const [index, ending] of endings.entries()) {
+    const port = await startFarEnd(t, ending);
+    const { failure } = await outcomeOf(port);
+    const { kind } = failure ?? {};
+    t.is(kind, httpCall.HttpCallFailureKind.Unanswered, `ending ${index}`);
+  }
+});
--- a/packages/common/src/wrong_answer.ts
+++ b/packages/common/src/wrong_answer.ts
@@ -6,6 +6,8 @@
   Version = "version",
   /** No status of a final answer. */
   Status = "status",
+  /** A switch of protocols that the request did not ask for. */
+  Upgrade = "upgrade",
   /** It names another request. */
   OtherRequest = "other-request",
 }
--- a/packages/daemon/src/forwarding/contained_failure_test.ts
+++ b/packages/daemon/src/forwarding/contained_failure_test.ts
@@ -2,11 +2,14 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
 import * as neverthrow from "neverthrow";
+import * as callerRequest from "./caller_request.ts";
 import * as forwardingFixture from "./forwarding_fixture.ts";
 import * as runnerClient from "./runner_client.ts";
 
 const test = ava.default;
 
+const TIMEOUT_MILLISECONDS = 200;
+const LATE_MILLISECONDS = 500;
 const FAILURE = new Error("broken invariant");
 
 /** A client whose first call is silent, and whose second one fails by an exception. */
@@ -42,3 +45,24 @@
   for (const runner of ["i-1", "i-2"])
     t.is(entry.tracker.outstandingAt(runner), 0, runner);
 });
+
+// Guards against a request that waits for a call which never settles.
+test("a call that does not end when it is cancelled delays no final answer", async (t) => {
+  const entry = new forwardingFixture.SteppedEntry({
+    route: { timeoutMilliseconds: TIMEOUT_MILLISECONDS },
+    runnerClient: {
+      presenceOf: async () => common.Presence.Listening,
+      call: () => new Promise(() => {}),
+    },
+  });
+  const startedAt = common.now();
+  const sent = entry.send("q");
+  await sent.finished;
+  const took = common.now() - startedAt;
+  t.is(sent.refusal?.kind, callerRequest.RefusalKind.TimedOut);
+  t.true(took < TIMEOUT_MILLISECONDS + LATE_MILLISECONDS, `${took} ms`);
+  t.is(
+    entry.tracker.outstandingAt("i-1") + entry.tracker.outstandingAt("i-2"),
+    0,
+  );
+});
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -29,6 +29,9 @@
  */
 const MIN_WRITING_MILLISECONDS = 100;
 
+/** Longest time that a call takes to end once it is cancelled. */
+const MAX_CANCELLING_MILLISECONDS = 200;
+
 /** Longest time that a complete body waits for a look at its runner. */
 const MAX_PRESENCE_WAIT_MILLISECONDS = 60;
 
@@ -70,6 +73,8 @@
   readonly #sentAt = common.instant();
   /** Aborts when another attempt got on; its reason is the outcome. */
   readonly #superseded = new AbortController();
+  /** Aborts when this entry cancels the attempt, for whatever reason. */
+  readonly #cancelled: AbortSignal;
   /**
    * When the last part of the answer arrived, or the attempt started; by the
    * silence clock.
@@ -88,6 +93,12 @@
   readonly sentAfter: number;
 
   constructor(readonly parameters: RunnerAttemptParameters) {
+    const { sink, cancel } = parameters;
+    this.#cancelled = AbortSignal.any([
+      sink.disconnected,
+      cancel,
+      this.#superseded.signal,
+    ]);
     this.sentAfter = Math.round(parameters.clock.elapsed);
     this.#progressAt = parameters.tracker.silenceClock.now();
   }
@@ -102,7 +113,7 @@
     // Given back also if the attempt fails with an exception.
     let outcome = attemptOutcome.INTERRUPTED;
     try {
-      outcome = await this.#callRunner();
+      outcome = await this.#callOrGiveUp();
     } finally {
       this.#timer?.end();
       clearInterval(stallCheck);
@@ -111,6 +122,32 @@
     return outcome;
   }
 
+  /**
+   * Calls the runner. A call that is cancelled and does not end is given up, so
+   * that the caller gets its final answer in time whatever holds the call up.
+   */
+  #callOrGiveUp(): Promise<attemptOutcome.AttemptOutcome> {
+    return new Promise((resolve, reject) => {
+      let timer: NodeJS.Timeout | undefined;
+      const giveUpSoon = () => {
+        const giveUp = () => resolve(this.#givenUpOutcome());
+        timer = setTimeout(giveUp, MAX_CANCELLING_MILLISECONDS);
+      };
+      this.#cancelled.addEventListener("abort", giveUpSoon, { once: true });
+      const settled = () => {
+        clearTimeout(timer);
+        this.#cancelled.removeEventListener("abort", giveUpSoon);
+      };
+      this.#callRunner().finally(settled).then(resolve, reject);
+    });
+  }
+
+  #givenUpOutcome(): attemptOutcome.AttemptOutcome {
+    const cancelled = this.#cancelledOutcome() ?? attemptOutcome.INTERRUPTED;
+    const reason = `${cancelled.reason}, and the call did not end`;
+    return { ...cancelled, reason };
+  }
+
   /**
    * Since when the runner has written the answer, if it went on for long enough
    * to show that it stands the request; `undefined` otherwise.
@@ -195,8 +232,8 @@
 
   async #callRunner(): Promise<attemptOutcome.AttemptOutcome> {
     const { request, runner, permit, rests } = this.parameters;
-    const { sink, route, account, urgency } = this.parameters;
-    const { runnerClient, relay, clock, cancel, spentBefore } = this.parameters;
+    const { route, account, urgency } = this.parameters;
+    const { runnerClient, relay, clock, spentBefore } = this.parameters;
     const { tracker } = this.parameters;
     const obstacle = this.#obstacle();
     if (obstacle !== undefined) {
@@ -217,11 +254,7 @@
         objectiveMilliseconds: route.objectiveMilliseconds,
       }),
       resumeAfter: relay.resumeAfter,
-      signal: AbortSignal.any([
-        sink.disconnected,
-        cancel,
-        this.#superseded.signal,
-      ]),
+      signal: this.#cancelled,
     });
     return answer.isErr()
       ? this.#outcomeOfFailure(answer.error)
