fix(runners): bytes behind a complete answer do not cost it

Callers saw: 502 for a request whose runner had answered it whole, where the runner sent further bytes behind its answer, in the same packet.

Cause: the parser's error about the further bytes counted for the answer before them, as errors count for bodies that end with their connection.

Change: an answer whose own length or last chunk is there is complete, whatever follows on its connection. Those bytes belong to no request: each call has its own connection.

Test failed before: 'bytes behind a complete answer are no part of it' (Parse Error: Expected HTTP/).

--- a/packages/common/src/http_call.ts
+++ b/packages/common/src/http_call.ts
@@ -177,8 +177,9 @@
       ? endingOf(response.socket)
       : Promise.resolve(undefined);
     const problem = async () => {
-      const reason = this.#broken ?? (await ending);
-      return response.complete ? reason : "connection ended early";
+      if (endsWithConnection) return this.#broken ?? (await ending);
+      // Bytes behind a complete answer are no part of it.
+      return response.complete ? undefined : "connection ended early";
     };
     this.settle(
       neverthrow.ok({
--- a/packages/common/src/http_call_test.ts
+++ b/packages/common/src/http_call_test.ts
@@ -102,3 +102,19 @@
     t.is(kind, httpCall.HttpCallFailureKind.Unanswered, `ending ${index}`);
   }
 });
+
+// Guards against an answer that is complete, and lost for the bytes behind it.
+test("bytes behind a complete answer are no part of it", async (t) => {
+  const chunked = SOUND.replace(
+    "Content-Length: 2",
+    "Transfer-Encoding: chunked",
+  );
+  const answers = [SOUND, chunked.replace("ok", "2\r\nok\r\n0\r\n\r\n")];
+  for (const answer of answers) {
+    for (const extra of ["more bytes", SOUND.replace("ok", "no"), "\0"]) {
+      const port = await startFarEnd(t, (socket) => socket.end(answer + extra));
+      const outcome = await outcomeOf(port);
+      t.is(outcome.answer?.body, "ok", outcome.truncated);
+    }
+  }
+});
