fix(runners): answers without end cost bounded time and memory

Callers saw: answers late, and an entry near the end of its memory, while runners sent bytes without end: heads before the final one, bodies, small chunks, refusals whose body nobody reads.

Cause: a call was bounded by its time alone. Interim heads were parsed until then; bodies were gathered without a limit; a body that was of no use (a refusal, an answer without a signature) was left unread with its connection open.

An attempt that ends closes its connection, read or not. An event has 4 MiB and 4,096 pieces, a stream 200,000 events, and others get a turn after 64.

--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -3,6 +3,11 @@
   return performance.now();
 }
 
+/** Resolves in the next turn of the event loop. */
+export function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 /**
  * Resolves after `milliseconds`, or at once when the signal aborts, so that a
  * closing task never waits out its pause.
--- a/packages/common/src/http_call.ts
+++ b/packages/common/src/http_call.ts
@@ -5,6 +5,8 @@
 import * as wrongAnswer from "./wrong_answer.ts";
 
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
+/** What heads may take of an answer; the parser takes 16 KiB for each. */
+const HEADS_ALLOWANCE_BYTES = 32 * 1024;
 /** How the codes of the parser's errors begin. */
 const PARSER_CODE_PREFIX = "HPE_";
 
@@ -22,6 +24,8 @@
   signal: AbortSignal;
   /** Longest time for the connection to be made. */
   connectTimeoutMilliseconds: number;
+  /** Longest body of the answer; see `AnswerGuard`. */
+  maxBodyBytes: number;
   /** Called once at most, when the answer proves to be wrong. */
   onWrongAnswer: (wrong: wrongAnswer.WrongAnswer) => void;
 }
@@ -83,7 +87,7 @@
 }
 
 class HttpCall {
-  readonly #guard = new answerGuard.AnswerGuard();
+  readonly #guard: answerGuard.AnswerGuard;
   #connected = false;
   /** Why the connection failed; `undefined` if it did not. */
   #broken: string | undefined;
@@ -93,7 +97,9 @@
     readonly options: HttpCallOptions,
     /** Only the first result counts. */
     readonly settle: (result: HttpCallResult) => void,
-  ) {}
+  ) {
+    this.#guard = new answerGuard.AnswerGuard(options.maxBodyBytes);
+  }
 
   start(): void {
     let request: http.ClientRequest;
@@ -106,6 +112,10 @@
       return;
     }
     this.#watchConnection(request);
+    request.on("information", ({ statusCode }) => {
+      const wrong = this.#guard.checkInterimHead(statusCode);
+      if (wrong) this.#refuse(request, wrong);
+    });
     // Without a listener the client closes the connection and emits neither an
     // answer nor an error.
     request.once("upgrade", (_response, socket) => {
@@ -166,8 +176,10 @@
   #receive(request: http.ClientRequest, response: http.IncomingMessage): void {
     const { statusCode: status = 0, httpVersion: version } = response;
     const hasBody = this.#mayHaveBody(status);
-    const contentLength = response.headers["content-length"];
-    const wrong = this.#guard.checkHead({ status, version });
+    const contentLength = hasBody
+      ? response.headers["content-length"]
+      : undefined;
+    const wrong = this.#guard.checkHead({ status, version, contentLength });
     if (wrong) return this.#refuse(request, wrong);
     const endsWithConnection =
       hasBody &&
@@ -203,8 +215,22 @@
     response: http.IncomingMessage,
     problem: () => Promise<string | undefined>,
   ): AsyncGenerator<Buffer, void, void> {
+    const { socket } = response;
+    let bodyBytes = 0;
+    let framingBytes = 0;
     try {
       for await (const piece of response as AsyncIterable<Buffer>) {
+        bodyBytes += piece.length;
+        const parsedBytes = bodyBytes + response.readableLength;
+        // A piece may hold many chunks; what is no body came around them.
+        const seen = socket.bytesRead - parsedBytes - HEADS_ALLOWANCE_BYTES;
+        const added = response.complete ? 0 : Math.max(0, seen - framingBytes);
+        framingBytes += added;
+        const wrong = this.#guard.checkPiece(piece.length, added);
+        if (wrong) {
+          this.#noteWrong(wrong);
+          throw new Error(wrongAnswer.describeWrongAnswer(wrong));
+        }
         yield piece;
       }
     } catch (cause) {
--- a/packages/common/src/http_call_fixture.ts
+++ b/packages/common/src/http_call_fixture.ts
@@ -64,6 +64,7 @@
     body: Buffer.alloc(0),
     signal: new AbortController().signal,
     connectTimeoutMilliseconds: 1_000,
+    maxBodyBytes: 1024 * 1024,
     onWrongAnswer: () => {},
     ...change,
   };
--- a/packages/common/src/http_call_test.ts
+++ b/packages/common/src/http_call_test.ts
@@ -1,5 +1,6 @@
 import type * as net from "node:net";
 import * as ava from "ava";
+import * as clock from "./clock.ts";
 import * as httpCall from "./http_call.ts";
 import * as httpCallFixture from "./http_call_fixture.ts";
 import * as wrongAnswer from "./wrong_answer.ts";
@@ -11,6 +12,16 @@
 /** Longest time for what needs no wait. */
 const AT_ONCE_MILLISECONDS = 500;
 
+const CONDITION_MILLISECONDS = 5_000;
+
+async function until(condition: () => boolean): Promise<void> {
+  const latest = clock.now() + CONDITION_MILLISECONDS;
+  while (!condition()) {
+    if (clock.now() > latest) throw new Error("condition not met in time");
+    await clock.sleep(5);
+  }
+}
+
 async function startFarEnd(
   t: ava.ExecutionContext,
   answer: (socket: net.Socket) => void,
@@ -118,3 +129,68 @@
     }
   }
 });
+
+/** Answers that go on for as long as they are read. */
+const ENDLESS: Record<string, { head: string; piece: string }> = {
+  "interim heads": { head: "", piece: "HTTP/1.1 103 Early Hints\r\n\r\n" },
+  "one head": { head: "HTTP/1.1 200 OK\r\n", piece: "name: value\r\n" },
+  "a header": { head: "HTTP/1.1 200 OK\r\nname: ", piece: "v".repeat(1_000) },
+  "a body that ends with its connection": {
+    head: "HTTP/1.1 200 OK\r\n\r\n",
+    piece: "x".repeat(16_384),
+  },
+  "a failure": {
+    head: "HTTP/1.1 500 Internal Server Error\r\n\r\n",
+    piece: "x".repeat(16_384),
+  },
+  "small chunks": {
+    head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    piece: "1\r\nx\r\n".repeat(100),
+  },
+  "bytes behind the answer": { head: SOUND, piece: "x".repeat(16_384) },
+  "what is no answer": { head: "", piece: "x".repeat(16_384) },
+};
+
+// Guards against bytes without end that keep the process busy, or fill its memory.
+test("an answer without end costs bounded time and memory", async (t) => {
+  for (const [name, { head, piece }] of Object.entries(ENDLESS)) {
+    const farEnd = new FarEnd((socket) => {
+      socket.write(head);
+      httpCallFixture.writeWithoutEnd(socket, Buffer.from(piece));
+    });
+    t.teardown(() => farEnd.close());
+    const port = await farEnd.listen();
+    const busy = process.cpuUsage();
+    const outcome = await outcomeOf(port, {
+      signal: AbortSignal.timeout(5_000),
+    });
+    const { user, system } = process.cpuUsage(busy);
+    t.true(outcome.milliseconds < 1_000, `${name}: ${outcome.milliseconds} ms`);
+    t.true(user + system < 1_000_000, `${name}: ${user + system} us busy`);
+    t.is(outcome.answer?.body, head === SOUND ? "ok" : undefined, name);
+    await until(() => farEnd.openConnections === 0);
+  }
+});
+
+// Guards against a body of a known length that is read although it is too long.
+test("a body whose announced length is too long is not read", async (t) => {
+  const port = await startFarEnd(t, (socket) =>
+    socket.write(SOUND.replace("Content-Length: 2", "Content-Length: 9000000")),
+  );
+  const { wrong } = await outcomeOf(port);
+  t.deepEqual(wrong, [WrongAnswerKind.TooLong]);
+});
+
+// Guards against a connection that stays open, as nobody reads its body.
+test("a call that is closed closes its connection", async (t) => {
+  const farEnd = new FarEnd((socket) => {
+    socket.write("HTTP/1.1 503 Service Unavailable\r\n\r\n");
+    httpCallFixture.writeWithoutEnd(socket, Buffer.alloc(16_384));
+  });
+  t.teardown(() => farEnd.close());
+  const options = httpCallFixture.createOptions(await farEnd.listen());
+  const answer = await httpCall.httpCall(options);
+  answer._unsafeUnwrap().close();
+  await until(() => farEnd.openConnections === 0);
+  t.pass();
+});
--- a/packages/common/src/wrong_answer.ts
+++ b/packages/common/src/wrong_answer.ts
@@ -8,6 +8,10 @@
   Status = "status",
   /** A switch of protocols that the request did not ask for. */
   Upgrade = "upgrade",
+  /** Too many heads before the final one. */
+  InterimHeads = "interim-heads",
+  /** A body over its limit, in bytes or in pieces. */
+  TooLong = "too-long",
   /** It names another request. */
   OtherRequest = "other-request",
 }
--- a/packages/daemon/src/caller_connections/caller_connections.ts
+++ b/packages/daemon/src/caller_connections/caller_connections.ts
@@ -109,7 +109,7 @@
     const deadline = common.now() + timeoutMilliseconds;
     const { server } = this.parameters;
     this.closeAfterAnswers();
-    for (let turn = 0; turn < READING_TURNS; turn++) await nextTurn();
+    for (let turn = 0; turn < READING_TURNS; turn++) await common.nextTurn();
     this.#closing = true;
     // The HTTP server's own method also destroys connections with answers that
     // have ended and not left.
@@ -304,10 +304,6 @@
   }
 }
 
-function nextTurn(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
-
 function refusalOf(code: string | undefined): string {
   const status = {
     [HEAD_TIMEOUT_CODE]: "408 Request Timeout",
--- a/packages/daemon/src/forwarding/answer_relay.ts
+++ b/packages/daemon/src/forwarding/answer_relay.ts
@@ -1,31 +1,35 @@
 import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
 import * as traffic from "@geraniumkeel/traffic";
+import type * as answerBuffers from "./answer_buffers.ts";
 import * as eventSplitter from "./event_splitter.ts";
 import type * as callerRequest from "./caller_request.ts";
 import * as runnerClient from "./runner_client.ts";
 
 /**
  * Reads a body to its end and calls `onPiece` for each piece; the error says why
- * the body was truncated.
+ * the body can't be used.
  */
 export async function readCompleteBody(
   body: AsyncIterable<Buffer>,
+  buffers: answerBuffers.AnswerBuffers,
   onPiece: () => void,
 ): Promise<neverthrow.Result<Buffer, string>> {
-  const pieces: Buffer[] = [];
+  const buffer = buffers.open();
   try {
     for await (const piece of body) {
-      pieces.push(piece);
+      buffer.push(piece);
       onPiece();
+      if (buffer.problem !== undefined) break;
     }
+    if (buffer.problem !== undefined) return neverthrow.err(buffer.problem);
+    return neverthrow.ok(buffer.join());
   } catch (cause) {
-    if (cause instanceof common.TruncatedBody) {
-      return neverthrow.err(cause.message);
-    }
-    throw cause;
+    if (!(cause instanceof common.TruncatedBody)) throw cause;
+    return neverthrow.err(cause.message);
+  } finally {
+    buffer.release();
   }
-  return neverthrow.ok(Buffer.concat(pieces));
 }
 
 /** An attempt whose answer is relayed, perhaps beside others. */
@@ -51,6 +55,11 @@
   confirmEnd: () => Promise<string | undefined>;
 }
 
+/** Events of one answer that are relayed. */
+const MAX_EVENTS = 200_000;
+/** Events of one answer that are relayed before others get their turn. */
+const EVENTS_PER_TURN = 64;
+
 /** Why an attempt relays nothing more after another one got on. */
 const SUPERSEDED = "another attempt got on";
 
@@ -72,6 +81,7 @@
       sink: callerRequest.AnswerSink;
       answerForm: traffic.AnswerForm;
       resumeAfter: string;
+      buffers: answerBuffers.AnswerBuffers;
     },
   ) {
     this.#resumeAfter = parameters.resumeAfter;
@@ -115,7 +125,11 @@
     answer: runnerClient.RunnerAnswer,
     attempt: RelayedAttempt,
   ): Promise<neverthrow.Result<void, string>> {
-    const completeBody = await readCompleteBody(answer.body, attempt.onPiece);
+    const completeBody = await readCompleteBody(
+      answer.body,
+      this.parameters.buffers,
+      attempt.onPiece,
+    );
     const problem = completeBody.isOk()
       ? await attempt.confirmEnd()
       : undefined;
@@ -134,12 +148,17 @@
   ): Promise<neverthrow.Result<void, string>> {
     const { sink } = this.parameters;
     const splitter = new eventSplitter.EventSplitter();
+    let events = 0;
     try {
       for await (const piece of answer.body) {
         for (const event of splitter.push(piece)) {
           const problem = await this.#relayEvent(event, answer.head, attempt);
           if (problem) return neverthrow.err(problem);
+          // Many events may come at once; other requests get their turn.
+          if (++events % EVENTS_PER_TURN === 0) await common.nextTurn();
+          if (events > MAX_EVENTS) return neverthrow.err("too many events");
         }
+        if (splitter.isOverLong) return neverthrow.err("event too long");
       }
     } catch (cause) {
       if (cause instanceof common.TruncatedBody) {
--- a/packages/daemon/src/forwarding/event_splitter.ts
+++ b/packages/daemon/src/forwarding/event_splitter.ts
@@ -3,6 +3,11 @@
  * `\n` are recognized.
  */
 const EVENT_END = Buffer.from("\n\n");
+const LINE_END = EVENT_END[0];
+/** Longest event that is held until it is complete. */
+const MAX_EVENT_BYTES = 4 * 1024 * 1024;
+/** Pieces in which an event may arrive. */
+const MAX_EVENT_PIECES = 4_096;
 /** Field of an event that carries its number. */
 const ID_FIELD = "id:";
 
@@ -23,31 +28,55 @@
  * can continue after the last of them.
  */
 export class EventSplitter {
-  #incomplete: Buffer = Buffer.alloc(0);
+  /** Pieces of the event that is still incomplete. */
+  #pieces: Buffer[] = [];
+  #pendingBytes = 0;
 
   /** Number of bytes received of an event that is still incomplete. */
   get pendingBytes(): number {
-    return this.#incomplete.length;
+    return this.#pendingBytes;
+  }
+
+  /** Whether the incomplete event is longer, or in more pieces, than any may be. */
+  get isOverLong(): boolean {
+    return (
+      this.#pendingBytes > MAX_EVENT_BYTES ||
+      this.#pieces.length > MAX_EVENT_PIECES
+    );
   }
 
   /** Adds bytes and returns the events that they complete. */
   push(bytes: Buffer): StreamEvent[] {
-    let rest =
-      this.#incomplete.length > 0
-        ? Buffer.concat([this.#incomplete, bytes])
-        : bytes;
+    let rest = bytes;
     const events: StreamEvent[] = [];
     for (;;) {
-      const end = rest.indexOf(EVENT_END);
-      if (end < 0) break;
-      const length = end + EVENT_END.length;
-      const event = rest.subarray(0, length);
-      events.push({ number: numberOf(event), bytes: event });
+      const length = this.#lengthToEnd(rest);
+      if (length === undefined) break;
+      events.push(this.#complete(rest.subarray(0, length)));
       rest = rest.subarray(length);
     }
-    this.#incomplete = rest;
+    if (rest.length > 0) {
+      this.#pieces.push(rest);
+      this.#pendingBytes += rest.length;
+    }
     return events;
   }
+
+  /** Bytes up to the end of the event; `undefined` if it does not end in them. */
+  #lengthToEnd(bytes: Buffer): number | undefined {
+    const isAfterLineEnd = this.#pieces.at(-1)?.at(-1) === LINE_END;
+    if (isAfterLineEnd && bytes[0] === LINE_END) return 1;
+    const end = bytes.indexOf(EVENT_END);
+    return end < 0 ? undefined : end + EVENT_END.length;
+  }
+
+  #complete(last: Buffer): StreamEvent {
+    const bytes =
+      this.#pieces.length > 0 ? Buffer.concat([...this.#pieces, last]) : last;
+    this.#pieces = [];
+    this.#pendingBytes = 0;
+    return { number: numberOf(bytes), bytes };
+  }
 }
 
 function numberOf(event: Buffer): number | undefined {
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -7,6 +7,7 @@
 import type * as quarantine from "../quarantine/quarantine.ts";
 import type * as watchedRequests from "../quarantine/watched_requests.ts";
 import type * as plannedStop from "../shutdown/planned_stop.ts";
+import type * as answerBuffers from "./answer_buffers.ts";
 import type * as answerDurations from "./answer_durations.ts";
 import * as admissionPlace from "./admission_place.ts";
 import * as answerRelay from "./answer_relay.ts";
@@ -59,6 +60,7 @@
   admission: urgencyAdmission.UrgencyAdmission;
   tracker: runnerTracker.RunnerTracker;
   runnerClient: runnerClientModule.RunnerClient;
+  buffers: answerBuffers.AnswerBuffers;
   budgetOf: (service: string) => retryBudget.RetryBudget;
   quarantine: quarantine.Quarantine;
   crashDetector: crashDetector.CrashDetector;
@@ -156,6 +158,7 @@
       sink,
       answerForm: route.answerForm,
       resumeAfter: request.resumeAfter,
+      buffers: parameters.buffers,
     });
     this.#crashChecks = new crashChecks.CrashChecks({
       ...parameters,
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -5,6 +5,7 @@
 import type * as crashDetector from "../quarantine/crash_detector.ts";
 import type * as quarantine from "../quarantine/quarantine.ts";
 import type * as plannedStop from "../shutdown/planned_stop.ts";
+import * as answerBuffers from "./answer_buffers.ts";
 import * as answerDurations from "./answer_durations.ts";
 import * as admitRequest from "./admit_request.ts";
 import * as callerRequest from "./caller_request.ts";
@@ -53,6 +54,7 @@
 export class Forwarder {
   #view: traffic.TrafficView | undefined;
   #underWay = 0;
+  readonly #buffers = new answerBuffers.AnswerBuffers();
   readonly #durations = new answerDurations.AnswerDurations();
   readonly #timeoutHistory = new timeoutHistory.TimeoutHistory();
 
@@ -122,6 +124,7 @@
           urgency,
           spentBefore,
           durations: this.#durations,
+          buffers: this.#buffers,
           service: this.#chooseService(route),
         });
         const outcome = await forwarded.run();
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -1,5 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
+import type * as answerBuffers from "./answer_buffers.ts";
 import * as answerRelay from "./answer_relay.ts";
 import * as attemptOutcome from "./attempt_outcome.ts";
 import type * as answerTimer from "./answer_timer.ts";
@@ -53,6 +54,7 @@
   tracker: runnerTracker.RunnerTracker;
   runnerClient: runnerClientModule.RunnerClient;
   relay: answerRelay.AnswerRelay;
+  buffers: answerBuffers.AnswerBuffers;
   /** Cancels the attempt; its reason is the attempt's outcome. */
   cancel: AbortSignal;
   /** Called at each check that finds the attempt without progress. */
@@ -256,9 +258,13 @@
       resumeAfter: relay.resumeAfter,
       signal: this.#cancelled,
     });
-    return answer.isErr()
-      ? this.#outcomeOfFailure(answer.error)
-      : this.#handleAnswer(answer.value);
+    if (answer.isErr()) return this.#outcomeOfFailure(answer.error);
+    try {
+      return await this.#handleAnswer(answer.value);
+    } finally {
+      // A body that nobody reads to its end would keep the connection open.
+      answer.value.close();
+    }
   }
 
   async #handleAnswer(
@@ -284,8 +290,10 @@
         return { kind: attemptOutcome.AttemptOutcomeKind.NotRun, reason };
       case runnerClientModule.Verdict.Failed: {
         this.#noteTaken();
-        const completeBody = await answerRelay.readCompleteBody(body, () =>
-          this.noteContent(),
+        const completeBody = await answerRelay.readCompleteBody(
+          body,
+          this.parameters.buffers,
+          () => this.noteContent(),
         );
         if (completeBody.isErr())
           return { kind: attemptOutcome.AttemptOutcomeKind.Unknown, reason };
