fix(store): a spoiled answer of the store, or one without end, fails its call alone

Cause: answers of the store were parsed and cast; JSON of another shape, or none at all where a transaction had been answered, threw in a task, which ends the process. Pages whose keys do not rise were read without end. The client of store and engines took each interim head for the answer's beginning, and so as progress: with heads without end its call never settled. Its bodies had no limit.

The collector of answers uses the guard of calls to runners: interim heads, statuses, bodies (32 MiB). Wrong answers are counted by kind and source.

--- a/packages/backing_services/src/answer_collector.ts
+++ b/packages/backing_services/src/answer_collector.ts
@@ -4,6 +4,12 @@
 
 /** How many times the longest silence an answer may take as a whole. */
 const LONGEST_ANSWER = 8;
+/** Longest body; the largest documents asked for have some megabytes. */
+const MAX_BODY_BYTES = 32 * 1024 * 1024;
+
+/** Least status of a head before the final one, and of a final one. */
+const INTERIM_STATUS = 100;
+const FINAL_STATUS = 200;
 
 /** An answer as it was collected. */
 export interface CollectedAnswer {
@@ -26,6 +32,7 @@
  * client library are right to half a second, too late for what an engine is asked.
  */
 export class AnswerCollector implements undici.Dispatcher.DispatchHandler {
+  readonly #guard = new common.AnswerGuard(MAX_BODY_BYTES);
   readonly #pieces: Buffer[] = [];
   readonly #startedAt = common.now();
   readonly #silence: NodeJS.Timeout;
@@ -38,6 +45,7 @@
     readonly parameters: {
       /** Longest silence of the far end, before its answer and within it. */
       timeoutMilliseconds: number;
+      onWrongAnswer: (wrong: common.WrongAnswer) => void;
       onAnswer: (answer: CollectedAnswer) => void;
       onFailure: (failure: FailedRequest) => void;
     },
@@ -55,12 +63,18 @@
     this.#controller = controller;
   }
 
-  /** Status and headers are there. */
+  /** Status and headers are there, of the final answer or of one before it. */
   onResponseStart(
     _controller: undici.Dispatcher.DispatchController,
     status: number,
     headers: http.IncomingHttpHeaders,
   ): void {
+    if (status >= INTERIM_STATUS && status < FINAL_STATUS) {
+      this.#refuse(this.#guard.checkInterimHead(status));
+      return;
+    }
+    const contentLength = headers["content-length"];
+    this.#refuse(this.#guard.checkHead({ status, contentLength }));
     this.#status = status;
     this.#headers = headers;
     this.#silence.refresh();
@@ -71,6 +85,8 @@
     _controller: undici.Dispatcher.DispatchController,
     piece: Buffer,
   ): void {
+    this.#refuse(this.#guard.checkPiece(piece.length));
+    if (this.#over) return;
     this.#pieces.push(piece);
     this.#silence.refresh();
     const longest = this.parameters.timeoutMilliseconds * LONGEST_ANSWER;
@@ -97,6 +113,13 @@
     this.#fail(cause);
   }
 
+  /** Gives up an answer that is wrong. */
+  #refuse(wrong: common.WrongAnswer | undefined): void {
+    if (!wrong) return;
+    this.parameters.onWrongAnswer(wrong);
+    this.#giveUp(common.describeWrongAnswer(wrong));
+  }
+
   #giveUp(reason: string): void {
     const cause = new Error(reason);
     this.#fail(cause);
--- a/packages/backing_services/src/http_client.ts
+++ b/packages/backing_services/src/http_client.ts
@@ -1,3 +1,4 @@
+import type * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
 import * as answerCollector from "./answer_collector.ts";
@@ -61,6 +62,8 @@
       /** Longest silence of the far end, before its answer and within it. */
       timeoutMilliseconds: number;
       key?: string;
+      /** Called with each answer that can't be used. */
+      onWrongAnswer?: (wrong: common.WrongAnswer) => void;
     },
   ) {
     this.#pool = this.#newPool();
@@ -119,6 +122,7 @@
     return new Promise((resolve) => {
       const collector = new answerCollector.AnswerCollector({
         timeoutMilliseconds,
+        onWrongAnswer: (wrong) => this.parameters.onWrongAnswer?.(wrong),
         onAnswer: (answer) => resolve(neverthrow.ok(answer)),
         onFailure: (failure) => resolve(neverthrow.err(failure)),
       });
--- a/packages/backing_services/src/http_client_test.ts
+++ b/packages/backing_services/src/http_client_test.ts
@@ -1,6 +1,7 @@
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
 import * as httpClient from "./http_client.ts";
 
 const test = ava.default;
@@ -127,3 +128,66 @@
   t.true(answer.isErr());
   await client.close();
 });
+
+/** A client of a far end that answers each connection by `answer`. */
+async function startFarEnd(
+  t: ava.ExecutionContext,
+  answer: (socket: net.Socket) => void,
+): Promise<httpClient.HttpClient> {
+  const server = net.createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => answer(socket));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as net.AddressInfo;
+  const timeoutMilliseconds = 400;
+  return new httpClient.HttpClient(`http://127.0.0.1:${port}`, {
+    timeoutMilliseconds,
+  });
+}
+
+function writeWithoutEnd(socket: net.Socket, piece: string): void {
+  const write = () => {
+    while (!socket.destroyed && socket.write(piece));
+  };
+  socket.on("drain", write);
+  write();
+}
+
+// Guards against calls of the store and of engines that never end, or fill the memory.
+test("an answer without end fails its call in bounded time", async (t) => {
+  const endless = [
+    ["", "HTTP/1.1 103 Early Hints\r\n\r\n"],
+    ["HTTP/1.1 200 OK\r\nname: ", "v".repeat(1_000)],
+    ["HTTP/1.1 200 OK\r\n\r\n", "x".repeat(65_536)],
+    [
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "1\r\nx\r\n".repeat(100),
+    ],
+  ];
+  for (const [head, piece] of endless) {
+    const client = await startFarEnd(t, (socket) => {
+      socket.write(head);
+      writeWithoutEnd(socket, piece);
+    });
+    const startedAt = common.now();
+    const answer = await client.request("GET", "/");
+    const took = common.now() - startedAt;
+    t.true(answer.isErr(), head);
+    t.true(took < 1_000, `${piece.slice(0, 30)}: ${took} ms`);
+    await client.close();
+  }
+});
+
+// Guards against a wrong status that is taken for one of the far end's.
+test("an answer of no final status fails its call", async (t) => {
+  for (const status of ["000", "099", "101", "600", "999"]) {
+    const client = await startFarEnd(t, (socket) =>
+      socket.write(`HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\nok`),
+    );
+    const answer = await client.request("GET", "/");
+    t.true(answer.isErr(), status);
+    await client.close();
+  }
+});
--- a/packages/common/src/mod.ts
+++ b/packages/common/src/mod.ts
@@ -3,6 +3,7 @@
 export * from "./change_notice.ts";
 export * from "./channel.ts";
 export * from "./clock.ts";
+export * from "./count_wrong_answers.ts";
 export * from "./end_to_end_headers.ts";
 export * from "./event_catalogue.ts";
 export * from "./hash.ts";
