fix(engines): an order is confirmed by its own answer alone

Cause: calls to an engine went over kept connections, and whatever came next there was the answer to the next call. An engine that sends an answer again, late, thus confirmed an order that it carries out seconds later, under newer ones. Evidence: the case's record, and the new test, in which a copy of the first answer counted as the second one's. The same client asks the store, whose transactions could have been confirmed in the same way.

Change: each call of this client has a connection of its own, as calls of callers' requests have. The replacing of connections that went silent is gone with them.

Why it works: an extra answer belongs to a request that was sent before it on its connection, and there is none.

Test failed before: 'an extra answer is no answer to the next call'.

--- a/packages/backing_services/src/http_client.ts
+++ b/packages/backing_services/src/http_client.ts
@@ -48,12 +48,13 @@
 }
 
 /**
- * HTTP client for one origin. A pooled connection may have gone silent while
- * new ones work, so after any time-out the whole pool is replaced: the next
- * request opens a connection of its own.
+ * HTTP client for one origin. Each call has a connection of its own, and so has
+ * the answer that comes on it: a far end may send an answer again, late, where
+ * the answer to the next call on the connection is due, and an order would count
+ * as carried out that was not. Nor can a connection have gone silent before.
  */
 export class HttpClient {
-  #pool: undici.Pool;
+  readonly #pool: undici.Pool;
   #closed = false;
 
   constructor(
@@ -66,7 +67,14 @@
       onWrongAnswer?: (wrong: common.WrongAnswer) => void;
     },
   ) {
-    this.#pool = this.#newPool();
+    this.#pool = new undici.Pool(origin, {
+      connect: { timeout: parameters.timeoutMilliseconds },
+      // The silence of the far end is bounded for each request.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      // No connection is used again.
+      pipelining: 0,
+    });
   }
 
   /** Sends a request with a JSON body and reads the whole answer. */
@@ -80,7 +88,6 @@
       const kind = RequestFailureKind.NotSent;
       return neverthrow.err({ kind, reason: "client closed" });
     }
-    const pool = this.#pool;
     const timeout =
       options.timeoutMilliseconds ?? this.parameters.timeoutMilliseconds;
     const headers: Record<string, string> = {};
@@ -89,7 +96,7 @@
     if (this.parameters.key) {
       headers["authorization"] = `Bearer ${this.parameters.key}`;
     }
-    const collected = await this.#collect(pool, timeout, {
+    const collected = await this.#collect(timeout, {
       path,
       method,
       headers,
@@ -102,15 +109,10 @@
         entityTag: told.etag ?? "",
         header: (name: string) => told[name]?.toString(),
       }))
-      .mapErr(({ cause, begun }) => {
-        const failure = classifyFailure(cause, begun);
-        if (failure.kind === RequestFailureKind.Unanswered) this.#replace(pool);
-        return failure;
-      });
+      .mapErr(({ cause, begun }) => classifyFailure(cause, begun));
   }
 
   #collect(
-    pool: undici.Pool,
     timeoutMilliseconds: number,
     request: undici.Dispatcher.DispatchOptions,
   ): Promise<
@@ -127,7 +129,7 @@
         onFailure: (failure) => resolve(neverthrow.err(failure)),
       });
       try {
-        pool.dispatch(request, collector);
+        this.#pool.dispatch(request, collector);
       } catch (cause) {
         // A pool that is closed throws at once.
         const failure = { cause: cause as Error, begun: false };
@@ -141,24 +143,4 @@
     this.#closed = true;
     await this.#pool.destroy();
   }
-
-  #replace(pool: undici.Pool): void {
-    // A request that ends by our own closing must not open a pool anew, nor
-    // close one that is destroyed: that rejects, and would end the process.
-    if (this.#closed || this.#pool !== pool) return;
-    this.#pool = this.#newPool();
-    // Other requests may be waiting on the old pool; it closes when they end.
-    pool.close().catch(() => undefined);
-  }
-
-  #newPool(): undici.Pool {
-    return new undici.Pool(this.origin, {
-      connect: { timeout: this.parameters.timeoutMilliseconds },
-      // The silence of the far end is bounded for each request.
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      keepAliveTimeout: 4_000,
-      connections: 16,
-    });
-  }
 }
--- a/packages/backing_services/src/http_client_test.ts
+++ b/packages/backing_services/src/http_client_test.ts
@@ -191,3 +191,25 @@
     await client.close();
   }
 });
+
+// Guards against an extra answer, sent late, that is taken for the next call's.
+test("an extra answer is no answer to the next call", async (t) => {
+  const sound = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+  let calls = 0;
+  const client = await startFarEnd(t, (socket) => {
+    // Only the first call is answered, and answered again at the next one.
+    if (calls++ > 0) return;
+    socket.write(sound);
+    socket.on("data", () => socket.write(sound));
+  });
+  const first = await client.request("GET", "/");
+  t.is(first._unsafeUnwrap().body, "first");
+  // A client that keeps connections has this one free again by then.
+  await common.nextTurn();
+  const second = await client.request("POST", "/", {});
+  t.is(
+    second.isErr() && second.error.kind,
+    httpClient.RequestFailureKind.Unanswered,
+  );
+  await client.close();
+});
