fix(wire): a field without a value stays without one in documents

Cause: documents were packed with undefined as nil, which comes out as null; whether a request needs a key asks for undefined. Same class in the document: an account's urgency and a service's engine. Messages use the same option; each place that reads their optional fields takes null and undefined alike, so they stay as they are.

Change: undefined has its own encoding, which any build of ours reads.

Test failed before: 'a field without a value comes out without one'.

--- a/packages/wire/src/packed_document.ts
+++ b/packages/wire/src/packed_document.ts
@@ -14,7 +14,6 @@
 
 const packer = new msgpackr.Packr({
   useRecords: false,
-  encodeUndefinedAsNil: true,
 });
 
 /** Packs a document. */
--- a/packages/wire/src/packed_document_test.ts
+++ b/packages/wire/src/packed_document_test.ts
@@ -34,3 +34,15 @@
   const cut = packedDocument.packDocument(documentOf(50)).subarray(0, 100);
   t.true(packedDocument.unpackDocument(cut).isErr());
 });
+
+// Guards against a field without a value that comes out as another one: a document
+// without accounts then seemed to have some, and all requests needed a key.
+test("a field without a value comes out without one", (t) => {
+  const document = {
+    accounts: undefined,
+    list: [{ urgency: undefined }, null],
+  };
+  const packed = packedDocument.packDocument(document);
+  const unpacked = packedDocument.unpackDocument(packed)._unsafeUnwrap();
+  t.deepEqual(unpacked, document);
+});
