fix(engine): the own interface takes no wrong answers of engines and services

Cause: items of a generation, loads, cache events and states of ranks were parsed and cast, so that JSON of another shape threw in a task, which ends the upstream process; texts were read without a limit; interim heads went on without end; statuses of 600 to 999 were passed on; a late second answer on a kept connection was the next call's.

Change: one guarded request for engines and services (guard of calls to runners), shapes checked at the border, an item of 1 Mi characters and a text of 8 MiB at most, connections that are not used again. What an engine leaves out of a rank's state gets its default there, no longer in the order gate.

--- a/packages/daemon/src/expert_map/order_gate.ts
+++ b/packages/daemon/src/expert_map/order_gate.ts
@@ -10,27 +10,6 @@
   order: engineModule.HttpEngine["order"];
 }
 
-/**
- * Values of the fields that an engine leaves out of its answer. A version of 0
- * means that there is no such map.
- */
-function defaultState(): wire.RankState {
-  return {
-    // Number of the iteration that the rank has reached.
-    step: 0,
-    mapVersion: 0,
-    stagedVersion: 0,
-    armedVersion: 0,
-    // Number of the iteration from which the rank is to use the armed map.
-    armedStep: 0,
-    // Version for which the rank has received "go".
-    goVersion: 0,
-    // Whether the rank holds, so that no iteration begins.
-    held: false,
-    expertTokens: [],
-  };
-}
-
 /**
  * Runs in the upstream process beside one rank's engine. It passes orders of
  * the group's coordinators to the engine and enforces fencing, also for engines
@@ -103,7 +82,7 @@
       if (engineOrder.kind === wire.OrderKind.Stage) {
         this.#mapCache.put(engineOrder.map);
       }
-      return { done: true, state: { ...defaultState(), ...answer.value } };
+      return { done: true, state: answer.value };
     }
     return this.#refuse(refusalOf(answer.error.reason));
   }
--- a/packages/engine/src/http_engine.ts
+++ b/packages/engine/src/http_engine.ts
@@ -2,13 +2,20 @@
 import type * as wire from "@geraniumkeel/wire";
 import * as httpFailure from "./http_failure.ts";
 import * as neverthrow from "neverthrow";
-import * as undici from "undici";
+import type * as undici from "undici";
+import * as zod from "zod";
 import * as engine from "./engine.ts";
+import * as engineAnswers from "./engine_answers.ts";
+import * as guardedRequest from "./guarded_request.ts";
 import * as newAgent from "./new_agent.ts";
 import * as answerNotice from "./answer_notice.ts";
 
 /** Streams at once; each takes a connection. */
 const MOST_CONNECTIONS = 512;
+/** Longest item of a generation. */
+const MAX_LINE_CHARACTERS = 1024 * 1024;
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
 const ORDER_TIMEOUT_MILLISECONDS = 2_000;
 
 /**
@@ -52,15 +59,14 @@
   /** Gives up a generation; harmless when it has ended. */
   async cancel(identifier: string): Promise<void> {
     const path = `/generate/${encodeURIComponent(identifier)}`;
-    await this.#json("DELETE", path, undefined);
+    await this.#json("DELETE", path, undefined, zod.unknown());
   }
 
   /** Reads the engine's load report. */
   async load(): Promise<
     neverthrow.Result<engine.EngineLoad, engine.EngineRefusal>
   > {
-    const answer = await this.#json("GET", "/load", undefined);
-    return answer.map((value) => value as engine.EngineLoad);
+    return this.#json("GET", "/load", undefined, engineAnswers.LOAD);
   }
 
   /** Reads cache events after a sequence number. */
@@ -69,16 +75,15 @@
   ): Promise<
     neverthrow.Result<engine.EngineCacheEvent[], engine.EngineRefusal>
   > {
-    const answer = await this.#json("GET", `/events?after=${after}`, undefined);
-    return answer.map((value) => value as engine.EngineCacheEvent[]);
+    const path = `/events?after=${after}`;
+    return this.#json("GET", path, undefined, engineAnswers.CACHE_EVENTS);
   }
 
   /** Gives a group order and reads back the rank's state. */
   async order(
     order: wire.EngineOrder,
   ): Promise<neverthrow.Result<wire.RankState, engine.EngineRefusal>> {
-    const answer = await this.#json("POST", "/orders", order);
-    return answer.map((value) => value as wire.RankState);
+    return this.#json("POST", "/orders", order, engineAnswers.RANK_STATE);
   }
 
   /** Closes all connections. */
@@ -86,21 +91,27 @@
     await this.#agent.destroy();
   }
 
-  async #json(
+  async #json<T>(
     method: "GET" | "POST" | "DELETE",
     path: string,
     body: unknown,
-  ): Promise<neverthrow.Result<unknown, engine.EngineRefusal>> {
+    schema: zod.ZodType<T>,
+  ): Promise<neverthrow.Result<T, engine.EngineRefusal>> {
     try {
-      const answer = await undici.request(`${this.origin}${path}`, {
-        method,
-        dispatcher: this.#agent,
-        body: body === undefined ? undefined : JSON.stringify(body),
-        signal: AbortSignal.timeout(ORDER_TIMEOUT_MILLISECONDS),
-      });
-      const text = await answer.body.text();
-      if (answer.statusCode !== 200) return refusal(text);
-      return neverthrow.ok(JSON.parse(text));
+      const answer = await guardedRequest.guardedRequest(
+        `${this.origin}${path}`,
+        {
+          method,
+          dispatcher: this.#agent,
+          body: body === undefined ? undefined : JSON.stringify(body),
+          signal: AbortSignal.timeout(ORDER_TIMEOUT_MILLISECONDS),
+        },
+      );
+      const text = await guardedRequest.readText(answer.body);
+      if (answer.head.statusCode !== STATUS_OK) return refusal(text);
+      return common
+        .validateJson(schema, text)
+        .mapErr((problems) => refusalOf(problems.map(common.describeProblem)));
     } catch (cause) {
       return refusal((cause as Error).message);
     }
@@ -114,30 +125,24 @@
   ): AsyncGenerator<engine.EngineItem, void, void> {
     const sentAt = common.instant();
     try {
-      const answer = await undici.request(`${this.origin}${path}`, {
-        method,
-        dispatcher: this.#agent,
-        body,
-        signal,
-      });
-      this.parameters.onAnswer?.(answerNotice.answerNotice(answer, sentAt));
-      if (answer.statusCode === 503) {
-        await answer.body.dump();
+      const { head, body: answer } = await guardedRequest.guardedRequest(
+        `${this.origin}${path}`,
+        { method, dispatcher: this.#agent, body, signal },
+      );
+      this.parameters.onAnswer?.(answerNotice.answerNotice(head, sentAt));
+      if (head.statusCode === STATUS_UNAVAILABLE) {
+        // Nothing of the body is read, so its connection is closed.
+        await answer.return();
+        head.body.destroy();
         yield { kind: engine.EngineItemKind.NotStarted, reason: "status 503" };
         return;
       }
-      if (answer.statusCode !== 200) {
-        const reason = await answer.body.text();
+      if (head.statusCode !== STATUS_OK) {
+        const reason = await guardedRequest.readText(answer);
         yield { kind: engine.EngineItemKind.Broken, reason };
         return;
       }
-      let rest = "";
-      answer.body.setEncoding("utf8");
-      for await (const chunk of answer.body) {
-        const lines = (rest + (chunk as string)).split("\n");
-        rest = lines.pop() ?? "";
-        for (const line of lines) yield JSON.parse(line) as engine.EngineItem;
-      }
+      yield* itemsOf(answer);
     } catch (cause) {
       yield httpFailure.itemOfFailure(cause);
       return;
@@ -146,6 +151,32 @@
   }
 }
 
+/** Items of a body, one a line; throws at a line that is none. */
+async function* itemsOf(
+  body: AsyncIterable<Uint8Array>,
+): AsyncGenerator<engine.EngineItem, void, void> {
+  const decoder = new TextDecoder();
+  let rest = "";
+  for await (const piece of body) {
+    const lines = (rest + decoder.decode(piece, { stream: true })).split("\n");
+    rest = lines.pop() ?? "";
+    if (rest.length > MAX_LINE_CHARACTERS) throw new Error("item too long");
+    for (const line of lines) {
+      const item = common.validateJson(engineAnswers.ITEM, line);
+      if (item.isErr())
+        throw new Error(
+          refusalOf(item.error.map(common.describeProblem)).reason,
+        );
+      yield item.value;
+    }
+  }
+}
+
+function refusalOf(problems: string[]): engine.EngineRefusal {
+  const reason = `unreadable answer: ${problems[0]}`;
+  return { kind: "engine-refusal", reason };
+}
+
 function refusal<T>(
   reason: string,
 ): neverthrow.Result<T, engine.EngineRefusal> {
--- a/packages/engine/src/new_agent.ts
+++ b/packages/engine/src/new_agent.ts
@@ -24,5 +24,7 @@
     headersTimeout: progressTimeoutMilliseconds,
     bodyTimeout: progressTimeoutMilliseconds,
     connections,
+    // No connection is used again: a late second answer would be the next one's.
+    pipelining: 0,
   });
 }
--- a/packages/engine/src/plain_service.ts
+++ b/packages/engine/src/plain_service.ts
@@ -1,8 +1,9 @@
 import * as stream from "node:stream";
 import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
-import * as undici from "undici";
+import type * as undici from "undici";
 import * as connectionEndings from "./connection_endings.ts";
+import * as guardedRequest from "./guarded_request.ts";
 import * as newAgent from "./new_agent.ts";
 import * as httpFailure from "./http_failure.ts";
 import * as answerNotice from "./answer_notice.ts";
@@ -80,22 +81,24 @@
     const sentAt = common.instant();
     const resetsBefore = this.#endings.resets;
     try {
-      const answer = await undici.request(`${this.origin}${call.path}`, {
-        method: call.method,
-        dispatcher: this.#agent,
-        headers: forwardedHeaders(call.headers).flat(),
-        body: bodyOf(call.body),
-        signal,
-      });
-      this.parameters.onAnswer?.(answerNotice.answerNotice(answer, sentAt));
-      const headers = Object.entries(answer.headers).flatMap(
+      const { head, body } = await guardedRequest.guardedRequest(
+        `${this.origin}${call.path}`,
+        {
+          method: call.method,
+          dispatcher: this.#agent,
+          headers: forwardedHeaders(call.headers).flat(),
+          body: bodyOf(call.body),
+          signal,
+        },
+      );
+      this.parameters.onAnswer?.(answerNotice.answerNotice(head, sentAt));
+      const headers = Object.entries(head.headers).flatMap(
         ([name, value]): [string, string][] =>
           [value ?? []].flat().map((one) => [name, one]),
       );
-      const endsWithConnection = !isFramed(call, answer);
-      const body = answer.body as AsyncIterable<Uint8Array>;
+      const endsWithConnection = !isFramed(call, head);
       return neverthrow.ok({
-        status: answer.statusCode,
+        status: head.statusCode,
         headers: forwardedHeaders(headers),
         endsWithConnection,
         body: endsWithConnection ? this.#unreset(body, resetsBefore) : body,
