--- a/packages/engine/src/wrong_answers_test.ts
+++ b/packages/engine/src/wrong_answers_test.ts
@@ -82,11 +82,12 @@
   const answer = await service.call(call, new AbortController().signal);
   if (answer.isErr()) return answer.error.kind;
   try {
-    for await (const _piece of answer.value.body);
+    const pieces: Uint8Array[] = [];
+    for await (const piece of answer.value.body) pieces.push(piece);
+    return pieces.length > 0 ? answer.value.status : "empty";
   } catch {
     return "broken";
   }
-  return answer.value.status;
 }
 
 // Guards against JSON of another shape that ends the upstream process.
