fix(engine): a refusal whose body nobody reads does not end the upstream process

Seen by the explorer's fault tests, which ended by 'Request aborted'.

Change: a guarded answer has close(), which hears that error.

The check is as strict; the runner is now as slow as any can count before it answers.

--- a/packages/daemon/src/forwarding/slow_answers_test.ts
+++ b/packages/daemon/src/forwarding/slow_answers_test.ts
@@ -1,9 +1,13 @@
 import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
 import * as forwardingFixture from "./forwarding_fixture.ts";
 
 const test = ava.default;
 
+/** Time after which a runner with an objective of 40 ms counts as slow as any can. */
+const SLOWEST_MILLISECONDS = 300;
+
 function isSlow(
   entry: forwardingFixture.SteppedEntry,
   runner: string | undefined,
@@ -80,6 +84,10 @@
   quick.end();
   await second.finished;
   await forwardingFixture.until(() => isSlow(entry, slow.runner));
+  // As slow as a runner can count, so that it stays slow for two seconds unless
+  // answers come: ten requests take long on a busy machine.
+  const slowestAt = common.now() + SLOWEST_MILLISECONDS;
+  await forwardingFixture.until(() => common.now() > slowestAt);
   slow.begin();
   slow.end();
   await first.finished;
--- a/packages/engine/src/guarded_request.ts
+++ b/packages/engine/src/guarded_request.ts
@@ -17,6 +17,8 @@
   head: undici.Dispatcher.ResponseData;
   /** The body as it arrives. Throws where it is wrong, or its connection fails. */
   body: AsyncGenerator<Uint8Array, void, void>;
+  /** Closes the connection; what was not read of the body is lost. */
+  close: () => void;
 }
 
 /**
@@ -41,13 +43,16 @@
   const contentLength = headers["content-length"]?.toString();
   const announced = options.method === "HEAD" ? undefined : contentLength;
   const wrong = guard.checkHead({ status, contentLength: announced });
-  if (wrong) {
-    // The error says what the abort would say once more.
+  const close = () => {
+    // Nobody reads the body any more, so nobody else would hear its error.
     body.once("error", () => undefined);
-    refusal.abort(errorOf(wrong));
+    body.destroy();
+  };
+  if (wrong) {
+    close();
     throw errorOf(wrong);
   }
-  return { head, body: checkedBody(body, guard) };
+  return { head, body: checkedBody(body, guard), close };
 }
 
 /** Reads a body that is short as text; throws if it is not. */
--- a/packages/engine/src/http_engine.ts
+++ b/packages/engine/src/http_engine.ts
@@ -125,15 +125,19 @@
   ): AsyncGenerator<engine.EngineItem, void, void> {
     const sentAt = common.instant();
     try {
-      const { head, body: answer } = await guardedRequest.guardedRequest(
-        `${this.origin}${path}`,
-        { method, dispatcher: this.#agent, body, signal },
-      );
+      const {
+        head,
+        body: answer,
+        close,
+      } = await guardedRequest.guardedRequest(`${this.origin}${path}`, {
+        method,
+        dispatcher: this.#agent,
+        body,
+        signal,
+      });
       this.parameters.onAnswer?.(answerNotice.answerNotice(head, sentAt));
       if (head.statusCode === STATUS_UNAVAILABLE) {
-        // Nothing of the body is read, so its connection is closed.
-        await answer.return();
-        head.body.destroy();
+        close();
         yield { kind: engine.EngineItemKind.NotStarted, reason: "status 503" };
         return;
       }
--- a/packages/engine/src/wrong_answers_test.ts
+++ b/packages/engine/src/wrong_answers_test.ts
@@ -156,3 +156,17 @@
     t.true(took < MAX_MILLISECONDS, `${head.trim()}: ${took} ms`);
   }
 });
+
+// Guards against a refusal whose body, which nobody reads, ends the process by an error.
+test("a refusal of an engine closes its connection, whatever its body", async (t) => {
+  for (const body of ["", "busy", "x".repeat(200_000)]) {
+    let closed = false;
+    const { engine: client } = await startBackEnd(t, (socket) => {
+      socket.once("close", () => (closed = true));
+      socket.write(framed(body).replace("200 OK", "503 Busy"));
+    });
+    const item = await lastItem(client);
+    t.is(item?.kind, engine.EngineItemKind.NotStarted);
+    while (!closed) await common.sleep(5);
+  }
+});
