fix(runners): chunks without end cost what an answer of their form may

Cause: the client's limit was that of streams (64 MiB) for all answers, so one of small chunks without end cost 0.4 s of processor at a route whose answers are held.

Change: a call is told the limit of its form, 8 MiB for answers that are held.

Test: 'a call is told the limit of its form of answer' (the field is new).

--- a/packages/daemon/src/forwarding/answer_buffers.ts
+++ b/packages/daemon/src/forwarding/answer_buffers.ts
@@ -1,5 +1,5 @@
-/** Longest answer that is held until it is complete. */
-const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+import * as answerLimits from "./answer_limits.ts";
+
 /** Bytes of all answers that a process holds at the same time. */
 const MAX_TOTAL_BYTES = 32 * 1024 * 1024;
 
@@ -57,8 +57,8 @@
     if (this.#problem !== undefined) return;
     this.#pieces.push(piece);
     this.#bytes += piece.length;
-    if (this.#bytes > MAX_ANSWER_BYTES) {
-      this.#drop(`answer over ${MAX_ANSWER_BYTES} bytes`);
+    if (this.#bytes > answerLimits.MAX_HELD_BYTES) {
+      this.#drop(`answer over ${answerLimits.MAX_HELD_BYTES} bytes`);
       return;
     }
     this.parameters.onGrowth();
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -1,6 +1,7 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
 import type * as answerBuffers from "./answer_buffers.ts";
+import * as answerLimits from "./answer_limits.ts";
 import * as answerRelay from "./answer_relay.ts";
 import * as attemptOutcome from "./attempt_outcome.ts";
 import type * as answerTimer from "./answer_timer.ts";
@@ -256,6 +257,7 @@
         objectiveMilliseconds: route.objectiveMilliseconds,
       }),
       resumeAfter: relay.resumeAfter,
+      maxBodyBytes: answerLimits.maxBodyBytes(route.answerForm),
       signal: this.#cancelled,
     });
     if (answer.isErr()) return this.#outcomeOfFailure(answer.error);
--- a/packages/daemon/src/forwarding/runner_client.ts
+++ b/packages/daemon/src/forwarding/runner_client.ts
@@ -24,6 +24,8 @@
    * beginning.
    */
   resumeAfter: string;
+  /** Longest body of the answer, chunks counted with an overhead. */
+  maxBodyBytes: number;
   /** Aborts the call; the runner then drops the request. */
   signal: AbortSignal;
 }
--- a/packages/daemon/src/forwarding/unbounded_answer_test.ts
+++ b/packages/daemon/src/forwarding/unbounded_answer_test.ts
@@ -97,3 +97,19 @@
     t.is(splitter.pendingBytes, "rest".length);
   }
 });
+
+// Guards against small chunks without end at a route whose answers are held: they cost
+// as much as a stream may.
+test("a call is told the limit of its form of answer", async (t) => {
+  const limits = [traffic.AnswerForm.Whole, traffic.AnswerForm.Events].map(
+    async (answerForm) => {
+      const entry = entryWith(answerForm, {
+        body: new LongBody(Buffer.alloc(1)),
+      });
+      const sent = entry.send("q");
+      await sent.finished;
+      return sent.calls[0].call.maxBodyBytes / MEBIBYTE;
+    },
+  );
+  t.deepEqual(await Promise.all(limits), [8, 64]);
+});
