--- a/packages/backing_services/src/http_client.ts
+++ b/packages/backing_services/src/http_client.ts
@@ -47,11 +47,13 @@
   return { kind, reason: code || (error.message ?? "failed") };
 }
 
+/** Calls under way at once; further ones wait, within their timeouts. */
+const MAX_CONNECTIONS = 64;
+
 /**
- * HTTP client for one origin. Each call has a connection of its own, and so has
- * the answer that comes on it: a far end may send an answer again, late, where
- * the answer to the next call on the connection is due, and an order would count
- * as carried out that was not. Nor can a connection have gone silent before.
+ * HTTP client for one origin. Each call has a connection of its own. On a kept
+ * connection a far end may send an answer again, late, where the answer to the
+ * next call is due, and an order would count as carried out that was not.
  */
 export class HttpClient {
   readonly #pool: undici.Pool;
@@ -72,6 +74,7 @@
       // The silence of the far end is bounded for each request.
       headersTimeout: 0,
       bodyTimeout: 0,
+      connections: MAX_CONNECTIONS,
       // No connection is used again.
       pipelining: 0,
     });
--- a/packages/backing_services/src/http_client_test.ts
+++ b/packages/backing_services/src/http_client_test.ts
@@ -213,3 +213,18 @@
   );
   await client.close();
 });
+
+// Guards against calls to a silent far end that take all descriptors of the process.
+test("calls under way at once have a bounded number of connections", async (t) => {
+  let open = 0;
+  let mostOpen = 0;
+  const client = await startFarEnd(t, (socket) => {
+    mostOpen = Math.max(mostOpen, ++open);
+    socket.once("close", () => open--);
+  });
+  const calls = Array.from({ length: 200 }, () => client.request("GET", "/"));
+  const answers = await Promise.all(calls);
+  t.true(answers.every((answer) => answer.isErr()));
+  t.true(mostOpen > 0 && mostOpen <= 64, `${mostOpen} connections`);
+  await client.close();
+});
