fix(engine): wrong answers of the own interface's back ends are counted

Change: both clients report each wrong answer once, whichever part of it was wrong; the upstream process counts them (from engine, service). What is unreadable in shape is described in one place.

Test: 'each wrong answer is reported once, by its kind'; what it asks had no way to be told before.

--- a/packages/common/src/count_wrong_answers.ts
+++ b/packages/common/src/count_wrong_answers.ts
@@ -6,6 +6,8 @@
   Runner = "runner",
   Engine = "engine",
   Store = "store",
+  /** A plain service of the own interface. */
+  Service = "service",
 }
 
 /** Returns a function that counts each wrong answer of a program. */
--- a/packages/daemon/src/upstream/start_upstream.ts
+++ b/packages/daemon/src/upstream/start_upstream.ts
@@ -117,7 +117,13 @@
     lifeCycle,
     table,
     waitingRoom: entryLink.newWaitingRoom(table, () => context),
-    backEnd: createBackEnd({ settings, incarnation, lifeCycle, onAnswer }),
+    backEnd: createBackEnd({
+      settings,
+      incarnation,
+      lifeCycle,
+      onAnswer,
+      metrics,
+    }),
     rateLimit,
     rest,
     lives: new backEndLives.BackEndLives({
@@ -150,21 +156,25 @@
   incarnation: string;
   lifeCycle: common.LifeCycle;
   onAnswer: (notice: engineModule.AnswerNotice) => void;
+  metrics: common.Metrics;
 }): upstreamContext.BackEnd {
-  const { settings, incarnation, lifeCycle, onAnswer } = parameters;
+  const { settings, incarnation, lifeCycle, onAnswer, metrics } = parameters;
   const { backEnd, timing } = settings;
-  const options = {
+  const optionsOf = (from: common.AnswerSource) => ({
     progressTimeoutMilliseconds: timing.progressTimeout,
     onAnswer,
-  };
+    onWrongAnswer: common.countWrongAnswers(metrics, from),
+  });
   switch (backEnd.kind) {
     case settingsModule.BackEndKind.Model: {
+      const options = optionsOf(common.AnswerSource.Engine);
       const engine = new engineModule.HttpEngine(backEnd.url, options);
       lifeCycle.own({ name: "engine", close: () => engine.close() });
       const orders = new orderGate.OrderGate(incarnation, engine);
       return { kind: backEnd.kind, engine, orders };
     }
     case settingsModule.BackEndKind.Plain: {
+      const options = optionsOf(common.AnswerSource.Service);
       const service = new engineModule.HttpPlainService(backEnd.url, options);
       lifeCycle.own({ name: "service", close: () => service.close() });
       return { kind: backEnd.kind, service };
--- a/packages/engine/src/guarded_request.ts
+++ b/packages/engine/src/guarded_request.ts
@@ -10,13 +10,20 @@
 export type RequestOptions = Pick<
   undici.Dispatcher.RequestOptions,
   "method" | "headers" | "body"
-> & { dispatcher: undici.Dispatcher; signal: AbortSignal };
+> & {
+  dispatcher: undici.Dispatcher;
+  signal: AbortSignal;
+  /** Called with each answer that can't be used. */
+  onWrongAnswer?: (wrong: common.WrongAnswer) => void;
+};
 
 /** An answer whose head passed the checks. */
 export interface GuardedAnswer {
   head: undici.Dispatcher.ResponseData;
   /** The body as it arrives. Throws where it is wrong, or its connection fails. */
   body: AsyncGenerator<Uint8Array, void, void>;
+  /** Reads a body that is short as text; rejects if it is not. */
+  text: () => Promise<string>;
   /** Closes the connection; what was not read of the body is lost. */
   close: () => void;
 }
@@ -29,14 +36,19 @@
   url: string,
   options: RequestOptions,
 ): Promise<GuardedAnswer> {
+  const { onWrongAnswer, ...request } = options;
   const guard = new common.AnswerGuard(MAX_ANSWER_BYTES);
   const refusal = new AbortController();
+  const refuse = (wrong: common.WrongAnswer): Error => {
+    onWrongAnswer?.(wrong);
+    return new Error(common.describeWrongAnswer(wrong));
+  };
   const head = await undici.request(url, {
-    ...options,
+    ...request,
     signal: AbortSignal.any([options.signal, refusal.signal]),
     onInfo: ({ statusCode }) => {
       const wrong = guard.checkInterimHead(statusCode);
-      if (wrong) refusal.abort(errorOf(wrong));
+      if (wrong && !refusal.signal.aborted) refusal.abort(refuse(wrong));
     },
   });
   const { statusCode: status, headers, body } = head;
@@ -50,20 +62,21 @@
   };
   if (wrong) {
     close();
-    throw errorOf(wrong);
+    throw refuse(wrong);
   }
-  return { head, body: checkedBody(body, guard), close };
+  const checked = checkedBody(body, guard, refuse);
+  return { head, body: checked, text: () => readText(checked, refuse), close };
 }
 
-/** Reads a body that is short as text; throws if it is not. */
-export async function readText(
+async function readText(
   body: AsyncIterable<Uint8Array>,
+  refuse: (wrong: common.WrongAnswer) => Error,
 ): Promise<string> {
   const pieces: Uint8Array[] = [];
   const guard = new common.AnswerGuard(MAX_TEXT_BYTES);
   for await (const piece of body) {
     const wrong = guard.checkPiece(piece.byteLength);
-    if (wrong) throw errorOf(wrong);
+    if (wrong) throw refuse(wrong);
     pieces.push(piece);
   }
   return Buffer.concat(pieces).toString("utf8");
@@ -72,14 +85,11 @@
 async function* checkedBody(
   body: AsyncIterable<Uint8Array>,
   guard: common.AnswerGuard,
+  refuse: (wrong: common.WrongAnswer) => Error,
 ): AsyncGenerator<Uint8Array, void, void> {
   for await (const piece of body) {
     const wrong = guard.checkPiece(piece.byteLength);
-    if (wrong) throw errorOf(wrong);
+    if (wrong) throw refuse(wrong);
     yield piece;
   }
 }
-
-function errorOf(wrong: common.WrongAnswer): Error {
-  return new Error(common.describeWrongAnswer(wrong));
-}
--- a/packages/engine/src/http_engine.ts
+++ b/packages/engine/src/http_engine.ts
@@ -31,6 +31,8 @@
       progressTimeoutMilliseconds: number;
       /** Called with each answer to a generation. */
       onAnswer?: (notice: answerNotice.AnswerNotice) => void;
+      /** Called with each answer that can't be used. */
+      onWrongAnswer?: (wrong: common.WrongAnswer) => void;
     },
   ) {
     const connections = MOST_CONNECTIONS;
@@ -105,13 +107,15 @@
           dispatcher: this.#agent,
           body: body === undefined ? undefined : JSON.stringify(body),
           signal: AbortSignal.timeout(ORDER_TIMEOUT_MILLISECONDS),
+          onWrongAnswer: this.parameters.onWrongAnswer,
         },
       );
-      const text = await guardedRequest.readText(answer.body);
+      const text = await answer.text();
       if (answer.head.statusCode !== STATUS_OK) return refusal(text);
-      return common
-        .validateJson(schema, text)
-        .mapErr((problems) => refusalOf(problems.map(common.describeProblem)));
+      const read = common.validateJson(schema, text);
+      return read.isOk()
+        ? neverthrow.ok(read.value)
+        : refusal(unreadable(read.error));
     } catch (cause) {
       return refusal((cause as Error).message);
     }
@@ -125,28 +129,30 @@
   ): AsyncGenerator<engine.EngineItem, void, void> {
     const sentAt = common.instant();
     try {
-      const {
-        head,
-        body: answer,
-        close,
-      } = await guardedRequest.guardedRequest(`${this.origin}${path}`, {
-        method,
-        dispatcher: this.#agent,
-        body,
-        signal,
-      });
-      this.parameters.onAnswer?.(answerNotice.answerNotice(head, sentAt));
-      if (head.statusCode === STATUS_UNAVAILABLE) {
-        close();
+      const answer = await guardedRequest.guardedRequest(
+        `${this.origin}${path}`,
+        {
+          method,
+          dispatcher: this.#agent,
+          body,
+          signal,
+          onWrongAnswer: this.parameters.onWrongAnswer,
+        },
+      );
+      this.parameters.onAnswer?.(
+        answerNotice.answerNotice(answer.head, sentAt),
+      );
+      if (answer.head.statusCode === STATUS_UNAVAILABLE) {
+        answer.close();
         yield { kind: engine.EngineItemKind.NotStarted, reason: "status 503" };
         return;
       }
-      if (head.statusCode !== STATUS_OK) {
-        const reason = await guardedRequest.readText(answer);
+      if (answer.head.statusCode !== STATUS_OK) {
+        const reason = await answer.text();
         yield { kind: engine.EngineItemKind.Broken, reason };
         return;
       }
-      yield* itemsOf(answer);
+      yield* itemsOf(answer.body);
     } catch (cause) {
       yield httpFailure.itemOfFailure(cause);
       return;
@@ -167,18 +173,15 @@
     if (rest.length > MAX_LINE_CHARACTERS) throw new Error("item too long");
     for (const line of lines) {
       const item = common.validateJson(engineAnswers.ITEM, line);
-      if (item.isErr())
-        throw new Error(
-          refusalOf(item.error.map(common.describeProblem)).reason,
-        );
+      if (item.isErr()) throw new Error(unreadable(item.error));
       yield item.value;
     }
   }
 }
 
-function refusalOf(problems: string[]): engine.EngineRefusal {
-  const reason = `unreadable answer: ${problems[0]}`;
-  return { kind: "engine-refusal", reason };
+/** What is wrong with an answer's shape, for people; the first problem of it. */
+function unreadable([problem]: common.InputProblem[]): string {
+  return `unreadable answer: ${common.describeProblem(problem)}`;
 }
 
 function refusal<T>(
--- a/packages/engine/src/plain_service.ts
+++ b/packages/engine/src/plain_service.ts
@@ -63,6 +63,8 @@
       progressTimeoutMilliseconds: number;
       /** Called with each answer. */
       onAnswer?: (notice: answerNotice.AnswerNotice) => void;
+      /** Called with each answer that can't be used. */
+      onWrongAnswer?: (wrong: common.WrongAnswer) => void;
     },
   ) {
     const connections = MOST_CONNECTIONS;
@@ -89,6 +91,7 @@
           headers: forwardedHeaders(call.headers).flat(),
           body: bodyOf(call.body),
           signal,
+          onWrongAnswer: this.parameters.onWrongAnswer,
         },
       );
       this.parameters.onAnswer?.(answerNotice.answerNotice(head, sentAt));
--- a/packages/engine/src/wrong_answers_test.ts
+++ b/packages/engine/src/wrong_answers_test.ts
@@ -19,6 +19,8 @@
 ): Promise<{
   engine: httpEngine.HttpEngine;
   service: plainService.HttpPlainService;
+  /** Kinds of the wrong answers that both clients reported. */
+  wrong: common.WrongAnswerKind[];
 }> {
   const server = net.createServer((socket) => {
     socket.on("error", () => {});
@@ -27,10 +29,15 @@
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as net.AddressInfo;
   const origin = `http://127.0.0.1:${port}`;
-  const parameters = { progressTimeoutMilliseconds: PROGRESS_MILLISECONDS };
+  const wrong: common.WrongAnswerKind[] = [];
+  const parameters = {
+    progressTimeoutMilliseconds: PROGRESS_MILLISECONDS,
+    onWrongAnswer: ({ kind }: common.WrongAnswer) => wrong.push(kind),
+  };
   const clients = {
     engine: new httpEngine.HttpEngine(origin, parameters),
     service: new plainService.HttpPlainService(origin, parameters),
+    wrong,
   };
   t.teardown(async () => {
     await clients.engine.close();
@@ -170,3 +177,16 @@
     while (!closed) await common.sleep(5);
   }
 });
+
+// Guards against wrong answers that nobody can count.
+test("each wrong answer is reported once, by its kind", async (t) => {
+  const status = framed("ok").replace("200", "600");
+  const byStatus = await startBackEnd(t, (socket) => socket.end(status));
+  await callService(byStatus.service);
+  t.deepEqual(byStatus.wrong, [common.WrongAnswerKind.Status]);
+  const byHeads = await startBackEnd(t, (socket) =>
+    writeWithoutEnd(socket, "HTTP/1.1 103 Early Hints\r\n\r\n"),
+  );
+  await callService(byHeads.service);
+  t.deepEqual(byHeads.wrong, [common.WrongAnswerKind.InterimHeads]);
+});
