fix(forwarding): a search for another runner that fails after the answer is told

Change: it is logged and counted as any other failure of the request's handling, by one function for both places.

Test failed before: with the check of open attempts taken out, nothing was told.

--- a/packages/common/src/mod.ts
+++ b/packages/common/src/mod.ts
@@ -19,6 +19,7 @@
 export * from "./metrics_registry.ts";
 export * from "./presence.ts";
 export * from "./random.ts";
+export * from "./report_handler_failure.ts";
 export * from "./unreachable.ts";
 export * from "./validation.ts";
 export * from "./wrong_answer.ts";
--- a/packages/daemon/src/caller_connections/caller_connections.ts
+++ b/packages/daemon/src/caller_connections/caller_connections.ts
@@ -153,15 +153,11 @@
 
   /** Handles a request; one whose handling throws ends alone, not the process. */
   async #handle(exchange: callerExchange.CallerExchange): Promise<void> {
-    const { handle, logger, metrics } = this.parameters;
     try {
-      await handle(exchange);
+      await this.parameters.handle(exchange);
     } catch (cause) {
-      const request = exchange.identifier;
-      const { stack = String(cause) } = cause as Error;
-      const fields = { request, cause: stack };
-      logger.event(common.EventCode.RequestHandlerFailed, fields);
-      metrics.count(common.Metric.HandlerFailures);
+      const { identifier } = exchange;
+      common.reportHandlerFailure(this.parameters, identifier, cause);
       exchange.fail();
     }
   }
--- a/packages/daemon/src/forwarding/contained_failure_test.ts
+++ b/packages/daemon/src/forwarding/contained_failure_test.ts
@@ -3,7 +3,10 @@
 import * as traffic from "@geraniumkeel/traffic";
 import * as neverthrow from "neverthrow";
 import * as callerRequest from "./caller_request.ts";
+import * as attemptOutcome from "./attempt_outcome.ts";
 import * as forwardingFixture from "./forwarding_fixture.ts";
+import * as hedgedAttempts from "./hedged_attempts.ts";
+import type * as runnerAttempt from "./runner_attempt.ts";
 import * as runnerClient from "./runner_client.ts";
 
 const test = ava.default;
@@ -66,3 +69,31 @@
     0,
   );
 });
+
+// Guards against an exception that nobody hears: its request was answered meanwhile.
+test("a search for another runner that fails after the answer is told", async (t) => {
+  let failSearch = (_cause: Error) => {};
+  let endAttempt = (_outcome: attemptOutcome.AttemptOutcome) => {};
+  const told: unknown[] = [];
+  const attempt = {
+    isSuperseded: false,
+    hasStalled: () => true,
+    supersede: () => {},
+    run: () => new Promise((resolve) => (endAttempt = resolve)),
+  } as unknown as runnerAttempt.RunnerAttempt;
+  const hedged = new hedgedAttempts.HedgedAttempts({
+    createAttempt: () => attempt,
+    onEnd: () => {},
+    secureAnother: () =>
+      new Promise((_resolve, reject) => (failSearch = reject)),
+    charge: () => true,
+    onLateFailure: (cause) => told.push(cause),
+  });
+  const running = hedged.run({} as hedgedAttempts.SecuredRunner);
+  const hedging = hedged.hedge();
+  endAttempt(attemptOutcome.NO_RUNNER);
+  t.is(await running, attemptOutcome.NO_RUNNER);
+  failSearch(FAILURE);
+  await hedging;
+  t.deepEqual(told, [FAILURE]);
+});
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -169,6 +169,8 @@
       onEnd: (attempt, outcome) => this.#noteEnd(attempt, outcome),
       secureAnother: (silent) => this.#secureAnother(silent),
       charge: () => this.#chargeAnother(),
+      onLateFailure: (cause) =>
+        common.reportHandlerFailure(parameters, request.identifier, cause),
     });
   }
 
--- a/packages/daemon/src/forwarding/hedged_attempts.ts
+++ b/packages/daemon/src/forwarding/hedged_attempts.ts
@@ -29,6 +29,8 @@
    * may be sent.
    */
   charge: () => boolean;
+  /** Called with an exception that came when all attempts had ended. */
+  onLateFailure: (cause: unknown) => void;
 }
 
 /**
@@ -118,6 +120,8 @@
 
   /** Ends all attempts, as the handling of the request failed. */
   #fail(cause: unknown): void {
+    // `run` would not throw it any more.
+    if (this.#open.size === 0) return this.parameters.onLateFailure(cause);
     this.#failure ??= cause as Error;
     for (const attempt of this.open) attempt.supersede();
   }
