--- a/packages/backing_services/src/http_client_test.ts
+++ b/packages/backing_services/src/http_client_test.ts
@@ -2,6 +2,7 @@
 import * as net from "node:net";
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
+import * as httpCallFixture from "@geraniumkeel/common/http_call_fixture";
 import * as httpClient from "./http_client.ts";
 
 const test = ava.default;
@@ -147,14 +148,6 @@
   });
 }
 
-function writeWithoutEnd(socket: net.Socket, piece: string): void {
-  const write = () => {
-    while (!socket.destroyed && socket.write(piece));
-  };
-  socket.on("drain", write);
-  write();
-}
-
 // Guards against calls of the store and of engines that never end, or fill the memory.
 test("an answer without end fails its call in bounded time", async (t) => {
   const endless = [
@@ -169,7 +162,7 @@
   for (const [head, piece] of endless) {
     const client = await startFarEnd(t, (socket) => {
       socket.write(head);
-      writeWithoutEnd(socket, piece);
+      httpCallFixture.writeWithoutEnd(socket, Buffer.from(piece));
     });
     const startedAt = common.now();
     const answer = await client.request("GET", "/");
--- a/packages/engine/src/wrong_answers_test.ts
+++ b/packages/engine/src/wrong_answers_test.ts
@@ -1,6 +1,7 @@
 import * as net from "node:net";
 import * as ava from "ava";
 import * as common from "@geraniumkeel/common";
+import * as httpCallFixture from "@geraniumkeel/common/http_call_fixture";
 import * as wire from "@geraniumkeel/wire";
 import * as engine from "./engine.ts";
 import * as httpEngine from "./http_engine.ts";
@@ -51,14 +52,6 @@
   return `${HEAD}Content-Length: ${Buffer.byteLength(text)}\r\n\r\n${text}`;
 }
 
-function writeWithoutEnd(socket: net.Socket, piece: string): void {
-  const write = () => {
-    while (!socket.destroyed && socket.write(piece));
-  };
-  socket.on("drain", write);
-  write();
-}
-
 const CALL: engine.GenerateCall = {
   identifier: "g",
   prompt: "p",
@@ -153,7 +146,7 @@
   for (const [head, piece] of endless) {
     const { engine: client } = await startBackEnd(t, (socket) => {
       socket.write(head);
-      writeWithoutEnd(socket, piece);
+      httpCallFixture.writeWithoutEnd(socket, Buffer.from(piece));
     });
     const startedAt = common.now();
     const item = await lastItem(client);
@@ -185,7 +178,10 @@
   await callService(byStatus.service);
   t.deepEqual(byStatus.wrong, [common.WrongAnswerKind.Status]);
   const byHeads = await startBackEnd(t, (socket) =>
-    writeWithoutEnd(socket, "HTTP/1.1 103 Early Hints\r\n\r\n"),
+    httpCallFixture.writeWithoutEnd(
+      socket,
+      Buffer.from("HTTP/1.1 103 Early Hints\r\n\r\n"),
+    ),
   );
   await callService(byHeads.service);
   t.deepEqual(byHeads.wrong, [common.WrongAnswerKind.InterimHeads]);
