test(review): show short answers of a leaving runner that look complete

An answer without a length ends with its connection. When its runner crashes, the entry looks whether anything still listens there, but not if the runner is leaving. Adds a script in which a draining runner is killed.

--- /dev/null
+++ b/review/part-one-a/run.mjs
@@ -0,0 +1,104 @@
+/* global Buffer, setTimeout */
+// A runner is leaving, and crashes while it writes answers without a length.
+import * as path from "node:path";
+import * as lib from "../stand_ins_3/lib.mjs";
+
+const HAS_TROUBLE = process.env.TROUBLE !== "0";
+const LONGEST_MILLISECONDS = 110_000;
+const ENTRIES = [0, 1];
+const RUNNERS = [0, 1, 2, 3, 4, 5];
+const here = import.meta.dirname;
+
+let deployment;
+let exitCode = 2;
+let sent = 0;
+let broken = 0;
+
+/** The whole answer of a runner. */
+function wholeBody(kind, id) {
+  const parts = [1, 2, 3, 4].map((part) =>
+    kind === "stream"
+      ? Buffer.from(`id: ${part}\ndata: ${id} ${part}\n\n`)
+      : Buffer.alloc(200, `${id} `),
+  );
+  return Buffer.concat(parts);
+}
+
+async function send(kind) {
+  const id = `q${++sent}`;
+  const entry = sent % ENTRIES.length;
+  deployment.note("sent", { request: id, kind, entry });
+  const answer = await lib.ask({
+    host: deployment.entryAddress(entry),
+    port: deployment.ports[0],
+    path: `/${kind}/x`,
+    headers: {
+      "Api-Key": "key-1",
+      "Geraniumkeel-Request-Id": id,
+      "Geraniumkeel-Deadline-Ms": "8000",
+    },
+    body: "x",
+  });
+  const whole = wholeBody(kind, id);
+  const isSuccess = answer.status >= 200 && answer.status < 300;
+  const isShort = isSuccess && answer.whole && !answer.body.equals(whole);
+  if (isShort) broken++;
+  deployment.note(isShort ? "MIXED" : "answer", {
+    request: id,
+    kind,
+    status: answer.status,
+    completeAsHttp: answer.whole,
+    bytes: answer.body.length,
+    ofBytes: whole.length,
+    stamp: answer.headers["geraniumkeel-response-stamp"] ?? null,
+  });
+}
+
+/** Thirty-six requests, 25 ms apart; resolves to the promises of their answers. */
+async function sendMany() {
+  const answers = [];
+  for (let round = 0; round < 12; round++) {
+    for (const kind of ["safe", "unsafe", "stream"]) {
+      answers.push(send(kind));
+      await lib.sleep(25);
+    }
+  }
+  return answers;
+}
+
+async function play() {
+  await deployment.store.listen();
+  deployment.store.put("op", "config", lib.configuration(1));
+  for (const entry of ENTRIES) deployment.startEntry(entry);
+  const runners = [];
+  for (const runner of RUNNERS) {
+    const script = path.join(here, "runner.mjs");
+    runners.push(await deployment.startRunner(`i-${runner}`, script));
+  }
+  for (const entry of ENTRIES) await deployment.ready(entry);
+  await lib.sleep(3_500);
+  const before = await sendMany();
+  deployment.setState(runners[0], "draining");
+  deployment.note("draining", { runner: "i-0" });
+  await lib.sleep(600);
+  if (HAS_TROUBLE) {
+    deployment.note("crash", { runner: "i-0" });
+    runners[0].child.kill("SIGKILL");
+  }
+  await Promise.all(before);
+  await Promise.all(await sendMany());
+}
+
+setTimeout(() => process.exit(2), LONGEST_MILLISECONDS).unref();
+try {
+  deployment = new lib.Deployment();
+  await play();
+  exitCode = broken > 0 ? 1 : 0;
+} catch (cause) {
+  deployment?.note("could not run", { cause: cause.message });
+} finally {
+  await deployment?.close();
+  deployment?.note("end", { sent, broken, exitCode });
+  deployment?.writeRecord(path.join(here, "record.txt"));
+}
+process.exit(exitCode);
--- /dev/null
+++ b/review/part-one-a/runner.mjs
@@ -0,0 +1,51 @@
+/* global Buffer, setTimeout */
+// A sound runner. Its answers come without a length, in four parts, and end with
+// their connection, as the pages allow.
+import * as net from "node:net";
+
+const PART_MILLISECONDS = 500;
+const PARTS = 4;
+const HEAD_END = "\r\n\r\n";
+
+const server = net.createServer((socket) => {
+  let text = "";
+  let started = false;
+  socket.on("error", () => {});
+  socket.on("data", (piece) => {
+    text += piece.toString("latin1");
+    const end = text.indexOf(HEAD_END);
+    if (started || end < 0) return;
+    const [, length = "0"] = /^content-length: (\d+)/im.exec(text) ?? [];
+    if (text.length < end + HEAD_END.length + Number(length)) return;
+    started = true;
+    const [, id] = /^geraniumkeel-request-id: (\S+)/im.exec(text) ?? [];
+    answer(socket, id, /^\S+ \/stream\//.test(text));
+  });
+});
+
+function answer(socket, id, isStream) {
+  process.send({ event: "run", request: id });
+  const type = isStream ? "text/event-stream" : "text/plain";
+  const head = [
+    "HTTP/1.1 200 OK",
+    `Geraniumkeel-Request-Id: ${id}`,
+    `Geraniumkeel-Response-Stamp: st.${id}`,
+    `Content-Type: ${type}`,
+    "Connection: close",
+  ];
+  socket.write(head.join("\r\n") + HEAD_END);
+  let part = 0;
+  const writePart = () => {
+    part++;
+    const event = `id: ${part}\ndata: ${id} ${part}\n\n`;
+    socket.write(isStream ? event : Buffer.alloc(200, `${id} `));
+    if (part < PARTS) return void setTimeout(writePart, PART_MILLISECONDS);
+    process.send({ event: "answered whole", request: id });
+    socket.end();
+  };
+  writePart();
+}
+
+server.listen(0, "127.0.0.1", () =>
+  process.send({ port: server.address().port }),
+);
