test(review): cut answers by a planned leave alone

A runner that leaves ends its process while answers without a length are under way; a crash is not needed. The script now plays only that.

--- a/review/part-one-a/run.mjs
+++ b/review/part-one-a/run.mjs
@@ -1,5 +1,5 @@
 /* global Buffer, setTimeout */
-// A runner is leaving, and crashes while it writes answers without a length.
+// A runner leaves, and ends its process while it writes answers without a length.
 import * as path from "node:path";
 import * as lib from "../stand_ins_3/lib.mjs";
 
@@ -7,6 +7,11 @@
 const LONGEST_MILLISECONDS = 110_000;
 const ENTRIES = [0, 1];
 const RUNNERS = [0, 1, 2, 3, 4, 5];
+const PARTS = 14;
+/** `drainMs`, for which a leaving runner serves at least. */
+const DRAIN_MILLISECONDS = 2_000;
+/** How much longer it serves: `linger_ms` of the site file. */
+const LINGER_MILLISECONDS = 1_500;
 const here = import.meta.dirname;
 
 let deployment;
@@ -16,10 +21,11 @@
 
 /** The whole answer of a runner. */
 function wholeBody(kind, id) {
-  const parts = [1, 2, 3, 4].map((part) =>
-    kind === "stream"
-      ? Buffer.from(`id: ${part}\ndata: ${id} ${part}\n\n`)
-      : Buffer.alloc(200, `${id} `),
+  const parts = Array.from({ length: PARTS }, (_, index) => index + 1).map(
+    (part) =>
+      kind === "stream"
+        ? Buffer.from(`id: ${part}\ndata: ${id} ${part}\n\n`)
+        : Buffer.alloc(200, `${id} `),
   );
   return Buffer.concat(parts);
 }
@@ -78,12 +84,15 @@
   for (const entry of ENTRIES) await deployment.ready(entry);
   await lib.sleep(3_500);
   const before = await sendMany();
-  deployment.setState(runners[0], "draining");
-  deployment.note("draining", { runner: "i-0" });
-  await lib.sleep(600);
   if (HAS_TROUBLE) {
-    deployment.note("crash", { runner: "i-0" });
-    runners[0].child.kill("SIGKILL");
+    deployment.setState(runners[0], "draining");
+    deployment.note("draining", { runner: "i-0" });
+    await lib.sleep(DRAIN_MILLISECONDS + LINGER_MILLISECONDS);
+    runners[0].beating = false;
+    runners[0].child.kill("SIGTERM");
+    await runners[0].child.exited;
+    deployment.store.remove("servers", "i-0");
+    deployment.note("exit", { runner: "i-0" });
   }
   await Promise.all(before);
   await Promise.all(await sendMany());
--- a/review/part-one-a/runner.mjs
+++ b/review/part-one-a/runner.mjs
@@ -1,10 +1,10 @@
 /* global Buffer, setTimeout */
-// A sound runner. Its answers come without a length, in four parts, and end with
+// A sound runner. Its answers come without a length, in parts over 5 s, and end with
 // their connection, as the pages allow.
 import * as net from "node:net";
 
-const PART_MILLISECONDS = 500;
-const PARTS = 4;
+const PART_MILLISECONDS = 400;
+const PARTS = 14;
 const HEAD_END = "\r\n\r\n";
 
 const server = net.createServer((socket) => {
