--- a/review/10/case.mjs
+++ b/review/further_2/failed_run/case.mjs
@@ -5,7 +5,7 @@
  * 503, which promises that its order has not run: it sends such an order again.
  * With TROUBLE=0 no runner fails requests.
  */
-import * as deploymentModule from "../stand_ins_4/deployment.mjs";
+import * as deploymentModule from "../../stand_ins_4/deployment.mjs";
 
 const { ask, sleep } = deploymentModule;
 const TROUBLE = process.env.TROUBLE !== "0";
--- a/review/12/case.mjs
+++ b/review/further_2/frozen_entry/case.mjs
@@ -5,7 +5,7 @@
  * end as complete before its last event. With TROUBLE=0 nothing freezes and
  * nothing crashes.
  */
-import * as deploymentModule from "../stand_ins_4/deployment.mjs";
+import * as deploymentModule from "../../stand_ins_4/deployment.mjs";
 
 const { ask, sleep } = deploymentModule;
 const TROUBLE = process.env.TROUBLE !== "0";
@@ -104,7 +104,7 @@
     await sleep(PAUSE_MS);
   }
   await Promise.all([...calls, work]);
-  // Case 11 is about those that break at the other entry.
+  // Case 5 is about those that break at the other entry.
   const broken = results.filter(
     ({ entry, isBroken }) => entry === 1 && isBroken,
   ).length;
--- a/review/8/case.mjs
+++ b/review/further_2/returned_runner/case.mjs
@@ -1,10 +1,10 @@
 import * as fs from "node:fs";
 import * as path from "node:path";
 import * as url from "node:url";
-import * as callersModule from "../stand_ins_2/callers.mjs";
-import * as entriesModule from "../stand_ins_2/entries.mjs";
-import * as runnerModule from "../stand_ins_2/runner.mjs";
-import * as storeModule from "../stand_ins_2/store.mjs";
+import * as callersModule from "../../stand_ins_2/callers.mjs";
+import * as entriesModule from "../../stand_ins_2/entries.mjs";
+import * as runnerModule from "../../stand_ins_2/runner.mjs";
+import * as storeModule from "../../stand_ins_2/store.mjs";
 
 /** Bounds of the small deployments. */
 const DRAIN_MILLISECONDS = 2_000;
--- a/review/stand_ins_4/deployment.mjs
+++ b/review/stand_ins_4/deployment.mjs
@@ -21,8 +21,6 @@
 export const BOUNDS = {
   graceS: 8,
   revokeMs: 5_000,
-  drainMs: 2_000,
-  stableWindowMs: 3_000,
   retryBudgetRatio: 0.2,
   retryBudgetSlack: 88,
 };
@@ -139,28 +137,18 @@
     this.#entries.get(number).process.kill(signal);
   }
 
-  /** Address at which an entry finds the store. */
-  storeAddressOf(number) {
-    return this.#entries.get(number).storeAddress;
-  }
-
   /** Address of an entry. */
   addressOf(number) {
     return this.#entries.get(number).address;
   }
 
-  /** Resolves once the process of an entry is gone. */
-  exitOf(number) {
-    return this.#entries.get(number).exited;
-  }
-
   /** Starts a runner and registers it; resolves once it listens. */
   async startRunner({ name, port = 0, service, slots = 8, ...answer }) {
     const id = `i-${crypto.randomBytes(5).toString("hex")}`;
     const options = JSON.stringify({ id, port, ...answer });
     const program = path.join(import.meta.dirname, "runner.mjs");
     const child = childProcess.fork(program, [options]);
-    const runner = { id, name, child, state: "ready", sequence: 0 };
+    const runner = { id, name, child, sequence: 0 };
     runner.gone = new Promise((resolve) => child.once("exit", resolve));
     const listening = new Promise((resolve) => {
       child.on("message", (message) => {
@@ -192,7 +180,7 @@
       zone: "heredia",
       version: "v1",
       slots: runner.slots,
-      state: runner.state,
+      state: "ready",
       coldRemainingMs: 0,
       sequence: runner.sequence,
       born: runner.born,
@@ -204,25 +192,6 @@
     return this.#runners.get(name);
   }
 
-  /** A runner reports that it is draining. */
-  drainRunner(name) {
-    const runner = this.#runners.get(name);
-    runner.state = "draining";
-    runner.child.send("leave");
-    this.#beat(runner);
-    this.note(`runner ${name} reports draining; the store has accepted it`);
-  }
-
-  /** A draining runner exits once what it runs is done, and its entry goes. */
-  async exitRunner(name) {
-    const runner = this.#runners.get(name);
-    runner.child.send("exit");
-    await runner.gone;
-    clearInterval(runner.timer);
-    this.store.remove("servers", runner.id);
-    this.note(`runner ${name} exited after its last answer`);
-  }
-
   /** Ends a runner at once; its entry goes after three heartbeat intervals. */
   async killRunner(name) {
     const runner = this.#runners.get(name);
@@ -236,24 +205,6 @@
     ).unref();
   }
 
-  /** A runner's entry is removed; the runner goes on for now. */
-  removeEntry(name) {
-    const runner = this.#runners.get(name);
-    clearInterval(runner.timer);
-    this.store.remove("servers", runner.id);
-    this.note(`the entry of runner ${name} (${runner.id}) is removed`);
-  }
-
-  /** A runner has crashed by itself; its entry goes as with `killRunner`. */
-  noteCrash(runner) {
-    clearInterval(runner.timer);
-    this.note(`runner ${runner.name} (${runner.id}) has crashed`);
-    setTimeout(
-      () => this.store.remove("servers", runner.id),
-      3 * HEARTBEAT_MS,
-    ).unref();
-  }
-
   /** Opens idle connections to a runner, as other callers of it have them. */
   async holdConnections(runner, count) {
     for (let number = 0; number < count; number++) {
@@ -286,11 +237,6 @@
     fs.rmSync(this.#folder, { recursive: true });
     await new Promise((resolve) => this.#record.end(resolve));
   }
-
-  /** Folder of the entries' logs, while the deployment is open. */
-  get logs() {
-    return this.#folder;
-  }
 }
 
 /** The `run` line of a role in the deploy file. */
--- a/review/stand_ins_4/runner.mjs
+++ b/review/stand_ins_4/runner.mjs
@@ -1,19 +1,16 @@
 /**
  * Stand-in of a runner, as a process of its own. Its only argument is JSON:
  * `id`, `port` (0 for any), `answer` ("stream" or "whole"), `framed`, `events`,
- * `gapMs`, and `crashOn`, a text in a body that crashes this process. It tells its parent, over the channel of the fork, that it listens,
+ * `gapMs`. It tells its parent, over the channel of the fork, that it listens,
  * and what it runs and sends.
  */
 import * as http from "node:http";
 /* global setTimeout */
 
 const options = JSON.parse(process.argv[2]);
-const { id, answer, framed, events, gapMs, crashOn } = options;
-/** Time from the beginning of a run that crashes this process to the crash. */
-const CRASH_AFTER_MS = 50;
+const { id, answer, framed, events, gapMs } = options;
 
 let active = 0;
-let leaving = false;
 /** Share of the requests that it runs and fails with a 503 of its own. */
 let failShare = 0;
 
@@ -22,8 +19,8 @@
 });
 
 async function handle(request, response) {
-  let body = "";
-  for await (const piece of request) body += piece;
+  request.resume();
+  await new Promise((resolve) => request.once("end", resolve));
   const requestId = request.headers["geraniumkeel-request-id"] ?? "";
   const expected = request.headers["geraniumkeel-expect-instance"];
   if (expected !== undefined && expected !== id) {
@@ -36,12 +33,6 @@
   active++;
   const after = Number(request.headers["last-event-id"] ?? 0) || 0;
   process.send({ kind: "run", runner: id, request: requestId, after });
-  if (crashOn !== undefined && body.includes(crashOn)) {
-    // The parent has to have the message before this process is gone.
-    await new Promise((resolve) => setTimeout(resolve, CRASH_AFTER_MS));
-    process.kill(process.pid, "SIGKILL");
-    return;
-  }
   const headers = {
     "Geraniumkeel-Request-Id": requestId,
     "Geraniumkeel-Response-Stamp": `stamp.${id}.${requestId}`,
@@ -52,7 +43,7 @@
     // The answer ends with its connection: no length and no chunks.
     response.useChunkedEncodingByDefault = false;
     response.shouldKeepAlive = false;
-  } else if (leaving) response.shouldKeepAlive = false;
+  }
   if (Math.random() < failShare) {
     await new Promise((resolve) => setTimeout(resolve, events * gapMs));
     response.writeHead(503, { ...headers, "Content-Length": 6 }).end("failed");
@@ -79,16 +70,7 @@
 }
 
 process.on("message", (message) => {
-  if (message === "leave") leaving = true;
-  if (message.failShare !== undefined) failShare = message.failShare;
-  // A planned exit: what runs is finished first.
-  if (message === "exit") {
-    const check = () => {
-      if (active === 0) process.exit(0);
-      setTimeout(check, 20);
-    };
-    check();
-  }
+  failShare = message.failShare;
 });
 process.on("disconnect", () => process.exit(0));
 server.listen(options.port, "127.0.0.1", () => {
--- a/review/stand_ins_4/store.mjs
+++ b/review/stand_ins_4/store.mjs
@@ -3,7 +3,7 @@
  * changes and transactions, as the pages tell them. Runs in the test's process.
  */
 import * as http from "node:http";
-/* global Buffer, URL, clearTimeout, performance, setTimeout */
+/* global Buffer, URL, clearTimeout, setTimeout */
 
 const HISTORY_ROWS = 20_000;
 const TRANSACTION_MS = 8;
@@ -16,19 +16,15 @@
   #changes = [];
   #waiting = new Set();
   #servers = [];
-  #doors = new Map();
 
   /** Opens one more listener on the same rows; resolves to its address. */
   async listen() {
-    const door = { isBusy: false, calls: [] };
     const server = http.createServer((request, response) => {
-      void this.#serve(request, response, door);
+      void this.#serve(request, response);
     });
     this.#servers.push(server);
     await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
-    const address = `127.0.0.1:${server.address().port}`;
-    this.#doors.set(address, door);
-    return address;
+    return `127.0.0.1:${server.address().port}`;
   }
 
   /** Closes all listeners and connections. */
@@ -39,18 +35,6 @@
     }
   }
 
-  /** Turns the callers of one listener away with 503, or serves them again. */
-  setBusy(address, isBusy) {
-    this.#doors.get(address).isBusy = isBusy;
-  }
-
-  /** Calls at one listener for the changes of a table, since a moment. */
-  feedCalls(address, table, since) {
-    const { calls } = this.#doors.get(address);
-    return calls.filter((call) => call.table === table && call.at >= since)
-      .length;
-  }
-
   /** The operator or a runner writes a row. */
   put(table, key, value) {
     const text = typeof value === "string" ? value : JSON.stringify(value);
@@ -62,21 +46,11 @@
     this.#write([{ table, key, removed: true }]);
   }
 
-  async #serve(request, response, door) {
+  async #serve(request, response) {
     let body = "";
     for await (const piece of request) body += piece;
     const url = new URL(request.url, "http://store");
-    if (url.pathname === "/-/rows-feed") {
-      const table = url.searchParams.get("table");
-      door.calls.push({ table, at: performance.now() });
-    }
-    const answered = door.isBusy
-      ? { status: 503, value: {} }
-      : await this.#answer(url, body);
-    // Nothing more is told to those that are turned away meanwhile.
-    const { status, value } = door.isBusy
-      ? { status: 503, value: {} }
-      : answered;
+    const { status, value } = await this.#answer(url, body);
     if (response.destroyed) return;
     response.writeHead(status, { "Content-Type": "application/json" });
     response.end(JSON.stringify(value));
