--- a/review/further_2/frozen_entry/case.mjs
+++ b/review/further_2/frozen_entry/case.mjs
@@ -104,7 +104,7 @@
     await sleep(PAUSE_MS);
   }
   await Promise.all([...calls, work]);
-  // Case 5 is about those that break at the other entry.
+  // Case 6 is about those that break at the other entry.
   const broken = results.filter(
     ({ entry, isBroken }) => entry === 1 && isBroken,
   ).length;
--- /dev/null
+++ b/review/further_2/other_version/run.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# RECOVER: a service that an entry never serves again. See claim.txt.
+cd "$(dirname "$0")/../../.." || exit 2
+# 1 plays the disruption, and is the default; 0 leaves it out.
+TROUBLE="${TROUBLE:-1}"
+case "$TROUBLE" in
+  0 | 1) ;;
+  *) echo "TROUBLE is 0 or 1" >&2; exit 2 ;;
+esac
+export TROUBLE
+exec node review/further_2/other_version/case.mjs
--- a/review/11/check.mjs
+++ b/review/further_2/woken_entry/check.mjs
@@ -1,18 +1,19 @@
 import * as path from "node:path";
-import * as callerModule from "../stand_ins_5/caller.mjs";
-import * as deploymentModule from "../stand_ins_5/deployment.mjs";
-import * as plainRunner from "../stand_ins_5/plain_runner.mjs";
-import * as record from "../stand_ins_5/record.mjs";
+import * as callerModule from "../../stand_ins_5/caller.mjs";
+import * as deploymentModule from "../../stand_ins_5/deployment.mjs";
+import * as plainRunner from "../../stand_ins_5/plain_runner.mjs";
+import * as record from "../../stand_ins_5/record.mjs";
 
 /** Sets apart the run without the disruption. */
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
-const ENTRIES = 4;
-/** `herd_kill` with `power` of the users' files: half of the machines, 2.77 s. */
-const DARK_MILLISECONDS = 2_770;
+/** Entries; the users' sheet has six. */
+const ENTRIES = 3;
+/** `node_freeze` of the users' site file: one machine, 3.5 s. */
+const FREEZE_MILLISECONDS = 3_500;
 /** From the acknowledgement that a runner is gone, no request may reach it. */
 const DRAIN_MILLISECONDS = 2_000;
 /** How long the runner that leaves goes on serving. */
-const SERVES_ON_MILLISECONDS = 5_000;
+const SERVES_ON_MILLISECONDS = 7_000;
 const REQUEST_INTERVAL_MILLISECONDS = 30;
 
 const log = new record.Record();
@@ -34,7 +35,8 @@
   return runner.start();
 }
 
-async function sendTo(hosts) {
+async function sendToAll() {
+  const { hosts } = deployment;
   for (let count = 0; isSending; count++) {
     const entry = hosts[count % hosts.length];
     const address = deployment.addressOf(entry);
@@ -45,44 +47,39 @@
 
 /** Plays the case; returns the runs that break the rule. */
 async function play() {
-  await startRunner("i-1");
+  const old = await startRunner("i-old");
   await startRunner("i-2");
+  await startRunner("i-3");
   await deployment.start(ENTRIES);
   await record.sleep(deploymentModule.STABLE_WINDOW_MILLISECONDS);
-  const readers = store.readersOf("servers", 1_000);
-  log.note("read the list of runners", { entries: readers });
-  const added = await startRunner("i-added");
-  const calm = deployment.hosts.filter((host) => !readers.includes(host));
-  const sending = sendTo(calm);
-  await record.sleep(2_000);
+  const [reader] = store.readersOf("servers", 1_000);
+  log.note("reads the list of runners", { entry: reader });
+  const sending = sendToAll();
+  await record.sleep(1_000);
 
-  log.note("half of the entries lose power now", { readers, HAS_TROUBLE });
-  const darkAt = log.now;
-  if (HAS_TROUBLE)
-    for (const host of readers) processes.signal(host, "SIGSTOP");
+  log.note("release: the entry freezes now", { entry: reader, HAS_TROUBLE });
+  if (HAS_TROUBLE) processes.signal(reader, "SIGSTOP");
+  const frozenAt = log.now;
   await record.sleep(300);
-  added.leave();
-  const goneAt = log.note("acknowledged: gone", { runner: "i-added" });
-  await record.sleep(darkAt + DARK_MILLISECONDS - log.now);
-  if (HAS_TROUBLE) {
-    log.note("they start anew");
-    for (const host of readers) await restart(host);
-  }
+  await startRunner("i-new");
+  await record.sleep(300);
+  old.leave();
+  const goneAt = log.note("acknowledged: gone", { runner: "i-old" });
+  await record.sleep(frozenAt + FREEZE_MILLISECONDS - log.now);
+  if (HAS_TROUBLE) processes.signal(reader, "SIGCONT");
+  log.note("the entry wakes", { entry: reader });
   await record.sleep(goneAt + SERVES_ON_MILLISECONDS - log.now);
-  log.note("exits", { runner: "i-added" });
-  added.exit();
+  log.note("exits", { runner: "i-old" });
+  old.exit();
   await record.sleep(1_500);
   isSending = false;
   await sending;
   await Promise.all(pending);
 
-  return added.runs.filter(({ at }) => at > goneAt + DRAIN_MILLISECONDS);
-}
-
-/** A process that lost power is gone; it begins with nothing. */
-async function restart(host) {
-  processes.signal(host, "SIGKILL");
-  deployment.startEntry(host);
+  return old.runs.filter(({ request, at }) => {
+    const attempt = caller.attempts.find((made) => made.request === request);
+    return at > goneAt + DRAIN_MILLISECONDS && attempt?.entry !== reader;
+  });
 }
 
 function judge(broken) {
