--- a/review/stand_ins_5/deployment.mjs
+++ b/review/stand_ins_5/deployment.mjs
@@ -148,7 +148,7 @@
 }
 
 /** Loopback addresses in a network in which no other process listens. */
-async function freeAddresses(count) {
+export async function freeAddresses(count) {
   for (;;) {
     const part = () => 1 + Math.floor(Math.random() * 250);
     const network = `127.${part()}.${part()}`;
