feat(logs): a process that ends by an exception says why in its log

ProcessFailed (1010) is now the last line of the log, with the stack and its causes; TaskFailed (1011) and its counter are there for tasks. Nothing else changes: the process still ends with status 1.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -9,6 +9,8 @@
   SettingsRead = 1007,
   SettingsRefused = 1008,
   StopRepeated = 1009,
+  ProcessFailed = 1010,
+  TaskFailed = 1011,
   LinkEstablished = 1101,
   LinkLost = 1102,
   LinkSilent = 1103,
@@ -146,6 +148,19 @@
     meaning: "A further signal to stop came; the planned stop goes on.",
     action: "Wait for DrainFinished, or for the end of the grace time.",
   },
+  [EventCode.ProcessFailed]: {
+    level: EventLevel.Error,
+    meaning:
+      "An exception that nothing handles ends the process; `cause` is its stack.",
+    action: "Report it; it is a fault of this program.",
+  },
+  [EventCode.TaskFailed]: {
+    level: EventLevel.Error,
+    meaning:
+      "An exception ended `task`, which belongs to no request; `cause` is its stack. A task that has to go on is started again after a pause.",
+    action:
+      "Report it; it is a fault of this program. What was read just before may have caused it.",
+  },
   [EventCode.LinkEstablished]: {
     level: EventLevel.Info,
     meaning: "A link to another process of the system is up.",
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -14,6 +14,7 @@
   CallerConnectionsEnded = "caller_connections_ended",
   WrongAnswers = "wrong_answers",
   HandlerFailures = "handler_failures",
+  TaskFailures = "task_failures",
   FirstToken = "first_token",
   BetweenTokens = "between_tokens",
   QueueWait = "queue_wait",
@@ -106,6 +107,9 @@
   [Metric.HandlerFailures]: counter(
     "Requests whose handling failed with an exception.",
   ),
+  [Metric.TaskFailures]: counter(
+    "Tasks and timers of the process that failed with an exception.",
+  ),
   [Metric.FirstToken]: timing("From arrival to first token.", "service"),
   [Metric.BetweenTokens]: timing("Between tokens of one answer.", "service"),
   [Metric.QueueWait]: timing("Time queued before dispatch.", "service"),
--- a/packages/common/src/report_handler_failure.ts
+++ b/packages/common/src/report_handler_failure.ts
@@ -1,3 +1,4 @@
+import * as describeCause from "./describe_cause.ts";
 import * as eventCatalogue from "./event_catalogue.ts";
 import type * as loggerModule from "./logger.ts";
 import * as metricsModule from "./metrics.ts";
@@ -11,8 +12,8 @@
   request: string,
   cause: unknown,
 ): void {
-  const { stack = String(cause) } = cause as Error;
   const code = eventCatalogue.EventCode.RequestHandlerFailed;
-  logger.event(code, { request, cause: stack });
+  const described = describeCause.describeCause(cause);
+  logger.event(code, { request, cause: described });
   metrics.count(metricsModule.Metric.HandlerFailures);
 }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -32,14 +32,19 @@
     process.stdout.write(`${options.settings}: valid\n`);
     return;
   }
-  const started = await startProcess.startProcess(settings);
+  const logger = common.createLogger({
+    name: "geraniumkeeld",
+    host: settings.host,
+  });
+  common.logProcessFailure(logger);
+  const started = await startProcess.startProcess(settings, logger);
   if (started.isErr()) {
     const { listenerName, reason } = started.error;
     process.stderr.write(`cannot open listen.${listenerName}: ${reason}\n`);
     process.exitCode = ExitCode.CannotListen;
     return;
   }
-  stopOnSignals(started.value, settings);
+  stopOnSignals(started.value, logger);
 }
 
 function readSettings(file: string): settingsModule.Settings | undefined {
@@ -68,12 +73,8 @@
  */
 function stopOnSignals(
   running: runningProcess.RunningProcess,
-  settings: settingsModule.Settings,
+  logger: common.Logger,
 ): void {
-  const logger = common.createLogger({
-    name: "geraniumkeeld",
-    host: settings.host,
-  });
   let stopping = false;
   const onSignal = () => {
     if (stopping) {
