fix(wire): a connection that is reset while its upgrade is refused ends alone

What callers saw: an entry ended by itself, exit status 1, with all it had read. Cause: the HTTP server gives a socket away with the upgrade event. A request with another path or key was answered on a socket that nobody listened to; if its far end had reset it, the error of the write was an uncaught exception. Class: a socket without an owner for errors in one phase of its life. Evidence: ProcessFailed with "write ECONNRESET", refuse (link_server.ts), within 200 such connections to the link port; the other ports have no upgrades.

--- a/packages/wire/src/link_server.ts
+++ b/packages/wire/src/link_server.ts
@@ -55,6 +55,9 @@
 }
 
 function refuse(socket: stream.Duplex, status: number): void {
+  // The HTTP server has given the socket away, so nobody else listens: if the
+  // far end resets it meanwhile, the error would end the process.
+  socket.on("error", () => socket.destroy());
   const text = http.STATUS_CODES[status];
   socket.end(`HTTP/1.1 ${status} ${text}\r\nConnection: close\r\n\r\n`);
 }
