fix(common): a task or timer that fails costs itself, and not the process

What callers saw: any exception in a task that belongs to no request ended the process, and with it every request that it held; what had caused it was mostly still there, so that the next process ended too. Class: no containment behind the checks. Tasks that follow something the process needs (documents, links to a host, a group's lead) are started again after 0.5 s; that of one connection ends with its connection, which is closed and forgotten in every case.

--- a/packages/common/src/event_catalogue.ts
+++ b/packages/common/src/event_catalogue.ts
@@ -11,6 +11,7 @@
   StopRepeated = 1009,
   ProcessFailed = 1010,
   TaskFailed = 1011,
+  ListenerUnavailable = 1012,
   LinkEstablished = 1101,
   LinkLost = 1102,
   LinkSilent = 1103,
@@ -33,6 +34,7 @@
   TableEpochUnreadable = 1309,
   TableRowsRestored = 1310,
   TableEpochDoubtful = 1311,
+  RowUnreadable = 1312,
   RequestRefused = 1401,
   RequestRetried = 1402,
   RequestIncomplete = 1403,
@@ -140,7 +142,7 @@
   [EventCode.SettingsRefused]: {
     level: EventLevel.Error,
     meaning:
-      "The settings could not be read again; those in use stay in force.",
+      "The settings can't be read. Those in use stay in force; a process that starts tries again for two seconds, then ends with status 2.",
     action: "Mend what `problems` names.",
   },
   [EventCode.StopRepeated]: {
@@ -161,6 +163,12 @@
     action:
       "Report it; it is a fault of this program. What was read just before may have caused it.",
   },
+  [EventCode.ListenerUnavailable]: {
+    level: EventLevel.Error,
+    meaning:
+      "A listener can't be opened, or could not accept a connection; `reason` says why. A process that starts waits until its ports are free, but for that of metrics, and is not ready until then.",
+    action: "Look at what has the port.",
+  },
   [EventCode.LinkEstablished]: {
     level: EventLevel.Info,
     meaning: "A link to another process of the system is up.",
@@ -276,6 +284,12 @@
       "A process that started found a table that came back from a copy, heard of nobody who knows more, and serves the configuration that is there.",
     action: "See that the table has the newest configuration.",
   },
+  [EventCode.RowUnreadable]: {
+    level: EventLevel.Warn,
+    meaning:
+      "A row of the table service can't be read and is left out; `reason` says why. Of the configuration, the last one that could be read stays in force.",
+    action: "Look at who writes there.",
+  },
   [EventCode.RequestRefused]: {
     level: EventLevel.Info,
     meaning: "A request was answered not-run; `reason` says why.",
--- a/packages/common/src/life_cycle.ts
+++ b/packages/common/src/life_cycle.ts
@@ -7,6 +7,14 @@
   close: () => Promise<void> | void;
 }
 
+/**
+ * Takes the exception of a task or timer that belongs to no request. A failure
+ * there costs what the task was doing, and not all that the process serves.
+ */
+export type TaskFailureListener = (task: string, cause: unknown) => void;
+
+/** Pause before a task that has to go on is started again after it failed. */
+const RESTART_PAUSE_MILLISECONDS = 500;
 /** Time an owned part may take to close before it is reported and left. */
 const CLOSE_TIMEOUT_MILLISECONDS = 10_000;
 
@@ -19,7 +27,11 @@
   readonly #abort = new AbortController();
   #closing: Promise<string[]> | undefined;
 
-  constructor(readonly name: string) {
+  /** Without a listener a failure ends the process, as tests need it. */
+  constructor(
+    readonly name: string,
+    readonly onTaskFailure: TaskFailureListener = throwOutside,
+  ) {
     // Every task and pause listens to the one signal of its owner.
     events.EventEmitter.setMaxListeners(0, this.#abort.signal);
   }
@@ -46,7 +58,7 @@
 
   /** A part with a life of its own that ends no later than this one. */
   child(name: string): LifeCycle {
-    const child = new LifeCycle(`${this.name}/${name}`);
+    const child = new LifeCycle(`${this.name}/${name}`, this.onTaskFailure);
     const release = this.own({
       name: child.name,
       close: async () => {
@@ -58,25 +70,62 @@
   }
 
   /**
-   * Runs a task until it returns or the life-cycle closes; closing waits for
-   * it. A task that throws has broken an invariant and stops the process.
+   * Runs a task once, until it returns, fails, or the life-cycle closes; closing
+   * waits for it. For tasks with an end of their own, as that of a connection.
    */
   run(name: string, task: (signal: AbortSignal) => Promise<void>): void {
-    const running = task(this.signal).catch((cause: unknown) => {
-      queueMicrotask(() => {
-        throw new Error(`task ${this.name}/${name} failed`, { cause });
-      });
-    });
-    const release = this.own({ name, close: () => running });
+    const running = this.#attempt(name, task);
+    const release = this.own({ name, close: async () => void (await running) });
     void running.finally(release);
   }
 
+  /**
+   * Runs a task until it returns or the life-cycle closes; closing waits for it.
+   * A task that fails is started again after a pause: it follows something that
+   * the process cannot do without, and nothing else would begin it anew.
+   */
+  keepRunning(
+    name: string,
+    task: (signal: AbortSignal) => Promise<void>,
+  ): void {
+    this.run(name, async (signal) => {
+      while (!(await this.#attempt(name, task)) && !signal.aborted) {
+        await clock.sleep(RESTART_PAUSE_MILLISECONDS, signal);
+      }
+    });
+  }
+
   /** Calls `action` every `milliseconds` until closing. */
   every(milliseconds: number, action: () => void): void {
-    const timer = setInterval(action, milliseconds);
+    const attempt = () => {
+      try {
+        action();
+      } catch (cause) {
+        this.#fail("timer", cause);
+      }
+    };
+    const timer = setInterval(attempt, milliseconds);
     this.own({ name: "timer", close: () => clearInterval(timer) });
   }
 
+  /** Runs a task; resolves to whether it returned, and did not fail. */
+  async #attempt(
+    name: string,
+    task: (signal: AbortSignal) => Promise<void>,
+  ): Promise<boolean> {
+    try {
+      await task(this.signal);
+      return true;
+    } catch (cause) {
+      this.#fail(name, cause);
+      return false;
+    }
+  }
+
+  #fail(task: string, cause: unknown): void {
+    this.onTaskFailure(`${this.name}/${task}`, cause);
+  }
+
   /** Closes everything owned; returns the names of what did not close in time. */
   close(): Promise<string[]> {
     this.#closing ??= this.#closeAll();
@@ -94,3 +143,9 @@
     return late;
   }
 }
+
+function throwOutside(task: string, cause: unknown): void {
+  queueMicrotask(() => {
+    throw new Error(`task ${task} failed`, { cause });
+  });
+}
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -15,6 +15,7 @@
   WrongAnswers = "wrong_answers",
   HandlerFailures = "handler_failures",
   TaskFailures = "task_failures",
+  UnreadableRows = "unreadable_rows",
   FirstToken = "first_token",
   BetweenTokens = "between_tokens",
   QueueWait = "queue_wait",
@@ -110,6 +111,10 @@
   [Metric.TaskFailures]: counter(
     "Tasks and timers of the process that failed with an exception.",
   ),
+  [Metric.UnreadableRows]: counter(
+    "Rows of the table service that can't be read, each text of a row once.",
+    "table",
+  ),
   [Metric.FirstToken]: timing("From arrival to first token.", "service"),
   [Metric.BetweenTokens]: timing("Between tokens of one answer.", "service"),
   [Metric.QueueWait]: timing("Time queued before dispatch.", "service"),
--- a/packages/common/src/mod.ts
+++ b/packages/common/src/mod.ts
@@ -22,6 +22,7 @@
 export * from "./presence.ts";
 export * from "./random.ts";
 export * from "./report_handler_failure.ts";
+export * from "./task_failures.ts";
 export * from "./unreachable.ts";
 export * from "./validation.ts";
 export * from "./wrong_answer.ts";
--- a/packages/daemon/src/dispatch/runner_directory.ts
+++ b/packages/daemon/src/dispatch/runner_directory.ts
@@ -133,7 +133,7 @@
     const stop = new AbortController();
     this.#runners.set(host.name, { link, stop, notChosenSince: undefined });
     const stopped = AbortSignal.any([signal, stop.signal]);
-    this.parameters.lifeCycle.run(`runner ${host.name}`, () =>
+    this.parameters.lifeCycle.keepRunning(`runner ${host.name}`, () =>
       link.run(stopped),
     );
   }
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -36,7 +36,8 @@
   neverthrow.Result<runningProcess.RunningProcess, listenModule.ListenFailure>
 > {
   const { settings, logger } = parameters;
-  const lifeCycle = new common.LifeCycle(settings.host);
+  const onTaskFailure = common.reportTaskFailures(parameters);
+  const lifeCycle = new common.LifeCycle(settings.host, onTaskFailure);
   const opened = await openListeners(settings, lifeCycle);
   if (opened.isErr()) return neverthrow.err(opened.error);
   const listeners = opened.value;
@@ -142,11 +143,15 @@
 function startTasks(context: entryContext.EntryContext): void {
   const { lifeCycle, hosts, peers, runners, keeper, members } = context;
   const { settings, logger, random, store, freshness } = context;
-  lifeCycle.run("host-list", (signal) => hosts.run(signal));
-  lifeCycle.run("runners", (signal) => runners.run(signal));
-  lifeCycle.run("claim-removal", (signal) => removeClaims(context, signal));
-  lifeCycle.run("coordinators", (signal) => context.coordinators.run(signal));
-  lifeCycle.run("configuration", (signal) =>
+  lifeCycle.keepRunning("host-list", (signal) => hosts.run(signal));
+  lifeCycle.keepRunning("runners", (signal) => runners.run(signal));
+  lifeCycle.keepRunning("claim-removal", (signal) =>
+    removeClaims(context, signal),
+  );
+  lifeCycle.keepRunning("coordinators", (signal) =>
+    context.coordinators.run(signal),
+  );
+  lifeCycle.keepRunning("configuration", (signal) =>
     configurationSync.syncWithStore({
       currentConfiguration: keeper,
       store,
@@ -159,13 +164,17 @@
       signal,
     }),
   );
-  lifeCycle.run("in-force", (signal) => followConfiguration(context, signal));
+  lifeCycle.keepRunning("in-force", (signal) =>
+    followConfiguration(context, signal),
+  );
   peers.start();
-  lifeCycle.run("quarantine", (signal) => restoreQuarantine(context, signal));
-  lifeCycle.run("restore", (signal) =>
+  lifeCycle.keepRunning("quarantine", (signal) =>
+    restoreQuarantine(context, signal),
+  );
+  lifeCycle.keepRunning("restore", (signal) =>
     restoreRows.restoreRows(context, signal),
   );
-  lifeCycle.run("queues", (signal) => pumpQueues(context, signal));
+  lifeCycle.keepRunning("queues", (signal) => pumpQueues(context, signal));
   lifeCycle.every(GAUGE_MILLISECONDS, () => reportGauges.reportGauges(context));
   lifeCycle.every(SWEEP_MILLISECONDS, () => context.limits.sweep());
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -297,7 +297,7 @@
   start(linkServer: http.Server): void {
     const { lifeCycle, configurationSource, runnerSource } = this.parameters;
     this.mesh.start(linkServer);
-    lifeCycle.run("configuration", (signal) =>
+    lifeCycle.keepRunning("configuration", (signal) =>
       this.#followDocument(
         "configuration",
         this.#recordReadings(configurationSource),
@@ -305,10 +305,10 @@
         signal,
       ),
     );
-    lifeCycle.run("runners", (signal) =>
+    lifeCycle.keepRunning("runners", (signal) =>
       this.#followDocument("runners", runnerSource, this.runners, signal),
     );
-    lifeCycle.run("evacuations", (signal) =>
+    lifeCycle.keepRunning("evacuations", (signal) =>
       this.#followDocument(
         "evacuations",
         this.parameters.evacuationSource,
@@ -316,10 +316,10 @@
         signal,
       ),
     );
-    lifeCycle.run("evacuations in force", (signal) =>
+    lifeCycle.keepRunning("evacuations in force", (signal) =>
       this.evacuations.run(signal),
     );
-    lifeCycle.run("quarantine", async (signal) => {
+    lifeCycle.keepRunning("quarantine", async (signal) => {
       const storedReports = await this.#rows.read(signal);
       if (storedReports) this.quarantine.applyStoredReports(storedReports);
     });
@@ -329,9 +329,13 @@
       if (report) this.mesh.broadcast(report);
     });
     // The name "board" stands for the runner tracker, also in the state dump.
-    lifeCycle.run("board", (signal) => this.#updateTracker(signal));
-    lifeCycle.run("confirm", (signal) => this.#confirmation.run(signal));
-    lifeCycle.run("restore", (signal) => this.#repairRowsAfterRestore(signal));
+    lifeCycle.keepRunning("board", (signal) => this.#updateTracker(signal));
+    lifeCycle.keepRunning("confirm", (signal) =>
+      this.#confirmation.run(signal),
+    );
+    lifeCycle.keepRunning("restore", (signal) =>
+      this.#repairRowsAfterRestore(signal),
+    );
   }
 
   /**
--- a/packages/daemon/src/membership/peer_links.ts
+++ b/packages/daemon/src/membership/peer_links.ts
@@ -105,10 +105,12 @@
    */
   start(): void {
     const { lifeCycle, members, settings } = this.parameters;
-    lifeCycle.run("reconcile", (signal) => this.#reconcile(signal));
-    lifeCycle.run("acknowledge", (signal) => this.acks.run(signal));
-    lifeCycle.run("gossip", (signal) => this.#gossip(signal));
-    lifeCycle.run("compare", (signal) => this.#compareRepeatedly(signal));
+    lifeCycle.keepRunning("reconcile", (signal) => this.#reconcile(signal));
+    lifeCycle.keepRunning("acknowledge", (signal) => this.acks.run(signal));
+    lifeCycle.keepRunning("gossip", (signal) => this.#gossip(signal));
+    lifeCycle.keepRunning("compare", (signal) =>
+      this.#compareRepeatedly(signal),
+    );
     lifeCycle.every(EXPIRY_CHECK_MILLISECONDS, () =>
       members.expire(settings.timing.goneAfter),
     );
@@ -188,7 +190,7 @@
         const task = new AbortController();
         this.#dialTasks.set(host, task);
         const dialSignal = AbortSignal.any([signal, task.signal]);
-        lifeCycle.run(`dial ${host}`, () =>
+        lifeCycle.keepRunning(`dial ${host}`, () =>
           this.#maintainLink(host, dialSignal),
         );
       }
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -199,15 +199,15 @@
     lifeCycle.every(heartbeatSender.HEARTBEAT_INTERVAL_MILLISECONDS, () =>
       this.#tick(),
     );
-    lifeCycle.run("register", (signal) => this.#register(signal));
-    lifeCycle.run("seeds", (signal) => this.#dialSeeds(signal));
-    lifeCycle.run("push-configuration", (signal) =>
+    lifeCycle.keepRunning("register", (signal) => this.#register(signal));
+    lifeCycle.keepRunning("seeds", (signal) => this.#dialSeeds(signal));
+    lifeCycle.keepRunning("push-configuration", (signal) =>
       this.#pushChanges(configuration.changes, signal),
     );
-    lifeCycle.run("push-runners", (signal) =>
+    lifeCycle.keepRunning("push-runners", (signal) =>
       this.#pushChanges(runners.changes, signal),
     );
-    lifeCycle.run("push-evacuations", (signal) =>
+    lifeCycle.keepRunning("push-evacuations", (signal) =>
       this.#pushChanges(evacuations.changes, signal),
     );
   }
@@ -410,7 +410,7 @@
       linkChanged: new common.ChangeNotice(),
     });
     logger.event(common.EventCode.HostAppeared, { peer: member.host });
-    lifeCycle.run(`dial ${member.host}`, (signal) =>
+    lifeCycle.keepRunning(`dial ${member.host}`, (signal) =>
       this.#maintainLink(
         member.host,
         AbortSignal.any([signal, dialling.signal]),
@@ -519,12 +519,17 @@
     this.#membersKnown = true;
     this.#known.get(host)?.linkChanged.announce();
     logger.event(common.EventCode.LinkEstablished, { peer: host });
-    this.#sendInitial(peer);
-    await link.handleMessages((message) => this.#receive(peer, message));
-    logger.event(common.EventCode.LinkLost, { peer: host, end: link.end });
-    this.#spare.delete(peer);
-    if (this.#linked.get(host) === peer) this.#replaceLost(peer);
-    this.#known.get(host)?.linkChanged.announce();
+    try {
+      this.#sendInitial(peer);
+      await link.handleMessages((message) => this.#receive(peer, message));
+    } finally {
+      // Also after a message that could not be handled.
+      link.close();
+      logger.event(common.EventCode.LinkLost, { peer: host, end: link.end });
+      this.#spare.delete(peer);
+      if (this.#linked.get(host) === peer) this.#replaceLost(peer);
+      this.#known.get(host)?.linkChanged.announce();
+    }
   }
 
   /** Uses another open link to an entry whose link was lost, if there is one. */
--- a/packages/daemon/src/rank_group/leader_follower.ts
+++ b/packages/daemon/src/rank_group/leader_follower.ts
@@ -23,6 +23,7 @@
    * one.
    */
   onNewerLeader: () => void;
+  lifeCycle: common.LifeCycle;
 }
 
 /**
@@ -82,6 +83,15 @@
    * until the link closes.
    */
   async serve(link: wire.Link, signal: AbortSignal): Promise<void> {
+    try {
+      await this.#receiveFrom(link, signal);
+    } finally {
+      link.close();
+    }
+  }
+
+  async #receiveFrom(link: wire.Link, signal: AbortSignal): Promise<void> {
+    const { lifeCycle } = this.parameters;
     link.closeOn(signal);
     link.send(this.hello());
     for await (const message of link.messages()) {
@@ -92,10 +102,10 @@
           this.#acceptHeartbeat(link, message);
           break;
         case wire.MessageKind.RankCommand:
-          void this.#executeCommand(link, message);
+          lifeCycle.run("command", () => this.#executeCommand(link, message));
           break;
         case wire.MessageKind.RankListsRequest:
-          void this.#sendLists(link, message.question);
+          lifeCycle.run("lists", () => this.#sendLists(link, message.question));
           break;
         case wire.MessageKind.GroupKnowledge:
           this.knowledge = message;
--- a/packages/daemon/src/rank_group/leader_follower_test.ts
+++ b/packages/daemon/src/rank_group/leader_follower_test.ts
@@ -71,6 +71,7 @@
     member,
     ownToken: () => -1,
     onNewerLeader: () => {},
+    lifeCycle: new common.LifeCycle("test"),
   });
   const handle = new linkedRank.LinkedRank(1, engine, () => ({
     token: TOKEN,
--- a/packages/daemon/src/rank_group/rank_links.ts
+++ b/packages/daemon/src/rank_group/rank_links.ts
@@ -203,8 +203,11 @@
       if (linkedAddresses.has(runner.address)) continue;
       linkedAddresses.add(runner.address);
       lifeCycle.run("rank", async () => {
-        await this.#serveRank(runner, signal);
-        linkedAddresses.delete(runner.address);
+        try {
+          await this.#serveRank(runner, signal);
+        } finally {
+          linkedAddresses.delete(runner.address);
+        }
       });
     }
   }
@@ -232,8 +235,7 @@
     runner: traffic.RunnerEntry,
     signal: AbortSignal,
   ): Promise<void> {
-    const { linkPort, token, identity: led } = this.parameters;
-    const { group } = led;
+    const { linkPort } = this.parameters;
     const dialled = await wire.dial({
       url: `ws://${runner.address}:${linkPort}${listenModule.LINK_PATH}`,
       key: entryMesh.LINK_KEY,
@@ -245,6 +247,22 @@
       return common.sleep(RELINK_MILLISECONDS, signal);
     }
     const link = dialled.value;
+    try {
+      await this.#receiveFrom(runner, link, signal);
+    } finally {
+      link.close();
+      this.#links.delete(link);
+    }
+  }
+
+  /** Receives the messages of the process beside a runner. */
+  async #receiveFrom(
+    runner: traffic.RunnerEntry,
+    link: wire.Link,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { token, identity: led } = this.parameters;
+    const { group } = led;
     link.closeOn(signal);
     link.send(this.parameters.hello());
     for await (const message of link.messages()) {
@@ -284,7 +302,6 @@
           link.close(wire.LinkEnd.Unreadable);
       }
     }
-    this.#links.delete(link);
   }
 
   /** Reads from the engine directly which rank a runner is. */
--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -129,9 +129,9 @@
         ),
     });
     lifeCycle.own({ name: "links", close: () => accepting.close() });
-    lifeCycle.run("watch", (signal) => this.#member.watch(signal));
-    lifeCycle.run("tell", (signal) => this.#reportToLeader(signal));
-    lifeCycle.run("lead", (signal) => this.#leadWhenLeaderless(signal));
+    lifeCycle.keepRunning("watch", (signal) => this.#member.watch(signal));
+    lifeCycle.keepRunning("tell", (signal) => this.#reportToLeader(signal));
+    lifeCycle.keepRunning("lead", (signal) => this.#leadWhenLeaderless(signal));
   }
 
   /**
@@ -287,7 +287,7 @@
     const { lifeCycle, logger } = this.parameters;
     const { links } = term;
     const { group, size, epoch } = term.identity;
-    lifeCycle.run("links to ranks", () => links.maintain(signal));
+    lifeCycle.keepRunning("links to ranks", () => links.maintain(signal));
     while (!signal.aborted && links.handles.size < size) {
       if (this.#member.identity?.epoch !== epoch) return;
       await common.sleep(POLL_MILLISECONDS, signal);
--- a/packages/daemon/src/upstream/start_upstream.ts
+++ b/packages/daemon/src/upstream/start_upstream.ts
@@ -27,7 +27,8 @@
   neverthrow.Result<runningProcess.RunningProcess, listenModule.ListenFailure>
 > {
   const { settings, logger } = parameters;
-  const lifeCycle = new common.LifeCycle(settings.host);
+  const onTaskFailure = common.reportTaskFailures(parameters);
+  const lifeCycle = new common.LifeCycle(settings.host, onTaskFailure);
   const context = createContext(parameters, lifeCycle);
   const reporter = new loadReporter.LoadReporter({
     table: context.table,
@@ -66,8 +67,8 @@
       ),
   });
   lifeCycle.own({ name: "links", close: accepting.close });
-  lifeCycle.run("load", (signal) => reporter.run(signal));
-  lifeCycle.run("waiting", (signal) => context.waitingRoom.run(signal));
+  lifeCycle.keepRunning("load", (signal) => reporter.run(signal));
+  lifeCycle.keepRunning("waiting", (signal) => context.waitingRoom.run(signal));
   lifeCycle.every(SWEEP_PERIOD_MILLISECONDS, () => sweep(context));
   const urls = { links: links.value.url, operators: operators.value.url };
   logger.event(common.EventCode.ProcessStarted, { urls });
