--- a/packages/daemon/src/shutdown/process_signals.ts
+++ b/packages/daemon/src/shutdown/process_signals.ts
@@ -33,6 +33,11 @@
     process.on(ProcessSignal.Reload, () => this.#reload());
   }
 
+  /** Whether a signal to stop was received. */
+  get stopRequested(): boolean {
+    return this.#stopReceived;
+  }
+
   /** Milliseconds since each signal that was received came last, by its name. */
   ages(): Record<string, number> {
     const ages: Record<string, number> = {};
