fix: failures of a task leave no state behind that fails what comes after

Looked for after the containment of tasks: an order of a rank that failed would have failed all orders behind it, as each waits for the one before.

--- a/packages/daemon/src/rank_group/rank_member.ts
+++ b/packages/daemon/src/rank_group/rank_member.ts
@@ -142,7 +142,8 @@
   /** Carries out an order of a leader. */
   execute(command: MemberCommand): Promise<executeOrder.OrderOutcome> {
     const turn = this.#previousOrder.then(() => this.#execute(command));
-    this.#previousOrder = turn;
+    // An order that fails must not fail those behind it.
+    this.#previousOrder = turn.catch(() => undefined);
     return turn;
   }
 
