--- a/packages/daemon/src/forwarding_mod.ts
+++ b/packages/daemon/src/forwarding_mod.ts
@@ -13,6 +13,8 @@
 export * from "./forwarding/runner_tracker.ts";
 export * from "./forwarding/runner_client.ts";
 export * from "./gateway/gateway.ts";
+export * from "./process/listen_when_free.ts";
+export * from "./process/settings_at_start.ts";
 export * from "./quarantine/prompt_parts.ts";
 export * from "./quarantine/runner_crash.ts";
 export * from "./gateway/operator_view.ts";
--- a/platform/src/listen.ts
+++ b/packages/daemon/src/process/listen_when_free.ts
@@ -1,12 +1,17 @@
 import type * as http from "node:http";
 import * as common from "@geraniumkeel/common";
-import type * as settings from "./settings.ts";
 
 /** Connections that may wait to be accepted, as many callers connect at once. */
 const BACKLOG = 1_024;
 /** Pause between two attempts to open a listener, in milliseconds. */
 const RETRY_MILLISECONDS = 200;
 
+/** Address and port of a listener. */
+export interface ListenerEndpoint {
+  address: string;
+  port: number;
+}
+
 /** What opening a listener needs of its process. */
 export interface ListenParameters {
   logger: common.Logger;
@@ -18,9 +23,9 @@
  * Opens a listener. Something else may have its port for a while, as a process
  * before this one that has not ended yet: the listener then waits for it.
  */
-export async function listen(
+export async function listenWhenFree(
   server: http.Server,
-  endpoint: settings.Endpoint,
+  endpoint: ListenerEndpoint,
   { logger, onRetry }: ListenParameters,
 ): Promise<void> {
   const tell = (reason: string) => {
@@ -43,7 +48,7 @@
 /** Why the listener can't be opened now; `undefined` if it is open. */
 function tryToListen(
   server: http.Server,
-  endpoint: settings.Endpoint,
+  endpoint: ListenerEndpoint,
 ): Promise<string | undefined> {
   return new Promise((resolve) => {
     const fail = (cause: Error) => {
