--- a/packages/daemon/src/forwarding_mod.ts
+++ b/packages/daemon/src/forwarding_mod.ts
@@ -14,6 +14,7 @@
 export * from "./forwarding/runner_client.ts";
 export * from "./gateway/gateway.ts";
 export * from "./process/listen_when_free.ts";
+export * from "./process/process_frame.ts";
 export * from "./process/settings_at_start.ts";
 export * from "./quarantine/prompt_parts.ts";
 export * from "./quarantine/runner_crash.ts";
--- a/platform/src/process_frame.ts
+++ b/packages/daemon/src/process/process_frame.ts
@@ -1,7 +1,8 @@
 import * as http from "node:http";
 import * as common from "@geraniumkeel/common";
-import * as daemon from "@geraniumkeel/daemon/forwarding_mod";
-import * as settingsModule from "./settings.ts";
+import type * as neverthrow from "neverthrow";
+import * as processSignals from "../shutdown/process_signals.ts";
+import * as listenWhenFree from "./listen_when_free.ts";
 
 const STANDARD_OUTPUT = 1;
 /** Longest time for closing links and other parts at the end of a stop. */
@@ -9,6 +10,19 @@
 /** Where metrics are read as text; the deploy file names port and path too. */
 const METRICS_PORT = 9_464;
 
+/** What every process is told of itself. */
+export interface FrameSettings {
+  host: string;
+  role: string;
+  /** The host's own address. */
+  address: string;
+}
+
+type ReadSettings = () => neverthrow.Result<
+  FrameSettings,
+  common.InputProblem[]
+>;
+
 /** What every process has, whatever its role. */
 export interface ProcessFrame {
   logger: common.Logger;
@@ -16,25 +30,31 @@
   lifeCycle: common.LifeCycle;
   random: common.Random;
   /** Signals that the process received. */
-  signals: daemon.ProcessSignals;
+  signals: processSignals.ProcessSignals;
   /** Opens a listener; waits while its port is taken. */
   listen: (
     server: http.Server,
-    endpoint: settingsModule.Endpoint,
+    endpoint: listenWhenFree.ListenerEndpoint,
   ) => Promise<void>;
   /** Notes that the process has started, and has it stop on signals. */
   started: (stopping: { drain: () => Promise<void> }) => void;
 }
 
-/** Creates log, metrics and owner of a process. */
-export function createFrame(settings: settingsModule.Settings): ProcessFrame {
+/**
+ * Creates log, metrics and owner of a process; `readSettings` reads its settings
+ * again.
+ */
+export function createFrame(
+  settings: FrameSettings,
+  readSettings: ReadSettings,
+): ProcessFrame {
   const writer = new common.LogWriter(STANDARD_OUTPUT);
   const { host, role } = settings;
   const logger = common.createLogger({ name: "geraniumkeeld", host, writer });
   const metrics = new common.MetricsRegistry(common.discardMetrics());
   const onTaskFailure = common.reportTaskFailures({ logger, metrics });
   const lifeCycle = new common.LifeCycle(host, onTaskFailure);
-  const signals = new daemon.ProcessSignals(logger);
+  const signals = new processSignals.ProcessSignals(logger);
   process.once("exit", () => writer.flushNow());
   common.logProcessFailure(logger);
   const stop = async (drain: () => Promise<void>): Promise<void> => {
@@ -44,7 +64,7 @@
     process.exit(0);
   };
   const listenTo: ProcessFrame["listen"] = (server, endpoint) =>
-    daemon.listenWhenFree(server, endpoint, {
+    listenWhenFree.listenWhenFree(server, endpoint, {
       logger,
       onRetry: () => {
         // A process that still waits for a listener has nothing to finish.
@@ -65,18 +85,18 @@
       logger.event(common.EventCode.ProcessStarted, { role });
       signals.act({
         stop: () => void stop(drain),
-        reload: () => reload(settings, logger),
+        reload: () => reload(settings, readSettings(), logger),
       });
     },
   };
 }
 
-/** Reads the settings again; addresses in use stay until the next start. */
+/** Tells what a new reading of the settings found; addresses in use stay until the next start. */
 function reload(
-  settings: settingsModule.Settings,
+  settings: FrameSettings,
+  read: ReturnType<ReadSettings>,
   logger: common.Logger,
 ): void {
-  const read = settingsModule.readSettings();
   if (read.isErr()) {
     const problems = read.error.map(common.describeProblem);
     logger.event(common.EventCode.SettingsRefused, { problems });
