fix(backing_services): an answer whose connection is reset is not taken for a whole one

What callers saw: nothing yet (found by a test). A store, or an engine that takes orders, whose answer has neither a length nor chunks, and whose connection is reset in the body or right after the head, was taken to have answered with what had come so far; an empty body of status 200 passed for the answer to an order. Cause: undici takes a reset for the end of a body that ends with its connection, if the answer does not keep the connection open. Plain services were guarded; the client of the store and of orders was not. Change: the guard (connection_endings.ts) moves to common, and the client of the store asks it before such an answer counts: a call during which any connection was reset is unanswered. Each request is sent once, and none is called not sent.

--- a/packages/backing_services/src/answer_collector.ts
+++ b/packages/backing_services/src/answer_collector.ts
@@ -7,6 +7,8 @@
 /** Longest body; the largest documents asked for have some megabytes. */
 const MAX_BODY_BYTES = 32 * 1024 * 1024;
 
+/** Statuses of answers without a body. */
+const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 /** Least status of a head before the final one, and of a final one. */
 const INTERIM_STATUS = 100;
 const FINAL_STATUS = 200;
@@ -48,6 +50,8 @@
       onWrongAnswer: (wrong: common.WrongAnswer) => void;
       onAnswer: (answer: CollectedAnswer) => void;
       onFailure: (failure: FailedRequest) => void;
+      /** Whether the connection of the answer may have been reset. */
+      mayBeReset: () => Promise<boolean>;
     },
   ) {
     const { timeoutMilliseconds } = parameters;
@@ -95,8 +99,32 @@
     }
   }
 
-  /** The answer is whole. */
+  /**
+   * The answer came to its end. undici says so too when a connection is reset whose
+   * end alone tells where the body ends.
+   */
   onResponseEnd(): void {
+    if (this.#isFramed) this.#succeed();
+    else void this.#confirmEnd();
+  }
+
+  get #isFramed(): boolean {
+    return (
+      STATUSES_WITHOUT_BODY.has(this.#status) ||
+      this.#headers["content-length"] !== undefined ||
+      this.#headers["transfer-encoding"] !== undefined
+    );
+  }
+
+  async #confirmEnd(): Promise<void> {
+    if (await this.parameters.mayBeReset()) {
+      this.#fail(new Error("connection reset"));
+    } else {
+      this.#succeed();
+    }
+  }
+
+  #succeed(): void {
     if (!this.#end()) return;
     this.parameters.onAnswer({
       status: this.#status,
--- a/packages/backing_services/src/http_client.ts
+++ b/packages/backing_services/src/http_client.ts
@@ -1,4 +1,4 @@
-import type * as common from "@geraniumkeel/common";
+import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
 import * as answerCollector from "./answer_collector.ts";
@@ -57,6 +57,7 @@
  */
 export class HttpClient {
   readonly #pool: undici.Pool;
+  readonly #endings = new common.ConnectionEndings();
   #closed = false;
 
   constructor(
@@ -69,8 +70,16 @@
       onWrongAnswer?: (wrong: common.WrongAnswer) => void;
     },
   ) {
+    const connect = undici.buildConnector({
+      timeout: parameters.timeoutMilliseconds,
+    });
     this.#pool = new undici.Pool(origin, {
-      connect: { timeout: parameters.timeoutMilliseconds },
+      connect: (options, callback) =>
+        connect(options, (...made) => {
+          const [, socket] = made;
+          if (socket) this.#endings.watch(socket);
+          callback(...made);
+        }),
       // The silence of the far end is bounded for each request.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -124,12 +133,14 @@
       answerCollector.FailedRequest
     >
   > {
+    const resetsBefore = this.#endings.resets;
     return new Promise((resolve) => {
       const collector = new answerCollector.AnswerCollector({
         timeoutMilliseconds,
         onWrongAnswer: (wrong) => this.parameters.onWrongAnswer?.(wrong),
         onAnswer: (answer) => resolve(neverthrow.ok(answer)),
         onFailure: (failure) => resolve(neverthrow.err(failure)),
+        mayBeReset: () => this.#endings.anyResetSince(resetsBefore),
       });
       try {
         this.#pool.dispatch(request, collector);
--- a/packages/engine/src/connection_endings.ts
+++ b/packages/common/src/connection_endings.ts
@@ -17,6 +17,15 @@
     return this.#resets;
   }
 
+  /**
+   * Whether any connection was reset after the first `before` ones, once it is
+   * known how those ended that have ended.
+   */
+  async anyResetSince(before: number): Promise<boolean> {
+    await Promise.all(this.#pending);
+    return this.#resets > before;
+  }
+
   /** Watches a connection to its end. */
   watch(socket: net.Socket): void {
     let isReset = false;
@@ -42,9 +51,4 @@
       void written.then(() => this.#pending.delete(written));
     });
   }
-
-  /** Resolves once it is known how the connections ended that have ended. */
-  async settled(): Promise<void> {
-    await Promise.all(this.#pending);
-  }
 }
--- a/packages/common/src/mod.ts
+++ b/packages/common/src/mod.ts
@@ -3,6 +3,7 @@
 export * from "./change_notice.ts";
 export * from "./channel.ts";
 export * from "./clock.ts";
+export * from "./connection_endings.ts";
 export * from "./count_wrong_answers.ts";
 export * from "./describe_cause.ts";
 export * from "./end_to_end_headers.ts";
--- a/packages/engine/src/plain_service.ts
+++ b/packages/engine/src/plain_service.ts
@@ -2,7 +2,6 @@
 import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
 import type * as undici from "undici";
-import * as connectionEndings from "./connection_endings.ts";
 import * as guardedRequest from "./guarded_request.ts";
 import * as newAgent from "./new_agent.ts";
 import * as httpFailure from "./http_failure.ts";
@@ -55,7 +54,7 @@
 /** Client of one plain service over HTTP. */
 export class HttpPlainService {
   readonly #agent: undici.Agent;
-  readonly #endings = new connectionEndings.ConnectionEndings();
+  readonly #endings = new common.ConnectionEndings();
 
   constructor(
     readonly origin: string,
@@ -122,8 +121,7 @@
     resetsBefore: number,
   ): AsyncGenerator<Uint8Array, void, void> {
     yield* body;
-    await this.#endings.settled();
-    if (this.#endings.resets > resetsBefore)
+    if (await this.#endings.anyResetSince(resetsBefore))
       throw new Error("connection reset");
   }
 
