fix(daemon): a lease that can't be read is not acquired, and its holder gives it up

What callers saw: an odd row of a lease failed the task that renews it, at each entry that is to hold it, so that no old claims were removed and a group's coordinator ended; a row without a readable number gave a term without a usable fencing number. Cause: the row was read by JSON.parse and a cast. Change: the row is checked. One that can't be read is neither free nor expired: the number of the last term is in it, and a term with the same number would give orders beside the last one. Its holder gives it up; it is acquired, with a higher number, once it is mended. It is logged and counted once for each text.

--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -62,6 +62,7 @@
       log: (row, reason) =>
         logger.event(common.EventCode.RowUnreadable, { row, reason }),
     });
+  const unreadableLeases = unreadableRows("leases");
   const keeper = new configurationHolder.ConfigurationHolder({
     logger,
     history,
@@ -242,6 +243,7 @@
     claims,
     lostClaims: lost,
     table: parameters.table,
+    unreadableLeases,
     hosts,
     members,
     peers,
@@ -261,6 +263,7 @@
       entries: () => members.alive.map((member) => member.host),
       table: parameters.table,
       maps: new mapStore.MapStore(parameters.objects),
+      unreadableLeases,
       leaseMilliseconds: timing.leaseDuration,
       random,
     }),
--- a/packages/daemon/src/entry/entry_context.ts
+++ b/packages/daemon/src/entry/entry_context.ts
@@ -37,6 +37,7 @@
   claims: claimStore.ClaimStore;
   lostClaims: lostClaims.LostClaims;
   table: backingServices.TableService;
+  unreadableLeases: common.UnreadableRows;
   hosts: hostView.HostView;
   members: memberTable.MemberTable;
   peers: peerLinks.PeerLinks;
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -225,6 +225,7 @@
       incarnation,
       durationMilliseconds: 3 * claimRemovalPeriod,
       random: context.random,
+      unreadable: context.unreadableLeases,
     }),
     isPreferredHolder: () => {
       const alive = members.alive.map((member) => member.host);
--- a/packages/daemon/src/expert_map/coordinators.ts
+++ b/packages/daemon/src/expert_map/coordinators.ts
@@ -27,6 +27,7 @@
   entries: () => string[];
   table: backingServices.TableService;
   maps: mapStore.MapStore;
+  unreadableLeases: common.UnreadableRows;
   /** Duration of a group's lease. */
   leaseMilliseconds: number;
   random: common.Random;
@@ -112,6 +113,7 @@
         incarnation,
         durationMilliseconds: leaseMilliseconds,
         random: this.parameters.random,
+        unreadable: this.parameters.unreadableLeases,
       }),
       maps,
       rankConnections: () =>
--- a/packages/daemon/src/lease/lease.ts
+++ b/packages/daemon/src/lease/lease.ts
@@ -1,5 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as backingServices from "@geraniumkeel/backing_services";
+import * as zod from "zod";
 
 /**
  * Fencing numbers that are skipped in a new epoch of the table. The table may
@@ -11,17 +12,22 @@
 const SKIPPED_FENCING_NUMBERS = 1_000;
 
 /** The lease as stored in the table, in JSON. */
-interface LeaseRow {
+const LEASE_ROW = zod.object({
   /** Host of the holder; empty if the holder released the lease. */
-  holder: string;
-  incarnation: string;
+  holder: zod.string(),
+  incarnation: zod.string(),
   /** Fencing number of the holder's term. */
-  fencing: number;
-  /** Epoch of the table in which the row was written. */
-  epoch: number;
+  fencing: zod.number().int().min(0),
+  /**
+   * Epoch of the table in which the row was written; lower than any epoch in a
+   * row of an earlier version, which has none.
+   */
+  epoch: zod.number().default(-1),
   /** Random identifier that distinguishes this write from every other one. */
-  nonce: string;
-}
+  nonce: zod.string(),
+});
+
+type LeaseRow = zod.infer<typeof LEASE_ROW>;
 
 /** The lease as this process, its holder, last wrote it. */
 interface OwnLease {
@@ -59,6 +65,7 @@
       incarnation: string;
       durationMilliseconds: number;
       random: common.Random;
+      unreadable: common.UnreadableRows;
     },
   ) {}
 
@@ -129,15 +136,21 @@
     }
   }
 
-  /** Acquires the lease if it is free, expired or this process's own. */
+  /**
+   * Acquires the lease if it is free, expired or this process's own. A row that
+   * can't be read is left as it is until it is mended: the number of the last
+   * term is in it, and a term that had the same number would give orders beside
+   * it.
+   */
   async #acquire(): Promise<void> {
     const renewedAt = common.now();
     const read = await this.parameters.table.get(this.parameters.key);
     if (read.isErr()) return;
     const row = read.value;
-    const lease = row && parseLease(row);
+    const lease = row && this.#readLease(row);
+    if (row && !lease) return;
     const isOwnRow = lease && this.#isOfThisIncarnation(lease);
-    if (row && !isOwnRow && !this.#hasExpired(row)) return;
+    if (lease && !isOwnRow && !this.#hasExpired(lease, row.revision)) return;
     const epoch = this.#epoch;
     const fencing = this.#nextFencing(lease);
     const outcome = await this.#write(row?.revision, fencing);
@@ -168,9 +181,9 @@
 
   /** Whether this process wrote the row in the term with this number. */
   #isOwnTerm(row: backingServices.Row, fencing: number): boolean {
-    const lease = parseLease(row);
+    const lease = this.#readLease(row);
     const { incarnation } = this.parameters;
-    return lease.incarnation === incarnation && lease.fencing === fencing;
+    return lease?.incarnation === incarnation && lease.fencing === fencing;
   }
 
   /**
@@ -196,8 +209,10 @@
   }
 
   /** Whether another process's lease was released or has expired. */
-  #hasExpired(row: backingServices.Row): boolean {
-    const { holder, epoch } = parseLease(row);
+  #hasExpired(
+    { holder, epoch }: LeaseRow,
+    revision: backingServices.Revision,
+  ): boolean {
     // A release that was written in an earlier epoch does not count: the table
     // may have lost the row of a later holder, who does not notice for some
     // time.
@@ -205,10 +220,10 @@
     const now = common.now();
     const isUnchanged = backingServices.isSameRevision(
       this.#observed?.revision,
-      row.revision,
+      revision,
     );
     if (!this.#observed || !isUnchanged) {
-      this.#observed = { revision: row.revision, since: now };
+      this.#observed = { revision, since: now };
       return false;
     }
     return now - this.#observed.since > this.parameters.durationMilliseconds;
@@ -242,8 +257,16 @@
       random,
     });
   }
-}
 
-function parseLease(row: backingServices.Row): LeaseRow {
-  return JSON.parse(row.value) as LeaseRow;
+  /** The lease in a row; `undefined` if it can't be read. */
+  #readLease({ key, value }: backingServices.Row): LeaseRow | undefined {
+    const { unreadable } = this.parameters;
+    const read = common.validateJson(LEASE_ROW, value);
+    if (read.isErr()) {
+      unreadable.note(key, value, read.error);
+      return undefined;
+    }
+    unreadable.forget(key);
+    return read.value;
+  }
 }
--- a/packages/stand_ins/src/system/table_return_test.ts
+++ b/packages/stand_ins/src/system/table_return_test.ts
@@ -17,6 +17,13 @@
     incarnation: host,
     durationMilliseconds: DURATION_MILLISECONDS,
     random: new common.Random(1),
+    unreadable: new common.UnreadableRows({
+      table: "leases",
+      metrics: common.discardMetrics(),
+      log: (key, reason) => {
+        throw new Error(`${key}: ${reason}`);
+      },
+    }),
   });
 }
 
