fix(backing_services): answers of another shape say nothing, and one odd host costs itself

What callers saw: an answer of the table, the object store or the host list of another shape threw in whatever had asked: tasks that follow tables, keyed requests, a coordinator. JSON of another shape passed: a write counted as committed without a revision, and failed later. Cause: answers were read by JSON.parse and a cast. Change: answers are checked. A read that can't be read is unavailable, never 'no row'; a write whose answer can't be read, or has no revision of a row that it put, is unknown, and is repeated until it is definite.

--- a/packages/backing_services/src/http_table.ts
+++ b/packages/backing_services/src/http_table.ts
@@ -1,5 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
+import * as zod from "zod";
 import * as httpClient from "./http_client.ts";
 import type * as revisionModule from "./revision.ts";
 import * as tableEpoch from "./table_epoch.ts";
@@ -21,6 +22,17 @@
   value: string;
 }
 
+const SENT_ROW: zod.ZodType<SentRow> = zod.object({
+  key: zod.string(),
+  revision: zod.number(),
+  value: zod.string(),
+});
+const SENT_ROWS = zod.array(SENT_ROW);
+const COMMITTED = zod.object({
+  revisions: zod.record(zod.string(), zod.number()),
+});
+const CONFLICT = zod.object({ rows: SENT_ROWS });
+
 /** The table service over HTTP with JSON bodies. */
 export class HttpTableService implements table.TableService {
   readonly epoch: tableEpoch.TableEpoch;
@@ -38,10 +50,13 @@
   ): Promise<neverthrow.Result<table.Row | undefined, table.TableUnavailable>> {
     const path = `/table/row?key=${encodeURIComponent(key)}`;
     const answer = await this.#read(path, [HTTP_OK, HTTP_NOT_FOUND]);
-    return answer.map(({ status, body }) =>
+    return answer.andThen(({ status, body }) =>
       status === HTTP_NOT_FOUND
-        ? undefined
-        : this.#received(JSON.parse(body) as SentRow),
+        ? neverthrow.ok(undefined)
+        : common
+            .validateJson(SENT_ROW, body)
+            .map((row) => this.#received(row))
+            .mapErr(unreadable),
     );
   }
 
@@ -59,8 +74,11 @@
     const answer = await this.#read(`/table/rows?${query.toString()}`, [
       HTTP_OK,
     ]);
-    return answer.map(({ body }) =>
-      (JSON.parse(body) as SentRow[]).map((row) => this.#received(row)),
+    return answer.andThen(({ body }) =>
+      common
+        .validateJson(SENT_ROWS, body)
+        .map((rows) => rows.map((row) => this.#received(row)))
+        .mapErr(unreadable),
     );
   }
 
@@ -101,27 +119,38 @@
       return { outcome, epoch: undefined, answered: false };
     }
     const epoch = answer.value.header(EPOCH_HEADER);
-    const outcome = this.#outcomeOf(answer.value, epoch);
+    const keys = transaction.writes.flatMap((write) =>
+      write.kind === table.WriteKind.Put ? [write.key] : [],
+    );
+    const outcome = this.#outcomeOf(answer.value, epoch, keys);
     return { outcome, epoch, answered: true };
   }
 
+  /** Outcome of a transaction that puts rows with these keys. */
   #outcomeOf(
     { status, body }: httpClient.HttpAnswer,
     epoch: string | undefined,
+    keys: string[],
   ): table.TransactionOutcome {
     switch (status) {
       case HTTP_OK: {
-        const { revisions: numbers } = JSON.parse(body) as {
-          revisions: Record<string, number>;
-        };
+        const read = common.validateJson(COMMITTED, body);
+        if (read.isErr()) return unknownOutcome(read.error);
+        const missing = keys.find((key) => !(key in read.value.revisions));
+        if (missing !== undefined) {
+          const reason = `no revision of ${missing}`;
+          return { kind: table.OutcomeKind.Unknown, reason };
+        }
         const revisions: Record<string, revisionModule.Revision> = {};
-        for (const [key, number] of Object.entries(numbers)) {
+        for (const [key, number] of Object.entries(read.value.revisions)) {
           revisions[key] = { epoch: Number(epoch ?? 0), number };
         }
         return { kind: table.OutcomeKind.Committed, revisions };
       }
       case HTTP_CONFLICT: {
-        const { rows } = JSON.parse(body) as { rows: SentRow[] };
+        const read = common.validateJson(CONFLICT, body);
+        if (read.isErr()) return unknownOutcome(read.error);
+        const { rows } = read.value;
         const received = rows.map((row) => this.#received(row, epoch));
         return { kind: table.OutcomeKind.Conflict, rows: received };
       }
@@ -177,6 +206,19 @@
   }
 }
 
+function unreadable(problems: common.InputProblem[]): table.TableUnavailable {
+  const reason = `unreadable answer: ${common.describeProblems(problems)}`;
+  return { kind: "table-unavailable", reason };
+}
+
+/** An answer that can't be read says nothing about the transaction. */
+function unknownOutcome(
+  problems: common.InputProblem[],
+): table.TransactionOutcome {
+  const reason = `unreadable answer: ${common.describeProblems(problems)}`;
+  return { kind: table.OutcomeKind.Unknown, reason };
+}
+
 function unavailable<T>(
   reason: string,
 ): neverthrow.Result<T, table.TableUnavailable> {
--- a/packages/backing_services/src/object_store.ts
+++ b/packages/backing_services/src/object_store.ts
@@ -1,4 +1,6 @@
+import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
+import * as zod from "zod";
 import * as httpClient from "./http_client.ts";
 
 /** An object that could not be read or written. */
@@ -7,6 +9,8 @@
   reason: string;
 }
 
+const OBJECT = zod.object({ body: zod.string() });
+
 /** The platform's object store: whole objects by name. */
 export interface ObjectStore {
   put(
@@ -47,8 +51,12 @@
     if (answer.value.status !== 200) {
       return failure(`status ${answer.value.status}`);
     }
-    const { body } = JSON.parse(answer.value.body) as { body: string };
-    return neverthrow.ok(body);
+    const read = common.validateJson(OBJECT, answer.value.body);
+    if (read.isErr()) {
+      const problems = common.describeProblems(read.error);
+      return failure(`unreadable answer: ${problems}`);
+    }
+    return neverthrow.ok(read.value.body);
   }
 }
 
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -74,6 +74,7 @@
     hostList: parameters.hostList,
     logger,
     periodMilliseconds: timing.hostListPeriod,
+    unreadable: unreadableRows("hosts"),
   });
   const { callerUrl, peerUrl } = parameters;
   const self = { host, incarnation, place, callerUrl, peerUrl };
--- a/packages/daemon/src/membership/host_view.ts
+++ b/packages/daemon/src/membership/host_view.ts
@@ -34,6 +34,7 @@
       hostList: backingServices.HostList;
       logger: common.Logger;
       periodMilliseconds: number;
+      unreadable: common.UnreadableRows;
     },
   ) {}
 
@@ -88,8 +89,12 @@
       this.#lastReadBytes = 0;
       return;
     }
-    const { hosts, bytes } = read.value;
+    const { hosts, unreadable, bytes } = read.value;
     this.#lastReadBytes = bytes;
+    const unreadableKeys = new Set(unreadable.map(({ key }) => key));
+    this.parameters.unreadable.retain((key) => unreadableKeys.has(key));
+    for (const { key, text, problems } of unreadable)
+      this.parameters.unreadable.note(key, text, problems);
     this.#replace(new Map(hosts.map((host) => [host.name, host])));
   }
 
