fix(daemon): a state dump that can't be read is answered as one that can't be had

The dump of another process was parsed without a check: an operator's call for it ended by an exception. It is answered now as if the process could not be reached. Not tested on its own; operator_test.js passes (8 of 8).

--- a/packages/daemon/src/operator/remote_operations.ts
+++ b/packages/daemon/src/operator/remote_operations.ts
@@ -1,5 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
+import * as zod from "zod";
 import type * as runnerDirectory from "../dispatch/runner_directory.ts";
 
 const STATE_TIMEOUT_MILLISECONDS = 2_000;
@@ -20,7 +21,10 @@
 
   constructor(readonly parameters: RemoteOperationsParameters) {}
 
-  /** State dump of a process; `undefined` when it cannot be reached. */
+  /**
+   * State dump of a process; `undefined` when it cannot be reached, or its dump
+   * can't be read.
+   */
   async state(host: string): Promise<unknown> {
     const { self, runners } = this.parameters;
     if (host === self) return this.parameters.state();
@@ -28,7 +32,8 @@
     const text = runner
       ? await runner.readState(STATE_TIMEOUT_MILLISECONDS)
       : await this.#askEntry(host);
-    return text === undefined ? undefined : (JSON.parse(text) as unknown);
+    if (text === undefined) return undefined;
+    return common.validateJson(zod.unknown(), text).unwrapOr(undefined);
   }
 
   /** Starts the drain of a process; false when it cannot be reached. */
