fix(daemon): a link whose messages can't be handled is closed and forgotten, an attempt ends

What callers saw: nothing yet. An exception while a message of a link is handled ended the link's task and left the link open: it looked sound, with heartbeats both ways, and nobody read it. Requests sent on it to a runner waited until their deadlines; a configuration pushed to a peer was lost. An attempt whose run threw stayed running: its caller waited, and its place at the runner was gone. Change: links between entries, from entries to runners and their far ends are closed and forgotten by try/finally, as those of the mesh are; the task that keeps a runner's link makes it anew. An attempt is finished as broken in every case. Sending to any entry never rejects, as most callers do not wait for it: its failure is reported (TaskFailed) and returned.

--- a/packages/daemon/src/dispatch/runner_link.ts
+++ b/packages/daemon/src/dispatch/runner_link.ts
@@ -425,24 +425,30 @@
       link.close();
       return false;
     }
-    this.#acceptHello(hello);
-    this.#link = link;
-    link.isBusy = () => this.attempts.size + this.#questions.count > 0;
-    clearInterval(this.#giveUpTimer);
-    link.onHeartbeat = (heartbeat) => (this.#upstreamClock = heartbeat.clock);
-    for (const outgoing of this.attempts.values()) this.#resume(outgoing);
-    logger.event(common.EventCode.LinkEstablished, { peer: this.host.name });
-    this.parameters.onLinked();
-    for await (const message of link.messages()) {
-      // Drops messages that were not handled before the link ended. The runner
-      // sends the pieces among them again when the attempts resume on the next
-      // link.
-      if (link.end !== undefined) break;
-      this.#handle(message);
+    try {
+      this.#acceptHello(hello);
+      this.#link = link;
+      link.isBusy = () => this.attempts.size + this.#questions.count > 0;
+      clearInterval(this.#giveUpTimer);
+      link.onHeartbeat = (heartbeat) => (this.#upstreamClock = heartbeat.clock);
+      for (const outgoing of this.attempts.values()) this.#resume(outgoing);
+      logger.event(common.EventCode.LinkEstablished, { peer: this.host.name });
+      this.parameters.onLinked();
+      for await (const message of link.messages()) {
+        // Drops messages that were not handled before the link ended. The runner
+        // sends the pieces among them again when the attempts resume on the next
+        // link.
+        if (link.end !== undefined) break;
+        this.#handle(message);
+      }
+    } finally {
+      // Also after an exception: nobody reads the link any more, and requests
+      // must not be sent on it.
+      this.#link = undefined;
+      link.close();
+      this.#startGivingUp();
+      if (!signal.aborted) this.#logLinkEnd(link);
     }
-    this.#link = undefined;
-    this.#startGivingUp();
-    if (!signal.aborted) this.#logLinkEnd(link);
     return true;
   }
 
@@ -453,6 +459,7 @@
    */
   #startGivingUp(): void {
     const { settleAfter } = this.parameters.settings.timing;
+    clearInterval(this.#giveUpTimer);
     let ticks = 0;
     this.#giveUpTimer = setInterval(() => {
       if (++ticks < GIVE_UP_TICKS) return;
--- a/packages/daemon/src/dispatch/runner_link_test.ts
+++ b/packages/daemon/src/dispatch/runner_link_test.ts
@@ -79,7 +79,10 @@
   };
 }
 
-function createRunnerLink(host: backingServices.Host): runnerLink.RunnerLink {
+function createRunnerLink(
+  host: backingServices.Host,
+  change: Partial<runnerLink.RunnerLinkParameters> = {},
+): runnerLink.RunnerLink {
   return new runnerLink.RunnerLink(host, {
     settings: settings.ENTRY_SETTINGS.parse({
       role: settings.Role.Entry,
@@ -104,6 +107,7 @@
     onLoad: () => {},
     onCacheEvents: () => {},
     onLinked: () => {},
+    ...change,
   });
 }
 
@@ -147,3 +151,32 @@
   await until(() => outgoing.events.size === 1);
   t.true(common.now() - lostAt > 0.8 * SETTLE_AFTER_MILLISECONDS);
 });
+
+// Guards against requests that are sent on a link which nobody reads any more, after a
+// message on it could not be handled: they would wait until their deadlines.
+test("a link is closed and used no more after a message that can't be handled", async (t) => {
+  const { host, links } = await startUpstream(t);
+  const runner = createRunnerLink(host, {
+    onLoad: () => {
+      throw new Error("no room");
+    },
+  });
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  const running = runner.run(stop.signal);
+  await until(() => runner.linked);
+  links[0].send({
+    kind: wire.MessageKind.Load,
+    load: wire.idleLoad(),
+    dispatches: 0,
+    clock: 0,
+  });
+  await t.throwsAsync(running, { message: "no room" });
+  t.false(runner.linked);
+  t.is(runner.newAttempt("one"), undefined);
+  await until(() => links[0].end !== undefined);
+  // Its task is started again by its owner, and the link is made anew.
+  void runner.run(stop.signal);
+  await until(() => runner.linked);
+  t.is(links.length, 2);
+});
--- a/packages/daemon/src/membership/peer_links.ts
+++ b/packages/daemon/src/membership/peer_links.ts
@@ -138,9 +138,21 @@
   /**
    * Sends a message to any entry; opens a link on demand if there is none.
    * Returns false if the entry cannot be reached within the connect timeout.
+   * Never rejects, as most callers do not wait for it.
    */
   async sendTo(host: string, message: wire.Message): Promise<boolean> {
-    if (this.send(host, message)) return true;
+    try {
+      return (
+        this.send(host, message) || (await this.#sendOnDemand(host, message))
+      );
+    } catch (cause) {
+      const { lifeCycle } = this.parameters;
+      lifeCycle.onTaskFailure(`${lifeCycle.name}/send`, cause);
+      return false;
+    }
+  }
+
+  async #sendOnDemand(host: string, message: wire.Message): Promise<boolean> {
     const opened = await this.#dial(host);
     if (!opened) return false;
     this.parameters.lifeCycle.run("on-demand", () => this.#serve(opened));
@@ -272,17 +284,32 @@
     return undefined;
   }
 
+  /** Serves a link until it ends, and closes it in every case. */
   async #serve(link: wire.Link): Promise<void> {
-    const { settings, currentConfiguration, incarnation, members, logger } =
-      this.parameters;
     link.closeOn(this.parameters.lifeCycle.signal);
+    try {
+      const hello = await this.#greet(link);
+      if (hello) await this.#handleMessages(link, hello);
+    } finally {
+      // Also after an exception: a link that stays open without anybody who
+      // reads it looks sound to both ends.
+      link.close();
+    }
+  }
+
+  /** Exchanges the first messages; `undefined` if the peer sent no hello. */
+  async #greet(link: wire.Link): Promise<wire.Hello | undefined> {
+    const { settings, currentConfiguration, incarnation } = this.parameters;
     this.#linkNumber++;
     const linkNumber = this.#linkNumber;
     const revision = currentConfiguration.revision;
     const own = { settings, incarnation, linkNumber, revision };
     link.send(entryHello.entryHello(own));
     const hello = await link.receive();
-    if (hello?.kind !== wire.MessageKind.Hello) return link.close();
+    return hello?.kind === wire.MessageKind.Hello ? hello : undefined;
+  }
+
+  async #handleMessages(link: wire.Link, hello: wire.Hello): Promise<void> {
     const { host } = hello;
     this.#peers.get(host)?.link.close(wire.LinkEnd.Replaced);
     const peer: Peer = {
@@ -292,6 +319,23 @@
       pushedAt: -Infinity,
     };
     this.#peers.set(host, peer);
+    try {
+      this.#beginPeer(link, hello);
+      for await (const message of link.messages()) {
+        if (link.end !== undefined) break;
+        this.lastReceivedAt = common.now();
+        this.#handle(host, link, message);
+      }
+    } finally {
+      if (this.#peers.get(host) === peer) this.#peers.delete(host);
+      this.#reportClosed(host, link);
+      this.#linksChanged.announce();
+    }
+  }
+
+  #beginPeer(link: wire.Link, hello: wire.Hello): void {
+    const { members, logger } = this.parameters;
+    const { host } = hello;
     this.#noteRevision(host, hello.revision);
     // Links to neighbours carry the configuration, so they always get the full
     // heartbeat rate. The many on-demand links, over which entries lend each
@@ -307,14 +351,6 @@
     this.#compareMembers(link);
     this.#pushTo(host);
     this.parameters.onLinked(host);
-    for await (const message of link.messages()) {
-      if (link.end !== undefined) break;
-      this.lastReceivedAt = common.now();
-      this.#handle(host, link, message);
-    }
-    if (this.#peers.get(host) === peer) this.#peers.delete(host);
-    this.#reportClosed(host, link);
-    this.#linksChanged.announce();
   }
 
   #reportClosed(host: string, link: wire.Link): void {
--- a/packages/daemon/src/upstream/entry_link.ts
+++ b/packages/daemon/src/upstream/entry_link.ts
@@ -47,27 +47,46 @@
   link: wire.Link,
 ): Promise<void> {
   link.closeOn(context.lifeCycle.signal);
-  link.send(helloOf(context));
-  const first = await link.receive();
-  if (first?.kind !== wire.MessageKind.Hello) return link.close();
-  if (!takePlaceOfOlderLink(context, first, link)) {
-    return link.close(wire.LinkEnd.Replaced);
+  try {
+    link.send(helloOf(context));
+    const first = await link.receive();
+    if (first?.kind !== wire.MessageKind.Hello) return;
+    if (!takePlaceOfOlderLink(context, first, link)) {
+      return link.close(wire.LinkEnd.Replaced);
+    }
+    await handleMessages(context, link, first.host);
+  } finally {
+    // Also after an exception: a link that stays open without anybody who reads
+    // it looks sound to its entry, whose requests would wait on it.
+    link.close();
   }
+}
+
+/** Handles the messages of a link until it ends, and forgets it then. */
+async function handleMessages(
+  context: upstreamContext.UpstreamContext,
+  link: wire.Link,
+  peer: string,
+): Promise<void> {
   context.links.set(link, { received: 0, reported: 0 });
   link.isBusy = () =>
     context.table.running.some((record) => record.isFollowedBy(link));
-  context.logger.event(common.EventCode.LinkEstablished, { peer: first.host });
-  for await (const message of link.messages()) {
-    // Messages queued on a replaced link are void: the entry has asked again
-    // on the new one, and a late dispatch would run what was settled.
-    if (link.end !== undefined) break;
-    handleMessage(context, link, message);
+  context.logger.event(common.EventCode.LinkEstablished, { peer });
+  try {
+    for await (const message of link.messages()) {
+      // Messages queued on a replaced link are void: the entry has asked again
+      // on the new one, and a late dispatch would run what was settled.
+      if (link.end !== undefined) break;
+      handleMessage(context, link, message);
+    }
+  } finally {
+    context.links.delete(link);
+    for (const record of context.table.records.values()) record.detach(link);
+    if (!context.lifeCycle.closing) {
+      const reason = link.end;
+      context.logger.event(common.EventCode.LinkLost, { peer, reason });
+    }
   }
-  context.links.delete(link);
-  for (const record of context.table.records.values()) record.detach(link);
-  if (context.lifeCycle.closing) return;
-  const reason = link.end;
-  context.logger.event(common.EventCode.LinkLost, { peer: first.host, reason });
 }
 
 /** Whether this link is the newest of its entry; older ones are ended. */
@@ -253,8 +272,16 @@
     identifier,
   });
   context.lifeCycle.run("attempt", async () => {
-    await runWork(context, record, message.work);
-    context.table.ended(record);
+    try {
+      await runWork(context, record, message.work);
+    } finally {
+      // Does nothing if it has ended. After an exception it may have run, and
+      // its entry waits for the end.
+      const reason = "exception while it ran";
+      const kind = wire.EndKind.Broken;
+      record.finish({ kind, reason, endedLife: "" });
+      context.table.ended(record);
+    }
     if (record.end?.kind !== wire.EndKind.Broken) return;
     const { reason } = record.end;
     context.logger.event(common.EventCode.EngineFailed, { identifier, reason });
--- a/packages/daemon/src/upstream/entry_link_test.ts
+++ b/packages/daemon/src/upstream/entry_link_test.ts
@@ -52,10 +52,13 @@
   receive: (messages: wire.Message[]) => Promise<void>;
   /** Ends the attempt that fills the runner. */
   free: () => void;
+  /** Number of links that were closed. */
+  closed: () => number;
 }
 
 /** A process whose runner has room for one attempt, and has one. */
-function fixture(): Fixture {
+function fixture(onTaskFailure?: common.TaskFailureListener): Fixture {
+  let closed = 0;
   const sent: wire.Message[] = [];
   const started: string[] = [];
   const table = new attemptTable.AttemptTable(INCARNATION);
@@ -63,7 +66,7 @@
     ({
       end: undefined,
       closeOn: () => undefined,
-      close: () => undefined,
+      close: () => void closed++,
       send: (message: wire.Message) => sent.push(message),
       receive: () => Promise.resolve(HELLO),
       async *messages() {
@@ -77,7 +80,7 @@
   const context = {
     settings: { host: "runner", place: "", service: "", backEnd: {} },
     incarnation: INCARNATION,
-    lifeCycle: new common.LifeCycle("runner"),
+    lifeCycle: new common.LifeCycle("runner", onTaskFailure),
     logger: new common.RecordingLogger(),
     history: {
       record: (event: { identifier: string }) => started.push(event.identifier),
@@ -106,6 +109,7 @@
     sent,
     receive: (messages) => entryLink.serveEntryLink(context, link(messages)),
     free: () => table.ended(record),
+    closed: () => closed,
   };
 }
 
@@ -158,3 +162,40 @@
   t.deepEqual(started, ["one"]);
   t.deepEqual(refusals(sent), []);
 });
+
+// Guards against a link that nobody reads any more and that looks sound to its entry, after
+// a message on it could not be handled: the entry's requests would wait on it.
+test("a link is closed and forgotten after a message that can't be handled", async (t) => {
+  const { context, closed, receive } = fixture();
+  context.state = () => {
+    throw new Error("no state");
+  };
+  const question: wire.Message = {
+    kind: wire.MessageKind.StateRequest,
+    question: 1,
+  };
+  await t.throwsAsync(receive([question]), { message: "no state" });
+  t.is(closed(), 1);
+  t.is(context.links.size, 0);
+});
+
+// Guards against an attempt whose run throws: it stayed running, so that its caller waited
+// until its deadline, and its place at the runner was gone.
+test("an attempt whose run throws is finished as broken", async (t) => {
+  const failed: unknown[] = [];
+  const { context, receive, free } = fixture((_task, cause) =>
+    failed.push(cause),
+  );
+  free();
+  Object.defineProperty(context, "backEnd", {
+    get: () => {
+      throw new Error("no back end");
+    },
+  });
+  await receive([dispatch("one")]);
+  await common.nextTurn();
+  const end = context.table.records.get("one")?.end;
+  t.is(end?.kind, wire.EndKind.Broken);
+  t.is(context.table.runningCount, 0);
+  t.is(failed.length, 1);
+});
