fix(daemon): an exception while credit is borrowed refuses those who wait for it

What callers saw: nothing yet. The promise of the task that serves an account's waiting requests was dropped: its rejection ended the process, and with a listener it would have left the account's requests, then and later, waiting for good. Change: those who wait are refused as not run, to come back after 1 s, later ones are served again, and the exception is reported (TaskFailed).

--- a/packages/daemon/src/admission/account_limits.ts
+++ b/packages/daemon/src/admission/account_limits.ts
@@ -17,6 +17,9 @@
 /** An entry returns credit to the owner that it has not used for this long. */
 const IDLE_CREDIT_MILLISECONDS = 1_000;
 
+/** When to come back after credit could not be obtained by an exception. */
+const FAILED_RETRY_MILLISECONDS = 1_000;
+
 /** Whether a request fits in its account's limit. */
 export type LimitOutcome =
   { kind: "granted" } | { kind: "refused"; retryAfterMilliseconds: number };
@@ -48,6 +51,8 @@
   limitScale: () => number;
   /** Sends to another entry; false if that entry cannot be reached. */
   send: (host: string, message: wire.Message) => Promise<boolean>;
+  /** Called with an exception while credit was obtained. */
+  onFailure: (cause: unknown) => void;
 }
 
 /**
@@ -179,6 +184,21 @@
    */
   async #serve(account: string, local: LocalCredit): Promise<void> {
     local.isServing = true;
+    try {
+      await this.#serveWaiters(account, local);
+    } catch (cause) {
+      // The waiters have nobody else who answers them, and later ones would
+      // wait for good behind a task that is gone.
+      const retryAfterMilliseconds = FAILED_RETRY_MILLISECONDS;
+      for (const { resolve } of local.waiters.splice(0))
+        resolve({ kind: "refused", retryAfterMilliseconds });
+      this.parameters.onFailure(cause);
+    } finally {
+      local.isServing = false;
+    }
+  }
+
+  async #serveWaiters(account: string, local: LocalCredit): Promise<void> {
     while (local.waiters.length > 0) {
       const [waiter] = local.waiters;
       if (covers(local, waiter.needed)) {
@@ -203,7 +223,6 @@
         remaining.resolve({ kind: "refused", retryAfterMilliseconds });
       }
     }
-    local.isServing = false;
   }
 
   /**
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -277,6 +277,8 @@
       account: (name) => keeper.view?.account(name),
       limitScale: () => keeper.view?.preset.limitScale ?? 1,
       send: (to, message) => peers.sendTo(to, message),
+      onFailure: (cause) =>
+        lifeCycle.onTaskFailure(`${lifeCycle.name}/limits`, cause),
     }),
     dispatcher,
     quarantine,
--- a/packages/stand_ins/src/measure/capacity_credit.ts
+++ b/packages/stand_ins/src/measure/capacity_credit.ts
@@ -168,6 +168,9 @@
     account,
     limitScale: () => 1,
     send: async () => true,
+    onFailure: (cause) => {
+      throw cause;
+    },
   });
   for (let index = 0; index < count; index++) {
     limits.handle("other", request(index));
