fix(daemon): an exception while requests are let in does not end the process

What callers saw: nothing yet. The promise of the task that lets in waiting requests was dropped: its rejection ended the process, and no request that waited was let in any more.

--- a/packages/daemon/src/admission/urgency_admission.ts
+++ b/packages/daemon/src/admission/urgency_admission.ts
@@ -35,6 +35,8 @@
   entryCount: () => number;
   metrics: common.Metrics;
   clock?: () => number;
+  /** Called with an exception while waiting requests were let in. */
+  onFailure: (cause: unknown) => void;
 }
 
 /**
@@ -148,7 +150,12 @@
     const { availabilityChanged } = this.parameters.tracker;
     while (queue.length > 0) {
       await availabilityChanged.next(CHECK_INTERVAL_MILLISECONDS);
-      queue.letIn();
+      try {
+        queue.letIn();
+      } catch (cause) {
+        // The requests that wait are tried again, and leave by their deadlines.
+        this.parameters.onFailure(cause);
+      }
     }
     this.#checked.delete(queue);
   }
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -120,6 +120,9 @@
   const forwarder = new forwarderModule.Forwarder({
     configuration,
     admission: new urgencyAdmission.UrgencyAdmission({
+      onFailure: (cause) => {
+        throw cause;
+      },
       configuration,
       tracker,
       entryCount: () => 1,
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -223,6 +223,9 @@
       setup.otherUrgencies ?? [],
     );
     this.admission = new urgencyAdmission.UrgencyAdmission({
+      onFailure: (cause) => {
+        throw cause;
+      },
       configuration,
       tracker,
       entryCount: () => 1,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -204,6 +204,10 @@
       tracker: this.runnerTracker,
       entryCount,
       metrics,
+      onFailure: (cause) => {
+        const { name, onTaskFailure } = parameters.lifeCycle;
+        onTaskFailure(`${name}/admission`, cause);
+      },
     });
     this.forwarder = new forwarderModule.Forwarder({
       configuration: this.configuration,
