--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -55,7 +55,17 @@
   const random = new common.Random(common.processSeed());
   const incarnation = common.randomIdentifier();
   const { host, place, region, timing } = settings;
+  const unreadableRows = (table: string) =>
+    new common.UnreadableRows({
+      table,
+      metrics,
+      log: (row, reason) =>
+        logger.event(common.EventCode.RowUnreadable, { row, reason }),
+    });
+  const unreadableLeases = unreadableRows("leases");
+  const unreadableConfiguration = unreadableRows("configuration");
   const keeper = new configurationHolder.ConfigurationHolder({
+    unreadable: unreadableConfiguration,
     logger,
     history,
     host,
@@ -64,6 +74,7 @@
     hostList: parameters.hostList,
     logger,
     periodMilliseconds: timing.hostListPeriod,
+    unreadable: unreadableRows("hosts"),
   });
   const { callerUrl, peerUrl } = parameters;
   const self = { host, incarnation, place, callerUrl, peerUrl };
@@ -162,6 +173,7 @@
     table: parameters.table,
     random,
     timeoutMilliseconds: timing.storePatience,
+    unreadable: unreadableRows("claims"),
   });
   const owns = (duty: string) => ownsDuty(duty, host, members);
   const lost = new lostClaims.LostClaims({
@@ -222,6 +234,7 @@
     random,
     keeper,
     store: new configurationStore.ConfigurationStore({
+      unreadable: unreadableConfiguration,
       table: parameters.table,
       random,
       timeoutMilliseconds: timing.storePatience,
@@ -234,6 +247,7 @@
     claims,
     lostClaims: lost,
     table: parameters.table,
+    unreadableLeases,
     hosts,
     members,
     peers,
@@ -252,7 +266,8 @@
       runners,
       entries: () => members.alive.map((member) => member.host),
       table: parameters.table,
-      maps: new mapStore.MapStore(parameters.objects),
+      maps: new mapStore.MapStore(parameters.objects, unreadableRows("maps")),
+      unreadableLeases,
       leaseMilliseconds: timing.leaseDuration,
       random,
     }),
@@ -262,6 +277,8 @@
       account: (name) => keeper.view?.account(name),
       limitScale: () => keeper.view?.preset.limitScale ?? 1,
       send: (to, message) => peers.sendTo(to, message),
+      onFailure: (cause) =>
+        lifeCycle.onTaskFailure(`${lifeCycle.name}/limits`, cause),
     }),
     dispatcher,
     quarantine,
