--- a/packages/traffic/src/mod.ts
+++ b/packages/traffic/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./registered_runners.ts";
 export * from "./route_table.ts";
 export * from "./runner_entry.ts";
+export * from "./runner_lists.ts";
 export * from "./shared_look.ts";
 export * from "./traffic_configuration.ts";
 export * from "./traffic_view.ts";
