fix(platform): a refusal of the version that a caller wants says nothing of the runner

Cause: status 421 stands for another runner at the address and for another version of the weights. Each was taken for the former, and the incarnation was left out of all lists.

Change: a 421 to a request that names a version has a verdict of its own. The request goes on to another runner as before, and nothing follows for the one that refused it: it stays listed, isn't taken for busy, and the answer's other headers are not taken for the runner's, as it may be another one. A replaced runner is found by the next request without a version, or by the list.

--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -110,7 +110,11 @@
 async function send(
   setup: Setup,
   scripts: Script[],
-): Promise<{ seen: CallerView; calls: runnerClientModule.RunnerCall[] }> {
+): Promise<{
+  seen: CallerView;
+  calls: runnerClientModule.RunnerCall[];
+  tracker: runnerTracker.RunnerTracker;
+}> {
   const calls: runnerClientModule.RunnerCall[] = [];
   const tracker = trackerOfTwo();
   const presenceOf = async () => common.Presence.Listening;
@@ -185,7 +189,7 @@
     },
     recordingSink(seen),
   );
-  return { seen, calls };
+  return { seen, calls, tracker };
 }
 
 function recordingSink(seen: CallerView): callerRequest.AnswerSink {
@@ -243,6 +247,12 @@
     });
 }
 
+function misdirected(verdict: runnerClientModule.Verdict): Script {
+  const answer = answers([], { status: 421 });
+  return async (call) =>
+    (await answer(call)).map((one) => ({ ...one, verdict }));
+}
+
 function failsWith(kind: runnerClientModule.CallFailureKind): Script {
   return async () => neverthrow.err({ kind, reason: "reset" });
 }
@@ -473,3 +483,16 @@
   t.true(aborted);
   t.is(seen.refusal?.kind, callerRequest.RefusalKind.MayHaveRun);
 });
+
+// Requests that expect another version of the weights end a service at an entry, if the
+// runners that refuse them are taken for ones that are no longer there.
+test("a runner that does not suit one request still gets others", async (t) => {
+  const { Unsuitable, WrongRunner } = runnerClientModule.Verdict;
+  const unsuitable = misdirected(Unsuitable);
+  const { calls, tracker } = await send({}, [unsuitable, unsuitable]);
+  t.is(calls.length, 2);
+  t.is(tracker.runners().length, 2);
+  const replaced = misdirected(WrongRunner);
+  const other = await send({}, [replaced, replaced]);
+  t.is(other.tracker.runners().length, 0);
+});
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -285,6 +285,8 @@
           kind: attemptOutcome.AttemptOutcomeKind.NotRun,
           reason: "another runner there",
         };
+      case runnerClientModule.Verdict.Unsuitable:
+        return { kind: attemptOutcome.AttemptOutcomeKind.NotRun, reason };
       case runnerClientModule.Verdict.NotRun:
         // A runner at its limit, or at rest, says itself when it takes requests.
         if (answer.rateLimit === undefined && !wantsRest)
@@ -364,7 +366,7 @@
   /** Notes whether an answer of the runner says that it is leaving. */
   #noteLeaving(answer: runnerClientModule.RunnerAnswer): void {
     const { runner, request, tracker } = this.parameters;
-    if (answer.verdict === runnerClientModule.Verdict.WrongRunner) return;
+    if (mayBeOfAnother(answer.verdict)) return;
     if (!answer.leaving || !tracker.noteLeaving(runner)) return;
     this.parameters.onLeaving(runner, request.identifier);
   }
@@ -373,7 +375,7 @@
   #asksForRest(answer: runnerClientModule.RunnerAnswer): boolean {
     const { runner, request, rests } = this.parameters;
     const { verdict, head, retryAfter } = answer;
-    if (verdict === runnerClientModule.Verdict.WrongRunner) return false;
+    if (mayBeOfAnother(verdict)) return false;
     const { identifier } = request;
     const { status } = head;
     return rests.note({ runner, request: identifier, status, retryAfter });
@@ -383,7 +385,7 @@
   #noteRateLimit(answer: runnerClientModule.RunnerAnswer): void {
     const { runner, request, rateLimits } = this.parameters;
     const { verdict, signed, rateLimit } = answer;
-    if (verdict === runnerClientModule.Verdict.WrongRunner) return;
+    if (mayBeOfAnother(verdict)) return;
     const reading = rateLimitHeader.readRateLimit(rateLimit);
     rateLimits.note({
       runner,
@@ -447,3 +449,9 @@
     return this.#superseded.signal.reason as attemptOutcome.AttemptOutcome;
   }
 }
+
+/** Whether an answer may be one of another runner than the one that was meant. */
+function mayBeOfAnother(verdict: runnerClientModule.Verdict): boolean {
+  const { WrongRunner, Unsuitable } = runnerClientModule.Verdict;
+  return verdict === WrongRunner || verdict === Unsuitable;
+}
--- a/packages/daemon/src/forwarding/runner_client.ts
+++ b/packages/daemon/src/forwarding/runner_client.ts
@@ -45,6 +45,12 @@
   NotRun = "not-run",
   /** Another runner now has the address; the request was not run. */
   WrongRunner = "wrong-runner",
+  /**
+   * The request was not run, as the version of the runner's weights is not the one that
+   * the caller wants, or as another runner has the address. The answer does not tell
+   * these apart, so nothing follows for the runner.
+   */
+  Unsuitable = "unsuitable",
 }
 
 /** Head of a runner's answer, with the body still to be read. */
