fix(forwarding): the end of an unframed answer is confirmed once its runner had time to end

Cause: the entry looked for the runner's listener the moment the answer ended. A process that ends closes its connections before its listener, so the look found it listening. A look that gave no word in 60 ms counted as passed.

An answer counts as complete only if something listens. A look without a word in 60 ms is made a second time, as its opening packet may be lost; no word to either is no confirmation, so a request that may be repeated or resumed goes on elsewhere.

Test that was changed: silence at the runner's address counted as sound; it can be a host that goes dark with its runner, and is now not confirmed.

--- a/packages/daemon/src/forwarding/answer_end_test.ts
+++ b/packages/daemon/src/forwarding/answer_end_test.ts
@@ -8,15 +8,22 @@
 
 const { eventText, until } = forwardingFixture;
 
+/** How much later than its connections the listener of a process may close. */
+const LISTENER_DELAY_MILLISECONDS = 15;
+
 /** Sends a request whose first answer ends with its connection after one event. */
-async function sendUnframed(
-  setup: forwardingFixture.EntrySetup,
-): Promise<[forwardingFixture.SteppedEntry, forwardingFixture.SentRequest]> {
+async function sendUnframed({
+  onEnd = () => {},
+  ...setup
+}: forwardingFixture.EntrySetup & { onEnd?: () => void }): Promise<
+  [forwardingFixture.SteppedEntry, forwardingFixture.SentRequest]
+> {
   const entry = new forwardingFixture.SteppedEntry(setup);
   const request = entry.send("q", { promptParts: ["p"] });
   await until(() => request.calls.length === 1);
   request.calls[0].begin({ endsWithConnection: true });
   request.calls[0].send(eventText(1));
+  onEnd();
   request.calls[0].end();
   return [entry, request];
 }
@@ -39,13 +46,63 @@
 });
 
 test("a stream that ends with its connection at a sound runner is complete", async (t) => {
-  for (const presence of [common.Presence.Listening, common.Presence.Silent]) {
-    const [entry, request] = await sendUnframed({ presence });
-    await request.finished;
-    t.is(request.ended, "whole");
-    t.is(request.calls.length, 1);
-    t.deepEqual(entry.probes, [request.calls[0].runner]);
-  }
+  const presence = common.Presence.Listening;
+  const [entry, request] = await sendUnframed({ presence });
+  await request.finished;
+  t.is(request.ended, "whole");
+  t.is(request.calls.length, 1);
+  t.deepEqual(entry.probes, [request.calls[0].runner]);
+});
+
+// Guards against half an answer that passes for a whole one where the entry looks
+// while the process of the runner ends: its connections end before its listener.
+test("a stream is resumed whose runner stops listening a moment after its connections", async (t) => {
+  let endedAt = 0;
+  const [entry, request] = await sendUnframed({
+    presence: async () =>
+      common.now() - endedAt > LISTENER_DELAY_MILLISECONDS
+        ? common.Presence.Refused
+        : common.Presence.Listening,
+    onEnd: () => (endedAt = common.now()),
+  });
+  await until(() => request.calls.length === 2);
+  t.is(request.calls[1].call.resumeAfter, "1");
+  request.calls[1].begin();
+  request.calls[1].end();
+  await request.finished;
+  t.is(request.text, eventText(1));
+  t.is(request.ended, "whole");
+  t.is(entry.crashes.length, 1);
+});
+
+// Guards against half an answer that passes for a whole one where the host of the
+// runner goes dark right after its process ended.
+test("a stream whose runner gives no word after its end is resumed", async (t) => {
+  const presence = common.Presence.Silent;
+  const [, request] = await sendUnframed({ presence });
+  await until(() => request.calls.length === 2);
+  t.is(request.calls[1].call.resumeAfter, "1");
+  request.calls[1].begin();
+  request.calls[1].end();
+  await request.finished;
+  t.is(request.text, eventText(1));
+  t.is(request.ended, "whole");
+});
+
+// Guards against a sound answer that is refused since the opening packet of one look
+// was lost.
+test("a look without an answer is made a second time", async (t) => {
+  let looks = 0;
+  const [entry, request] = await sendUnframed({
+    presence: () =>
+      ++looks === 1
+        ? new Promise(() => {})
+        : Promise.resolve(common.Presence.Listening),
+  });
+  await request.finished;
+  t.is(request.ended, "whole");
+  t.is(request.calls.length, 1);
+  t.is(entry.probes.length, 2);
 });
 
 // Guards against a whole answer that is refused since its runner, which leaves as
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -174,7 +174,11 @@
   inLockStep?: boolean;
   /** Retries that the budget allows. */
   retries?: number;
-  presence?: common.Presence | Promise<common.Presence>;
+  /** What is found at the addresses of runners, or what finds it. */
+  presence?:
+    | common.Presence
+    | Promise<common.Presence>
+    | (() => Promise<common.Presence>);
   /** Called with each call to a runner. */
   onCall?: (call: SteppedCall) => void;
   stop?: plannedStop.PlannedStop;
@@ -214,7 +218,8 @@
     );
     const presenceOf = async ({ identifier }: traffic.RunnerEntry) => {
       this.probes.push(identifier);
-      return setup.presence ?? common.Presence.Listening;
+      const { presence = common.Presence.Listening } = setup;
+      return typeof presence === "function" ? presence() : presence;
     };
     const { logger, budget, tracker } = this;
     const metrics = common.discardMetrics();
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -6,6 +6,7 @@
 import * as attemptOutcome from "./attempt_outcome.ts";
 import type * as answerTimer from "./answer_timer.ts";
 import type * as callerRequest from "./caller_request.ts";
+import * as confirmEnd from "./confirm_end.ts";
 import * as runnerCrash from "../quarantine/runner_crash.ts";
 import type * as requestClock from "./request_clock.ts";
 import * as rateLimitHeader from "../rate_limit/rate_limit_header.ts";
@@ -34,9 +35,6 @@
 /** Longest time that a call takes to end once it is cancelled. */
 const MAX_CANCELLING_MILLISECONDS = 200;
 
-/** Longest time that a complete body waits for a look at its runner. */
-const MAX_PRESENCE_WAIT_MILLISECONDS = 60;
-
 /** What an attempt at a runner needs. */
 export interface RunnerAttemptParameters {
   runner: traffic.RunnerEntry;
@@ -325,23 +323,14 @@
     }
   }
 
-  /**
-   * Tells why a body that came to its end is not complete. The process of a
-   * runner that crashes ends its connections in order, so a body that ends with
-   * its connection may be cut off: then nothing listens at the runner any more.
-   */
+  /** Tells why a body that came to its end may not be complete. */
   async #confirmEnd({
     endsWithConnection,
   }: runnerClientModule.RunnerAnswer): Promise<string | undefined> {
-    const { runner, runnerClient, tracker } = this.parameters;
-    if (!endsWithConnection || !tracker.inUse(runner)) return undefined;
-    const presence = await common.withTimeout(
-      runnerClient.presenceOf(runner),
-      MAX_PRESENCE_WAIT_MILLISECONDS,
-    );
-    return presence === common.Presence.Refused
-      ? "runner crashed at the end of its answer"
-      : undefined;
+    if (!endsWithConnection) return undefined;
+    if (!this.parameters.tracker.inUse(this.parameters.runner))
+      return undefined;
+    return confirmEnd.confirmEnd(this.parameters);
   }
 
   /**
