fix(forwarding): the end of an unframed answer is confirmed at a leaving runner too

Cause: the look at the runner was left out for each that is leaving or no longer listed, as a sound answer was not to be doubted since its runner is gone after it.

Change: the look is made at every runner.

Test that was replaced: 'the end of an answer is not doubted once its runner leaves' demanded the fault. In its place one demands that the answer counts while the runner listens, and two that it is resumed when the runner is gone.

--- a/packages/daemon/src/forwarding/answer_end_test.ts
+++ b/packages/daemon/src/forwarding/answer_end_test.ts
@@ -105,20 +105,63 @@
   t.is(entry.probes.length, 2);
 });
 
-// Guards against a whole answer that is refused since its runner, which leaves as
-// planned, is gone right after it.
-test("the end of an answer is not doubted once its runner leaves", async (t) => {
+/** A stream that ends with its connection at a runner that said that it leaves. */
+async function sendToLeaving(
+  presence: common.Presence,
+): Promise<[forwardingFixture.SteppedEntry, forwardingFixture.SentRequest]> {
+  const entry = new forwardingFixture.SteppedEntry({ presence });
+  const request = entry.send("q");
+  await until(() => request.calls.length === 1);
+  request.calls[0].begin({ endsWithConnection: true, leaving: true });
+  request.calls[0].send(eventText(1));
+  request.calls[0].end();
+  return [entry, request];
+}
+
+// Guards against a sound answer that is broken off since its runner leaves as planned.
+test("the end of an answer counts at a runner that leaves and still listens", async (t) => {
+  const [entry, request] = await sendToLeaving(common.Presence.Listening);
+  await request.finished;
+  t.is(request.ended, "whole");
+  t.is(request.calls.length, 1);
+  t.deepEqual(entry.probes, [request.calls[0].runner]);
+});
+
+// Guards against half an answer that passes for a whole one: the process of a runner
+// that leaves as planned exits before it has finished, and the look was left out.
+test("a stream that ends as its leaving runner exits is resumed", async (t) => {
+  const [entry, request] = await sendToLeaving(common.Presence.Refused);
+  await until(() => request.calls.length === 2);
+  t.is(request.calls[1].call.resumeAfter, "1");
+  request.calls[1].begin();
+  request.calls[1].send(eventText(2));
+  request.calls[1].end();
+  await request.finished;
+  t.is(request.text, eventText(1) + eventText(2));
+  t.is(request.ended, "whole");
+  // A planned exit is no crash.
+  t.is(entry.crashes.length, 0);
+});
+
+// The same for a runner that is no longer listed.
+test("a stream that ends as its runner exits that is no longer listed is resumed", async (t) => {
   const entry = new forwardingFixture.SteppedEntry({
     presence: common.Presence.Refused,
+    runners: ["i-1"],
   });
   const request = entry.send("q");
   await until(() => request.calls.length === 1);
-  request.calls[0].begin({ endsWithConnection: true, leaving: true });
+  request.calls[0].begin({ endsWithConnection: true });
   request.calls[0].send(eventText(1));
+  entry.list(["i-2"]);
   request.calls[0].end();
+  await until(() => request.calls.length === 2);
+  t.is(request.calls[1].runner, "i-2");
+  t.is(request.calls[1].call.resumeAfter, "1");
+  request.calls[1].begin();
+  request.calls[1].end();
   await request.finished;
   t.is(request.ended, "whole");
-  t.deepEqual(entry.probes, []);
 });
 
 test("an answer with a length needs no look at its runner", async (t) => {
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -202,6 +202,7 @@
   readonly crashes: runnerCrash.RunnerCrash[] = [];
   readonly quarantine = quarantineFixture.createQuarantine();
   readonly #requests = new Map<string, SentRequest>();
+  #listVersion = 1;
 
   constructor(setup: EntrySetup) {
     const { retries = 5, runners = ["i-1", "i-2"] } = setup;
@@ -271,6 +272,12 @@
     });
   }
 
+  /** Takes a new list of runners. */
+  list(identifiers: readonly string[]): void {
+    const runners = identifiers.map(createRunner);
+    this.tracker.update({ version: ++this.#listVersion, runners });
+  }
+
   /** Forwards a request of a caller. */
   send(
     identifier: string,
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -328,8 +328,6 @@
     endsWithConnection,
   }: runnerClientModule.RunnerAnswer): Promise<string | undefined> {
     if (!endsWithConnection) return undefined;
-    if (!this.parameters.tracker.inUse(this.parameters.runner))
-      return undefined;
     return confirmEnd.confirmEnd(this.parameters);
   }
 
