fix(forwarding): an unframed answer whose end was read late counts only with its incarnation

Callers saw: a stream that ended as complete with part of its events.

Cause: the look at the runner's address tells that something listens, and not whether it is the incarnation that began the answer.

Change: the entry tells how late it may have read the end. While it waits for the connection and its event loop is idle, nothing lies unread; a wait in which the loop was held up doesn't count. Above 400 ms, less than a runner takes to end and listen again, the answer counts only if a runner list newer than its end still has the incarnation at the address; the entry waits up to 3 s for such a list. Other answers are not delayed by it.

--- a/packages/daemon/src/forwarding/answer_end_test.ts
+++ b/packages/daemon/src/forwarding/answer_end_test.ts
@@ -153,7 +153,7 @@
   await until(() => request.calls.length === 1);
   request.calls[0].begin({ endsWithConnection: true });
   request.calls[0].send(eventText(1));
-  entry.list(["i-2"]);
+  entry.list([forwardingFixture.createRunner("i-2")]);
   request.calls[0].end();
   await until(() => request.calls.length === 2);
   t.is(request.calls[1].runner, "i-2");
@@ -186,3 +186,91 @@
   t.is(request.ended, "refused");
   t.is(request.refusal?.kind, callerRequest.RefusalKind.MayHaveRun);
 });
+
+/** Time in which a runner may end and come back as a new incarnation. */
+const RESTART_MILLISECONDS = 600;
+
+/** Holds up the event loop for as long as a runner takes to come back. */
+function holdUpEventLoop(): void {
+  const end = common.now() + RESTART_MILLISECONDS;
+  while (common.now() < end);
+}
+
+/** Sends a request whose first answer ends while its entry reads nothing. */
+async function sendUnread(
+  readNothing: (
+    request: forwardingFixture.SentRequest,
+    endAnswer: () => void,
+  ) => void | Promise<void>,
+): Promise<[forwardingFixture.SteppedEntry, forwardingFixture.SentRequest]> {
+  const entry = new forwardingFixture.SteppedEntry({});
+  const request = entry.send("q");
+  await until(() => request.calls.length === 1);
+  request.calls[0].begin({ endsWithConnection: true });
+  request.calls[0].send(eventText(1));
+  await until(() => request.text === eventText(1));
+  await readNothing(request, () => request.calls[0].end());
+  await until(() => entry.probes.length === 1);
+  return [entry, request];
+}
+
+const UNREAD: Record<string, Parameters<typeof sendUnread>[0]> = {
+  "while its entry stood still": (_request, endAnswer) => {
+    endAnswer();
+    holdUpEventLoop();
+  },
+  "while its caller took nothing": async (request, endAnswer) => {
+    request.blocked = true;
+    request.calls[0].send(eventText(2));
+    endAnswer();
+    const end = common.now() + RESTART_MILLISECONDS;
+    await until(() => common.now() > end);
+    request.blocked = false;
+  },
+};
+
+for (const [name, readNothing] of Object.entries(UNREAD)) {
+  // Guards against a part of a stream that passes for the whole one: its runner crashed,
+  // and listened again as a new incarnation by the time the entry read the end.
+  test(`a stream that ended ${name} is resumed if its runner was replaced`, async (t) => {
+    const [entry, request] = await sendUnread(readNothing);
+    const [{ call, runner }] = request.calls;
+    const other = runner === "i-1" ? "i-2" : "i-1";
+    entry.list([
+      { ...call.runner, bornAt: call.runner.bornAt + 1 },
+      forwardingFixture.createRunner(other),
+    ]);
+    await until(() => request.calls.length === 2);
+    const { resumeAfter } = request.calls[1].call;
+    request.calls[1].begin();
+    request.calls[1].end();
+    await request.finished;
+    t.is(resumeAfter, String(request.text.split("id: ").length - 1));
+    t.is(request.ended, "whole");
+  });
+
+  // Guards against a sound answer that is broken off after each hold-up.
+  test(`a stream that ended ${name} is complete if its runner is the same`, async (t) => {
+    const [entry, request] = await sendUnread(readNothing);
+    t.is(request.ended, "");
+    entry.list(["i-1", "i-2"].map(forwardingFixture.createRunner));
+    await request.finished;
+    t.is(request.ended, "whole");
+    t.is(request.calls.length, 1);
+  });
+}
+
+// Guards against sound answers that wait for a runner list since their runners were
+// silent for long before their end.
+test("an answer that ends after a long silence of its runner waits for no list", async (t) => {
+  const entry = new forwardingFixture.SteppedEntry({ runners: ["i-1"] });
+  const request = entry.send("q");
+  await until(() => request.calls.length === 1);
+  request.calls[0].begin({ endsWithConnection: true });
+  const end = common.now() + RESTART_MILLISECONDS;
+  await until(() => common.now() > end);
+  request.calls[0].send(eventText(1));
+  request.calls[0].end();
+  await request.finished;
+  t.is(request.ended, "whole");
+});
--- a/packages/daemon/src/forwarding/confirm_end.ts
+++ b/packages/daemon/src/forwarding/confirm_end.ts
@@ -1,5 +1,6 @@
 import * as common from "@geraniumkeel/common";
-import type * as traffic from "@geraniumkeel/traffic";
+import * as traffic from "@geraniumkeel/traffic";
+import type * as readDelay from "./read_delay.ts";
 import type * as runnerClientModule from "./runner_client.ts";
 
 /**
@@ -13,11 +14,26 @@
  * packet of the first may be lost, and is sent again only after a second.
  */
 const SECOND_LOOK_MILLISECONDS = 60;
+/** Time in which no runner ends and listens again as a new incarnation. */
+const MIN_RESTART_MILLISECONDS = 400;
+/**
+ * Longest wait for a runner list that is newer than the answer's end. A look at
+ * the store takes up to a second, and the one under way may have begun before.
+ */
+const MAX_LIST_WAIT_MILLISECONDS = 3_000;
+/** How often it is checked whether the list is newer. */
+const LIST_CHECK_INTERVAL_MILLISECONDS = 25;
 
 /** What the check of an answer's end needs. */
 export interface ConfirmEndParameters {
   runner: traffic.RunnerEntry;
   runnerClient: runnerClientModule.RunnerClient;
+  /** The runner list, and until when it is proved. */
+  runners: traffic.ProvenValue<traffic.RunnerList>;
+  /** How late the end of the answer may have been read. */
+  delay: readDelay.ReadDelay;
+  /** Aborts when the outcome is not needed any more. */
+  signal: AbortSignal;
 }
 
 /**
@@ -25,11 +41,14 @@
  * `undefined` if it counts as complete. The process of a runner that crashes or
  * exits ends its connections in the same way as a runner that is done, but then
  * nothing listens at its address any more. An answer counts as complete only if
- * something listens there.
+ * something listens there. If the end was read so late that the runner may have
+ * come back as a new incarnation, a runner list that is newer than the end must
+ * also still have the old incarnation there.
  */
 export async function confirmEnd(
   parameters: ConfirmEndParameters,
 ): Promise<string | undefined> {
+  const endedAt = common.now();
   await common.sleep(SETTLE_MILLISECONDS);
   switch (await look(parameters)) {
     case common.Presence.Refused:
@@ -37,7 +56,9 @@
     case common.Presence.Silent:
       return "no word from the runner after its answer";
     case common.Presence.Listening:
-      return undefined;
+      return parameters.delay.milliseconds > MIN_RESTART_MILLISECONDS
+        ? confirmIncarnation(parameters, endedAt)
+        : undefined;
   }
 }
 
@@ -57,3 +78,31 @@
   });
   return Promise.any(heard).catch(() => common.Presence.Silent);
 }
+
+/** Waits for a runner list that is newer than the end, and tells what it shows. */
+async function confirmIncarnation(
+  { runner, runners, signal }: ConfirmEndParameters,
+  endedAt: number,
+): Promise<string | undefined> {
+  const isNewer = () => runners.age < common.now() - endedAt;
+  while (!isNewer()) {
+    const waited = common.now() - endedAt;
+    if (signal.aborted || waited > MAX_LIST_WAIT_MILLISECONDS)
+      return "not known whether the runner is still the same";
+    await common.sleep(LIST_CHECK_INTERVAL_MILLISECONDS, signal);
+  }
+  const { address, port, bornAt } = runner;
+  const incarnation = traffic.incarnationOf(runner);
+  const atAddress = (runners.value?.runners ?? []).filter(
+    (entry) => entry.address === address && entry.port === port,
+  );
+  const isSame = (entry: traffic.RunnerEntry) =>
+    traffic.incarnationOf(entry) === incarnation;
+  // An earlier one of another service may still be listed there.
+  const isReplaced = atAddress.some(
+    (entry) => !isSame(entry) && entry.bornAt >= bornAt,
+  );
+  return atAddress.some(isSame) && !isReplaced
+    ? undefined
+    : "another runner after its answer";
+}
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -59,6 +59,8 @@
   service: string;
   admission: urgencyAdmission.UrgencyAdmission;
   tracker: runnerTracker.RunnerTracker;
+  /** The runner list, and until when it is proved. */
+  runners: traffic.ProvenValue<traffic.RunnerList>;
   runnerClient: runnerClientModule.RunnerClient;
   buffers: answerBuffers.AnswerBuffers;
   budgetOf: (service: string) => retryBudget.RetryBudget;
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -29,6 +29,8 @@
   maxProofAgeMilliseconds: number;
   admission: urgencyAdmission.UrgencyAdmission;
   tracker: runnerTracker.RunnerTracker;
+  /** The runner list, and until when it is proved. */
+  runners: traffic.ProvenValue<traffic.RunnerList>;
   runnerClient: runnerClientModule.RunnerClient;
   budgetOf: (service: string) => retryBudget.RetryBudget;
   quarantine: quarantine.Quarantine;
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -128,6 +128,7 @@
     proofAge: () => configuration.age,
     maxProofAgeMilliseconds: 4_000,
     tracker,
+    runners: new traffic.ProvenValue(),
     runnerClient: {
       presenceOf,
       call: (call) => {
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -193,6 +193,7 @@
   readonly evacuated = new Set<string>();
   readonly budget: retryBudget.RetryBudget;
   readonly tracker: runnerTracker.RunnerTracker;
+  readonly runners = new traffic.ProvenValue<traffic.RunnerList>();
   readonly rateLimits = rateLimitsFixture.createRateLimits();
   readonly admission: urgencyAdmission.UrgencyAdmission;
   readonly forwarder: forwarderModule.Forwarder;
@@ -202,7 +203,6 @@
   readonly crashes: runnerCrash.RunnerCrash[] = [];
   readonly quarantine = quarantineFixture.createQuarantine();
   readonly #requests = new Map<string, SentRequest>();
-  #listVersion = 1;
 
   constructor(setup: EntrySetup) {
     const { retries = 5, runners = ["i-1", "i-2"] } = setup;
@@ -217,6 +217,7 @@
       this.rateLimits,
       this.evacuated,
     );
+    this.#offer({ version: 1, runners: runners.map(createRunner) });
     const presenceOf = async ({ identifier }: traffic.RunnerEntry) => {
       this.probes.push(identifier);
       const { presence = common.Presence.Listening } = setup;
@@ -240,6 +241,7 @@
       proofAge: () => 0,
       maxProofAgeMilliseconds: 4_000,
       tracker,
+      runners: this.runners,
       runnerClient: setup.runnerClient ?? {
         presenceOf,
         call: (call) => {
@@ -272,10 +274,16 @@
     });
   }
 
-  /** Takes a new list of runners. */
-  list(identifiers: readonly string[]): void {
-    const runners = identifiers.map(createRunner);
-    this.tracker.update({ version: ++this.#listVersion, runners });
+  /** Takes a new list of runners, proved as of now. */
+  list(runners: readonly traffic.RunnerEntry[]): void {
+    const list = { version: this.runners.version + 1, runners: [...runners] };
+    this.#offer(list);
+    this.tracker.update(list);
+  }
+
+  #offer(list: traffic.RunnerList): void {
+    this.runners.offer(list);
+    this.runners.prove(list.version, common.instant());
   }
 
   /** Forwards a request of a caller. */
@@ -394,7 +402,8 @@
   return name === undefined ? "d" : dataCentre;
 }
 
-function createRunner(identifier: string): traffic.RunnerEntry {
+/** The runner of a name, as it is listed. */
+export function createRunner(identifier: string): traffic.RunnerEntry {
   const port = Number(identifier.replace(/\D/g, ""));
   const dataCentre = dataCentreOf(identifier);
   return runnerFixture.createRunner({ identifier, port, dataCentre });
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -7,6 +7,7 @@
 import type * as answerTimer from "./answer_timer.ts";
 import type * as callerRequest from "./caller_request.ts";
 import * as confirmEnd from "./confirm_end.ts";
+import * as readDelay from "./read_delay.ts";
 import * as runnerCrash from "../quarantine/runner_crash.ts";
 import type * as requestClock from "./request_clock.ts";
 import * as rateLimitHeader from "../rate_limit/rate_limit_header.ts";
@@ -51,6 +52,8 @@
    */
   spentBefore: number;
   tracker: runnerTracker.RunnerTracker;
+  /** The runner list, and until when it is proved. */
+  runners: traffic.ProvenValue<traffic.RunnerList>;
   runnerClient: runnerClientModule.RunnerClient;
   relay: answerRelay.AnswerRelay;
   buffers: answerBuffers.AnswerBuffers;
@@ -81,6 +84,8 @@
    * silence clock.
    */
   #progressAt: number;
+  /** How late the answer is read. */
+  readonly #readDelay: readDelay.ReadDelay;
   /** Whether the caller takes nothing, so that the answer is not read. */
   #paused = false;
   /** Whether the head of an answer has arrived from the runner. */
@@ -102,6 +107,7 @@
     ]);
     this.sentAfter = Math.round(parameters.clock.elapsed);
     this.#progressAt = parameters.tracker.silenceClock.now();
+    this.#readDelay = new readDelay.ReadDelay(parameters.tracker.silenceClock);
   }
 
   /** Makes the attempt and returns its outcome. */
@@ -243,6 +249,7 @@
     }
     rests.noteSent(runner);
     this.#timer = tracker.timeAnswer(runner, route);
+    this.#readDelay.startWait();
     const answer = await runnerClient.call({
       request,
       runner,
@@ -258,9 +265,11 @@
       maxBodyBytes: answerLimits.maxBodyBytes(route.answerForm),
       signal: this.#cancelled,
     });
+    this.#readDelay.endWait();
     if (answer.isErr()) return this.#outcomeOfFailure(answer.error);
+    const body = this.#readDelay.follow(answer.value.body);
     try {
-      return await this.#handleAnswer(answer.value);
+      return await this.#handleAnswer({ ...answer.value, body });
     } finally {
       // A body that nobody reads to its end would keep the connection open.
       answer.value.close();
@@ -328,7 +337,11 @@
     endsWithConnection,
   }: runnerClientModule.RunnerAnswer): Promise<string | undefined> {
     if (!endsWithConnection) return undefined;
-    return confirmEnd.confirmEnd(this.parameters);
+    return confirmEnd.confirmEnd({
+      ...this.parameters,
+      delay: this.#readDelay,
+      signal: this.#cancelled,
+    });
   }
 
   /**
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -210,6 +210,7 @@
       proofAge: () => this.#proofAge,
       maxProofAgeMilliseconds: this.#maxProofAgeMilliseconds,
       tracker: this.runnerTracker,
+      runners: this.runners,
       admission: this.admission,
       runnerClient,
       budgetOf: (service) => this.#budgets.of(service),
