perf(forwarding): only answers without a length are watched for late reading

The clocks were read at each piece of every answer, though only the end of an answer without a length depends on them. Answers with a length or in chunks are again read as before. 254 tests of the daemon's forwarding, quarantine, gateway and evacuation and of the runner client pass.

--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -267,7 +267,10 @@
     });
     this.#readDelay.endWait();
     if (answer.isErr()) return this.#outcomeOfFailure(answer.error);
-    const body = this.#readDelay.follow(answer.value.body);
+    const { body: received, endsWithConnection } = answer.value;
+    const body = endsWithConnection
+      ? this.#readDelay.follow(received)
+      : received;
     try {
       return await this.#handleAnswer({ ...answer.value, body });
     } finally {
