fix(forwarding): a hold-up counts for late reading only until the event loop was idle again

Callers saw: 502 for a sound answer without a length, run once and finished, when its entry was held up some time before the answer's end and the store was silent (one request of 'an entry that stops while the store is silent', in one run of stop_processes_test on a busy machine: answered 3.07 s after its runner finished). That a hold-up of the event loop was what made its end count as read late is inferred.

Cause: a wait in which the event loop was held up at any time counted as one in which the end may have lain unread, however long the loop was idle since.

Change: the idle time since the last hold-up counts. A hold-up that the clock has not seen yet, whose sockets are read before its timer runs, still counts against it.

--- a/packages/daemon/src/forwarding/answer_end_test.ts
+++ b/packages/daemon/src/forwarding/answer_end_test.ts
@@ -274,3 +274,20 @@
   await request.finished;
   t.is(request.ended, "whole");
 });
+
+// Guards against sound answers that wait for a runner list, or are refused without one,
+// since the event loop was held up long before their end.
+test("an answer that ends some time after a hold-up of its entry waits for no list", async (t) => {
+  const entry = new forwardingFixture.SteppedEntry({ runners: ["i-1"] });
+  const request = entry.send("q");
+  await until(() => request.calls.length === 1);
+  request.calls[0].begin({ endsWithConnection: true });
+  request.calls[0].send(eventText(1));
+  await until(() => request.text === eventText(1));
+  holdUpEventLoop();
+  const end = common.now() + RESTART_MILLISECONDS;
+  await until(() => common.now() > end);
+  request.calls[0].end();
+  await request.finished;
+  t.is(request.ended, "whole");
+});
--- a/packages/daemon/src/forwarding/read_delay.ts
+++ b/packages/daemon/src/forwarding/read_delay.ts
@@ -2,26 +2,14 @@
 import * as common from "@geraniumkeel/common";
 import type * as silenceClock from "./silence_clock.ts";
 
-/**
- * Time that the silence clock may lag behind in a wait without the event loop
- * having been held up. It leaves out only steps of over 150 ms.
- */
-const MAX_CLOCK_LAG_MILLISECONDS = 100;
-
-/** Start of a wait for a connection, by the clocks that tell how it went. */
-interface Wait {
-  at: number;
-  silence: number;
-  idle: number;
-}
-
 /**
  * Tells for how long what arrived on a connection may have lain unread, since
  * this process stood still or its caller took nothing. While the process waits
  * for the connection and its event loop is idle, nothing lies unread.
  */
 export class ReadDelay {
-  #wait: Wait | undefined;
+  /** Idle time of the event loop as the wait began; `undefined` out of one. */
+  #idleBefore: number | undefined;
   #caughtUpAt = common.now();
 
   constructor(readonly clock: silenceClock.SilenceClock) {}
@@ -33,22 +21,16 @@
 
   /** Notes that the connection is read from now on. */
   startWait(): void {
-    const { idle } = nodePerformance.performance.eventLoopUtilization();
-    this.#wait = { at: common.now(), silence: this.clock.now(), idle };
+    this.#idleBefore = idleMilliseconds();
   }
 
   /** Notes that something arrived on the connection, or its end. */
   endWait(): void {
-    if (!this.#wait) return;
-    const { at, silence, idle } = this.#wait;
-    this.#wait = undefined;
-    const now = common.now();
-    const clockLag = now - at - (this.clock.now() - silence);
-    // A process that was suspended counts the time as idle.
-    if (clockLag > MAX_CLOCK_LAG_MILLISECONDS) return;
-    const { idle: idleNow } =
-      nodePerformance.performance.eventLoopUtilization();
-    if (idleNow > idle) this.#caughtUpAt = now;
+    if (this.#idleBefore === undefined) return;
+    const idleBefore = Math.max(this.#idleBefore, this.clock.idleAtHoldUp);
+    this.#idleBefore = undefined;
+    if (this.clock.isHeldUp) return;
+    if (idleMilliseconds() > idleBefore) this.#caughtUpAt = common.now();
   }
 
   /** The body; its pieces and its end are noted. */
@@ -62,3 +44,7 @@
     this.endWait();
   }
 }
+
+function idleMilliseconds(): number {
+  return nodePerformance.performance.eventLoopUtilization().idle;
+}
--- a/packages/daemon/src/forwarding/silence_clock.ts
+++ b/packages/daemon/src/forwarding/silence_clock.ts
@@ -1,3 +1,4 @@
+import * as nodePerformance from "node:perf_hooks";
 import * as common from "@geraniumkeel/common";
 
 /** How often the clock advances. */
@@ -18,6 +19,7 @@
   #milliseconds = 0;
   #tickedAt = common.now();
   #timer: NodeJS.Timeout | undefined;
+  #idleAtHoldUp = 0;
 
   /** Starts the clock; it runs while a runner is waited for. */
   start(): void {
@@ -31,6 +33,19 @@
     this.#timer = undefined;
   }
 
+  /** Whether the event loop is held up, and what came meanwhile is being read. */
+  get isHeldUp(): boolean {
+    return common.now() - this.#tickedAt > MAX_STEP_MILLISECONDS;
+  }
+
+  /**
+   * Idle milliseconds of the event loop up to the end of its last hold-up, 0
+   * before the first. A process that was suspended counts that time as idle.
+   */
+  get idleAtHoldUp(): number {
+    return this.#idleAtHoldUp;
+  }
+
   /** Milliseconds for which the clock has run. */
   now(): number {
     const step = common.now() - this.#tickedAt;
@@ -47,6 +62,8 @@
       this.#milliseconds += step;
       return;
     }
+    const { idle } = nodePerformance.performance.eventLoopUtilization();
+    this.#idleAtHoldUp = idle;
     // Runs after the sockets were read.
     setImmediate(() => (this.#milliseconds += MAX_STEP_MILLISECONDS));
   }
