--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -174,7 +174,11 @@
   inLockStep?: boolean;
   /** Retries that the budget allows. */
   retries?: number;
-  presence?: common.Presence | Promise<common.Presence>;
+  /** What is found at the addresses of runners, or what finds it. */
+  presence?:
+    | common.Presence
+    | Promise<common.Presence>
+    | (() => Promise<common.Presence>);
   /** Called with each call to a runner. */
   onCall?: (call: SteppedCall) => void;
   stop?: plannedStop.PlannedStop;
@@ -189,6 +193,7 @@
   readonly evacuated = new Set<string>();
   readonly budget: retryBudget.RetryBudget;
   readonly tracker: runnerTracker.RunnerTracker;
+  readonly runners = new traffic.ProvenValue<traffic.RunnerList>();
   readonly rateLimits = rateLimitsFixture.createRateLimits();
   readonly admission: urgencyAdmission.UrgencyAdmission;
   readonly forwarder: forwarderModule.Forwarder;
@@ -212,9 +217,11 @@
       this.rateLimits,
       this.evacuated,
     );
+    this.#offer({ version: 1, runners: runners.map(createRunner) });
     const presenceOf = async ({ identifier }: traffic.RunnerEntry) => {
       this.probes.push(identifier);
-      return setup.presence ?? common.Presence.Listening;
+      const { presence = common.Presence.Listening } = setup;
+      return typeof presence === "function" ? presence() : presence;
     };
     const { logger, budget, tracker } = this;
     const metrics = common.discardMetrics();
@@ -237,6 +244,7 @@
       proofAge: () => 0,
       maxProofAgeMilliseconds: 4_000,
       tracker,
+      runners: this.runners,
       runnerClient: setup.runnerClient ?? {
         presenceOf,
         call: (call) => {
@@ -269,6 +277,18 @@
     });
   }
 
+  /** Takes a new list of runners, proved as of now. */
+  list(runners: readonly traffic.RunnerEntry[]): void {
+    const list = { version: this.runners.version + 1, runners: [...runners] };
+    this.#offer(list);
+    this.tracker.update(list);
+  }
+
+  #offer(list: traffic.RunnerList): void {
+    this.runners.offer(list);
+    this.runners.prove(list.version, common.instant());
+  }
+
   /** Forwards a request of a caller. */
   send(
     identifier: string,
@@ -385,7 +405,8 @@
   return name === undefined ? "d" : dataCentre;
 }
 
-function createRunner(identifier: string): traffic.RunnerEntry {
+/** The runner of a name, as it is listed. */
+export function createRunner(identifier: string): traffic.RunnerEntry {
   const port = Number(identifier.replace(/\D/g, ""));
   const dataCentre = dataCentreOf(identifier);
   return runnerFixture.createRunner({ identifier, port, dataCentre });
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -6,6 +6,8 @@
 import * as attemptOutcome from "./attempt_outcome.ts";
 import type * as answerTimer from "./answer_timer.ts";
 import type * as callerRequest from "./caller_request.ts";
+import * as confirmEnd from "./confirm_end.ts";
+import * as readDelay from "./read_delay.ts";
 import * as runnerCrash from "../quarantine/runner_crash.ts";
 import type * as requestClock from "./request_clock.ts";
 import * as rateLimitHeader from "../rate_limit/rate_limit_header.ts";
@@ -34,9 +36,6 @@
 /** Longest time that a call takes to end once it is cancelled. */
 const MAX_CANCELLING_MILLISECONDS = 200;
 
-/** Longest time that a complete body waits for a look at its runner. */
-const MAX_PRESENCE_WAIT_MILLISECONDS = 60;
-
 /** What an attempt at a runner needs. */
 export interface RunnerAttemptParameters {
   runner: traffic.RunnerEntry;
@@ -53,6 +52,8 @@
    */
   spentBefore: number;
   tracker: runnerTracker.RunnerTracker;
+  /** The runner list, and until when it is proved. */
+  runners: traffic.ProvenValue<traffic.RunnerList>;
   runnerClient: runnerClientModule.RunnerClient;
   relay: answerRelay.AnswerRelay;
   buffers: answerBuffers.AnswerBuffers;
@@ -83,6 +84,8 @@
    * silence clock.
    */
   #progressAt: number;
+  /** How late the answer is read. */
+  readonly #readDelay: readDelay.ReadDelay;
   /** Whether the caller takes nothing, so that the answer is not read. */
   #paused = false;
   /** Whether the head of an answer has arrived from the runner. */
@@ -104,6 +107,7 @@
     ]);
     this.sentAfter = Math.round(parameters.clock.elapsed);
     this.#progressAt = parameters.tracker.silenceClock.now();
+    this.#readDelay = new readDelay.ReadDelay(parameters.tracker.silenceClock);
   }
 
   /** Makes the attempt and returns its outcome. */
@@ -245,6 +249,7 @@
     }
     rests.noteSent(runner);
     this.#timer = tracker.timeAnswer(runner, route);
+    this.#readDelay.startWait();
     const answer = await runnerClient.call({
       request,
       runner,
@@ -260,9 +265,14 @@
       maxBodyBytes: answerLimits.maxBodyBytes(route.answerForm),
       signal: this.#cancelled,
     });
+    this.#readDelay.endWait();
     if (answer.isErr()) return this.#outcomeOfFailure(answer.error);
+    const { body: received, endsWithConnection } = answer.value;
+    const body = endsWithConnection
+      ? this.#readDelay.follow(received)
+      : received;
     try {
-      return await this.#handleAnswer(answer.value);
+      return await this.#handleAnswer({ ...answer.value, body });
     } finally {
       // A body that nobody reads to its end would keep the connection open.
       answer.value.close();
@@ -327,23 +337,16 @@
     }
   }
 
-  /**
-   * Tells why a body that came to its end is not complete. The process of a
-   * runner that crashes ends its connections in order, so a body that ends with
-   * its connection may be cut off: then nothing listens at the runner any more.
-   */
+  /** Tells why a body that came to its end may not be complete. */
   async #confirmEnd({
     endsWithConnection,
   }: runnerClientModule.RunnerAnswer): Promise<string | undefined> {
-    const { runner, runnerClient, tracker } = this.parameters;
-    if (!endsWithConnection || !tracker.inUse(runner)) return undefined;
-    const presence = await common.withTimeout(
-      runnerClient.presenceOf(runner),
-      MAX_PRESENCE_WAIT_MILLISECONDS,
-    );
-    return presence === common.Presence.Refused
-      ? "runner crashed at the end of its answer"
-      : undefined;
+    if (!endsWithConnection) return undefined;
+    return confirmEnd.confirmEnd({
+      ...this.parameters,
+      delay: this.#readDelay,
+      signal: this.#cancelled,
+    });
   }
 
   /**
