test(common): write answers without end in blocks

"answers without end fail in bounded time" timed its own back end: it shares the event loop with the client, and writing lines of 13 bytes, one system call each, held that loop up for 0.44 s of each call until the buffers of the connection were full. No time limit of a call was reached.

The back end now writes the same bytes in blocks of at least 64 KiB. The test and its bound of 1,500 ms for both calls are unchanged.

--- a/packages/common/src/http_call_fixture.ts
+++ b/packages/common/src/http_call_fixture.ts
@@ -4,6 +4,9 @@
 import * as httpCall from "./http_call.ts";
 import type * as wrongAnswer from "./wrong_answer.ts";
 
+/** Bytes that `writeWithoutEnd` hands to the connection at a time, at least. */
+const MIN_WRITE_BYTES = 64 * 1024;
+
 /** What a call came to. */
 export interface CallOutcome {
   /** Status and body of a whole answer. */
@@ -110,10 +113,16 @@
   return neverthrow.ok({ status, body: text });
 }
 
-/** Writes pieces for as long as the connection takes them. */
+/**
+ * Writes pieces for as long as the connection takes them, many at a time. One
+ * system call for each short piece holds up the event loop, which the client
+ * under test shares, for 0.4 s until the connection's buffers are full.
+ */
 export function writeWithoutEnd(socket: net.Socket, piece: Buffer): void {
+  const pieces = Math.ceil(MIN_WRITE_BYTES / piece.length);
+  const block = Buffer.alloc(pieces * piece.length, piece);
   const write = () => {
-    while (!socket.destroyed && socket.write(piece));
+    while (!socket.destroyed && socket.write(block));
   };
   socket.on("drain", write);
   write();
