test(daemon): wait for the loss of a link by its event

"attempts go on over the next link if the event loop is held up meanwhile" looked each 5 ms for the link to be gone.

The test now waits for the event LinkLost, checks that there is no link, and then holds up the event loop as before.

--- a/packages/daemon/src/dispatch/runner_link_test.ts
+++ b/packages/daemon/src/dispatch/runner_link_test.ts
@@ -79,7 +79,29 @@
   };
 }
 
-function createRunnerLink(host: backingServices.Host): runnerLink.RunnerLink {
+/** Tells when a link was lost. */
+class LinkLossLogger extends common.RecordingLogger {
+  readonly lost: Promise<void>;
+  #noteLost = () => {};
+
+  constructor() {
+    super();
+    this.lost = new Promise((resolve) => (this.#noteLost = resolve));
+  }
+
+  override event(
+    code: common.EventCode,
+    fields: common.EventFields = {},
+  ): void {
+    super.event(code, fields);
+    if (code === common.EventCode.LinkLost) this.#noteLost();
+  }
+}
+
+function createRunnerLink(
+  host: backingServices.Host,
+  logger: common.Logger = new common.RecordingLogger(),
+): runnerLink.RunnerLink {
   return new runnerLink.RunnerLink(host, {
     settings: settings.ENTRY_SETTINGS.parse({
       role: settings.Role.Entry,
@@ -96,7 +118,7 @@
       timing: { settleAfter: SETTLE_AFTER_MILLISECONDS },
     }),
     incarnation: "entry-incarnation",
-    logger: new common.RecordingLogger(),
+    logger,
     metrics: common.discardMetrics(),
     random: new common.Random(1),
     certificateAuthority: undefined,
@@ -112,7 +134,8 @@
 // attempts at that runner, and callers lost answers that were to go on.
 test("attempts go on over the next link if the event loop is held up meanwhile", async (t) => {
   const { host, links } = await startUpstream(t);
-  const runner = createRunnerLink(host);
+  const logger = new LinkLossLogger();
+  const runner = createRunnerLink(host, logger);
   const stop = new AbortController();
   const running = runner.run(stop.signal);
   t.teardown(() => running);
@@ -122,7 +145,10 @@
   if (!attempt) return t.fail("no link");
   const outgoing = runner.collect(attempt, 1);
   links[0].close();
-  await until(() => !runner.linked);
+  // By the event: the next link opens within milliseconds, and polling misses
+  // the time between the two.
+  await logger.lost;
+  t.false(runner.linked);
   const end = common.now() + 2 * SETTLE_AFTER_MILLISECONDS;
   while (common.now() < end);
   await until(() => runner.linked);
