test: bound the waits in which a test file could stand still

Some tests send requests until something is in quarantine, or until enough runners have ended, and had no limit: if the quarantine acts before the expected number of ends, nothing more ends and the loop goes on for good. The file quarantine_cluster_test has four tests and such a loop in each.

A test that stood still then fails by its name. No check changes.

--- a/packages/stand_ins/src/system/crashing_part_test.ts
+++ b/packages/stand_ins/src/system/crashing_part_test.ts
@@ -18,6 +18,8 @@
 /** Sound requests by which their service is judged, at least. */
 const LEAST_SERVED = 20;
 const ROWS = { from: "quarantine/", to: "quarantine0", limit: 10 };
+/** Within this time crashes that are known are written to the table. */
+const ROWS_MILLISECONDS = 30_000;
 /** Time for which requests come, in milliseconds. */
 const LOAD_MILLISECONDS = 14_000;
 
@@ -48,6 +50,15 @@
   return rows._unsafeUnwrap().length;
 }
 
+/** Resolves once the quarantine has written a row. */
+async function untilRows(scene: partScene.PartScene): Promise<void> {
+  const deadline = common.now() + ROWS_MILLISECONDS;
+  while ((await rowsOf(scene)) === 0) {
+    if (common.now() > deadline) throw new Error("no rows in time");
+    await common.sleep(10);
+  }
+}
+
 /** Checks that sound requests are served soon after the last crash allowed. */
 function checkServed(
   t: ava.ExecutionContext,
@@ -199,7 +210,7 @@
 test("a part stays in quarantine when all entries start anew", async (t) => {
   const scene = await partScene.startPartScene(t);
   await partScene.provoke(t, scene);
-  while ((await rowsOf(scene)) === 0) await common.sleep(10);
+  await untilRows(scene);
   const hosts = scene.running.map(({ gateway }) => gateway.host);
   for (const host of hosts) await scene.stopOne(host);
   for (const host of hosts) await scene.startOne(host);
@@ -217,7 +228,7 @@
 test("entries that start send no request with a part that is in quarantine", async (t) => {
   const scene = await partScene.startPartScene(t);
   await partScene.provoke(t, scene);
-  while ((await rowsOf(scene)) === 0) await common.sleep(10);
+  await untilRows(scene);
   const hosts = scene.running.map(({ gateway }) => gateway.host);
   for (const host of hosts) await scene.stopOne(host);
   const before = scene.pool.arrivals.length;
--- a/packages/stand_ins/src/system/quarantine_cluster_test.ts
+++ b/packages/stand_ins/src/system/quarantine_cluster_test.ts
@@ -60,10 +60,12 @@
     );
     return lists.every(({ body }) => (body as unknown as []).length > 0);
   };
-  while (!(await held())) {
+  await system.until(async () => {
+    if (await held()) return true;
     told.push(await send(system, told.length, prompt));
     await common.sleep(TRY_MILLISECONDS);
-  }
+    return false;
+  });
   return told;
 }
 
@@ -73,12 +75,13 @@
   withCluster.withCluster(SHAPE, async (t, system) => {
     const prompt = `bad ${endingMark.endingMark(30)} [tokens=500]`;
     let sent = 0;
-    const comeAgain = async (over: () => boolean) => {
-      while (!over()) {
+    const comeAgain = (over: () => boolean) =>
+      system.until(async () => {
+        if (over()) return true;
         await send(system, sent++, prompt);
         await common.sleep(TRY_MILLISECONDS);
-      }
-    };
+        return false;
+      });
     await comeAgain(() => endsUnder(system, prompt) >= ENDS_ALLOWED);
     const knownAt = common.now() + KNOWN_MILLISECONDS;
     await comeAgain(() => common.now() > knownAt);
@@ -124,10 +127,12 @@
       return JSON.parse(answer.body) as Told;
     };
     const reasons: (string | undefined)[] = [];
-    while (reasons.at(-1) !== "quarantined") {
+    await system.until(async () => {
+      if (reasons.at(-1) === "quarantined") return true;
       reasons.push((await call(reasons.length)).reason);
       await common.sleep(TRY_MILLISECONDS);
-    }
+      return false;
+    });
     t.is(system.plain.ends, ENDS_ALLOWED);
     for (const count of system.plain.calls.values()) t.is(count, 1);
   }),
@@ -148,10 +153,12 @@
       return JSON.parse(answer.body) as Told;
     };
     let number = 0;
-    while ((await call(number++)).reason !== "quarantined") {
+    await system.until(async () => {
+      if ((await call(number++)).reason === "quarantined") return true;
       t.true(system.plain.ends <= ENDS_ALLOWED + 1);
       await common.sleep(TRY_MILLISECONDS);
-    }
+      return false;
+    });
     const other = await call(number, `${body.slice(0, -1)}y`);
     t.not(other.reason, "quarantined");
   }),
