fix(daemon): bound complete answers until callers have taken them

A complete answer was counted only while it was collected.

Answers are now counted until they have left, 64 MiB in all. One may take half of what is free, so that long answers leave room for short ones. One without room waits in its buffer, which is bounded as before, until there is room, until it is given up for others there, or until its request times out. Its caller then gets a 502 or 504; no connection is closed for memory. The body of a runner's failure that has no room is replaced by the refusal of that kind.

Three new tests in forwarding/unbounded_answer_test. Without the bound two of them fail, as 16 answers of 7 MiB are held at once.

--- a/packages/daemon/src/forwarding/answer_buffers.ts
+++ b/packages/daemon/src/forwarding/answer_buffers.ts
@@ -1,6 +1,7 @@
+import * as answerDeliveries from "./answer_deliveries.ts";
 import * as answerLimits from "./answer_limits.ts";
 
-/** Bytes of all answers that a process holds at the same time. */
+/** Bytes of all answers that a process collects at the same time. */
 const MAX_TOTAL_BYTES = 32 * 1024 * 1024;
 
 /**
@@ -10,6 +11,8 @@
  */
 export class AnswerBuffers {
   readonly #open = new Set<AnswerBuffer>();
+  /** Answers that are complete and on their way to their callers. */
+  readonly deliveries = new answerDeliveries.AnswerDeliveries();
 
   /** Opens the buffer of an answer; `release` must be called on it. */
   open(): AnswerBuffer {
@@ -37,6 +40,7 @@
   #pieces: Buffer[] = [];
   #bytes = 0;
   #problem: string | undefined;
+  readonly #dropped = new AbortController();
 
   constructor(
     readonly parameters: { onGrowth: () => void; onRelease: () => void },
@@ -52,6 +56,11 @@
     return this.#problem;
   }
 
+  /** Aborts when the answer is given up. */
+  get dropped(): AbortSignal {
+    return this.#dropped.signal;
+  }
+
   /** Adds a piece. */
   push(piece: Buffer): void {
     if (this.#problem !== undefined) return;
@@ -85,5 +94,6 @@
     this.#problem = problem;
     this.#pieces = [];
     this.#bytes = 0;
+    this.#dropped.abort();
   }
 }
--- a/packages/daemon/src/forwarding/answer_relay.ts
+++ b/packages/daemon/src/forwarding/answer_relay.ts
@@ -2,6 +2,7 @@
 import * as neverthrow from "neverthrow";
 import * as traffic from "@geraniumkeel/traffic";
 import type * as answerBuffers from "./answer_buffers.ts";
+import * as answerDeliveries from "./answer_deliveries.ts";
 import * as eventSplitter from "./event_splitter.ts";
 import type * as callerRequest from "./caller_request.ts";
 import * as runnerClient from "./runner_client.ts";
@@ -16,19 +17,32 @@
   onPiece: () => void,
 ): Promise<neverthrow.Result<Buffer, string>> {
   const buffer = buffers.open();
+  try {
+    const problem = await collect(body, buffer, onPiece);
+    return problem === undefined
+      ? neverthrow.ok(buffer.join())
+      : neverthrow.err(problem);
+  } finally {
+    buffer.release();
+  }
+}
+
+/** Reads a body into a buffer; returns why the body can't be used, if so. */
+async function collect(
+  body: AsyncIterable<Buffer>,
+  buffer: answerBuffers.AnswerBuffer,
+  onPiece: () => void,
+): Promise<string | undefined> {
   try {
     for await (const piece of body) {
       buffer.push(piece);
       onPiece();
       if (buffer.problem !== undefined) break;
     }
-    if (buffer.problem !== undefined) return neverthrow.err(buffer.problem);
-    return neverthrow.ok(buffer.join());
+    return buffer.problem;
   } catch (cause) {
     if (!(cause instanceof common.TruncatedBody)) throw cause;
-    return neverthrow.err(cause.message);
-  } finally {
-    buffer.release();
+    return cause.message;
   }
 }
 
@@ -36,6 +50,8 @@
 export interface RelayedAttempt {
   /** Aborts when another attempt got on; then this one relays nothing more. */
   superseded: AbortSignal;
+  /** Aborts when the attempt is cancelled, for whatever reason. */
+  cancelled: AbortSignal;
   /**
    * Called before anything goes to the caller: for each event, for the end of a
    * stream and for a complete body. Supersedes the other attempts.
@@ -44,8 +60,8 @@
   /** Called for each piece of a body that is relayed once it is complete. */
   onPiece: () => void;
   /**
-   * Called before a piece is written, which takes as long as the caller is
-   * slow; the returned function is called when it was written.
+   * Called before a piece is written, or a complete body waits for others to be
+   * taken, which takes as long as callers are slow; the returned function is called when it was written.
    */
   pause: () => () => void;
   /**
@@ -125,21 +141,50 @@
     answer: runnerClient.RunnerAnswer,
     attempt: RelayedAttempt,
   ): Promise<neverthrow.Result<void, string>> {
-    const completeBody = await readCompleteBody(
-      answer.body,
-      this.parameters.buffers,
-      attempt.onPiece,
-    );
-    const problem = completeBody.isOk()
-      ? await attempt.confirmEnd()
-      : undefined;
-    if (problem !== undefined) return neverthrow.err(problem);
-    if (completeBody.isOk() && attempt.superseded.aborted)
-      return neverthrow.err(SUPERSEDED);
-    if (completeBody.isOk()) attempt.onGotOn();
-    return completeBody.map((body) => {
-      this.#delivery = this.parameters.sink.answer(answer.head, body);
-    });
+    const { sink, buffers } = this.parameters;
+    const buffer = buffers.open();
+    try {
+      const problem =
+        (await collect(answer.body, buffer, attempt.onPiece)) ??
+        (await attempt.confirmEnd());
+      if (problem !== undefined) return neverthrow.err(problem);
+      const release = await this.#reserve(buffer, attempt);
+      if (!release)
+        return neverthrow.err(buffer.problem ?? "no memory for the answer");
+      if (attempt.superseded.aborted) {
+        release();
+        return neverthrow.err(SUPERSEDED);
+      }
+      attempt.onGotOn();
+      const body = buffer.join();
+      this.#delivery = answerDeliveries.AnswerDeliveries.deliver(release, () =>
+        sink.answer(answer.head, body),
+      );
+      return neverthrow.ok(undefined);
+    } finally {
+      buffer.release();
+    }
+  }
+
+  /**
+   * Takes memory for the delivery of a complete answer. The answer stays in its
+   * buffer until there is room, and may be given up for others there.
+   */
+  async #reserve(
+    buffer: answerBuffers.AnswerBuffer,
+    attempt: RelayedAttempt,
+  ): Promise<(() => void) | undefined> {
+    if (buffer.problem !== undefined) return undefined;
+    const { deliveries } = this.parameters.buffers;
+    const release = deliveries.reserve(buffer.bytes);
+    if (release) return release;
+    const resume = attempt.pause();
+    const signal = AbortSignal.any([attempt.cancelled, buffer.dropped]);
+    try {
+      return await deliveries.reserveLater(buffer.bytes, signal);
+    } finally {
+      resume();
+    }
   }
 
   async #relayEvents(
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -8,6 +8,7 @@
 import type * as watchedRequests from "../quarantine/watched_requests.ts";
 import type * as plannedStop from "../shutdown/planned_stop.ts";
 import type * as answerBuffers from "./answer_buffers.ts";
+import * as answerDeliveries from "./answer_deliveries.ts";
 import type * as answerDurations from "./answer_durations.ts";
 import * as admissionPlace from "./admission_place.ts";
 import * as answerRelay from "./answer_relay.ts";
@@ -586,8 +587,14 @@
       sink.abort(`${outcome.kind}: ${outcome.reason}`);
       return false;
     }
-    if (outcome.failure)
-      return sink.answer(outcome.failure.head, outcome.failure.body);
+    const { failure } = outcome;
+    const { deliveries } = this.parameters.buffers;
+    // A failure whose body has no room is told by its kind alone.
+    const release = failure && deliveries.reserve(failure.body.length);
+    if (release)
+      return answerDeliveries.AnswerDeliveries.deliver(release, () =>
+        sink.answer(failure.head, failure.body),
+      );
     const kind = attemptOutcome.refusalKind(outcome, this.#runs);
     const retryAfterMilliseconds = this.#retryAfterMilliseconds(outcome);
     return sink.refuse({
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -159,6 +159,8 @@
   leave(): void;
   /** While set, the caller takes no more of its answer. */
   blocked: boolean;
+  /** Bytes of a complete answer that the caller has not taken. */
+  heldBytes: number;
 }
 
 /** How a simulated entry and its route differ from the usual. */
@@ -283,6 +285,7 @@
       finished: Promise.resolve(),
       leave: () => left.abort(),
       blocked: false,
+      heldBytes: 0,
     };
     this.#requests.set(identifier, sent);
     const request = { ...createRequest(identifier), ...change };
@@ -451,6 +454,9 @@
   return {
     disconnected,
     answer: async (head, body) => {
+      sent.heldBytes = body.length;
+      if (sent.blocked) await until(() => !sent.blocked);
+      sent.heldBytes = 0;
       Object.assign(sent, { ...head, ended: "whole" });
       sent.text += body.toString();
       sent.answers++;
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -400,6 +400,7 @@
     const { relay, onGotOn } = this.parameters;
     const relayed = await relay.relay(answer, {
       superseded: this.#superseded.signal,
+      cancelled: this.#cancelled,
       onGotOn,
       onPiece: () => this.noteContent(),
       pause: () => this.#pause(),
--- a/packages/daemon/src/forwarding/unbounded_answer_test.ts
+++ b/packages/daemon/src/forwarding/unbounded_answer_test.ts
@@ -2,6 +2,7 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
 import * as answerBuffers from "./answer_buffers.ts";
+import * as answerDeliveries from "./answer_deliveries.ts";
 import * as answerRelay from "./answer_relay.ts";
 import * as callerRequest from "./caller_request.ts";
 import * as eventSplitter from "./event_splitter.ts";
@@ -14,6 +15,14 @@
 /** More pieces than any bound allows; a reader without bounds would take them all. */
 const MANY_PIECES = 8_192;
 
+const LONG_BYTES = 7 * MEBIBYTE;
+const SHORT_BYTES = 1_024;
+const SLOW_CALLERS = 16;
+/** What callers may hold of a process's memory. */
+const MAX_WAITING_BYTES = 64 * MEBIBYTE;
+/** Longer than it takes to read all answers, shorter than callers stay blocked. */
+const SLOW_TIMEOUT_MILLISECONDS = 2_000;
+
 /** A body of many pieces; counts those that were taken. */
 class LongBody {
   taken = 0;
@@ -80,6 +89,98 @@
   t.is(read._unsafeUnwrap().length, 4 * MANY_PIECES);
 });
 
+/**
+ * An entry with callers that take nothing of their long answers; resolves when
+ * all the answers were read from their runners.
+ */
+async function entryWithSlowCallers(t: ava.ExecutionContext): Promise<{
+  entry: forwardingFixture.SteppedEntry;
+  slow: forwardingFixture.SentRequest[];
+}> {
+  let read = 0;
+  async function* bodyOf(bytes: number): AsyncGenerator<Buffer, void, void> {
+    yield Buffer.alloc(bytes, "x");
+    read++;
+  }
+  const entry = new forwardingFixture.SteppedEntry({
+    route: {
+      answerForm: traffic.AnswerForm.Whole,
+      repeatability: traffic.Repeatability.AtMostOnce,
+    },
+    slots: SLOW_CALLERS,
+    onCall: (call) => {
+      const isShort = call.call.request.identifier === "short";
+      call.begin({ body: bodyOf(isShort ? SHORT_BYTES : LONG_BYTES) });
+    },
+  });
+  const slow: forwardingFixture.SentRequest[] = [];
+  t.teardown(() => slow.forEach((sent) => (sent.blocked = false)));
+  while (slow.length < SLOW_CALLERS) {
+    const sent = entry.send(`slow-${slow.length}`, {
+      timeoutMilliseconds: SLOW_TIMEOUT_MILLISECONDS,
+    });
+    sent.blocked = true;
+    slow.push(sent);
+    await forwardingFixture.until(() => read === slow.length);
+  }
+  return { entry, slow };
+}
+
+function isHeld({ heldBytes }: forwardingFixture.SentRequest): boolean {
+  return heldBytes > 0;
+}
+
+// Guards against complete answers that slow callers have not taken: without a bound they
+// filled the memory of the process, and all its requests were lost with it.
+test("answers that wait for their callers are bounded, and leave room for short ones", async (t) => {
+  const { entry, slow } = await entryWithSlowCallers(t);
+  const held = slow.filter(isHeld);
+  t.true(held.length >= 4, `${held.length} answers`);
+  t.true(held.length * LONG_BYTES <= MAX_WAITING_BYTES, `${held.length}`);
+  const short = entry.send("short");
+  await short.finished;
+  t.is(short.ended, "whole");
+  const others = slow.filter((sent) => !held.includes(sent));
+  await Promise.all(others.map(({ finished }) => finished));
+  for (const { ended } of others) t.is(ended, "refused");
+  for (const sent of held) sent.blocked = false;
+  await Promise.all(held.map(({ finished }) => finished));
+  for (const { ended, text } of held) {
+    t.is(ended, "whole");
+    t.is(text.length, LONG_BYTES);
+  }
+});
+
+// Guards against an answer that waits for memory and is not passed on when there is some.
+test("an answer waits until others were taken", async (t) => {
+  const { slow } = await entryWithSlowCallers(t);
+  const waiting = slow.filter((sent) => !isHeld(sent) && sent.ended === "");
+  t.true(waiting.length > 0);
+  for (const sent of slow) sent.blocked = false;
+  await Promise.all(slow.map(({ finished }) => finished));
+  for (const { ended } of waiting) t.is(ended, "whole");
+});
+
+// Guards against memory that is never given back: a head that the caller's connection
+// refuses throws as the delivery begins.
+test("a delivery that throws or is rejected gives its memory back", async (t) => {
+  const deliveries = new answerDeliveries.AnswerDeliveries();
+  const failure = new Error("broken invariant");
+  const begins = [
+    () => {
+      throw failure;
+    },
+    () => Promise.reject(failure),
+  ];
+  for (const begin of begins) {
+    const release = deliveries.reserve(MAX_WAITING_BYTES / 2);
+    if (!release) return t.fail("no memory");
+    await t.throwsAsync(async () =>
+      answerDeliveries.AnswerDeliveries.deliver(release, begin),
+    );
+  }
+});
+
 // Guards against events that are cut, or joined, where pieces meet.
 test("events are the same however the stream is cut", (t) => {
   const random = new common.Random(54);
