fix(rank_group): a roll-back orders a rank again that another leader disarmed

Cause: an armed rank refuses the fallback map. If the other process had disarmed it by the next reading, the first one took the refusal for a map that loads, and read the rank's state again and again without a new order. Change: a refused order ends the wait; the rank is disarmed and ordered again, eight times at most, and then the recovery begins anew with a higher version.

--- a/packages/daemon/src/rank_group/recover_switch.ts
+++ b/packages/daemon/src/rank_group/recover_switch.ts
@@ -2,6 +2,13 @@
 import type * as rankHandle from "./rank_handle.ts";
 import * as orderUntilFinal from "./order_until_final.ts";
 
+/**
+ * How often a rank is disarmed and ordered to prepare the fallback map before
+ * the recovery begins anew, with a higher version of that map. Two tries suffice
+ * unless another leader orders the same rank.
+ */
+const MAX_ROLLBACK_TRIES = 8;
+
 /** Outcome of recovering a switch that an earlier leader left unfinished. */
 export enum SwitchRecoveryKind {
   /** No rank holds an iteration, so there is nothing to recover. */
@@ -165,7 +172,8 @@
 /**
  * Orders a rank to prepare the fallback map. Returns true once the rank reports
  * that version, or a higher one, as prepared. Returns false if the rank is
- * armed, if its state is unknown, or if this process stops leading before that.
+ * armed, if it refused the order, if its state is unknown, or if this process
+ * stops leading before that.
  */
 async function replacePrepared(
   handle: rankHandle.RankHandle,
@@ -173,7 +181,12 @@
   { valid, pause }: RecoverSwitchParameters,
 ): Promise<boolean> {
   const order = { kind: wire.RankOrderKind.Prepare, version, map } as const;
-  await orderUntilFinal.orderUntilFinal({ handle, order, valid, pause });
+  const { end } = await orderUntilFinal.orderUntilFinal({
+    handle,
+    order,
+    valid,
+    pause,
+  });
   do {
     await handle.refresh();
     const { status } = handle;
@@ -181,6 +194,9 @@
     // A higher version was ordered by another leader. The rank can no longer be
     // armed for the version of the unfinished switch then either.
     if (status.preparedVersion >= version) return true;
+    // An armed rank refuses the order, and another leader may have disarmed it
+    // since. Without a new order it would never report the version.
+    if (end !== wire.RankOrderEnd.Done) return false;
     await pause();
   } while (valid());
   return false;
@@ -191,7 +207,8 @@
  * be armed for the version before again. Disarming alone is not enough, because
  * copies of the order to arm may still be in transit. Repeats both until the
  * rank reports the fallback map, or a higher version, as prepared. Returns
- * false if this process stops leading before that.
+ * false if it doesn't after several tries, or if this process stops leading
+ * before that.
  */
 async function disarmAndReplacePrepared(
   handle: rankHandle.RankHandle,
@@ -199,7 +216,7 @@
   parameters: RecoverSwitchParameters,
 ): Promise<boolean> {
   const { valid, pause } = parameters;
-  while (valid()) {
+  for (let tries = 0; tries < MAX_ROLLBACK_TRIES && valid(); tries++) {
     if (await replacePrepared(handle, fallback, parameters)) return true;
     await handle.refresh();
     const version = handle.status?.armedVersion ?? 0;
