fix(rank_group): bind each order to the switch that its leader decided on

Cause: the roll-back disarmed whatever version it found, read anew after the pause; only versions below that of the fallback map can never be armed at all ranks. A paused leader has not heard of the next one, its links are closed, so that its orders pass by the processes that know the higher token, and engines need not check tokens. `precondition` was the `sequence` read just before the order. The order to release named the iteration only, and so fits the next leader's hold of the same iteration at the same rank. Change: a rank is disarmed only from a version below the fallback map's. A release names the version for which its rank must be prepared or armed; it is checked on the reading that gives `precondition`. A leader holds no iteration up to the last that it knows was held, for engines that don't count orders. Fallback versions are above armed ones too, and a rank that can't be reached counts as the own rank of the hold's leader only if all notices of the hold are of that leader.

--- a/packages/daemon/src/rank_group/execute_order.ts
+++ b/packages/daemon/src/rank_group/execute_order.ts
@@ -24,7 +24,8 @@
  * of a group different maps:
  *
  * - The order applies to one switch only: it names a version that is never used
- *   again, and an iteration that is over by then.
+ *   again, or an iteration that is over by then. An order to release names the
+ *   iteration, and the version for which the holder must be prepared.
  * - The order carries the number of orders that the engine has begun so far, as
  *   a condition. Any order begun since has raised that number. Not all engines
  *   count all orders, so safety does not depend on this alone.
@@ -130,11 +131,31 @@
         ? `pass ${order.step} has begun`
         : undefined;
     case wire.RankOrderKind.Release:
+      return isForVersion(order, status)
+        ? undefined
+        : `prepared for ${status.preparedVersion}, not for ${order.version}`;
     case wire.RankOrderKind.Disarm:
       return undefined;
   }
 }
 
+/**
+ * Whether the holder is still prepared or armed for the version on which the
+ * leader based its order to release. A leader that has been replaced would
+ * otherwise release the iteration that its successor holds, if both have the
+ * same number.
+ */
+function isForVersion(
+  { version }: wire.ReleaseOrder,
+  { preparedVersion, armedVersion }: wire.RankStatus,
+): boolean {
+  return (
+    version === undefined ||
+    preparedVersion === version ||
+    armedVersion === version
+  );
+}
+
 function done(status: wire.RankStatus): OrderOutcome {
   return { end: wire.RankOrderEnd.Done, detail: "", status };
 }
--- a/packages/daemon/src/rank_group/execute_order_test.ts
+++ b/packages/daemon/src/rank_group/execute_order_test.ts
@@ -74,3 +74,34 @@
   });
   t.is(outcome.end, wire.RankOrderEnd.Done);
 });
+
+// Ranks would use two maps in one iteration. A leader is paused just before it
+// releases an iteration. Its successor releases it, holds the same one for a switch
+// of its own, and has armed some ranks when the first leader continues.
+test("an iteration is not released when its rank is prepared for another switch", async (t) => {
+  let givenOrders = 0;
+  const { status, ...report } = reportOf(1_000, 3);
+  const held = { ...status, preparedVersion: 8, heldStep: 40 };
+  const engine: rankEngine.RankEngine = {
+    report: async () => neverthrow.ok({ ...report, status: held }),
+    chosen: async () => neverthrow.err("not asked"),
+    lists: async () => neverthrow.err("not asked"),
+    order: async () => {
+      givenOrders++;
+      return rankEngine.EngineAnswer.Accepted;
+    },
+  };
+  const release = (version: number) =>
+    executeOrder.executeOrder({
+      engine,
+      order: { kind: wire.RankOrderKind.Release, step: 40, version },
+      token: 1,
+      epoch: 1,
+    });
+  const stale = await release(7);
+  t.is(stale.end, wire.RankOrderEnd.Refused);
+  t.is(givenOrders, 0);
+  const current = await release(8);
+  t.is(current.end, wire.RankOrderEnd.Done);
+  t.is(givenOrders, 1);
+});
--- a/packages/daemon/src/rank_group/group_leader.ts
+++ b/packages/daemon/src/rank_group/group_leader.ts
@@ -68,6 +68,8 @@
   #map: wire.RankMap | undefined;
   #mapVersion = -1;
   #lastVersion = 0;
+  /** The last iteration that a recovery found held; -1 if none did. */
+  #lastHeldStep = -1;
   #switching = false;
   readonly #planner: mapPlanner.MapPlanner;
   readonly #iterationsAhead = new iterationsAhead.IterationsAhead();
@@ -126,13 +128,14 @@
 
   async #recoverSwitch(): Promise<void> {
     const { handles, valid, logger, identity, holdNotices } = this.parameters;
-    const { kind, detail } = await recoverSwitch.recoverSwitch({
+    const { kind, detail, heldStep } = await recoverSwitch.recoverSwitch({
       handles,
       valid,
       pause: orderUntilFinal.shortPause,
       holdNotices: holdNotices(),
       fallback: () => this.#fallbackMap(),
     });
+    this.#lastHeldStep = Math.max(this.#lastHeldStep, heldStep);
     this.#mapVersion = -1;
     const outcome = `${kind} ${detail}`;
     const isLogged = outcome === this.#lastRecovery;
@@ -219,6 +222,7 @@
       base: { version: this.#mapVersion, map },
       copyMilliseconds: shape.copyMilliseconds,
       iterationsAhead: () => this.#iterationsAheadNow(),
+      minStep: this.#minHoldStep,
       valid,
       outdated: () => this.#hasShiftedSince(shifts),
       announceHold: (step) => announceHold(holder.rank, step),
@@ -278,6 +282,12 @@
     return this.#iterationsAhead.count;
   }
 
+  /** The first iteration that no known leader of this epoch has held. */
+  get #minHoldStep(): number {
+    const announced = this.parameters.holdNotices().map(({ step }) => step);
+    return Math.max(this.#lastHeldStep, ...announced) + 1;
+  }
+
   /** Whether demand has shifted again since the given number of shifts. */
   #hasShiftedSince(shifts: number): boolean {
     const { demand } = this.parameters;
@@ -338,7 +348,9 @@
   #nextVersion(): number {
     const { handles, identity } = this.parameters;
     const seenVersions = handles.flatMap(({ status }) =>
-      status ? [status.mapVersion, status.preparedVersion] : [],
+      status
+        ? [status.mapVersion, status.preparedVersion, status.armedVersion]
+        : [],
     );
     const minVersion = Math.max(this.#lastVersion, ...seenVersions) + 1;
     const ofNow = Math.floor(Date.now()) * VERSIONS_PER_MILLISECOND;
--- a/packages/daemon/src/rank_group/recover_switch.ts
+++ b/packages/daemon/src/rank_group/recover_switch.ts
@@ -36,8 +36,12 @@
 export interface SwitchRecovery {
   kind: SwitchRecoveryKind;
   detail: string;
+  /** Highest iteration that a rank was seen to hold; -1 if none was. */
+  heldStep: number;
 }
 
+type Recovery = Omit<SwitchRecovery, "heldStep">;
+
 /**
  * A known map under a new version, which the ranks can use without loading
  * anything. A rank that is ordered to prepare it no longer has the map of the
@@ -79,7 +83,7 @@
  * iteration, and some ranks are armed for a new map. While the iteration is
  * held, every stream of the group's model stalls. If it were released with only
  * some ranks armed, the ranks would use two maps in one iteration, which must
- * never happen. Three rules let the iteration be released as soon as that is
+ * never happen. Four rules let the iteration be released as soon as that is
  * safe and not before, whichever process recovers the switch, and also when
  * several do so at once:
  *
@@ -91,6 +95,12 @@
  *   can find all ranks armed. Only then are the other ranks disarmed. If that
  *   first rank was armed in the meantime, its engine refuses the order, because
  *   an armed engine prepares no other map, and nothing has changed.
+ * - Each order is bound to the switch that the recovery decided on. A rank is
+ *   disarmed only from a version lower than the fallback map's, which the first
+ *   rank can never be armed for. An iteration is released only while its rank is
+ *   prepared for the fallback map, or armed for the switch that is completed. So
+ *   a leader that was paused and replaced does no harm when it continues, also
+ *   if it has not heard of its successor and engines check no fencing token.
  * - A recovery arms no rank, and a leader arms its own rank after all others.
  *   So while any other rank is not armed, the own rank of the leader that
  *   ordered the hold is not armed either. If it is the only rank that cannot be
@@ -104,7 +114,25 @@
   const reached = handles.filter((_, index) => answered[index]);
   const missing = handles.filter((_, index) => !answered[index]);
   const held = reached.flatMap(heldIterationOf);
-  if (held.length === 0) return recoveryOf(SwitchRecoveryKind.Nothing, "");
+  const heldStep = Math.max(-1, ...held.map(({ step }) => step));
+  if (held.length === 0)
+    return { ...recoveryOf(SwitchRecoveryKind.Nothing, ""), heldStep };
+  const recovery = await recoverHeld({ reached, missing, held, parameters });
+  return { ...recovery, heldStep };
+}
+
+/** Recovers a switch for which ranks hold iterations. */
+async function recoverHeld({
+  reached,
+  missing,
+  held,
+  parameters,
+}: {
+  reached: rankHandle.RankHandle[];
+  missing: rankHandle.RankHandle[];
+  held: HeldIteration[];
+  parameters: RecoverSwitchParameters;
+}): Promise<Recovery> {
   const unarmed = reached.find(({ status }) => status?.armedVersion === 0);
   if (!unarmed) {
     if (missing.length > 0) return waitingForRanks(missing);
@@ -113,8 +141,11 @@
         SwitchRecoveryKind.Waiting,
         "ranks are armed for different switches",
       );
-    await release(held, parameters);
-    return recoveryOf(SwitchRecoveryKind.RolledForward, "");
+    const { armedVersion = 0 } = reached[0].status ?? {};
+    const isReleased = await release(held, armedVersion, parameters);
+    return isReleased
+      ? recoveryOf(SwitchRecoveryKind.RolledForward, "")
+      : waitingForRelease();
   }
   if (
     !missing.every((handle) => isOwnRankOfHoldLeader(handle, held, parameters))
@@ -139,7 +170,7 @@
   unarmed: rankHandle.RankHandle;
   held: HeldIteration[];
   parameters: RecoverSwitchParameters;
-}): Promise<SwitchRecovery> {
+}): Promise<Recovery> {
   const { reached, unarmed, held, parameters } = rollback;
   const fallback = await parameters.fallback();
   if (!fallback)
@@ -162,11 +193,13 @@
   if (!disarmed.every(Boolean)) {
     return recoveryOf(
       SwitchRecoveryKind.Waiting,
-      "the lead was lost before all ranks were disarmed",
+      "a rank is armed for a newer switch, or the lead was lost before all ranks were disarmed",
     );
   }
-  await release(held, parameters);
-  return recoveryOf(SwitchRecoveryKind.RolledBack, "");
+  const isReleased = await release(held, fallback.version, parameters);
+  return isReleased
+    ? recoveryOf(SwitchRecoveryKind.RolledBack, "")
+    : waitingForRelease();
 }
 
 /**
@@ -207,8 +240,13 @@
  * be armed for the version before again. Disarming alone is not enough, because
  * copies of the order to arm may still be in transit. Repeats both until the
  * rank reports the fallback map, or a higher version, as prepared. Returns
- * false if it doesn't after several tries, or if this process stops leading
- * before that.
+ * false if it doesn't after several tries, if this process stops leading before
+ * that, or if the rank is armed for a higher version than the fallback map.
+ *
+ * The higher version belongs to the switch of a newer leader, which this process
+ * may not know of: it was paused, and engines need not check fencing tokens.
+ * The rank at which the rollback began is not kept from that version. All ranks
+ * may be armed for it, so disarming one would leave the ranks with two maps.
  */
 async function disarmAndReplacePrepared(
   handle: rankHandle.RankHandle,
@@ -220,6 +258,7 @@
     if (await replacePrepared(handle, fallback, parameters)) return true;
     await handle.refresh();
     const version = handle.status?.armedVersion ?? 0;
+    if (version >= fallback.version) return false;
     if (version > 0) {
       const order = { kind: wire.RankOrderKind.Disarm, version } as const;
       await orderUntilFinal.orderUntilFinal({ handle, order, valid, pause });
@@ -229,21 +268,36 @@
   return false;
 }
 
+/**
+ * Releases the held iterations, each only while its rank is prepared or armed
+ * for `version`. Any other leader has its version prepared at all ranks before
+ * it arms the first, so it has armed none then. Returns whether all are
+ * released.
+ */
 async function release(
   held: readonly HeldIteration[],
+  version: number,
   { valid, pause }: RecoverSwitchParameters,
-): Promise<void> {
+): Promise<boolean> {
   for (const { handle, step } of held) {
-    const order = { kind: wire.RankOrderKind.Release, step } as const;
-    await orderUntilFinal.orderUntilFinal({ handle, order, valid, pause });
+    const order = { kind: wire.RankOrderKind.Release, step, version } as const;
+    const { end } = await orderUntilFinal.orderUntilFinal({
+      handle,
+      order,
+      valid,
+      pause,
+    });
+    if (end !== wire.RankOrderEnd.Done) return false;
   }
+  return true;
 }
 
 /**
  * Whether a rank is the own rank of the leader that ordered the hold, which
  * that leader arms after all other ranks. False if that leader is unknown,
- * because no notice of the hold was received, and if several ranks hold an
- * iteration, because they may do so for different leaders.
+ * because no notice of the hold was received, if several leaders ordered it, and
+ * if several ranks hold an iteration, because they may do so for different
+ * leaders.
  */
 function isOwnRankOfHoldLeader(
   handle: rankHandle.RankHandle,
@@ -252,11 +306,13 @@
 ): boolean {
   const [heldIteration, ...otherHeld] = held;
   if (otherHeld.length > 0) return false;
-  const notice = holdNotices.find(
+  const notices = holdNotices.filter(
     ({ holder, step }) =>
       holder === heldIteration.handle.rank && step === heldIteration.step,
   );
-  return notice?.leader === handle.rank;
+  return (
+    notices.length > 0 && notices.every(({ leader }) => leader === handle.rank)
+  );
 }
 
 function areArmedForSameSwitch(
@@ -270,13 +326,18 @@
   );
 }
 
-function waitingForRanks(
-  missing: readonly rankHandle.RankHandle[],
-): SwitchRecovery {
+function waitingForRanks(missing: readonly rankHandle.RankHandle[]): Recovery {
   const ranks = missing.map(({ rank }) => rank).join(", ");
   return recoveryOf(SwitchRecoveryKind.Waiting, `ranks ${ranks} do not answer`);
 }
 
-function recoveryOf(kind: SwitchRecoveryKind, detail: string): SwitchRecovery {
+function waitingForRelease(): Recovery {
+  return recoveryOf(
+    SwitchRecoveryKind.Waiting,
+    "a held iteration was not released: its rank is prepared for another switch, or the lead was lost",
+  );
+}
+
+function recoveryOf(kind: SwitchRecoveryKind, detail: string): Recovery {
   return { kind, detail };
 }
--- a/packages/daemon/src/rank_group/switch_group.ts
+++ b/packages/daemon/src/rank_group/switch_group.ts
@@ -67,6 +67,13 @@
    * again just before the hold.
    */
   iterationsAhead: () => number;
+  /**
+   * First iteration that may be held: the one after the last that the leader
+   * knows to have been held. An order to release that one may still be carried
+   * out late, at an engine that doesn't count its orders, and would release the
+   * same iteration of this switch.
+   */
+  minStep: number;
   /**
    * Whether this process still leads the group epoch in which the switch began.
    */
@@ -136,7 +143,7 @@
     const { detail } = armFailure;
     return { ...outcome, kind: GroupSwitchKind.Unfinished, detail };
   }
-  const order = { kind: wire.RankOrderKind.Release, step } as const;
+  const order = { kind: wire.RankOrderKind.Release, step, version } as const;
   await orderUntilFinal.orderUntilFinal({
     handle: holder,
     order,
@@ -213,10 +220,10 @@
 async function holdAhead(
   parameters: GroupSwitchParameters,
 ): Promise<number | wire.RankReply> {
-  const { holder, handles, announceHold } = parameters;
+  const { holder, handles, minStep, announceHold } = parameters;
   const iterationsAhead = parameters.iterationsAhead();
   const steps = handles.map(({ status }) => status?.step ?? 0);
-  let step = Math.max(...steps) + iterationsAhead;
+  let step = Math.max(Math.max(...steps) + iterationsAhead, minStep);
   let reply: wire.RankReply;
   let tries = 0;
   do {
--- a/packages/stand_ins/src/interleavings/switch_world.ts
+++ b/packages/stand_ins/src/interleavings/switch_world.ts
@@ -170,6 +170,7 @@
       valid: () => true,
       outdated: () => false,
       iterationsAhead: () => 2,
+      minStep: 0,
       announceHold: (step) =>
         this.#announced.push({
           kind: wire.MessageKind.HoldNotice,
--- a/packages/stand_ins/src/system/rank_group_test.ts
+++ b/packages/stand_ins/src/system/rank_group_test.ts
@@ -85,6 +85,7 @@
     valid,
     outdated,
     iterationsAhead: () => 2,
+    minStep: 0,
     announceHold: () => {},
     pause: daemon.shortPause,
   });
--- a/packages/wire/src/rank_group.ts
+++ b/packages/wire/src/rank_group.ts
@@ -116,12 +116,24 @@
   copyMilliseconds?: number;
 }
 
+/** An order to begin a held iteration. */
+export interface ReleaseOrder {
+  kind: RankOrderKind.Release;
+  step: number;
+  /**
+   * Version for which the holder must be prepared or armed. If it is not, the
+   * state that the leader decided on is over, and the order is refused. Absent
+   * in messages of processes that don't know it.
+   */
+  version?: number;
+}
+
 /** An order to a rank's engine. */
 export type RankOrder =
   | PrepareOrder
   | { kind: RankOrderKind.Arm; version: number; step: number }
   | { kind: RankOrderKind.Hold; step: number }
-  | { kind: RankOrderKind.Release; step: number }
+  | ReleaseOrder
   | { kind: RankOrderKind.Disarm; version: number };
 
 /**
