fix(daemon): a metrics port that is taken does not cut a planned stop short

The attempts to open that listener went on while the process served, with the check that a process which still waits for its listeners has nothing to finish.

--- a/packages/daemon/src/process/process_frame.ts
+++ b/packages/daemon/src/process/process_frame.ts
@@ -81,7 +81,11 @@
     started: ({ drain }) => {
       // Metrics are not needed to serve, so nothing waits for their listener.
       const endpoint = { address: settings.address, port: METRICS_PORT };
-      void listenTo(metricsServer(metrics), endpoint);
+      const onRetry = () => {};
+      void listenWhenFree.listenWhenFree(metricsServer(metrics), endpoint, {
+        logger,
+        onRetry,
+      });
       logger.event(common.EventCode.ProcessStarted, { role });
       signals.act({
         stop: () => void stop(drain),
