fix: a row with many bad items costs itself alone

Cause: the schema library makes a problem of each bad item, before the text of the refusal is cut. Change: the check of a list ends at its first bad item (listOf), and rows of over 1 Mi characters are refused unparsed. An entry's row must have the entry's own key, and an epoch that is none confirms nothing.

--- a/packages/common/src/mod.ts
+++ b/packages/common/src/mod.ts
@@ -17,6 +17,7 @@
 export * from "./life_cycle.ts";
 export * from "./log_writer.ts";
 export * from "./log_process_failure.ts";
+export * from "./list_of.ts";
 export * from "./logger.ts";
 export * from "./metrics.ts";
 export * from "./metrics_registry.ts";
--- a/packages/common/src/unreadable_rows.ts
+++ b/packages/common/src/unreadable_rows.ts
@@ -1,3 +1,5 @@
+import * as eventCatalogue from "./event_catalogue.ts";
+import type * as loggerModule from "./logger.ts";
 import * as metricsModule from "./metrics.ts";
 import * as validation from "./validation.ts";
 
@@ -19,6 +21,20 @@
 
   constructor(readonly parameters: UnreadableRowsParameters) {}
 
+  /** Those of a table whose rows are logged by key. */
+  static ofTable(
+    table: string,
+    logger: loggerModule.Logger,
+    metrics: metricsModule.Metrics,
+  ): UnreadableRows {
+    const code = eventCatalogue.EventCode.RowUnreadable;
+    return new UnreadableRows({
+      table,
+      metrics,
+      log: (row, reason) => logger.event(code, { row, reason }),
+    });
+  }
+
   /** Notes a row that can't be read. */
   note(key: string, text: string, problems: validation.InputProblem[]): void {
     if (this.#texts.get(key) === text) return;
--- a/packages/common/src/validation.ts
+++ b/packages/common/src/validation.ts
@@ -15,6 +15,8 @@
 const MOST_ITEMS = 8;
 /** Levels of a value in the text of a problem. */
 const DEEPEST_RENDERED = 3;
+/** Characters of a row; many times what the tables take. */
+const LONGEST_ROW = 1024 * 1024;
 /** Problems of one input that are described. */
 const MOST_PROBLEMS = 5;
 /**
@@ -57,6 +59,17 @@
   return validate(schema, input);
 }
 
+/** Parses the JSON text of a row of a table, then validates it. */
+export function validateRow<T>(
+  schema: zod.ZodType<T>,
+  text: string,
+): neverthrow.Result<T, InputProblem[]> {
+  if (text.length <= LONGEST_ROW) return validateJson(schema, text);
+  const value = `${text.length} characters`;
+  const fix = `write ${LONGEST_ROW} at most`;
+  return neverthrow.err([{ path: "(text)", value, fix }]);
+}
+
 /** One line per problem, for people. */
 export function describeProblem(problem: InputProblem): string {
   return `${problem.path}: found ${problem.value}; ${problem.fix}`;
--- a/packages/common/src/validation_test.ts
+++ b/packages/common/src/validation_test.ts
@@ -1,6 +1,7 @@
 import * as ava from "ava";
 import * as fastCheck from "fast-check";
 import * as zod from "zod";
+import * as listOf from "./list_of.ts";
 import * as validation from "./validation.ts";
 
 const test = ava.default;
@@ -83,3 +84,25 @@
   const problems = validation.validateJson(SCHEMA, text)._unsafeUnwrapErr();
   t.regex(validation.describeProblems(problems), /; and 295 more$/);
 });
+
+// Guards against a long list of bad items, whose problems fill the memory.
+test("the check of a list ends at its first bad item", (t) => {
+  const item = zod.object({ name: zod.string(), count: zod.number() });
+  const schema = zod.object({ items: listOf.listOf(item) });
+  const sound = { name: "n", count: 1 };
+  const read = (items: unknown[]) =>
+    validation.validateJson(schema, JSON.stringify({ items }));
+  t.deepEqual(read([sound, sound])._unsafeUnwrap(), { items: [sound, sound] });
+  const bad = Array.from({ length: 100_000 }, () => ({}));
+  const problems = read([sound, ...bad])._unsafeUnwrapErr();
+  t.deepEqual(
+    problems.map(({ path }) => path),
+    ["items.1.name", "items.1.count"],
+  );
+  t.true(read([7])._unsafeUnwrapErr().length === 1);
+});
+
+test("a row that is too long is refused before it is parsed", (t) => {
+  const row = validation.validateRow(zod.unknown(), "[".repeat(2_000_000));
+  t.is(row._unsafeUnwrapErr()[0].path, "(text)");
+});
--- a/packages/daemon/src/mesh/member_rows.ts
+++ b/packages/daemon/src/mesh/member_rows.ts
@@ -52,12 +52,11 @@
     logger: common.Logger,
     metrics: common.Metrics,
   ) {
-    this.#unreadable = new common.UnreadableRows({
-      table: "entries",
+    this.#unreadable = common.UnreadableRows.ofTable(
+      "entries",
+      logger,
       metrics,
-      log: (row, reason) =>
-        logger.event(common.EventCode.RowUnreadable, { row, reason }),
-    });
+    );
   }
 
   /** The epoch of the table. */
@@ -115,7 +114,7 @@
     });
     return rows.map((found) => {
       const confirmed = found.find(({ key }) => key === CONFIRMED_EPOCH_KEY);
-      this.#confirmedEpoch = confirmed ? Number(confirmed.value) : Infinity;
+      this.#confirmedEpoch = confirmed ? epochOf(confirmed.value) : Infinity;
       return found
         .filter(({ key }) => key.startsWith(PREFIX))
         .flatMap((row) => this.#readRow(row) ?? []);
@@ -128,7 +127,11 @@
     value,
     revision,
   }: backingServices.Row): MemberRow | undefined {
-    const read = common.validateJson(MEMBER, value);
+    const named = MEMBER.refine(
+      ({ host }) => key === PREFIX + host,
+      "write an entry under its own name",
+    );
+    const read = common.validateRow(named, value);
     if (read.isErr()) {
       this.#unreadable.note(key, value, read.error);
       return undefined;
@@ -157,3 +160,9 @@
     );
   }
 }
+
+/** A confirmed epoch; -1, for none, if the text is no epoch. */
+function epochOf(text: string): number {
+  const epoch = Number(text);
+  return Number.isSafeInteger(epoch) ? epoch : -1;
+}
--- a/packages/daemon/src/quarantine/quarantine_rows.ts
+++ b/packages/daemon/src/quarantine/quarantine_rows.ts
@@ -43,12 +43,11 @@
 
   constructor(readonly parameters: QuarantineRowsParameters) {
     const { metrics, logger } = parameters;
-    this.#unreadable = new common.UnreadableRows({
-      table: "quarantine",
+    this.#unreadable = common.UnreadableRows.ofTable(
+      "quarantine",
+      logger,
       metrics,
-      log: (row, reason) =>
-        logger.event(common.EventCode.RowUnreadable, { row, reason }),
-    });
+    );
   }
 
   /**
@@ -98,7 +97,7 @@
 
   /** The crashes of a row; none if it can't be read. */
   #readRow({ key, value }: backingServices.Row): suspectLedger.CrashReport[] {
-    const read = common.validateJson(storedCrash.STORED_CRASHES, value);
+    const read = common.validateRow(storedCrash.STORED_CRASHES, value);
     if (read.isErr()) {
       this.#unreadable.note(key, value, read.error);
       return [];
--- a/packages/daemon/src/quarantine/stored_crash.ts
+++ b/packages/daemon/src/quarantine/stored_crash.ts
@@ -1,3 +1,4 @@
+import * as common from "@geraniumkeel/common";
 import * as zod from "zod";
 
 const COUNT = zod.number().min(0);
@@ -27,7 +28,7 @@
 });
 
 /** The crashes of runners that the row of a request stores. */
-export const STORED_CRASHES = zod.array(CRASH);
+export const STORED_CRASHES = common.listOf(CRASH);
 
 /** One crash of a runner, as the row of a request stores it. */
 export type StoredCrash = zod.infer<typeof CRASH>;
