fix(rank_group): a leader whose term fails leaves the lead to another rank

A rank whose term failed waits as one that was superseded does, and forgets what it knew of the group. By reading; no test of its own.

--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -207,13 +207,28 @@
         await this.#member.changed.next(pause, signal);
         continue;
       }
-      await this.#lead(identity, signal);
+      try {
+        await this.#lead(identity, signal);
+      } catch (cause) {
+        this.#leaveLeadToOthers();
+        throw cause;
+      }
       this.#follower.lastHeartbeatAt = this.#isReformedSince(identity)
         ? -Infinity
         : common.now();
     }
   }
 
+  /**
+   * Lets another rank lead after a term failed: what it failed on may be known to
+   * this process alone, and it would lead, and fail, again and again.
+   */
+  #leaveLeadToOthers(): void {
+    this.#supersededAt = common.now();
+    this.#follower.lastHeartbeatAt = common.now();
+    this.#follower.knowledge = undefined;
+  }
+
   /**
    * Time since the leader's last heartbeat after which this process takes over,
    * in milliseconds.
