--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -56,12 +56,7 @@
   const incarnation = common.randomIdentifier();
   const { host, place, region, timing } = settings;
   const unreadableRows = (table: string) =>
-    new common.UnreadableRows({
-      table,
-      metrics,
-      log: (row, reason) =>
-        logger.event(common.EventCode.RowUnreadable, { row, reason }),
-    });
+    common.UnreadableRows.ofTable(table, logger, metrics);
   const unreadableLeases = unreadableRows("leases");
   const unreadableConfiguration = unreadableRows("configuration");
   const keeper = new configurationHolder.ConfigurationHolder({
--- a/packages/wire/src/link_server.ts
+++ b/packages/wire/src/link_server.ts
@@ -59,5 +59,7 @@
   // far end resets it meanwhile, the error would end the process.
   socket.on("error", () => socket.destroy());
   const text = http.STATUS_CODES[status];
-  socket.end(`HTTP/1.1 ${status} ${text}\r\nConnection: close\r\n\r\n`);
+  const head = `HTTP/1.1 ${status} ${text}\r\nConnection: close\r\n\r\n`;
+  // A far end that keeps its side open would hold the descriptor.
+  socket.end(head, () => socket.destroy());
 }
