fix(common): texts of unreadable rows are remembered for a bounded number of rows

Found in the last reading of the change: the text of each row that can't be read is kept so that it is logged once, and the readers of entries, claims and the quarantine forget none; a writer of ever new keys would fill the memory. A thousand rows are remembered for a table; one past that is logged again.

--- a/packages/common/src/http_call_fixture.ts
+++ b/packages/common/src/http_call_fixture.ts
@@ -116,7 +116,7 @@
 /**
  * Writes pieces for as long as the connection takes them, many at a time. One
  * system call for each short piece holds up the event loop, which the client
- * under test shares, for 0.4 s until the connection's buffers are full.
+ * under test shares, until the connection's buffers are full.
  */
 export function writeWithoutEnd(socket: net.Socket, piece: Buffer): void {
   const pieces = Math.ceil(MIN_WRITE_BYTES / piece.length);
--- a/packages/common/src/unreadable_rows.ts
+++ b/packages/common/src/unreadable_rows.ts
@@ -3,6 +3,9 @@
 import * as metricsModule from "./metrics.ts";
 import * as validation from "./validation.ts";
 
+/** Rows of a table whose texts are remembered; past that, the oldest are not. */
+const MAX_REMEMBERED_ROWS = 1_000;
+
 /** What telling of unreadable rows needs. */
 export interface UnreadableRowsParameters {
   /** Name of the table, for the counter. */
@@ -38,7 +41,10 @@
   /** Notes a row that can't be read. */
   note(key: string, text: string, problems: validation.InputProblem[]): void {
     if (this.#texts.get(key) === text) return;
+    this.#texts.delete(key);
     this.#texts.set(key, text);
+    const [oldest] = this.#texts.keys();
+    if (this.#texts.size > MAX_REMEMBERED_ROWS) this.#texts.delete(oldest);
     const { table, metrics, log } = this.parameters;
     metrics.count(metricsModule.Metric.UnreadableRows, { table });
     log(key, validation.describeProblems(problems));
--- a/packages/daemon/src/forwarding/confirm_end.ts
+++ b/packages/daemon/src/forwarding/confirm_end.ts
@@ -5,8 +5,7 @@
 
 /**
  * Time from the end of an answer to the look at its runner. The listener of a
- * process that ends closes after its connections: with some 250 of them up to
- * 15 ms after the first, in 40 trials.
+ * process that ends closes some milliseconds after its connections.
  */
 const SETTLE_MILLISECONDS = 30;
 /**
