feat(observability): name where a switch of maps spends its time, and why runners are connected to

Callers of a large group get their streams late, and a switch that was given up said only 'no answer', with 0 ms for its one stage. Neither the log nor a metric told an order that did not reach the ranks from ranks that were slow to load, nor what the connections to runners were for.

The switch event names the time of each stage (order, load, hold, arm, begin), the age of the last shift of demand, and how many ranks did not carry out the order. The counter runner_connections counts each connection to a runner by reason and by the host that opens it.

No change of behaviour.

--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -8,6 +8,7 @@
   Quarantined = "quarantined",
   RateLimitDecisions = "rate_limit_decisions",
   RunnerRests = "runner_rests",
+  RunnerConnections = "runner_connections",
   AdmissionDecisions = "admission_decisions",
   AdmissionCapacity = "admission_capacity",
   AdmissionWaiting = "admission_waiting",
@@ -79,6 +80,11 @@
     "Rests that runners asked this entry for.",
     "service",
   ),
+  [Metric.RunnerConnections]: counter(
+    "Connections opened to runners and their engines, by what for: request, presence, report, activations, lists, order.",
+    "reason",
+    "origin",
+  ),
   [Metric.AdmissionDecisions]: counter(
     "Requests for services that routes of several urgencies share: start, refuse, left.",
     "service",
--- a/packages/common/src/mod.ts
+++ b/packages/common/src/mod.ts
@@ -24,6 +24,7 @@
 export * from "./presence.ts";
 export * from "./random.ts";
 export * from "./report_handler_failure.ts";
+export * from "./runner_connection.ts";
 export * from "./task_failures.ts";
 export * from "./unreachable.ts";
 export * from "./unreadable_rows.ts";
--- a/packages/daemon/src/rank_group/group_leader.ts
+++ b/packages/daemon/src/rank_group/group_leader.ts
@@ -180,7 +180,8 @@
     if (!planned) return;
     const planMilliseconds = common.now() - startedAt;
     const { distance, shifts } = this.parameters.demand;
-    const before = { distance, shifts, planMilliseconds };
+    const shiftAge = startedAt - this.parameters.demand.shiftDetectedAt;
+    const before = { distance, shifts, shiftAge, planMilliseconds };
     const version = this.#nextVersion();
     const next = mapDifference.expertsOfRanks(
       planned.plan.places,
@@ -241,7 +242,13 @@
   #logSwitch(
     version: number,
     { plan, strain }: mapPlanner.PlannedMap,
-    before: { distance: number; shifts: number; planMilliseconds: number },
+    before: {
+      distance: number;
+      shifts: number;
+      /** Milliseconds from the last detected shift to the plan. */
+      shiftAge: number;
+      planMilliseconds: number;
+    },
     outcome: switchGroup.GroupSwitchOutcome,
   ): void {
     const { identity, demand, logger } = this.parameters;
@@ -253,6 +260,9 @@
       version,
       distance: rounded(before.distance),
       shifts: before.shifts,
+      shiftAge: Number.isFinite(before.shiftAge)
+        ? Math.round(before.shiftAge)
+        : undefined,
       strain: rounded(strain),
       copies: plan.copies,
       mostCopiesOfRank: plan.mostCopiesOfRank,
@@ -260,9 +270,14 @@
       skewAfter: rounded(plan.skewAfter),
       skewNow: rounded(skewNow),
       planMilliseconds: Math.round(before.planMilliseconds),
+      orderMilliseconds: Math.round(outcome.orderMilliseconds),
+      failedRanks: outcome.failedRanks.length,
+      firstFailedRank: outcome.failedRanks.at(0),
       prepareMilliseconds: Math.round(outcome.prepareMilliseconds),
       lastToLoad: outcome.lastToLoad,
+      holdMilliseconds: Math.round(outcome.holdMilliseconds),
       armMilliseconds: Math.round(outcome.armMilliseconds),
+      beginMilliseconds: Math.round(outcome.beginMilliseconds),
       kind: outcome.kind,
       detail: outcome.detail,
     });
--- a/packages/daemon/src/rank_group/switch_group.ts
+++ b/packages/daemon/src/rank_group/switch_group.ts
@@ -31,8 +31,18 @@
 export interface GroupSwitchOutcome {
   kind: GroupSwitchKind;
   detail: string;
+  /** Until all ranks had taken the order to load the map, or one had not. */
+  orderMilliseconds: number;
+  /** Until all ranks had loaded the map, the order included. */
   prepareMilliseconds: number;
+  /** Until a rank held the iteration of the switch. */
+  holdMilliseconds: number;
+  /** Until the iteration was released, the hold included. */
   armMilliseconds: number;
+  /** From the release until the own rank used the map. */
+  beginMilliseconds: number;
+  /** Ranks that did not carry out an order, in order of rank. */
+  failedRanks: number[];
   /**
    * The rank that was last seen without the loaded map; -1 if none was seen.
    */
@@ -111,13 +121,21 @@
   const outcome: GroupSwitchOutcome = {
     kind: GroupSwitchKind.GivenUp,
     detail: "",
+    orderMilliseconds: 0,
     prepareMilliseconds: 0,
+    holdMilliseconds: 0,
     armMilliseconds: 0,
+    beginMilliseconds: 0,
+    failedRanks: [],
     lastToLoad: -1,
   };
   const prepare = prepareOrder(parameters);
-  const prepareFailure = await orderAll(handles, prepare);
-  if (prepareFailure) return { ...outcome, ...outcomeOf(prepareFailure) };
+  const prepareFailures = await orderAll(handles, prepare);
+  outcome.orderMilliseconds = common.now() - startedAt;
+  if (prepareFailures.length > 0) {
+    outcome.failedRanks = prepareFailures.map(({ rank }) => rank);
+    return { ...outcome, ...outcomeOf(prepareFailures[0].reply) };
+  }
   const hasLoaded = () => {
     const loading = handles.find((handle) => !isLoaded(handle, version));
     outcome.lastToLoad = loading?.rank ?? outcome.lastToLoad;
@@ -134,6 +152,7 @@
     return { ...outcome, detail: "a rank did not load the map in time" };
   const preparedAt = common.now();
   const step = await holdAhead(parameters);
+  outcome.holdMilliseconds = common.now() - preparedAt;
   if (typeof step !== "number") return { ...outcome, ...outcomeOf(step) };
   const arm = { kind: wire.RankOrderKind.Arm, version, step } as const;
   for (const stage of armingStages(parameters)) {
@@ -150,7 +169,8 @@
     valid,
     pause,
   });
-  outcome.armMilliseconds = common.now() - preparedAt;
+  const releasedAt = common.now();
+  outcome.armMilliseconds = releasedAt - preparedAt;
   // All ranks are armed for the same iteration and begin it together, so the
   // state of the own rank shows that all have switched.
   await waitUntil(
@@ -158,6 +178,7 @@
     parameters,
     () => own.status?.mapVersion === version,
   );
+  outcome.beginMilliseconds = common.now() - releasedAt;
   return { ...outcome, kind: GroupSwitchKind.Done };
 }
 
@@ -237,17 +258,24 @@
   return reply;
 }
 
-/**
- * Sends an order to all ranks once. Returns the first reply other than "done".
- */
+/** A rank's reply to an order. */
+interface ReplyOfRank {
+  rank: number;
+  reply: wire.RankReply;
+}
+
+/** Sends an order to all ranks once. Returns the replies other than "done". */
 async function orderAll(
   handles: readonly rankHandle.RankHandle[],
   order: wire.RankOrder,
-): Promise<wire.RankReply | undefined> {
+): Promise<ReplyOfRank[]> {
   const replies = await Promise.all(
-    handles.map((handle) => handle.order(order)),
+    handles.map(async (handle) => {
+      const reply = await handle.order(order);
+      return { rank: handle.rank, reply };
+    }),
   );
-  return replies.find(({ end }) => end !== wire.RankOrderEnd.Done);
+  return replies.filter(({ reply }) => reply.end !== wire.RankOrderEnd.Done);
 }
 
 /**
