--- a/packages/stand_ins/src/testing/rank_processes.ts
+++ b/packages/stand_ins/src/testing/rank_processes.ts
@@ -97,11 +97,13 @@
   };
 }
 
-function configurationOf(): traffic.TrafficConfiguration {
+function configurationOf(
+  shape: traffic.EngineShape,
+): traffic.TrafficConfiguration {
   return {
     version: 1,
     routes: [],
-    services: [{ name: SERVICE, engine: SHAPE, warmUpRequestsPerSecond: 0 }],
+    services: [{ name: SERVICE, engine: shape, warmUpRequestsPerSecond: 0 }],
     accounts: undefined,
     limits: {
       mostHeaderBytes: 16_384,
@@ -120,19 +122,28 @@
   lifeCycle: common.LifeCycle;
   store: StoreState;
   logger?: common.Logger;
+  /** Engines of the group; `SHAPE` without it. */
+  shape?: traffic.EngineShape;
+  linkBytesPerSecond?: number;
+  /** The engine of another rank, as this process reaches it directly. */
+  engineOf?: (rank: number) => daemon.RankEngine;
+  /** Port to listen at if others reach the process through something else. */
+  listenPort?: number;
 }): Promise<daemon.RankProcess> {
   const { group, rank, linkPort, lifeCycle } = parameters;
+  const { shape = SHAPE, listenPort = linkPort } = parameters;
+  const { linkBytesPerSecond = LINK_BYTES_PER_SECOND } = parameters;
+  const { engineOf = (other) => group.engine(other) } = parameters;
   const answers = parameters.store === StoreState.Answers;
   const server = http.createServer();
   const rankProcess = new daemon.RankProcess({
     host: `host-${rank}`,
     service: SERVICE,
     engine: group.engine(rank),
-    engineAt: ({ address }) =>
-      group.engine(Number(address.split(".").at(-1)) - 1),
+    engineAt: ({ address }) => engineOf(Number(address.split(".").at(-1)) - 1),
     linkPort,
-    linkBytesPerSecond: LINK_BYTES_PER_SECOND,
-    configurationSource: sourceOf(answers ? configurationOf() : undefined),
+    linkBytesPerSecond,
+    configurationSource: sourceOf(answers ? configurationOf(shape) : undefined),
     runnerSource: sourceOf(
       answers ? { version: 1, runners: runnersOf(group) } : undefined,
     ),
@@ -140,7 +151,7 @@
     lifeCycle,
   });
   await new Promise<void>((resolve) =>
-    server.listen(linkPort, addressOf(rank), () => resolve()),
+    server.listen(listenPort, addressOf(rank), () => resolve()),
   );
   lifeCycle.own({ name: "server", close: () => void server.close() });
   rankProcess.start(server);
