perf(rank_group): the state of the own engine is read on a kept connection

Cause: each reading of an engine's state opened a connection.

Change: the readings that a process makes all the time share one connection, for 64 readings at most. Orders, and the reading on which an order is based, keep a connection each: there an answer that comes twice would pass for that of the next call. Activations too, as an old count would pass for a restart of the engine. A reading that is out of date by one period is one that the next corrects; a silent connection, or one with an answer that nobody asked for, is replaced.

--- a/packages/backing_services/src/http_client.ts
+++ b/packages/backing_services/src/http_client.ts
@@ -50,11 +50,25 @@
 /** Calls under way at once; further ones wait, within their timeouts. */
 const MAX_CONNECTIONS = 64;
 
-/**
- * HTTP client for one origin. Each call has a connection of its own. On a kept
- * connection a far end may send an answer again, late, where the answer to the
- * next call is due, and an order would count as carried out that was not.
- */
+/** How many connections a client has, and how long it uses each. */
+export enum ConnectionUse {
+  /**
+   * A connection for each call. On a kept one a far end may send an answer again,
+   * late, where the answer to the next call is due, and an order would count as
+   * carried out that was not.
+   */
+  OncePerCall = "once-per-call",
+  /**
+   * One connection for many calls, one after the other. Only for readings of a state
+   * that are repeated all the time, where one that is out of date does no harm.
+   */
+  Kept = "kept",
+}
+
+/** Calls on one kept connection, so that an answer sent twice misleads few. */
+const MAX_CALLS_OF_CONNECTION = 64;
+
+/** HTTP client for one origin. */
 export class HttpClient {
   readonly #pool: undici.Pool;
   readonly #endings = new common.ConnectionEndings();
@@ -66,6 +80,10 @@
       /** Longest silence of the far end, before its answer and within it. */
       timeoutMilliseconds: number;
       key?: string;
+      /** `OncePerCall` without it. */
+      connectionUse?: ConnectionUse;
+      /** Called when a connection is about to be opened. */
+      onConnect?: () => void;
       /** Called with each answer that can't be used. */
       onWrongAnswer?: (wrong: common.WrongAnswer) => void;
     },
@@ -74,18 +92,18 @@
       timeout: parameters.timeoutMilliseconds,
     });
     this.#pool = new undici.Pool(origin, {
-      connect: (options, callback) =>
+      connect: (options, callback) => {
+        parameters.onConnect?.();
         connect(options, (...made) => {
           const [, socket] = made;
           if (socket) this.#endings.watch(socket);
           callback(...made);
-        }),
+        });
+      },
       // The silence of the far end is bounded for each request.
       headersTimeout: 0,
       bodyTimeout: 0,
-      connections: MAX_CONNECTIONS,
-      // No connection is used again.
-      pipelining: 0,
+      ...optionsOf(parameters.connectionUse ?? ConnectionUse.OncePerCall),
     });
   }
 
@@ -158,3 +176,16 @@
     await this.#pool.destroy();
   }
 }
+
+function optionsOf(use: ConnectionUse): undici.Pool.Options {
+  switch (use) {
+    case ConnectionUse.OncePerCall:
+      return { connections: MAX_CONNECTIONS, pipelining: 0 };
+    case ConnectionUse.Kept:
+      return {
+        connections: 1,
+        pipelining: 1,
+        maxRequestsPerClient: MAX_CALLS_OF_CONNECTION,
+      };
+  }
+}
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -81,7 +81,7 @@
     "service",
   ),
   [Metric.RunnerConnections]: counter(
-    "Connections opened to runners and their engines, by what for: request, presence, report, activations, lists, order.",
+    "Connections opened to runners and their engines, by what for: request, presence, watch, report, activations, lists, order.",
     "reason",
     "origin",
   ),
--- a/packages/common/src/runner_connection.ts
+++ b/packages/common/src/runner_connection.ts
@@ -4,7 +4,9 @@
   Request = "request",
   /** To find out whether anything listens at the runner's address. */
   Presence = "presence",
-  /** To read the state of the engine. */
+  /** To read the state of the engine again and again. */
+  Watch = "watch",
+  /** To read the state of the engine once. */
   Report = "report",
   /** To read how often the rank activated each expert. */
   Activations = "activations",
--- a/packages/daemon/src/rank_group/rank_engine.ts
+++ b/packages/daemon/src/rank_group/rank_engine.ts
@@ -61,10 +61,14 @@
   sequence: number;
 }
 
-/** Client of one rank's engine. */
-export interface RankEngine {
+/** Reads the state of one rank's engine. */
+export interface StateReader {
   /** Reads identity and state. */
   report(): Promise<neverthrow.Result<RankReport, string>>;
+}
+
+/** Client of one rank's engine. */
+export interface RankEngine extends StateReader {
   /** Reads how often each expert was activated since the engine started. */
   chosen(): Promise<neverthrow.Result<ActivationCounts, string>>;
   /**
--- a/packages/daemon/src/rank_group/rank_member.ts
+++ b/packages/daemon/src/rank_group/rank_member.ts
@@ -66,6 +66,8 @@
     /** The role of this process in its group. */
     readonly role: () => readingPlan.GroupRole = () =>
       readingPlan.GroupRole.Leaderless,
+    /** Reads the state of the same engine for `watch`. */
+    readonly reader: rankEngine.StateReader = engine,
   ) {}
 
   /** The engine's rank and group; `undefined` before the first reading. */
@@ -214,7 +216,7 @@
       now >= readingPlan.nextStateReadingAt(state, this.#reportedAt);
     if (stateIsDue) {
       this.#reportedAt = now;
-      const report = await this.engine.report();
+      const report = await this.reader.report();
       if (report.isOk()) this.#report = report.value;
     }
     const countIsDue = now >= this.#nextCountAt(now);
--- a/packages/daemon/src/rank_group/rank_process.ts
+++ b/packages/daemon/src/rank_group/rank_process.ts
@@ -57,6 +57,11 @@
   host: string;
   service: string;
   engine: rankEngine.RankEngine;
+  /**
+   * Reads the state of the same engine all the time. No order is based on it alone:
+   * an order reads the state anew, through `engine`.
+   */
+  reader: rankEngine.StateReader;
   /**
    * Connects to the engine of another runner directly, for the time in which
    * the process beside that runner is away.
@@ -103,8 +108,10 @@
   #demand: demandModule.Demand | undefined;
 
   constructor(readonly parameters: RankProcessParameters) {
-    this.#member = new rankMember.RankMember(parameters.engine, () =>
-      this.#role(),
+    this.#member = new rankMember.RankMember(
+      parameters.engine,
+      () => this.#role(),
+      parameters.reader,
     );
     this.#follower = new leaderFollower.LeaderFollower({
       ...parameters,
--- a/packages/stand_ins/src/testing/rank_processes.ts
+++ b/packages/stand_ins/src/testing/rank_processes.ts
@@ -140,6 +140,7 @@
     host: `host-${rank}`,
     service: SERVICE,
     engine: group.engine(rank),
+    reader: group.engine(rank),
     engineAt: ({ address }) => engineOf(Number(address.split(".").at(-1)) - 1),
     linkPort,
     linkBytesPerSecond,
