fix(forwarding): bytes that all answers hold together are bounded, whatever holds them

Reported by another operator: a faulty runner sent bytes without end, its caller's host ran out of memory, and the requests of all other callers were lost with it. It can happen here.

Cause: each event of a stream that has not come to its end may be 4 MiB long, and nothing bounded the sum over streams; nor that of events that slow callers have not taken, of failures' bodies held until a retry is over, and of answers of the store and of engines (32 MiB each).

Change: common/held_bytes.ts, one sum of 32 MiB for what answers hold before they are complete; the largest holder is given up. It counts events in progress and events that callers have not taken, and failures' bodies until the final answer.

The changed lines of unbounded_answer_test read a body through collect, as the function between is gone.

--- a/packages/backing_services/src/answer_collector.ts
+++ b/packages/backing_services/src/answer_collector.ts
@@ -5,7 +5,11 @@
 /** How many times the longest silence an answer may take as a whole. */
 const LONGEST_ANSWER = 8;
 /** Longest body; the largest documents asked for have some megabytes. */
-const MAX_BODY_BYTES = 32 * 1024 * 1024;
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+/** Bytes that all answers of a process hold while they are collected. */
+const MAX_COLLECTED_BYTES = 32 * 1024 * 1024;
+/** One for the process: each client alone would stay within any bound of its own. */
+const collected = new common.HeldBytes(MAX_COLLECTED_BYTES);
 
 /** Statuses of answers without a body. */
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
@@ -34,8 +38,11 @@
  * client library are right to half a second, too late for what an engine is asked.
  */
 export class AnswerCollector implements undici.Dispatcher.DispatchHandler {
-  readonly #guard = new common.AnswerGuard(MAX_BODY_BYTES);
-  readonly #pieces: Buffer[] = [];
+  readonly #guard: common.AnswerGuard;
+  readonly #held = collected.open(() =>
+    this.#giveUp("answers over the memory for them"),
+  );
+  #pieces: Buffer[] = [];
   readonly #startedAt = common.now();
   readonly #silence: NodeJS.Timeout;
   #controller: undici.Dispatcher.DispatchController | undefined;
@@ -47,6 +54,8 @@
     readonly parameters: {
       /** Longest silence of the far end, before its answer and within it. */
       timeoutMilliseconds: number;
+      /** Longest body, if it is not that of a document. */
+      maxBodyBytes?: number;
       onWrongAnswer: (wrong: common.WrongAnswer) => void;
       onAnswer: (answer: CollectedAnswer) => void;
       onFailure: (failure: FailedRequest) => void;
@@ -54,7 +63,8 @@
       mayBeReset: () => Promise<boolean>;
     },
   ) {
-    const { timeoutMilliseconds } = parameters;
+    const { timeoutMilliseconds, maxBodyBytes = MAX_BODY_BYTES } = parameters;
+    this.#guard = new common.AnswerGuard(maxBodyBytes);
     this.#silence = setTimeout(
       () => this.#giveUp("no answer in time"),
       timeoutMilliseconds,
@@ -92,6 +102,8 @@
     this.#refuse(this.#guard.checkPiece(piece.length));
     if (this.#over) return;
     this.#pieces.push(piece);
+    this.#held.set(this.#held.bytes + piece.length);
+    if (this.#over) return;
     this.#silence.refresh();
     const longest = this.parameters.timeoutMilliseconds * LONGEST_ANSWER;
     if (common.now() - this.#startedAt > longest) {
@@ -125,12 +137,11 @@
   }
 
   #succeed(): void {
+    const body = Buffer.concat(this.#pieces).toString("utf8");
     if (!this.#end()) return;
-    this.parameters.onAnswer({
-      status: this.#status,
-      headers: this.#headers,
-      body: Buffer.concat(this.#pieces).toString("utf8"),
-    });
+    const status = this.#status;
+    const headers = this.#headers;
+    this.parameters.onAnswer({ status, headers, body });
   }
 
   /** The connection failed, or could not be made. */
@@ -164,6 +175,8 @@
   #end(): boolean {
     if (this.#over) return false;
     this.#over = true;
+    this.#pieces = [];
+    this.#held.release();
     clearTimeout(this.#silence);
     return true;
   }
--- a/packages/backing_services/src/http_client.ts
+++ b/packages/backing_services/src/http_client.ts
@@ -80,10 +80,12 @@
       /** Longest silence of the far end, before its answer and within it. */
       timeoutMilliseconds: number;
       key?: string;
+      /** Longest body of an answer, if it is not that of a document. */
+      maxBodyBytes?: number;
       /** `OncePerCall` without it. */
       connectionUse?: ConnectionUse;
       /** Called when a connection is about to be opened. */
-      onConnect?: () => void;
+      onConnect?: () => unknown;
       /** Called with each answer that can't be used. */
       onWrongAnswer?: (wrong: common.WrongAnswer) => void;
     },
@@ -155,6 +157,7 @@
     return new Promise((resolve) => {
       const collector = new answerCollector.AnswerCollector({
         timeoutMilliseconds,
+        maxBodyBytes: this.parameters.maxBodyBytes,
         onWrongAnswer: (wrong) => this.parameters.onWrongAnswer?.(wrong),
         onAnswer: (answer) => resolve(neverthrow.ok(answer)),
         onFailure: (failure) => resolve(neverthrow.err(failure)),
--- a/packages/common/src/mod.ts
+++ b/packages/common/src/mod.ts
@@ -10,6 +10,7 @@
 export * from "./event_catalogue.ts";
 export * from "./hash.ts";
 import "./hash_loaded.ts";
+export * from "./held_bytes.ts";
 export * from "./history.ts";
 export * from "./http_call.ts";
 export * from "./instant.ts";
--- a/packages/common/src/runner_connection.ts
+++ b/packages/common/src/runner_connection.ts
@@ -1,3 +1,5 @@
+import * as metricsModule from "./metrics.ts";
+
 /** Why a connection to a runner or its engine is opened. */
 export enum RunnerConnectionReason {
   /** To send a caller's request, or to send it once more. */
@@ -22,3 +24,12 @@
   Own = "own",
   Other = "other",
 }
+
+/** Returns a function that counts each connection to a runner. */
+export function countRunnerConnections(
+  metrics: metricsModule.Metrics,
+  origin: RunnerConnectionOrigin,
+): (reason: RunnerConnectionReason) => void {
+  const metric = metricsModule.Metric.RunnerConnections;
+  return (reason) => metrics.count(metric, { reason, origin });
+}
--- a/packages/common/src/validation.ts
+++ b/packages/common/src/validation.ts
@@ -26,6 +26,11 @@
  */
 const DEEPEST_INPUT = 100;
 
+/** Characters of a text whose values are counted before it is parsed. */
+const LONGEST_UNCOUNTED = 1024 * 1024;
+/** Values of a longer text; each takes tens of bytes, whatever it is in the text. */
+const MOST_VALUES = 500_000;
+
 /**
  * Checks an input against a schema. All problems are reported at once, so that
  * a file needs one round of mending and not one per mistake.
@@ -45,6 +50,10 @@
   schema: zod.ZodType<T>,
   text: string,
 ): neverthrow.Result<T, InputProblem[]> {
+  if (text.length > LONGEST_UNCOUNTED && hasMoreValues(text, MOST_VALUES)) {
+    const fix = `write ${MOST_VALUES} values at most`;
+    return neverthrow.err([{ path: "(text)", value: "(more)", fix }]);
+  }
   let input: unknown;
   try {
     input = JSON.parse(text);
@@ -83,6 +92,16 @@
   return told.join("; ");
 }
 
+/** Whether a JSON text may have more values than some; commas in texts count too. */
+function hasMoreValues(text: string, most: number): boolean {
+  let values = 1;
+  for (let at = 0; at < text.length && values <= most; at++) {
+    const character = text[at];
+    if (character === "," || character === "[" || character === "{") values++;
+  }
+  return values > most;
+}
+
 /** Whether a parsed input has more levels of lists and objects than some. */
 function isDeeperThan(input: unknown, levels: number): boolean {
   let level = [input].filter(isNested);
--- a/packages/daemon/src/forwarding/answer_buffers.ts
+++ b/packages/daemon/src/forwarding/answer_buffers.ts
@@ -1,37 +1,58 @@
+import * as common from "@geraniumkeel/common";
 import * as answerDeliveries from "./answer_deliveries.ts";
 import * as answerLimits from "./answer_limits.ts";
 
-/** Bytes of all answers that a process collects at the same time. */
+/** Bytes that a process holds of all answers that are not complete. */
 const MAX_TOTAL_BYTES = 32 * 1024 * 1024;
+const GIVEN_UP = "answers over the memory for them";
 
 /**
- * Answers that are held until they are complete. If all together become too many
- * bytes, the longest one is given up: bytes without end then cost the requests
- * whose runners send them, and not those that hold little.
+ * Answers that are held until they are complete, and events of streams until they
+ * are; see `common.HeldBytes`.
  */
 export class AnswerBuffers {
-  readonly #open = new Set<AnswerBuffer>();
+  readonly #held = new common.HeldBytes(MAX_TOTAL_BYTES);
   /** Answers that are complete and on their way to their callers. */
   readonly deliveries = new answerDeliveries.AnswerDeliveries();
 
   /** Opens the buffer of an answer; `release` must be called on it. */
   open(): AnswerBuffer {
-    const buffer = new AnswerBuffer({
-      onGrowth: () => this.#bound(),
-      onRelease: () => this.#open.delete(buffer),
-    });
-    this.#open.add(buffer);
-    return buffer;
+    return new AnswerBuffer(this.#held);
   }
 
-  #bound(): void {
-    let total = 0;
-    let longest: AnswerBuffer | undefined;
-    for (const buffer of this.#open) {
-      total += buffer.bytes;
-      if (buffer.bytes > (longest?.bytes ?? -1)) longest = buffer;
-    }
-    if (total > MAX_TOTAL_BYTES) longest?.giveUp();
+  /** Opens a count of bytes held elsewhere; `release` must be called on it. */
+  openCount(): HeldCount {
+    return new HeldCount(this.#held);
+  }
+}
+
+/** Bytes of one answer that something else holds. */
+export class HeldCount {
+  readonly #holder: common.Holder;
+  readonly #dropped = new AbortController();
+
+  constructor(held: common.HeldBytes) {
+    this.#holder = held.open(() => this.#dropped.abort());
+  }
+
+  /** Aborts when the bytes have to be dropped, for other answers. */
+  get dropped(): AbortSignal {
+    return this.#dropped.signal;
+  }
+
+  /** Why the answer is given up; `undefined` if it is not. */
+  get problem(): string | undefined {
+    return this.#holder.isGivenUp ? GIVEN_UP : undefined;
+  }
+
+  /** Tells how many bytes are held now. */
+  set(bytes: number): void {
+    this.#holder.set(bytes);
+  }
+
+  /** Tells that nothing is held any more. */
+  release(): void {
+    this.#holder.release();
   }
 }
 
@@ -40,11 +61,12 @@
   #pieces: Buffer[] = [];
   #bytes = 0;
   #problem: string | undefined;
+  readonly #holder: common.Holder;
   readonly #dropped = new AbortController();
 
-  constructor(
-    readonly parameters: { onGrowth: () => void; onRelease: () => void },
-  ) {}
+  constructor(held: common.HeldBytes) {
+    this.#holder = held.open(() => this.#drop(GIVEN_UP));
+  }
 
   /** Bytes that are held. */
   get bytes(): number {
@@ -66,16 +88,9 @@
     if (this.#problem !== undefined) return;
     this.#pieces.push(piece);
     this.#bytes += piece.length;
-    if (this.#bytes > answerLimits.MAX_HELD_BYTES) {
+    if (this.#bytes > answerLimits.MAX_HELD_BYTES)
       this.#drop(`answer over ${answerLimits.MAX_HELD_BYTES} bytes`);
-      return;
-    }
-    this.parameters.onGrowth();
-  }
-
-  /** Gives the answer up for others. */
-  giveUp(): void {
-    this.#drop("answers over the memory for them");
+    this.#holder.set(this.#bytes);
   }
 
   /** All pieces in one. */
@@ -87,7 +102,7 @@
   release(): void {
     this.#pieces = [];
     this.#bytes = 0;
-    this.parameters.onRelease();
+    this.#holder.release();
   }
 
   #drop(problem: string): void {
--- a/packages/daemon/src/forwarding/answer_relay.ts
+++ b/packages/daemon/src/forwarding/answer_relay.ts
@@ -7,28 +7,8 @@
 import type * as callerRequest from "./caller_request.ts";
 import * as runnerClient from "./runner_client.ts";
 
-/**
- * Reads a body to its end and calls `onPiece` for each piece; the error says why
- * the body can't be used.
- */
-export async function readCompleteBody(
-  body: AsyncIterable<Buffer>,
-  buffers: answerBuffers.AnswerBuffers,
-  onPiece: () => void,
-): Promise<neverthrow.Result<Buffer, string>> {
-  const buffer = buffers.open();
-  try {
-    const problem = await collect(body, buffer, onPiece);
-    return problem === undefined
-      ? neverthrow.ok(buffer.join())
-      : neverthrow.err(problem);
-  } finally {
-    buffer.release();
-  }
-}
-
 /** Reads a body into a buffer; returns why the body can't be used, if so. */
-async function collect(
+export async function collect(
   body: AsyncIterable<Buffer>,
   buffer: answerBuffers.AnswerBuffer,
   onPiece: () => void,
@@ -190,19 +170,40 @@
   async #relayEvents(
     answer: runnerClient.RunnerAnswer,
     attempt: RelayedAttempt,
+  ): Promise<neverthrow.Result<void, string>> {
+    const held = this.parameters.buffers.openCount();
+    try {
+      return await this.#relayHeldEvents(answer, attempt, held);
+    } finally {
+      held.release();
+    }
+  }
+
+  async #relayHeldEvents(
+    answer: runnerClient.RunnerAnswer,
+    attempt: RelayedAttempt,
+    held: answerBuffers.HeldCount,
   ): Promise<neverthrow.Result<void, string>> {
     const { sink } = this.parameters;
     const splitter = new eventSplitter.EventSplitter();
+    held.dropped.addEventListener("abort", () => splitter.drop());
     let events = 0;
     try {
       for await (const piece of answer.body) {
-        for (const event of splitter.push(piece)) {
-          const problem = await this.#relayEvent(event, answer.head, attempt);
+        const complete = splitter.push(piece);
+        const completeBytes = bytesOf(complete);
+        held.set(completeBytes + splitter.pendingBytes);
+        for (const event of complete) {
+          const problem =
+            held.problem ??
+            (await this.#relayEvent(event, answer.head, attempt, held));
           if (problem) return neverthrow.err(problem);
           // Many events may come at once; other requests get their turn.
           if (++events % EVENTS_PER_TURN === 0) await common.nextTurn();
           if (events > MAX_EVENTS) return neverthrow.err("too many events");
         }
+        held.set(splitter.pendingBytes);
+        if (held.problem) return neverthrow.err(held.problem);
         if (splitter.isOverLong) return neverthrow.err("event too long");
       }
     } catch (cause) {
@@ -231,6 +232,7 @@
     event: eventSplitter.StreamEvent,
     head: callerRequest.AnswerHead,
     attempt: RelayedAttempt,
+    held: answerBuffers.HeldCount,
   ): Promise<string | undefined> {
     if (attempt.superseded.aborted) return SUPERSEDED;
     const { sink } = this.parameters;
@@ -247,8 +249,16 @@
     this.#begun = true;
     attempt.onGotOn();
     const resume = attempt.pause();
+    // A caller that takes nothing holds the event until its connection ends.
+    const breakOff = () => sink.abort(held.problem ?? "");
+    held.dropped.addEventListener("abort", breakOff, { once: true });
     await sink.write(event.bytes);
+    held.dropped.removeEventListener("abort", breakOff);
     resume();
-    return undefined;
+    return held.problem;
   }
 }
+
+function bytesOf(events: readonly eventSplitter.StreamEvent[]): number {
+  return events.reduce((sum, { bytes }) => sum + bytes.length, 0);
+}
--- a/packages/daemon/src/forwarding/attempt_outcome.ts
+++ b/packages/daemon/src/forwarding/attempt_outcome.ts
@@ -1,4 +1,5 @@
 import * as traffic from "@geraniumkeel/traffic";
+import type * as answerBuffers from "./answer_buffers.ts";
 import * as callerRequest from "./caller_request.ts";
 import * as runnerTracker from "./runner_tracker.ts";
 
@@ -38,8 +39,14 @@
 export interface AttemptOutcome {
   kind: AttemptOutcomeKind;
   reason: string;
-  /** The runner's own answer, if the runner reported a failure. */
-  failure?: { head: callerRequest.AnswerHead; body: Buffer };
+  /**
+   * The runner's own answer, if the runner reported a failure. Its body may be given
+   * up for other answers.
+   */
+  failure?: {
+    head: callerRequest.AnswerHead;
+    body: answerBuffers.AnswerBuffer;
+  };
 }
 
 /** Outcome of an attempt whose request ran out of time. */
--- a/packages/daemon/src/forwarding/event_splitter.ts
+++ b/packages/daemon/src/forwarding/event_splitter.ts
@@ -45,6 +45,12 @@
     );
   }
 
+  /** Drops what was received of an event that is still incomplete. */
+  drop(): void {
+    this.#pieces = [];
+    this.#pendingBytes = 0;
+  }
+
   /** Adds bytes and returns the events that they complete. */
   push(bytes: Buffer): StreamEvent[] {
     let rest = bytes;
@@ -73,8 +79,7 @@
   #complete(last: Buffer): StreamEvent {
     const bytes =
       this.#pieces.length > 0 ? Buffer.concat([...this.#pieces, last]) : last;
-    this.#pieces = [];
-    this.#pendingBytes = 0;
+    this.drop();
     return { number: numberOf(bytes), bytes };
   }
 }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -130,6 +130,8 @@
   readonly #hedged: hedgedAttempts.HedgedAttempts;
   /** Attempts in the order in which they were made. */
   readonly #made: runnerAttempt.RunnerAttempt[] = [];
+  /** What runners answered that failed the request. */
+  readonly #failureBuffers: answerBuffers.AnswerBuffer[] = [];
   readonly #crashChecks: crashChecks.CrashChecks;
   /** Attempts of which the quarantine was told that their runners write. */
   readonly #notedWriting = new Set<runnerAttempt.RunnerAttempt>();
@@ -233,9 +235,10 @@
       clearTimeout(overdueTimer);
       this.#place.release(outcome);
       unwatch();
+      if (!outcome) this.#releaseFailures();
       stopDeadline.removeEventListener("abort", onStopDeadline);
     }
-    const delivered = await this.#answerCaller(outcome);
+    const delivered = await this.#answerAndRelease(outcome);
     outcome = this.#outcomeFor(outcome, delivered);
     this.#recordMetrics(outcome);
     const isQuarantined =
@@ -438,6 +441,7 @@
         permit,
         clock: this.#clock,
         relay: this.#relay,
+        openBuffer: () => this.#openBuffer(),
         cancel: this.#cancellation.signal,
         onStalled: () => void this.#hedged.hedge(),
         onGotOn: () => this.#noteGotOn(attempt),
@@ -569,6 +573,27 @@
       this.#firstAnswerMilliseconds = this.#clock.elapsed;
   }
 
+  /** Opens a buffer for the answer of a runner that failed the request. */
+  #openBuffer(): answerBuffers.AnswerBuffer {
+    const buffer = this.parameters.buffers.open();
+    this.#failureBuffers.push(buffer);
+    return buffer;
+  }
+
+  async #answerAndRelease(
+    outcome: attemptOutcome.AttemptOutcome,
+  ): Promise<boolean> {
+    try {
+      return await this.#answerCaller(outcome);
+    } finally {
+      this.#releaseFailures();
+    }
+  }
+
+  #releaseFailures(): void {
+    for (const buffer of this.#failureBuffers) buffer.release();
+  }
+
   /**
    * Gives the caller the final answer, and returns whether all of it has left
    * this process.
@@ -589,14 +614,8 @@
       sink.abort(`${outcome.kind}: ${outcome.reason}`);
       return false;
     }
-    const { failure } = outcome;
-    const { deliveries } = this.parameters.buffers;
-    // A failure whose body has no room is told by its kind alone.
-    const release = failure && deliveries.reserve(failure.body.length);
-    if (release)
-      return answerDeliveries.AnswerDeliveries.deliver(release, () =>
-        sink.answer(failure.head, failure.body),
-      );
+    const delivery = this.#deliverFailure(outcome);
+    if (delivery) return delivery;
     const kind = attemptOutcome.refusalKind(outcome, this.#runs);
     const retryAfterMilliseconds = this.#retryAfterMilliseconds(outcome);
     return sink.refuse({
@@ -606,6 +625,24 @@
     });
   }
 
+  /**
+   * Gives the caller the failure that a runner answered. One whose body has no room,
+   * or was given up for other answers, is told by its kind alone.
+   */
+  #deliverFailure({
+    failure,
+  }: attemptOutcome.AttemptOutcome): Promise<boolean> | undefined {
+    if (!failure || failure.body.problem !== undefined) return undefined;
+    const { sink, buffers } = this.parameters;
+    const release = buffers.deliveries.reserve(failure.body.bytes);
+    if (!release) return undefined;
+    const body = failure.body.join();
+    failure.body.release();
+    return answerDeliveries.AnswerDeliveries.deliver(release, () =>
+      sink.answer(failure.head, body),
+    );
+  }
+
   #retryAfterMilliseconds(outcome: attemptOutcome.AttemptOutcome): number {
     const { random, quarantine } = this.parameters;
     if (outcome.kind === attemptOutcome.AttemptOutcomeKind.Stopped)
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -56,7 +56,8 @@
   runners: traffic.ProvenValue<traffic.RunnerList>;
   runnerClient: runnerClientModule.RunnerClient;
   relay: answerRelay.AnswerRelay;
-  buffers: answerBuffers.AnswerBuffers;
+  /** Opens a buffer that is released once the request has its final answer. */
+  openBuffer: () => answerBuffers.AnswerBuffer;
   /** Cancels the attempt; its reason is the attempt's outcome. */
   cancel: AbortSignal;
   /** Called at each check that finds the attempt without progress. */
@@ -304,19 +305,18 @@
         return { kind: attemptOutcome.AttemptOutcomeKind.NotRun, reason };
       case runnerClientModule.Verdict.Failed: {
         this.#noteTaken();
-        const completeBody = await answerRelay.readCompleteBody(
-          body,
-          this.parameters.buffers,
-          () => this.noteContent(),
+        const buffer = this.parameters.openBuffer();
+        const unusable = await answerRelay.collect(body, buffer, () =>
+          this.noteContent(),
         );
-        if (completeBody.isErr())
+        if (unusable !== undefined)
           return { kind: attemptOutcome.AttemptOutcomeKind.Unknown, reason };
         const problem = await this.#confirmEnd(answer);
         if (problem !== undefined) {
           const kind = attemptOutcome.AttemptOutcomeKind.Unknown;
           return { kind, reason: problem };
         }
-        const failure = { head, body: completeBody.value };
+        const failure = { head, body: buffer };
         return {
           kind: attemptOutcome.AttemptOutcomeKind.Failed,
           reason,
--- a/packages/daemon/src/forwarding/unbounded_answer_test.ts
+++ b/packages/daemon/src/forwarding/unbounded_answer_test.ts
@@ -85,8 +85,25 @@
   t.is(long.filter(({ problem }) => problem !== undefined).length, 1);
   for (const buffer of long) buffer.release();
   const body = new LongBody(Buffer.alloc(4));
-  const read = await answerRelay.readCompleteBody(body, buffers, () => {});
-  t.is(read._unsafeUnwrap().length, 4 * MANY_PIECES);
+  const buffer = buffers.open();
+  t.is(await answerRelay.collect(body, buffer, () => {}), undefined);
+  t.is(buffer.join().length, 4 * MANY_PIECES);
+});
+
+// Guards against many streams that each hold an event without end, within its bound.
+test("the longest of the events that are held is given up for the others", (t) => {
+  const buffers = new answerBuffers.AnswerBuffers();
+  const counts = Array.from({ length: 40 }, () => buffers.openCount());
+  counts.forEach((count, index) => count.set((index + 1) * 39 * 1_024));
+  t.true(counts.every(({ problem }) => problem === undefined));
+  const answer = buffers.open();
+  answer.push(Buffer.alloc(MEBIBYTE));
+  t.is(
+    counts.findIndex(({ problem }) => problem !== undefined),
+    39,
+  );
+  t.true(counts[39].dropped.aborted);
+  t.is(answer.problem, undefined);
 });
 
 /**
