fix(shutdown): a stop takes late what certainly ends in time, counted from its signal

Reported by another operator: in a planned stop requests that came late were taken, passed on, and cut at the end of the grace without an answer, among them some that may not be repeated.

Where it can happen here, found by reading both data paths against the report: - The product's own entry took each request for the 6 s of its notice, whatever time it gave. One with a deadline behind the end of the stop was cut by it. Besides, the time of the stop began only after the notice, so that it took 6 s longer than the setting says. - The other data path took a request in the first 2.5 s if answers of its route were short lately, also one that may not be repeated. - It counted the grace from when the process acted on the signal. A signal during a start is acted on when the start is over, seconds later on a small host, and the kill comes that much too soon.

Change: the own entry refuses, as not run, what may run beyond the end of the stop, and counts the notice in; estimates count only for what may be repeated; the stop counts from its first signal.

Not measured: how often the first two occurred to anybody.

--- a/packages/daemon/src/entry/accept_work.ts
+++ b/packages/daemon/src/entry/accept_work.ts
@@ -29,9 +29,8 @@
   authorization: string | undefined,
 ): neverthrow.Result<WelcomeCaller, problem.Problem> {
   const { view } = context.keeper;
-  const retryAfterSeconds = context.retryAfterMilliseconds() / 1_000;
   const later = (reason: string, title: string) =>
-    neverthrow.err(problems.refusal(503, reason, title, { retryAfterSeconds }));
+    neverthrow.err(comeBackLater(context, reason, title));
   if (!view) return later("not-ready", "This entry has no configuration yet");
   const key = common.bearerToken(authorization);
   const account = key === undefined ? undefined : view.accountOfKey(key);
@@ -40,7 +39,7 @@
     return neverthrow.err(problems.refusal(401, "unauthorized", title));
   }
   if (context.draining) {
-    return later("draining", "This entry host is stopping; use another");
+    return neverthrow.err(refusalOfStop(context));
   }
   if (context.freshness.stale) {
     return later("isolated", "This entry host is cut off; use another");
@@ -51,6 +50,31 @@
   return neverthrow.ok({ account, view });
 }
 
+/**
+ * Refuses a request that may still run when a planned stop ends what runs: it would be
+ * cut off without an answer, and its caller could not tell whether it ran.
+ */
+export function checkStop(
+  context: entryContext.EntryContext,
+  { deadline }: RequestTerms,
+): problem.Problem | undefined {
+  return deadline > context.stopsBy ? refusalOfStop(context) : undefined;
+}
+
+function refusalOfStop(context: entryContext.EntryContext): problem.Problem {
+  const title = "This entry host is stopping; use another";
+  return comeBackLater(context, "draining", title);
+}
+
+function comeBackLater(
+  context: entryContext.EntryContext,
+  reason: string,
+  title: string,
+): problem.Problem {
+  const retryAfterSeconds = context.retryAfterMilliseconds() / 1_000;
+  return problems.refusal(503, reason, title, { retryAfterSeconds });
+}
+
 /** What the headers of a request say of how to run it. */
 export interface RequestTerms {
   /** Deadline by this process's clock. */
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -281,6 +281,7 @@
     lengths: new answerLengths.AnswerLengths(),
     freshness,
     draining: false,
+    stopsBy: Infinity,
     retryAfterMilliseconds,
   };
 }
--- a/packages/daemon/src/entry/entry_context.ts
+++ b/packages/daemon/src/entry/entry_context.ts
@@ -55,6 +55,8 @@
   lengths: answerLengths.AnswerLengths;
   freshness: freshness.Freshness;
   draining: boolean;
+  /** When a planned stop ends what still runs, by `common.now`; Infinity before. */
+  stopsBy: number;
   /** Jittered time after which a refused caller should come back. */
   retryAfterMilliseconds: () => number;
 }
--- a/packages/daemon/src/entry/generate_handler.ts
+++ b/packages/daemon/src/entry/generate_handler.ts
@@ -49,6 +49,8 @@
   if (terms.isErr()) {
     return problems.sendProblem(response, problems.invalidInput(terms.error));
   }
+  const stopping = acceptWork.checkStop(context, terms.value);
+  if (stopping) return problems.sendProblem(response, stopping);
   const connection = new callerConnection.CallerConnection(
     response,
     context.settings.timing.callerStall,
--- a/packages/daemon/src/entry/plain_handler.ts
+++ b/packages/daemon/src/entry/plain_handler.ts
@@ -51,6 +51,8 @@
   if (terms.isErr()) {
     return problems.sendProblem(response, problems.invalidInput(terms.error));
   }
+  const stopping = acceptWork.checkStop(context, terms.value);
+  if (stopping) return problems.sendProblem(response, stopping);
   const keyed = terms.value.idempotencyKey !== undefined;
   const suspect = context.quarantine.hasQuarantined(service.name);
   const body = await readBody.readBeginning(
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -358,6 +358,7 @@
     return !stop.admits({
       longestMilliseconds: this.#clock.millisecondsLeft,
       expectedMilliseconds: durations.expected(route.name),
+      repeatable: route.repeatability === traffic.Repeatability.Idempotent,
     });
   }
 
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -363,9 +363,9 @@
    * is over. Callers that received a list with this entry use that list for some
    * seconds more, so this entry still serves what it can finish while it drains.
    */
-  async drain(): Promise<void> {
+  async drain(sinceSignalMilliseconds: number): Promise<void> {
     const { logger, stop } = this.parameters;
-    stop.start();
+    stop.start(sinceSignalMilliseconds);
     const underWay = this.forwarder.underWay;
     logger.event(common.EventCode.DrainStarted, { underWay });
     // The store may not answer for longer than the process has.
--- a/packages/daemon/src/process/process_frame.ts
+++ b/packages/daemon/src/process/process_frame.ts
@@ -23,6 +23,11 @@
   common.InputProblem[]
 >;
 
+/** What a process does before it stops as planned. */
+export interface Stopping {
+  drain: (sinceSignalMilliseconds: number) => Promise<void>;
+}
+
 /** What every process has, whatever its role. */
 export interface ProcessFrame {
   logger: common.Logger;
@@ -37,7 +42,7 @@
     endpoint: listenWhenFree.ListenerEndpoint,
   ) => Promise<void>;
   /** Notes that the process has started, and has it stop on signals. */
-  started: (stopping: { drain: () => Promise<void> }) => void;
+  started: (stopping: Stopping) => void;
 }
 
 /**
@@ -57,8 +62,8 @@
   const signals = new processSignals.ProcessSignals(logger);
   process.once("exit", () => writer.flushNow());
   common.logProcessFailure(logger);
-  const stop = async (drain: () => Promise<void>): Promise<void> => {
-    await drain();
+  const stop = async ({ drain }: Stopping): Promise<void> => {
+    await drain(signals.sinceStopRequested);
     // Nothing of what is closed now is worth the wait for a store that is away.
     await common.withTimeout(lifeCycle.close(), CLOSE_MILLISECONDS);
     process.exit(0);
@@ -78,7 +83,7 @@
     listen: listenTo,
     random: new common.Random(common.processSeed()),
     signals,
-    started: ({ drain }) => {
+    started: (stopping) => {
       // Metrics are not needed to serve, so nothing waits for their listener.
       const endpoint = { address: settings.address, port: METRICS_PORT };
       const onRetry = () => {};
@@ -88,7 +93,7 @@
       });
       logger.event(common.EventCode.ProcessStarted, { role });
       signals.act({
-        stop: () => void stop(drain),
+        stop: () => void stop(stopping),
         reload: () => reload(settings, readSettings(), logger),
       });
     },
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -141,7 +141,8 @@
    */
   loadPeriod: milliseconds(50),
   drainTimeout: milliseconds(120_000).meta({
-    description: "Longest time a planned stop may take.",
+    description:
+      "Longest time a planned stop may take, the notice included. An entry takes no request that may run for longer than what is left of it.",
   }),
   drainNotice: milliseconds(6_000).meta({
     description:
--- a/packages/daemon/src/shutdown/planned_stop.ts
+++ b/packages/daemon/src/shutdown/planned_stop.ts
@@ -23,6 +23,12 @@
   longestMilliseconds: number;
   /** Time that it probably needs; Infinity if unknown. */
   expectedMilliseconds: number;
+  /**
+   * Whether its caller may send it again after a failure. If not, the time that it
+   * probably needs does not count: a request that takes longer is cut off, and
+   * nobody knows whether it ran.
+   */
+  repeatable: boolean;
 }
 
 /**
@@ -56,10 +62,13 @@
     return this.#deadline.signal;
   }
 
-  /** Starts the stop. */
-  start(): void {
+  /**
+   * Starts the stop. The time until the kill counts from the signal, which may have
+   * come earlier, while the process started.
+   */
+  start(sinceSignalMilliseconds = 0): void {
     if (this.#startedAt !== undefined) return;
-    this.#startedAt = common.now();
+    this.#startedAt = common.now() - sinceSignalMilliseconds;
     this.#started.abort();
     const timer = setTimeout(
       () => this.#deadline.abort(),
@@ -71,7 +80,7 @@
     });
   }
 
-  /** Milliseconds since the stop started; 0 before. */
+  /** Milliseconds since the signal to stop; 0 before the stop. */
   get elapsedMilliseconds(): number {
     return this.#startedAt === undefined ? 0 : common.now() - this.#startedAt;
   }
@@ -91,6 +100,7 @@
     const { remainingMilliseconds } = this;
     const certain = work.longestMilliseconds + FINAL_ANSWER_MILLISECONDS;
     if (certain <= remainingMilliseconds) return true;
+    if (!work.repeatable) return false;
     if (this.elapsedMilliseconds > ESTIMATE_MILLISECONDS) return false;
     return work.expectedMilliseconds <= remainingMilliseconds;
   }
--- a/packages/daemon/src/shutdown/planned_stop_test.ts
+++ b/packages/daemon/src/shutdown/planned_stop_test.ts
@@ -9,7 +9,11 @@
   return new plannedStop.PlannedStop({ graceMilliseconds, lifeCycle });
 }
 
-const NEVER = { longestMilliseconds: 1e9, expectedMilliseconds: 1e9 };
+const NEVER = {
+  longestMilliseconds: 1e9,
+  expectedMilliseconds: 1e9,
+  repeatable: true,
+};
 
 test("before a stop every request is admitted", (t) => {
   const stop = createStop(8_000);
@@ -26,7 +30,11 @@
   const { remainingMilliseconds: remaining } = stop;
   t.true(remaining > 8_000 * (5 / 6) && remaining < 8_000);
   const admits = (longestMilliseconds: number, expectedMilliseconds: number) =>
-    stop.admits({ longestMilliseconds, expectedMilliseconds });
+    stop.admits({
+      longestMilliseconds,
+      expectedMilliseconds,
+      repeatable: true,
+    });
   t.true(admits(remaining - 200, Infinity));
   t.false(admits(remaining, Infinity));
   t.true(admits(20_000, remaining - 100));
@@ -39,11 +47,32 @@
   const stop = createStop(60_000);
   stop.start();
   while (stop.elapsedMilliseconds < 2_600) await common.sleep(50);
-  const probablyShort = { longestMilliseconds: 1e6, expectedMilliseconds: 10 };
+  const probablyShort = { ...NEVER, expectedMilliseconds: 10 };
   t.false(stop.admits(probablyShort));
   t.true(stop.admits({ ...probablyShort, longestMilliseconds: 20_000 }));
 });
 
+// Guards against a request that was cut off and may have run, though it was sent when
+// the stop was known to be too short for it.
+test("in a stop a request that may not be repeated needs a bound that fits", (t) => {
+  const stop = createStop(8_000);
+  stop.start();
+  const once = { ...NEVER, expectedMilliseconds: 10, repeatable: false };
+  t.false(stop.admits(once));
+  t.true(stop.admits({ ...once, longestMilliseconds: 2_000 }));
+});
+
+// Guards against requests that are taken for time that the process does not have, as
+// it was still starting when the signal came.
+test("the time of a stop counts from the signal", (t) => {
+  const stop = createStop(8_000);
+  stop.start(3_000);
+  t.true(stop.elapsedMilliseconds >= 3_000);
+  t.true(stop.remainingMilliseconds <= 5_000);
+  const work = { ...NEVER, longestMilliseconds: 5_000 };
+  t.false(stop.admits(work));
+});
+
 // Guards against requests that are cut off by the kill, without an answer.
 test("the deadline for answers comes before the process has to be gone", async (t) => {
   const stop = createStop(400);
--- a/packages/daemon/src/shutdown/process_signals.ts
+++ b/packages/daemon/src/shutdown/process_signals.ts
@@ -25,7 +25,8 @@
 export class ProcessSignals {
   readonly #receivedAt = new Map<ProcessSignal, common.Instant>();
   #actions: SignalActions | undefined;
-  #stopReceived = false;
+  /** When the first signal to stop came. */
+  #stopReceivedAt: common.Instant | undefined;
   #reloadReceived = false;
 
   constructor(readonly logger: common.Logger) {
@@ -35,7 +36,12 @@
 
   /** Whether a signal to stop was received. */
   get stopRequested(): boolean {
-    return this.#stopReceived;
+    return this.#stopReceivedAt !== undefined;
+  }
+
+  /** Milliseconds since the first signal to stop; 0 before. */
+  get sinceStopRequested(): number {
+    return this.#stopReceivedAt ? common.ageOf(this.#stopReceivedAt) : 0;
   }
 
   /** Milliseconds since each signal that was received came last, by its name. */
@@ -50,16 +56,16 @@
   act(actions: SignalActions): void {
     this.#actions = actions;
     if (this.#reloadReceived) actions.reload();
-    if (this.#stopReceived) actions.stop();
+    if (this.stopRequested) actions.stop();
   }
 
   #terminate(): void {
     this.#note(ProcessSignal.Terminate);
-    if (this.#stopReceived) {
+    if (this.stopRequested) {
       this.logger.event(common.EventCode.StopRepeated);
       return;
     }
-    this.#stopReceived = true;
+    this.#stopReceivedAt = common.instant();
     this.#actions?.stop();
   }
 
