fix(rank_group): a leader of a small group reads all its out-of-date ranks at once

The bound of an eighth, made for large groups, left one direct reading in 50 ms to a group of eight ranks. Eight at once are allowed in any group, each every 150 ms.

--- a/packages/daemon/src/rank_group/group_leader.ts
+++ b/packages/daemon/src/rank_group/group_leader.ts
@@ -19,6 +19,8 @@
  * all of them would make it later.
  */
 const MAX_REFRESHED_SHARE = 1 / 8;
+/** Ranks that it reads directly in one check however small the group is. */
+const MIN_REFRESHED = 8;
 /**
  * Versions are derived from the time in milliseconds, and each rank uses its
  * own remainder modulo 64. So two leaders never use the same version for two
@@ -131,7 +133,8 @@
    */
   async #refreshOutdated(): Promise<void> {
     const { handles } = this.parameters;
-    const most = Math.ceil(handles.length * MAX_REFRESHED_SHARE);
+    const share = Math.ceil(handles.length * MAX_REFRESHED_SHARE);
+    const most = Math.max(MIN_REFRESHED, share);
     const outdated = handles.filter((handle) => handle.isRefreshDue);
     const refreshed = outdated.slice(0, most);
     await Promise.all(refreshed.map((handle) => handle.refresh()));
--- a/packages/daemon/src/rank_group/linked_rank.ts
+++ b/packages/daemon/src/rank_group/linked_rank.ts
@@ -20,7 +20,7 @@
 const PREPARE_ANSWER_TIMEOUT_MILLISECONDS = 1_600;
 
 /** Shortest time from one direct reading of a rank's state to the next. */
-const MIN_REFRESH_INTERVAL_MILLISECONDS = 300;
+const MIN_REFRESH_INTERVAL_MILLISECONDS = 150;
 
 /** Fencing token of a leader, and the group epoch in which it leads. */
 export interface Leadership {
