--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -8,13 +8,13 @@
 import type * as watchedRequests from "../quarantine/watched_requests.ts";
 import type * as plannedStop from "../shutdown/planned_stop.ts";
 import type * as answerBuffers from "./answer_buffers.ts";
-import * as answerDeliveries from "./answer_deliveries.ts";
 import type * as answerDurations from "./answer_durations.ts";
 import * as admissionPlace from "./admission_place.ts";
 import * as answerRelay from "./answer_relay.ts";
 import * as attemptOutcome from "./attempt_outcome.ts";
 import * as callerRequest from "./caller_request.ts";
 import * as crashChecks from "./crash_checks.ts";
+import * as failureAnswers from "./failure_answers.ts";
 import * as hedgedAttempts from "./hedged_attempts.ts";
 import * as obtainRunner from "./obtain_runner.ts";
 import * as retryDelay from "./retry_delay.ts";
@@ -130,8 +130,7 @@
   readonly #hedged: hedgedAttempts.HedgedAttempts;
   /** Attempts in the order in which they were made. */
   readonly #made: runnerAttempt.RunnerAttempt[] = [];
-  /** What runners answered that failed the request. */
-  readonly #failureBuffers: answerBuffers.AnswerBuffer[] = [];
+  readonly #failures: failureAnswers.FailureAnswers;
   readonly #crashChecks: crashChecks.CrashChecks;
   /** Attempts of which the quarantine was told that their runners write. */
   readonly #notedWriting = new Set<runnerAttempt.RunnerAttempt>();
@@ -159,6 +158,7 @@
       ...request,
       account: account?.name ?? "",
     });
+    this.#failures = new failureAnswers.FailureAnswers(parameters.buffers);
     this.#relay = new answerRelay.AnswerRelay({
       sink,
       answerForm: route.answerForm,
@@ -235,7 +235,7 @@
       clearTimeout(overdueTimer);
       this.#place.release(outcome);
       unwatch();
-      if (!outcome) this.#releaseFailures();
+      if (!outcome) this.#failures.release();
       stopDeadline.removeEventListener("abort", onStopDeadline);
     }
     const delivered = await this.#answerAndRelease(outcome);
@@ -442,7 +442,7 @@
         permit,
         clock: this.#clock,
         relay: this.#relay,
-        openBuffer: () => this.#openBuffer(),
+        openBuffer: () => this.#failures.open(),
         cancel: this.#cancellation.signal,
         onStalled: () => void this.#hedged.hedge(),
         onGotOn: () => this.#noteGotOn(attempt),
@@ -574,27 +574,16 @@
       this.#firstAnswerMilliseconds = this.#clock.elapsed;
   }
 
-  /** Opens a buffer for the answer of a runner that failed the request. */
-  #openBuffer(): answerBuffers.AnswerBuffer {
-    const buffer = this.parameters.buffers.open();
-    this.#failureBuffers.push(buffer);
-    return buffer;
-  }
-
   async #answerAndRelease(
     outcome: attemptOutcome.AttemptOutcome,
   ): Promise<boolean> {
     try {
       return await this.#answerCaller(outcome);
     } finally {
-      this.#releaseFailures();
+      this.#failures.release();
     }
   }
 
-  #releaseFailures(): void {
-    for (const buffer of this.#failureBuffers) buffer.release();
-  }
-
   /**
    * Gives the caller the final answer, and returns whether all of it has left
    * this process.
@@ -615,7 +604,7 @@
       sink.abort(`${outcome.kind}: ${outcome.reason}`);
       return false;
     }
-    const delivery = this.#deliverFailure(outcome);
+    const delivery = this.#failures.deliver(outcome, sink);
     if (delivery) return delivery;
     const kind = attemptOutcome.refusalKind(outcome, this.#runs);
     const retryAfterMilliseconds = this.#retryAfterMilliseconds(outcome);
@@ -626,24 +615,6 @@
     });
   }
 
-  /**
-   * Gives the caller the failure that a runner answered. One whose body has no room,
-   * or was given up for other answers, is told by its kind alone.
-   */
-  #deliverFailure({
-    failure,
-  }: attemptOutcome.AttemptOutcome): Promise<boolean> | undefined {
-    if (!failure || failure.body.problem !== undefined) return undefined;
-    const { sink, buffers } = this.parameters;
-    const release = buffers.deliveries.reserve(failure.body.bytes);
-    if (!release) return undefined;
-    const body = failure.body.join();
-    failure.body.release();
-    return answerDeliveries.AnswerDeliveries.deliver(release, () =>
-      sink.answer(failure.head, body),
-    );
-  }
-
   #retryAfterMilliseconds(outcome: attemptOutcome.AttemptOutcome): number {
     const { random, quarantine } = this.parameters;
     if (outcome.kind === attemptOutcome.AttemptOutcomeKind.Stopped)
