perf(mesh): heartbeats of an entry do not grow with its peers

Cause: each entry sends every other one a heartbeat each 300 ms and reads theirs, whether it serves anybody or not; in a profile of an entry with 98 peers that is half of its time.

Change: over 50 peers a heartbeat goes out in every second tick, over 100 in every third; an entry counts as unreachable after 1.5 or 2 s then. Nothing changes up to 50 peers. What goes out at once (leaving, documents, suspicions) does so as before.

Above 150 peers heartbeats grow with the peers again.

--- a/packages/daemon/src/admission/urgency_queue.ts
+++ b/packages/daemon/src/admission/urgency_queue.ts
@@ -1,5 +1,5 @@
 import * as wire from "@geraniumkeel/wire";
-import * as heartbeatSender from "../mesh/heartbeat_sender.ts";
+import * as heartbeatInterval from "../mesh/heartbeat_interval.ts";
 import * as accountShares from "./account_shares.ts";
 import * as decayingMean from "./decaying_mean.ts";
 import * as eventPace from "./event_pace.ts";
@@ -16,8 +16,7 @@
  * Interval of the reports between entries. It equals that of the mesh
  * heartbeats, which carry the requests in progress that a report is compared with.
  */
-export const REPORT_INTERVAL_MILLISECONDS =
-  heartbeatSender.HEARTBEAT_INTERVAL_MILLISECONDS;
+export const REPORT_INTERVAL_MILLISECONDS = heartbeatInterval.TICK_MILLISECONDS;
 /**
  * Time after the return of a service that stood still in which a request that
  * waited for it may still start. In one report interval every entry learns of
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -492,7 +492,9 @@
   #restBelowAge(): number {
     const index = this.mesh.pollPosition() - STORE_POLLERS;
     if (index < 0) return 0;
-    return FALLBACK_AGE_MILLISECONDS + index * FALLBACK_STAGGER_MILLISECONDS;
+    const { extraMilliseconds } = this.mesh.interval;
+    const first = FALLBACK_AGE_MILLISECONDS + extraMilliseconds;
+    return first + index * FALLBACK_STAGGER_MILLISECONDS;
   }
 
   /**
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -9,10 +9,9 @@
 import type * as memberRows from "./member_rows.ts";
 import * as meshPeer from "./mesh_peer.ts";
 import * as heartbeatClockModule from "./heartbeat_clock.ts";
+import * as heartbeatInterval from "./heartbeat_interval.ts";
 import * as heartbeatSender from "./heartbeat_sender.ts";
 
-/** Age of the last mesh heartbeat from which on an entry is unreachable. */
-const MAX_HEARTBEAT_AGE_MILLISECONDS = 1_000;
 /**
  * Timing of mesh links and of links between ranks (`rank_group/`), in
  * milliseconds. `heartbeat` is here the interval of the link's own heartbeats
@@ -169,6 +168,8 @@
   readonly #documents: documentExchange.DocumentExchange;
   readonly #pollPreference: common.Preferred;
   readonly #heartbeats: heartbeatSender.HeartbeatSender;
+  /** The interval for a number of peers; asked for at each message. */
+  #interval = { peers: 0, value: new heartbeatInterval.HeartbeatInterval(0) };
   #leaving = false;
   #membersKnown = false;
   /**
@@ -203,9 +204,7 @@
       },
     });
     lifeCycle.own({ name: "links", close: () => accepting.close() });
-    lifeCycle.every(heartbeatSender.HEARTBEAT_INTERVAL_MILLISECONDS, () =>
-      this.#tick(),
-    );
+    lifeCycle.every(heartbeatInterval.TICK_MILLISECONDS, () => this.#tick());
     lifeCycle.keepRunning("register", (signal) => this.#register(signal));
     lifeCycle.keepRunning("seeds", (signal) => this.#dialSeeds(signal));
     lifeCycle.keepRunning("push-configuration", (signal) =>
@@ -264,7 +263,7 @@
     return [...this.#known.values()].every((known) => {
       const { knownSince, heardSince = Infinity, lastReceivedAt } = known;
       if (knownSince > from) return true;
-      const isHeard = now - lastReceivedAt < MAX_HEARTBEAT_AGE_MILLISECONDS;
+      const isHeard = now - lastReceivedAt < this.interval.maxAgeMilliseconds;
       return isHeard && heardSince <= from;
     });
   }
@@ -277,6 +276,16 @@
     return this.#membersKnown;
   }
 
+  /** In which intervals entries send each other heartbeats now. */
+  get interval(): heartbeatInterval.HeartbeatInterval {
+    const peers = this.#known.size;
+    if (this.#interval.peers !== peers) {
+      const value = new heartbeatInterval.HeartbeatInterval(peers);
+      this.#interval = { peers, value };
+    }
+    return this.#interval.value;
+  }
+
   /** Number of known entries, reachable or not, including this one. */
   get size(): number {
     return this.#known.size + 1;
@@ -345,7 +354,7 @@
   }
 
   #isReachable(peer: meshPeer.MeshPeer): boolean {
-    return peer.open && peer.heartbeatAge < MAX_HEARTBEAT_AGE_MILLISECONDS;
+    return peer.open && peer.heartbeatAge < this.interval.maxAgeMilliseconds;
   }
 
   /**
@@ -589,7 +598,7 @@
   #receive(peer: meshPeer.MeshPeer, message: wire.Message): void {
     const { onOutstanding } = this.parameters;
     const known = this.#known.get(peer.member.host);
-    if (known) noteReceipt(known);
+    if (known) noteReceipt(known, this.interval.maxAgeMilliseconds);
     switch (message.kind) {
       case wire.MessageKind.MeshHeartbeat: {
         peer.receive(message);
@@ -645,7 +654,7 @@
   }
 
   #tick(): void {
-    this.#heartbeats.tick(this.#linked.values());
+    this.#heartbeats.tick(this.#linked.values(), this.interval);
     for (const peer of this.#linked.values()) peer.tick();
     // Closes a spare link that the other end has neither closed nor used.
     for (const peer of this.#spare) peer.tick();
@@ -664,11 +673,14 @@
   }
 }
 
-/** Notes that a message came from an entry. */
-function noteReceipt(known: KnownEntry): void {
+/**
+ * Notes that a message came from an entry, which is unreachable after `maxSilence`
+ * milliseconds without one.
+ */
+function noteReceipt(known: KnownEntry, maxSilence: number): void {
   const now = common.now();
   const silence = now - known.lastReceivedAt;
-  const isBreak = silence >= MAX_HEARTBEAT_AGE_MILLISECONDS;
+  const isBreak = silence >= maxSilence;
   if (isBreak || known.heardSince === undefined) known.heardSince = now;
   known.lastReceivedAt = now;
 }
--- /dev/null
+++ b/packages/daemon/src/mesh/heartbeat_interval.ts
@@ -0,0 +1,35 @@
+/** Shortest time between two mesh heartbeats to a peer: one tick. */
+export const TICK_MILLISECONDS = 300;
+/**
+ * Peers of an entry that gets a heartbeat from each in every tick. With more, what an
+ * entry sends and reads while it serves nobody would grow with their number.
+ */
+const PEERS_PER_TICK = 50;
+/** Ticks between heartbeats at most: a part of the fleet that is lost is missed by then. */
+const MAX_TICKS = 3;
+/** Age from which on a heartbeat that comes in every tick shows an unreachable entry. */
+const MAX_AGE_MILLISECONDS = 1_000;
+/** The same, for each further tick between heartbeats; the rest is for lost packets. */
+const MAX_AGE_PER_TICK_MILLISECONDS = 500;
+
+/** In which intervals an entry with a number of peers sends heartbeats. */
+export class HeartbeatInterval {
+  /** Ticks from one heartbeat to the next. */
+  readonly ticks: number;
+
+  constructor(peers: number) {
+    const needed = Math.ceil(peers / PEERS_PER_TICK);
+    this.ticks = Math.min(MAX_TICKS, Math.max(1, needed));
+  }
+
+  /** Milliseconds by which the interval is longer than one tick. */
+  get extraMilliseconds(): number {
+    return (this.ticks - 1) * TICK_MILLISECONDS;
+  }
+
+  /** Age of the last mesh heartbeat from which on an entry is unreachable. */
+  get maxAgeMilliseconds(): number {
+    const extra = (this.ticks - 1) * MAX_AGE_PER_TICK_MILLISECONDS;
+    return MAX_AGE_MILLISECONDS + extra;
+  }
+}
--- a/packages/daemon/src/mesh/heartbeat_sender.ts
+++ b/packages/daemon/src/mesh/heartbeat_sender.ts
@@ -1,19 +1,18 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
 import type * as heartbeatClockModule from "./heartbeat_clock.ts";
+import * as heartbeatInterval from "./heartbeat_interval.ts";
 import type * as meshPeer from "./mesh_peer.ts";
 
-/**
- * Time between two mesh heartbeats to a peer. The peer's counts of the requests
- * under way from this entry lag by this much.
- */
-export const HEARTBEAT_INTERVAL_MILLISECONDS = 300;
 /**
  * Shortest time from one heartbeat to the answer to a peer's heartbeat. Without
  * it, a peer that sends far too often would be answered as often. A tick within
  * this time after an answer sends nothing, so that messages are not doubled.
  */
-const MIN_ANSWER_INTERVAL_MILLISECONDS = HEARTBEAT_INTERVAL_MILLISECONDS / 2;
+const MIN_ANSWER_INTERVAL_MILLISECONDS =
+  heartbeatInterval.TICK_MILLISECONDS / 2;
+/** A timer may fire this much early against the last heartbeat. */
+const TIMER_SLACK_MILLISECONDS = 50;
 /** What heartbeats report, the same to all peers. */
 export type HeartbeatState = Omit<
   wire.MeshHeartbeat,
@@ -22,7 +21,7 @@
 
 /**
  * Sends mesh heartbeats to each peer in each interval, whether or not anything
- * has changed. Heartbeats without news must not be left out: peers take an entry
+ * has changed; a peer's counts of the requests under way lag by that much. Heartbeats without news must not be left out: peers take an entry
  * for unreachable after 1,000 ms, and with gaps of 600 to 800 ms one lost packet
  * together with a pause of the process would exceed that.
  *
@@ -42,12 +41,15 @@
     this.#sendTo([...peers]);
   }
 
-  /** Sends to all peers but those just answered; called in each interval. */
-  tick(peers: Iterable<meshPeer.MeshPeer>): void {
+  /** Sends to the peers whose heartbeat is due; called in each tick. */
+  tick(
+    peers: Iterable<meshPeer.MeshPeer>,
+    interval: heartbeatInterval.HeartbeatInterval,
+  ): void {
     const now = common.now();
     const due: meshPeer.MeshPeer[] = [];
     for (const peer of peers) {
-      if (isDue(peer, now)) due.push(peer);
+      if (isDue(peer, now, interval)) due.push(peer);
       else peer.tickSkipped = true;
     }
     this.#sendTo(due);
@@ -96,7 +98,15 @@
   }
 }
 
-function isDue(peer: meshPeer.MeshPeer, now: number): boolean {
-  if (!peer.maySkipTick) return true;
-  return now - peer.heartbeatSentAt >= MIN_ANSWER_INTERVAL_MILLISECONDS;
+function isDue(
+  peer: meshPeer.MeshPeer,
+  now: number,
+  { ticks, extraMilliseconds }: heartbeatInterval.HeartbeatInterval,
+): boolean {
+  const waited = now - peer.heartbeatSentAt;
+  if (peer.maySkipTick)
+    return waited >= extraMilliseconds + MIN_ANSWER_INTERVAL_MILLISECONDS;
+  if (ticks === 1) return true;
+  const interval = ticks * heartbeatInterval.TICK_MILLISECONDS;
+  return waited >= interval - TIMER_SLACK_MILLISECONDS;
 }
--- a/packages/daemon/src/mesh/heartbeat_sender_test.ts
+++ b/packages/daemon/src/mesh/heartbeat_sender_test.ts
@@ -2,6 +2,7 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
 import * as heartbeatClock from "./heartbeat_clock.ts";
+import * as heartbeatInterval from "./heartbeat_interval.ts";
 import * as heartbeatSender from "./heartbeat_sender.ts";
 import * as meshPeer from "./mesh_peer.ts";
 
@@ -18,6 +19,9 @@
   outstanding: [],
 };
 
+/** The interval of an entry with few peers. */
+const EVERY_TICK = new heartbeatInterval.HeartbeatInterval(10);
+
 function createPeer(side: wire.LinkSide): {
   peer: meshPeer.MeshPeer;
   sent: wire.MeshHeartbeat[];
@@ -67,8 +71,8 @@
     const sender = createSender();
     const { peer, sent } = createPeer(side);
     for (let tick = 0; tick < 8; tick++) {
-      sender.tick([peer]);
-      peer.heartbeatSentAt -= heartbeatSender.HEARTBEAT_INTERVAL_MILLISECONDS;
+      sender.tick([peer], EVERY_TICK);
+      peer.heartbeatSentAt -= heartbeatInterval.TICK_MILLISECONDS;
     }
     t.is(sent.length, 8);
   }
@@ -84,8 +88,8 @@
     const { peer, sent } = createPeer(side);
     const tick = (changed: heartbeatSender.HeartbeatState) => {
       state = changed;
-      peer.heartbeatSentAt -= heartbeatSender.HEARTBEAT_INTERVAL_MILLISECONDS;
-      sender.tick([peer]);
+      peer.heartbeatSentAt -= heartbeatInterval.TICK_MILLISECONDS;
+      sender.tick([peer], EVERY_TICK);
     };
     tick(STATE);
     const loaded = {
@@ -119,7 +123,7 @@
     return STATE;
   });
   for (const send of [
-    (peer: meshPeer.MeshPeer) => sender.tick([peer]),
+    (peer: meshPeer.MeshPeer) => sender.tick([peer], EVERY_TICK),
     (peer: meshPeer.MeshPeer) => sender.sendToAll([peer]),
     (peer: meshPeer.MeshPeer) => sender.sendFirst(peer),
     (peer: meshPeer.MeshPeer) => sender.answer(peer),
@@ -140,13 +144,13 @@
   const { peer, sent } = createPeer(wire.LinkSide.Accepted);
   peer.receive(heartbeat(1));
   sender.answer(peer);
-  sender.tick([peer]);
+  sender.tick([peer], EVERY_TICK);
   t.is(sent.length, 1);
   peer.heartbeatSentAt = common.now() - 150;
-  sender.tick([peer]);
+  sender.tick([peer], EVERY_TICK);
   t.is(sent.length, 2);
   // The last heartbeat was sent at a tick and not as an answer.
-  sender.tick([peer]);
+  sender.tick([peer], EVERY_TICK);
   t.is(sent.length, 3);
 });
 
@@ -160,7 +164,7 @@
   ] as const) {
     const { peer, sent } = createPeer(wire.LinkSide.Accepted);
     const send = {
-      tick: () => sender.tick([peer]),
+      tick: () => sender.tick([peer], EVERY_TICK),
       answer: () => sender.answer(peer),
     };
     sender.answer(peer);
@@ -177,7 +181,7 @@
   const sender = createSender();
   const { peer, sent } = createPeer(wire.LinkSide.Accepted);
   sender.answer(peer);
-  sender.tick([peer]);
+  sender.tick([peer], EVERY_TICK);
   for (let count = 0; count < 50; count++) sender.answer(peer);
   t.is(sent.length, 2);
 });
@@ -185,7 +189,38 @@
 test("a change that peers must know at once goes to all of them", (t) => {
   const sender = createSender();
   const peers = [wire.LinkSide.Dialled, wire.LinkSide.Accepted].map(createPeer);
-  sender.tick(peers.map(({ peer }) => peer));
+  sender.tick(
+    peers.map(({ peer }) => peer),
+    EVERY_TICK,
+  );
   sender.sendToAll(peers.map(({ peer }) => peer));
   for (const { sent } of peers) t.is(sent.length, 2);
 });
+
+// Guards against heartbeats that take a processor of their own: with each further entry
+// every entry sent and read more, whether it served anybody or not.
+test("heartbeats of an entry do not grow with its peers", (t) => {
+  const sentASecond = (peers: number) => {
+    const { ticks } = new heartbeatInterval.HeartbeatInterval(peers);
+    return (peers * 1_000) / (ticks * heartbeatInterval.TICK_MILLISECONDS);
+  };
+  for (const peers of [50, 75, 99, 150]) t.true(sentASecond(peers) < 170);
+});
+
+// Guards against peers that are taken for unreachable although they keep the interval.
+test("in each longer interval one heartbeat comes in good time", (t) => {
+  for (const peers of [60, 120, 330]) {
+    const interval = new heartbeatInterval.HeartbeatInterval(peers);
+    const sender = createSender();
+    const { peer, sent } = createPeer(wire.LinkSide.Dialled);
+    const ticks = 12 * interval.ticks;
+    for (let tick = 0; tick < ticks; tick++) {
+      sender.tick([peer], interval);
+      peer.heartbeatSentAt -= heartbeatInterval.TICK_MILLISECONDS;
+    }
+    t.is(sent.length, 12);
+    const between = interval.ticks * heartbeatInterval.TICK_MILLISECONDS;
+    const answered = between + heartbeatInterval.TICK_MILLISECONDS / 2;
+    t.true(interval.maxAgeMilliseconds - answered >= 500);
+  }
+});
