--- a/packages/daemon/src/mesh/heartbeat_interval.ts
+++ b/packages/daemon/src/mesh/heartbeat_interval.ts
@@ -1,11 +1,11 @@
 /** Shortest time between two mesh heartbeats to a peer: one tick. */
 export const TICK_MILLISECONDS = 300;
 /**
- * Peers of an entry that gets a heartbeat from each in every tick. With more, what an
- * entry sends and reads while it serves nobody would grow with their number.
+ * Peers up to which each gets a heartbeat in every tick. With more, what an entry sends
+ * and reads while it serves nobody would grow with their number.
  */
 const PEERS_PER_TICK = 50;
-/** Ticks between heartbeats at most: a part of the fleet that is lost is missed by then. */
+/** Ticks between heartbeats at most, so that a lost entry is noticed within seconds. */
 const MAX_TICKS = 3;
 /** Age from which on a heartbeat that comes in every tick shows an unreachable entry. */
 const MAX_AGE_MILLISECONDS = 1_000;
--- a/packages/daemon/src/mesh/heartbeat_sender.ts
+++ b/packages/daemon/src/mesh/heartbeat_sender.ts
@@ -21,9 +21,10 @@
 
 /**
  * Sends mesh heartbeats to each peer in each interval, whether or not anything
- * has changed; a peer's counts of the requests under way lag by that much. Heartbeats without news must not be left out: peers take an entry
- * for unreachable after 1,000 ms, and with gaps of 600 to 800 ms one lost packet
- * together with a pause of the process would exceed that.
+ * has changed; a peer's counts of the requests under way lag by that much.
+ * Heartbeats without news must not be left out: a gap of two intervals, one lost
+ * packet and a pause of the process together exceed the age from which on peers
+ * take an entry for unreachable (`HeartbeatInterval.maxAgeMilliseconds`).
  *
  * Of the two ends of a link, the one that dialled sends to all such peers at
  * the same moment, and the other one answers at once. The answers of many peers
