--- a/packages/daemon/src/rank_group/recover_switch.ts
+++ b/packages/daemon/src/rank_group/recover_switch.ts
@@ -12,13 +12,6 @@
  */
 const MAX_ROLLBACK_TRIES = 8;
 
-/**
- * Ranks that a recovery asks at once. Engines on other hosts are waited for a tenth
- * of a second; asked all at once, those of a large group count as not answering, as
- * this process is too slow to hear them, and the group stands still for longer.
- */
-const MAX_ASKED_AT_ONCE = 24;
-
 /** Outcome of recovering a switch that an earlier leader left unfinished. */
 export enum SwitchRecoveryKind {
   /** No rank holds an iteration, so there is nothing to recover. */
@@ -127,11 +120,7 @@
   parameters: RecoverSwitchParameters,
 ): Promise<SwitchRecovery> {
   const { handles } = parameters;
-  const answered = await common.mapBounded(
-    handles,
-    MAX_ASKED_AT_ONCE,
-    (handle) => handle.refresh(),
-  );
+  const answered = await Promise.all(handles.map((handle) => handle.refresh()));
   const reached = handles.filter((_, index) => answered[index]);
   const missing = handles.filter((_, index) => !answered[index]);
   const held = reached.flatMap(heldIterationOf);
@@ -207,11 +196,10 @@
       "an unarmed rank was armed meanwhile, its state is unknown, or the lead was lost",
     );
   const others = reached.filter((handle) => handle !== unarmed);
-  const ordersOnLink = ordersAtOnce.ordersAtOnce(
+  const atOnce = ordersAtOnce.ordersAtOnce(
     prepareOrder.bytesOf(order),
     parameters.linkBytesPerSecond ?? Infinity,
   );
-  const atOnce = Math.min(ordersOnLink, MAX_ASKED_AT_ONCE);
   const disarmed = await common.mapBounded(others, atOnce, (handle) =>
     disarmAndReplacePrepared(handle, order, parameters),
   );
