fix(rank_group): only orders for which nothing waits are given more time

An order to load a map was given 1.6 s for its reply while its process was heard from, also in a recovery, where a group stands still until all ranks have carried it out: a process that hangs would keep the group held for up to a second longer before its engine is ordered directly. A recovery's orders have 0.4 s again, those of a switch keep 1.6 s. linked_rank_test fails where both have the same time.

--- a/packages/daemon/src/rank_group/linked_rank.ts
+++ b/packages/daemon/src/rank_group/linked_rank.ts
@@ -3,7 +3,7 @@
 import * as executeOrder from "./execute_order.ts";
 import * as prepareOrder from "./prepare_order.ts";
 import type * as rankEngine from "./rank_engine.ts";
-import type * as rankHandle from "./rank_handle.ts";
+import * as rankHandle from "./rank_handle.ts";
 
 /**
  * Age up to which a rank's state counts as fresh. A leader reads an older one
@@ -13,11 +13,10 @@
 /** How long the leader waits for an answer of the process beside a rank. */
 const ANSWER_TIMEOUT_MILLISECONDS = 400;
 /**
- * The same for the reply to an order to load a map while the process is heard from.
- * No rank waits for that order, and one sent to the engine as well would make the
- * link that is slow slower.
+ * The same for an order for which nothing waits, while the process is heard from: one
+ * sent to the engine as well would make a link that is slow slower.
  */
-const PREPARE_ANSWER_TIMEOUT_MILLISECONDS = 1_600;
+const UNHURRIED_TIMEOUT_MILLISECONDS = 1_600;
 
 /** Shortest time from one direct reading of a rank's state to the next. */
 const MIN_REFRESH_INTERVAL_MILLISECONDS = 150;
@@ -159,11 +158,14 @@
   }
 
   /** Has the rank carry out an order, and returns the outcome. */
-  async order(order: wire.RankOrder): Promise<wire.RankReply> {
+  async order(
+    order: wire.RankOrder,
+    urgency = rankHandle.OrderUrgency.Awaited,
+  ): Promise<wire.RankReply> {
     const link = this.#link;
     const reply =
       link && this.linked
-        ? await this.#sendPreferringChanges(link, order)
+        ? await this.#sendPreferringChanges(link, order, urgency)
         : undefined;
     return reply ?? this.orderDirectly(order);
   }
@@ -188,16 +190,20 @@
   async #sendPreferringChanges(
     link: wire.Link,
     order: wire.RankOrder,
+    urgency: rankHandle.OrderUrgency,
   ): Promise<wire.RankReply | undefined> {
     if (order.kind !== wire.RankOrderKind.Prepare) {
-      return this.#send(link, order);
+      return this.#send(link, order, urgency);
     }
     const { changes } = order;
     const knowsBase = changes?.base === this.#status?.mapVersion;
     const reply =
-      changes && knowsBase ? await this.#send(link, changes) : undefined;
+      changes && knowsBase
+        ? await this.#send(link, changes, urgency)
+        : undefined;
     const isFinal = reply && reply.end !== wire.RankOrderEnd.BaseUnknown;
-    return isFinal ? reply : this.#send(link, prepareOrder.packedOrder(order));
+    if (isFinal) return reply;
+    return this.#send(link, prepareOrder.packedOrder(order), urgency);
   }
 
   /**
@@ -207,6 +213,7 @@
   async #send(
     link: wire.Link,
     order: wire.SentOrder,
+    urgency: rankHandle.OrderUrgency,
   ): Promise<wire.RankReply | undefined> {
     const question = ++this.#question;
     const answer = new Promise<wire.RankReply>((resolve) =>
@@ -214,19 +221,17 @@
     );
     const kind = wire.MessageKind.RankCommand;
     link.send({ kind, question, ...this.leadership(), order });
-    const reply = await this.#awaitReply(answer, order.kind);
+    const reply = await this.#awaitReply(answer, urgency);
     this.#pendingReplies.delete(question);
     return reply;
   }
 
   async #awaitReply(
     answer: Promise<wire.RankReply>,
-    kind: wire.RankOrderKind,
+    urgency: rankHandle.OrderUrgency,
   ): Promise<wire.RankReply | undefined> {
     const sentAt = common.now();
-    const limit = isToPrepare(kind)
-      ? PREPARE_ANSWER_TIMEOUT_MILLISECONDS
-      : ANSWER_TIMEOUT_MILLISECONDS;
+    const limit = timeoutOf(urgency);
     for (;;) {
       const reply = await common.withTimeout(
         answer,
@@ -238,17 +243,12 @@
   }
 }
 
-/** Whether an order is one to load a map, in whatever form. */
-function isToPrepare(kind: wire.RankOrderKind): boolean {
-  switch (kind) {
-    case wire.RankOrderKind.Prepare:
-    case wire.RankOrderKind.PrepareChanges:
-    case wire.RankOrderKind.PreparePacked:
-      return true;
-    case wire.RankOrderKind.Arm:
-    case wire.RankOrderKind.Hold:
-    case wire.RankOrderKind.Release:
-    case wire.RankOrderKind.Disarm:
-      return false;
+/** For how long the reply to an order is waited for, in milliseconds. */
+function timeoutOf(urgency: rankHandle.OrderUrgency): number {
+  switch (urgency) {
+    case rankHandle.OrderUrgency.Awaited:
+      return ANSWER_TIMEOUT_MILLISECONDS;
+    case rankHandle.OrderUrgency.Unhurried:
+      return UNHURRIED_TIMEOUT_MILLISECONDS;
   }
 }
--- a/packages/daemon/src/rank_group/linked_rank_test.ts
+++ b/packages/daemon/src/rank_group/linked_rank_test.ts
@@ -1,7 +1,10 @@
 import * as ava from "ava";
+import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
+import * as neverthrow from "neverthrow";
 import type * as rankEngine from "./rank_engine.ts";
 import * as rankFixture from "./rank_fixture.ts";
+import * as rankHandle from "./rank_handle.ts";
 import * as linkedRank from "./linked_rank.ts";
 
 const test = ava.default;
@@ -105,3 +108,40 @@
   );
   t.is(linkedHandle.status?.mapVersion, 0);
 });
+
+/** A rank whose process is heard from and replies to nothing; counts direct reports. */
+function createSilentRank(): {
+  linkedHandle: linkedRank.LinkedRank;
+  reports: () => number;
+} {
+  let reports = 0;
+  const report = async () => {
+    reports++;
+    return neverthrow.err("away");
+  };
+  const engine = { report } as unknown as rankEngine.RankEngine;
+  const leadership = () => ({ token: 1, epoch: 1 });
+  const linkedHandle = new linkedRank.LinkedRank(1, engine, leadership);
+  const link = { end: undefined, send: () => {} } as unknown as wire.Link;
+  linkedHandle.attach(link);
+  linkedHandle.updateStatus(rankFixture.createStatus());
+  return { linkedHandle, reports: () => reports };
+}
+
+// Guards against a group that stands still for longer, as its successor waits for the
+// reply to an order that the engine could have had.
+test("an awaited order goes to the engine before an unhurried one does", async (t) => {
+  const kind = wire.RankOrderKind.Prepare as const;
+  const order = { kind, version: VERSION, map: [] };
+  const awaited = createSilentRank();
+  const unhurried = createSilentRank();
+  const replies = [
+    awaited.linkedHandle.order(order),
+    unhurried.linkedHandle.order(order, rankHandle.OrderUrgency.Unhurried),
+  ];
+  while (awaited.reports() === 0) await common.sleep(10);
+  t.is(unhurried.reports(), 0);
+  for (const reply of await Promise.all(replies))
+    t.is(reply.end, wire.RankOrderEnd.Unknown);
+  t.true(unhurried.reports() > 0);
+});
--- a/packages/daemon/src/rank_group/rank_handle.ts
+++ b/packages/daemon/src/rank_group/rank_handle.ts
@@ -1,5 +1,13 @@
 import type * as wire from "@geraniumkeel/wire";
 
+/** How urgent the reply to an order is. */
+export enum OrderUrgency {
+  /** Ranks may stand still until it is carried out. */
+  Awaited = "awaited",
+  /** Nothing waits for it. */
+  Unhurried = "unhurried",
+}
+
 /**
  * A leader's handle on one rank of its group: the state last received, and the
  * way to give the rank orders.
@@ -10,9 +18,9 @@
   readonly status: wire.RankStatus | undefined;
   /**
    * Sends an order through the process beside the rank, and returns the
-   * outcome.
+   * outcome. It is awaited unless said otherwise.
    */
-  order(order: wire.RankOrder): Promise<wire.RankReply>;
+  order(order: wire.RankOrder, urgency?: OrderUrgency): Promise<wire.RankReply>;
   /**
    * Sends an order from this host to the engine, without the process beside the
    * rank, and returns the outcome.
--- a/packages/daemon/src/rank_group/switch_group.ts
+++ b/packages/daemon/src/rank_group/switch_group.ts
@@ -1,6 +1,6 @@
 import * as common from "@geraniumkeel/common";
 import * as wire from "@geraniumkeel/wire";
-import type * as rankHandle from "./rank_handle.ts";
+import * as rankHandle from "./rank_handle.ts";
 import * as ordersAtOnceModule from "./orders_at_once.ts";
 import * as orderUntilFinal from "./order_until_final.ts";
 import * as prepareOrderModule from "./prepare_order.ts";
@@ -246,8 +246,8 @@
 }
 
 /**
- * Sends an order to all ranks once, to a limited number at once. Returns the
- * replies other than "done".
+ * Sends an order for which no rank waits to all ranks once, to a limited number at
+ * once. Returns the replies other than "done".
  */
 async function orderAll(
   handles: readonly rankHandle.RankHandle[],
@@ -255,7 +255,8 @@
   atOnce: number,
 ): Promise<ReplyOfRank[]> {
   const replies = await common.mapBounded(handles, atOnce, async (handle) => {
-    const reply = await handle.order(order);
+    const urgency = rankHandle.OrderUrgency.Unhurried;
+    const reply = await handle.order(order, urgency);
     return { rank: handle.rank, reply };
   });
   return replies.filter(({ reply }) => reply.end !== wire.RankOrderEnd.Done);
