fix(http_call): a runner that sends no head without end is given up at once

Cause: the parser passes over empty lines before an answer, however many come. Nothing refused them, so each call read line ends at full speed until its timeout, 60 at once, and the timers of all callers were late.

--- a/packages/common/src/http_call.ts
+++ b/packages/common/src/http_call.ts
@@ -7,6 +7,12 @@
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 /** What heads may take of an answer; the parser takes 16 KiB for each. */
 const HEADS_ALLOWANCE_BYTES = 32 * 1024;
+/**
+ * Bytes that may come before the head of the final answer: as many heads as the guard
+ * allows, each as long as the parser takes. The parser passes over empty lines, however
+ * many come, and reading them keeps the process busy.
+ */
+const MAX_BYTES_BEFORE_ANSWER = 18 * 16 * 1024;
 /** How the codes of the parser's errors begin. */
 const PARSER_CODE_PREFIX = "HPE_";
 
@@ -155,6 +161,7 @@
         this.#connected = true;
         clearTimeout(timer);
       });
+      this.#boundBytesBeforeAnswer(request, socket);
     });
     request.on("error", (cause: NodeJS.ErrnoException) => {
       // Noted first: for a body without a length, a reset is followed by its
@@ -173,6 +180,25 @@
     });
   }
 
+  #boundBytesBeforeAnswer(
+    request: http.ClientRequest,
+    socket: net.Socket,
+  ): void {
+    let hasHead = false;
+    const check = () => {
+      if (hasHead || socket.bytesRead <= MAX_BYTES_BEFORE_ANSWER) return;
+      socket.off("data", check);
+      const kind = wrongAnswer.WrongAnswerKind.Malformed;
+      const detail = `no head in ${MAX_BYTES_BEFORE_ANSWER} bytes`;
+      this.#refuse(request, { kind, detail });
+    };
+    socket.on("data", check);
+    request.once("response", () => {
+      hasHead = true;
+      socket.off("data", check);
+    });
+  }
+
   #receive(request: http.ClientRequest, response: http.IncomingMessage): void {
     const { statusCode: status = 0, httpVersion: version } = response;
     const hasBody = this.#mayHaveBody(status);
