fix(forwarding): what an attempt reads after its request is over is not counted

When failures' answers were made to count until a request is over, the release moved from the attempt to the request. An attempt that was given up, or that another one outran, may still be reading then: its bytes were added after the release and nobody gave them back. In time sound answers would have been given up for bytes that nobody held.

A buffer that is released takes nothing more, one that is opened for a request that is over is released from the start, and an attempt whose answer is of no use frees it at once, as before. The new test failed on the code before: after 10 such requests an answer of 7 MiB was given up.

--- a/packages/daemon/src/forwarding/answer_buffers.ts
+++ b/packages/daemon/src/forwarding/answer_buffers.ts
@@ -5,6 +5,7 @@
 /** Bytes that a process holds of all answers that are not complete. */
 const MAX_TOTAL_BYTES = 32 * 1024 * 1024;
 const GIVEN_UP = "answers over the memory for them";
+const RELEASED = "released";
 
 /**
  * Answers that are held until they are complete, and events of streams until they
@@ -98,8 +99,12 @@
     return Buffer.concat(this.#pieces);
   }
 
-  /** Frees what is held. */
+  /**
+   * Frees what is held. Pieces that come later are dropped: an attempt that was given
+   * up may still read, and nobody would release what it adds.
+   */
   release(): void {
+    this.#problem ??= RELEASED;
     this.#pieces = [];
     this.#bytes = 0;
     this.#holder.release();
--- a/packages/daemon/src/forwarding/failure_answers.ts
+++ b/packages/daemon/src/forwarding/failure_answers.ts
@@ -9,13 +9,15 @@
  */
 export class FailureAnswers {
   readonly #buffers: answerBuffers.AnswerBuffer[] = [];
+  #isOver = false;
 
   constructor(readonly buffers: answerBuffers.AnswerBuffers) {}
 
-  /** Opens the buffer of a further one. */
+  /** Opens the buffer of a further one; it takes nothing once the request is over. */
   open(): answerBuffers.AnswerBuffer {
     const buffer = this.buffers.open();
-    this.#buffers.push(buffer);
+    if (this.#isOver) buffer.release();
+    else this.#buffers.push(buffer);
     return buffer;
   }
 
@@ -37,8 +39,9 @@
     );
   }
 
-  /** Frees all of them. */
+  /** Frees all of them, as the request is over. */
   release(): void {
+    this.#isOver = true;
     for (const buffer of this.#buffers) buffer.release();
   }
 }
--- a/packages/daemon/src/forwarding/failure_answers_test.ts
+++ b/packages/daemon/src/forwarding/failure_answers_test.ts
@@ -50,3 +50,20 @@
   t.deepEqual(lengths, []);
   t.true(others.every(({ outcome }) => !outcome.failure.body.problem));
 });
+
+// Guards against bytes that count for good: an attempt that was given up read on after its
+// request was over, and in time sound answers were given up for what nobody held.
+test("what is read after a request is over counts for nothing", (t) => {
+  const buffers = new answerBuffers.AnswerBuffers();
+  for (let request = 0; request < 10; request++) {
+    const failures = new failureAnswers.FailureAnswers(buffers);
+    const early = failures.open();
+    failures.release();
+    for (const body of [early, failures.open()])
+      for (let piece = 0; piece < 4; piece++) body.push(Buffer.alloc(MEBIBYTE));
+  }
+  const sound = buffers.open();
+  for (let piece = 0; piece < 7; piece++) sound.push(Buffer.alloc(MEBIBYTE));
+  t.is(sound.problem, undefined);
+  t.is(sound.join().length, 7 * MEBIBYTE);
+});
--- a/packages/daemon/src/forwarding/runner_attempt.ts
+++ b/packages/daemon/src/forwarding/runner_attempt.ts
@@ -309,10 +309,13 @@
         const unusable = await answerRelay.collect(body, buffer, () =>
           this.noteContent(),
         );
-        if (unusable !== undefined)
+        if (unusable !== undefined) {
+          buffer.release();
           return { kind: attemptOutcome.AttemptOutcomeKind.Unknown, reason };
+        }
         const problem = await this.#confirmEnd(answer);
         if (problem !== undefined) {
+          buffer.release();
           const kind = attemptOutcome.AttemptOutcomeKind.Unknown;
           return { kind, reason: problem };
         }
