--- a/packages/common/src/http_call.ts
+++ b/packages/common/src/http_call.ts
@@ -8,11 +8,11 @@
 /** What heads may take of an answer; the parser takes 16 KiB for each. */
 const HEADS_ALLOWANCE_BYTES = 32 * 1024;
 /**
- * Bytes that may come before the head of the final answer: as many heads as the guard
- * allows, each as long as the parser takes. The parser passes over empty lines, however
- * many come, and reading them keeps the process busy.
+ * Bytes that may come without the head of the final answer, more than all heads that
+ * the guard and the parser allow. The parser passes over empty lines, however many
+ * come, and reading them keeps the process busy.
  */
-const MAX_BYTES_BEFORE_ANSWER = 18 * 16 * 1024;
+const MAX_BYTES_BEFORE_ANSWER = 288 * 1024;
 /** How the codes of the parser's errors begin. */
 const PARSER_CODE_PREFIX = "HPE_";
 
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -492,7 +492,7 @@
   #restBelowAge(): number {
     const index = this.mesh.pollPosition() - STORE_POLLERS;
     if (index < 0) return 0;
-    const { extraMilliseconds } = this.mesh.interval;
+    const { extraMilliseconds } = this.mesh.heartbeatInterval;
     const first = FALLBACK_AGE_MILLISECONDS + extraMilliseconds;
     return first + index * FALLBACK_STAGGER_MILLISECONDS;
   }
--- a/packages/daemon/src/mesh/entry_mesh.ts
+++ b/packages/daemon/src/mesh/entry_mesh.ts
@@ -263,7 +263,8 @@
     return [...this.#known.values()].every((known) => {
       const { knownSince, heardSince = Infinity, lastReceivedAt } = known;
       if (knownSince > from) return true;
-      const isHeard = now - lastReceivedAt < this.interval.maxAgeMilliseconds;
+      const isHeard =
+        now - lastReceivedAt < this.heartbeatInterval.maxAgeMilliseconds;
       return isHeard && heardSince <= from;
     });
   }
@@ -277,7 +278,7 @@
   }
 
   /** In which intervals entries send each other heartbeats now. */
-  get interval(): heartbeatInterval.HeartbeatInterval {
+  get heartbeatInterval(): heartbeatInterval.HeartbeatInterval {
     const peers = this.#known.size;
     if (this.#interval.peers !== peers) {
       const value = new heartbeatInterval.HeartbeatInterval(peers);
@@ -354,7 +355,9 @@
   }
 
   #isReachable(peer: meshPeer.MeshPeer): boolean {
-    return peer.open && peer.heartbeatAge < this.interval.maxAgeMilliseconds;
+    return (
+      peer.open && peer.heartbeatAge < this.heartbeatInterval.maxAgeMilliseconds
+    );
   }
 
   /**
@@ -598,7 +601,7 @@
   #receive(peer: meshPeer.MeshPeer, message: wire.Message): void {
     const { onOutstanding } = this.parameters;
     const known = this.#known.get(peer.member.host);
-    if (known) noteReceipt(known, this.interval.maxAgeMilliseconds);
+    if (known) noteReceipt(known, this.heartbeatInterval.maxAgeMilliseconds);
     switch (message.kind) {
       case wire.MessageKind.MeshHeartbeat: {
         peer.receive(message);
@@ -654,7 +657,7 @@
   }
 
   #tick(): void {
-    this.#heartbeats.tick(this.#linked.values(), this.interval);
+    this.#heartbeats.tick(this.#linked.values(), this.heartbeatInterval);
     for (const peer of this.#linked.values()) peer.tick();
     // Closes a spare link that the other end has neither closed nor used.
     for (const peer of this.#spare) peer.tick();
--- a/packages/daemon/src/mesh/heartbeat_interval.ts
+++ b/packages/daemon/src/mesh/heartbeat_interval.ts
@@ -7,9 +7,15 @@
 const PEERS_PER_TICK = 50;
 /** Ticks between heartbeats at most, so that a lost entry is noticed within seconds. */
 const MAX_TICKS = 3;
-/** Age from which on a heartbeat that comes in every tick shows an unreachable entry. */
+/**
+ * Age of the last heartbeat from which on an entry is unreachable, where one comes in
+ * every tick.
+ */
 const MAX_AGE_MILLISECONDS = 1_000;
-/** The same, for each further tick between heartbeats; the rest is for lost packets. */
+/**
+ * What each further tick between heartbeats adds to that age: the tick, and more room
+ * for a heartbeat that is late.
+ */
 const MAX_AGE_PER_TICK_MILLISECONDS = 500;
 
 /** In which intervals an entry with a number of peers sends heartbeats. */
--- a/packages/daemon/src/rank_group/group_leader.ts
+++ b/packages/daemon/src/rank_group/group_leader.ts
@@ -195,8 +195,14 @@
     if (!planned) return;
     const planMilliseconds = common.now() - startedAt;
     const { distance, shifts } = this.parameters.demand;
-    const shiftAge = startedAt - this.parameters.demand.shiftDetectedAt;
-    const before = { distance, shifts, shiftAge, planMilliseconds };
+    const sinceShiftMilliseconds =
+      startedAt - this.parameters.demand.shiftDetectedAt;
+    const before = {
+      distance,
+      shifts,
+      sinceShiftMilliseconds,
+      planMilliseconds,
+    };
     const version = this.#nextVersion();
     const next = mapDifference.expertsOfRanks(
       planned.plan.places,
@@ -261,8 +267,8 @@
     before: {
       distance: number;
       shifts: number;
-      /** Milliseconds from the last detected shift to the plan. */
-      shiftAge: number;
+      /** From the last detected shift to the plan; Infinity without one. */
+      sinceShiftMilliseconds: number;
       planMilliseconds: number;
     },
     outcome: switchGroup.GroupSwitchOutcome,
@@ -276,8 +282,8 @@
       version,
       distance: rounded(before.distance),
       shifts: before.shifts,
-      shiftAge: Number.isFinite(before.shiftAge)
-        ? Math.round(before.shiftAge)
+      sinceShiftMilliseconds: Number.isFinite(before.sinceShiftMilliseconds)
+        ? Math.round(before.sinceShiftMilliseconds)
         : undefined,
       strain: rounded(strain),
       copies: plan.copies,
