fix(caller_connections): a caller that leaves in the middle of a body leaves nothing behind

What callers saw: nothing at first; an entry kept the body and the connection of each caller that closed its connection in the middle of an upload, until it ran out of memory or descriptors.

Cause: a caller's end in the middle of a body reaches the entry as a parser error. The entry answered first all that was read before it, and counted the request with the broken body to that. Its handling waits for the body, which never ends; so the answer never left, the connection was never closed, and nothing told the handling.

A request whose body is incomplete when its connection can't be read any more is now dropped: requests before it are answered, then the connection is closed. That ends the reading of the body, which frees it.

Ruled out: a reset, which destroyed the connection before as well.

--- a/packages/daemon/src/caller_connections/caller_connections.ts
+++ b/packages/daemon/src/caller_connections/caller_connections.ts
@@ -191,7 +191,7 @@
     });
   }
 
-  /** Ends a connection on which the head of a request could not be read. */
+  /** Ends a connection on which a request could not be read. */
   #endUnreadable(cause: NodeJS.ErrnoException, socket: net.Socket): void {
     const connection = this.#open.get(socket);
     if (!connection || connection.isEnding) return;
@@ -208,6 +208,7 @@
       reason: cause.message,
     };
     if (!socket.writable) return connection.destroy(end);
+    const dropped = connection.dropIncomplete();
     // What was read before it is answered first.
     const [unanswered] = connection.unanswered.slice(-1);
     if (unanswered) {
@@ -215,7 +216,8 @@
       unanswered.response.once("finish", () => connection.endGracefully(end));
       return;
     }
-    if (socket.bytesRead > 0) socket.write(refusalOf(cause.code));
+    const isBegun = dropped?.response.headersSent ?? false;
+    if (socket.bytesRead > 0 && !isBegun) socket.write(refusalOf(cause.code));
     connection.endGracefully(end);
   }
 
--- a/packages/daemon/src/caller_connections/tracked_connection.ts
+++ b/packages/daemon/src/caller_connections/tracked_connection.ts
@@ -102,6 +102,17 @@
     this.#idleSince = common.now();
   }
 
+  /**
+   * Drops the request that was read last if its body can't come to its end any more:
+   * its handling waits for the body, so nothing would ever answer it. Returns it.
+   */
+  dropIncomplete(): callerExchange.CallerExchange | undefined {
+    const [last] = this.unanswered.slice(-1);
+    if (!last || last.incoming.complete) return undefined;
+    this.remove(last);
+    return last;
+  }
+
   /**
    * Says in the answers that are still to begin whether the connection closes
    * after them. Only the last one may say so: requests that were read behind it
