fix(forwarding): what needs no body is decided before the body is read

What callers saw: one without a known key, for a path that no route has, or at an entry that stops, had to send its whole body to learn that it is refused. If it stopped short it was never answered, and the entry held what had come.

Cause: the entry read the body first and looked at route, key and stop afterwards. A caller that asks with `Expect: 100-continue` was told to go on in any case.

The forwarder now admits a request by its head; after the body it is admitted again, as the configuration may have changed meanwhile. Only an admitted request gets a 100.

--- a/packages/daemon/src/caller_connections/caller_connections.ts
+++ b/packages/daemon/src/caller_connections/caller_connections.ts
@@ -74,6 +74,9 @@
     server.on("request", (incoming, response) =>
       this.#receive(incoming, response),
     );
+    server.on("checkContinue", (incoming, response) =>
+      this.#receive(incoming, response, true),
+    );
     server.on("clientError", (cause, socket) =>
       this.#endUnreadable(cause, socket as net.Socket),
     );
@@ -131,6 +134,7 @@
   #receive(
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
+    expectsContinue = false,
   ): void {
     const connection = this.#open.get(incoming.socket);
     if (!connection?.takesRequests) {
@@ -142,6 +146,7 @@
       connection,
       incoming,
       response,
+      expectsContinue,
     );
     connection.requests++;
     connection.latest = exchange;
--- a/packages/daemon/src/caller_connections/caller_exchange.ts
+++ b/packages/daemon/src/caller_connections/caller_exchange.ts
@@ -21,6 +21,8 @@
     readonly connection: trackedConnection.TrackedConnection,
     readonly incoming: http.IncomingMessage,
     readonly response: http.ServerResponse,
+    /** Whether the caller waits to be told that the body may come. */
+    readonly expectsContinue: boolean,
   ) {
     this.#callerKeepsOpen = response.shouldKeepAlive;
     response.once("close", () => {
@@ -45,6 +47,11 @@
     this.response.shouldKeepAlive = keepsOpen && this.#callerKeepsOpen;
   }
 
+  /** Tells a caller that waits for it that the body may come. */
+  allowBody(): void {
+    if (this.expectsContinue) this.response.writeContinue();
+  }
+
   /** Hands over a piece of the answer; resolves when more can be taken. */
   write(piece: string | Uint8Array): Promise<void> {
     const { response } = this;
--- a/packages/daemon/src/forwarding/admit_request.ts
+++ b/packages/daemon/src/forwarding/admit_request.ts
@@ -32,7 +32,7 @@
  * contain it.
  */
 export function admitRequest(parameters: {
-  request: callerRequest.CallerRequest;
+  request: callerRequest.RequestHead;
   view: traffic.TrafficView | undefined;
   proofAge: number;
   maxProofAgeMilliseconds: number;
--- a/packages/daemon/src/forwarding/caller_request.ts
+++ b/packages/daemon/src/forwarding/caller_request.ts
@@ -36,6 +36,9 @@
   arrivedAt: common.Instant;
 }
 
+/** A caller's request without its body, which may not have come yet. */
+export type RequestHead = Omit<CallerRequest, "body">;
+
 /** Head of an answer, as the caller receives it. */
 export interface AnswerHead {
   status: number;
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -20,6 +20,7 @@
 import * as retryDelay from "./retry_delay.ts";
 import type * as runnerTracker from "./runner_tracker.ts";
 import * as requestClock from "./request_clock.ts";
+import * as stopsBeforeEnd from "./stops_before_end.ts";
 import * as runnerAttempt from "./runner_attempt.ts";
 import type * as rateLimits from "../rate_limit/rate_limits.ts";
 import type * as runnerRests from "../runner_rest/runner_rests.ts";
@@ -348,18 +349,10 @@
     }
   }
 
-  /**
-   * Whether this process stops before the request can be finished, so that the
-   * request is better refused while it has not run.
-   */
   #stopsBeforeEnd(): boolean {
-    const { stop, durations, route } = this.parameters;
     if (this.#runs > 0) return false;
-    return !stop.admits({
-      longestMilliseconds: this.#clock.millisecondsLeft,
-      expectedMilliseconds: durations.expected(route.name),
-      repeatable: route.repeatability === traffic.Repeatability.Idempotent,
-    });
+    const clock = this.#clock;
+    return stopsBeforeEnd.stopsBeforeEnd({ ...this.parameters, clock });
   }
 
   /**
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -8,8 +8,11 @@
 import * as answerBuffers from "./answer_buffers.ts";
 import * as answerDurations from "./answer_durations.ts";
 import * as admitRequest from "./admit_request.ts";
+import * as attemptOutcome from "./attempt_outcome.ts";
 import * as callerRequest from "./caller_request.ts";
 import * as forwardedRequest from "./forwarded_request.ts";
+import * as requestClock from "./request_clock.ts";
+import * as stopsBeforeEnd from "./stops_before_end.ts";
 import * as timeoutHistory from "./timeout_history.ts";
 import type * as runnerTracker from "./runner_tracker.ts";
 import type * as rateLimits from "../rate_limit/rate_limits.ts";
@@ -52,6 +55,10 @@
   metrics: common.Metrics;
 }
 
+/** Whether a request may be forwarded, by its head. */
+export type HeadDecision =
+  { kind: "admitted"; millisecondsLeft: number } | admitRequest.RefusedRequest;
+
 /** Forwards callers' requests to runners and relays the answers. */
 export class Forwarder {
   #view: traffic.TrafficView | undefined;
@@ -83,60 +90,101 @@
     }
   }
 
+  /**
+   * Decides by its head whether a request may be forwarded, so that the body of one
+   * that may not need not be read.
+   */
+  admit(request: callerRequest.RequestHead): HeadDecision {
+    const admitted = this.#admit(request);
+    if (admitted.kind === "refused") return admitted;
+    const { stop, retryElsewhereMilliseconds } = this.parameters;
+    const { route } = admitted;
+    const clock = new requestClock.RequestClock(request, route);
+    const durations = this.#durations;
+    if (stopsBeforeEnd.stopsBeforeEnd({ stop, durations, route, clock })) {
+      const kind = callerRequest.RefusalKind.NotRun;
+      const { reason } = attemptOutcome.STOPPED;
+      const retryAfterMilliseconds = retryElsewhereMilliseconds();
+      const refusal = { kind, reason, retryAfterMilliseconds };
+      return { kind: "refused", refusal };
+    }
+    return { kind: "admitted", millisecondsLeft: clock.millisecondsLeft };
+  }
+
+  /** Gives the caller of a request that is not forwarded its final answer. */
+  async refuse(
+    request: callerRequest.RequestHead,
+    refusal: callerRequest.Refusal,
+    sink: callerRequest.AnswerSink,
+  ): Promise<void> {
+    const { kind, reason } = refusal;
+    this.parameters.metrics.count(common.Metric.Refusals, { reason });
+    const delivered = await sink.refuse(refusal);
+    const facts = { ...this.#factsOf(request), kind, reason, delivered };
+    this.parameters.logger.event(common.EventCode.ForwardRefused, facts);
+  }
+
   async #forward(
     request: callerRequest.CallerRequest,
     sink: callerRequest.AnswerSink,
   ): Promise<void> {
-    const { configuration, maxProofAgeMilliseconds, logger } = this.parameters;
-    const view = this.#currentView();
-    const proofAge = this.parameters.proofAge();
-    const admitted = admitRequest.admitRequest({
+    const admitted = this.#admit(request);
+    switch (admitted.kind) {
+      case "refused":
+        return this.refuse(request, admitted.refusal, sink);
+      case "admitted":
+        return this.#forwardAdmitted(request, admitted, sink);
+    }
+  }
+
+  #admit(
+    request: callerRequest.RequestHead,
+  ): admitRequest.AdmittedRequest | admitRequest.RefusedRequest {
+    const { maxProofAgeMilliseconds } = this.parameters;
+    return admitRequest.admitRequest({
       request,
-      view,
-      proofAge,
+      view: this.#currentView(),
+      proofAge: this.parameters.proofAge(),
       maxProofAgeMilliseconds,
     });
-    const facts = {
-      request: request.identifier,
-      version: configuration.version,
-      age: Math.round(proofAge),
-    };
-    switch (admitted.kind) {
-      case "refused": {
-        const { kind, reason } = admitted.refusal;
-        this.parameters.metrics.count(common.Metric.Refusals, { reason });
-        const code = common.EventCode.ForwardRefused;
-        const delivered = await sink.refuse(admitted.refusal);
-        logger.event(code, { ...facts, kind, reason, delivered });
-        return;
-      }
-      case "admitted": {
-        const { route, account, urgency } = admitted;
-        const spentBefore = this.#timeoutHistory.spentBefore({
-          route: route.name,
-          account: account?.name ?? "",
-          timeoutMilliseconds: request.timeoutMilliseconds,
-        });
-        const forwarded = new forwardedRequest.ForwardedRequest({
-          ...this.parameters,
-          request,
-          sink,
-          route,
-          account,
-          urgency,
-          spentBefore,
-          durations: this.#durations,
-          buffers: this.#buffers,
-          service: this.#chooseService(route),
-        });
-        const outcome = await forwarded.run();
-        logger.event(common.EventCode.Forwarded, {
-          ...facts,
-          spentBefore: Math.round(spentBefore),
-          ...outcome,
-        });
-      }
-    }
+  }
+
+  async #forwardAdmitted(
+    request: callerRequest.CallerRequest,
+    { route, account, urgency }: admitRequest.AdmittedRequest,
+    sink: callerRequest.AnswerSink,
+  ): Promise<void> {
+    const facts = this.#factsOf(request);
+    const spentBefore = this.#timeoutHistory.spentBefore({
+      route: route.name,
+      account: account?.name ?? "",
+      timeoutMilliseconds: request.timeoutMilliseconds,
+    });
+    const forwarded = new forwardedRequest.ForwardedRequest({
+      ...this.parameters,
+      request,
+      sink,
+      route,
+      account,
+      urgency,
+      spentBefore,
+      durations: this.#durations,
+      buffers: this.#buffers,
+      service: this.#chooseService(route),
+    });
+    const outcome = await forwarded.run();
+    this.parameters.logger.event(common.EventCode.Forwarded, {
+      ...facts,
+      spentBefore: Math.round(spentBefore),
+      ...outcome,
+    });
+  }
+
+  /** What the log says of the configuration that a request met. */
+  #factsOf({ identifier }: callerRequest.RequestHead): object {
+    const { configuration, proofAge } = this.parameters;
+    const age = Math.round(proofAge());
+    return { request: identifier, version: configuration.version, age };
   }
 
   #currentView(): traffic.TrafficView | undefined {
--- a/packages/daemon/src/forwarding/request_clock.ts
+++ b/packages/daemon/src/forwarding/request_clock.ts
@@ -7,7 +7,7 @@
  */
 export class RequestClock {
   constructor(
-    readonly request: callerRequest.CallerRequest,
+    readonly request: callerRequest.RequestHead,
     readonly route: traffic.Route,
   ) {}
 
