fix(caller_connections): the body of a request has to come in the time of the request

What callers saw: one whose body stopped short got no answer and no end, however long it waited; the entry held what had come for good.

Cause: only heads had a time limit. Nothing ended the reading of a body, and the time of a request was looked at only once its body was whole.

--- a/packages/daemon/src/caller_connections/caller_exchange.ts
+++ b/packages/daemon/src/caller_connections/caller_exchange.ts
@@ -47,6 +47,11 @@
     this.response.shouldKeepAlive = keepsOpen && this.#callerKeepsOpen;
   }
 
+  /** Lets the answer close the connection if the body has not come to its end. */
+  closeUnlessRead(): void {
+    if (!this.incoming.complete) this.keepOpenAfter(false);
+  }
+
   /** Tells a caller that waits for it that the body may come. */
   allowBody(): void {
     if (this.expectsContinue) this.response.writeContinue();
--- /dev/null
+++ b/packages/daemon/src/caller_connections/read_beginning.ts
@@ -0,0 +1,68 @@
+import type * as http from "node:http";
+import * as common from "@geraniumkeel/common";
+import * as neverthrow from "neverthrow";
+import * as readBody from "./read_body.ts";
+
+/** A body read so far, and what follows of it. */
+export interface BodyBeginning {
+  beginning: Buffer;
+  /** The rest as it arrives; `undefined` when this is the whole body. */
+  rest: AsyncIterator<Uint8Array> | undefined;
+}
+
+/**
+ * Reads the beginning of a body. What is larger than `buffered` is passed on as
+ * it arrives, so that a large body does not stand whole in memory; the limit
+ * holds for all of it, and a body beyond it breaks off.
+ */
+export async function readBeginning(
+  request: http.IncomingMessage,
+  buffered: number,
+  terms: readBody.BodyTerms,
+): Promise<neverthrow.Result<BodyBeginning, readBody.BodyFailure>> {
+  const { limit, timeoutMilliseconds } = terms;
+  const deadline = common.now() + timeoutMilliseconds;
+  const announced = readBody.announcedLength(request);
+  if (announced !== undefined && announced > limit) return tooLarge(limit);
+  const chunks: Buffer[] = [];
+  let size = 0;
+  const source = request[Symbol.asyncIterator]();
+  try {
+    while (size <= buffered) {
+      const next = source.next() as Promise<IteratorResult<Buffer, void>>;
+      const read = await common.withTimeout(next, deadline - common.now());
+      if (!read) return neverthrow.err({ kind: "too-slow" });
+      if (read.done) {
+        const beginning = Buffer.concat(chunks);
+        return neverthrow.ok({ beginning, rest: undefined });
+      }
+      size += read.value.length;
+      if (size > limit) return tooLarge(limit);
+      chunks.push(read.value);
+    }
+  } catch {
+    return neverthrow.err({ kind: "broken" });
+  }
+  const rest = limited(source, limit - size);
+  return neverthrow.ok({ beginning: Buffer.concat(chunks), rest });
+}
+
+async function* limited(
+  source: AsyncIterator<unknown>,
+  limit: number,
+): AsyncGenerator<Uint8Array, void, void> {
+  let left = limit;
+  for (;;) {
+    const read = (await source.next()) as IteratorResult<Uint8Array, void>;
+    if (read.done) return;
+    left -= read.value.byteLength;
+    if (left < 0) throw new Error("body beyond its limit");
+    yield read.value;
+  }
+}
+
+function tooLarge<T>(
+  limit: number,
+): neverthrow.Result<T, readBody.BodyFailure> {
+  return neverthrow.err({ kind: "too-large", limit });
+}
--- a/packages/daemon/src/caller_connections/read_body.ts
+++ b/packages/daemon/src/caller_connections/read_body.ts
@@ -3,86 +3,99 @@
 
 /** Why a body could not be read. */
 export type BodyFailure =
-  { kind: "too-large"; limit: number } | { kind: "broken" };
+  | { kind: "too-large"; limit: number }
+  /** It was not complete within its time. */
+  | { kind: "too-slow" }
+  /** Its caller left, or what came is no body. */
+  | { kind: "broken" };
+
+/** Under which terms a body is read. */
+export interface BodyTerms {
+  /** Longest body, in bytes. */
+  limit: number;
+  /** Time for the body to come to its end. */
+  timeoutMilliseconds: number;
+}
+
+const EMPTY = Buffer.alloc(0);
+
+/** Length of a body as its head tells it; `undefined` if it does not. */
+export function announcedLength(
+  request: http.IncomingMessage,
+): number | undefined {
+  const { "transfer-encoding": coding, "content-length": length } =
+    request.headers;
+  if (coding !== undefined) return undefined;
+  return Number(length ?? 0);
+}
 
 /**
  * Reads a request body up to a limit. The limit is checked as bytes arrive: a
- * declared length can be absent or wrong, and memory is bounded either way.
+ * declared length can be absent or wrong, and memory is bounded either way. What
+ * comes after a failure is dropped.
  */
-export async function readBody(
+export function readBody(
   request: http.IncomingMessage,
-  limit: number,
+  terms: BodyTerms,
 ): Promise<neverthrow.Result<Buffer, BodyFailure>> {
-  const declared = Number(request.headers["content-length"] ?? 0);
-  if (declared > limit) return tooLarge(limit);
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of request) {
-      size += (chunk as Buffer).byteLength;
-      if (size > limit) return tooLarge(limit);
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    return neverthrow.err({ kind: "broken" });
+  const announced = announcedLength(request);
+  if (announced === 0) return Promise.resolve(neverthrow.ok(EMPTY));
+  if (announced !== undefined && announced > terms.limit) {
+    const { limit } = terms;
+    return Promise.resolve(neverthrow.err({ kind: "too-large", limit }));
   }
-  return neverthrow.ok(Buffer.concat(chunks));
+  return new BodyReader(request, terms).result;
 }
 
-/** A body read so far, and what follows of it. */
-export interface BodyBeginning {
-  beginning: Buffer;
-  /** The rest as it arrives; `undefined` when this is the whole body. */
-  rest: AsyncIterator<Uint8Array> | undefined;
-}
+/** Reads one body. */
+class BodyReader {
+  readonly result: Promise<neverthrow.Result<Buffer, BodyFailure>>;
+  readonly #chunks: Buffer[] = [];
+  #size = 0;
+  readonly #timer: NodeJS.Timeout;
+  #settle: (result: neverthrow.Result<Buffer, BodyFailure>) => void = () => {};
 
-/**
- * Reads the beginning of a body. What is larger than `buffered` is passed on as
- * it arrives, so that a large body does not stand whole in memory; the limit
- * holds for all of it, and a body beyond it breaks off.
- */
-export async function readBeginning(
-  request: http.IncomingMessage,
-  buffered: number,
-  limit: number,
-): Promise<neverthrow.Result<BodyBeginning, BodyFailure>> {
-  const declared = Number(request.headers["content-length"] ?? 0);
-  if (declared > limit) return tooLarge(limit);
-  const chunks: Buffer[] = [];
-  let size = 0;
-  const source = request[Symbol.asyncIterator]();
-  try {
-    while (size <= buffered) {
-      const read = (await source.next()) as IteratorResult<Buffer, void>;
-      if (read.done) {
-        const beginning = Buffer.concat(chunks);
-        return neverthrow.ok({ beginning, rest: undefined });
-      }
-      size += read.value.byteLength;
-      if (size > limit) return tooLarge(limit);
-      chunks.push(read.value);
-    }
-  } catch {
-    return neverthrow.err({ kind: "broken" });
+  constructor(
+    readonly request: http.IncomingMessage,
+    readonly terms: BodyTerms,
+  ) {
+    const { timeoutMilliseconds } = terms;
+    this.result = new Promise((resolve) => (this.#settle = resolve));
+    this.#timer = setTimeout(
+      () => this.#fail({ kind: "too-slow" }),
+      timeoutMilliseconds,
+    );
+    request.on("data", this.#take);
+    request.once("end", this.#complete);
+    request.once("close", this.#break);
+    request.on("error", this.#break);
   }
-  const rest = limited(source, limit - size);
-  return neverthrow.ok({ beginning: Buffer.concat(chunks), rest });
-}
 
-async function* limited(
-  source: AsyncIterator<unknown>,
-  limit: number,
-): AsyncGenerator<Uint8Array, void, void> {
-  let left = limit;
-  for (;;) {
-    const read = (await source.next()) as IteratorResult<Uint8Array, void>;
-    if (read.done) return;
-    left -= read.value.byteLength;
-    if (left < 0) throw new Error("body beyond its limit");
-    yield read.value;
+  readonly #take = (piece: Buffer): void => {
+    const { limit } = this.terms;
+    this.#size += piece.length;
+    if (this.#size <= limit) this.#chunks.push(piece);
+    else this.#fail({ kind: "too-large", limit });
+  };
+
+  readonly #complete = (): void =>
+    this.#end(neverthrow.ok(Buffer.concat(this.#chunks)));
+
+  readonly #break = (): void => this.#fail({ kind: "broken" });
+
+  #fail(failure: BodyFailure): void {
+    this.#end(neverthrow.err(failure));
   }
-}
 
-function tooLarge<T>(limit: number): neverthrow.Result<T, BodyFailure> {
-  return neverthrow.err({ kind: "too-large", limit });
+  #end(result: neverthrow.Result<Buffer, BodyFailure>): void {
+    const { request } = this;
+    clearTimeout(this.#timer);
+    request.off("data", this.#take);
+    request.off("end", this.#complete);
+    request.off("close", this.#break);
+    request.off("error", this.#break);
+    // Without a listener an error of the request would end the process.
+    request.on("error", () => {});
+    this.#settle(result);
+  }
 }
--- a/packages/daemon/src/entry/generate_handler.ts
+++ b/packages/daemon/src/entry/generate_handler.ts
@@ -31,7 +31,10 @@
 }): Promise<void> {
   const { context, welcome, incoming, response } = parameters;
   const arrivedAt = common.now();
-  const body = await readBody.readBody(incoming, LARGEST_GENERATION_BODY);
+  const body = await readBody.readBody(incoming, {
+    limit: LARGEST_GENERATION_BODY,
+    timeoutMilliseconds: context.settings.timing.bodyTimeout,
+  });
   if (body.isErr()) {
     return problems.sendProblem(response, bodyProblem(body.error));
   }
@@ -116,6 +119,12 @@
       const title = "The body is too large";
       return problems.refusal(413, "body-too-large", title, { detail });
     }
+    case "too-slow":
+      return problems.refusal(
+        408,
+        "body-too-slow",
+        "The body did not come in time",
+      );
     case "broken":
       return problems.refusal(400, "body-broken", "The body broke off");
   }
--- a/packages/daemon/src/entry/plain_handler.ts
+++ b/packages/daemon/src/entry/plain_handler.ts
@@ -13,7 +13,7 @@
 import * as generateHandler from "./generate_handler.ts";
 import * as plainSink from "./plain_sink.ts";
 import * as problems from "./problems.ts";
-import * as readBody from "../caller_connections/read_body.ts";
+import * as readBeginning from "../caller_connections/read_beginning.ts";
 
 /** Path under which plain services are reached. */
 export const SERVICES_PREFIX = "/services/";
@@ -55,12 +55,15 @@
   if (stopping) return problems.sendProblem(response, stopping);
   const keyed = terms.value.idempotencyKey !== undefined;
   const suspect = context.quarantine.hasQuarantined(service.name);
-  const body = await readBody.readBeginning(
+  const body = await readBeginning.readBeginning(
     incoming,
     // A key stands for the whole body, and so does a request in quarantine: all of
     // it must be known before it is sent.
     keyed || suspect ? service.maximumBodyBytes : BUFFERED_BYTES,
-    service.maximumBodyBytes,
+    {
+      limit: service.maximumBodyBytes,
+      timeoutMilliseconds: context.settings.timing.bodyTimeout,
+    },
   );
   if (body.isErr()) {
     const told = generateHandler.bodyProblem(body.error);
--- a/packages/daemon/src/forwarding/caller_request.ts
+++ b/packages/daemon/src/forwarding/caller_request.ts
@@ -53,6 +53,10 @@
   UnknownKey = "unknown-key",
   /** The request has not run and never will. */
   NotRun = "not-run",
+  /** Its body is longer than the configuration allows. */
+  BodyTooLarge = "body-too-large",
+  /** Its body did not come to its end in time, so it has not run. */
+  BodyTooSlow = "body-too-slow",
   /** The request may have run. */
   MayHaveRun = "may-have-run",
   /** The request ran out of time and may have run. */
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -97,6 +97,10 @@
     description:
       "Time without a link to an entry after which an upstream process cancels the entry's attempts of requests that may be repeated.",
   }),
+  bodyTimeout: milliseconds(30_000).meta({
+    description:
+      "Longest time for the body of a caller's request to come to its end.",
+  }),
   callerStall: milliseconds(30_000).meta({
     description: "Time that a caller may go without accepting any bytes.",
   }),
