fix(caller_connections): memory for bodies has one bound over all connections

What callers saw: many legal bodies at once, whole or stopping just short of their end, took an entry over the memory of its machine, and all its requests ended with it.

Cause: the length of each body was bounded, their sum was not.

Bodies now take memory from one account before it is used: an announced body for its length, a chunked one as it grows. A body takes at most half of what is free, so large ones leave room for small ones. Where there is none, the incomplete body that held most for longest is given up, if it was held for a second or more; else the new one is refused. One body alone always has room. The account is worked out from the memory of the machine, which the settings tell (`limits.memoryMegabytes`, by default that of the smallest host): what is left after 150 MB of the process's own is split between connections, heads, bodies and answers.

What a runner of requests needs of this moved from the adapter into the product (`RequestIntake`).

--- a/packages/daemon/src/caller_connections/read_beginning.ts
+++ b/packages/daemon/src/caller_connections/read_beginning.ts
@@ -9,6 +9,8 @@
   beginning: Buffer;
   /** The rest as it arrives; `undefined` when this is the whole body. */
   rest: AsyncIterator<Uint8Array> | undefined;
+  /** Gives the memory for the beginning back. */
+  release: () => void;
 }
 
 /**
@@ -21,7 +23,31 @@
   buffered: number,
   terms: readBody.BodyTerms,
 ): Promise<neverthrow.Result<BodyBeginning, readBody.BodyFailure>> {
-  const { limit, timeoutMilliseconds } = terms;
+  const isGivenUp = new AbortController();
+  const { memory } = terms.resources;
+  const reservation = memory.open(() => isGivenUp.abort());
+  const beginning = await collect(request, buffered, terms, (bytes) =>
+    isGivenUp.signal.aborted ? false : reservation.grow(bytes),
+  );
+  if (beginning.isErr()) {
+    reservation.release();
+    return neverthrow.err(beginning.error);
+  }
+  if (isGivenUp.signal.aborted) return neverthrow.err({ kind: "no-memory" });
+  reservation.complete();
+  const release = () => reservation.release();
+  return neverthrow.ok({ ...beginning.value, release });
+}
+
+/** Collects a beginning; `reserve` takes memory for so many bytes, if there is room. */
+async function collect(
+  request: http.IncomingMessage,
+  buffered: number,
+  { limit, timeoutMilliseconds }: readBody.BodyTerms,
+  reserve: (bytes: number) => boolean,
+): Promise<
+  neverthrow.Result<Omit<BodyBeginning, "release">, readBody.BodyFailure>
+> {
   const deadline = common.now() + timeoutMilliseconds;
   const announced = readBody.announcedLength(request);
   if (announced !== undefined && announced > limit) return tooLarge(limit);
@@ -35,7 +61,10 @@
       if (read.done) {
         return neverthrow.ok({ beginning: storage.content, rest: undefined });
       }
-      if (storage.size + read.value.length > limit) return tooLarge(limit);
+      const { length } = read.value;
+      if (storage.size + length > limit) return tooLarge(limit);
+      if (!reserve(storage.capacityFor(length)))
+        return neverthrow.err({ kind: "no-memory" });
       storage.add(read.value);
     }
   } catch {
--- a/packages/daemon/src/caller_connections/read_body.ts
+++ b/packages/daemon/src/caller_connections/read_body.ts
@@ -1,5 +1,6 @@
 import type * as http from "node:http";
 import * as neverthrow from "neverthrow";
+import type * as bodyMemory from "./body_memory.ts";
 import type * as bodyResources from "./body_resources.ts";
 import * as bodyStorage from "./body_storage.ts";
 
@@ -8,6 +9,8 @@
   | { kind: "too-large"; limit: number }
   /** It was not complete within its time. */
   | { kind: "too-slow" }
+  /** There is no memory for it now. */
+  | { kind: "no-memory" }
   /** Its caller left, or what came is no body. */
   | { kind: "broken" };
 
@@ -20,7 +23,13 @@
   resources: bodyResources.BodyResources;
 }
 
-const EMPTY = Buffer.alloc(0);
+/** A whole body, which takes memory until it is released. */
+export interface HeldBody {
+  content: Buffer;
+  release: () => void;
+}
+
+const EMPTY: HeldBody = { content: Buffer.alloc(0), release: () => {} };
 
 /** Length of a body as its head tells it; `undefined` if it does not. */
 export function announcedLength(
@@ -40,7 +49,7 @@
 export function readBody(
   request: http.IncomingMessage,
   terms: BodyTerms,
-): Promise<neverthrow.Result<Buffer, BodyFailure>> {
+): Promise<neverthrow.Result<HeldBody, BodyFailure>> {
   const announced = announcedLength(request);
   if (announced === 0) return Promise.resolve(neverthrow.ok(EMPTY));
   if (announced !== undefined && announced > terms.limit) {
@@ -52,19 +61,24 @@
 
 /** Reads one body. */
 class BodyReader {
-  readonly result: Promise<neverthrow.Result<Buffer, BodyFailure>>;
+  readonly result: Promise<neverthrow.Result<HeldBody, BodyFailure>>;
   readonly #storage: bodyStorage.BodyStorage;
+  readonly #reservation: bodyMemory.BodyReservation;
   readonly #timer: NodeJS.Timeout;
-  #settle: (result: neverthrow.Result<Buffer, BodyFailure>) => void = () => {};
+  #settle: (result: neverthrow.Result<HeldBody, BodyFailure>) => void =
+    () => {};
 
   constructor(
     readonly request: http.IncomingMessage,
     readonly terms: BodyTerms,
     announced: number | undefined,
   ) {
-    const { limit, timeoutMilliseconds } = terms;
+    const { limit, resources, timeoutMilliseconds } = terms;
     this.result = new Promise((resolve) => (this.#settle = resolve));
     this.#storage = new bodyStorage.BodyStorage(announced, limit);
+    this.#reservation = resources.memory.open(() =>
+      this.#fail({ kind: "no-memory" }),
+    );
     this.#timer = setTimeout(
       () => this.#fail({ kind: "too-slow" }),
       timeoutMilliseconds,
@@ -73,25 +87,43 @@
     request.once("end", this.#complete);
     request.once("close", this.#break);
     request.on("error", this.#break);
+    // An announced body is refused before any of it comes.
+    if (announced !== undefined) this.#reserveFor(0);
   }
 
   readonly #take = (piece: Buffer): void => {
-    this.terms.resources.turns.note(this.request, piece);
-    const { limit } = this.terms;
-    if (this.#storage.size + piece.length <= limit) this.#storage.add(piece);
-    else this.#fail({ kind: "too-large", limit });
+    const { limit, resources } = this.terms;
+    resources.turns.note(this.request, piece);
+    if (this.#storage.size + piece.length > limit)
+      return this.#fail({ kind: "too-large", limit });
+    if (this.#reserveFor(piece.length)) this.#storage.add(piece);
   };
 
-  readonly #complete = (): void =>
-    this.#end(neverthrow.ok(this.#storage.content));
+  readonly #complete = (): void => {
+    this.#reservation.complete();
+    this.#end(
+      neverthrow.ok({
+        content: this.#storage.content,
+        release: () => this.#reservation.release(),
+      }),
+    );
+  };
 
   readonly #break = (): void => this.#fail({ kind: "broken" });
 
+  #reserveFor(bytes: number): boolean {
+    const capacity = this.#storage.capacityFor(bytes);
+    if (this.#reservation.grow(capacity)) return true;
+    this.#fail({ kind: "no-memory" });
+    return false;
+  }
+
   #fail(failure: BodyFailure): void {
+    this.#reservation.release();
     this.#end(neverthrow.err(failure));
   }
 
-  #end(result: neverthrow.Result<Buffer, BodyFailure>): void {
+  #end(result: neverthrow.Result<HeldBody, BodyFailure>): void {
     const { request } = this;
     clearTimeout(this.#timer);
     request.off("data", this.#take);
--- a/packages/daemon/src/entry/create_context.ts
+++ b/packages/daemon/src/entry/create_context.ts
@@ -3,6 +3,7 @@
 import type * as wire from "@geraniumkeel/wire";
 import * as accountLimits from "../admission/account_limits.ts";
 import * as bodyResources from "../caller_connections/body_resources.ts";
+import * as callerBounds from "../caller_connections/caller_bounds.ts";
 import * as serviceQueue from "../admission/service_queue.ts";
 import * as surgeReserve from "../admission/surge_reserve.ts";
 import * as configurationHolder from "../configuration/configuration_holder.ts";
@@ -56,6 +57,7 @@
   const random = new common.Random(common.processSeed());
   const incarnation = common.randomIdentifier();
   const { host, place, region, timing } = settings;
+  const bounds = callerBounds.callerBounds(settings.limits);
   const unreadableRows = (table: string) =>
     common.UnreadableRows.ofTable(table, logger, metrics);
   const unreadableLeases = unreadableRows("leases");
@@ -267,7 +269,7 @@
       leaseMilliseconds: timing.leaseDuration,
       random,
     }),
-    bodyResources: new bodyResources.BodyResources(),
+    bodyResources: new bodyResources.BodyResources(bounds.bodyBytes),
     limits: new accountLimits.AccountLimits({
       self: host,
       entries: () => members.present.map((member) => member.host),
--- a/packages/daemon/src/entry/generate_handler.ts
+++ b/packages/daemon/src/entry/generate_handler.ts
@@ -18,18 +18,23 @@
 
 /** Largest body of a generation request, in bytes. */
 export const LARGEST_GENERATION_BODY = 4 * 1024 * 1024;
+/** Bodies that have memory now are sent on within this time, as a rule. */
+const MEMORY_RETRY_SECONDS = 1;
 /** Tokens under way to one caller. */
 const WINDOW = 64;
 
-/** Handles `POST /v1/chat/completions` and `POST /v1/completions`. */
-export async function handleGeneration(parameters: {
+/** A generation request whose body has not been read. */
+interface GenerationCall {
   context: entryContext.EntryContext;
   welcome: acceptWork.WelcomeCaller;
   incoming: http.IncomingMessage;
   response: http.ServerResponse;
   kind: openAi.GenerationInterface;
-}): Promise<void> {
-  const { context, welcome, incoming, response } = parameters;
+}
+
+/** Handles `POST /v1/chat/completions` and `POST /v1/completions`. */
+export async function handleGeneration(call: GenerationCall): Promise<void> {
+  const { context, incoming, response } = call;
   const arrivedAt = common.now();
   const body = await readBody.readBody(incoming, {
     limit: LARGEST_GENERATION_BODY,
@@ -39,7 +44,18 @@
   if (body.isErr()) {
     return problems.sendProblem(response, bodyProblem(body.error));
   }
-  const generation = readGeneration(body.value, parameters.kind);
+  const { content, release } = body.value;
+  await generate(call, content, arrivedAt).finally(release);
+}
+
+/** Handles a request of which the body was read. */
+async function generate(
+  call: GenerationCall,
+  body: Buffer,
+  arrivedAt: number,
+): Promise<void> {
+  const { context, welcome, incoming, response } = call;
+  const generation = readGeneration(body, call.kind);
   if (generation.isErr()) {
     return problems.sendProblem(response, generation.error);
   }
@@ -71,7 +87,7 @@
       method: incoming.method ?? "",
       host: "",
       target: incoming.url ?? "",
-      body: body.value,
+      body,
     }),
   });
   const reserved = accepted.promptTokens + accepted.expectedTokens;
@@ -126,6 +142,15 @@
         "body-too-slow",
         "The body did not come in time",
       );
+    case "no-memory":
+      return problems.refusal(
+        503,
+        "no-memory",
+        "There is no memory for the body",
+        {
+          retryAfterSeconds: MEMORY_RETRY_SECONDS,
+        },
+      );
     case "broken":
       return problems.refusal(400, "body-broken", "The body broke off");
   }
--- a/packages/daemon/src/entry/plain_handler.ts
+++ b/packages/daemon/src/entry/plain_handler.ts
@@ -28,14 +28,25 @@
   acceptWork.REPEATABLE_HEADER,
 ]);
 
-/** Handles calls of plain services: `/services/{service}/{path}`. */
-export async function handlePlain(parameters: {
+/** A call of a plain service whose body has not been read. */
+interface PlainCall {
   context: entryContext.EntryContext;
   welcome: acceptWork.WelcomeCaller;
   incoming: http.IncomingMessage;
   response: http.ServerResponse;
-}): Promise<void> {
-  const { context, welcome, incoming, response } = parameters;
+}
+
+/** A call whose head was checked. */
+interface CheckedCall extends PlainCall {
+  target: { service: string; path: string };
+  service: configuration.PlainService;
+  terms: acceptWork.RequestTerms;
+  arrivedAt: number;
+}
+
+/** Handles calls of plain services: `/services/{service}/{path}`. */
+export async function handlePlain(call: PlainCall): Promise<void> {
+  const { context, welcome, incoming, response } = call;
   const arrivedAt = common.now();
   const target = splitTarget(incoming.url ?? "");
   const service = target && welcome.view.service(target.service);
@@ -70,6 +81,19 @@
     const told = generateHandler.bodyProblem(body.error);
     return problems.sendProblem(response, told);
   }
+  await callService(
+    { ...call, target, service, terms: terms.value, arrivedAt },
+    body.value,
+  ).finally(body.value.release);
+}
+
+/** Calls a service with a body of which the beginning was read. */
+async function callService(
+  call: CheckedCall,
+  body: readBeginning.BodyBeginning,
+): Promise<void> {
+  const { context, welcome, incoming, response } = call;
+  const { service, terms, target, arrivedAt } = call;
   const { name } = welcome.account;
   const limit = await context.limits.reserve(name, 0);
   if (limit.kind === "refused") {
@@ -83,17 +107,17 @@
   const accepted = toAccepted({
     welcome,
     service,
-    terms: terms.value,
+    terms,
     signal: connection.signal,
     work: {
       kind: wire.WorkKind.Call,
       method: incoming.method ?? "GET",
       path: target.path,
       headers: passedHeaders(incoming.rawHeaders),
-      body: body.value.beginning,
-      bodyFollows: body.value.rest !== undefined,
+      body: body.beginning,
+      bodyFollows: body.rest !== undefined,
     },
-    rest: body.value.rest,
+    rest: body.rest,
     target: incoming.url ?? "",
   });
   response.setHeader("x-request-id", accepted.identifier);
--- a/packages/daemon/src/forwarding_mod.ts
+++ b/packages/daemon/src/forwarding_mod.ts
@@ -3,14 +3,14 @@
  * that maintain a group's expert map. A process that imports only these starts
  * without the servers of the daemon's own interface, in a third of the time.
  */
-export * from "./caller_connections/body_resources.ts";
-export * from "./caller_connections/read_body.ts";
+export * from "./caller_connections/caller_bounds.ts";
 export * from "./caller_connections/caller_connections.ts";
 export * from "./caller_connections/caller_exchange.ts";
 export * from "./caller_connections/in_force.ts";
 export * from "./dispatch/retry_budget.ts";
 export * from "./forwarding/caller_request.ts";
 export * from "./forwarding/forwarder.ts";
+export * from "./forwarding/request_intake.ts";
 export * from "./forwarding/runner_tracker.ts";
 export * from "./forwarding/runner_client.ts";
 export * from "./gateway/gateway.ts";
@@ -29,5 +29,6 @@
 export * from "./rank_group/rank_process.ts";
 export * from "./rank_group/recover_switch.ts";
 export * from "./rank_group/switch_group.ts";
+export * from "./settings/host_limits.ts";
 export * from "./shutdown/planned_stop.ts";
 export * from "./shutdown/process_signals.ts";
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -4,6 +4,7 @@
  * while the entries run and that all entries share.
  */
 import * as zod from "zod";
+import * as hostLimits from "./host_limits.ts";
 
 /**
  * Role of a process. An entry accepts requests from callers. An upstream
@@ -185,6 +186,7 @@
    */
   certificateAuthorityFile: zod.string().optional(),
   timing: TIMING.prefault({}),
+  limits: hostLimits.HOST_LIMITS.prefault({}),
   historyFile: zod.string().optional().meta({
     description:
       "File to which the process appends a line of JSON for each event, so that tests can check the history of events; for tests only.",
