fix(caller_connections): what comes of a refused body is dropped unparsed, for a bounded time

What callers saw: nothing; one whose body was refused could send on without end, and the entry parsed and dropped it for as long.

Cause: after the refusal the HTTP server read the body to its end, to use the connection again.

The answer to a request whose body may still bring more than 64 KB now closes the connection. From then on its bytes go past the parser and are dropped, until the caller ends or for 2 s, so that the refusal is not lost by a reset.

--- a/packages/daemon/src/caller_connections/caller_exchange.ts
+++ b/packages/daemon/src/caller_connections/caller_exchange.ts
@@ -1,11 +1,14 @@
 import type * as http from "node:http";
 import * as common from "@geraniumkeel/common";
 import * as connectionEnd from "./connection_end.ts";
+import * as readBody from "./read_body.ts";
 import type * as trackedConnection from "./tracked_connection.ts";
 
 /** Bytes of an answer that are handed to the connection at a time. */
 const PIECE_BYTES = 64 * 1024;
 const STATUS_MAY_HAVE_RUN = 502;
+/** Length up to which a body that is not wanted is read to its end. */
+const SHORT_BODY_BYTES = 64 * 1024;
 
 /** One request of a caller and its answer, on the caller's connection. */
 export class CallerExchange {
@@ -52,6 +55,15 @@
     if (!this.incoming.complete) this.keepOpenAfter(false);
   }
 
+  /**
+   * Lets the answer close the connection if much of a body may still come. A short one
+   * is read and dropped, which costs less than a new connection.
+   */
+  closeUnlessShort(): void {
+    const announced = readBody.announcedLength(this.incoming) ?? Infinity;
+    if (announced > SHORT_BODY_BYTES) this.closeUnlessRead();
+  }
+
   /** Tells a caller that waits for it that the body may come. */
   allowBody(): void {
     if (this.expectsContinue) this.response.writeContinue();
--- a/packages/daemon/src/caller_connections/tracked_connection.ts
+++ b/packages/daemon/src/caller_connections/tracked_connection.ts
@@ -9,6 +9,8 @@
  * and the caller could lose the end of its last answer.
  */
 const LINGER_MILLISECONDS = 500;
+/** The same for a caller that is still sending a body that was refused. */
+const LINGER_OVER_BODY_MILLISECONDS = 2_000;
 
 /** One connection of a caller, from its opening to its end. */
 export class TrackedConnection {
@@ -134,6 +136,18 @@
     if (this.#endedAt !== undefined) return;
     this.#endedAt = common.now();
     this.socket.end();
+    this.#dropInput();
+  }
+
+  /**
+   * Has what still comes dropped before it reaches the parser, which would look at
+   * each chunk of a body, and at each further request, of a caller without end.
+   */
+  #dropInput(): void {
+    const { socket } = this;
+    socket.removeAllListeners("data");
+    socket.on("data", () => {});
+    socket.resume();
   }
 
   /** Ends the connection at once; what it still holds is lost. */
@@ -148,7 +162,11 @@
    */
   isSpent(now: number): boolean {
     if (this.#endedAt === undefined || this.heldBytes > 0) return false;
-    return now - this.#endedAt >= LINGER_MILLISECONDS;
+    const isWithinBody = this.latest?.incoming.complete === false;
+    const linger = isWithinBody
+      ? LINGER_OVER_BODY_MILLISECONDS
+      : LINGER_MILLISECONDS;
+    return now - this.#endedAt >= linger;
   }
 
   /** Milliseconds for which the caller has taken nothing of what is held. */
--- a/packages/daemon/src/forwarding/request_intake.ts
+++ b/packages/daemon/src/forwarding/request_intake.ts
@@ -36,8 +36,10 @@
     const { forwarder, random } = this.parameters;
     exchange.identifier = head.identifier;
     const decision = forwarder.admit(head);
-    if (decision.kind === "refused")
+    if (decision.kind === "refused") {
+      exchange.closeUnlessShort();
       return forwarder.refuse(head, decision.refusal, sink);
+    }
     const body = await this.#readBody(exchange, decision.millisecondsLeft);
     if (body.isOk()) {
       const { content, release } = body.value;
