fix(caller_connections): requests that wait on a connection are bounded, and their bodies read

What callers saw: ordinary requests got 503 while four connections sent requests without end behind a slow one: the entry read, and kept, all of them.

Cause: the HTTP server parses all that comes on a connection, however many requests wait for their turn; each takes some kilobytes as objects, and its body up to a read of 64 KB in pieces that nobody takes, megabytes of the heap if they are tiny.

At most 16 requests may wait behind another one; a connection that brings more is ended. The heads of all requests without an answer share one bound; over it, the connection that holds most of it is ended. Bodies of waiting requests are read as they come, under the same account, time and turns as others. What a request took is given back when it is answered or its connection closed, whether its turn came or not.

--- a/packages/daemon/src/caller_connections/caller_connections.ts
+++ b/packages/daemon/src/caller_connections/caller_connections.ts
@@ -1,6 +1,7 @@
 import type * as http from "node:http";
 import * as net from "node:net";
 import * as common from "@geraniumkeel/common";
+import type * as callerBounds from "./caller_bounds.ts";
 import * as callerExchange from "./caller_exchange.ts";
 import * as connectionEnd from "./connection_end.ts";
 import type * as inForceModule from "./in_force.ts";
@@ -27,6 +28,11 @@
  * was held up: new connections are taken in one turn and read in the next.
  */
 const READING_TURNS = 3;
+/**
+ * Requests that may wait on one connection behind another one. Callers send the next
+ * request when they have the answer.
+ */
+const MAX_WAITING_REQUESTS = 16;
 /** How often a closing process checks whether all connections are closed. */
 const CLOSE_CHECK_INTERVAL_MILLISECONDS = 20;
 
@@ -47,9 +53,15 @@
 export interface CallerConnectionsParameters {
   /** A server created with `CALLER_SERVER_OPTIONS`. */
   server: http.Server;
-  /** Handles one request. */
-  handle: (exchange: callerExchange.CallerExchange) => Promise<void>;
+  /**
+   * Begins to take one request in; the returned function handles it, once those before
+   * it on its connection are answered. Bodies are read meanwhile: what the HTTP server
+   * collects of one that nobody reads is not bounded by its bytes.
+   */
+  begin: (exchange: callerExchange.CallerExchange) => () => Promise<unknown>;
   limits: () => ConnectionLimits;
+  /** Bounds on what all callers together make the process hold. */
+  bounds: callerBounds.CallerBounds;
   inForce: () => inForceModule.InForce;
   lifeCycle: common.LifeCycle;
   logger: common.Logger;
@@ -64,12 +76,15 @@
  */
 export class CallerConnections {
   readonly #open = new Map<net.Socket, trackedConnection.TrackedConnection>();
+  /** Heads of requests that are not answered. */
+  readonly #heads: common.HeldBytes;
   #opened = 0;
   #closesAfterAnswers = false;
   #closing = false;
 
   constructor(readonly parameters: CallerConnectionsParameters) {
-    const { server, lifeCycle } = parameters;
+    const { server, lifeCycle, bounds } = parameters;
+    this.#heads = new common.HeldBytes(bounds.headBytes);
     server.on("connection", (socket) => this.#track(socket));
     server.on("request", (incoming, response) =>
       this.#receive(incoming, response),
@@ -152,24 +167,54 @@
     connection.latest = exchange;
     connection.unanswered.push(exchange);
     connection.announceClosing(this.#closesAfterAnswers);
+    if (!this.#holdHeads(connection)) return;
+    this.#begin(exchange);
     response.once("finish", () => this.#noteAnswered(exchange));
     if (connection.unanswered.length === 1) void this.#handle(exchange);
   }
 
+  /**
+   * Counts the heads of requests that a connection brought and that are not answered.
+   * Returns false if there are too many, and the connection was ended for it.
+   */
+  #holdHeads(connection: trackedConnection.TrackedConnection): boolean {
+    const { unanswered } = connection;
+    if (unanswered.length > MAX_WAITING_REQUESTS)
+      connection.destroy(tooManyRequests("too many requests wait"));
+    else connection.heads.set(connection.unansweredHeadBytes);
+    return !connection.socket.destroyed;
+  }
+
+  #begin(exchange: callerExchange.CallerExchange): void {
+    try {
+      exchange.handle = this.parameters.begin(exchange);
+    } catch (cause) {
+      this.#reportFailure(exchange, cause);
+      exchange.handle = async () => exchange.fail();
+    }
+  }
+
   /** Handles a request; one whose handling throws ends alone, not the process. */
   async #handle(exchange: callerExchange.CallerExchange): Promise<void> {
     try {
-      await this.parameters.handle(exchange);
+      await exchange.handle();
     } catch (cause) {
-      const { identifier } = exchange;
-      common.reportHandlerFailure(this.parameters, identifier, cause);
+      this.#reportFailure(exchange, cause);
       exchange.fail();
     }
   }
 
+  #reportFailure(
+    { identifier }: callerExchange.CallerExchange,
+    cause: unknown,
+  ): void {
+    common.reportHandlerFailure(this.parameters, identifier, cause);
+  }
+
   #noteAnswered(exchange: callerExchange.CallerExchange): void {
     const { connection } = exchange;
     connection.remove(exchange);
+    connection.heads.set(connection.unansweredHeadBytes);
     connection.promisedIdleMilliseconds =
       this.parameters.limits().idleMilliseconds;
     const [next] = connection.unanswered;
@@ -188,10 +233,13 @@
     const connection = new trackedConnection.TrackedConnection(
       ++this.#opened,
       socket,
+      this.#heads,
     );
     this.#open.set(socket, connection);
     socket.once("close", () => {
       this.#open.delete(socket);
+      connection.heads.release();
+      for (const exchange of connection.unanswered) exchange.release();
       this.#logEnd(connection);
     });
   }
@@ -307,6 +355,10 @@
   }
 }
 
+function tooManyRequests(reason: string): connectionEnd.ConnectionEnd {
+  return { kind: connectionEnd.ConnectionEndKind.TooManyRequests, reason };
+}
+
 function refusalOf(code: string | undefined): string {
   const status = {
     [HEAD_TIMEOUT_CODE]: "408 Request Timeout",
--- a/packages/daemon/src/caller_connections/caller_exchange.ts
+++ b/packages/daemon/src/caller_connections/caller_exchange.ts
@@ -1,6 +1,7 @@
 import type * as http from "node:http";
 import * as common from "@geraniumkeel/common";
 import * as connectionEnd from "./connection_end.ts";
+import * as headBytes from "./head_bytes.ts";
 import * as readBody from "./read_body.ts";
 import type * as trackedConnection from "./tracked_connection.ts";
 
@@ -16,6 +17,12 @@
   readonly arrivedAt = common.instant();
   /** Identifier of the request in log lines; empty until it is known. */
   identifier = "";
+  /** Handles it once its turn on the connection has come. */
+  handle: () => Promise<unknown> = () => Promise.resolve();
+  /** About how much memory its head takes. */
+  readonly headBytes: number;
+  #isOver = false;
+  #release: () => void = () => {};
   readonly #left = new AbortController();
   /** Whether the request itself allows further ones on the connection. */
   readonly #callerKeepsOpen: boolean;
@@ -27,6 +34,7 @@
     /** Whether the caller waits to be told that the body may come. */
     readonly expectsContinue: boolean,
   ) {
+    this.headBytes = headBytes.headBytes(incoming);
     this.#callerKeepsOpen = response.shouldKeepAlive;
     response.once("close", () => {
       if (!response.writableFinished) this.#left.abort();
@@ -64,6 +72,23 @@
     if (announced > SHORT_BODY_BYTES) this.closeUnlessRead();
   }
 
+  /** Drops what comes of the body. */
+  dropBody(): void {
+    this.incoming.resume();
+  }
+
+  /** Has memory given back once the request is answered or its connection closed. */
+  releaseAtEnd(release: () => void): void {
+    if (this.#isOver) release();
+    else this.#release = release;
+  }
+
+  /** Gives back what the request took, as it is over. */
+  release(): void {
+    this.#isOver = true;
+    this.#release();
+  }
+
   /** Tells a caller that waits for it that the body may come. */
   allowBody(): void {
     if (this.expectsContinue) this.response.writeContinue();
--- a/packages/daemon/src/caller_connections/connection_end.ts
+++ b/packages/daemon/src/caller_connections/connection_end.ts
@@ -10,6 +10,8 @@
   HeaderTimeout = "header-timeout",
   /** The caller sent bytes that are no request. */
   MalformedRequest = "malformed-request",
+  /** Requests that wait on it took too much memory. */
+  TooManyRequests = "too-many-requests",
   /** An answer that had begun could not be completed. */
   AnswerBrokenOff = "answer-broken-off",
   /** The caller took nothing of an answer for too long. */
@@ -41,6 +43,7 @@
     case ConnectionEndKind.IdleTimeout:
     case ConnectionEndKind.HeaderTimeout:
     case ConnectionEndKind.MalformedRequest:
+    case ConnectionEndKind.TooManyRequests:
     case ConnectionEndKind.AnswerBrokenOff:
     case ConnectionEndKind.CallerStalled:
     case ConnectionEndKind.Stop:
--- a/packages/daemon/src/caller_connections/tracked_connection.ts
+++ b/packages/daemon/src/caller_connections/tracked_connection.ts
@@ -26,6 +26,8 @@
   readonly unanswered: callerExchange.CallerExchange[] = [];
   /** How long the caller was told that the connection may be idle. */
   promisedIdleMilliseconds = 0;
+  /** Memory that the heads of requests without an answer take. */
+  readonly heads: common.Holder;
   #idleSince = this.openedAt;
   #readBytes = 0;
   #end: connectionEnd.ConnectionEnd | undefined;
@@ -38,7 +40,11 @@
     /** Number of the connection, for log lines. */
     readonly number: number,
     readonly socket: net.Socket,
+    heldHeads: common.HeldBytes,
   ) {
+    const kind = connectionEnd.ConnectionEndKind.TooManyRequests;
+    const reason = "no memory for heads of requests";
+    this.heads = heldHeads.open(() => this.destroy({ kind, reason }));
     socket.once("end", () => (this.#callerEnded = true));
     socket.once("error", () => (this.#callerEnded = true));
     // The HTTP server closes a connection by this method after an answer that
@@ -64,6 +70,11 @@
     this.#end ??= end;
   }
 
+  /** Bytes of the heads of requests without an answer. */
+  get unansweredHeadBytes(): number {
+    return this.unanswered.reduce((sum, { headBytes }) => sum + headBytes, 0);
+  }
+
   /** Whether this process has ended its side of the connection. */
   get isEnding(): boolean {
     return this.#endedAt !== undefined;
@@ -71,7 +82,8 @@
 
   /** Whether a request that is read now can still be answered. */
   get takesRequests(): boolean {
-    return !this.isEnding && !this.unanswered.some(({ isLast }) => isLast);
+    if (this.isEnding || this.socket.destroyed) return false;
+    return !this.unanswered.some(({ isLast }) => isLast);
   }
 
   /** Bytes of answers that were handed to the connection. */
@@ -101,6 +113,7 @@
     const index = this.unanswered.indexOf(exchange);
     if (index < 0) return;
     this.unanswered.splice(index, 1);
+    exchange.release();
     this.#idleSince = common.now();
   }
 
--- a/packages/daemon/src/forwarding/request_intake.ts
+++ b/packages/daemon/src/forwarding/request_intake.ts
@@ -16,6 +16,8 @@
   random: common.Random;
 }
 
+type BodyResult = Awaited<ReturnType<typeof readBody.readBody>>;
+
 /**
  * Takes callers' requests in: what needs no body is decided by the head, then the
  * body is read, within the time and the memory that there is, and passed on.
@@ -27,40 +29,56 @@
     this.#resources = new bodyResources.BodyResources(parameters.bodyBytes);
   }
 
-  /** Handles one request until it has its final answer. */
-  async handle(
+  /**
+   * Begins to read one request; the returned function handles it until it has its
+   * final answer.
+   */
+  begin(
     exchange: callerExchange.CallerExchange,
     head: callerRequest.RequestHead,
     sink: callerRequest.AnswerSink,
-  ): Promise<void> {
-    const { forwarder, random } = this.parameters;
+  ): () => Promise<void> {
+    const { forwarder } = this.parameters;
     exchange.identifier = head.identifier;
     const decision = forwarder.admit(head);
     if (decision.kind === "refused") {
+      exchange.dropBody();
       exchange.closeUnlessShort();
-      return forwarder.refuse(head, decision.refusal, sink);
-    }
-    const body = await this.#readBody(exchange, decision.millisecondsLeft);
-    if (body.isOk()) {
-      const { content, release } = body.value;
-      const request = { ...head, body: content };
-      return forwarder.forward(request, sink).finally(release);
+      return () => forwarder.refuse(head, decision.refusal, sink);
     }
+    const read = () => this.#readBody(exchange, decision.millisecondsLeft);
+    // The body comes only once its caller is told, in turn with the answers.
+    const reading = exchange.expectsContinue ? undefined : read();
+    return async () =>
+      this.#handle(exchange, head, sink, await (reading ?? read()));
+  }
+
+  async #handle(
+    exchange: callerExchange.CallerExchange,
+    head: callerRequest.RequestHead,
+    sink: callerRequest.AnswerSink,
+    body: BodyResult,
+  ): Promise<void> {
+    const { forwarder, random } = this.parameters;
+    if (body.isOk())
+      return forwarder.forward({ ...head, body: body.value.content }, sink);
     const refusal = bodyRefusal.bodyRefusal(body.error, random);
     if (!refusal) return;
     exchange.closeUnlessRead();
     return forwarder.refuse(head, refusal, sink);
   }
 
-  #readBody(
+  async #readBody(
     exchange: callerExchange.CallerExchange,
     timeoutMilliseconds: number,
-  ): ReturnType<typeof readBody.readBody> {
+  ): Promise<BodyResult> {
     exchange.allowBody();
-    return readBody.readBody(exchange.incoming, {
+    const body = await readBody.readBody(exchange.incoming, {
       limit: this.parameters.maxBodyBytes(),
       timeoutMilliseconds,
       resources: this.#resources,
     });
+    if (body.isOk()) exchange.releaseAtEnd(body.value.release);
+    return body;
   }
 }
