--- a/packages/daemon/src/caller_connections/caller_connections.ts
+++ b/packages/daemon/src/caller_connections/caller_connections.ts
@@ -236,6 +236,8 @@
       this.#heads,
     );
     this.#open.set(socket, connection);
+    if (this.#open.size > this.parameters.bounds.connections)
+      this.#evictFor(connection);
     socket.once("close", () => {
       this.#open.delete(socket);
       connection.heads.release();
@@ -244,6 +246,21 @@
     });
   }
 
+  /**
+   * Ends the connection without a request that has been quiet for longest, to make room
+   * for a new one; the new one if all have requests.
+   */
+  #evictFor(newest: trackedConnection.TrackedConnection): void {
+    let evicted = newest;
+    for (const connection of this.#open.values()) {
+      const isFree = connection.unanswered.length === 0;
+      if (isFree && connection.quietSince < evicted.quietSince)
+        evicted = connection;
+    }
+    const kind = connectionEnd.ConnectionEndKind.TooManyConnections;
+    evicted.destroy({ kind, reason: "" });
+  }
+
   /** Ends a connection on which a request could not be read. */
   #endUnreadable(cause: NodeJS.ErrnoException, socket: net.Socket): void {
     const connection = this.#open.get(socket);
--- a/packages/daemon/src/caller_connections/connection_end.ts
+++ b/packages/daemon/src/caller_connections/connection_end.ts
@@ -10,6 +10,8 @@
   HeaderTimeout = "header-timeout",
   /** The caller sent bytes that are no request. */
   MalformedRequest = "malformed-request",
+  /** There were too many connections, and it had no request. */
+  TooManyConnections = "too-many-connections",
   /** Requests that wait on it took too much memory. */
   TooManyRequests = "too-many-requests",
   /** An answer that had begun could not be completed. */
@@ -43,6 +45,7 @@
     case ConnectionEndKind.IdleTimeout:
     case ConnectionEndKind.HeaderTimeout:
     case ConnectionEndKind.MalformedRequest:
+    case ConnectionEndKind.TooManyConnections:
     case ConnectionEndKind.TooManyRequests:
     case ConnectionEndKind.AnswerBrokenOff:
     case ConnectionEndKind.CallerStalled:
--- a/packages/daemon/src/caller_connections/tracked_connection.ts
+++ b/packages/daemon/src/caller_connections/tracked_connection.ts
@@ -28,6 +28,7 @@
   promisedIdleMilliseconds = 0;
   /** Memory that the heads of requests without an answer take. */
   readonly heads: common.Holder;
+  #quietSince = this.openedAt;
   #idleSince = this.openedAt;
   #readBytes = 0;
   #end: connectionEnd.ConnectionEnd | undefined;
@@ -96,6 +97,11 @@
     return this.socket.writableLength;
   }
 
+  /** When it was opened, or its last request was answered. */
+  get quietSince(): number {
+    return this.#quietSince;
+  }
+
   /**
    * Milliseconds since the last request was answered and anything was read; 0
    * while a request is not answered.
@@ -115,6 +121,7 @@
     this.unanswered.splice(index, 1);
     exchange.release();
     this.#idleSince = common.now();
+    this.#quietSince = this.#idleSince;
   }
 
   /**
