fix(process): the listeners beside the one for requests are bounded

What callers saw: ordinary requests got 503, or an entry ended by its heap, while strangers flooded its listeners for readiness, directory, operators, metrics or links.

Cause: these were plain HTTP servers. Silent connections took all descriptors; all requests of one read are parsed at once and each answered, however large the answer; bodies that nobody wants were read for as long as they came; a request to the listener of links got no answer at all and was kept.

They are now servers of short questions: connections are bounded (a twentieth of the descriptors, 100 at most; the least recently used is closed), one question at a time on each and 20 ms between two, five seconds for a question to come and an answer to be taken. A question before the last answer has left, or with a body, is the last one of its connection; what comes then goes past the parser. The listener of links answers 426 to what is no upgrade. A link counts no more once it is upgraded.

Not bounded: links that know the program's key.

--- a/packages/daemon/src/process/process_frame.ts
+++ b/packages/daemon/src/process/process_frame.ts
@@ -1,6 +1,8 @@
-import * as http from "node:http";
+import type * as http from "node:http";
 import * as common from "@geraniumkeel/common";
 import type * as neverthrow from "neverthrow";
+import * as callerBounds from "../caller_connections/caller_bounds.ts";
+import * as questionServer from "../caller_connections/question_server.ts";
 import * as processSignals from "../shutdown/process_signals.ts";
 import * as listenWhenFree from "./listen_when_free.ts";
 
@@ -16,6 +18,7 @@
   role: string;
   /** The host's own address. */
   address: string;
+  limits: callerBounds.HostLimits;
 }
 
 type ReadSettings = () => neverthrow.Result<
@@ -36,6 +39,12 @@
   random: common.Random;
   /** Signals that the process received. */
   signals: processSignals.ProcessSignals;
+  /** Bounds on what callers make the process hold. */
+  bounds: callerBounds.CallerBounds;
+  /** Creates a server that answers short questions at once. */
+  questionServer: (listener: http.RequestListener) => http.Server;
+  /** Creates a server that takes links and nothing else. */
+  linkServer: () => http.Server;
   /** Opens a listener; waits while its port is taken. */
   listen: (
     server: http.Server,
@@ -76,7 +85,13 @@
         if (signals.stopRequested) process.exit(0);
       },
     });
+  const bounds = callerBounds.callerBounds(settings.limits);
+  const newQuestionServer: ProcessFrame["questionServer"] = (listener) =>
+    questionServer.createQuestionServer(listener, bounds.otherConnections);
   return {
+    bounds,
+    questionServer: newQuestionServer,
+    linkServer: () => newQuestionServer(questionServer.answerUpgradeRequired),
     logger,
     metrics,
     lifeCycle,
@@ -87,10 +102,8 @@
       // Metrics are not needed to serve, so nothing waits for their listener.
       const endpoint = { address: settings.address, port: METRICS_PORT };
       const onRetry = () => {};
-      void listenWhenFree.listenWhenFree(metricsServer(metrics), endpoint, {
-        logger,
-        onRetry,
-      });
+      const server = newQuestionServer(metricsListener(metrics));
+      void listenWhenFree.listenWhenFree(server, endpoint, { logger, onRetry });
       logger.event(common.EventCode.ProcessStarted, { role });
       signals.act({
         stop: () => void stop(stopping),
@@ -115,9 +128,11 @@
   logger.event(common.EventCode.SettingsRead, { changed });
 }
 
-function metricsServer(metrics: common.MetricsRegistry): http.Server {
-  return http.createServer((_request, response) => {
+function metricsListener(
+  metrics: common.MetricsRegistry,
+): http.RequestListener {
+  return (_request, response) => {
     response.writeHead(200, { "Content-Type": "text/plain" });
     response.end(metrics.text());
-  });
+  };
 }
