fix(forwarding): the bounds on answers fit the memory of the machine, beside those on bodies

Cause: answers that are not complete (32 MB) and answers on their way to callers (64 MB) had bounds of their own, which with bodies, heads and connections beside them did not fit the smallest machine (250 MB).

Gauges `caller_held_bytes` (heads, bodies, answers, deliveries) and `caller_connections_open`, and `heldBytes` in the state dump, tell what is held.

--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -13,6 +13,8 @@
   AdmissionCapacity = "admission_capacity",
   AdmissionWaiting = "admission_waiting",
   CallerConnectionsEnded = "caller_connections_ended",
+  CallerConnectionsOpen = "caller_connections_open",
+  CallerHeldBytes = "caller_held_bytes",
   WrongAnswers = "wrong_answers",
   HandlerFailures = "handler_failures",
   TaskFailures = "task_failures",
@@ -106,6 +108,12 @@
     "Connections of callers that ended, by why.",
     "end",
   ),
+  [Metric.CallerConnectionsOpen]: gauge("1", "Open connections of callers."),
+  [Metric.CallerHeldBytes]: gauge(
+    "bytes",
+    "Memory that callers make the process hold: heads, bodies, answers, deliveries.",
+    "kind",
+  ),
   [Metric.WrongAnswers]: counter(
     "Answers of other programs that can't be used, by what is wrong with them.",
     "kind",
--- a/packages/daemon/src/caller_connections/caller_connections.ts
+++ b/packages/daemon/src/caller_connections/caller_connections.ts
@@ -291,8 +291,16 @@
     connection.endGracefully(end);
   }
 
+  #reportGauges(): void {
+    const { metrics } = this.parameters;
+    metrics.gauge(common.Metric.CallerConnectionsOpen, this.#open.size);
+    const kind = { kind: "heads" };
+    metrics.gauge(common.Metric.CallerHeldBytes, this.#heads.total, kind);
+  }
+
   #sweep(): void {
     this.#applyLimits();
+    this.#reportGauges();
     const now = common.now();
     for (const connection of this.#open.values()) {
       if (connection.isSpent(now)) connection.socket.destroy();
--- a/packages/daemon/src/forwarding/answer_buffers.ts
+++ b/packages/daemon/src/forwarding/answer_buffers.ts
@@ -1,9 +1,14 @@
 import * as common from "@geraniumkeel/common";
+import type * as callerBounds from "../caller_connections/caller_bounds.ts";
 import * as answerDeliveries from "./answer_deliveries.ts";
 import * as answerLimits from "./answer_limits.ts";
 
-/** Bytes that a process holds of all answers that are not complete. */
-const MAX_TOTAL_BYTES = 32 * 1024 * 1024;
+/** Bounds on what a process holds of answers. */
+export type AnswerBounds = Pick<
+  callerBounds.CallerBounds,
+  "answerBytes" | "deliveryBytes"
+>;
+
 const GIVEN_UP = "answers over the memory for them";
 const RELEASED = "released";
 
@@ -12,9 +17,19 @@
  * are; see `common.HeldBytes`.
  */
 export class AnswerBuffers {
-  readonly #held = new common.HeldBytes(MAX_TOTAL_BYTES);
+  readonly #held: common.HeldBytes;
   /** Answers that are complete and on their way to their callers. */
-  readonly deliveries = new answerDeliveries.AnswerDeliveries();
+  readonly deliveries: answerDeliveries.AnswerDeliveries;
+
+  constructor({ answerBytes, deliveryBytes }: AnswerBounds) {
+    this.#held = new common.HeldBytes(answerBytes);
+    this.deliveries = new answerDeliveries.AnswerDeliveries(deliveryBytes);
+  }
+
+  /** Bytes that are held of answers that are not complete. */
+  get bytes(): number {
+    return this.#held.total;
+  }
 
   /** Opens the buffer of an answer; `release` must be called on it. */
   open(): AnswerBuffer {
--- a/packages/daemon/src/forwarding/answer_deliveries.ts
+++ b/packages/daemon/src/forwarding/answer_deliveries.ts
@@ -1,7 +1,5 @@
 import * as common from "@geraniumkeel/common";
 
-/** Bytes of all complete answers that a process holds for their callers. */
-const MAX_TOTAL_BYTES = 64 * 1024 * 1024;
 /** Part of the free memory that one answer may take. */
 const MAX_SHARE_OF_FREE = 0.5;
 /** How often a delivery that waits checks for room; each release wakes it. */
@@ -16,12 +14,20 @@
   #bytes = 0;
   readonly #released = new common.ChangeNotice();
 
+  /** With the bytes of all complete answers that a process may hold. */
+  constructor(readonly maxBytes: number) {}
+
+  /** Bytes that are held now. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
   /**
    * Takes memory for an answer of this length if it has room now; the returned
    * function gives it back.
    */
   reserve(bytes: number): (() => void) | undefined {
-    const free = MAX_TOTAL_BYTES - this.#bytes;
+    const free = this.maxBytes - this.#bytes;
     if (bytes > free * MAX_SHARE_OF_FREE) return undefined;
     this.#bytes += bytes;
     return () => {
--- a/packages/daemon/src/forwarding/failure_answers_test.ts
+++ b/packages/daemon/src/forwarding/failure_answers_test.ts
@@ -2,6 +2,7 @@
 import * as answerBuffers from "./answer_buffers.ts";
 import * as attemptOutcome from "./attempt_outcome.ts";
 import type * as callerRequest from "./caller_request.ts";
+import * as forwardingFixture from "./forwarding_fixture.ts";
 import * as failureAnswers from "./failure_answers.ts";
 
 const test = ava.default;
@@ -33,7 +34,9 @@
 }
 
 test("a failure is delivered whole", async (t) => {
-  const buffers = new answerBuffers.AnswerBuffers();
+  const buffers = new answerBuffers.AnswerBuffers(
+    forwardingFixture.ANSWER_BOUNDS,
+  );
   const { failures, outcome } = createFailure(buffers, 2);
   const { sink, lengths } = createSink();
   t.true(await failures.deliver(outcome, sink));
@@ -42,7 +45,9 @@
 
 // Guards against failures' bodies that fill the memory while their requests are retried.
 test("held failures count, and the longest is told by its kind alone", (t) => {
-  const buffers = new answerBuffers.AnswerBuffers();
+  const buffers = new answerBuffers.AnswerBuffers(
+    forwardingFixture.ANSWER_BOUNDS,
+  );
   const long = createFailure(buffers, 7);
   const others = Array.from({ length: 5 }, () => createFailure(buffers, 6));
   const { sink, lengths } = createSink();
@@ -54,7 +59,9 @@
 // Guards against bytes that count for good: an attempt that was given up read on after its
 // request was over, and in time sound answers were given up for what nobody held.
 test("what is read after a request is over counts for nothing", (t) => {
-  const buffers = new answerBuffers.AnswerBuffers();
+  const buffers = new answerBuffers.AnswerBuffers(
+    forwardingFixture.ANSWER_BOUNDS,
+  );
   for (let request = 0; request < 10; request++) {
     const failures = new failureAnswers.FailureAnswers(buffers);
     const early = failures.open();
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -45,6 +45,7 @@
   /** Called when a runner first says in an answer that it is leaving. */
   onLeaving: (runner: traffic.RunnerEntry, request: string) => void;
   stop: plannedStop.PlannedStop;
+  bounds: answerBuffers.AnswerBounds;
   /**
    * Milliseconds after which a caller is to come back that is refused because
    * this entry stops.
@@ -63,17 +64,25 @@
 export class Forwarder {
   #view: traffic.TrafficView | undefined;
   #underWay = 0;
-  readonly #buffers = new answerBuffers.AnswerBuffers();
+  readonly #buffers: answerBuffers.AnswerBuffers;
   readonly #durations = new answerDurations.AnswerDurations();
   readonly #timeoutHistory = new timeoutHistory.TimeoutHistory();
 
-  constructor(readonly parameters: ForwarderParameters) {}
+  constructor(readonly parameters: ForwarderParameters) {
+    this.#buffers = new answerBuffers.AnswerBuffers(parameters.bounds);
+  }
 
   /** Number of requests that have no final answer yet. */
   get underWay(): number {
     return this.#underWay;
   }
 
+  /** Bytes that are held of answers. */
+  get heldBytes(): { answers: number; deliveries: number } {
+    const { bytes: answers, deliveries } = this.#buffers;
+    return { answers, deliveries: deliveries.bytes };
+  }
+
   /**
    * Handles one request until it has its final answer or its caller has
    * disconnected.
--- a/packages/daemon/src/forwarding/forwarder_test.ts
+++ b/packages/daemon/src/forwarding/forwarder_test.ts
@@ -12,6 +12,7 @@
 import * as plannedStop from "../shutdown/planned_stop.ts";
 import * as plannedStopFixture from "../shutdown/planned_stop_fixture.ts";
 import * as callerRequest from "./caller_request.ts";
+import * as forwardingFixture from "./forwarding_fixture.ts";
 import * as forwarderModule from "./forwarder.ts";
 import * as runnerTracker from "./runner_tracker.ts";
 import * as runnerClientModule from "./runner_client.ts";
@@ -122,6 +123,7 @@
   const configuration = configurationOf(setup);
   const metrics = common.discardMetrics();
   const forwarder = new forwarderModule.Forwarder({
+    bounds: forwardingFixture.ANSWER_BOUNDS,
     configuration,
     admission: new urgencyAdmission.UrgencyAdmission({
       onFailure: (cause) => {
--- a/packages/daemon/src/forwarding/forwarding_fixture.ts
+++ b/packages/daemon/src/forwarding/forwarding_fixture.ts
@@ -1,4 +1,5 @@
 import * as neverthrow from "neverthrow";
+import type * as answerBuffers from "./answer_buffers.ts";
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
 import * as runnerFixture from "@geraniumkeel/traffic/runner_fixture";
@@ -18,6 +19,12 @@
 import * as runnerClient from "./runner_client.ts";
 import * as runnerTracker from "./runner_tracker.ts";
 
+/** Bounds on what is held of answers. */
+export const ANSWER_BOUNDS: answerBuffers.AnswerBounds = {
+  answerBytes: 32 * 1024 * 1024,
+  deliveryBytes: 64 * 1024 * 1024,
+};
+
 /** Longest time for which a test waits for a condition. */
 const CONDITION_TIMEOUT_MILLISECONDS = 5_000;
 const CONDITION_CHECK_MILLISECONDS = 5;
@@ -241,6 +248,7 @@
       metrics,
     });
     this.forwarder = new forwarderModule.Forwarder({
+      bounds: ANSWER_BOUNDS,
       configuration,
       admission: this.admission,
       proofAge: () => 0,
--- a/packages/daemon/src/forwarding/request_intake.ts
+++ b/packages/daemon/src/forwarding/request_intake.ts
@@ -1,4 +1,4 @@
-import type * as common from "@geraniumkeel/common";
+import * as common from "@geraniumkeel/common";
 import * as bodyResources from "../caller_connections/body_resources.ts";
 import type * as callerExchange from "../caller_connections/caller_exchange.ts";
 import * as readBody from "../caller_connections/read_body.ts";
@@ -6,6 +6,9 @@
 import type * as callerRequest from "./caller_request.ts";
 import type * as forwarderModule from "./forwarder.ts";
 
+/** How often it is reported what is held. */
+const GAUGE_MILLISECONDS = 1_000;
+
 /** What taking requests in needs. */
 export interface RequestIntakeParameters {
   forwarder: forwarderModule.Forwarder;
@@ -13,6 +16,8 @@
   maxBodyBytes: () => number;
   /** Memory for the bodies of all requests. */
   bodyBytes: number;
+  lifeCycle: common.LifeCycle;
+  metrics: common.Metrics;
   random: common.Random;
 }
 
@@ -27,6 +32,15 @@
 
   constructor(readonly parameters: RequestIntakeParameters) {
     this.#resources = new bodyResources.BodyResources(parameters.bodyBytes);
+    parameters.lifeCycle.every(GAUGE_MILLISECONDS, () => this.#reportGauges());
+  }
+
+  #reportGauges(): void {
+    const { forwarder, metrics } = this.parameters;
+    const bodies = this.#resources.memory.bytes;
+    const held = { bodies, ...forwarder.heldBytes };
+    for (const [kind, bytes] of Object.entries(held))
+      metrics.gauge(common.Metric.CallerHeldBytes, bytes, { kind });
   }
 
   /**
--- a/packages/daemon/src/forwarding/unbounded_answer_test.ts
+++ b/packages/daemon/src/forwarding/unbounded_answer_test.ts
@@ -75,7 +75,9 @@
 
 // Guards against an answer that is given up for one that is longer.
 test("the longest of the answers that are held is given up for the others", async (t) => {
-  const buffers = new answerBuffers.AnswerBuffers();
+  const buffers = new answerBuffers.AnswerBuffers(
+    forwardingFixture.ANSWER_BOUNDS,
+  );
   const long = Array.from({ length: 5 }, () => buffers.open());
   const short = buffers.open();
   short.push(Buffer.alloc(MEBIBYTE));
@@ -92,7 +94,9 @@
 
 // Guards against many streams that each hold an event without end, within its bound.
 test("the longest of the events that are held is given up for the others", (t) => {
-  const buffers = new answerBuffers.AnswerBuffers();
+  const buffers = new answerBuffers.AnswerBuffers(
+    forwardingFixture.ANSWER_BOUNDS,
+  );
   const counts = Array.from({ length: 40 }, () => buffers.openCount());
   counts.forEach((count, index) => count.set((index + 1) * 39 * 1_024));
   t.true(counts.every(({ problem }) => problem === undefined));
@@ -181,7 +185,9 @@
 // Guards against memory that is never given back: a head that the caller's connection
 // refuses throws as the delivery begins.
 test("a delivery that throws or is rejected gives its memory back", async (t) => {
-  const deliveries = new answerDeliveries.AnswerDeliveries();
+  const deliveries = new answerDeliveries.AnswerDeliveries(
+    forwardingFixture.ANSWER_BOUNDS.deliveryBytes,
+  );
   const failure = new Error("broken invariant");
   const begins = [
     () => {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import * as common from "@geraniumkeel/common";
 import * as traffic from "@geraniumkeel/traffic";
 import type * as wire from "@geraniumkeel/wire";
+import type * as callerBounds from "../caller_connections/caller_bounds.ts";
 import * as urgencyAdmission from "../admission/urgency_admission.ts";
 import * as urgencyQueue from "../admission/urgency_queue.ts";
 import * as forwarderModule from "../forwarding/forwarder.ts";
@@ -75,6 +76,8 @@
   /** Maximum time for which a revoked key may still be served. */
   revocationMilliseconds: number;
   stop: plannedStop.PlannedStop;
+  /** Bounds on what callers make the process hold. */
+  bounds: callerBounds.CallerBounds;
   /**
    * Retries allowed for each service, at all entries together: `share` of the
    * requests, plus `allowance` in a window. The budgets know no window: they
@@ -228,6 +231,7 @@
         logger.event(common.EventCode.RunnerLeaving, { peer, request }),
       onAnswerStart: (runner) => this.crashReview.reviewAnswer(runner),
       stop: parameters.stop,
+      bounds: parameters.bounds,
       retryElsewhereMilliseconds: () => this.#retryElsewhereMilliseconds(),
       random,
       logger,
@@ -386,6 +390,7 @@
       ready: this.ready,
       stopping: this.stopping,
       underWay: this.forwarder.underWay,
+      heldBytes: this.forwarder.heldBytes,
       configuration: {
         version: this.configuration.version,
         age: this.configuration.age,
--- a/packages/stand_ins/src/gateways/gateways.ts
+++ b/packages/stand_ins/src/gateways/gateways.ts
@@ -124,6 +124,7 @@
     const table = tableService.createTable(this.data, logger);
     const looks = this.#operatorSources(host, table);
     const gateway = new daemon.Gateway({
+      bounds: daemon.callerBounds(daemon.DEFAULT_HOST_LIMITS),
       self: {
         host,
         dataCentre: "d",
