fix(settings): connections to the own interface's listeners are bounded

Cause: as on the adapter's listeners, nothing bounded the connections to the listeners for callers, operators and links of the own interface, nor the requests under way on one connection; the body of a refused request was read to its end.

All listeners are opened in one place, which now bounds them: the connection without a request that was used least lately is closed for a new one, and a connection with more than 16 requests under way is ended. Listeners with TLS refuse connections over the bound. The answer to a request whose body is incomplete closes the connection.

No crowd was played against this interface as a process.

--- a/packages/daemon/src/entry/problems.ts
+++ b/packages/daemon/src/entry/problems.ts
@@ -87,6 +87,8 @@
     const seconds = Math.max(1, Math.ceil(told.retryAfterSeconds));
     headers["retry-after"] = String(seconds);
   }
+  // The rest of a body that is refused is not worth reading.
+  if (!response.req.complete) response.shouldKeepAlive = false;
   response.writeHead(told.status, headers);
   response.end(problem.problemBody(told));
 }
--- a/packages/daemon/src/entry/start_entry.ts
+++ b/packages/daemon/src/entry/start_entry.ts
@@ -3,6 +3,7 @@
 import * as neverthrow from "neverthrow";
 import * as backingServices from "@geraniumkeel/backing_services";
 import * as wire from "@geraniumkeel/wire";
+import * as callerBounds from "../caller_connections/caller_bounds.ts";
 import * as configurationSync from "../configuration/configuration_sync.ts";
 import * as claimRemoval from "../dispatch/claim_removal.ts";
 import * as leaseModule from "../lease/lease.ts";
@@ -102,13 +103,19 @@
   settings: settingsModule.EntrySettings,
   lifeCycle: common.LifeCycle,
 ): Promise<neverthrow.Result<Listeners, listenModule.ListenFailure>> {
-  const open = (name: keyof Listeners) =>
-    listenModule.listen({ name, listener: settings.listen[name], lifeCycle });
+  const bounds = callerBounds.callerBounds(settings.limits);
+  const open = (name: keyof Listeners, maxConnections = bounds.connections) =>
+    listenModule.listen({
+      name,
+      listener: settings.listen[name],
+      maxConnections,
+      lifeCycle,
+    });
   const callers = await open("callers");
   if (callers.isErr()) return neverthrow.err(callers.error);
   const links = await open("links");
   if (links.isErr()) return neverthrow.err(links.error);
-  const operators = await open("operators");
+  const operators = await open("operators", bounds.otherConnections);
   if (operators.isErr()) return neverthrow.err(operators.error);
   return neverthrow.ok({
     callers: callers.value,
--- a/packages/daemon/src/settings/listen.ts
+++ b/packages/daemon/src/settings/listen.ts
@@ -3,6 +3,7 @@
 import * as https from "node:https";
 import * as common from "@geraniumkeel/common";
 import * as neverthrow from "neverthrow";
+import * as boundConnections from "../caller_connections/bound_connections.ts";
 import type * as settings from "./settings.ts";
 
 /** A listener that could not be opened. */
@@ -32,6 +33,8 @@
 export async function listen(parameters: {
   name: string;
   listener: settings.Listener;
+  /** Connections at most. */
+  maxConnections: number;
   handler?: http.RequestListener;
   lifeCycle: common.LifeCycle;
 }): Promise<neverthrow.Result<OpenListener, ListenFailure>> {
@@ -39,6 +42,7 @@
   const server = createServer(listener);
   if (server.isErr()) return neverthrow.err(failure(name, server.error));
   const httpServer = server.value;
+  boundConnections.boundConnections(httpServer, parameters.maxConnections);
   if (handler) httpServer.on("request", handler);
   const reason = await new Promise<string | undefined>((resolve) => {
     httpServer.once("error", (cause) => resolve(cause.message));
--- a/packages/daemon/src/settings/listen_test.ts
+++ b/packages/daemon/src/settings/listen_test.ts
@@ -8,6 +8,8 @@
 import * as settings from "./settings.ts";
 
 const test = ava.default;
+
+const MAX_CONNECTIONS = 10;
 const FIXTURES = new URL("../../fixtures/", import.meta.url);
 const certificateFile = url.fileURLToPath(
   new URL("test_certificate.pem", FIXTURES),
@@ -24,6 +26,7 @@
   const lifeCycle = new common.LifeCycle("test");
   const opened = await listenModule.listen({
     name: "links",
+    maxConnections: MAX_CONNECTIONS,
     listener: tlsListener(),
     handler: (_request, response) => response.end("hello"),
     lifeCycle,
@@ -70,6 +73,7 @@
   const listener = tlsListener();
   const opened = await listenModule.listen({
     name: "callers",
+    maxConnections: MAX_CONNECTIONS,
     listener: { ...listener, tls: { certificateFile: "/none", keyFile } },
     lifeCycle: new common.LifeCycle("test"),
   });
--- a/packages/daemon/src/upstream/start_upstream.ts
+++ b/packages/daemon/src/upstream/start_upstream.ts
@@ -1,3 +1,4 @@
+import * as callerBounds from "../caller_connections/caller_bounds.ts";
 import * as common from "@geraniumkeel/common";
 import * as engineModule from "@geraniumkeel/engine";
 import * as neverthrow from "neverthrow";
@@ -41,9 +42,11 @@
     periodMilliseconds: settings.timing.loadPeriod,
   });
   context.state = () => describe(context, reporter);
+  const bounds = callerBounds.callerBounds(settings.limits);
   const operators = await listenModule.listen({
     name: "operators",
     listener: settings.listen.operators,
+    maxConnections: bounds.otherConnections,
     handler: upstreamServer.upstreamOperatorHandler(context),
     lifeCycle,
   });
@@ -51,6 +54,7 @@
   const links = await listenModule.listen({
     name: "links",
     listener: settings.listen.links,
+    maxConnections: bounds.connections,
     handler: (_request, response) => response.writeHead(404).end(),
     lifeCycle,
   });
