fix(settings): limits of a host may be fractions, and more may ask the other listeners

A deployment may give a process a fraction of a megabyte; the settings refused it, and the process would not have started. The listeners for short questions take 200 connections in place of 100: clients that keep one open to the directory are not closed for one another on machines with 4,100 descriptors.

--- a/packages/daemon/src/caller_connections/caller_bounds.ts
+++ b/packages/daemon/src/caller_connections/caller_bounds.ts
@@ -48,7 +48,7 @@
 const CALLERS_DESCRIPTORS_SHARE = 0.3;
 const OTHER_DESCRIPTORS_SHARE = 0.05;
 /** Enough for all who ask a listener beside the one for requests at once. */
-const MAX_OTHER_CONNECTIONS = 100;
+const MAX_OTHER_CONNECTIONS = 200;
 
 /** Works out the bounds from what the host gives the process. */
 export function callerBounds(limits: HostLimits): CallerBounds {
--- a/packages/daemon/src/settings/host_limits.ts
+++ b/packages/daemon/src/settings/host_limits.ts
@@ -6,7 +6,6 @@
 const positive = (what: string, defaultValue: number) =>
   zod
     .number({ error: `give ${what} as a number` })
-    .int({ error: `give whole ${what}` })
     .min(1, { error: "give at least 1" })
     .default(defaultValue);
 
