fix(caller_connections): upgrades on listeners that take none, and room for slow readers

Processes ended by an uncaught ECONNRESET (odd_input_soak_test): the bound on connections listened for upgrades on every server. With such a listener the HTTP server gives the socket away, and on a server that takes no links nobody heard its errors. Only servers of links listen for upgrades now, and hear errors of the socket. Test: a request to upgrade is an ordinary one elsewhere.

Six answers of 4 to 8 MB that callers read slowly at one entry: two got 502 (last_bytes_processes_test).

--- a/packages/daemon/src/caller_connections/bound_connections.ts
+++ b/packages/daemon/src/caller_connections/bound_connections.ts
@@ -11,7 +11,10 @@
  * if all have requests. An upgraded connection has an owner of its own and is not
  * counted.
  */
-export function boundConnections(server: http.Server, max: number): void {
+export function boundConnections(
+  server: http.Server,
+  { max, takesUpgrades }: { max: number; takesUpgrades: boolean },
+): void {
   if (server instanceof https.Server) {
     // Its requests come on other sockets than its connections.
     server.maxConnections = max;
@@ -20,9 +23,13 @@
   const bound = new ConnectionBound(max);
   server.on("connection", (socket: net.Socket) => bound.add(socket));
   server.on("request", ({ socket }, response) => bound.begin(socket, response));
-  server.on("upgrade", (_request, socket) =>
-    bound.remove(socket as net.Socket),
-  );
+  // With a listener of this event the HTTP server gives the socket away: on a server
+  // that takes no upgrades nobody would hear its errors, which end the process.
+  if (!takesUpgrades) return;
+  server.on("upgrade", (_request, socket) => {
+    bound.remove(socket as net.Socket);
+    socket.on("error", () => socket.destroy());
+  });
 }
 
 /** The connections of one server. */
--- a/packages/daemon/src/caller_connections/bound_connections_test.ts
+++ b/packages/daemon/src/caller_connections/bound_connections_test.ts
@@ -14,7 +14,10 @@
   t: ava.ExecutionContext,
 ): Promise<{ server: http.Server; connect: () => Promise<net.Socket> }> {
   const server = http.createServer(() => {});
-  boundConnections.boundConnections(server, MAX_CONNECTIONS);
+  boundConnections.boundConnections(server, {
+    max: MAX_CONNECTIONS,
+    takesUpgrades: false,
+  });
   server.listen(0, "127.0.0.1");
   await events.EventEmitter.once(server, "listening");
   const { port } = server.address() as net.AddressInfo;
@@ -54,6 +57,19 @@
   t.false(other.destroyed);
 });
 
+// Guards against a socket that the HTTP server gives away to nobody, whose errors end the
+// process.
+test("a request to upgrade is an ordinary one where no upgrades are taken", async (t) => {
+  const { server, connect } = await serve(t);
+  const socket = await connect();
+  const requested = events.EventEmitter.once(server, "request");
+  socket.write(
+    "GET / HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+  );
+  await requested;
+  t.pass();
+});
+
 // Guards against requests without end on one connection, all of which are under way.
 test("a connection with too many requests under way is ended", async (t) => {
   const { connect } = await serve(t);
--- a/packages/daemon/src/caller_connections/caller_bounds.ts
+++ b/packages/daemon/src/caller_connections/caller_bounds.ts
@@ -34,11 +34,11 @@
 /** More is of no use: a part of it is on the heap, which has a limit of its own. */
 const MAX_CALLER_MEGABYTES = 240;
 /** Parts of the memory for callers; together all of it. */
-const CONNECTIONS_SHARE = 0.35;
-const HEADS_SHARE = 0.1;
-const BODIES_SHARE = 0.2;
-const ANSWERS_SHARE = 0.12;
-const DELIVERIES_SHARE = 0.23;
+const CONNECTIONS_SHARE = 0.17;
+const HEADS_SHARE = 0.07;
+const BODIES_SHARE = 0.16;
+const ANSWERS_SHARE = 0.26;
+const DELIVERIES_SHARE = 0.34;
 /** A connection with a head of many short lines that is not complete. */
 const CONNECTION_BYTES = 32 * 1024;
 /**
--- a/packages/daemon/src/caller_connections/question_server.ts
+++ b/packages/daemon/src/caller_connections/question_server.ts
@@ -19,7 +19,7 @@
  */
 export function createQuestionServer(
   listener: http.RequestListener,
-  maxConnections: number,
+  connections: { max: number; takesUpgrades: boolean },
 ): http.Server {
   const server = http.createServer({
     connectionsCheckingInterval: CHECK_INTERVAL_MILLISECONDS,
@@ -28,13 +28,13 @@
   });
   // Without a listener the server closes a connection that is quiet for so long.
   server.setTimeout(TIMEOUT_MILLISECONDS);
-  boundConnections.boundConnections(server, maxConnections);
-  const connections = new WeakMap<net.Socket, QuestionConnection>();
+  boundConnections.boundConnections(server, connections);
+  const open = new WeakMap<net.Socket, QuestionConnection>();
   server.on("connection", (socket: net.Socket) =>
-    connections.set(socket, new QuestionConnection(socket)),
+    open.set(socket, new QuestionConnection(socket)),
   );
   server.on("request", (request, response) => {
-    const connection = connections.get(request.socket);
+    const connection = open.get(request.socket);
     if (!connection?.begin(request, response)) return;
     listener(request, response);
   });
--- a/packages/daemon/src/process/process_frame.ts
+++ b/packages/daemon/src/process/process_frame.ts
@@ -86,12 +86,19 @@
       },
     });
   const bounds = callerBounds.callerBounds(settings.limits);
-  const newQuestionServer: ProcessFrame["questionServer"] = (listener) =>
-    questionServer.createQuestionServer(listener, bounds.otherConnections);
+  const newQuestionServer = (
+    listener: http.RequestListener,
+    takesUpgrades = false,
+  ) =>
+    questionServer.createQuestionServer(listener, {
+      max: bounds.otherConnections,
+      takesUpgrades,
+    });
   return {
     bounds,
-    questionServer: newQuestionServer,
-    linkServer: () => newQuestionServer(questionServer.answerUpgradeRequired),
+    questionServer: (listener) => newQuestionServer(listener),
+    linkServer: () =>
+      newQuestionServer(questionServer.answerUpgradeRequired, true),
     logger,
     metrics,
     lifeCycle,
--- a/packages/daemon/src/settings/listen.ts
+++ b/packages/daemon/src/settings/listen.ts
@@ -42,7 +42,10 @@
   const server = createServer(listener);
   if (server.isErr()) return neverthrow.err(failure(name, server.error));
   const httpServer = server.value;
-  boundConnections.boundConnections(httpServer, parameters.maxConnections);
+  boundConnections.boundConnections(httpServer, {
+    max: parameters.maxConnections,
+    takesUpgrades: name === LINKS_NAME,
+  });
   if (handler) httpServer.on("request", handler);
   const reason = await new Promise<string | undefined>((resolve) => {
     httpServer.once("error", (cause) => resolve(cause.message));
@@ -69,6 +72,9 @@
 /** URL path on which a process accepts links. */
 export const LINK_PATH = "/link";
 
+/** Name of the listener at which a process accepts links. */
+const LINKS_NAME = "links";
+
 function createServer(
   listener: settings.Listener,
 ): neverthrow.Result<http.Server, string> {
