fix(caller_connections): a body that has ended takes no turn and is not kept

Found in reading the change: bodies in tiny pieces that had ended, by their time, their caller or for memory, stayed in the queue for turns.

A body leaves the queue when its reading ends, whichever way, and its connection is read on so that the answer can end it.

--- a/packages/daemon/src/caller_connections/piece_turns.ts
+++ b/packages/daemon/src/caller_connections/piece_turns.ts
@@ -12,10 +12,15 @@
  * that all together leave most of the processor's time to other requests.
  */
 export class PieceTurns {
-  readonly #waiting: http.IncomingMessage[] = [];
+  readonly #waiting = new Set<http.IncomingMessage>();
   readonly #pieces = new WeakMap<http.IncomingMessage, number>();
   #timer: NodeJS.Timeout | undefined;
 
+  /** Bodies that wait for their turn. */
+  get waiting(): number {
+    return this.#waiting.size;
+  }
+
   /** Notes a piece of a body; after many small ones the body waits for its turn. */
   note(request: http.IncomingMessage, piece: Buffer): void {
     if (piece.length >= SMALL_PIECE_BYTES) return;
@@ -26,22 +31,33 @@
     process.nextTick(() => this.#wait(request));
   }
 
+  /** Notes that a body is read no further, and needs no turn. */
+  leave(request: http.IncomingMessage): void {
+    this.#pieces.delete(request);
+    if (this.#waiting.delete(request)) resume(request);
+  }
+
   #wait(request: http.IncomingMessage): void {
+    const hasLeft = !this.#pieces.has(request);
+    if (hasLeft) return;
     request.pause();
     request.socket.pause();
-    this.#waiting.push(request);
+    this.#waiting.add(request);
     this.#timer ??= setInterval(() => this.#giveTurn(), TURN_MILLISECONDS);
   }
 
   #giveTurn(): void {
-    const request = this.#waiting.shift();
+    const [request] = this.#waiting;
     if (!request) {
       clearInterval(this.#timer);
       this.#timer = undefined;
       return;
     }
-    this.#pieces.delete(request);
-    request.socket.resume();
-    request.resume();
+    this.leave(request);
   }
 }
+
+function resume(request: http.IncomingMessage): void {
+  request.socket.resume();
+  request.resume();
+}
--- a/packages/daemon/src/caller_connections/read_body.ts
+++ b/packages/daemon/src/caller_connections/read_body.ts
@@ -126,6 +126,7 @@
   #end(result: neverthrow.Result<HeldBody, BodyFailure>): void {
     const { request } = this;
     clearTimeout(this.#timer);
+    this.terms.resources.turns.leave(request);
     request.off("data", this.#take);
     request.off("end", this.#complete);
     request.off("close", this.#break);
--- a/packages/daemon/src/caller_connections/read_body_test.ts
+++ b/packages/daemon/src/caller_connections/read_body_test.ts
@@ -104,3 +104,14 @@
     t.is(resources.memory.bytes, 0);
   });
 }
+
+// Guards against bodies that have ended and still take turns from others, or are kept.
+test("a body in tiny pieces that fails waits for no turn", async (t) => {
+  const { result, resources } = await read(t, {
+    lines: [CHUNKED],
+    send: (socket) => socket.write("1\r\nx\r\n".repeat(LIMIT)),
+    timeoutMilliseconds: 100,
+  });
+  t.is(result._unsafeUnwrapErr().kind, "too-slow");
+  t.is(resources.turns.waiting, 0);
+});
